--- /dev/null
+++ b/src/pomelolane/events.py
@@ -0,0 +1,247 @@
+"""The catalogue of numbered log events.
+
+docs/LOG-EVENTS.md is written from it, and a test checks that they agree.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One kind of log line.
+
+    Attributes:
+        number: Unique; hundreds group by subsystem (1xx process, 2xx gateway,
+            3xx scheduler, 4xx membership, 5xx platform, claims and leases,
+            6xx jobs, 7xx settings, 8xx endpoints).
+        name: Unique, snake case.
+        level: ``debug``, ``info``, ``warning`` or ``error``.
+        fields: Names of the values that the line carries.
+        meaning: One sentence for operators.
+    """
+
+    number: int
+    name: str
+    level: str
+    fields: tuple[str, ...]
+    meaning: str
+
+
+CATALOGUE: dict[int, Event] = {}
+"""All events by number."""
+
+
+def _define(number: int, name: str, level: str, fields: str, meaning: str) -> Event:
+    event = Event(number, name, level, tuple(fields.split()), meaning)
+    if number in CATALOGUE:
+        raise AssertionError(f"event {number} is defined twice")
+    CATALOGUE[number] = event
+    return event
+
+
+# 1xx: the process
+VM_STARTED = _define(
+    101,
+    "vm_started",
+    "info",
+    "vm data_centre incarnation address version",
+    "The process listens and has begun to look for its settings.",
+)
+VM_READY = _define(
+    102, "vm_ready", "info", "vm branches", "Settings are in force; callers are taken."
+)
+VM_DRAINING = _define(
+    103,
+    "vm_draining",
+    "info",
+    "vm open_requests",
+    "A planned stop has begun; open requests are finished first.",
+)
+VM_STOPPED = _define(104, "vm_stopped", "info", "vm", "The process ends.")
+TASK_FAILED = _define(
+    105, "task_failed", "error", "task error", "A background task failed and restarts."
+)
+
+# 2xx: the gateway
+REQUEST_ACCEPTED = _define(
+    201,
+    "request_accepted",
+    "debug",
+    "request organisation service work tier deadline_ms prefill_tokens",
+    "A request passed the checks and waits for a slot.",
+)
+REQUEST_DISPATCHED = _define(
+    202,
+    "request_dispatched",
+    "info",
+    "request service endpoint attempt waited_ms expected_ttft_ms",
+    "The request is sent to the endpoint; from here it counts as possibly run.",
+)
+REQUEST_FINISHED = _define(
+    203,
+    "request_finished",
+    "info",
+    "request endpoint status ttft_ms total_ms chunks",
+    "The whole answer went to the caller.",
+)
+REQUEST_REFUSED = _define(
+    204,
+    "request_refused",
+    "info",
+    "request outcome reason retry_after_ms",
+    "The caller got a typed final refusal.",
+)
+REQUEST_CUT = _define(
+    205,
+    "request_cut",
+    "warning",
+    "request endpoint outcome reason",
+    "The answer ended early after dispatch.",
+)
+REQUEST_RETRIED = _define(
+    206,
+    "request_retried",
+    "info",
+    "request endpoint attempt reason",
+    "An idempotent request is sent again before its first answer byte.",
+)
+REQUEST_ATTACHED = _define(
+    207,
+    "request_attached",
+    "info",
+    "request key endpoint",
+    "A repeated key is answered from the first request's stream or kept answer.",
+)
+BAD_INPUT = _define(
+    208, "bad_input", "info", "reason status", "A malformed request was turned away."
+)
+
+# 3xx: the scheduler
+PLACED = _define(
+    301,
+    "placed",
+    "info",
+    "request service endpoint tier waited_ms queue_ms prefill_ms cached_tokens score",
+    "The scheduler granted a slot; the figures are those that decided.",
+)
+REFUSED = _define(
+    302,
+    "refused",
+    "info",
+    "request service tier reason queued retry_after_ms",
+    "The scheduler gave up on a waiting request.",
+)
+SCHEDULER_CHOSEN = _define(
+    303,
+    "scheduler_chosen",
+    "info",
+    "service scheduler view epoch",
+    "This gateway follows another scheduler for the service.",
+)
+SCHEDULER_ROLE = _define(
+    304, "scheduler_role", "info", "service held", "This VM took or left the role."
+)
+ENDPOINT_STRAGGLING = _define(
+    305,
+    "endpoint_straggling",
+    "warning",
+    "endpoint slowdown",
+    "An endpoint is much slower than before and gets probes only.",
+)
+ENDPOINT_RECOVERED = _define(
+    306,
+    "endpoint_recovered",
+    "info",
+    "endpoint slowdown",
+    "A straggler's probe was fast enough; it takes grants again.",
+)
+LOCAL_FALLBACK = _define(
+    307,
+    "local_fallback",
+    "warning",
+    "service share",
+    "No scheduler answers; this VM grants from its fixed share of slots.",
+)
+
+# 4xx: membership
+PEER_UP = _define(
+    401, "peer_up", "info", "peer incarnation data_centre", "A VM joined the view."
+)
+PEER_DOWN = _define(402, "peer_down", "info", "peer silent_ms", "A VM left the view.")
+DELEGATE_ROLE = _define(
+    403,
+    "delegate_role",
+    "info",
+    "data_centre held",
+    "This VM began or ceased to exchange digests for its data centre.",
+)
+DATA_CENTRE_LOST = _define(
+    404, "data_centre_lost", "warning", "data_centre", "No digest comes from it."
+)
+MESSAGE_REJECTED = _define(
+    405,
+    "message_rejected",
+    "warning",
+    "peer error",
+    "An inter-VM message was malformed, replayed or not authentic.",
+)
+
+# 5xx: platform, claims, leases
+PLATFORM_DOWN = _define(501, "platform_down", "warning", "error", "A call failed.")
+PLATFORM_UP = _define(502, "platform_up", "info", "down_ms", "Calls succeed again.")
+CLAIM_COMMITTED = _define(
+    503, "claim_committed", "debug", "claims elapsed_ms", "One group of claims is in."
+)
+CLAIM_READ_BACK = _define(
+    504,
+    "claim_read_back",
+    "info",
+    "claims held",
+    "A lost reply was settled by reading the claims back.",
+)
+LEASE_TAKEN = _define(
+    505, "lease_taken", "info", "lease fencing", "This VM holds the lease."
+)
+LEASE_LOST = _define(506, "lease_lost", "warning", "lease fencing", "It holds no more.")
+
+# 6xx: jobs
+JOB_ACCEPTED = _define(
+    601, "job_accepted", "info", "job organisation service", "202 was answered."
+)
+JOB_CLAIMED = _define(
+    602, "job_claimed", "info", "job attempt", "This VM runs the job."
+)
+JOB_RESUMED = _define(
+    603,
+    "job_resumed",
+    "info",
+    "job endpoint chunk",
+    "A dead runner's stream is resumed where it stood.",
+)
+JOB_FINISHED = _define(604, "job_finished", "info", "job state", "The job has ended.")
+
+# 7xx: settings
+SETTINGS_APPLIED = _define(
+    701, "settings_applied", "info", "branch version source", "A version is in force."
+)
+SETTINGS_REJECTED = _define(
+    702,
+    "settings_rejected",
+    "warning",
+    "branch version error",
+    "A branch did not pass the checks and was left as it was.",
+)
+
+# 8xx: endpoints
+ENDPOINT_LEAVING = _define(
+    801, "endpoint_leaving", "info", "endpoint source", "It gets no further grant."
+)
+LOAD_ORDERED = _define(
+    802,
+    "load_ordered",
+    "info",
+    "endpoint model fencing answer",
+    "An engine was ordered to load a model.",
+)
--- /dev/null
+++ b/src/pomelolane/logs.py
@@ -0,0 +1,42 @@
+"""Structured log lines over absl.logging, one function for all of them.
+
+A line is the event's number and name followed by ``field=value`` pairs.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+if TYPE_CHECKING:
+    from pomelolane.events import Event
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+_MAX_VALUE_LENGTH = 200
+
+
+def format_event(event: Event, values: dict[str, object]) -> str:
+    """Return the text of a log line, fields in catalogue order."""
+    pairs = (f"{name}={_printable(values.get(name, ''))}" for name in event.fields)
+    return f"E{event.number} {event.name} " + " ".join(pairs)
+
+
+def log_event(event: Event, **values: object) -> None:
+    """Write one log line; only fields of the catalogue are written."""
+    level = _LEVELS[event.level]
+    if logging.vlog_is_on(level) if level > 0 else True:
+        logging.log(level, "%s", format_event(event, values))
+
+
+def _printable(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    text = str(value)[:_MAX_VALUE_LENGTH]
+    return text.replace("\n", "\\n").replace(" ", "_")
