Let a claim say itself whether it allows a dispatch

Cause: a record that is merely this VM's own may be an old one, whose request has run and was forgotten; dispatching on it would be a second run. A record is now fresh only in the return of the call that made it. Ruled out: a memory of served keys in the gateway, which must be bounded and so forgets.

--- a/src/pomelolane/ports.py
+++ b/src/pomelolane/ports.py
@@ -387,12 +387,16 @@
 
     Attributes:
         key: Organisation and idempotency key, hashed.
-        token: Unique token of the claim.
+        token: Unique token of the ``claim`` call that made it.
         vm_id: Holder.
         incarnation: The holder's start.
         body_digest: Digest of the request, to refuse a key's reuse.
-        state: ``claimed``, ``released``, ``done``, ``failed`` or ``unknown``.
+        state: ``claimed``, ``released``, ``done``, ``failed``, ``cut_short`` or
+            ``unknown``.
         answer_object: Object that holds the kept answer, empty if none.
+        fresh: True only in what the very ``claim`` call returns that inserted
+            the record or took over a released one. Nothing but a fresh record
+            allows a dispatch, and it allows one.
     """
 
     key: str
@@ -402,6 +406,7 @@
     body_digest: str
     state: str
     answer_object: str = ""
+    fresh: bool = False
 
 
 class Claims(Protocol):
@@ -410,22 +415,31 @@
     async def claim(
         self, key: str, body_digest: str, *, timeout_ms: float
     ) -> ClaimRecord | Refusal:
-        """Insert a claim, or return the one that stands.
+        """Insert a claim, take over a released one, or return what stands.
 
-        The caller holds the key only if the record's token is its own
-        (``Claims.is_own``). A refusal is always ``not_run``.
+        Two calls for one key in one process are two claims: at most one of
+        them gets a fresh record. A refusal is always ``not_run``; a claim that
+        is found to have been committed after its call was refused is released
+        in the background.
         """
 
-    def is_own(self, record: ClaimRecord) -> bool:
-        """Tell whether this process made the claim."""
-
     async def settle(
         self, record: ClaimRecord, state: str, answer_object: str = ""
     ) -> None:
-        """Record the end of an own claim; retried in the background."""
+        """Record the end of an own claim by compare-and-set on its token.
+
+        Returns once it is committed, however long the platform is away; the
+        caller runs it in the background. ``released`` lets anybody claim the
+        key again, so it is said only of a request that was not and will not
+        be dispatched.
+        """
 
     async def read(self, key: str) -> ClaimRecord | Missing:
-        """Read the claim that stands for a key."""
+        """Read the claim that stands for a key.
+
+        Raises:
+            PlatformError: The table does not answer.
+        """
 
 
 __all__ = [
