--- /dev/null
+++ b/src/pomelolane/gateway/__init__.py
@@ -0,0 +1,25 @@
+"""The gateway role: callers' HTTP in, one dispatch out, the answer back.
+
+Only the gateway that holds a caller's request ever sends it to an endpoint.
+"""
+
+from pomelolane.gateway.app import Gateway, GatewayLimits, make_asgi
+from pomelolane.gateway.deferred import JobCalls
+from pomelolane.gateway.dispatch import Dispatcher, RequestState
+from pomelolane.gateway.ending import Delivered
+from pomelolane.gateway.holders import HolderQueries
+from pomelolane.gateway.keyed import KeyedCalls
+from pomelolane.gateway.retries import RetryBudget
+
+__all__ = [
+    "Delivered",
+    "Dispatcher",
+    "Gateway",
+    "GatewayLimits",
+    "HolderQueries",
+    "JobCalls",
+    "KeyedCalls",
+    "RequestState",
+    "RetryBudget",
+    "make_asgi",
+]
--- /dev/null
+++ b/src/pomelolane/gateway/dispatch.py
@@ -0,0 +1,390 @@
+"""The life of one request: wait for a grant, dispatch once, relay, report.
+
+Only this module sends work to endpoints, and it notes that a request may have
+been dispatched before its first byte leaves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from pomelolane import events
+from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
+from pomelolane.gateway.ending import Delivered
+from pomelolane.gateway.watch import StreamWatch
+from pomelolane.logs import log_event
+from pomelolane.messages import Handle
+from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.ports import UpstreamRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+
+    from pomelolane.gateway.ending import Sink, SinkResult
+    from pomelolane.gateway.intake import Call
+    from pomelolane.gateway.retries import RetryBudget
+    from pomelolane.model import Endpoint
+    from pomelolane.ports import Clock, EndpointAdapter, Grant, SchedulerClient
+    from pomelolane.tree import CurrentTree
+
+    OnPlaced = Callable[[str, str], Awaitable[None]]
+
+MAX_ATTEMPTS = 4
+RETRY_AFTER_FAILURE_MS = 1000
+
+
+class RequestState:
+    """What the gateway knows of one request, for others who ask.
+
+    Attributes:
+        call: The checked request.
+        dispatched: Whether a byte may have gone to an endpoint.
+        endpoint_id: Where it runs or ran last.
+        stream_id: The engine's stream of the last attempt.
+        finished: Whether it has ended.
+        outcome: Empty while open or on success, else the outcome.
+    """
+
+    __slots__ = (
+        "accepted_ms",
+        "attempt",
+        "begun",
+        "call",
+        "dispatched",
+        "endpoint_id",
+        "excluded",
+        "finished",
+        "outcome",
+        "stream_id",
+    )
+
+    def __init__(self, call: Call, accepted_ms: float) -> None:
+        self.call = call
+        self.accepted_ms = accepted_ms
+        self.attempt = 0
+        self.excluded: tuple[str, ...] = ()
+        self.dispatched = False
+        self.begun = False
+        self.endpoint_id = ""
+        self.stream_id = ""
+        self.finished = False
+        self.outcome = ""
+
+    def attempt_id(self) -> str:
+        """Return the id of the current attempt, also its stream id."""
+        if self.attempt == 0:
+            return self.call.request_id
+        return f"{self.call.request_id}.{self.attempt}"
+
+
+class Dispatcher:
+    """Carries requests from acceptance to their end.
+
+    Args:
+        tree: The settings tree in force.
+        client: Where grants come from.
+        adapters: Endpoint adapters by service kind.
+        budget: Budget of repeated attempts.
+        clock: The process's clock.
+        data_centre: This VM's data centre.
+    """
+
+    def __init__(
+        self,
+        tree: CurrentTree,
+        client: SchedulerClient,
+        adapters: Mapping[str, EndpointAdapter],
+        budget: RetryBudget,
+        clock: Clock,
+        data_centre: str,
+    ) -> None:
+        self._tree = tree
+        self._client = client
+        self._adapters = adapters
+        self._budget = budget
+        self._clock = clock
+        self._data_centre = data_centre
+        self._background: set[asyncio.Task[None]] = set()
+        self.open_requests: dict[str, RequestState] = {}
+
+    def open(self, call: Call) -> RequestState:
+        """Note an accepted request."""
+        state = RequestState(call, self._clock.now_ms())
+        self.open_requests[call.request_id] = state
+        log_event(
+            events.REQUEST_ACCEPTED,
+            request=call.request_id,
+            organisation=call.organisation.name,
+            service=call.service.name,
+            work=call.work.name,
+            tier=call.tier_rank,
+            deadline_ms=call.deadline_ms,
+            prefill_tokens=call.prefill_tokens,
+        )
+        return state
+
+    async def run(
+        self, state: RequestState, sink: Sink, on_placed: OnPlaced | None = None
+    ) -> Delivered | Refusal:
+        """Serve a request to its end.
+
+        Args:
+            state: From :meth:`open`.
+            sink: Takes the answer.
+            on_placed: Awaited with endpoint and stream id before the first
+                byte leaves; an error from it means that nothing is sent.
+
+        Returns:
+            The delivery, or the typed refusal that the caller gets.
+        """
+        self._budget.earn()
+        try:
+            while True:
+                result = await self._attempt(state, sink, on_placed)
+                if isinstance(result, Delivered) or not self._may_retry(state, result):
+                    break
+        except asyncio.CancelledError:
+            state.outcome = (
+                Outcome.CUT_SHORT if state.dispatched else Outcome.NOT_RUN
+            ).value
+            raise
+        finally:
+            state.finished = True
+            self.open_requests.pop(state.call.request_id, None)
+        if isinstance(result, Refusal):
+            state.outcome = result.outcome.value
+            log_event(
+                events.REQUEST_REFUSED,
+                request=state.call.request_id,
+                outcome=result.outcome,
+                reason=result.reason,
+                retry_after_ms=result.retry_after_ms,
+            )
+        return result
+
+    async def _attempt(
+        self, state: RequestState, sink: Sink, on_placed: OnPlaced | None
+    ) -> Delivered | Refusal:
+        budget_ms = self._budget_ms(state)
+        if budget_ms <= 0:
+            return self._late(state)
+        queued_ms = self._clock.now_ms()
+        grant = await self._client.acquire(self._handle(state, budget_ms))
+        if isinstance(grant, Refusal):
+            return self._after_dispatch(state, grant)
+        endpoint = self._tree.value.endpoints.get(grant.endpoint_id)
+        watch = StreamWatch(self._client, grant, self._clock)
+        if endpoint is None:
+            watch.finish(refused=True, outcome=Outcome.NOT_RUN)
+            return Refusal(Outcome.NOT_RUN, Reason.ENDPOINT_REFUSED)
+        try:
+            return await self._send(state, sink, on_placed, endpoint, watch, queued_ms)
+        finally:
+            watch.finish(outcome=Outcome.CUT_SHORT)
+
+    async def _send(
+        self,
+        state: RequestState,
+        sink: Sink,
+        on_placed: OnPlaced | None,
+        endpoint: Endpoint,
+        watch: StreamWatch,
+        queued_ms: float,
+    ) -> Delivered | Refusal:
+        state.endpoint_id = endpoint.endpoint_id
+        state.stream_id = state.attempt_id()
+        if on_placed is not None:
+            await on_placed(state.endpoint_id, state.stream_id)
+        dispatched_before = state.dispatched
+        state.dispatched = True
+        self._log_dispatch(state, watch.grant, queued_ms)
+        adapter = self._adapters[state.call.service.kind.value]
+        try:
+            async with asyncio.timeout(max(0.0, self._budget_ms(state)) / 1000):
+                stream = await adapter.dispatch(endpoint, _upstream(state))
+                try:
+                    result = await self._relay(state, sink, stream, watch)
+                finally:
+                    await stream.aclose()
+        except EndpointRefusedError as error:
+            state.dispatched = dispatched_before
+            state.excluded += (endpoint.endpoint_id,)
+            watch.finish(refused=True, outcome=Outcome.NOT_RUN)
+            return self._after_dispatch(
+                state,
+                Refusal(
+                    Outcome.NOT_RUN,
+                    Reason.ENDPOINT_REFUSED,
+                    RETRY_AFTER_FAILURE_MS,
+                    str(error),
+                ),
+            )
+        except EndpointBrokenError as error:
+            return self._broken(state, endpoint, watch, str(error))
+        except TimeoutError:
+            self._cancel_upstream(adapter, endpoint, state.stream_id)
+            return self._late(state)
+        except asyncio.CancelledError:
+            self._cancel_upstream(adapter, endpoint, state.stream_id)
+            raise
+        if not result.whole:
+            return self._broken(state, endpoint, watch, "the answer ended early")
+        watch.finish(cached_tokens=result.cached_tokens)
+        return self._delivered(state, stream.status, watch, result)
+
+    async def _relay(
+        self,
+        state: RequestState,
+        sink: Sink,
+        stream: object,
+        watch: StreamWatch,
+    ) -> SinkResult:
+        if stream.status >= 500 and self._retry_is_open(state):
+            raise EndpointBrokenError(f"the endpoint answered {stream.status}")
+
+        def on_first() -> None:
+            state.begun = True
+            watch.first()
+
+        return await sink.take(stream, on_first, watch.progress)
+
+    def _delivered(
+        self,
+        state: RequestState,
+        status: int,
+        watch: StreamWatch,
+        result: SinkResult,
+    ) -> Delivered:
+        total_ms = self._clock.now_ms() - state.accepted_ms
+        log_event(
+            events.REQUEST_FINISHED,
+            request=state.call.request_id,
+            endpoint=state.endpoint_id,
+            status=status,
+            ttft_ms=watch.ttft_ms,
+            total_ms=total_ms,
+            chunks=result.chunks,
+        )
+        return Delivered(status, state.endpoint_id, watch.ttft_ms, result.chunks)
+
+    def _broken(
+        self, state: RequestState, endpoint: Endpoint, watch: StreamWatch, detail: str
+    ) -> Refusal:
+        outcome = Outcome.CUT_SHORT if state.begun else Outcome.UNKNOWN
+        if state.call.idempotent and not state.begun:
+            outcome = Outcome.FAILED
+        state.excluded += (endpoint.endpoint_id,)
+        watch.finish(outcome=outcome)
+        log_event(
+            events.REQUEST_CUT,
+            request=state.call.request_id,
+            endpoint=endpoint.endpoint_id,
+            outcome=outcome,
+            reason=Reason.ENDPOINT_BROKEN,
+        )
+        return Refusal(outcome, Reason.ENDPOINT_BROKEN, RETRY_AFTER_FAILURE_MS, detail)
+
+    def _retry_is_open(self, state: RequestState) -> bool:
+        return (
+            state.call.idempotent
+            and not state.begun
+            and state.attempt + 1 < MAX_ATTEMPTS
+        )
+
+    def _may_retry(self, state: RequestState, refusal: Refusal) -> bool:
+        """Tell whether another attempt is allowed, and begin it.
+
+        A refused connection never took the request, so any work may go on to
+        another endpoint; after a break only idempotent work may.
+        """
+        if state.begun or state.attempt + 1 >= MAX_ATTEMPTS:
+            return False
+        refused = refusal.reason is Reason.ENDPOINT_REFUSED
+        broken = refusal.reason is Reason.ENDPOINT_BROKEN and state.call.idempotent
+        if not (refused or broken) or not self._budget.spend():
+            return False
+        log_event(
+            events.REQUEST_RETRIED,
+            request=state.call.request_id,
+            endpoint=state.endpoint_id,
+            attempt=state.attempt,
+            reason=refusal.reason,
+        )
+        state.attempt += 1
+        return True
+
+    def _after_dispatch(self, state: RequestState, refusal: Refusal) -> Refusal:
+        """Make a scheduler's "not run" true for a request already sent once."""
+        if not state.dispatched:
+            return refusal
+        outcome = Outcome.FAILED if state.call.idempotent else Outcome.UNKNOWN
+        return Refusal(outcome, refusal.reason, refusal.retry_after_ms, refusal.detail)
+
+    def _late(self, state: RequestState) -> Refusal:
+        detail = "the deadline passed"
+        if not state.dispatched:
+            return Refusal(
+                Outcome.NOT_RUN,
+                Reason.DEADLINE_PASSED,
+                RETRY_AFTER_FAILURE_MS,
+                detail,
+            )
+        outcome = Outcome.CUT_SHORT if state.begun else Outcome.FAILED
+        if not state.begun and not state.call.idempotent:
+            outcome = Outcome.UNKNOWN
+        return Refusal(outcome, Reason.DEADLINE_PASSED, detail=detail)
+
+    def _budget_ms(self, state: RequestState) -> int:
+        elapsed_ms = self._clock.now_ms() - state.accepted_ms
+        return int(state.call.deadline_ms - elapsed_ms)
+
+    def _handle(self, state: RequestState, budget_ms: int) -> Handle:
+        call = state.call
+        return Handle(
+            request_id=state.attempt_id(),
+            service=call.service.name,
+            work=call.work.name,
+            tier_rank=call.tier_rank,
+            organisation=call.organisation.name,
+            team=call.organisation.team,
+            budget_ms=budget_ms,
+            prefill_tokens=call.prefill_tokens,
+            decode_tokens=call.decode_tokens,
+            prefix_hashes=call.prefix_hashes,
+            data_centre=self._data_centre,
+            excluded=state.excluded,
+            attempt=state.attempt,
+        )
+
+    def _log_dispatch(
+        self, state: RequestState, grant: Grant, queued_ms: float
+    ) -> None:
+        log_event(
+            events.REQUEST_DISPATCHED,
+            request=state.call.request_id,
+            service=state.call.service.name,
+            endpoint=grant.endpoint_id,
+            attempt=state.attempt,
+            waited_ms=self._clock.now_ms() - queued_ms,
+            expected_ttft_ms=grant.expected_ttft_ms,
+        )
+
+    def _cancel_upstream(
+        self, adapter: EndpointAdapter, endpoint: Endpoint, stream_id: str
+    ) -> None:
+        task = asyncio.create_task(adapter.cancel(endpoint, stream_id))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def _upstream(state: RequestState) -> UpstreamRequest:
+    call = state.call
+    return UpstreamRequest(
+        request_id=state.stream_id,
+        key=call.key,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        body=call.body,
+    )
--- /dev/null
+++ b/src/pomelolane/gateway/ending.py
@@ -0,0 +1,66 @@
+"""How an attempt and a whole request can end, as the gateway sees it.
+
+A sink takes the bytes of an answer; there is one for callers and one for jobs.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pomelolane.endpoints import AnswerStream
+
+
+@dataclass(frozen=True, slots=True)
+class Delivered:
+    """The whole answer went to the sink; truthy.
+
+    Attributes:
+        status: HTTP status of the endpoint.
+        endpoint_id: Where it ran.
+        ttft_ms: Time from dispatch to the first byte.
+        chunks: Token events or body pieces passed on.
+    """
+
+    status: int
+    endpoint_id: str
+    ttft_ms: float
+    chunks: int
+
+
+@dataclass(frozen=True, slots=True)
+class SinkResult:
+    """What a sink made of one upstream answer.
+
+    Attributes:
+        whole: Whether the answer came to its proper end.
+        begun: Whether any byte of it has left towards the caller.
+        chunks: Token events seen.
+        cached_tokens: Prompt tokens reported as cached, -1 if unknown.
+    """
+
+    whole: bool
+    begun: bool
+    chunks: int
+    cached_tokens: int = -1
+
+
+class Sink(Protocol):
+    """Takes the answer of one attempt."""
+
+    async def take(
+        self,
+        stream: AnswerStream,
+        on_first: Callable[[], None],
+        on_progress: Callable[[int], None],
+    ) -> SinkResult:
+        """Pass an answer on until its end.
+
+        Args:
+            stream: The arriving answer.
+            on_first: Called at the first body bytes.
+            on_progress: Called with the number of token events so far.
+        """
--- /dev/null
+++ b/src/pomelolane/gateway/exchange.py
@@ -0,0 +1,169 @@
+"""One HTTP exchange with a caller, over ASGI.
+
+Blacksheep routes the request; the body is read and a streamed answer is sent
+through this class, so that limits hold and bytes pass without copies.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from pomelolane.exceptions import BadRequestError
+from pomelolane.outcomes import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from typing import TypeAlias
+
+    AsgiMessage: TypeAlias = dict[str, Any]
+    AsgiSend: TypeAlias = Callable[[AsgiMessage], Awaitable[None]]
+    AsgiReceive: TypeAlias = Callable[[], Awaitable[AsgiMessage]]
+
+SCOPE_KEY = "pomelolane.exchange"
+_CLOSE = (b"connection", b"close")
+
+
+class Exchange:
+    """A caller's request and the way its answer goes back.
+
+    Attributes:
+        method: HTTP method.
+        path: Raw path.
+        query: Raw query string.
+        headers: All headers, names in lower case.
+        answered: Whether an answer has been begun here.
+        body_read: Whether the whole request body has been read.
+        gone: Whether the caller left before the answer ended.
+    """
+
+    def __init__(
+        self, scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend
+    ) -> None:
+        self.method: str = scope["method"]
+        self.path: bytes = scope["raw_path"]
+        self.query: bytes = scope["query_string"]
+        self.headers: list[tuple[bytes, bytes]] = scope["headers"]
+        self.answered = False
+        self.gone = False
+        self._receive = receive
+        self._send = send
+        self.body_read = False
+        self._watcher: asyncio.Task[None] | None = None
+
+    def header(self, name: bytes) -> bytes:
+        """Return the first value of a header, empty where it is absent."""
+        for known, value in self.headers:
+            if known == name:
+                return value
+        return b""
+
+    async def read_body(self, max_bytes: int, timeout_ms: int) -> bytes:
+        """Read the whole body.
+
+        Raises:
+            BadRequestError: 413 over ``max_bytes``, 408 where it does not come
+                whole in time, 400 where the caller leaves half-way.
+        """
+        declared = self.header(b"content-length")
+        if declared.isdigit() and int(declared) > max_bytes:
+            raise _too_large(max_bytes)
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await self._read_chunks(max_bytes)
+        except TimeoutError:
+            raise BadRequestError(
+                408, Reason.BODY_TIMEOUT, f"the body took over {timeout_ms} ms"
+            ) from None
+
+    async def _read_chunks(self, max_bytes: int) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise BadRequestError(400, Reason.CALLER_GONE, "the body is cut off")
+            chunk = message.get("body", b"")
+            size += len(chunk)
+            if size > max_bytes:
+                raise _too_large(max_bytes)
+            parts.append(chunk)
+            if not message.get("more_body", False):
+                self.body_read = True
+                return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def watch_disconnect(self, on_gone: Callable[[], object]) -> None:
+        """Call ``on_gone()`` once if the caller goes before the answer ends."""
+        self._watcher = asyncio.create_task(self._watch(on_gone))
+
+    async def _watch(self, on_gone: Callable[[], object]) -> None:
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                break
+        self.gone = True
+        on_gone()
+
+    def unwatch(self) -> None:
+        """Stop watching for the caller's leave."""
+        if self._watcher is not None:
+            self._watcher.cancel()
+            self._watcher = None
+
+    async def send(self, message: AsgiMessage) -> None:
+        """Send an ASGI message of an answer given here."""
+        self.answered = True
+        await self._send(message)
+
+    def abort(self) -> None:
+        """Leave a begun answer open, so that the server cuts the connection."""
+        self.answered = True
+
+    async def respond(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        all_headers = [*headers, length]
+        if not self.body_read and self.method not in ("GET", "HEAD", "DELETE"):
+            all_headers.append(_CLOSE)
+        await self.send(
+            {"type": "http.response.start", "status": status, "headers": all_headers}
+        )
+        await self.send({"type": "http.response.body", "body": body})
+
+
+class ExchangeMiddleware:
+    """ASGI wrapper that lets handlers answer through their exchange.
+
+    Args:
+        app: The blacksheep application.
+    """
+
+    def __init__(self, app: Callable[..., Awaitable[None]]) -> None:
+        self._app = app
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend
+    ) -> None:
+        """Serve one ASGI call."""
+        if scope["type"] != "http":
+            await self._app(scope, receive, send)
+            return
+        exchange = Exchange(scope, receive, send)
+        scope[SCOPE_KEY] = exchange
+
+        async def send_unless_answered(message: AsgiMessage) -> None:
+            if not exchange.answered:
+                await send(message)
+
+        try:
+            await self._app(scope, receive, send_unless_answered)
+        finally:
+            exchange.unwatch()
+
+
+def _too_large(max_bytes: int) -> BadRequestError:
+    return BadRequestError(
+        413, Reason.BODY_TOO_LARGE, f"at most {max_bytes} bytes of body are taken"
+    )
--- /dev/null
+++ b/src/pomelolane/gateway/keyed.py
@@ -0,0 +1,299 @@
+"""Calls with an idempotency key: claim first, then dispatch or attach.
+
+A key is dispatched by the holder of its claim only. Whoever repeats the key
+gets the kept answer, the running stream, or a truthful refusal.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from pomelolane import events
+from pomelolane.exceptions import (
+    EndpointError,
+    PlatformError,
+    StreamGoneError,
+)
+from pomelolane.gateway.answers import encode_answer
+from pomelolane.gateway.ending import Delivered
+from pomelolane.gateway.sinks import KeptAnswer
+from pomelolane.logs import log_event
+from pomelolane.outcomes import Outcome, Reason, Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from pomelolane.gateway.dispatch import Dispatcher, RequestState
+    from pomelolane.gateway.holders import HolderQueries
+    from pomelolane.gateway.intake import Call
+    from pomelolane.gateway.sinks import CallerSink
+    from pomelolane.messages import KeyAnswer
+    from pomelolane.ports import (
+        ClaimRecord,
+        Claims,
+        Clock,
+        EndpointAdapter,
+        ObjectStore,
+    )
+    from pomelolane.tree import CurrentTree
+
+CLAIM_TIMEOUT_MS = 5000
+POLL_MS = 100
+STILL_RUNNING_RETRY_MS = 2000
+DONE = "done"
+RELEASED = "released"
+
+
+def key_from_call(call: Call) -> str:
+    """Return the claim key: organisation and idempotency key, hashed."""
+    text = f"{call.organisation.name}\0{call.key}"
+    return xxhash.xxh3_128_hexdigest(text.encode())
+
+
+class KeyedCalls:
+    """Serves calls that carry an idempotency key.
+
+    Args:
+        claims: Group-committed claims.
+        objects: Where answers are kept.
+        dispatcher: Dispatches held keys.
+        holders: Asks other VMs about keys they hold.
+        tree: The settings tree in force.
+        adapters: Endpoint adapters by service kind.
+        clock: The process's clock.
+    """
+
+    def __init__(
+        self,
+        claims: Claims,
+        objects: ObjectStore,
+        dispatcher: Dispatcher,
+        holders: HolderQueries,
+        tree: CurrentTree,
+        adapters: Mapping[str, EndpointAdapter],
+        clock: Clock,
+    ) -> None:
+        self._claims = claims
+        self._objects = objects
+        self._dispatcher = dispatcher
+        self._holders = holders
+        self._tree = tree
+        self._adapters = adapters
+        self._clock = clock
+        self._settling: set[asyncio.Task[None]] = set()
+
+    async def serve(
+        self, call: Call, sink: CallerSink, replay: Callable[[bytes], object]
+    ) -> Delivered | Refusal:
+        """Serve a keyed call to its end.
+
+        Args:
+            call: The checked call; its key is not empty.
+            sink: Takes a live answer.
+            replay: Awaited with a kept answer's object.
+        """
+        key = key_from_call(call)
+        timeout_ms = min(call.deadline_ms, CLAIM_TIMEOUT_MS)
+        record = await self._claims.claim(key, call.digest, timeout_ms=timeout_ms)
+        if isinstance(record, Refusal):
+            return record
+        if record.fresh:
+            return await self._serve_held(call, key, record, sink)
+        if record.body_digest != call.digest:
+            return Refusal(
+                Outcome.NOT_RUN,
+                Reason.KEY_REUSED,
+                detail="the key was used for another request; this one did not run",
+            )
+        return await self._attach(call, record, sink, replay)
+
+    async def _serve_held(
+        self, call: Call, key: str, record: ClaimRecord, sink: CallerSink
+    ) -> Delivered | Refusal:
+        state = self._dispatcher.open(call)
+        self._holders.hold(key, state)
+        kept = KeptAnswer()
+        sink.keep(kept)
+        result: Delivered | Refusal | None = None
+        try:
+            result = await self._dispatcher.run(state, sink)
+            return result
+        finally:
+            self._settle_later(key, record, state, kept, result)
+
+    def _settle_later(
+        self,
+        key: str,
+        record: ClaimRecord,
+        state: RequestState,
+        kept: KeptAnswer,
+        result: Delivered | Refusal | None,
+    ) -> None:
+        task = asyncio.create_task(self._settle(key, record, state, kept, result))
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
+
+    async def _settle(
+        self,
+        key: str,
+        record: ClaimRecord,
+        state: RequestState,
+        kept: KeptAnswer,
+        result: Delivered | Refusal | None,
+    ) -> None:
+        """Record the end of a held key, with its answer if there is one."""
+        try:
+            if isinstance(result, Delivered) and not kept.overflowed:
+                name = f"answers/{record.key}"
+                await self._objects.put(name, encode_answer(kept))
+                await self._claims.settle(record, DONE, name)
+            elif state.dispatched:
+                await self._claims.settle(record, state.outcome or DONE)
+            else:
+                await self._claims.settle(record, RELEASED)
+        except PlatformError:
+            # Without the kept answer the end itself is still worth recording.
+            await self._claims.settle(record, state.outcome or DONE)
+        self._holders.release_later(key)
+
+    async def drain(self) -> None:
+        """Wait until the ends of all held keys are recorded."""
+        while self._settling:
+            await asyncio.gather(*self._settling, return_exceptions=True)
+
+    async def _attach(
+        self,
+        call: Call,
+        record: ClaimRecord,
+        sink: CallerSink,
+        replay: Callable[[bytes], object],
+    ) -> Delivered | Refusal:
+        deadline_ms = self._clock.now_ms() + call.deadline_ms
+        while self._clock.now_ms() < deadline_ms:
+            if record.answer_object:
+                replayed = await self._replay(call, record, replay)
+                if replayed is not None:
+                    return replayed
+            if record.state == RELEASED:
+                return await self._reclaim(call, record, sink, replay)
+            answer = await self._holders.ask(record)
+            if answer is None:
+                return await self._orphaned(record)
+            ended = await self._follow(call, record, answer, sink)
+            if ended is not None:
+                return ended
+            await asyncio.sleep(POLL_MS / 1000)
+            record = await self._reread(record)
+        return Refusal(
+            Outcome.UNKNOWN,
+            Reason.CLAIM_HELD,
+            STILL_RUNNING_RETRY_MS,
+            "the first request with this key has not ended",
+        )
+
+    async def _reclaim(
+        self,
+        call: Call,
+        record: ClaimRecord,
+        sink: CallerSink,
+        replay: Callable[[bytes], object],
+    ) -> Delivered | Refusal:
+        """Take over a key whose holder states that it never dispatched."""
+        taken = await self._claims.claim(
+            record.key, call.digest, timeout_ms=CLAIM_TIMEOUT_MS
+        )
+        if isinstance(taken, Refusal):
+            return taken
+        if taken.fresh:
+            return await self._serve_held(call, record.key, taken, sink)
+        return Refusal(
+            Outcome.NOT_RUN,
+            Reason.CLAIM_HELD,
+            STILL_RUNNING_RETRY_MS,
+            "the first request with this key was given up before it ran",
+        )
+
+    async def _follow(
+        self, call: Call, record: ClaimRecord, answer: KeyAnswer, sink: CallerSink
+    ) -> Delivered | Refusal | None:
+        """Use what the holder says; None means ask again."""
+        if answer.finished and answer.outcome:
+            if not answer.dispatched:
+                return None
+            return Refusal(
+                Outcome(answer.outcome),
+                Reason.ENDPOINT_BROKEN,
+                detail="the first request with this key ended so",
+            )
+        if answer.stream_id and call.streamed and not answer.finished:
+            return await self._resume(record, answer, sink)
+        return None
+
+    async def _resume(
+        self, record: ClaimRecord, answer: KeyAnswer, sink: CallerSink
+    ) -> Delivered | Refusal | None:
+        endpoint = self._tree.value.endpoints.get(answer.endpoint_id)
+        if endpoint is None:
+            return None
+        service = self._tree.value.services[endpoint.service]
+        adapter = self._adapters[service.kind.value]
+        try:
+            stream = await adapter.resume(endpoint, answer.stream_id, 0)
+        except (StreamGoneError, EndpointError):
+            return None
+        log_event(
+            events.REQUEST_ATTACHED,
+            request=answer.stream_id,
+            key=record.key,
+            endpoint=endpoint.endpoint_id,
+        )
+        try:
+            result = await sink.take(stream, _nothing, _nothing)
+        finally:
+            await stream.aclose()
+        if not result.whole:
+            return Refusal(Outcome.CUT_SHORT, Reason.ENDPOINT_BROKEN)
+        return Delivered(stream.status, endpoint.endpoint_id, -1.0, result.chunks)
+
+    async def _replay(
+        self, call: Call, record: ClaimRecord, replay: Callable[[bytes], object]
+    ) -> Delivered | Refusal | None:
+        try:
+            data = await self._objects.get(record.answer_object)
+        except PlatformError:
+            data = b""
+        if not data:
+            return Refusal(
+                Outcome.UNKNOWN,
+                Reason.PLATFORM_UNAVAILABLE,
+                STILL_RUNNING_RETRY_MS,
+                "the request ran; its kept answer cannot be read now",
+            )
+        await replay(data)
+        log_event(events.REQUEST_ATTACHED, request=call.request_id, key=record.key)
+        return Delivered(200, "", -1.0, 0)
+
+    async def _orphaned(self, record: ClaimRecord) -> Refusal:
+        """Say what can be said when the holder of a claim does not answer."""
+        record = await self._reread(record)
+        if record.state in (Outcome.FAILED, Outcome.CUT_SHORT):
+            return Refusal(Outcome(record.state), Reason.ENDPOINT_BROKEN)
+        return Refusal(
+            Outcome.UNKNOWN,
+            Reason.HOLDER_GONE,
+            detail="the VM that held this key cannot be reached; it may have run",
+        )
+
+    async def _reread(self, record: ClaimRecord) -> ClaimRecord:
+        try:
+            found = await self._claims.read(record.key)
+        except PlatformError:
+            return record
+        return found or record
+
+
+def _nothing(*args: object) -> None:
+    del args
--- /dev/null
+++ b/src/pomelolane/gateway/sinks.py
@@ -0,0 +1,149 @@
+"""Where an answer's bytes go: to the caller, or into memory for later.
+
+The caller's answer begins only with its first body bytes, so that until then
+another attempt can take its place unseen.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.endpoints import relay
+from pomelolane.gateway.ending import SinkResult
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pomelolane.endpoints import AnswerStream, RelayResult
+    from pomelolane.gateway.exchange import AsgiMessage, AsgiSend, Exchange
+
+MAX_KEPT_BYTES = 8 * 1024 * 1024
+
+
+class CallerSink:
+    """Relays an answer to the caller of an exchange.
+
+    Args:
+        exchange: The caller's exchange.
+        headers: Headers added to the endpoint's.
+        tee: Where a copy of the answer is collected, if anywhere.
+
+    Attributes:
+        streams_events: Whether the last answer was an event stream.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        headers: tuple[tuple[bytes, bytes], ...],
+        tee: KeptAnswer | None = None,
+    ) -> None:
+        self._send = exchange.send
+        self._headers = headers
+        self._tee = tee
+        self.streams_events = False
+
+    def keep(self, tee: KeptAnswer) -> None:
+        """Collect a copy of the answer from here on."""
+        self._tee = tee
+
+    async def take(
+        self,
+        stream: AnswerStream,
+        on_first: Callable[[], None],
+        on_progress: Callable[[int], None],
+    ) -> SinkResult:
+        """Relay the answer; see :class:`~pomelolane.gateway.ending.Sink`."""
+        self.streams_events = _is_event_stream(stream)
+        send = self._send
+        if self._tee is not None:
+            self._tee.begin(stream)
+            send = _teeing(send, self._tee)
+        result = await relay(
+            stream,
+            send,
+            on_first=on_first,
+            on_progress=on_progress,
+            headers=self._headers,
+        )
+        return _sink_result(result)
+
+
+class KeptAnswer:
+    """An answer collected in memory.
+
+    Attributes:
+        status: HTTP status, 0 until an answer began.
+        content_type: Its media type.
+        body: The bytes so far.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.content_type = b""
+        self.body = bytearray()
+        self.overflowed = False
+
+    def begin(self, stream: AnswerStream) -> None:
+        """Start over with a new attempt's answer."""
+        self.status = stream.status
+        self.content_type = _header(stream, b"content-type")
+        self.body.clear()
+        self.overflowed = False
+
+    def add(self, chunk: bytes) -> None:
+        """Add bytes; an answer over ``MAX_KEPT_BYTES`` is not kept."""
+        if len(self.body) + len(chunk) > MAX_KEPT_BYTES:
+            self.overflowed = True
+            return
+        self.body += chunk
+
+
+class MemorySink:
+    """Collects an answer without a caller, for jobs."""
+
+    def __init__(self) -> None:
+        self.answer = KeptAnswer()
+
+    async def take(
+        self,
+        stream: AnswerStream,
+        on_first: Callable[[], None],
+        on_progress: Callable[[int], None],
+    ) -> SinkResult:
+        """Collect the answer; see :class:`~pomelolane.gateway.ending.Sink`."""
+        self.answer.begin(stream)
+        result = await relay(
+            stream,
+            _teeing(_discard, self.answer),
+            on_first=on_first,
+            on_progress=on_progress,
+        )
+        return _sink_result(result)
+
+
+def _teeing(send: AsgiSend, answer: KeptAnswer) -> AsgiSend:
+    async def send_and_keep(message: AsgiMessage) -> None:
+        answer.add(message.get("body", b""))
+        await send(message)
+
+    return send_and_keep
+
+
+def _sink_result(result: RelayResult) -> SinkResult:
+    return SinkResult(result.whole, result.started, result.chunks, result.cached_tokens)
+
+
+async def _discard(message: object) -> None:
+    del message
+
+
+def _header(stream: AnswerStream, name: bytes) -> bytes:
+    for known, value in stream.headers:
+        if known.lower() == name:
+            return value
+    return b""
+
+
+def _is_event_stream(stream: AnswerStream) -> bool:
+    return _header(stream, b"content-type").startswith(b"text/event-stream")
--- /dev/null
+++ b/src/pomelolane/tree.py
@@ -0,0 +1,41 @@
+"""The settings tree in force in this process.
+
+Parts read it on each use and are told when another one takes its place.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.model import Tree
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class CurrentTree:
+    """Holds the compiled tree and tells its followers of changes."""
+
+    def __init__(self) -> None:
+        self._tree = Tree()
+        self._followers: list[Callable[[Tree], None]] = []
+
+    @property
+    def value(self) -> Tree:
+        """The tree in force; empty until the first one was adopted."""
+        return self._tree
+
+    @property
+    def ready(self) -> bool:
+        """Whether any branch has been adopted."""
+        return bool(self._tree.versions)
+
+    def on_change(self, follower: Callable[[Tree], None]) -> None:
+        """Call ``follower(tree)`` after each change."""
+        self._followers.append(follower)
+
+    def adopt(self, tree: Tree) -> None:
+        """Put a checked tree in force."""
+        self._tree = tree
+        for follower in self._followers:
+            follower(tree)
