--- /dev/null
+++ b/src/pomelolane/endpoints/connection.py
@@ -0,0 +1,243 @@
+"""One keep-alive HTTP/1.1 connection to an endpoint.
+
+It carries one exchange at a time and parses answers with httptools.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+import httptools
+
+from pomelolane.endpoints.headers import strip_hop_headers
+from pomelolane.endpoints.stream import AnswerStream
+from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Bound on the headers of one answer."""
+
+_FIRST_FINAL_STATUS = 200
+_SWITCHING_PROTOCOLS = 101
+
+
+class HttpConnection(asyncio.Protocol):
+    """A connection that sends one request and streams one answer at a time.
+
+    Args:
+        sock: The connected socket, kept to look for a close by the peer.
+        on_idle: Called when an answer has ended and another may follow.
+        on_closed: Called once when the connection is gone.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        on_idle: Callable[[HttpConnection], None],
+        on_closed: Callable[[HttpConnection], None],
+    ) -> None:
+        self.idle_since_ms = 0.0
+        self._sock = sock
+        self._on_idle = on_idle
+        self._on_closed = on_closed
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._reading_paused = False
+        self._reset()
+
+    def _reset(self) -> None:
+        self._waiter: asyncio.Future[AnswerStream] | None = None
+        self._stream: AnswerStream | None = None
+        self._method = ""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._head_bytes = 0
+        self._parts: list[bytes] = []
+        self._message_done = False
+        self._reusable = False
+        self._framed = False
+
+    # --- the user's side ---
+
+    def is_stale(self) -> bool:
+        """Tell whether the peer has closed or spoken out of turn.
+
+        The look at the socket finds what the loop has not yet seen.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return True
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    async def exchange(self, method: str, request: Sequence[bytes]) -> AnswerStream:
+        """Send a request and wait for the head of its answer.
+
+        Raises:
+            EndpointRefusedError: The connection was closed before the write.
+            EndpointBrokenError: It failed after the write.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            raise EndpointRefusedError("the connection was closed")
+        self._reset()
+        self._method = method
+        self._waiter = asyncio.get_running_loop().create_future()
+        transport.writelines(request)
+        try:
+            return await self._waiter
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Close at once, unless the connection is idle already."""
+        if self._waiter is None and self._stream is None:
+            return
+        self._abort(EndpointBrokenError("the connection was closed locally"))
+
+    def discard(self) -> None:
+        """Close an idle connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause_reading(self) -> None:
+        """Stop to receive; may be called twice."""
+        if not self._reading_paused and self._transport is not None:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Receive again; may be called twice."""
+        if self._reading_paused and self._transport is not None:
+            self._reading_paused = False
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
+    # --- asyncio.Protocol ---
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes and pass on what they hold of the body."""
+        if self._waiter is None and self._stream is None:
+            self.discard()
+            return
+        failure = self._parse(data)
+        if self._parts:
+            parts = self._parts
+            self._parts = []
+            self._stream.feed(parts[0] if len(parts) == 1 else b"".join(parts))
+        if self._message_done:
+            self._end_message(reusable=self._reusable and failure is None)
+        elif failure is not None:
+            self._abort(failure)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End what was under way; a length told by the close is not vouched for."""
+        unframed = self._stream is not None and not self._framed and exc is None
+        self._fail(
+            None
+            if unframed
+            else EndpointBrokenError(f"the endpoint closed the connection: {exc}")
+        )
+        self._transport = None
+        self._on_closed(self)
+
+    # --- httptools callbacks ---
+
+    def on_message_begin(self) -> None:
+        """Refuse a second answer to one request."""
+        if self._message_done:
+            raise EndpointBrokenError("bytes follow the end of the answer")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header within the bound."""
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise EndpointBrokenError("the answer's head is too large")
+        self._headers.append((name.lower(), value.strip()))
+
+    def on_headers_complete(self) -> None:
+        """Hand the stream to the one who waits, unless the answer is interim."""
+        status = self._parser.get_status_code()
+        if status == _SWITCHING_PROTOCOLS:
+            raise EndpointBrokenError("the endpoint switched protocols")
+        if status < _FIRST_FINAL_STATUS:
+            return
+        names = {name for name, _ in self._headers}
+        self._framed = b"content-length" in names or b"transfer-encoding" in names
+        headers = strip_hop_headers(self._headers)
+        self._stream = AnswerStream(self, status, headers)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(self._stream)
+        if self._method == "HEAD":
+            self._message_done = True
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a piece of the body."""
+        if self._method != "HEAD":
+            self._parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Take note of the end; an interim answer only makes way."""
+        if self._stream is None:
+            self._headers = []
+            return
+        if self._method != "HEAD":
+            self._message_done = True
+            self._reusable = self._parser.should_keep_alive()
+
+    # --- internals ---
+
+    def _parse(self, data: bytes) -> EndpointBrokenError | None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            return EndpointBrokenError("the endpoint switched protocols")
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if isinstance(cause, EndpointBrokenError):
+                return cause
+            raise
+        except httptools.HttpParserError as error:
+            return EndpointBrokenError(f"the answer is not HTTP: {error}")
+        return None
+
+    def _end_message(self, *, reusable: bool) -> None:
+        stream = self._stream
+        transport = self._transport
+        self._waiter = None
+        self._stream = None
+        stream.finish(complete=True, error=None)
+        if transport is None:
+            return
+        if reusable and transport.get_write_buffer_size() == 0:
+            self.resume_reading()
+            self._on_idle(self)
+        else:
+            transport.close()
+
+    def _abort(self, error: EndpointBrokenError) -> None:
+        self._fail(error)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _fail(self, error: EndpointBrokenError | None) -> None:
+        waiter = self._waiter
+        stream = self._stream
+        self._waiter = None
+        self._stream = None
+        if stream is not None:
+            stream.finish(complete=False, error=error)
+        elif waiter is not None and not waiter.done():
+            waiter.set_exception(error)
--- /dev/null
+++ b/src/pomelolane/endpoints/pool.py
@@ -0,0 +1,124 @@
+"""Keep-alive connections to endpoints.
+
+An idle connection is reused only after a look at its socket, and never for
+longer than peers usually keep theirs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from pomelolane.clock import MonotonicClock
+from pomelolane.endpoints.connection import HttpConnection
+from pomelolane.exceptions import EndpointRefusedError
+
+if TYPE_CHECKING:
+    from pomelolane.ports import Clock
+
+CONNECT_TIMEOUT_MS = 2_000
+"""Time to connect, after which the endpoint counts as refusing."""
+
+MAX_IDLE_MS = 3_000
+"""Age at which an idle connection is dropped; servers often close after 5 s."""
+
+MAX_IDLE_PER_ADDRESS = 64
+"""Idle connections kept to one address."""
+
+
+class ConnectionPool:
+    """Connections by ``ip:port``, newest idle one first.
+
+    Args:
+        connect_timeout_ms: Bound on connecting.
+        max_idle_ms: Bound on the age of an idle connection.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
+        max_idle_ms: float = MAX_IDLE_MS,
+        clock: Clock | None = None,
+    ) -> None:
+        self._connect_timeout_ms = connect_timeout_ms
+        self._max_idle_ms = max_idle_ms
+        self._clock = clock or MonotonicClock()
+        self._idle: defaultdict[str, list[HttpConnection]] = defaultdict(list)
+        self._address_by_connection: dict[HttpConnection, str] = {}
+
+    async def acquire(self, address: str) -> HttpConnection:
+        """Return a connection that was alive a moment ago.
+
+        The caller must write before it awaits anything else.
+
+        Raises:
+            EndpointRefusedError: No connection could be made.
+        """
+        idle = self._idle[address]
+        while idle:
+            connection = idle.pop()
+            if self._is_fresh(connection):
+                return connection
+            connection.discard()
+        return await self._connect(address)
+
+    def idle_count(self, address: str) -> int:
+        """Return the number of idle connections to an address."""
+        return len(self._idle[address])
+
+    def close(self) -> None:
+        """Close all connections, idle and busy ones."""
+        for connection in tuple(self._address_by_connection):
+            connection.close()
+            connection.discard()
+
+    def _is_fresh(self, connection: HttpConnection) -> bool:
+        idle_ms = self._clock.now_ms() - connection.idle_since_ms
+        return idle_ms < self._max_idle_ms and not connection.is_stale()
+
+    async def _connect(self, address: str) -> HttpConnection:
+        loop = asyncio.get_running_loop()
+        host, port = _split_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            async with asyncio.timeout(self._connect_timeout_ms / 1000.0):
+                await loop.sock_connect(sock, (host, port))
+                _, connection = await loop.create_connection(
+                    lambda: HttpConnection(sock, self._on_idle, self._on_closed),
+                    sock=sock,
+                )
+        except (OSError, ValueError) as error:
+            sock.close()
+            raise EndpointRefusedError(f"{address}: {error!r}") from error
+        except asyncio.CancelledError:
+            sock.close()
+            raise
+        self._address_by_connection[connection] = address
+        return connection
+
+    def _on_idle(self, connection: HttpConnection) -> None:
+        idle = self._idle[self._address_by_connection[connection]]
+        connection.idle_since_ms = self._clock.now_ms()
+        idle.append(connection)
+        if len(idle) > MAX_IDLE_PER_ADDRESS:
+            idle.pop(0).discard()
+
+    def _on_closed(self, connection: HttpConnection) -> None:
+        address = self._address_by_connection.pop(connection, "")
+        idle = self._idle[address]
+        if connection in idle:
+            idle.remove(connection)
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    try:
+        return host.strip("[]"), int(port)
+    except ValueError as error:
+        raise EndpointRefusedError(f"{address!r} is not ip:port") from error
