Add a wall clock and the events of claims

Retention and the deadlines of jobs are kept in the table beyond a process's life, where a monotonic clock has no meaning. No safety rests on it.

--- a/src/pomelolane/clock.py
+++ b/src/pomelolane/clock.py
@@ -16,6 +16,17 @@
         return time.monotonic() * 1000.0
 
 
+class WallClock:
+    """Time of day, for retention and deadlines kept in the table.
+
+    Two VMs' clocks may differ, so no lease or other safety rests on it.
+    """
+
+    def now_ms(self) -> float:
+        """Return milliseconds since the epoch."""
+        return time.time() * 1000.0
+
+
 class ManualClock:
     """A clock that moves only when told to.
 
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -205,6 +205,23 @@
     505, "lease_taken", "info", "lease fencing", "This VM holds the lease."
 )
 LEASE_LOST = _define(506, "lease_lost", "warning", "lease fencing", "It holds no more.")
+CLAIM_RELEASED = _define(
+    507,
+    "claim_released",
+    "info",
+    "key",
+    "A claim that was given up before dispatch is free again.",
+)
+ROWS_SWEPT = _define(
+    508, "rows_swept", "debug", "prefix rows", "Rows past their retention were deleted."
+)
+GATHERER_SILENT = _define(
+    509,
+    "gatherer_silent",
+    "info",
+    "gatherer writes",
+    "A peer that gathers commits did not answer; this VM reads back and commits.",
+)
 
 # 6xx: jobs
 JOB_ACCEPTED = _define(
