--- a/src/pomelolane/exceptions.py
+++ b/src/pomelolane/exceptions.py
@@ -43,6 +43,18 @@
         self.allowed = allowed
 
 
+class InvalidTreeError(PomelolaneError):
+    """The settings tree is wrong in one or more places.
+
+    Attributes:
+        problems: Every problem found, in order of file and line.
+    """
+
+    def __init__(self, problems: tuple[DeclarationError, ...]) -> None:
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
 class RegistryError(PomelolaneError):
     """A plug-in name is unknown or registered twice."""
 
