Add messages by which a gateway and a scheduler compare books

Lost submits, grants and releases have to be found without sending whole handles again. Sync lists ids only, SyncAck names those that are unknown, and Unfollow tells an earlier scheduler that the gateway has moved. NotScheduler may name the VM that the answering one follows.

--- a/src/pomelolane/messages.py
+++ b/src/pomelolane/messages.py
@@ -100,10 +100,12 @@
     Attributes:
         epoch: Copied from the submit.
         service: The service.
+        scheduler: VM that the answering one follows itself, empty if none.
     """
 
     epoch: int
     service: str
+    scheduler: str = ""
 
 
 class Granted(Message, frozen=True):
@@ -178,6 +180,51 @@
     request_ids: tuple[str, ...]
 
 
+class Sync(Message, frozen=True):
+    """Gateway to scheduler: what it holds of a service; also the sign of life.
+
+    Lost submits, grants and releases are found by it.
+
+    Attributes:
+        epoch: The gateway's number for its current choice of scheduler.
+        service: The service.
+        waiting: Requests that still wait for a slot.
+        running: Dispatched requests, or None where this message is silent
+            on them.
+    """
+
+    epoch: int
+    service: str
+    waiting: tuple[str, ...] = ()
+    running: tuple[str, ...] | None = None
+
+
+class SyncAck(Message, frozen=True):
+    """Scheduler to gateway: the answer to a sync.
+
+    Attributes:
+        epoch: Copied from the sync.
+        service: The service.
+        missing: Requests that the scheduler does not know and needs again.
+    """
+
+    epoch: int
+    service: str
+    missing: tuple[str, ...] = ()
+
+
+class Unfollow(Message, frozen=True):
+    """Gateway to its earlier scheduler: it follows another one now.
+
+    Attributes:
+        epoch: The number that the earlier choice had.
+        service: The service.
+    """
+
+    epoch: int
+    service: str
+
+
 class Heartbeat(Message, frozen=True):
     """A member's sign of life inside its data centre.
 
@@ -297,6 +344,9 @@
     | Refused
     | Progress
     | Withdraw
+    | Sync
+    | SyncAck
+    | Unfollow
     | Heartbeat
     | Digest
     | BranchWanted
@@ -348,6 +398,9 @@
     "StreamEvent",
     "Submit",
     "SubmitAck",
+    "Sync",
+    "SyncAck",
+    "Unfollow",
     "Withdraw",
     "decode_message",
     "encode_message",
