--- a/src/pomelolane/gateway/app.py
+++ b/src/pomelolane/gateway/app.py
@@ -34,10 +34,10 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from pomelolane.gateway.deferred import JobCalls
     from pomelolane.gateway.dispatch import Dispatcher
     from pomelolane.gateway.intake import Call
     from pomelolane.gateway.keyed import KeyedCalls
-    from pomelolane.gateway.deferred import JobCalls
     from pomelolane.model import Organisation, Tree
     from pomelolane.tree import CurrentTree
 
--- /dev/null
+++ b/src/pomelolane/gateway/listener.py
@@ -0,0 +1,159 @@
+"""The HTTP server under the gateway: uvicorn with guards on a request's head.
+
+A head that is too long, too slow or malformed gets a problem-details answer,
+and its connection is closed; other connections do not feel it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from pomelolane.gateway.problem import (
+    encode_problem,
+    problem_from_refusal,
+    problem_headers,
+)
+from pomelolane.outcomes import Outcome, Reason, Refusal
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+MAX_HEAD_BYTES = 32 * 1024
+KEEP_ALIVE_S = 75
+BACKLOG = 2048
+_STATUS_LINES = {
+    400: b"HTTP/1.1 400 Bad Request\r\n",
+    408: b"HTTP/1.1 408 Request Timeout\r\n",
+    431: b"HTTP/1.1 431 Request Header Fields Too Large\r\n",
+}
+
+
+def make_protocol(header_timeout_ms: int) -> type[HttpToolsProtocol]:
+    """Return a protocol class with the given bound on a head's time."""
+
+    class GuardedProtocol(HttpToolsProtocol):
+        """uvicorn's protocol with guards on the head of each request."""
+
+        def __init__(self, *args: Any, **kwargs: Any) -> None:
+            super().__init__(*args, **kwargs)
+            self._head_bytes = 0
+            self._in_head = False
+            self._head_timer: asyncio.TimerHandle | None = None
+
+        def connection_made(self, transport: asyncio.Transport) -> None:
+            super().connection_made(transport)
+            self._arm()
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            self._disarm()
+            super().connection_lost(exc)
+
+        def data_received(self, data: bytes) -> None:
+            if self.parser is None or self.transport.is_closing():
+                return
+            if self._in_head or self._head_timer is not None:
+                self._head_bytes += len(data)
+            self._in_head = True
+            if self._head_timer is None and not self._body_expected():
+                self._arm()
+            super().data_received(data)
+            if self._head_timer and self._head_bytes > MAX_HEAD_BYTES:
+                self._refuse(431, f"the head is longer than {MAX_HEAD_BYTES} bytes")
+
+        def on_headers_complete(self) -> None:
+            self._disarm()
+            self._in_head = False
+            self._head_bytes = 0
+            super().on_headers_complete()
+
+        def on_message_complete(self) -> None:
+            super().on_message_complete()
+            self._in_head = False
+
+        def send_400_response(self, msg: str) -> None:
+            self._refuse(400, msg)
+
+        def _body_expected(self) -> bool:
+            return self.cycle is not None and self.cycle.more_body
+
+        def _arm(self) -> None:
+            delay_s = header_timeout_ms / 1000
+            self._head_timer = self.loop.call_later(delay_s, self._head_is_late)
+
+        def _disarm(self) -> None:
+            if self._head_timer is not None:
+                self._head_timer.cancel()
+                self._head_timer = None
+
+        def _head_is_late(self) -> None:
+            self._head_timer = None
+            if self._head_bytes == 0:
+                self.transport.close()
+                return
+            self._refuse(408, f"the head took over {header_timeout_ms} ms")
+
+        def _refuse(self, status: int, detail: str) -> None:
+            self._disarm()
+            if self.transport.is_closing():
+                return
+            busy = self.cycle is not None and not self.cycle.response_complete
+            if not busy:
+                self.transport.write(_raw_problem(status, detail))
+            self.transport.close()
+
+    return GuardedProtocol
+
+
+def _raw_problem(status: int, detail: str) -> bytes:
+    refusal = Refusal(Outcome.NOT_RUN, Reason.BAD_REQUEST, detail=detail)
+    problem = problem_from_refusal(refusal)
+    body = encode_problem(problem)
+    head = [_STATUS_LINES[status]]
+    head += [name + b": " + value + b"\r\n" for name, value in problem_headers(problem)]
+    head.append(b"content-length: %d\r\nconnection: close\r\n\r\n" % len(body))
+    return b"".join(head) + body
+
+
+class Listener:
+    """Runs the HTTP server inside a loop that somebody else owns.
+
+    Args:
+        app: The ASGI application.
+        header_timeout_ms: Longest time for a request's head.
+    """
+
+    def __init__(self, app: Callable[..., Any], header_timeout_ms: int) -> None:
+        config = uvicorn.Config(
+            app,
+            http=make_protocol(header_timeout_ms),
+            ws="none",
+            lifespan="off",
+            access_log=False,
+            log_config=None,
+            log_level="critical",
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            backlog=BACKLOG,
+        )
+        self._server = uvicorn.Server(config)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self, sock: socket.socket) -> None:
+        """Begin to take connections on a bound socket."""
+        self._server.config.load()
+        self._server.lifespan = self._server.config.lifespan_class(self._server.config)
+        await self._server.startup([sock])
+        self._task = asyncio.create_task(self._server.main_loop())
+
+    async def stop(self) -> None:
+        """Close the listener, let open requests end, then close the rest."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+        await self._server.shutdown()
