--- a/src/pomelolane/gateway/app.py
+++ b/src/pomelolane/gateway/app.py
@@ -105,14 +105,15 @@
     def mount(self, app: Application) -> None:
         """Add the callers' routes to an application."""
         add = app.router.add
+        plain = function_from_method(self._plain_route)
         add("POST", "/v1/chat/completions", self._route(self.chat))
         add("GET", "/v1/jobs/{job_id}", self._job_route(self._jobs.state))
         add("GET", "/v1/jobs/{job_id}/answer", self._job_route(self._jobs.answer))
         add("DELETE", "/v1/jobs/{job_id}", self._job_route(self._jobs.cancel))
         for method in ALL_METHODS:
-            add(method, "/services/{service}/{path:rest}", self._plain_route)
-            add(method, "/services/{service}", self._plain_route)
-        app.fallback = self._fallback
+            add(method, "/services/{service}/{path:path}", plain)
+            add(method, "/services/{service}", plain)
+        app.router.fallback = function_from_method(self._fallback)
 
     async def chat(self, exchange: Exchange) -> Response | None:
         """Serve ``POST /v1/chat/completions``."""
@@ -254,6 +255,17 @@
     return response if response is not None else Response(200)
 
 
+def function_from_method(
+    method: Callable[[Request], Awaitable[Response]],
+) -> Callable[[Request], Awaitable[Response]]:
+    """Return a plain function: blacksheep marks handlers, and can't mark methods."""
+
+    async def handle(request: Request) -> Response:
+        return await method(request)
+
+    return handle
+
+
 def make_asgi(app: Application) -> ExchangeMiddleware:
     """Wrap the application for the HTTP server."""
     return ExchangeMiddleware(app)
--- a/src/pomelolane/gateway/exchange.py
+++ b/src/pomelolane/gateway/exchange.py
@@ -34,6 +34,7 @@
         headers: All headers, names in lower case.
         answered: Whether an answer has been begun here.
         body_read: Whether the whole request body has been read.
+        completed: Whether the last byte of the answer was handed over.
         gone: Whether the caller left before the answer ended.
     """
 
@@ -45,6 +46,7 @@
         self.query: bytes = scope["query_string"]
         self.headers: list[tuple[bytes, bytes]] = scope["headers"]
         self.answered = False
+        self.completed = False
         self.gone = False
         self._receive = receive
         self._send = send
@@ -101,6 +103,8 @@
             message = await self._receive()
             if message["type"] == "http.disconnect":
                 break
+        if self.completed:
+            return
         self.gone = True
         on_gone()
 
@@ -113,6 +117,9 @@
     async def send(self, message: AsgiMessage) -> None:
         """Send an ASGI message of an answer given here."""
         self.answered = True
+        is_body = message["type"] == "http.response.body"
+        if is_body and not message.get("more_body", False):
+            self.completed = True
         await self._send(message)
 
     def abort(self) -> None:
