--- a/tests/environment.py
+++ b/tests/environment.py
@@ -8,6 +8,14 @@
 
 import asyncio
 
+from absl import logging
+
+
+def before_all(context):
+    """Keep the log of passing scenarios out of the report."""
+    del context
+    logging.set_verbosity(logging.FATAL)
+
 
 def before_scenario(context, scenario):
     """Give the scenario a loop and a helper that runs coroutines on it."""
--- /dev/null
+++ b/tests/steps/gateway_dispatch_steps.py
@@ -0,0 +1,215 @@
+"""Steps of gateway/dispatch.feature, over scripted endpoints and grants."""
+
+import asyncio
+from dataclasses import dataclass, replace
+
+from behave import given, then, when
+
+from pomelolane.clock import MonotonicClock
+from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
+from pomelolane.gateway.dispatch import Dispatcher
+from pomelolane.gateway.ending import Delivered, SinkResult
+from pomelolane.gateway.intake import Call
+from pomelolane.gateway.retries import RetryBudget
+from pomelolane.model import Endpoint, Organisation, Service, ServiceKind, Tree, Work
+from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.ports import Grant
+from pomelolane.tree import CurrentTree
+
+REFUSAL = Refusal(Outcome.NOT_RUN, Reason.QUEUE_FULL, 500)
+
+
+class ScriptedScheduler:
+    """Grants endpoints in turn; refuses once ``grants_left`` is used up."""
+
+    def __init__(self):
+        self.granted = []
+        self.finished = []
+        self.grants_left = 1000
+
+    async def acquire(self, handle):
+        if self.grants_left == 0:
+            return REFUSAL
+        self.grants_left -= 1
+        endpoint = "e2" if handle.excluded else "e1"
+        self.granted.append(handle.request_id)
+        return Grant(handle.request_id, endpoint, 1.0)
+
+    def observe(self, event):
+        if event.finished:
+            self.finished.append(event.request_id)
+
+
+@dataclass
+class ScriptedStream:
+    """An answer that ends, breaks or never ends."""
+
+    behaviour: str
+    status: int = 200
+    headers: tuple = ()
+
+    async def aclose(self):
+        pass
+
+
+class ScriptedAdapter:
+    """Counts dispatches and cancels; fails as told by endpoint."""
+
+    def __init__(self):
+        self.behaviours = {}
+        self.dispatches = []
+        self.cancelled = asyncio.Event()
+
+    async def dispatch(self, endpoint, request):
+        behaviour = self.behaviours.get(endpoint.endpoint_id, "answers")
+        self.dispatches.append(request.request_id)
+        if behaviour == "refuses the connection":
+            raise EndpointRefusedError("refused")
+        if behaviour == "breaks before a byte":
+            raise EndpointBrokenError("broken")
+        return ScriptedStream(behaviour)
+
+    async def cancel(self, endpoint, stream_id):
+        self.cancelled.set()
+
+
+class ScriptedSink:
+    """Takes what a scripted stream gives."""
+
+    def __init__(self):
+        self.begun = asyncio.Event()
+
+    async def take(self, stream, on_first, on_progress):
+        on_first()
+        self.begun.set()
+        if stream.behaviour == "never ends":
+            await asyncio.Event().wait()
+        return SinkResult(stream.behaviour == "answers", True, 1)
+
+
+@given('a dispatcher with a scheduler that grants "e1" then "e2"')
+def step_dispatcher(context):
+    tree = CurrentTree()
+    endpoints = {
+        name: Endpoint(name, "chat", "dc", "127.0.0.1:1") for name in ("e1", "e2")
+    }
+    tree.adopt(Tree(endpoints=endpoints, versions={"b": 1}))
+    context.scheduler = ScriptedScheduler()
+    context.adapter = ScriptedAdapter()
+    context.dispatcher = Dispatcher(
+        tree,
+        context.scheduler,
+        {"engine": context.adapter},
+        RetryBudget(),
+        MonotonicClock(),
+        "dc",
+    )
+
+
+@given("the dispatcher's first endpoint {failure}")
+def step_failure(context, failure):
+    context.adapter.behaviours["e1"] = failure
+
+
+@given("every endpoint of the dispatcher {failure}")
+def step_every(context, failure):
+    context.adapter.behaviours.update(e1=failure, e2=failure)
+
+
+@given("the dispatcher's scheduler refuses")
+def step_refuses(context):
+    context.scheduler.grants_left = 0
+
+
+@given("the dispatcher's scheduler refuses after the first grant")
+def step_refuses_later(context):
+    context.scheduler.grants_left = 1
+
+
+def _call(kind, number=0):
+    work = Work("w", "top", 5000)
+    service = Service("chat", "t", ServiceKind.ENGINE, {"w": work})
+    return Call(
+        f"r{number}",
+        Organisation("o", "t", ""),
+        service,
+        work,
+        tier_rank=0,
+        deadline_ms=5000,
+        idempotent=kind == "idempotent",
+        key="",
+        respond_async=False,
+        streamed=True,
+        method="POST",
+        path="/",
+        headers=(),
+        body=b"{}",
+        prefill_tokens=1,
+        decode_tokens=1,
+        prefix_hashes=(),
+        digest="",
+    )
+
+
+def _run(context, call):
+    dispatcher = context.dispatcher
+    return context.run(dispatcher.run(dispatcher.open(call), ScriptedSink()))
+
+
+@when("the dispatcher runs {kind} work")
+def step_run(context, kind):
+    context.result = _run(context, _call(kind))
+
+
+@when("the dispatcher runs non-idempotent work with {ms:d} ms left")
+def step_run_late(context, ms):
+    call = replace(_call("non-idempotent"), deadline_ms=ms)
+    context.result = _run(context, call)
+
+
+@when("the dispatcher runs {count:d} idempotent requests")
+def step_run_many(context, count):
+    context.count = count
+    for number in range(count):
+        _run(context, _call("idempotent", number))
+
+
+@when("the dispatcher's caller leaves")
+def step_leaves(context):
+    async def leave():
+        sink = ScriptedSink()
+        state = context.dispatcher.open(_call("idempotent"))
+        task = asyncio.create_task(context.dispatcher.run(state, sink))
+        await sink.begun.wait()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    context.run(leave())
+
+
+@then("the dispatcher ends with {ending}")
+def step_ending(context, ending):
+    result = context.result
+    found = "delivery" if isinstance(result, Delivered) else result.outcome.value
+    assert found == ending, result
+
+
+@then("the endpoints got {count:d} dispatches")
+def step_dispatches(context, count):
+    assert len(context.adapter.dispatches) == count, context.adapter.dispatches
+
+
+@then("every grant was finished exactly once")
+def step_finished(context):
+    assert sorted(context.scheduler.finished) == sorted(context.scheduler.granted)
+
+
+@then("the engine was told to cancel the stream")
+def step_cancelled(context):
+    context.run(asyncio.wait_for(context.adapter.cancelled.wait(), 5))
+
+
+@then("fewer than {count:d} dispatches were repeats")
+def step_repeats(context, count):
+    repeats = len(context.adapter.dispatches) - context.count
+    assert 0 < repeats < count, repeats
