Add the settings store, the operators' interface and the status report

Cause: a change must be in force whole or not at all, and 'accepted' must mean that the table holds it even when the reply to the commit was lost. Ruled out: reading only the branch's row back, because a later writer may have replaced it; the history row of the version keeps the writer's token. Ruled out: giving up after a lost reply; the same conditional writes are repeated, and since versions only grow, a repetition that finds a condition broken also proves that no earlier try can still succeed. Change: branch, history and counter in one atomic commit, conditional on all three; the counter's condition makes the check of the whole tree valid against changes of other branches at the same moment.

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -251,6 +251,22 @@
     "A branch did not pass the checks and was left as it was.",
 )
 
+SETTINGS_ACCEPTED = _define(
+    703,
+    "settings_accepted",
+    "info",
+    "branch version",
+    "An operator's change is committed.",
+)
+SETTINGS_REFUSED = _define(
+    704,
+    "settings_refused",
+    "info",
+    "branch reason",
+    "An operator's change was refused; nothing of it is stored, unless the "
+    "platform's answer stayed unknown.",
+)
+
 # 8xx: endpoints
 ENDPOINT_LEAVING = _define(
     801, "endpoint_leaving", "info", "endpoint source", "It gets no further grant."
--- a/src/pomelolane/exceptions.py
+++ b/src/pomelolane/exceptions.py
@@ -55,6 +55,22 @@
         self.problems = problems
 
 
+class UnknownOperatorError(PomelolaneError):
+    """The operator's key is missing or belongs to no team."""
+
+
+class ForbiddenBranchError(PomelolaneError):
+    """The operator's key is known but does not open this branch.
+
+    Attributes:
+        branch: The branch.
+    """
+
+    def __init__(self, branch: str) -> None:
+        super().__init__(f"this operator's key does not open branch {branch}")
+        self.branch = branch
+
+
 class RegistryError(PomelolaneError):
     """A plug-in name is unknown or registered twice."""
 
--- a/src/pomelolane/outcomes.py
+++ b/src/pomelolane/outcomes.py
@@ -53,6 +53,8 @@
     ENDPOINT_ERROR = "endpoint_error"
     CALLER_GONE = "caller_gone"
     CANCELLED = "cancelled"
+    VERSION_CONFLICT = "version_conflict"
+    INVALID_TREE = "invalid_tree"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/settings/__init__.py
+++ b/src/pomelolane/settings/__init__.py
@@ -11,6 +11,10 @@
 from pomelolane.settings.options import (
     options_from_environment as options_from_environment,
 )
+from pomelolane.settings.rows import BranchVersion as BranchVersion
+from pomelolane.settings.rows import Snapshot as Snapshot
+from pomelolane.settings.store import Change as Change
+from pomelolane.settings.store import SettingsStore as SettingsStore
 from pomelolane.settings.tree import (
     branch_content_from_directory as branch_content_from_directory,
 )
