--- a/standins/serving.py
+++ b/standins/serving.py
@@ -67,12 +67,15 @@
         self._reserved = reserved
         self._make_app = make_app
         self._runner: web.AppRunner | None = None
+        self._closing: asyncio.Task[None] | None = None
         self.port = reserved.port
 
     async def start(self) -> None:
         """Listen, unless it does already."""
         if self._runner is not None:
             return
+        if self._closing is not None:
+            await self._closing
         runner = web.AppRunner(
             self._make_app(),
             access_log=None,
@@ -83,17 +86,19 @@
         await runner.setup()
         await web.SockSite(runner, self._reserved.listen(), backlog=1024).start()
 
-    async def abort(self) -> None:
+    def abort(self) -> None:
         """Close the listening socket and every connection without a word."""
         runner, self._runner = self._runner, None
         if runner is None:
             return
         _abort_connections(runner)
-        await runner.cleanup()
+        self._closing = asyncio.get_running_loop().create_task(runner.cleanup())
 
     async def aclose(self) -> None:
         """Stop and give the port back."""
-        await self.abort()
+        self.abort()
+        if self._closing is not None:
+            await self._closing
         self._reserved.close()
 
 
