--- a/standins/engine/options.py
+++ b/standins/engine/options.py
@@ -5,12 +5,10 @@
 
 from __future__ import annotations
 
-import argparse
-from dataclasses import dataclass, fields
-from pathlib import Path
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
+from standins.flags import many_from_arguments
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -69,38 +67,7 @@
     arguments: Sequence[str] | None = None,
 ) -> list[EngineOptions]:
     """Read the options of one engine, or of all engines of a file."""
-    parser = argparse.ArgumentParser("standins.engine", description=__doc__)
-    parser.add_argument("--config", type=Path, help="JSON list of many engines")
-    for option in fields(EngineOptions):
-        _add_flag(parser, option.name, option.default)
-    values = vars(parser.parse_args(arguments))
-    config: Path | None = values.pop("config")
-    if config is None:
-        return [EngineOptions(**values)]
-    return options_from_json(config.read_bytes())
+    return many_from_arguments(EngineOptions, "standins.engine", arguments)
 
 
-def options_from_json(data: bytes) -> list[EngineOptions]:
-    """Read a JSON list of engines.
-
-    Raises:
-        msgspec.ValidationError: A value has the wrong type.
-        TypeError: There is no such option.
-    """
-    engines = []
-    for given in msgspec.json.decode(data, type=list[dict[str, object]]):
-        values = {name.replace("-", "_"): value for name, value in given.items()}
-        EngineOptions(**values)  # Refuses names that are no option.
-        engines.append(msgspec.convert(values, EngineOptions))
-    return engines
-
-
-def _add_flag(parser: argparse.ArgumentParser, name: str, default: object) -> None:
-    flag = "--" + name.replace("_", "-")
-    if isinstance(default, bool):
-        parser.add_argument(flag, action="store_true", default=default)
-    else:
-        parser.add_argument(flag, type=type(default), default=default)
-
-
-__all__ = ["EngineOptions", "options_from_arguments", "options_from_json"]
+__all__ = ["EngineOptions", "options_from_arguments"]
--- a/standins/platform/options.py
+++ b/standins/platform/options.py
@@ -5,10 +5,11 @@
 
 from __future__ import annotations
 
-import argparse
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from standins.flags import one_from_arguments
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -38,22 +39,11 @@
     weight_bytes_per_s: float = 4_000_000.0
 
 
-def options_from_arguments(arguments: Sequence[str] | None = None) -> PlatformOptions:
+def options_from_arguments(
+    arguments: Sequence[str] | None = None,
+) -> PlatformOptions:
     """Read the options from the command line."""
-    defaults = PlatformOptions()
-    parser = argparse.ArgumentParser("standins.platform", description=__doc__)
-    parser.add_argument("--host", default=defaults.host)
-    for name in ("port", "control_port", "weight_bytes"):
-        _add_number(parser, name, int, getattr(defaults, name))
-    for name in ("writes_per_s", "reads_per_s", "list_lag_ms", "weight_bytes_per_s"):
-        _add_number(parser, name, float, getattr(defaults, name))
-    return PlatformOptions(**vars(parser.parse_args(arguments)))
-
-
-def _add_number(
-    parser: argparse.ArgumentParser, name: str, kind: type, default: float
-) -> None:
-    parser.add_argument("--" + name.replace("_", "-"), type=kind, default=default)
+    return one_from_arguments(PlatformOptions, "standins.platform", arguments)
 
 
 __all__ = ["PlatformOptions", "options_from_arguments"]
