Return a claim as fresh, and settle it before saying so

Cause: the gateway forgets a key that never ran once its release is recorded; a release still on its way could then free a key that was claimed again and dispatched. Settling now returns only once it is committed.

--- a/src/pomelolane/platform/claims.py
+++ b/src/pomelolane/platform/claims.py
@@ -27,6 +27,8 @@
 from pomelolane.ports import ClaimRecord, Write
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from pomelolane.platform.committer import Committer, PendingWrite
     from pomelolane.ports import Clock, Row, Table
     from pomelolane.sentinels import Missing
@@ -245,8 +247,9 @@
             if not reserved_job(attempt.record):
                 await self._settle(attempt.record, RELEASED, "", version)
             return _refusal("the claim was given up")
-        self._held[attempt.record.token] = (attempt.record, version)
-        return attempt.record
+        fresh = replace(attempt.record, fresh=True)
+        self._held[attempt.record.token] = (fresh, version)
+        return fresh
 
     async def _fence_off(self, attempt: _Attempt) -> None:
         """Make sure that an abandoned write in doubt can never hold the key."""
@@ -275,11 +278,12 @@
     async def settle(
         self, record: ClaimRecord, state: str, answer_object: str = ""
     ) -> None:
-        """Record the end of an own claim; retried in the background."""
+        """Record the end of an own claim; returns once it is committed."""
         held = self._held.get(record.token)
         if held is None:
             return
-        self._spawn(self._settle(record, state, answer_object, held[1]))
+        task = self._spawn(self._settle(record, state, answer_object, held[1]))
+        await asyncio.shield(task)
 
     async def flush(self, timeout_ms: float) -> bool:
         """Wait for background writes before a planned stop.
@@ -297,7 +301,7 @@
     async def _settle(
         self, record: ClaimRecord, state: str, answer_object: str, version: int
     ) -> None:
-        ended = replace(record, state=state, answer_object=answer_object)
+        ended = replace(record, state=state, answer_object=answer_object, fresh=False)
         backoff = Backoff()
         while True:
             try:
@@ -322,11 +326,14 @@
     # --- helpers
 
     def _write(self, record: ClaimRecord, version: int) -> Write:
-        value = msgspec.json.encode(ClaimRow(record, self._wall.now_ms()))
+        stored = replace(record, fresh=False)
+        value = msgspec.json.encode(ClaimRow(stored, self._wall.now_ms()))
         return Write(CLAIM_PREFIX + record.key, value, version)
 
-    def _spawn(self, coroutine) -> None:
-        self._keep(asyncio.get_running_loop().create_task(coroutine))
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._keep(task)
+        return task
 
     def _keep(self, task: asyncio.Task) -> None:
         self._background.add(task)
