--- /dev/null
+++ b/src/pomelolane/scheduler/__init__.py
@@ -0,0 +1,16 @@
+"""Who goes first, where, and who is refused: the decisions under load.
+
+Importing the package registers the built-in placement policies.
+"""
+
+from pomelolane.scheduler.core import PomelolaneCore, make_core, make_core_with
+from pomelolane.scheduler.options import CoreOptions
+from pomelolane.scheduler.placement import Placement
+
+__all__ = [
+    "CoreOptions",
+    "Placement",
+    "PomelolaneCore",
+    "make_core",
+    "make_core_with",
+]
--- /dev/null
+++ b/src/pomelolane/scheduler/admission.py
@@ -0,0 +1,198 @@
+"""Who may wait, who is refused, and when a refused caller should come back.
+
+All refusals say "not run" and are decided at once: on arrival where that can be
+known, otherwise as soon as the measured speeds rule the deadline out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pomelolane.outcomes import Outcome, Reason, Refusal
+
+if TYPE_CHECKING:
+    from pomelolane.scheduler.affinity import PrefixIndex
+    from pomelolane.scheduler.fleet import Fleet
+    from pomelolane.scheduler.options import CoreOptions
+    from pomelolane.scheduler.queue import FairQueue, Waiting
+
+_MIN_RETRY_MS = 100
+_MAX_RETRY_MS = 60_000
+_DRAIN_STEP = 0.1
+_DRAIN_MIN = 0.3
+_DRAIN_MAX = 3.0
+_DRAIN_LEARN_MS = 200.0
+
+
+class DrainRate:
+    """How much longer a queue takes than speeds and slots alone suggest."""
+
+    def __init__(self) -> None:
+        self._factors: dict[int, float] = {}
+
+    def factor(self, rank: int) -> float:
+        """Return the learnt factor of a tier."""
+        return self._factors.get(rank, 1.0)
+
+    def learn(self, rank: int, predicted_ms: float, waited_ms: float) -> None:
+        """Compare the plain prediction of a wait with what came of it."""
+        if predicted_ms < _DRAIN_LEARN_MS:
+            return
+        sample = min(_DRAIN_MAX, max(_DRAIN_MIN, waited_ms / predicted_ms))
+        factor = self.factor(rank)
+        self._factors[rank] = factor + _DRAIN_STEP * (sample - factor)
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What is to be done with a request that wants to wait.
+
+    Attributes:
+        refusal: Refuse it, or None.
+        displaced: Waiting request that gives its place, or None.
+        predicted_wait_ms: Plain prediction of its wait.
+    """
+
+    refusal: Refusal | None = None
+    displaced: Waiting | None = None
+    predicted_wait_ms: float = 0.0
+
+
+class Admission:
+    """Decides on a service's waiting places.
+
+    Args:
+        fleet: The service's endpoints.
+        queue: The service's queue.
+        prefixes: Record of cached prefixes.
+        options: Switches of the core.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        queue: FairQueue,
+        prefixes: PrefixIndex,
+        options: CoreOptions,
+    ) -> None:
+        self.drain = DrainRate()
+        self.queue_limit = 1000
+        self._fleet = fleet
+        self._queue = queue
+        self._prefixes = prefixes
+        self._options = options
+
+    def admit(self, waiting: Waiting, now_ms: float) -> Verdict:
+        """Decide on a new request."""
+        refusal = self._impossible(waiting, now_ms)
+        if refusal is not None:
+            return Verdict(refusal)
+        rank = waiting.handle.tier_rank
+        backlog = self._queue.backlog_ahead(waiting.handle, waiting.deadline_ms)
+        predicted_ms = self._fleet.summary(now_ms).drain_ms(backlog)
+        wait_ms = predicted_ms * self.drain.factor(rank)
+        if self._too_late_after(waiting, wait_ms, now_ms):
+            retry_ms = self._retry_after_ms(rank, now_ms)
+            late = Refusal(Outcome.NOT_RUN, Reason.DEADLINE_UNREACHABLE, retry_ms)
+            return Verdict(late)
+        if len(self._queue) < self.queue_limit:
+            return Verdict(predicted_wait_ms=predicted_ms)
+        return self._make_place(waiting, predicted_ms, now_ms)
+
+    def latest_start_ms(self, waiting: Waiting, now_ms: float) -> float:
+        """Return until when a request can begin and still be in time."""
+        if not self._options.refuse_unreachable:
+            return waiting.deadline_ms
+        best_ms = self._best_service_ms(waiting, now_ms)
+        return waiting.deadline_ms - best_ms * self._options.safety_factor
+
+    def expired(self, waiting: Waiting, now_ms: float) -> Refusal:
+        """Return the refusal of a request that cannot be in time any more."""
+        reason = Reason.DEADLINE_UNREACHABLE
+        if now_ms >= waiting.deadline_ms:
+            reason = Reason.DEADLINE_PASSED
+        if self._fleet.ready_count() == 0:
+            reason = Reason.NO_ENDPOINT
+        rank = waiting.handle.tier_rank
+        return Refusal(Outcome.NOT_RUN, reason, self._retry_after_ms(rank, now_ms))
+
+    def displacement(self, rank: int, now_ms: float) -> Refusal:
+        """Return the refusal of a request that gives its place."""
+        retry_ms = self._retry_after_ms(rank, now_ms)
+        return Refusal(Outcome.NOT_RUN, Reason.DISPLACED, retry_ms)
+
+    def _impossible(self, waiting: Waiting, now_ms: float) -> Refusal | None:
+        """Refuse what no endpoint could do in time even with nothing ahead."""
+        handle = waiting.handle
+        if not self._some_endpoint(waiting):
+            retry_ms = int(self._fleet.retry_ms(now_ms)) or _MIN_RETRY_MS
+            return Refusal(Outcome.NOT_RUN, Reason.NO_ENDPOINT, retry_ms)
+        if handle.budget_ms <= 0:
+            return Refusal(Outcome.NOT_RUN, Reason.DEADLINE_PASSED)
+        if now_ms > self.latest_start_ms(waiting, now_ms):
+            return Refusal(Outcome.NOT_RUN, Reason.DEADLINE_UNREACHABLE)
+        return None
+
+    def _some_endpoint(self, waiting: Waiting) -> bool:
+        if not self._fleet.holds_memory(waiting.cost_tokens):
+            return False
+        excluded = waiting.handle.excluded
+        if not excluded and self._fleet.ready_count() > 0:
+            return True
+        return self._fleet.eligible(excluded)
+
+    def _best_service_ms(self, waiting: Waiting, now_ms: float) -> float:
+        handle = waiting.handle
+        prefill = handle.prefill_tokens
+        summary = self._fleet.summary(now_ms)
+        best_ms = summary.best_service_ms(prefill, waiting.decode_tokens)
+        if not self._options.affinity or not handle.prefix_hashes:
+            return best_ms
+        for endpoint_id in self._prefixes.holders(handle.prefix_hashes):
+            worker = self._fleet.workers.get(endpoint_id)
+            if worker is None or worker.account.leaving:
+                continue
+            cached = self._prefixes.cached_tokens(endpoint_id, handle.prefix_hashes)
+            rest = max(0, prefill - cached)
+            own_ms = worker.account.service_ms(rest, waiting.decode_tokens)
+            best_ms = min(best_ms, own_ms)
+        return best_ms
+
+    def _too_late_after(self, waiting: Waiting, wait_ms: float, now_ms: float) -> bool:
+        """Tell whether the queue ahead rules the deadline out.
+
+        While a lower tier waits, the prediction refuses nobody: the place of
+        the higher tier's request must not go to a lower one if it was wrong.
+        """
+        if not self._options.predict_wait or self._fleet.has_open():
+            return False
+        if self._queue.lowest_rank() > waiting.handle.tier_rank:
+            return False
+        return now_ms + wait_ms > self.latest_start_ms(waiting, now_ms)
+
+    def _make_place(
+        self, waiting: Waiting, predicted_ms: float, now_ms: float
+    ) -> Verdict:
+        """Find whom a new request displaces from a full queue."""
+        rank = waiting.handle.tier_rank
+        lowest = self._queue.lowest_rank()
+        victim = None
+        if lowest > rank:
+            victim = self._queue.youngest(lowest)
+        elif lowest == rank and self._options.fair_shares:
+            victim = self._queue.youngest_over_share(waiting.handle)
+        if victim is not None:
+            return Verdict(displaced=victim, predicted_wait_ms=predicted_ms)
+        retry_ms = self._retry_after_ms(rank, now_ms)
+        return Verdict(Refusal(Outcome.NOT_RUN, Reason.QUEUE_FULL, retry_ms))
+
+    def _retry_after_ms(self, rank: int, now_ms: float) -> int:
+        """Return when what waits at a tier and above should be gone."""
+        if self._fleet.ready_count() == 0:
+            wait_ms = self._fleet.retry_ms(now_ms)
+        else:
+            backlog = self._queue.backlog(rank)
+            wait_ms = self._fleet.summary(now_ms).drain_ms(backlog)
+            wait_ms *= self.drain.factor(rank)
+        return int(min(_MAX_RETRY_MS, max(_MIN_RETRY_MS, wait_ms)))
--- /dev/null
+++ b/src/pomelolane/scheduler/core.py
@@ -0,0 +1,342 @@
+"""The decision core of one service: queue, admission, placement and reserve.
+
+It does no I/O and reads no clock; every event comes in by a method, which
+returns the decisions that became possible.
+"""
+
+from __future__ import annotations
+
+import heapq
+from contextlib import closing
+from dataclasses import replace
+from itertools import count
+from typing import TYPE_CHECKING
+
+from pomelolane.model import ServiceKind
+from pomelolane.outcomes import Reason
+from pomelolane.ports import Decision, Grant
+from pomelolane.registry import PLACEMENT_POLICIES, register
+from pomelolane.scheduler.admission import Admission
+from pomelolane.scheduler.affinity import PrefixIndex
+from pomelolane.scheduler.estimate import AnswerLengths
+from pomelolane.scheduler.fleet import Fleet
+from pomelolane.scheduler.flights import FlightBook, FlightParts
+from pomelolane.scheduler.limits import LimitBook
+from pomelolane.scheduler.options import CoreOptions
+from pomelolane.scheduler.placement import Placer
+from pomelolane.scheduler.queue import FairQueue, Waiting
+from pomelolane.scheduler.reserve import Reserve
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from pomelolane.messages import Handle, RunningHandle, StreamEvent
+    from pomelolane.model import Tree
+    from pomelolane.outcomes import Refusal
+    from pomelolane.ports import CacheEvent, LoadReport, SchedulingCore
+    from pomelolane.scheduler.fleet import Worker
+    from pomelolane.scheduler.placement import Placement
+
+
+class PomelolaneCore:
+    """Our placement policy.
+
+    Args:
+        service_name: The service it decides for.
+        options: Switches of its rules.
+    """
+
+    def __init__(self, service_name: str, options: CoreOptions) -> None:
+        self._service = service_name
+        self._options = options
+        self._queue = FairQueue(fair_shares=options.fair_shares)
+        self._fleet = Fleet(options)
+        self._prefixes = PrefixIndex()
+        self._placer = Placer(self._fleet, self._prefixes, options)
+        self._admission = Admission(self._fleet, self._queue, self._prefixes, options)
+        self._lengths = AnswerLengths(enabled=options.learn_lengths)
+        self._limits = LimitBook()
+        self._reserve = Reserve()
+        self._flights = FlightBook(
+            FlightParts(
+                self._queue,
+                self._fleet,
+                self._prefixes,
+                self._lengths,
+                self._limits,
+                self._reserve,
+            ),
+            options,
+        )
+        self._waiting: dict[str, Waiting] = {}
+        self._checks: list[tuple[float, int, Waiting]] = []
+        self._sequence = count()
+
+    def configure(self, tree: Tree, now_ms: float) -> Sequence[Decision]:
+        """Adopt a settings tree (endpoints, weights, limits)."""
+        service = tree.services.get(self._service)
+        kind = service.kind if service else ServiceKind.ENGINE
+        if service:
+            self._admission.queue_limit = service.queue_limit
+        own = [e for e in tree.endpoints.values() if e.service == self._service]
+        known = set(self._fleet.workers)
+        self._fleet.configure(own, kind, now_ms)
+        for gone in known - set(self._fleet.workers):
+            self._prefixes.remove_endpoint(gone)
+        for endpoint in own:
+            self._prefixes.add_endpoint(endpoint.endpoint_id, endpoint.kv_tokens)
+        self._queue.set_weights(
+            {team.name: team.weight for team in tree.teams.values()},
+            {o.name: o.weight for o in tree.organisations.values()},
+        )
+        self._limits.configure(tree)
+        self._flights.unpark_all()
+        return self._dispatch(now_ms)
+
+    def submit(self, handle: Handle, now_ms: float) -> Sequence[Decision]:
+        """Queue a request; a request id already known is ignored."""
+        request_id = handle.request_id
+        if request_id in self._waiting or request_id in self._flights:
+            return []
+        waiting = self._expect(handle, now_ms)
+        self._note_arrival(waiting, now_ms)
+        refusal = self._limits.admit(handle, waiting.cost_tokens, now_ms)
+        if refusal is not None:
+            return [Decision(request_id, refusal)]
+        verdict = self._admission.admit(waiting, now_ms)
+        if verdict.refusal is not None:
+            self._limits.give_back(handle, waiting.cost_tokens)
+            return [Decision(request_id, verdict.refusal)]
+        waiting.predicted_wait_ms = verdict.predicted_wait_ms
+        decisions: list[Decision] = []
+        if verdict.displaced is not None:
+            victim = verdict.displaced
+            rank = victim.handle.tier_rank
+            refusal = self._admission.displacement(rank, now_ms)
+            decisions.append(self._refuse(victim, refusal))
+        self._enqueue(waiting, now_ms)
+        decisions.extend(self._dispatch(now_ms))
+        return decisions
+
+    def register_running(self, running: RunningHandle, now_ms: float) -> None:
+        """Account for a request dispatched under an earlier scheduler."""
+        handle = running.handle
+        worker = self._fleet.workers.get(running.endpoint_id)
+        if worker is None or handle.request_id in self._flights:
+            return
+        waiting = self._waiting.get(handle.request_id)
+        if waiting is not None:
+            self._forget(waiting)
+        waiting = self._expect(handle, now_ms)
+        placement = self._placer.predict(waiting, worker, 0.0, now_ms)
+        self._flights.register(waiting, placement, running, now_ms)
+
+    def withdraw(self, request_id: str, now_ms: float) -> Sequence[Decision]:
+        """Forget a waiting request, or free a granted one's slot."""
+        waiting = self._waiting.get(request_id)
+        if waiting is not None:
+            self._forget(waiting)
+            self._limits.give_back(waiting.handle, waiting.cost_tokens)
+            return self._dispatch(now_ms)
+        self._flights.end(request_id, now_ms)
+        return self._dispatch(now_ms)
+
+    def observe(self, event: StreamEvent, now_ms: float) -> Sequence[Decision]:
+        """Learn from a stream; frees the slot when finished."""
+        if not self._flights.observe(event, now_ms):
+            return []
+        return self._dispatch(now_ms)
+
+    def report_load(self, report: LoadReport, now_ms: float) -> Sequence[Decision]:
+        """Correct own accounting by an engine's report."""
+        worker = self._fleet.workers.get(report.endpoint_id)
+        if worker is None:
+            return []
+        worker.account.correct(report, now_ms)
+        self._fleet.refresh(worker, now_ms)
+        return self._dispatch(now_ms)
+
+    def report_cache(self, event: CacheEvent, now_ms: float) -> None:
+        """Correct the record of cached prefixes."""
+        self._prefixes.correct(event, now_ms)
+
+    def mark_leaving(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
+        """Grant nothing more to an endpoint."""
+        worker = self._fleet.workers.get(endpoint_id)
+        if worker is None or worker.account.leaving:
+            return []
+        worker.account.leaving = True
+        self._fleet.refresh_all(now_ms)
+        return self._dispatch(now_ms)
+
+    def limit_slots(self, share: float, now_ms: float) -> Sequence[Decision]:
+        """Use only a share (0..1] of each endpoint's slots (cut-off mode)."""
+        self._fleet.limit_slots(share, now_ms)
+        return self._dispatch(now_ms)
+
+    def tick(self, now_ms: float) -> Sequence[Decision]:
+        """Expire deadlines, probe stragglers; call every 50 ms or so."""
+        self._flights.check(now_ms)
+        decisions = self._expire(now_ms)
+        decisions.extend(self._dispatch(now_ms))
+        return decisions
+
+    def placement_of(self, request_id: str) -> Placement | None:
+        """Return the prediction behind a running request's grant, for logs."""
+        return self._flights.placement_of(request_id)
+
+    def _expect(self, handle: Handle, now_ms: float) -> Waiting:
+        decode_tokens = self._lengths.expect(
+            handle.work, handle.organisation, handle.decode_tokens
+        )
+        deadline_ms = now_ms + handle.budget_ms
+        return Waiting(handle, now_ms, deadline_ms, decode_tokens)
+
+    def _note_arrival(self, waiting: Waiting, now_ms: float) -> None:
+        handle = waiting.handle
+        hold_ms = self._fleet.summary(now_ms).middle_service_ms(
+            handle.prefill_tokens, waiting.decode_tokens
+        )
+        slack_ms = handle.budget_ms - hold_ms
+        self._reserve.arrived(handle.tier_rank, hold_ms, slack_ms, now_ms)
+
+    def _enqueue(self, waiting: Waiting, now_ms: float) -> None:
+        self._waiting[waiting.handle.request_id] = waiting
+        self._queue.push(waiting)
+        self._check_at(self._admission.latest_start_ms(waiting, now_ms), waiting)
+
+    def _check_at(self, time_ms: float, waiting: Waiting) -> None:
+        heapq.heappush(self._checks, (time_ms, next(self._sequence), waiting))
+
+    def _forget(self, waiting: Waiting) -> None:
+        del self._waiting[waiting.handle.request_id]
+        self._queue.remove(waiting)
+
+    def _refuse(self, waiting: Waiting, refusal: Refusal) -> Decision:
+        self._forget(waiting)
+        self._limits.give_back(waiting.handle, waiting.cost_tokens)
+        return Decision(waiting.handle.request_id, refusal)
+
+    def _expire(self, now_ms: float) -> list[Decision]:
+        """Refuse what cannot be in time any more, by the speeds of now."""
+        decisions: list[Decision] = []
+        while self._checks and self._checks[0][0] < now_ms:
+            waiting = heapq.heappop(self._checks)[2]
+            if not waiting.queued:
+                continue
+            latest_ms = self._admission.latest_start_ms(waiting, now_ms)
+            if latest_ms >= now_ms:
+                self._check_at(latest_ms, waiting)
+                continue
+            refusal = self._admission.expired(waiting, now_ms)
+            if self._flights.is_parked(waiting.handle):
+                refusal = replace(refusal, reason=Reason.CONCURRENCY_LIMIT)
+            decisions.append(self._refuse(waiting, refusal))
+        return decisions
+
+    def _dispatch(self, now_ms: float) -> list[Decision]:
+        """Grant slots until nothing more can go."""
+        decisions: list[Decision] = []
+        self._fleet.wake(now_ms)
+        while self._waiting and self._fleet.has_open():
+            decision = self._next_grant(now_ms)
+            if decision is None:
+                break
+            decisions.append(decision)
+        if self._waiting:
+            decisions.extend(self._probe(now_ms))
+        return decisions
+
+    def _next_grant(self, now_ms: float) -> Decision | None:
+        """Grant one slot to the first request that can use one."""
+        held: set[str] = set()
+        for rank in self._queue.ranks():
+            with closing(self._queue.scan(rank)) as requests:
+                for waiting in requests:
+                    placement = self._try(waiting, held, now_ms)
+                    if placement is not None:
+                        return self._grant(waiting, placement, now_ms)
+        return None
+
+    def _try(self, waiting: Waiting, held: set[str], now_ms: float) -> Placement | None:
+        if self._flights.park_if_limited(waiting.handle):
+            return None
+        if not self._room_for(waiting, now_ms):
+            return None
+        placement = self._placer.place(waiting, held, now_ms)
+        if placement is None:
+            self._placer.hold_memory(waiting, held)
+        return placement
+
+    def _room_for(self, waiting: Waiting, now_ms: float) -> bool:
+        """Tell whether the reserve leaves room for a request."""
+        if not self._options.reserve:
+            return True
+        handle = waiting.handle
+        summary = self._fleet.summary(now_ms)
+        prefill = handle.prefill_tokens
+        prefill_ms = summary.middle_service_ms(prefill, 0)
+        hold_ms = summary.middle_service_ms(prefill, waiting.decode_tokens)
+        return self._reserve.allows(
+            handle.tier_rank, prefill_ms, hold_ms, summary.room, now_ms
+        )
+
+    def _probe(self, now_ms: float) -> list[Decision]:
+        """Send one request, of the lowest tier, to each endpoint due a probe."""
+        decisions: list[Decision] = []
+        for worker in self._fleet.probes_due(now_ms):
+            waiting = self._probing_request(worker, now_ms)
+            if waiting is None:
+                continue
+            placement = self._placer.predict(waiting, worker, 0.0, now_ms)
+            decisions.append(self._grant(waiting, placement, now_ms))
+        return decisions
+
+    def _probing_request(self, worker: Worker, now_ms: float) -> Waiting | None:
+        """Return a request that would be in time even at the measured speed."""
+        for rank in reversed(self._queue.ranks()):
+            with closing(self._queue.scan(rank)) as requests:
+                for waiting in requests:
+                    if self._may_probe(waiting, worker, now_ms):
+                        return waiting
+        return None
+
+    def _may_probe(self, waiting: Waiting, worker: Worker, now_ms: float) -> bool:
+        if worker.endpoint_id in waiting.handle.excluded:
+            return False
+        if self._flights.park_if_limited(waiting.handle):
+            return False
+        if not worker.account.kv_fits(waiting.cost_tokens):
+            return False
+        placement = self._placer.predict(waiting, worker, 0.0, now_ms)
+        return self._placer.in_time(waiting, placement, now_ms)
+
+    def _grant(self, waiting: Waiting, placement: Placement, now_ms: float) -> Decision:
+        del self._waiting[waiting.handle.request_id]
+        self._queue.take(waiting)
+        self._admission.drain.learn(
+            waiting.handle.tier_rank,
+            waiting.predicted_wait_ms,
+            now_ms - waiting.submitted_ms,
+        )
+        self._flights.begin(waiting, placement, now_ms)
+        request_id = waiting.handle.request_id
+        grant = Grant(
+            request_id, placement.worker.endpoint_id, placement.first_token_ms
+        )
+        return Decision(request_id, grant)
+
+
+def make_core_with(options: CoreOptions) -> Callable[[str], SchedulingCore]:
+    """Return a factory of cores that follow some options."""
+
+    def make(service_name: str) -> SchedulingCore:
+        return PomelolaneCore(service_name, options)
+
+    return make
+
+
+@register(PLACEMENT_POLICIES, "pomelolane")
+def make_core(service_name: str) -> SchedulingCore:
+    """Make the core of our own policy."""
+    return PomelolaneCore(service_name, CoreOptions())
--- /dev/null
+++ b/src/pomelolane/scheduler/fleet.py
@@ -0,0 +1,286 @@
+"""The endpoints of one service: which can take a grant, and how fast they are.
+
+Endpoints that can take a grant are kept sorted by their predicted time for a
+typical request, so that a placement looks at a few and not at all.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from bisect import bisect_left, insort
+from dataclasses import dataclass
+from itertools import count, islice
+from typing import TYPE_CHECKING
+
+from pomelolane.model import ServiceKind
+from pomelolane.scheduler.accounting import EndpointState, make_endpoint_state
+from pomelolane.scheduler.health import EndpointHealth, State
+from pomelolane.scheduler.reserve import Room
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from pomelolane.model import Endpoint
+    from pomelolane.scheduler.options import CoreOptions
+    from pomelolane.scheduler.queue import Backlog
+
+_TYPICAL_PREFILL_TOKENS = 512
+_TYPICAL_DECODE_TOKENS = 64
+_SUMMARY_AGE_MS = 200.0
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """One endpoint with its account and its health.
+
+    Attributes:
+        account: Own account of what it does.
+        health: Whether it keeps its pace.
+    """
+
+    account: EndpointState
+    health: EndpointHealth
+    open_key: tuple[float, str] | None = None
+
+    @property
+    def endpoint_id(self) -> str:
+        """Its id."""
+        return self.account.endpoint.endpoint_id
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """Speeds of the ready endpoints together, a fraction of a second old.
+
+    Attributes:
+        room: Their slots and number.
+        prefill_per_ms: Prompt speed of all.
+        decode_per_ms: Answer speed of all slots.
+        fastest: Accounts that some request could be served fastest by.
+        by_speed: Ready workers, fastest for a typical request first.
+    """
+
+    room: Room
+    prefill_per_ms: float
+    decode_per_ms: float
+    fastest: tuple[EndpointState, ...]
+    by_speed: tuple[Worker, ...]
+
+    def best_service_ms(self, prefill_tokens: int, decode_tokens: int) -> float:
+        """Return the shortest predicted time, with nothing ahead."""
+        times = (a.service_ms(prefill_tokens, decode_tokens) for a in self.fastest)
+        return min(times, default=0.0)
+
+    def middle_service_ms(self, prefill_tokens: int, decode_tokens: int) -> float:
+        """Return the predicted time on the endpoint of middle speed."""
+        if not self.by_speed:
+            return 0.0
+        account = self.by_speed[len(self.by_speed) // 2].account
+        return account.service_ms(prefill_tokens, decode_tokens)
+
+    def drain_ms(self, backlog: Backlog) -> float:
+        """Return how long the endpoints need for what waits."""
+        if not self.by_speed or backlog.requests <= 0:
+            return 0.0
+        mean_ms = self.middle_service_ms(
+            int(backlog.prefill_tokens / backlog.requests),
+            int(backlog.decode_tokens / backlog.requests),
+        )
+        slots_ms = backlog.requests * mean_ms / max(1, self.room.slots)
+        return max(slots_ms, backlog.prefill_tokens / self.prefill_per_ms)
+
+
+class Fleet:
+    """All endpoints of one service.
+
+    Args:
+        options: Switches of the core.
+    """
+
+    def __init__(self, options: CoreOptions) -> None:
+        self.workers: dict[str, Worker] = {}
+        self._options = options
+        self._slot_share = options.default_slot_share
+        self._open: list[tuple[float, str]] = []
+        self._wake: list[tuple[float, int, Worker]] = []
+        self._sequence = count()
+        self._unhealthy: dict[str, Worker] = {}
+        self._ready = 0
+        self._largest_kv_tokens = math.inf
+        self._summary: Summary | None = None
+        self._summary_ms = 0.0
+
+    def configure(
+        self, endpoints: Iterable[Endpoint], kind: ServiceKind, now_ms: float
+    ) -> None:
+        """Adopt the declared endpoints; flights of known ones stay."""
+        declared = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
+        for endpoint_id in [i for i in self.workers if i not in declared]:
+            worker = self.workers[endpoint_id]
+            worker.account.leaving = True
+            if not worker.account.flights:
+                self._close(worker)
+                del self.workers[endpoint_id]
+                self._unhealthy.pop(endpoint_id, None)
+        for endpoint in declared.values():
+            self._adopt(endpoint, kind)
+        sizes = [endpoint.kv_tokens or math.inf for endpoint in declared.values()]
+        self._largest_kv_tokens = max(sizes, default=math.inf)
+        self.refresh_all(now_ms)
+
+    def limit_slots(self, share: float, now_ms: float) -> None:
+        """Use only a share of each endpoint's slots."""
+        self._slot_share = share
+        for worker in self.workers.values():
+            worker.account.slot_share = share
+        self.refresh_all(now_ms)
+
+    def refresh_all(self, now_ms: float) -> None:
+        """Work out anew which endpoints can take a grant."""
+        self._summary = None
+        self._ready = sum(1 for worker in self.workers.values() if _is_ready(worker))
+        for worker in self.workers.values():
+            self.refresh(worker, now_ms)
+
+    def health_changed(self, worker: Worker, now_ms: float) -> None:
+        """Take note that a worker's health state is another one."""
+        if worker.health.state is State.HEALTHY:
+            self._unhealthy.pop(worker.endpoint_id, None)
+        else:
+            self._unhealthy[worker.endpoint_id] = worker
+        self.refresh_all(now_ms)
+
+    def refresh(self, worker: Worker, now_ms: float) -> None:
+        """Work out anew whether a worker can take a grant."""
+        self._close(worker)
+        account = worker.account
+        if not self._may_serve(worker) or account.free_slots(now_ms) <= 0:
+            return
+        ahead_ms = account.prefill_ahead_ms(now_ms)
+        lookahead_ms = self._options.prefill_lookahead_ms
+        if self._options.bound_prefill and ahead_ms > lookahead_ms:
+            wake_ms = account.prefill_free_ms - lookahead_ms
+            heapq.heappush(self._wake, (wake_ms, next(self._sequence), worker))
+            return
+        typical_ms = account.service_ms(_TYPICAL_PREFILL_TOKENS, _TYPICAL_DECODE_TOKENS)
+        worker.open_key = (ahead_ms + typical_ms, worker.endpoint_id)
+        insort(self._open, worker.open_key)
+
+    def wake(self, now_ms: float) -> None:
+        """Open workers whose prompts ahead are nearly done."""
+        while self._wake and self._wake[0][0] <= now_ms:
+            worker = heapq.heappop(self._wake)[2]
+            if worker.open_key is None:
+                self.refresh(worker, now_ms)
+
+    def has_open(self) -> bool:
+        """Tell whether any worker can take a grant."""
+        return bool(self._open)
+
+    def open_workers(self, most: int) -> Iterator[Worker]:
+        """Yield the fastest workers that can take a grant."""
+        for _, endpoint_id in islice(self._open, most):
+            yield self.workers[endpoint_id]
+
+    def probes_due(self, now_ms: float) -> list[Worker]:
+        """Return unhealthy workers that should get one request to try."""
+        return [
+            worker
+            for worker in self._unhealthy.values()
+            if not worker.account.leaving
+            and worker.account.free_slots(now_ms) > 0
+            and worker.health.probe_due(worker.account, now_ms)
+        ]
+
+    def ready_count(self) -> int:
+        """Return how many endpoints are healthy and not leaving."""
+        return self._ready
+
+    def eligible(self, excluded: tuple[str, ...]) -> bool:
+        """Tell whether any endpoint is left that is not leaving."""
+        return any(
+            not worker.account.leaving and endpoint_id not in excluded
+            for endpoint_id, worker in self.workers.items()
+        )
+
+    def holds_memory(self, tokens: int) -> bool:
+        """Tell whether any endpoint's KV cache is large enough at all."""
+        return tokens <= self._largest_kv_tokens
+
+    def retry_ms(self, now_ms: float) -> float:
+        """Return when an unhealthy endpoint may be back."""
+        times = (w.health.retry_ms(now_ms) for w in self._unhealthy.values())
+        return min(times, default=0.0)
+
+    def summary(self, now_ms: float) -> Summary:
+        """Return what the ready endpoints can do together."""
+        if self._summary is None or now_ms - self._summary_ms > _SUMMARY_AGE_MS:
+            self._summary = self._summarise()
+            self._summary_ms = now_ms
+        return self._summary
+
+    def _summarise(self) -> Summary:
+        ready = [w for w in self.workers.values() if self._may_serve(w)]
+        ready.sort(key=_typical_ms)
+        accounts = [worker.account for worker in ready]
+        return Summary(
+            room=Room(sum(a.slots for a in accounts), len(accounts)),
+            prefill_per_ms=sum(a.prefill_per_ms for a in accounts),
+            decode_per_ms=sum(a.decode_per_ms * a.slots for a in accounts),
+            fastest=_fastest(accounts),
+            by_speed=tuple(ready),
+        )
+
+    def _adopt(self, endpoint: Endpoint, kind: ServiceKind) -> None:
+        worker = self.workers.get(endpoint.endpoint_id)
+        if worker is None:
+            account = make_endpoint_state(
+                endpoint, kind, learn_speeds=self._options.learn_speeds
+            )
+            account.slot_share = self._slot_share
+            health = EndpointHealth(judges_tokens=kind is ServiceKind.ENGINE)
+            self.workers[endpoint.endpoint_id] = Worker(account, health)
+            return
+        declared_again = worker.account.endpoint.leaving and not endpoint.leaving
+        worker.account.endpoint = endpoint
+        if endpoint.leaving:
+            worker.account.leaving = True
+        elif declared_again:
+            worker.account.leaving = False
+
+    def _may_serve(self, worker: Worker) -> bool:
+        """Tell whether a worker serves; stragglers do if nobody else can."""
+        if worker.account.leaving:
+            return False
+        if worker.health.state is State.HEALTHY:
+            return True
+        return self._ready == 0 and worker.health.state is State.STRAGGLING
+
+    def _close(self, worker: Worker) -> None:
+        if worker.open_key is not None:
+            del self._open[bisect_left(self._open, worker.open_key)]
+            worker.open_key = None
+
+
+def _is_ready(worker: Worker) -> bool:
+    return worker.health.state is State.HEALTHY and not worker.account.leaving
+
+
+def _typical_ms(worker: Worker) -> float:
+    account = worker.account
+    return account.service_ms(_TYPICAL_PREFILL_TOKENS, _TYPICAL_DECODE_TOKENS)
+
+
+def _fastest(accounts: list[EndpointState]) -> tuple[EndpointState, ...]:
+    """Return the accounts that no other beats at both prompts and answers."""
+    by_prefill = sorted(
+        accounts, key=lambda a: (a.prefill_per_ms, a.decode_per_ms), reverse=True
+    )
+    fastest: list[EndpointState] = []
+    best_decode = 0.0
+    for account in by_prefill:
+        if account.decode_per_ms > best_decode:
+            best_decode = account.decode_per_ms
+            fastest.append(account)
+    return tuple(fastest)
--- /dev/null
+++ b/src/pomelolane/scheduler/options.py
@@ -0,0 +1,47 @@
+"""Switches and constants of the decision core.
+
+Each rule that a measurement speaks for has a switch here, so that its worth can
+be measured again by turning it off.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CoreOptions:
+    """What a decision core does, and how strongly.
+
+    Attributes:
+        fair_shares: Share a tier between teams and organisations by weight;
+            otherwise by deadline alone.
+        reserve: Keep room for bursts of higher tiers.
+        affinity: Prefer endpoints that hold a prefix of the prompt.
+        stragglers: Take grants from endpoints that have become slow.
+        refuse_unreachable: Refuse work that cannot meet its deadline.
+        predict_wait: Refuse at once what the queue ahead makes unreachable.
+        wait_for_better: Let a request wait for a busy endpoint that would
+            finish it sooner than any free one.
+        bound_prefill: Keep prompts queued here while an engine's prefill is busy.
+        learn_speeds: Use observed speeds; otherwise the declared ones.
+        learn_lengths: Use observed answer lengths; otherwise the expected ones.
+        prefill_lookahead_ms: Prefill work that an engine may have ahead and
+            still take a grant.
+        safety_factor: Margin on predicted service times against deadlines.
+        default_slot_share: Share of each endpoint's slots used at the start.
+    """
+
+    fair_shares: bool = True
+    reserve: bool = True
+    affinity: bool = True
+    stragglers: bool = True
+    refuse_unreachable: bool = True
+    predict_wait: bool = True
+    wait_for_better: bool = True
+    bound_prefill: bool = True
+    learn_speeds: bool = True
+    learn_lengths: bool = True
+    prefill_lookahead_ms: float = 50.0
+    safety_factor: float = 1.1
+    default_slot_share: float = 1.0
--- /dev/null
+++ b/src/pomelolane/scheduler/placement.py
@@ -0,0 +1,237 @@
+"""Chooses the endpoint of a request by its predicted time.
+
+The prediction counts prompts ahead, observed speeds, a cached prefix and the way
+to another data centre; a busy endpoint that would still be sooner is waited for.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from pomelolane.messages import Handle
+    from pomelolane.scheduler.affinity import PrefixIndex
+    from pomelolane.scheduler.fleet import Fleet, Worker
+    from pomelolane.scheduler.options import CoreOptions
+    from pomelolane.scheduler.queue import Waiting
+
+_MAX_OPEN = 8
+_MAX_HOLDERS = 8
+_MAX_BUSY = 4
+_MAX_HELD = 2
+_OTHER_DATA_CENTRE_MS = 4.0
+_WAIT_GAIN_SHARE = 0.3
+_WAIT_GAIN_MS = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """A request's prediction on one endpoint.
+
+    Attributes:
+        worker: The endpoint.
+        wait_ms: Predicted time until it can take the request, 0 for now.
+        ahead_ms: Prompts ahead of the request there.
+        cached_tokens: Prompt tokens expected in its cache.
+        prefill_tokens: Prompt tokens to be processed.
+        first_token_ms: Predicted time to the first token, wait included.
+        total_ms: Predicted time to the last token, wait included.
+    """
+
+    worker: Worker
+    wait_ms: float
+    ahead_ms: float
+    cached_tokens: int
+    prefill_tokens: int
+    first_token_ms: float
+    total_ms: float
+
+
+class Placer:
+    """Scores endpoints for requests.
+
+    Args:
+        fleet: The service's endpoints.
+        prefixes: Record of cached prefixes.
+        options: Switches of the core.
+    """
+
+    def __init__(
+        self, fleet: Fleet, prefixes: PrefixIndex, options: CoreOptions
+    ) -> None:
+        self._fleet = fleet
+        self._prefixes = prefixes
+        self._options = options
+
+    def place(
+        self, waiting: Waiting, held: set[str], now_ms: float
+    ) -> Placement | None:
+        """Return the best endpoint that can take a request now.
+
+        Args:
+            waiting: The request.
+            held: Endpoints that earlier requests wait for; one is added when
+                this request should wait for it.
+            now_ms: The time.
+
+        Returns:
+            None where the request should wait.
+        """
+        handle = waiting.handle
+        holders = self._holders(handle)
+        best = self._best_open(waiting, holders, held, now_ms)
+        if not self._options.wait_for_better and best is not None:
+            return best
+        if len(held) >= _MAX_HELD:
+            return best
+        later = self._best_busy(waiting, holders, held, now_ms)
+        if later is None:
+            return best
+        if best is not None and not _worth_waiting(best, later):
+            return best
+        remaining_ms = waiting.deadline_ms - now_ms
+        if best is None or self._in_time(later, remaining_ms):
+            held.add(later.worker.endpoint_id)
+            return None
+        return best
+
+    def hold_memory(self, waiting: Waiting, held: set[str]) -> None:
+        """Keep an endpoint from lower tiers until a request's KV cache fits."""
+        tokens = waiting.cost_tokens
+        for worker in self._fleet.open_workers(_MAX_OPEN):
+            if not _allowed(worker, waiting, held):
+                continue
+            limit = worker.account.endpoint.kv_tokens
+            if limit >= tokens and not worker.account.kv_fits(tokens):
+                held.add(worker.endpoint_id)
+                return
+
+    def predict(
+        self, waiting: Waiting, worker: Worker, wait_ms: float, now_ms: float
+    ) -> Placement:
+        """Predict a request on one endpoint."""
+        handle = waiting.handle
+        account = worker.account
+        cached = 0
+        if self._options.affinity and handle.prefix_hashes:
+            expected = self._prefixes.cached_tokens(
+                worker.endpoint_id, handle.prefix_hashes
+            )
+            cached = min(expected, handle.prefill_tokens)
+        prefill = handle.prefill_tokens - cached
+        ahead_ms = account.prefill_ahead_ms(now_ms)
+        start_ms = max(wait_ms, ahead_ms)
+        if account.endpoint.data_centre != handle.data_centre:
+            start_ms += _OTHER_DATA_CENTRE_MS
+        own_ms = account.own_first_token_ms(prefill)
+        total_ms = start_ms + account.service_ms(prefill, waiting.decode_tokens)
+        first_ms = start_ms + own_ms
+        return Placement(worker, wait_ms, ahead_ms, cached, prefill, first_ms, total_ms)
+
+    def in_time(self, waiting: Waiting, placement: Placement, now_ms: float) -> bool:
+        """Tell whether a prediction meets the request's deadline."""
+        return self._in_time(placement, waiting.deadline_ms - now_ms)
+
+    def _in_time(self, placement: Placement, remaining_ms: float) -> bool:
+        return placement.total_ms * self._options.safety_factor <= remaining_ms
+
+    def _holders(self, handle: Handle) -> list[Worker]:
+        if not self._options.affinity or not handle.prefix_hashes:
+            return []
+        workers = self._fleet.workers
+        found: list[Worker] = []
+        for endpoint_id in self._prefixes.holders(handle.prefix_hashes):
+            if len(found) >= _MAX_HOLDERS:
+                break
+            if endpoint_id in workers:
+                found.append(workers[endpoint_id])
+        return found
+
+    def _best_open(
+        self,
+        waiting: Waiting,
+        holders: list[Worker],
+        held: set[str],
+        now_ms: float,
+    ) -> Placement | None:
+        best: Placement | None = None
+        remaining_ms = waiting.deadline_ms - now_ms
+        for worker in self._open_candidates(waiting, holders, held):
+            placement = self.predict(waiting, worker, 0.0, now_ms)
+            if not self._usable(placement, remaining_ms):
+                continue
+            if best is None or placement.total_ms < best.total_ms:
+                best = placement
+        return best
+
+    def _usable(self, placement: Placement, remaining_ms: float) -> bool:
+        if not self._options.refuse_unreachable:
+            return True
+        return self._in_time(placement, remaining_ms)
+
+    def _open_candidates(
+        self, waiting: Waiting, holders: list[Worker], held: set[str]
+    ) -> Iterator[Worker]:
+        seen: set[str] = set()
+        looked = 0
+        for worker in holders:
+            if worker.open_key is not None and _fits(worker, waiting, held):
+                seen.add(worker.endpoint_id)
+                yield worker
+        for worker in self._fleet.open_workers(len(self._fleet.workers)):
+            if worker.endpoint_id in seen or not _fits(worker, waiting, held):
+                continue
+            looked += 1
+            yield worker
+            if looked >= _MAX_OPEN:
+                return
+
+    def _best_busy(
+        self,
+        waiting: Waiting,
+        holders: list[Worker],
+        held: set[str],
+        now_ms: float,
+    ) -> Placement | None:
+        best: Placement | None = None
+        for worker in self._busy_candidates(holders, now_ms):
+            if not _allowed(worker, waiting, held):
+                continue
+            wait_ms = worker.account.slot_wait_ms(now_ms)
+            placement = self.predict(waiting, worker, wait_ms, now_ms)
+            if best is None or placement.total_ms < best.total_ms:
+                best = placement
+        return best
+
+    def _busy_candidates(
+        self, holders: list[Worker], now_ms: float
+    ) -> Iterator[Worker]:
+        for worker in holders:
+            if worker.open_key is None and not worker.account.leaving:
+                yield worker
+        looked = 0
+        for worker in self._fleet.summary(now_ms).by_speed:
+            if looked >= _MAX_BUSY:
+                return
+            if worker.open_key is None:
+                looked += 1
+                yield worker
+
+
+def _allowed(worker: Worker, waiting: Waiting, held: set[str]) -> bool:
+    endpoint_id = worker.endpoint_id
+    return endpoint_id not in held and endpoint_id not in waiting.handle.excluded
+
+
+def _fits(worker: Worker, waiting: Waiting, held: set[str]) -> bool:
+    if not _allowed(worker, waiting, held):
+        return False
+    return worker.account.kv_fits(waiting.cost_tokens)
+
+
+def _worth_waiting(now: Placement, later: Placement) -> bool:
+    gain_ms = now.total_ms - later.total_ms
+    return gain_ms > max(_WAIT_GAIN_MS, _WAIT_GAIN_SHARE * now.total_ms)
--- /dev/null
+++ b/src/pomelolane/scheduler/queue.py
@@ -0,0 +1,402 @@
+"""The waiting requests of one service, in the order in which they go.
+
+Tiers are strict; inside a tier, teams and then organisations share by tokens
+with start-time fair queueing, and an organisation's own requests go by deadline.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from itertools import count
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from pomelolane.messages import Handle
+
+_MAX_TRIES_PER_ORGANISATION = 2
+_SMALLEST_WEIGHT = 1e-3
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """One waiting request.
+
+    Attributes:
+        handle: As the gateway sent it.
+        submitted_ms: When it came.
+        deadline_ms: When its last byte is due, on the core's clock.
+        decode_tokens: Expected answer length as learnt.
+        queued: Whether it still waits.
+        predicted_wait_ms: Plain prediction of its wait when it came.
+    """
+
+    handle: Handle
+    submitted_ms: float
+    deadline_ms: float
+    decode_tokens: int
+    queued: bool = True
+    predicted_wait_ms: float = 0.0
+
+    @property
+    def cost_tokens(self) -> int:
+        """Tokens charged against the organisation's share."""
+        return self.handle.prefill_tokens + self.decode_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class Backlog:
+    """Work that waits.
+
+    Attributes:
+        requests: How many.
+        prefill_tokens: Their prompt tokens.
+        decode_tokens: Their expected answer tokens.
+    """
+
+    requests: float
+    prefill_tokens: float
+    decode_tokens: float
+
+
+@dataclass(slots=True, eq=False)
+class _Share:
+    """Position of a team or an organisation in its parent's virtual time."""
+
+    weight: float = 1.0
+    virtual_time: float = 0.0
+    floor: float = 0.0
+    correction: float = 0.0
+    listed: bool = False
+
+    def charge(self, tokens: float) -> None:
+        self.virtual_time += max(0.0, tokens + self.correction) / self.weight
+        self.correction = min(0.0, tokens + self.correction)
+
+
+@dataclass(slots=True, eq=False)
+class _Organisation(_Share):
+    team: _Team = None  # type: ignore[assignment]
+    by_deadline: list[tuple[float, int, Waiting]] = field(default_factory=list)
+    by_arrival: OrderedDict[str, Waiting] = field(default_factory=OrderedDict)
+    name: str = ""
+    prefill_tokens: int = 0
+    decode_tokens: int = 0
+    latest_ms: float = 0.0
+
+    def head(self) -> Waiting | None:
+        """Return the request with the nearest deadline."""
+        heap = self.by_deadline
+        while heap and not heap[0][2].queued:
+            heapq.heappop(heap)
+        return heap[0][2] if heap else None
+
+
+@dataclass(slots=True, eq=False)
+class _Team(_Share):
+    organisations: dict[str, _Organisation] = field(default_factory=dict)
+    heap: list[tuple[float, int, _Organisation]] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class _Tier:
+    floor: float = 0.0
+    teams: dict[str, _Team] = field(default_factory=dict)
+    heap: list[tuple[float, int, _Team]] = field(default_factory=list)
+    by_arrival: OrderedDict[str, Waiting] = field(default_factory=OrderedDict)
+    prefill_tokens: int = 0
+    decode_tokens: int = 0
+
+
+class FairQueue:
+    """Tier, then team, then organisation, then deadline; O(log n) a step.
+
+    Args:
+        fair_shares: Whether organisations share by weight; otherwise all
+            requests of a tier go by deadline.
+    """
+
+    def __init__(self, *, fair_shares: bool = True) -> None:
+        self._fair_shares = fair_shares
+        self._tiers: dict[int, _Tier] = {}
+        self._ranks: list[int] = []
+        self._sequence = count()
+        self._team_weights: dict[str, float] = {}
+        self._organisation_weights: dict[str, float] = {}
+        self._parked: set[str] = set()
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def set_weights(
+        self, teams: dict[str, float], organisations: dict[str, float]
+    ) -> None:
+        """Adopt the weights of a settings tree."""
+        self._team_weights = teams
+        self._organisation_weights = organisations
+        for tier in self._tiers.values():
+            for name, team in tier.teams.items():
+                team.weight = _positive(teams.get(name, 1.0))
+                for key, organisation in team.organisations.items():
+                    organisation.weight = _positive(organisations.get(key, 1.0))
+
+    def push(self, waiting: Waiting) -> None:
+        """Add a request."""
+        handle = waiting.handle
+        tier = self._tier(handle.tier_rank)
+        organisation = self._organisation(tier, handle)
+        entry = (waiting.deadline_ms, next(self._sequence), waiting)
+        heapq.heappush(organisation.by_deadline, entry)
+        organisation.by_arrival[handle.request_id] = waiting
+        tier.by_arrival[handle.request_id] = waiting
+        for counts in (tier, organisation):
+            counts.prefill_tokens += handle.prefill_tokens
+            counts.decode_tokens += waiting.decode_tokens
+        organisation.latest_ms = max(organisation.latest_ms, waiting.deadline_ms)
+        self._length += 1
+        self._list(tier, organisation)
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take a request out without charging anybody."""
+        if not waiting.queued:
+            return
+        waiting.queued = False
+        handle = waiting.handle
+        tier = self._tiers[handle.tier_rank]
+        organisation = self._organisation(tier, handle)
+        del organisation.by_arrival[handle.request_id]
+        del tier.by_arrival[handle.request_id]
+        for counts in (tier, organisation):
+            counts.prefill_tokens -= handle.prefill_tokens
+            counts.decode_tokens -= waiting.decode_tokens
+        self._length -= 1
+
+    def take(self, waiting: Waiting) -> None:
+        """Take a request out for a grant and charge its organisation."""
+        self.remove(waiting)
+        if not self._fair_shares:
+            return
+        tier = self._tiers[waiting.handle.tier_rank]
+        organisation = self._organisation(tier, waiting.handle)
+        team = organisation.team
+        tier.floor = max(tier.floor, team.virtual_time)
+        team.floor = max(team.floor, organisation.virtual_time)
+        organisation.charge(waiting.cost_tokens)
+        team.charge(waiting.cost_tokens)
+
+    def correct(self, handle: Handle, tokens: float) -> None:
+        """Add to (or give back) what an organisation was charged."""
+        tier = self._tier(handle.tier_rank)
+        organisation = self._organisation(tier, handle)
+        organisation.correction += tokens
+        organisation.team.correction += tokens
+
+    def park(self, organisation: str) -> None:
+        """Pass over an organisation until it is unparked."""
+        self._parked.add(organisation)
+
+    def unpark(self, organisation: str) -> None:
+        """Consider an organisation again."""
+        if organisation not in self._parked:
+            return
+        self._parked.discard(organisation)
+        for tier in self._tiers.values():
+            for team in tier.teams.values():
+                found = team.organisations.get(organisation)
+                if found is not None and found.by_arrival:
+                    self._list(tier, found)
+
+    def ranks(self) -> list[int]:
+        """Return the ranks of tiers with waiting requests, highest tier first."""
+        return [rank for rank in self._ranks if self._tiers[rank].by_arrival]
+
+    def scan(self, rank: int) -> Iterator[Waiting]:
+        """Yield a tier's requests in the order in which they should go.
+
+        The caller may take or remove the yielded request; if it does not,
+        the next one is tried. Requests passed over keep their place.
+        """
+        tier = self._tiers[rank]
+        aside: list[_Organisation] = []
+        try:
+            while (organisation := self._pop_first(tier)) is not None:
+                aside.append(organisation)
+                yield from _tries(organisation)
+        finally:
+            for organisation in aside:
+                self._put_back(tier, organisation)
+
+    def youngest(self, rank: int) -> Waiting | None:
+        """Return the request of a tier that came last."""
+        tier = self._tiers.get(rank)
+        if tier is None or not tier.by_arrival:
+            return None
+        return tier.by_arrival[next(reversed(tier.by_arrival))]
+
+    def youngest_over_share(self, handle: Handle) -> Waiting | None:
+        """Return the last request of the organisation furthest over its share.
+
+        Only an organisation that has more waiting for its weight than the
+        asking one would have with one more counts.
+        """
+        tier = self._tier(handle.tier_rank)
+        asking = self._organisation(tier, handle)
+        most = (len(asking.by_arrival) + 1) / asking.weight
+        found = None
+        for team in tier.teams.values():
+            for organisation in team.organisations.values():
+                load = len(organisation.by_arrival) / organisation.weight
+                if load > most:
+                    most, found = load, organisation
+        if found is None:
+            return None
+        return found.by_arrival[next(reversed(found.by_arrival))]
+
+    def backlog(self, rank: int) -> Backlog:
+        """Return what waits at a tier or above."""
+        tiers = [self._tiers[other] for other in self._ranks if other <= rank]
+        return Backlog(
+            sum(len(tier.by_arrival) for tier in tiers),
+            sum(tier.prefill_tokens for tier in tiers),
+            sum(tier.decode_tokens for tier in tiers),
+        )
+
+    def backlog_ahead(self, handle: Handle, deadline_ms: float) -> Backlog:
+        """Return about what would go before a new request.
+
+        That is everything of higher tiers, and of its own tier what its
+        organisation has with an earlier deadline, with what the others are
+        served meanwhile.
+        """
+        tier = self._tier(handle.tier_rank)
+        organisation = self._organisation(tier, handle)
+        above = self.backlog(handle.tier_rank - 1)
+        part = _earlier_part(organisation, deadline_ms) / _share(tier, organisation)
+        return Backlog(
+            above.requests
+            + min(len(tier.by_arrival), part * len(organisation.by_arrival)),
+            above.prefill_tokens
+            + min(tier.prefill_tokens, part * organisation.prefill_tokens),
+            above.decode_tokens
+            + min(tier.decode_tokens, part * organisation.decode_tokens),
+        )
+
+    def lowest_rank(self) -> int:
+        """Return the rank of the lowest tier with waiting requests, or -1."""
+        return max(self.ranks(), default=-1)
+
+    def _pop_first(self, tier: _Tier) -> _Organisation | None:
+        while tier.heap:
+            virtual_time, sequence, team = tier.heap[0]
+            if virtual_time != team.virtual_time:
+                entry = (team.virtual_time, sequence, team)
+                heapq.heapreplace(tier.heap, entry)
+                continue
+            organisation = self._pop_first_of_team(team)
+            if organisation is not None:
+                return organisation
+            heapq.heappop(tier.heap)
+            team.listed = False
+        return None
+
+    def _pop_first_of_team(self, team: _Team) -> _Organisation | None:
+        while team.heap:
+            _, _, organisation = heapq.heappop(team.heap)
+            organisation.listed = False
+            if organisation.by_arrival and organisation.name not in self._parked:
+                return organisation
+        return None
+
+    def _list(self, tier: _Tier, organisation: _Organisation) -> None:
+        """Make an organisation eligible that had nothing waiting."""
+        if organisation.listed or organisation.name in self._parked:
+            return
+        team = organisation.team
+        if not team.listed:
+            team.virtual_time = max(team.virtual_time, tier.floor)
+        organisation.virtual_time = max(organisation.virtual_time, team.floor)
+        self._put_back(tier, organisation)
+
+    def _put_back(self, tier: _Tier, organisation: _Organisation) -> None:
+        if organisation.listed or not organisation.by_arrival:
+            return
+        if organisation.name in self._parked:
+            return
+        team = organisation.team
+        organisation.listed = True
+        entry = (organisation.virtual_time, next(self._sequence), organisation)
+        heapq.heappush(team.heap, entry)
+        if not team.listed:
+            team.listed = True
+            team_entry = (team.virtual_time, next(self._sequence), team)
+            heapq.heappush(tier.heap, team_entry)
+
+    def _tier(self, rank: int) -> _Tier:
+        tier = self._tiers.get(rank)
+        if tier is None:
+            tier = self._tiers[rank] = _Tier()
+            self._ranks = sorted(self._tiers)
+        return tier
+
+    def _organisation(self, tier: _Tier, handle: Handle) -> _Organisation:
+        team_name = handle.team if self._fair_shares else ""
+        name = handle.organisation if self._fair_shares else ""
+        team = tier.teams.get(team_name)
+        if team is None:
+            weight = _positive(self._team_weights.get(team_name, 1.0))
+            team = tier.teams[team_name] = _Team(weight=weight)
+        organisation = team.organisations.get(name)
+        if organisation is None:
+            weight = _positive(self._organisation_weights.get(name, 1.0))
+            organisation = _Organisation(weight=weight, team=team, name=name)
+            team.organisations[name] = organisation
+        return organisation
+
+
+def _tries(organisation: _Organisation) -> Iterator[Waiting]:
+    passed: list[tuple[float, int, Waiting]] = []
+    try:
+        while len(passed) < _MAX_TRIES_PER_ORGANISATION:
+            head = organisation.head()
+            if head is None:
+                break
+            yield head
+            if head.queued:
+                passed.append(heapq.heappop(organisation.by_deadline))
+    finally:
+        for entry in passed:
+            heapq.heappush(organisation.by_deadline, entry)
+
+
+def _positive(weight: float) -> float:
+    return weight if weight > 0 else _SMALLEST_WEIGHT
+
+
+def _share(tier: _Tier, organisation: _Organisation) -> float:
+    """Return the part of a tier that is an organisation's while others wait."""
+    team = organisation.team
+    rivals = [o for o in team.organisations.values() if o.by_arrival]
+    teams = [
+        other
+        for other in tier.teams.values()
+        if other is team or any(o.by_arrival for o in other.organisations.values())
+    ]
+    own = organisation.weight / max(
+        organisation.weight, sum(rival.weight for rival in rivals)
+    )
+    return own * team.weight / sum(other.weight for other in teams)
+
+
+def _earlier_part(organisation: _Organisation, deadline_ms: float) -> float:
+    """Return about what part of an organisation's queue is due earlier."""
+    head = organisation.head()
+    if head is None or deadline_ms <= head.deadline_ms:
+        return 0.0
+    spread_ms = organisation.latest_ms - head.deadline_ms
+    if spread_ms <= 0:
+        return 1.0
+    return min(1.0, (deadline_ms - head.deadline_ms) / spread_ms)
--- /dev/null
+++ b/src/pomelolane/scheduler/reserve.py
@@ -0,0 +1,160 @@
+"""Room kept for the next burst of higher tiers, in step with recent ones.
+
+Only work that would hold its slot, or an engine's prefill, longer than the higher
+tiers can wait is held back, and only while recent arrivals speak for a burst.
+"""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_left, bisect_right, insort
+from dataclasses import dataclass
+
+from pomelolane.scheduler.estimate import DecayingCount
+
+_WINDOW_HALF_LIFE_MS = 1_000.0
+_PEAK_HALF_LIFE_MS = 60_000.0
+_SLACK_SHARE = 0.5
+_MEAN_STEP = 0.05
+_MAX_SHARE = 0.5
+_MIN_SLOTS = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """What the ready endpoints have together.
+
+    Attributes:
+        slots: Slots of all of them.
+        endpoints: Their number.
+    """
+
+    slots: int
+    endpoints: int
+
+
+class _TierDemand:
+    """Recent arrivals of one tier and what they needed."""
+
+    __slots__ = ("_arrivals", "_peak", "_peak_at_ms", "hold_ms", "slack_ms")
+
+    def __init__(self) -> None:
+        self._arrivals = DecayingCount(_WINDOW_HALF_LIFE_MS)
+        self._peak = 0.0
+        self._peak_at_ms = 0.0
+        self.hold_ms = 0.0
+        self.slack_ms = 0.0
+
+    def arrived(self, hold_ms: float, slack_ms: float, now_ms: float) -> None:
+        self._arrivals.add(1.0, now_ms)
+        rate = self._arrivals.rate_per_ms(now_ms)
+        self._peak = max(rate, self.peak_per_ms(now_ms))
+        self._peak_at_ms = now_ms
+        step = _MEAN_STEP if self.hold_ms else 1.0
+        self.hold_ms += step * (hold_ms - self.hold_ms)
+        self.slack_ms += step * (slack_ms - self.slack_ms)
+
+    def peak_per_ms(self, now_ms: float) -> float:
+        age_ms = now_ms - self._peak_at_ms
+        return self._peak * 0.5 ** (age_ms / _PEAK_HALF_LIFE_MS)
+
+    def slots(self, now_ms: float) -> float:
+        """Return the slots that a burst like the recent ones would hold."""
+        return self.peak_per_ms(now_ms) * self.hold_ms
+
+
+class _Ends:
+    """When things that are going on should end, countable by time."""
+
+    __slots__ = ("_by_id", "_sorted")
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, float] = {}
+        self._sorted: list[float] = []
+
+    def set(self, request_id: str, end_ms: float) -> None:
+        self.discard(request_id)
+        self._by_id[request_id] = end_ms
+        insort(self._sorted, end_ms)
+
+    def discard(self, request_id: str) -> None:
+        end_ms = self._by_id.pop(request_id, None)
+        if end_ms is not None:
+            del self._sorted[bisect_left(self._sorted, end_ms)]
+
+    def after(self, time_ms: float) -> int:
+        return len(self._sorted) - bisect_right(self._sorted, time_ms)
+
+
+class Reserve:
+    """Bounds how much long work of lower tiers may hold at one time."""
+
+    def __init__(self) -> None:
+        self._tiers: dict[int, _TierDemand] = {}
+        self._slot_ends = _Ends()
+        self._prefill_ends = _Ends()
+
+    def arrived(
+        self, rank: int, hold_ms: float, slack_ms: float, now_ms: float
+    ) -> None:
+        """Note an arrival.
+
+        Args:
+            rank: Its tier.
+            hold_ms: How long it should hold a slot.
+            slack_ms: How long it could wait and still meet its deadline.
+            now_ms: The time.
+        """
+        demand = self._tiers.get(rank)
+        if demand is None:
+            demand = self._tiers[rank] = _TierDemand()
+        demand.arrived(hold_ms, max(0.0, slack_ms), now_ms)
+
+    def allows(
+        self, rank: int, prefill_ms: float, hold_ms: float, room: Room, now_ms: float
+    ) -> bool:
+        """Tell whether work of a tier may take a slot for so long."""
+        wanted, patience_ms = self._wanted(rank, now_ms)
+        if wanted < _MIN_SLOTS or hold_ms <= patience_ms:
+            return True
+        share = min(_MAX_SHARE, wanted / max(1, room.slots))
+        until_ms = now_ms + patience_ms
+        if self._slot_ends.after(until_ms) >= _allowance(room.slots, share):
+            return False
+        if prefill_ms <= patience_ms:
+            return True
+        return self._prefill_ends.after(until_ms) < _allowance(room.endpoints, share)
+
+    def granted(self, request_id: str, first_ms: float, end_ms: float) -> None:
+        """Note that a slot is taken, and when it should be free again."""
+        self._prefill_ends.set(request_id, first_ms)
+        self._slot_ends.set(request_id, end_ms)
+
+    def started(self, request_id: str, end_ms: float) -> None:
+        """Note a first token."""
+        self._prefill_ends.discard(request_id)
+        self._slot_ends.set(request_id, end_ms)
+
+    def ended(self, request_id: str) -> None:
+        """Note that a slot is free again."""
+        self._prefill_ends.discard(request_id)
+        self._slot_ends.discard(request_id)
+
+    def _wanted(self, rank: int, now_ms: float) -> tuple[float, float]:
+        """Return slots wanted by higher tiers and how long they can wait."""
+        slots = 0.0
+        patience_ms = math.inf
+        for other, demand in self._tiers.items():
+            if other >= rank:
+                continue
+            needed = demand.slots(now_ms)
+            if needed < _MIN_SLOTS:
+                continue
+            slots += needed
+            patience_ms = min(patience_ms, _SLACK_SHARE * demand.slack_ms)
+        return slots, patience_ms
+
+
+def _allowance(whole: int, kept_share: float) -> int:
+    """Return how much long work may hold; one at least, so that it moves."""
+    return max(1, whole - math.ceil(whole * kept_share))
