--- /dev/null
+++ b/src/pomelolane/adoption.py
@@ -0,0 +1,65 @@
+"""From committed branches to the tree in force: compile, check, put in force.
+
+A set of branches that does not pass the checks leaves the tree as it was.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from pomelolane import events
+from pomelolane.exceptions import InvalidTreeError
+from pomelolane.logs import log_event
+from pomelolane.settings.tree import tree_from_branches
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from pomelolane.model import Tree
+    from pomelolane.tree import CurrentTree
+
+
+class TreeAdoption:
+    """Keeps the newest branches and compiles them.
+
+    Args:
+        current: Where the tree in force is held.
+        address_map: This VM's own routes to endpoints, by id.
+    """
+
+    def __init__(self, current: CurrentTree, address_map: Mapping[str, str]) -> None:
+        self._current = current
+        self._address_map = address_map
+        self._contents: dict[str, bytes] = {}
+        self._versions: dict[str, int] = {}
+
+    def take(self, branch: str, version: int, content: bytes) -> bool:
+        """Take a higher version of a branch.
+
+        Returns:
+            Whether the tree in force holds it now.
+        """
+        if version <= self._versions.get(branch, 0):
+            return False
+        self._contents[branch] = content
+        self._versions[branch] = version
+        try:
+            tree = tree_from_branches(self._contents, self._versions)
+        except InvalidTreeError as error:
+            # Branches arrive one by one; the rest of a change that spans two
+            # of them makes the tree whole again.
+            log_event(
+                events.SETTINGS_REJECTED, branch=branch, version=version, error=error
+            )
+            return False
+        self._current.adopt(self._routed(tree))
+        log_event(events.SETTINGS_APPLIED, branch=branch, version=version)
+        return True
+
+    def _routed(self, tree: Tree) -> Tree:
+        for endpoint_id in self._address_map.keys() & tree.endpoints.keys():
+            endpoint = tree.endpoints[endpoint_id]
+            address = self._address_map[endpoint_id]
+            tree.endpoints[endpoint_id] = replace(endpoint, address=address)
+        return tree
--- /dev/null
+++ b/tests/steps/gateway_keyed_steps.py
@@ -0,0 +1,367 @@
+"""Steps of gateway/keyed.feature: two gateways in one process, one table."""
+
+import asyncio
+
+from behave import given, then, when
+
+from pomelolane.clock import MonotonicClock
+from pomelolane.endpoints import AnswerStream
+from pomelolane.exceptions import PlatformUnavailableError
+from pomelolane.gateway.answers import answer_from_object
+from pomelolane.gateway.dispatch import Dispatcher
+from pomelolane.gateway.ending import Delivered
+from pomelolane.gateway.exchange import Exchange
+from pomelolane.gateway.holders import HolderQueries
+from pomelolane.gateway.intake import Call
+from pomelolane.gateway.keyed import KeyedCalls
+from pomelolane.gateway.retries import RetryBudget
+from pomelolane.gateway.sinks import CallerSink
+from pomelolane.model import Endpoint, Organisation, Service, ServiceKind, Tree, Work
+from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.platform import EmbeddedObjectStore, EmbeddedTable
+from pomelolane.platform.claims import make_claims
+from pomelolane.ports import Grant, Peer, View
+from pomelolane.tree import CurrentTree
+
+WAIT_S = 5
+
+
+class SwitchedTable(EmbeddedTable):
+    """A table that can be down."""
+
+    down = False
+
+    async def read(self, key):
+        if self.down:
+            raise PlatformUnavailableError("down")
+        return await super().read(key)
+
+    async def commit(self, writes, *, atomic=True):
+        if self.down:
+            raise PlatformUnavailableError("down")
+        return await super().commit(writes, atomic=atomic)
+
+
+class Wire:
+    """Transport and membership of all gateways."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.alive = {"a", "b"}
+
+    def port(self, vm_id):
+        return _Port(self, vm_id)
+
+    def view(self):
+        return View(1, {name: Peer(name, 1, "dc", "") for name in self.alive})
+
+
+class _Port:
+    def __init__(self, wire, vm_id):
+        self.wire, self.vm_id = wire, vm_id
+
+    def subscribe(self, kind, handler):
+        self.wire.handlers[self.vm_id, kind] = handler
+
+    def send(self, vm_id, message):
+        handler = self.wire.handlers[vm_id, type(message)]
+        asyncio.get_running_loop().call_soon(handler, self.vm_id, message)
+        return True
+
+    def view(self):
+        return self.wire.view()
+
+
+class _Connection:
+    def pause_reading(self):
+        pass
+
+    resume_reading = close = pause_reading
+
+
+class OneEngine:
+    """Counts runs; answers at once or when let go."""
+
+    def __init__(self):
+        self.runs = []
+        self.go = asyncio.Event()
+        self.go.set()
+
+    def _stream(self, stream_id):
+        stream = AnswerStream(_Connection(), 200, [(b"content-type", b"text/x")])
+        asyncio.get_running_loop().create_task(self._answer(stream, stream_id))
+        return stream
+
+    async def _answer(self, stream, stream_id):
+        await self.go.wait()
+        stream.feed(f"answer of {stream_id}".encode())
+        stream.finish(complete=True, error=None)
+
+    async def dispatch(self, endpoint, request):
+        self.runs.append(request.request_id)
+        return self._stream(request.request_id)
+
+    async def resume(self, endpoint, stream_id, from_chunk):
+        return self._stream(stream_id)
+
+    async def cancel(self, endpoint, stream_id):
+        pass
+
+
+class OneSlotScheduler:
+    """Grants the only endpoint, or refuses everything."""
+
+    refuses = False
+
+    async def acquire(self, handle):
+        if self.refuses:
+            return Refusal(Outcome.NOT_RUN, Reason.QUEUE_FULL, 100)
+        return Grant(handle.request_id, "e1", 1.0)
+
+    def observe(self, event):
+        pass
+
+
+class TestGateway:
+    """One gateway's parts for keyed calls."""
+
+    def __init__(self, context, vm_id):
+        tree = CurrentTree()
+        service = Service("chat", "t", ServiceKind.ENGINE, {})
+        tree.adopt(
+            Tree(
+                services={"chat": service},
+                endpoints={"e1": Endpoint("e1", "chat", "dc", "")},
+                versions={"b": 1},
+            )
+        )
+        clock = MonotonicClock()
+        self.scheduler = OneSlotScheduler()
+        self.vm_id = vm_id
+        adapters = {"engine": context.engine}
+        self.dispatcher = Dispatcher(
+            tree, self.scheduler, adapters, RetryBudget(), clock, "dc"
+        )
+        port = context.wire.port(vm_id)
+        self.claims = make_claims(context.shared_table, vm_id, 1, clock)
+        self.keyed = KeyedCalls(
+            self.claims,
+            context.objects,
+            self.dispatcher,
+            HolderQueries(vm_id, port, port),
+            tree,
+            adapters,
+            clock,
+        )
+
+    async def call(self, call):
+        """Serve a call and return its result and the bytes that went out."""
+        sent = bytearray()
+
+        async def send(message):
+            sent.extend(message.get("body", b""))
+
+        async def replay(data):
+            sent.extend(answer_from_object(data).body)
+
+        scope = {"method": "POST", "raw_path": b"", "query_string": b"", "headers": []}
+        sink = CallerSink(Exchange(scope, None, send), ())
+        result = await self.keyed.serve(call, sink, replay)
+        return result, bytes(sent)
+
+
+@given("two gateways that share a table and an object store")
+def step_gateways(context):
+    async def build():
+        context.engine = OneEngine()
+        context.shared_table = SwitchedTable()
+        context.objects = EmbeddedObjectStore()
+        context.wire = Wire()
+        context.gateways = {name: TestGateway(context, name) for name in "ab"}
+
+    context.run(build())
+    context.answers = []
+    context.number = 0
+
+
+def _call(context, key, organisation="o", digest="d"):
+    context.number += 1
+    work = Work("w", "top", 5000)
+    service = Service("chat", "t", ServiceKind.ENGINE, {"w": work})
+    return Call(
+        f"r{context.number}",
+        Organisation(organisation, "t", ""),
+        service,
+        work,
+        tier_rank=0,
+        deadline_ms=WAIT_S * 1000,
+        idempotent=False,
+        key=key,
+        respond_async=False,
+        streamed=True,
+        method="POST",
+        path="/",
+        headers=(),
+        body=b"{}",
+        prefill_tokens=1,
+        decode_tokens=1,
+        prefix_hashes=(),
+        digest=digest,
+    )
+
+
+def _serve(context, name, call):
+    context.answers.append(context.run(context.gateways[name].call(call)))
+
+
+async def _until(condition):
+    async with asyncio.timeout(WAIT_S):
+        while not await condition():  # noqa: ASYNC110 (nothing to wait on)
+            await asyncio.sleep(0.001)
+
+
+def _wait_for_state(context, *states):
+    async def settled():
+        rows = await context.shared_table.scan("claims/")
+        return any(f'"state":"{state}"'.encode() in rows[0].value for state in states)
+
+    context.run(_until(settled))
+
+
+@given("the engine holds its answers back")
+def step_hold(context):
+    context.engine.go.clear()
+
+
+@given('the scheduler of gateway "{name}" refuses everything')
+def step_refuse(context, name):
+    context.gateways[name].scheduler.refuses = True
+
+
+@given("the shared table is down")
+def step_down(context):
+    context.shared_table.down = True
+
+
+@when('gateway "{name}" is called with key "{key}"')
+def step_call(context, name, key):
+    _serve(context, name, _call(context, key))
+
+
+@when('gateway "{name}" is called with key "{key}" after the answer was kept')
+def step_call_kept(context, name, key):
+    _wait_for_state(context, "done")
+    _serve(context, name, _call(context, key))
+
+
+@when('gateway "{name}" is called with key "{key}" after the claim was released')
+def step_call_released(context, name, key):
+    _wait_for_state(context, "released")
+    _serve(context, name, _call(context, key))
+
+
+@when('gateway "{name}" is called with key "{key}" by another organisation')
+def step_call_other(context, name, key):
+    _serve(context, name, _call(context, key, organisation="p"))
+
+
+@when('gateway "{name}" is called with key "{key}" for another prompt')
+def step_call_reuse(context, name, key):
+    _serve(context, name, _call(context, key, digest="e"))
+
+
+@when('gateways "a" and "b" are called with key "{key}" at once')
+def step_call_both(context, key):
+    async def begin():
+        calls = [_call(context, key) for _ in "ab"]
+        context.tasks = [
+            asyncio.create_task(context.gateways[name].call(call))
+            for name, call in zip("ab", calls, strict=True)
+        ]
+
+        async def running():
+            return bool(context.engine.runs)
+
+        await _until(running)
+
+    context.run(begin())
+
+
+@when("the engine lets its answers go")
+def step_go(context):
+    context.engine.go.set()
+    tasks = getattr(context, "tasks", [])
+    context.answers += context.run(asyncio.wait_for(_gather(tasks), WAIT_S))
+
+
+async def _gather(tasks):
+    return await asyncio.gather(*tasks)
+
+
+@when('gateway "{name}" is called ten times at once with key "{key}"')
+def step_call_ten(context, name, key):
+    async def all_at_once():
+        calls = [_call(context, key) for _ in range(10)]
+        gateway = context.gateways[name]
+        return await asyncio.gather(*(gateway.call(call) for call in calls))
+
+    context.answers = context.run(all_at_once())
+
+
+async def _begun(context, name, call):
+    task = asyncio.create_task(context.gateways[name].call(call))
+
+    async def running():
+        return bool(context.engine.runs)
+
+    await _until(running)
+    return task
+
+
+@when('gateway "{name}" is called with key "{key}" and its VM dies')
+def step_call_dies(context, name, key):
+    context.run(_begun(context, name, _call(context, key)))
+    context.wire.alive.remove(name)
+
+
+@when('gateway "{name}" is called with key "{key}" and the caller leaves')
+def step_call_leaves(context, name, key):
+    # The server cancels nothing that is dispatched under a key, and its sends
+    # to a connection that is gone do nothing: here the task simply goes on.
+    context.left = context.run(_begun(context, name, _call(context, key)))
+
+
+def _texts(context):
+    assert all(isinstance(result, Delivered) for result, _ in context.answers)
+    return {text for _, text in context.answers}
+
+
+@then("both callers have the same answer")
+def step_same(context):
+    assert len(context.answers) == 2
+    assert len(_texts(context)) == 1, context.answers
+
+
+@then("all ten callers have the same answer")
+def step_ten_same(context):
+    assert len(context.answers) == 10
+    assert len(_texts(context)) == 1, context.answers
+
+
+@then("the engine ran {count:d} request")
+@then("the engine ran {count:d} requests")
+def step_ran(context, count):
+    assert len(context.engine.runs) == count, context.engine.runs
+
+
+@then('the last caller hears "{outcome}" because of "{reason}"')
+def step_hears(context, outcome, reason):
+    result, _ = context.answers[-1]
+    assert (result.outcome.value, result.reason.value) == (outcome, reason), result
+
+
+@then("the last caller has an answer")
+def step_answered(context):
+    result, text = context.answers[-1]
+    assert isinstance(result, Delivered), result
+    assert text
