--- a/src/pomelolane/scheduler/__init__.py
+++ b/src/pomelolane/scheduler/__init__.py
@@ -3,14 +3,17 @@
 Importing the package registers the built-in placement policies.
 """
 
+from pomelolane.scheduler.baselines import LeastReportedCore, RoundRobinCore
 from pomelolane.scheduler.core import PomelolaneCore, make_core, make_core_with
 from pomelolane.scheduler.options import CoreOptions
 from pomelolane.scheduler.placement import Placement
 
 __all__ = [
     "CoreOptions",
+    "LeastReportedCore",
     "Placement",
     "PomelolaneCore",
+    "RoundRobinCore",
     "make_core",
     "make_core_with",
 ]
