--- a/src/pomelolane/exceptions.py
+++ b/src/pomelolane/exceptions.py
@@ -71,6 +71,38 @@
         self.branch = branch
 
 
+class VmUnreachableError(PomelolaneError):
+    """A VM did not answer a client command.
+
+    Attributes:
+        url: Where it was looked for.
+    """
+
+    def __init__(self, url: str, cause: str) -> None:
+        super().__init__(f"no answer from {url}: {cause}")
+        self.url = url
+
+
+class VmRefusedError(PomelolaneError):
+    """A VM answered a client command with a problem.
+
+    Attributes:
+        status: HTTP status.
+        reason: Machine-readable cause, empty where the answer gave none.
+        outcome: What is known about whether the request ran.
+        details: What is wrong, one line each.
+    """
+
+    def __init__(
+        self, status: int, reason: str, outcome: str, details: tuple[str, ...]
+    ) -> None:
+        super().__init__("\n".join(details) or f"HTTP status {status}")
+        self.status = status
+        self.reason = reason
+        self.outcome = outcome
+        self.details = details
+
+
 class RegistryError(PomelolaneError):
     """A plug-in name is unknown or registered twice."""
 
--- a/src/pomelolane/settings/admin.py
+++ b/src/pomelolane/settings/admin.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
 import msgspec
 
@@ -27,7 +28,7 @@
 )
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason
-from pomelolane.settings.keys import operator_of_key, require_reader
+from pomelolane.settings.keys import bearer_key, operator_of_key, require_reader
 from pomelolane.settings.store import Change
 from pomelolane.settings.wire import (
     BranchBody,
@@ -59,7 +60,7 @@
         authorization: Value of the header ``Authorization``, empty if none.
         branch: Branch in the path, empty for the index.
         if_match: Value of the header ``If-Match``, empty if none.
-        note: Value of the header ``X-Note``, empty if none.
+        note: Value of the header ``X-Note``, percent-encoded, empty if none.
         body: Whole body.
     """
 
@@ -107,17 +108,6 @@
     return await _guarded(_put, store, request)
 
 
-async def authorise_operator(
-    store: SettingsStore, authorization: str
-) -> AdminResponse | str:
-    """Return the team of an operator's key, or the answer that refuses it."""
-    try:
-        contents = (await store.snapshot()).contents()
-        return operator_of_key(contents, _bearer_key(authorization))
-    except PomelolaneError as error:
-        return response_from_error(error)
-
-
 def response_from_error(error: PomelolaneError) -> AdminResponse:
     """Return the problem answer that goes with an error."""
     problem = _problem_from_error(error)
@@ -144,13 +134,13 @@
 
 async def _index(store: SettingsStore, request: AdminRequest) -> AdminResponse:
     snapshot = await store.snapshot()
-    operator_of_key(snapshot.contents(), _bearer_key(request.authorization))
+    operator_of_key(snapshot.contents(), bearer_key(request.authorization))
     return _json(SettingsIndex(snapshot.counter, snapshot.versions()))
 
 
 async def _branch(store: SettingsStore, request: AdminRequest) -> AdminResponse:
     snapshot = await store.snapshot()
-    key = _bearer_key(request.authorization)
+    key = bearer_key(request.authorization)
     require_reader(snapshot.contents(), request.branch, key)
     found = snapshot.branches.get(request.branch)
     if found is None:
@@ -160,7 +150,7 @@
 
 async def _history(store: SettingsStore, request: AdminRequest) -> AdminResponse:
     snapshot = await store.snapshot()
-    key = _bearer_key(request.authorization)
+    key = bearer_key(request.authorization)
     require_reader(snapshot.contents(), request.branch, key)
     if request.branch not in snapshot.branches:
         raise _no_branch(request.branch)
@@ -173,8 +163,8 @@
         branch=request.branch,
         content=request.body,
         expected_version=_expected_version(request.if_match),
-        operator_key=_bearer_key(request.authorization),
-        note=request.note,
+        operator_key=bearer_key(request.authorization),
+        note=unquote(request.note),
     )
     try:
         accepted = await store.put(change)
@@ -186,11 +176,6 @@
     return _json(_body(accepted), _etag(accepted))
 
 
-def _bearer_key(authorization: str) -> str:
-    scheme, _, key = authorization.partition(" ")
-    return key.strip() if scheme.lower() == "bearer" else ""
-
-
 def _expected_version(if_match: str) -> int:
     text = if_match.strip().removeprefix("W/").strip('"')
     if not text.isascii() or not text.isdecimal():
--- a/src/pomelolane/settings/options.py
+++ b/src/pomelolane/settings/options.py
@@ -31,7 +31,14 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from pomelolane.model import Tree
+
 VARIABLE_PREFIX = "POMELOLANE_"
+CLIENT_VARIABLES = frozenset(
+    {"POMELOLANE_URL", "POMELOLANE_KEY", "POMELOLANE_OPERATOR_KEYS"}
+)
+"""Variables of the client commands, which ``serve`` ignores."""
+
 POLICIES = (
     "pomelolane",
     "round_robin",
@@ -214,6 +221,17 @@
     return "\n".join(lines) + "\n"
 
 
+def check_region(options: ServeOptions, tree: Tree) -> None:
+    """Check that a VM and the declarations are of the same region.
+
+    Raises:
+        SettingError: They are not.
+    """
+    if tree.region and options.region != tree.region:
+        allowed = f"the declarations are for region {tree.region}"
+        raise SettingError("--region", options.region, allowed)
+
+
 def _value(
     option: Option, argv_values: Mapping[str, str | None], environ: Mapping[str, str]
 ) -> object:
@@ -245,7 +263,7 @@
 
 
 def _refuse_unknown_variables(environ: Mapping[str, str]) -> None:
-    known = {option.variable for option in OPTIONS} | OTHER_VARIABLES
+    known = {option.variable for option in OPTIONS} | CLIENT_VARIABLES
     for name in sorted(environ):
         if name.startswith(VARIABLE_PREFIX) and name not in known:
             allowed = "one of " + ", ".join(sorted(known))
@@ -273,7 +291,3 @@
         option.help,
     )
     return "| " + " | ".join(cells) + " |"
-
-
-OTHER_VARIABLES = frozenset({"POMELOLANE_URL", "POMELOLANE_OPERATOR_KEYS"})
-"""Variables of the client commands, which ``serve`` ignores."""
