--- /dev/null
+++ b/src/pomelolane/coordination/__init__.py
@@ -0,0 +1,35 @@
+"""How gateways and the scheduler role meet.
+
+Gateways hold the truth about their requests; schedulers are chosen by
+rendezvous hashing, hold soft state and are replaced at any moment.
+"""
+
+from pomelolane.coordination.chooser import Chooser, rendezvous
+from pomelolane.coordination.client import GatewayClient
+from pomelolane.coordination.coordination import (
+    SHARED_POLICIES,
+    Coordination,
+    make_coordination,
+)
+from pomelolane.coordination.desk import Desk
+from pomelolane.coordination.options import Timings
+from pomelolane.coordination.role import SchedulerRole
+from pomelolane.coordination.scope import reachable_data_centres, scoped_tree
+from pomelolane.coordination.status import CoordinationStatus, DeskStatus, LinkStatus
+
+__all__ = [
+    "SHARED_POLICIES",
+    "Chooser",
+    "Coordination",
+    "CoordinationStatus",
+    "Desk",
+    "DeskStatus",
+    "GatewayClient",
+    "LinkStatus",
+    "SchedulerRole",
+    "Timings",
+    "make_coordination",
+    "reachable_data_centres",
+    "rendezvous",
+    "scoped_tree",
+]
--- /dev/null
+++ b/src/pomelolane/coordination/chooser.py
@@ -0,0 +1,158 @@
+"""Which VM schedules a service, as far as this VM can tell.
+
+Rendezvous hashing over the view makes all VMs with equal views agree without
+a message; VMs that are silent or stopping are passed over.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from xxhash import xxh3_64_intdigest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from typing import Any
+
+    from pomelolane.ports import Clock, Membership, View
+
+_HINT_MS = 2000.0
+
+
+def rendezvous(service: str, vm_ids: Iterable[str]) -> str:
+    """Return the VM with the highest hash for a service.
+
+    Raises:
+        ValueError: There is no VM to choose from.
+    """
+    return max(vm_ids, key=lambda vm_id: (_weight(service, vm_id), vm_id))
+
+
+def _weight(service: str, vm_id: str) -> int:
+    return xxh3_64_intdigest(f"{service}\0{vm_id}".encode())
+
+
+class Chooser:
+    """Chooses schedulers for one VM, for its gateway and its role alike.
+
+    Args:
+        vm_id: This VM.
+        membership: Source of the view.
+        clock: Time.
+    """
+
+    def __init__(self, vm_id: str, membership: Membership, clock: Clock) -> None:
+        self._vm_id = vm_id
+        self._membership = membership
+        self._clock = clock
+        self._suspected_until: dict[str, float] = {}
+        self._hints: dict[str, tuple[str, float]] = {}
+        self._deaf_until: dict[str, float] = {}
+        self._chosen: dict[str, str] = {}
+        self.is_stopping = False
+        self._callbacks: list[Callable[[], None]] = []
+        membership.on_change(self._view_changed)
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back whenever a choice may have changed."""
+        self._callbacks.append(callback)
+
+    def view(self) -> View:
+        """Return the view that the choices are made from."""
+        return self._membership.view()
+
+    def scheduler(self, service: str) -> str:
+        """Return the VM to follow for a service."""
+        chosen = self._chosen.get(service)
+        if chosen is None:
+            chosen = self._choose(service)
+            self._chosen[service] = chosen
+        return chosen
+
+    def is_suspected(self, vm_id: str) -> bool:
+        """Tell whether a VM is passed over because of its silence."""
+        return vm_id in self._suspected_until
+
+    def suspects(self) -> tuple[str, ...]:
+        """Return the VMs that are passed over because of their silence."""
+        return tuple(self._suspected_until)
+
+    def suspect(self, vm_id: str, for_ms: float) -> None:
+        """Pass over a silent VM for a while; never this VM itself."""
+        if vm_id == self._vm_id:
+            return
+        self._suspected_until[vm_id] = self._clock.now_ms() + for_ms
+        self._changed()
+
+    def heard(self, vm_id: str) -> None:
+        """Take a VM back that has answered after all."""
+        if self._suspected_until.pop(vm_id, None) is not None:
+            self._changed()
+
+    def take_hint(self, service: str, vm_id: str) -> None:
+        """Follow another VM's word on who schedules a service, once.
+
+        Where the word leads to a second rejection, this VM goes back to its
+        own choice and takes no other word for a while, so that two VMs with
+        unlike views cannot send it to and fro.
+        """
+        if self._hints.pop(service, None) is not None:
+            self._deaf_until[service] = self._clock.now_ms() + _HINT_MS
+            self._changed()
+            return
+        usable = vm_id in self.view().peers and not self.is_suspected(vm_id)
+        if vm_id == self._vm_id and self.is_stopping:
+            usable = False
+        if usable and service not in self._deaf_until:
+            self._hints[service] = (vm_id, self._clock.now_ms() + _HINT_MS)
+            self._changed()
+
+    def stop(self) -> None:
+        """Leave this VM out from now on, as long as there is another."""
+        self.is_stopping = True
+        self._changed()
+
+    def tick(self) -> None:
+        """Forget suspicions and hints that have grown old."""
+        now_ms = self._clock.now_ms()
+        ended = [
+            _drop_ended(self._suspected_until, now_ms),
+            _drop_ended(self._hints, now_ms, lambda hint: hint[1]),
+            _drop_ended(self._deaf_until, now_ms),
+        ]
+        if any(ended):
+            self._changed()
+
+    def _choose(self, service: str) -> str:
+        if service in self._hints and not self.is_suspected(self._hints[service][0]):
+            return self._hints[service][0]
+        peers = self.view().peers
+        live = [vm for vm in peers if not self.is_suspected(vm)]
+        staying = [vm for vm in live if not self._is_stopping(vm)]
+        return rendezvous(service, staying or live or [self._vm_id])
+
+    def _is_stopping(self, vm_id: str) -> bool:
+        if vm_id == self._vm_id and self.is_stopping:
+            return True
+        return self.view().peers[vm_id].draining
+
+    def _view_changed(self, view: View) -> None:
+        for vm_id in [vm for vm in self._suspected_until if vm not in view.peers]:
+            del self._suspected_until[vm_id]
+        self._hints.clear()
+        self._deaf_until.clear()
+        self._changed()
+
+    def _changed(self) -> None:
+        self._chosen.clear()
+        for callback in self._callbacks:
+            callback()
+
+
+def _drop_ended(
+    untils: dict[str, Any], now_ms: float, until: Callable[[Any], float] = float
+) -> bool:
+    ended = [key for key, value in untils.items() if until(value) <= now_ms]
+    for key in ended:
+        del untils[key]
+    return bool(ended)
--- /dev/null
+++ b/src/pomelolane/coordination/client.py
@@ -0,0 +1,273 @@
+"""How a gateway gets slots: the scheduler client.
+
+A grant is used at most once whatever schedulers say, because only the ticket
+of a waiting ``acquire`` can take it; all other grants are given back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from pomelolane.coordination.epochs import PING
+from pomelolane.coordination.link import Link
+from pomelolane.coordination.tickets import Ticket
+from pomelolane.messages import (
+    Granted,
+    Message,
+    NotScheduler,
+    Refused,
+    SubmitAck,
+    Sync,
+    SyncAck,
+    Withdraw,
+)
+from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.ports import Grant
+
+if TYPE_CHECKING:
+    from pomelolane.coordination.tickets import LinkContext
+    from pomelolane.messages import Handle, StreamEvent
+    from pomelolane.model import Tree
+
+CLIENT_MESSAGES = (SubmitAck, SyncAck, NotScheduler, Granted, Refused)
+"""Kinds of messages that a gateway takes from schedulers."""
+
+
+class GatewayClient:
+    """Gets slots from whichever VM schedules a service.
+
+    Args:
+        context: What its links share.
+    """
+
+    def __init__(self, context: LinkContext) -> None:
+        self._context = context
+        self._links: dict[str, Link] = {}
+        self._tickets: dict[str, Ticket] = {}
+        self._leaving: set[str] = set()
+        self._retry_after_ms: dict[str, int] = {}
+        self._pinged_ms = context.clock.now_ms()
+        context.chooser.on_change(self._rechoose)
+
+    # --- the port ---------------------------------------------------------
+
+    async def acquire(self, handle: Handle) -> Grant | Refusal:
+        """Wait for a grant or a final refusal.
+
+        Cancelling the call withdraws the handle.
+        """
+        link = self._links.get(handle.service)
+        if link is None:
+            return _not_run(Reason.NOT_READY, 1000, "the service is not configured")
+        if handle.request_id in self._tickets:
+            return _not_run(Reason.CLAIM_HELD, 0, "the request id is in use")
+        ticket = self._open(handle)
+        link.add(ticket)
+        try:
+            return await ticket.answer
+        except asyncio.CancelledError:
+            self._abandon(ticket)
+            raise
+
+    def observe(self, event: StreamEvent) -> None:
+        """Report on a dispatched request; the last event frees its slot."""
+        ticket = self._tickets.get(event.request_id)
+        if ticket is None or not ticket.endpoint_id:
+            return
+        if event.finished:
+            del self._tickets[event.request_id]
+        self._links[ticket.handle.service].observe(ticket, event)
+
+    # --- the facade -------------------------------------------------------
+
+    def configure(self, tree: Tree) -> None:
+        """Follow a scheduler for each service of the tree."""
+        for service in tree.services:
+            if service not in self._links:
+                self._links[service] = Link(service, self._context)
+                self._links[service].start()
+        for service in [name for name in self._links if name not in tree.services]:
+            self._close(service)
+        self._leaving &= set(tree.endpoints)
+
+    def mark_leaving(self, endpoint_id: str) -> None:
+        """Use no further grant for an endpoint."""
+        self._leaving.add(endpoint_id)
+
+    def tick(self) -> None:
+        """Check deadlines, and schedulers that are silent."""
+        now_ms = self._context.clock.now_ms()
+        self._ping_suspects(now_ms)
+        for link in list(self._links.values()):
+            late = [t for t in link.waiting.values() if t.deadline_ms <= now_ms]
+            for ticket in late:
+                self._expire(link, ticket)
+            link.tick()
+
+    def probe(self, service: str) -> None:
+        """Find out at once whether the scheduler of a service is there."""
+        link = self._links.get(service)
+        if link is not None and not link.is_alone:
+            link.sync()
+
+    def links(self) -> dict[str, Link]:
+        """Return the links by service."""
+        return self._links
+
+    # --- messages ---------------------------------------------------------
+
+    def receive(self, sender: str, message: Message) -> None:
+        """Take a message of a scheduler."""
+        self._context.chooser.heard(sender)
+        match message:
+            case Granted():
+                self._granted(sender, message)
+            case Refused():
+                self._refused(sender, message)
+            case SubmitAck():
+                self._heard(sender, message.epoch)
+            case SyncAck():
+                self._sync_answered(sender, message)
+            case NotScheduler():
+                self._rejected(sender, message)
+
+    def _heard(self, sender: str, epoch: int) -> None:
+        for link in self._links.values():
+            if link.is_current(sender, epoch):
+                link.heard()
+
+    def _sync_answered(self, sender: str, message: SyncAck) -> None:
+        link = self._links.get(message.service)
+        if link is None or link.found(sender, message.epoch):
+            return
+        if link.is_current(sender, message.epoch):
+            link.heard()
+            link.sync_answered(message.missing)
+
+    def _rejected(self, sender: str, message: NotScheduler) -> None:
+        link = self._links.get(message.service)
+        if link is None or not link.is_current(sender, message.epoch):
+            return
+        link.rejected()
+        self._context.chooser.take_hint(message.service, message.scheduler)
+
+    def _granted(self, sender: str, message: Granted) -> None:
+        ticket = self._tickets.get(message.request_id)
+        link = self._links.get(ticket.handle.service) if ticket else None
+        if link is None or not link.is_current(sender, message.epoch):
+            self._give_back(sender, message)
+            return
+        link.heard()
+        if ticket.endpoint_id:
+            self._granted_again(link, ticket, message)
+        elif self._is_ruled_out(ticket, message.endpoint_id):
+            self._give_back(sender, message)
+            self._look_elsewhere(link, ticket, message.endpoint_id)
+        else:
+            link.grant(ticket, message.endpoint_id)
+            grant = Grant(
+                ticket.request_id, message.endpoint_id, message.expected_ttft_ms
+            )
+            _resolve(ticket, grant)
+
+    def _granted_again(self, link: Link, ticket: Ticket, message: Granted) -> None:
+        # The same grant twice is harmless; another one means that the
+        # scheduler has to learn where the request runs.
+        if message.endpoint_id != ticket.endpoint_id:
+            link.sync_answered((ticket.request_id,))
+
+    def _is_ruled_out(self, ticket: Ticket, endpoint_id: str) -> bool:
+        return endpoint_id in self._leaving or endpoint_id in ticket.handle.excluded
+
+    def _look_elsewhere(self, link: Link, ticket: Ticket, endpoint_id: str) -> None:
+        excluded = {*ticket.handle.excluded, endpoint_id}
+        ticket.handle = msgspec.structs.replace(
+            ticket.handle, excluded=tuple(sorted(excluded))
+        )
+        link.submit_again(ticket)
+
+    def _give_back(self, sender: str, message: Granted) -> None:
+        """Free the slot of a grant that is not used."""
+        withdraw = Withdraw(message.epoch, (message.request_id,))
+        service = ""
+        ticket = self._tickets.get(message.request_id)
+        if ticket is not None:
+            service = ticket.handle.service
+        self._context.send(sender, service, withdraw)
+
+    def _refused(self, sender: str, message: Refused) -> None:
+        ticket = self._tickets.get(message.request_id)
+        link = self._links.get(ticket.handle.service) if ticket else None
+        if link is None or not link.is_current(sender, message.epoch):
+            return
+        link.heard()
+        if ticket.endpoint_id:
+            return
+        self._retry_after_ms[link.service] = message.retry_after_ms
+        link.drop(ticket)
+        refusal = _not_run(message.reason, message.retry_after_ms, "")
+        self._finish(ticket, refusal)
+
+    # --- tickets ----------------------------------------------------------
+
+    def _open(self, handle: Handle) -> Ticket:
+        now_ms = self._context.clock.now_ms()
+        answer = asyncio.get_running_loop().create_future()
+        ticket = Ticket(handle, now_ms + handle.budget_ms, answer)
+        self._tickets[handle.request_id] = ticket
+        return ticket
+
+    def _abandon(self, ticket: Ticket) -> None:
+        """Withdraw a request whose caller has gone, granted or not."""
+        if self._tickets.get(ticket.request_id) is not ticket:
+            return
+        del self._tickets[ticket.request_id]
+        link = self._links.get(ticket.handle.service)
+        if link is not None:
+            link.withdraw(ticket)
+
+    def _expire(self, link: Link, ticket: Ticket) -> None:
+        link.withdraw(ticket)
+        retry_after_ms = self._retry_after_ms.get(
+            link.service, self._context.timings.default_retry_after_ms
+        )
+        refusal = _not_run(
+            Reason.DEADLINE_PASSED, retry_after_ms, "no slot before the deadline"
+        )
+        self._finish(ticket, refusal)
+
+    def _finish(self, ticket: Ticket, refusal: Refusal) -> None:
+        self._tickets.pop(ticket.request_id, None)
+        _resolve(ticket, refusal)
+
+    def _close(self, service: str) -> None:
+        link = self._links.pop(service)
+        for ticket in list(link.waiting.values()):
+            refusal = _not_run(Reason.UNKNOWN_SERVICE, 0, "the service was removed")
+            self._finish(ticket, refusal)
+        for ticket in list(link.running.values()):
+            self._tickets.pop(ticket.request_id, None)
+        link.leave()
+
+    def _ping_suspects(self, now_ms: float) -> None:
+        if now_ms - self._pinged_ms < self._context.timings.running_sync_ms:
+            return
+        self._pinged_ms = now_ms
+        for vm_id in self._context.chooser.suspects():
+            self._context.send(vm_id, "", Sync(PING, ""))
+
+    def _rechoose(self) -> None:
+        for link in list(self._links.values()):
+            link.rechoose()
+
+
+def _resolve(ticket: Ticket, result: Grant | Refusal) -> None:
+    if not ticket.answer.done():
+        ticket.answer.set_result(result)
+
+
+def _not_run(reason: Reason, retry_after_ms: int, detail: str) -> Refusal:
+    return Refusal(Outcome.NOT_RUN, reason, retry_after_ms, detail)
--- /dev/null
+++ b/src/pomelolane/coordination/coordination.py
@@ -0,0 +1,297 @@
+"""One VM's whole part in scheduling: its gateway's client and its role.
+
+Everything runs on the loop that ``start`` is called on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from pomelolane.coordination.chooser import Chooser
+from pomelolane.coordination.client import CLIENT_MESSAGES, GatewayClient
+from pomelolane.coordination.epochs import Epochs
+from pomelolane.coordination.fallback import LocalDesks
+from pomelolane.coordination.options import LOCAL, Timings
+from pomelolane.coordination.reports import PollerOptions, ReportPoller
+from pomelolane.coordination.role import ROLE_MESSAGES, SchedulerRole
+from pomelolane.coordination.scope import reachable_data_centres, scoped_tree
+from pomelolane.coordination.status import (
+    CoordinationStatus,
+    desk_status,
+    link_status,
+)
+from pomelolane.coordination.tickets import LinkContext
+from pomelolane.events import ENDPOINT_LEAVING, TASK_FAILED
+from pomelolane.logs import log_event
+from pomelolane.model import Tree
+from pomelolane.registry import PLACEMENT_POLICIES, lookup
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pomelolane.coordination.desk import Desk
+    from pomelolane.messages import Message
+    from pomelolane.model import Endpoint
+    from pomelolane.ports import Clock, Membership, SchedulingCore, Transport
+
+SHARED_POLICIES = frozenset({"pomelolane", "single_queue"})
+"""Policies with one queue a service; the others decide at each gateway."""
+
+_SPLIT_POLICIES = frozenset({"gateway_queues"})
+
+
+class Coordination:
+    """A VM's client, role and private desks, and what drives them.
+
+    Use :func:`make_coordination`.
+
+    Attributes:
+        client: The scheduler client for this VM's gateway.
+        role: The scheduler role of this VM.
+        poller: Asks the engines of the services that this VM schedules.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        data_centre: str,
+        transport: Transport,
+        membership: Membership,
+        clock: Clock,
+        policy: str,
+        timings: Timings,
+        incarnation: int,
+        make_core: Callable[[str], SchedulingCore],
+        address_of: Callable[[Endpoint], str],
+        on_endpoint_leaving: Callable[[str], None],
+    ) -> None:
+        self._vm_id = vm_id
+        self._data_centre = data_centre
+        self._transport = transport
+        self._policy = policy
+        self._timings = timings
+        self._on_endpoint_leaving = on_endpoint_leaving
+        self._tree = Tree()
+        self._leaving: set[str] = set()
+        self._tasks: list[asyncio.Task] = []
+        self._handed_over = asyncio.Event()
+        self._chooser = Chooser(vm_id, membership, clock)
+        # The role hears of a change first, so that a gateway which follows
+        # its own VM finds the desk there.
+        self.role = SchedulerRole(
+            vm_id, data_centre, self._chooser, transport, clock, make_core, timings
+        )
+        self._local = LocalDesks(
+            vm_id, self._take_local_reply, clock, make_core, timings
+        )
+        self._chooser.on_change(self._rescope_local)
+        context = LinkContext(
+            vm_id=vm_id,
+            chooser=self._chooser,
+            epochs=Epochs(incarnation),
+            clock=clock,
+            timings=timings,
+            send=self._send,
+            defer=_defer,
+            share=self._share,
+            always_local=policy not in SHARED_POLICIES,
+        )
+        self.client = GatewayClient(context)
+        self.role.on_doubt = self.client.probe
+        self.poller = ReportPoller(
+            self._polled_desks,
+            clock,
+            PollerOptions(address_of, self._engine_leaves),
+        )
+        self._subscribe()
+
+    # --- settings ---------------------------------------------------------
+
+    def configure(self, tree: Tree) -> None:
+        """Adopt a settings tree."""
+        self._tree = tree
+        self._leaving &= set(tree.endpoints)
+        if self._is_shared:
+            self.role.configure(tree)
+        self._rescope_local()
+        self.client.configure(tree)
+
+    def mark_leaving(self, endpoint_id: str) -> None:
+        """Grant and use nothing more for an endpoint; repeats are ignored."""
+        if endpoint_id in self._leaving:
+            return
+        self._leaving.add(endpoint_id)
+        self.client.mark_leaving(endpoint_id)
+        self.role.mark_leaving(endpoint_id)
+        self._local.mark_leaving(endpoint_id)
+
+    # --- life -------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Begin to tick and to ask engines for reports."""
+        self._tasks = [
+            asyncio.create_task(self._tick_forever()),
+            asyncio.create_task(self.poller.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop both."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+
+    async def handover(self) -> None:
+        """Give up the roles; return when no other gateway follows this VM."""
+        self._chooser.stop()
+        self._handed_over.clear()
+        self._note_handover()
+        await self._handed_over.wait()
+
+    def tick(self) -> None:
+        """Do everything that is due; called by the task of ``start``."""
+        self.tick_client()
+        self.tick_role()
+
+    def tick_client(self) -> None:
+        """Check deadlines and the schedulers' signs of life."""
+        self._chooser.tick()
+        self.client.tick()
+
+    def tick_role(self) -> None:
+        """Drive all cores."""
+        self.role.tick()
+        self._local.tick()
+        self._note_handover()
+
+    def status(self) -> CoordinationStatus:
+        """Return what operators may want to see."""
+        links = self.client.links()
+        desks = [*self.role.desks().values(), *self._local.desks().values()]
+        roles = [name for name in self.role.desks() if self.role.desk(name)]
+        return CoordinationStatus(
+            links=tuple(link_status(links[name]) for name in sorted(links)),
+            roles=tuple(sorted(roles)),
+            desks=tuple(desk_status(desk) for desk in desks),
+            suspects=self._chooser.suspects(),
+        )
+
+    # --- inside -----------------------------------------------------------
+
+    @property
+    def _is_shared(self) -> bool:
+        return self._policy in SHARED_POLICIES
+
+    def _subscribe(self) -> None:
+        for kind in ROLE_MESSAGES:
+            self._transport.subscribe(kind, self.role.receive)
+        for kind in CLIENT_MESSAGES:
+            self._transport.subscribe(kind, self.client.receive)
+
+    def _send(self, scheduler: str, service: str, message: Message) -> bool:
+        if scheduler == LOCAL:
+            return self._local.receive(service, message)
+        return self._transport.send(scheduler, message)
+
+    def _take_local_reply(self, message: Message) -> None:
+        self.client.receive(LOCAL, message)
+
+    def _share(self) -> float:
+        if not self._is_shared and self._policy not in _SPLIT_POLICIES:
+            return 1.0
+        return 1.0 / max(1, len(self._chooser.view().peers))
+
+    def _rescope_local(self) -> None:
+        view = self._chooser.view()
+        data_centres = reachable_data_centres(view, self._data_centre)
+        self._local.configure(scoped_tree(self._tree, data_centres), self._share())
+
+    def _polled_desks(self) -> list[Desk]:
+        held = [self.role.desk(name) for name in self.role.desks()]
+        return [*filter(None, held), *self._local.desks().values()]
+
+    def _note_handover(self) -> None:
+        if not self.role.is_followed_by_others():
+            self._handed_over.set()
+
+    def _engine_leaves(self, endpoint_id: str) -> None:
+        if endpoint_id in self._leaving:
+            return
+        log_event(ENDPOINT_LEAVING, endpoint=endpoint_id, source="engine")
+        self.mark_leaving(endpoint_id)
+        self._on_endpoint_leaving(endpoint_id)
+
+    async def _tick_forever(self) -> None:
+        period_s = self._timings.client_tick_ms / 1000
+        every = max(1, round(self._timings.role_tick_ms / self._timings.client_tick_ms))
+        ticks = 0
+        while True:
+            await asyncio.sleep(period_s)
+            ticks += 1
+            try:
+                self.tick_client()
+                if ticks % every == 0:
+                    self.tick_role()
+            except Exception as error:  # a tick must not end the others
+                log_event(TASK_FAILED, task="coordination", error=repr(error))
+
+
+def make_coordination(
+    vm_id: str,
+    data_centre: str,
+    transport: Transport,
+    membership: Membership,
+    clock: Clock,
+    policy: str = "pomelolane",
+    *,
+    timings: Timings | None = None,
+    incarnation: int | None = None,
+    make_core: Callable[[str], SchedulingCore] | None = None,
+    address_of: Callable[[Endpoint], str] | None = None,
+    on_endpoint_leaving: Callable[[str], None] | None = None,
+) -> Coordination:
+    """Return a VM's part in scheduling under a placement policy.
+
+    Args:
+        vm_id: This VM.
+        data_centre: Where it stands.
+        transport: Way to the other VMs; messages to oneself loop back.
+        membership: Who is alive.
+        clock: Time.
+        policy: Name in ``registry.PLACEMENT_POLICIES``.
+        timings: Bounds, where others than the defaults are wanted.
+        incarnation: Number of this start; by default the view's.
+        make_core: Makes the core of a service; by default the registry's
+            factory of the policy.
+        address_of: This VM's route to an endpoint; by default the declared.
+        on_endpoint_leaving: Told when an engine says that it is leaving.
+    """
+    if incarnation is None:
+        own = membership.view().peers.get(vm_id)
+        incarnation = own.incarnation if own is not None else 0
+    return Coordination(
+        vm_id,
+        data_centre,
+        transport,
+        membership,
+        clock,
+        policy,
+        timings or Timings(),
+        incarnation,
+        make_core or lookup(PLACEMENT_POLICIES, policy),
+        address_of or _declared_address,
+        on_endpoint_leaving or _ignore,
+    )
+
+
+def _declared_address(endpoint: Endpoint) -> str:
+    return endpoint.address
+
+
+def _ignore(endpoint_id: str) -> None:
+    """Stand in where nobody wants to know."""
+
+
+def _defer(function: Callable[[], None]) -> None:
+    asyncio.get_running_loop().call_soon(function)
--- /dev/null
+++ b/src/pomelolane/coordination/desk.py
@@ -0,0 +1,386 @@
+"""A scheduler's place for one service: its book, its core, its messages.
+
+The same desk serves all gateways when its VM holds the role, and just its own
+gateway where that one has to go alone.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.coordination.book import Book, Entry, Follower
+from pomelolane.coordination.decisions import log_grant, log_refusal
+from pomelolane.coordination.epochs import start_of
+from pomelolane.messages import (
+    Granted,
+    Handle,
+    Message,
+    Progress,
+    Refused,
+    RunningHandle,
+    Submit,
+    SubmitAck,
+    Sync,
+    SyncAck,
+    Unfollow,
+    Withdraw,
+)
+from pomelolane.ports import Grant
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from pomelolane.coordination.options import Timings
+    from pomelolane.model import Endpoint, ServiceKind, Tree
+    from pomelolane.ports import Clock, Decision, SchedulingCore
+
+_ABSENCES_UNTIL_GONE = 2
+
+
+class Desk:
+    """Schedules one service for the gateways that follow it.
+
+    Args:
+        service: Name of the service.
+        core: Decides; owned by the desk.
+        send: Sends a message to a gateway.
+        clock: Time.
+        timings: Bounds.
+        share_of: Returns the share of each endpoint's slots that may be
+            granted to a set of followers.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        core: SchedulingCore,
+        send: Callable[[str, Message], object],
+        clock: Clock,
+        timings: Timings,
+        share_of: Callable[[frozenset[str]], float],
+    ) -> None:
+        self.service = service
+        self.core = core
+        self.book = Book()
+        self._send = send
+        self._clock = clock
+        self._timings = timings
+        self._share_of = share_of
+        self._share = 1.0
+        self._tree: Tree | None = None
+        self._settle_by_ms: float | None = None
+        self._awaited: frozenset[str] = frozenset()
+
+    # --- what the role does with it ---------------------------------------
+
+    def configure(self, tree: Tree) -> None:
+        """Adopt a settings tree, already cut down to what may be granted."""
+        self._tree = tree
+        self._carry_out(self.core.configure(tree, self._clock.now_ms()))
+        self._update_share()
+
+    def settle(self, gateways: Iterable[str]) -> None:
+        """Hold all grants until these gateways have registered, or a while."""
+        self._awaited = frozenset(gateways)
+        self._settle_by_ms = self._clock.now_ms() + self._timings.settle_ms
+        for follower in self.book.followers.values():
+            follower.registered = False
+
+    @property
+    def is_settling(self) -> bool:
+        """Whether grants are held back."""
+        return self._settle_by_ms is not None
+
+    def tick(self) -> None:
+        """Drive the core and forget gateways and slots that are overdue."""
+        now_ms = self._clock.now_ms()
+        self._drop_silent(now_ms)
+        self._update_share()
+        self._end_settling(now_ms)
+        due = [e for e in self.book.orphans.values() if e.free_at_ms <= now_ms]
+        for entry in due:
+            self._forget(entry)
+        self._carry_out(self.core.tick(now_ms))
+
+    def drop_gateway(self, gateway: str) -> None:
+        """Forget a gateway; slots of its requests are held for a while."""
+        follower = self.book.followers.pop(gateway, None)
+        if follower is not None:
+            self._abandon(follower)
+
+    def followers(self) -> frozenset[str]:
+        """Return the gateways that follow this desk."""
+        return frozenset(self.book.followers)
+
+    def endpoints(self, kind: ServiceKind) -> list[Endpoint]:
+        """Return the endpoints that it may grant, if its service is of a kind."""
+        tree = self._tree
+        if tree is None or self.service not in tree.services:
+            return []
+        if tree.services[self.service].kind != kind:
+            return []
+        return [e for e in tree.endpoints.values() if e.service == self.service]
+
+    def close(self) -> None:
+        """Forget everything but what the core has learnt."""
+        self.book.followers.clear()
+        self._forget_all(list(self.book.entries.values()))
+        self._settle_by_ms = None
+
+    def apply(self, decisions: Sequence[Decision]) -> None:
+        """Carry out decisions that a call on the core has returned."""
+        self._carry_out(decisions)
+
+    # --- messages ---------------------------------------------------------
+
+    def receive(self, gateway: str, message: Message) -> None:
+        """Take a message of a gateway; others than ours are ignored."""
+        match message:
+            case Submit():
+                self._submitted(gateway, message)
+            case Sync():
+                self._synced(gateway, message)
+            case Progress():
+                self._progressed(gateway, message)
+            case Withdraw():
+                self._withdrawn(gateway, message)
+            case Unfollow():
+                self._unfollowed(gateway, message)
+
+    def _submitted(self, gateway: str, message: Submit) -> None:
+        if self._follower(gateway, message.epoch) is None:
+            return
+        for running in message.running:
+            self._take_running(gateway, message.epoch, running)
+        for handle in sorted(message.waiting, key=_urgency):
+            self._take_waiting(gateway, message.epoch, handle)
+        # A grant or refusal sent meanwhile is acknowledgement enough.
+        queued = [h.request_id for h in message.waiting if self._is_waiting(h)]
+        queued += [running.handle.request_id for running in message.running]
+        if queued:
+            self._send(gateway, SubmitAck(message.epoch, tuple(queued)))
+
+    def _is_waiting(self, handle: Handle) -> bool:
+        entry = self.book.get(handle.request_id)
+        return entry is not None and not entry.endpoint_id
+
+    def _synced(self, gateway: str, message: Sync) -> None:
+        follower = self._follower(gateway, message.epoch)
+        if follower is None:
+            return
+        missing = [
+            request_id
+            for request_id in message.waiting
+            if not self._confirm_waiting(gateway, message.epoch, request_id)
+        ]
+        if message.running is not None:
+            missing += [
+                name for name in message.running if name not in follower.entries
+            ]
+        self._count_absences(follower, message)
+        self._send(gateway, SyncAck(message.epoch, self.service, tuple(missing)))
+        if message.running is not None and not missing:
+            follower.registered = True
+        self._end_settling(self._clock.now_ms())
+
+    def _confirm_waiting(self, gateway: str, epoch: int, request_id: str) -> bool:
+        entry = self.book.get(request_id)
+        if entry is None or entry.gateway != gateway:
+            return False
+        entry.epoch = epoch
+        if entry.endpoint_id:
+            self._send_granted(entry)
+        return True
+
+    def _count_absences(self, follower: Follower, message: Sync) -> None:
+        listed = {*message.waiting, *(message.running or ())}
+        for entry in list(follower.entries.values()):
+            if entry.request_id in listed:
+                entry.absences = 0
+            elif not entry.endpoint_id or message.running is not None:
+                entry.absences += 1
+            if entry.absences >= _ABSENCES_UNTIL_GONE:
+                self._forget(entry)
+
+    def _progressed(self, gateway: str, message: Progress) -> None:
+        now_ms = self._clock.now_ms()
+        for event in message.events:
+            entry = self.book.get(event.request_id)
+            if entry is None or entry.gateway != gateway or not entry.in_core:
+                continue
+            if event.finished:
+                self.book.remove(entry)
+            self._carry_out(self.core.observe(event, now_ms))
+
+    def _withdrawn(self, gateway: str, message: Withdraw) -> None:
+        for request_id in message.request_ids:
+            entry = self.book.get(request_id)
+            known = entry is not None and entry.gateway == gateway
+            if known and message.epoch >= entry.epoch:
+                self._forget(entry)
+
+    def _unfollowed(self, gateway: str, message: Unfollow) -> None:
+        follower = self.book.followers.get(gateway)
+        if follower is not None and message.epoch >= follower.epoch:
+            self.drop_gateway(gateway)
+
+    # --- the book ---------------------------------------------------------
+
+    def _follower(self, gateway: str, epoch: int) -> Follower | None:
+        """Return the sender's record, or None where its message is old."""
+        now_ms = self._clock.now_ms()
+        follower = self.book.followers.get(gateway)
+        if follower is not None and start_of(epoch) > start_of(follower.epoch):
+            self.drop_gateway(gateway)
+            follower = None
+        if follower is None:
+            follower = Follower(epoch, now_ms)
+            self.book.followers[gateway] = follower
+            self._update_share()
+        if epoch < follower.epoch:
+            return None
+        follower.epoch = epoch
+        follower.heard_ms = now_ms
+        return follower
+
+    def _take_waiting(self, gateway: str, epoch: int, handle: Handle) -> None:
+        entry = self.book.get(handle.request_id)
+        if entry is not None and (
+            not entry.is_of(gateway, handle) or entry.free_at_ms is not None
+        ):
+            self._forget(entry)
+            entry = None
+        if entry is None:
+            entry = self._open(gateway, epoch, handle)
+            if not self.is_settling:
+                self._queue(entry)
+            return
+        entry.epoch = epoch
+        if entry.endpoint_id:
+            self._send_granted(entry)
+
+    def _take_running(self, gateway: str, epoch: int, running: RunningHandle) -> None:
+        entry = self.book.get(running.handle.request_id)
+        if entry is not None and entry.endpoint_id == running.endpoint_id:
+            # Its slot must not be free for a moment, or another would get it.
+            self.book.adopt(entry, gateway, epoch)
+            return
+        if entry is not None:
+            self._forget(entry)
+        now_ms = self._clock.now_ms()
+        entry = self._open(gateway, epoch, running.handle)
+        entry.endpoint_id = running.endpoint_id
+        entry.granted_ms = now_ms
+        entry.in_core = True
+        self.core.register_running(running, now_ms)
+
+    def _open(self, gateway: str, epoch: int, handle: Handle) -> Entry:
+        now_ms = self._clock.now_ms()
+        entry = Entry(handle, gateway, epoch, now_ms, now_ms + handle.budget_ms)
+        self.book.add(entry)
+        return entry
+
+    def _queue(self, entry: Entry) -> None:
+        now_ms = self._clock.now_ms()
+        entry.in_core = True
+        self._carry_out(self.core.submit(entry.handle_at(now_ms), now_ms))
+
+    def _forget(self, entry: Entry) -> None:
+        self.book.remove(entry)
+        if entry.in_core:
+            now_ms = self._clock.now_ms()
+            self._carry_out(self.core.withdraw(entry.request_id, now_ms))
+
+    def _abandon(self, follower: Follower) -> None:
+        """Drop what waits; hold the slots that an engine may still use."""
+        entries = list(follower.entries.values())
+        for entry in entries:
+            if entry.endpoint_id:
+                self.book.orphan(entry, self._expected_end_ms(entry))
+        self._forget_all([entry for entry in entries if not entry.endpoint_id])
+
+    def _forget_all(self, entries: Sequence[Entry]) -> None:
+        # All leave the book first, so that no withdrawal grants another one.
+        for entry in entries:
+            self.book.remove(entry)
+        for entry in entries:
+            self._forget(entry)
+
+    def _expected_end_ms(self, entry: Entry) -> float:
+        now_ms = self._clock.now_ms()
+        endpoint = self._tree.endpoints.get(entry.endpoint_id) if self._tree else None
+        decode_ms = 0.0
+        if endpoint is not None and endpoint.decode_tokens_per_s > 0:
+            decode_ms = 1000 * entry.handle.decode_tokens / endpoint.decode_tokens_per_s
+        end_ms = entry.granted_ms + entry.expected_ttft_ms + decode_ms
+        earliest_ms = now_ms + self._timings.orphan_grace_ms
+        latest_ms = now_ms + self._timings.orphan_limit_ms
+        return min(max(end_ms, earliest_ms), latest_ms)
+
+    def _update_share(self) -> None:
+        share = self._share_of(self.followers())
+        if share != self._share:
+            self._share = share
+            self._carry_out(self.core.limit_slots(share, self._clock.now_ms()))
+
+    def _drop_silent(self, now_ms: float) -> None:
+        oldest_ms = now_ms - self._timings.follower_silence_ms
+        silent = [
+            gateway
+            for gateway, follower in self.book.followers.items()
+            if follower.entries and follower.heard_ms < oldest_ms
+        ]
+        for gateway in silent:
+            self.drop_gateway(gateway)
+
+    def _end_settling(self, now_ms: float) -> None:
+        if self._settle_by_ms is None:
+            return
+        followers = self.book.followers
+        registered = {name for name, one in followers.items() if one.registered}
+        if now_ms < self._settle_by_ms and not self._awaited <= registered:
+            return
+        self._settle_by_ms = None
+        for entry in sorted(self.book.waiting(), key=lambda one: one.urgency):
+            if not entry.in_core and entry.request_id in self.book.entries:
+                self._queue(entry)
+
+    # --- decisions --------------------------------------------------------
+
+    def _carry_out(self, decisions: Sequence[Decision]) -> None:
+        for decision in decisions:
+            entry = self.book.get(decision.request_id)
+            if isinstance(decision.result, Grant):
+                self._granted(entry, decision.result)
+            elif entry is not None:
+                self.book.remove(entry)
+                self._refused(entry, decision)
+
+    def _granted(self, entry: Entry | None, grant: Grant) -> None:
+        now_ms = self._clock.now_ms()
+        if entry is None:
+            self._carry_out(self.core.withdraw(grant.request_id, now_ms))
+            return
+        entry.endpoint_id = grant.endpoint_id
+        entry.expected_ttft_ms = grant.expected_ttft_ms
+        entry.granted_ms = now_ms
+        self._send_granted(entry)
+        log_grant(entry, grant, now_ms)
+
+    def _send_granted(self, entry: Entry) -> None:
+        message = Granted(
+            entry.epoch, entry.request_id, entry.endpoint_id, entry.expected_ttft_ms
+        )
+        self._send(entry.gateway, message)
+
+    def _refused(self, entry: Entry, decision: Decision) -> None:
+        refusal = decision.result
+        message = Refused(
+            entry.epoch, entry.request_id, refusal.reason, refusal.retry_after_ms
+        )
+        self._send(entry.gateway, message)
+        log_refusal(entry, refusal, len(self.book.entries))
+
+
+def _urgency(handle: Handle) -> tuple[int, int]:
+    return handle.tier_rank, handle.budget_ms
--- /dev/null
+++ b/src/pomelolane/coordination/link.py
@@ -0,0 +1,322 @@
+"""A gateway's side of one service: whom it follows and what it holds.
+
+The link registers everything it holds with each new scheduler, so that no
+scheduler's death loses a request, and it alone decides whether a grant counts.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.coordination.options import LOCAL
+from pomelolane.coordination.progress import ProgressBatch
+from pomelolane.events import LOCAL_FALLBACK, SCHEDULER_CHOSEN
+from pomelolane.logs import log_event
+from pomelolane.messages import (
+    Message,
+    Progress,
+    Submit,
+    Sync,
+    Unfollow,
+    Withdraw,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pomelolane.coordination.tickets import LinkContext, Ticket
+    from pomelolane.messages import StreamEvent
+
+_HANDLES_PER_SUBMIT = 200
+_QUESTIONS_BEFORE_ALONE = 3
+
+
+class Link:
+    """Follows the scheduler of one service.
+
+    Args:
+        service: Name of the service.
+        context: What the gateway's links share.
+    """
+
+    def __init__(self, service: str, context: LinkContext) -> None:
+        self.service = service
+        self.waiting: dict[str, Ticket] = {}
+        self.running: dict[str, Ticket] = {}
+        self.scheduler = LOCAL
+        self.epoch = context.epochs.next()
+        self._context = context
+        self._timings = context.timings
+        self._unsent: dict[str, Ticket] = {}
+        self._progress = ProgressBatch()
+        self._flush_deferred = False
+        self._asked_ms: float | None = None
+        self._asks = 0
+        self._unheard_since_ms: float | None = None
+        self._questions = 0
+        self._synced_ms = context.clock.now_ms()
+        self._progressed_ms = self._synced_ms
+        self._syncs = 0
+        self._settled = True
+        self._retry_at_ms: float | None = None
+        self._candidate = (LOCAL, 0)
+        self._sought_ms = self._synced_ms
+        self._is_started = False
+
+    # --- what the gateway holds -------------------------------------------
+
+    def add(self, ticket: Ticket) -> None:
+        """Register a new request with the scheduler."""
+        self.waiting[ticket.request_id] = ticket
+        self.submit_again(ticket)
+
+    def submit_again(self, ticket: Ticket) -> None:
+        """Send a request's handle in this turn of the loop."""
+        self._unsent[ticket.request_id] = ticket
+        self._defer_flush()
+
+    def grant(self, ticket: Ticket, endpoint_id: str) -> None:
+        """Count a request as running at an endpoint."""
+        del self.waiting[ticket.request_id]
+        self._unsent.pop(ticket.request_id, None)
+        ticket.endpoint_id = endpoint_id
+        self.running[ticket.request_id] = ticket
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Drop a request and free its place or slot at the scheduler."""
+        self.drop(ticket)
+        self.send(Withdraw(self.epoch, (ticket.request_id,)))
+
+    def drop(self, ticket: Ticket) -> None:
+        """Drop a request that the scheduler has given up already."""
+        self.waiting.pop(ticket.request_id, None)
+        self.running.pop(ticket.request_id, None)
+        self._unsent.pop(ticket.request_id, None)
+        self._settled = False
+
+    def observe(self, ticket: Ticket, event: StreamEvent) -> None:
+        """Pass on progress; what frees a slot goes at once."""
+        ticket.saw(event)
+        self._progress.add(event)
+        if event.finished:
+            self.drop(ticket)
+            self._defer_flush()
+
+    # --- sending ----------------------------------------------------------
+
+    def send(self, message: Message) -> bool:
+        """Send a message to the scheduler that is followed."""
+        return bool(self._context.send(self.scheduler, self.service, message))
+
+    def flush(self) -> None:
+        """Send what has gathered: freed slots first, then new requests."""
+        self._flush_deferred = False
+        self._flush_progress()
+        tickets = [t for t in self._unsent.values() if not t.endpoint_id]
+        self._unsent.clear()
+        if tickets:
+            self._submit(tickets, ())
+
+    def _defer_flush(self) -> None:
+        if not self._flush_deferred:
+            self._flush_deferred = True
+            self._context.defer(self.flush)
+
+    def _flush_progress(self) -> None:
+        if not self._progress:
+            return
+        self._progressed_ms = self._context.clock.now_ms()
+        events = self._progress.take()
+        if not self.send(Progress(self.epoch, events)):
+            for event in events:
+                self._progress.add(event)
+
+    def _submit(self, waiting: Sequence[Ticket], running: Sequence[Ticket]) -> None:
+        now_ms = self._context.clock.now_ms()
+        # Running ones first: a scheduler must know them before it grants.
+        for start in range(0, len(running), _HANDLES_PER_SUBMIT):
+            chunk = running[start : start + _HANDLES_PER_SUBMIT]
+            registered = tuple(ticket.running_at(now_ms) for ticket in chunk)
+            self._ask(Submit(self.epoch, (), registered))
+        for start in range(0, len(waiting), _HANDLES_PER_SUBMIT):
+            chunk = waiting[start : start + _HANDLES_PER_SUBMIT]
+            handles = tuple(ticket.handle_at(now_ms) for ticket in chunk)
+            self._ask(Submit(self.epoch, handles))
+
+    def sync(self) -> None:
+        """Tell the scheduler what is held, and see whether it is there."""
+        every = self._timings.running_every
+        lists_running = self._syncs % every == 0 or not self.waiting
+        running = tuple(self.running) if lists_running else None
+        self._syncs += 1
+        self._synced_ms = self._context.clock.now_ms()
+        self._ask(Sync(self.epoch, self.service, tuple(self.waiting), running))
+
+    def _ask(self, message: Message) -> None:
+        now_ms = self._context.clock.now_ms()
+        if self._asked_ms is None:
+            self._asked_ms = now_ms
+        if self._unheard_since_ms is None:
+            self._unheard_since_ms = now_ms
+        self._questions += 1
+        self.send(message)
+
+    # --- whom it follows --------------------------------------------------
+
+    def is_current(self, sender: str, epoch: int) -> bool:
+        """Tell whether a message answers the present choice."""
+        return sender == self.scheduler and epoch == self.epoch
+
+    def heard(self) -> None:
+        """Note that the scheduler has answered."""
+        self._forget_asks()
+        self._unheard_since_ms = None
+        self._questions = 0
+
+    def _forget_asks(self) -> None:
+        self._asked_ms = None
+        self._asks = 0
+        self._retry_at_ms = None
+
+    def sync_answered(self, missing: Sequence[str]) -> None:
+        """Register again what the scheduler does not know."""
+        waiting = [self.waiting[name] for name in missing if name in self.waiting]
+        running = [self.running[name] for name in missing if name in self.running]
+        if waiting or running:
+            self._submit(waiting, running)
+            self._syncs = 0
+        elif not self.waiting and not self.running:
+            self._settled = True
+
+    def rejected(self) -> None:
+        """Ask again shortly: the VM does not see itself as the scheduler."""
+        self._syncs = 0
+        self._forget_asks()
+        self._retry_at_ms = self._context.clock.now_ms() + self._timings.retry_ms
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether the gateway grants from its own share of slots."""
+        return self.scheduler == LOCAL
+
+    def rechoose(self) -> None:
+        """Follow the scheduler that the chooser names now."""
+        if self._context.always_local:
+            return
+        chosen = self._context.chooser.scheduler(self.service)
+        if self.is_alone and self._is_started:
+            self._seek(chosen)
+        elif chosen != self.scheduler:
+            self._follow(chosen, self._context.epochs.next())
+
+    def start(self) -> None:
+        """Follow the first scheduler."""
+        if not self._is_started:
+            self.rechoose()
+            self._is_started = True
+
+    def found(self, sender: str, epoch: int) -> bool:
+        """Go back to a scheduler that has answered while alone."""
+        if not self.is_alone or (sender, epoch) != self._candidate:
+            return False
+        self._follow(sender, epoch)
+        return True
+
+    def leave(self) -> None:
+        """Tell the scheduler that this gateway follows it no more."""
+        self.send(Unfollow(self.epoch, self.service))
+
+    def _follow(self, scheduler: str, epoch: int) -> None:
+        self.leave()
+        self.scheduler = scheduler
+        self.epoch = epoch
+        log_event(
+            SCHEDULER_CHOSEN,
+            service=self.service,
+            scheduler=scheduler or "local",
+            view=self._context.chooser.view().number,
+            epoch=epoch,
+        )
+        self._candidate = (LOCAL, 0)
+        self._forget_asks()
+        self._syncs = 0
+        self._settled = False
+        self._unsent.clear()
+        self._submit(list(self.waiting.values()), list(self.running.values()))
+        self._flush_progress()
+        self.sync()
+
+    def _go_alone(self) -> None:
+        log_event(
+            LOCAL_FALLBACK, service=self.service, share=f"{self._context.share():.3f}"
+        )
+        self._unheard_since_ms = None
+        self._follow(LOCAL, self._context.epochs.next())
+        self._seek(self._context.chooser.scheduler(self.service))
+
+    def _seek(self, chosen: str) -> None:
+        """Ask, with nothing registered, whether a scheduler is there."""
+        if self._candidate[0] != chosen:
+            self._candidate = (chosen, self._context.epochs.next())
+        self._sought_ms = self._context.clock.now_ms()
+        question = Sync(self._candidate[1], self.service)
+        self._context.send(chosen, self.service, question)
+
+    # --- time -------------------------------------------------------------
+
+    def tick(self) -> None:
+        """Do what is due."""
+        now_ms = self._context.clock.now_ms()
+        if now_ms - self._progressed_ms >= self._timings.progress_ms:
+            self._flush_progress()
+        if self._context.always_local:
+            return
+        if self.is_alone:
+            if now_ms - self._sought_ms >= self._timings.reply_ms:
+                self._seek(self._context.chooser.scheduler(self.service))
+            return
+        self._watch(now_ms)
+
+    def _watch(self, now_ms: float) -> None:
+        if self._is_unheard_too_long(now_ms):
+            self._go_alone()
+        elif self._is_reply_late(now_ms):
+            self._ask_again(now_ms)
+        elif self._retry_at_ms is not None and now_ms >= self._retry_at_ms:
+            self._retry_at_ms = None
+            self.sync()
+        elif self._is_sync_due(now_ms):
+            self.sync()
+
+    def _is_unheard_too_long(self, now_ms: float) -> bool:
+        since_ms = self._unheard_since_ms
+        if since_ms is None or not self.waiting:
+            return False
+        # A VM that was paused must not mistake its own pause for silence.
+        if self._questions < _QUESTIONS_BEFORE_ALONE:
+            return False
+        return now_ms - since_ms >= self._timings.fallback_ms
+
+    def _is_reply_late(self, now_ms: float) -> bool:
+        asked_ms = self._asked_ms
+        return asked_ms is not None and now_ms - asked_ms >= self._timings.reply_ms
+
+    def _is_sync_due(self, now_ms: float) -> bool:
+        since_ms = now_ms - self._synced_ms
+        if self.waiting:
+            return since_ms >= self._timings.waiting_sync_ms
+        if self.running or not self._settled:
+            return since_ms >= self._timings.running_sync_ms
+        return False
+
+    def _ask_again(self, now_ms: float) -> None:
+        self._asks += 1
+        self._asked_ms = now_ms
+        self._syncs = 0
+        if self._asks >= self._timings.reply_attempts:
+            silent = self.scheduler
+            self._asks = 0
+            self._context.chooser.suspect(silent, self._timings.suspect_ms)
+            if self.scheduler != silent:
+                return
+        self.sync()
--- /dev/null
+++ b/src/pomelolane/coordination/progress.py
@@ -0,0 +1,48 @@
+"""Gathers what a gateway sees of its streams for their scheduler.
+
+Token progress of one request is summed up, so that a batch grows with the
+running requests and not with their tokens.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from pomelolane.messages import StreamEvent
+
+
+class ProgressBatch:
+    """Events of one service that have not been sent yet."""
+
+    def __init__(self) -> None:
+        self._events: dict[str, StreamEvent] = {}
+
+    def __len__(self) -> int:
+        return len(self._events)
+
+    def add(self, event: StreamEvent) -> None:
+        """Add an event, summed up with what waits of the same request."""
+        earlier = self._events.get(event.request_id)
+        merged = event if earlier is None else _merge(earlier, event)
+        self._events[event.request_id] = merged
+
+    def take(self) -> tuple[StreamEvent, ...]:
+        """Return and forget all events, in order of their first arrival."""
+        events = tuple(self._events.values())
+        self._events.clear()
+        return events
+
+
+def _merge(earlier: StreamEvent, later: StreamEvent) -> StreamEvent:
+    return msgspec.structs.replace(
+        later,
+        ttft_ms=max(earlier.ttft_ms, later.ttft_ms),
+        tokens=earlier.tokens + later.tokens,
+        elapsed_ms=earlier.elapsed_ms + later.elapsed_ms,
+        finished=earlier.finished or later.finished,
+        refused=earlier.refused or later.refused,
+        cached_tokens=max(earlier.cached_tokens, later.cached_tokens),
+    )
--- /dev/null
+++ b/src/pomelolane/coordination/reports.py
@@ -0,0 +1,158 @@
+"""Asks engines for their load and cache events on behalf of the cores.
+
+Only the VM that schedules a service asks its engines, so the number of calls
+does not grow with the VMs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from pomelolane.model import ServiceKind
+from pomelolane.ports import CacheEvent, LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from pomelolane.coordination.desk import Desk
+    from pomelolane.model import Endpoint
+    from pomelolane.ports import Clock
+
+_LEAVING = "leaving"
+_TIMEOUT_S = 1.0
+_CALLS_AT_ONCE = 8
+
+
+class _Load(msgspec.Struct):
+    running: int
+    waiting: int
+    kv_used_tokens: int = 0
+    age_ms: float = 0.0
+    state: str = "ready"
+
+
+class _Event(msgspec.Struct):
+    sequence: int
+    stored: bool
+    prefix_hash: int
+
+
+class _Events(msgspec.Struct):
+    events: tuple[_Event, ...]
+
+
+_load_decoder = msgspec.json.Decoder(_Load)
+_events_decoder = msgspec.json.Decoder(_Events)
+
+
+@dataclass(frozen=True, slots=True)
+class PollerOptions:
+    """How engines are asked.
+
+    Attributes:
+        period_ms: Time between two rounds.
+        address_of: The route to an endpoint from this VM.
+        on_leaving: Told when an engine says that it is leaving.
+    """
+
+    address_of: Callable[[Endpoint], str]
+    on_leaving: Callable[[str], None]
+    period_ms: float = 1000.0
+
+
+class ReportPoller:
+    """Feeds engines' own words into the desks.
+
+    Args:
+        desks: Returns the desks whose engines are to be asked.
+        clock: Time.
+        options: How they are asked.
+    """
+
+    def __init__(
+        self,
+        desks: Callable[[], Iterable[Desk]],
+        clock: Clock,
+        options: PollerOptions,
+    ) -> None:
+        self._desks = desks
+        self._clock = clock
+        self._options = options
+        self._sequences: dict[str, int] = {}
+        self._places = asyncio.Semaphore(_CALLS_AT_ONCE)
+
+    async def run(self) -> None:
+        """Ask in rounds until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await self.poll(session)
+                await asyncio.sleep(self._options.period_ms / 1000)
+
+    async def poll(self, session: aiohttp.ClientSession) -> None:
+        """Ask every engine once."""
+        calls = [
+            self._poll_engine(session, desk, endpoint)
+            for desk in list(self._desks())
+            for endpoint in desk.endpoints(ServiceKind.ENGINE)
+        ]
+        await asyncio.gather(*calls)
+
+    async def _poll_engine(
+        self, session: aiohttp.ClientSession, desk: Desk, endpoint: Endpoint
+    ) -> None:
+        async with self._places:
+            load = await self._get(session, endpoint, "/load")
+            if load is not None:
+                self._take_load(desk, endpoint, load)
+            after = self._sequences.get(endpoint.endpoint_id, 0)
+            events = await self._get(session, endpoint, f"/cache/events?after={after}")
+            if events is not None:
+                self._take_events(desk, endpoint, events)
+
+    async def _get(
+        self, session: aiohttp.ClientSession, endpoint: Endpoint, path: str
+    ) -> bytes | None:
+        """Return a body, or None where the engine did not answer in time."""
+        url = f"http://{self._options.address_of(endpoint)}{path}"
+        try:
+            async with session.get(url) as response:
+                return await response.read() if response.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+    def _take_load(self, desk: Desk, endpoint: Endpoint, body: bytes) -> None:
+        try:
+            load = _load_decoder.decode(body)
+        except msgspec.DecodeError:
+            return
+        report = LoadReport(
+            endpoint.endpoint_id,
+            load.running,
+            load.waiting,
+            load.kv_used_tokens,
+            load.age_ms,
+        )
+        desk.apply(desk.core.report_load(report, self._clock.now_ms()))
+        if load.state == _LEAVING:
+            self._options.on_leaving(endpoint.endpoint_id)
+
+    def _take_events(self, desk: Desk, endpoint: Endpoint, body: bytes) -> None:
+        try:
+            events = _events_decoder.decode(body).events
+        except msgspec.DecodeError:
+            return
+        now_ms = self._clock.now_ms()
+        for event in events:
+            fact = CacheEvent(
+                endpoint.endpoint_id, event.sequence, event.stored, event.prefix_hash
+            )
+            desk.core.report_cache(fact, now_ms)
+        if events:
+            last = max(event.sequence for event in events)
+            self._sequences[endpoint.endpoint_id] = last
--- /dev/null
+++ b/src/pomelolane/coordination/role.py
@@ -0,0 +1,248 @@
+"""The scheduler role of a VM: a desk for each service that it is chosen for.
+
+The role is taken and left by the view alone; no vote is held, and two holders
+at one time cost crowding and never a second run.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.coordination import epochs
+from pomelolane.coordination.desk import Desk
+from pomelolane.coordination.scope import reachable_data_centres, scoped_tree
+from pomelolane.events import SCHEDULER_ROLE
+from pomelolane.logs import log_event
+from pomelolane.messages import (
+    Message,
+    NotScheduler,
+    Progress,
+    Submit,
+    Sync,
+    SyncAck,
+    Unfollow,
+    Withdraw,
+)
+from pomelolane.model import Tree
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pomelolane.coordination.chooser import Chooser
+    from pomelolane.coordination.options import Timings
+    from pomelolane.ports import Clock, Peer, SchedulingCore, Transport
+
+ROLE_MESSAGES = (Submit, Sync, Progress, Withdraw, Unfollow)
+"""Kinds of messages that a scheduler takes from gateways."""
+
+
+class SchedulerRole:
+    """Schedules the services for which this VM is chosen.
+
+    Args:
+        vm_id: This VM.
+        data_centre: Where it stands.
+        chooser: Says which services are this VM's.
+        transport: Way to the gateways.
+        clock: Time.
+        make_core: Makes the core of a service.
+        timings: Bounds.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        data_centre: str,
+        chooser: Chooser,
+        transport: Transport,
+        clock: Clock,
+        make_core: Callable[[str], SchedulingCore],
+        timings: Timings,
+    ) -> None:
+        self._vm_id = vm_id
+        self._data_centre = data_centre
+        self._chooser = chooser
+        self._transport = transport
+        self._clock = clock
+        self._make_core = make_core
+        self._timings = timings
+        self._tree = Tree()
+        self._desks: dict[str, Desk] = {}
+        self._lingering_since_ms: dict[str, float] = {}
+        self._cores: dict[str, SchedulingCore] = {}
+        self._gateways: dict[str, Peer] = {}
+        self._data_centres: frozenset[str] = frozenset()
+        self._leaving: set[str] = set()
+        self.on_doubt: Callable[[str], None] = _ignore
+        chooser.on_change(self.refresh)
+
+    # --- the facade -------------------------------------------------------
+
+    def configure(self, tree: Tree) -> None:
+        """Adopt a settings tree."""
+        self._tree = tree
+        self._leaving &= set(tree.endpoints)
+        for service in [name for name in self._desks if name not in tree.services]:
+            self._close(service)
+        self._data_centres = frozenset()
+        self.refresh()
+
+    def mark_leaving(self, endpoint_id: str) -> None:
+        """Grant nothing more to an endpoint."""
+        self._leaving.add(endpoint_id)
+        now_ms = self._clock.now_ms()
+        for desk in list(self._desks.values()):
+            desk.apply(desk.core.mark_leaving(endpoint_id, now_ms))
+
+    def tick(self) -> None:
+        """Drive the desks, and end those that nobody follows any more."""
+        for desk in list(self._desks.values()):
+            desk.tick()
+        for service in list(self._lingering_since_ms):
+            if not self._is_followed(service):
+                self._close(service)
+
+    def _share_of(self, followers: frozenset[str]) -> float:
+        """Return the share of each endpoint's slots that a desk may grant.
+
+        A VM that sees others of which none follows it may be the one that is
+        cut off, while they follow a scheduler of their own.
+        """
+        peers = self._chooser.view().peers
+        if len(peers) > 1 and followers <= {self._vm_id}:
+            return 1.0 / len(peers)
+        return 1.0
+
+    def desk(self, service: str) -> Desk | None:
+        """Return the desk of a service that this VM is chosen for."""
+        if service in self._lingering_since_ms:
+            return None
+        return self._desks.get(service)
+
+    def desks(self) -> dict[str, Desk]:
+        """Return all desks by service, those about to end included."""
+        return self._desks
+
+    def is_followed_by_others(self) -> bool:
+        """Tell whether any other VM still follows this one."""
+        own = frozenset({self._vm_id})
+        return any(desk.followers() - own for desk in self._desks.values())
+
+    def refresh(self) -> None:
+        """Compare the roles with the view."""
+        self._rescope()
+        self._drop_lost_gateways()
+        for service in self._tree.services:
+            is_chosen = self._chooser.scheduler(service) == self._vm_id
+            if is_chosen and self.desk(service) is None:
+                self._take(service)
+            elif not is_chosen and self.desk(service) is not None:
+                self._leave(service)
+
+    # --- messages ---------------------------------------------------------
+
+    def receive(self, gateway: str, message: Message) -> None:
+        """Take a message of a gateway."""
+        self._chooser.heard(gateway)
+        match message:
+            case Sync(epoch=epochs.PING):
+                self._transport.send(gateway, SyncAck(epochs.PING, message.service))
+            case Submit():
+                self._submitted(gateway, message)
+            case Sync() | Unfollow():
+                self._pass_on(gateway, message, message.service)
+            case Progress() | Withdraw():
+                for desk in list(self._desks.values()):
+                    desk.receive(gateway, message)
+
+    def _submitted(self, gateway: str, message: Submit) -> None:
+        """Give each service of a submit to its desk; as a rule it is one."""
+        handles = [*message.waiting, *(one.handle for one in message.running)]
+        services = {handle.service for handle in handles}
+        if len(services) == 1:
+            self._pass_on(gateway, message, services.pop())
+            return
+        for service in services:
+            waiting = tuple(h for h in message.waiting if h.service == service)
+            running = tuple(r for r in message.running if r.handle.service == service)
+            self._pass_on(gateway, Submit(message.epoch, waiting, running), service)
+
+    def _pass_on(self, gateway: str, message: Message, service: str) -> None:
+        desk = self._desks.get(service)
+        if desk is not None:
+            desk.receive(gateway, message)
+        elif not isinstance(message, Unfollow):
+            chosen = self._chooser.scheduler(service)
+            reply = NotScheduler(message.epoch, service, chosen)
+            self._transport.send(gateway, reply)
+            self.on_doubt(service)
+
+    # --- taking and leaving -----------------------------------------------
+
+    def _take(self, service: str) -> None:
+        log_event(SCHEDULER_ROLE, service=service, held=True)
+        self._lingering_since_ms.pop(service, None)
+        if service not in self._desks:
+            self._desks[service] = self._make_desk(service)
+        self._desks[service].settle(self._chooser.view().peers)
+
+    def _make_desk(self, service: str) -> Desk:
+        core = self._cores.get(service)
+        if core is None:
+            core = self._make_core(service)
+            self._cores[service] = core
+        desk = Desk(
+            service,
+            core,
+            self._transport.send,
+            self._clock,
+            self._timings,
+            self._share_of,
+        )
+        desk.configure(self._scoped_tree())
+        for endpoint_id in self._leaving:
+            desk.apply(core.mark_leaving(endpoint_id, self._clock.now_ms()))
+        return desk
+
+    def _leave(self, service: str) -> None:
+        log_event(SCHEDULER_ROLE, service=service, held=False)
+        self._lingering_since_ms[service] = self._clock.now_ms()
+
+    def _is_followed(self, service: str) -> bool:
+        if not self._desks[service].followers():
+            return False
+        if self._chooser.is_stopping:
+            return True
+        since_ms = self._clock.now_ms() - self._lingering_since_ms[service]
+        return since_ms < self._timings.linger_ms
+
+    def _close(self, service: str) -> None:
+        self._lingering_since_ms.pop(service, None)
+        self._desks.pop(service).close()
+
+    # --- the view ---------------------------------------------------------
+
+    def _scoped_tree(self) -> Tree:
+        return scoped_tree(self._tree, self._data_centres)
+
+    def _rescope(self) -> None:
+        view = self._chooser.view()
+        data_centres = reachable_data_centres(view, self._data_centre)
+        if data_centres == self._data_centres:
+            return
+        self._data_centres = data_centres
+        for desk in list(self._desks.values()):
+            desk.configure(self._scoped_tree())
+
+    def _drop_lost_gateways(self) -> None:
+        peers = dict(self._chooser.view().peers)
+        for vm_id, before in self._gateways.items():
+            now = peers.get(vm_id)
+            if now is None or now.incarnation != before.incarnation:
+                for desk in list(self._desks.values()):
+                    desk.drop_gateway(vm_id)
+        self._gateways = peers
+
+
+def _ignore(service: str) -> None:
+    """Stand in until the gateway's side is there to be asked."""
--- /dev/null
+++ b/src/pomelolane/coordination/scope.py
@@ -0,0 +1,29 @@
+"""Which endpoints a scheduler grants.
+
+An endpoint belongs to the scheduler that the VMs of its own data centre
+follow, so a scheduler leaves out the data centres missing from its view.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pomelolane.model import Tree
+    from pomelolane.ports import View
+
+
+def reachable_data_centres(view: View, own: str) -> frozenset[str]:
+    """Return the data centres with a VM in the view, one's own included."""
+    return frozenset(peer.data_centre for peer in view.peers.values()) | {own}
+
+
+def scoped_tree(tree: Tree, data_centres: frozenset[str]) -> Tree:
+    """Return the tree with only the endpoints of these data centres."""
+    endpoints = {
+        endpoint_id: endpoint
+        for endpoint_id, endpoint in tree.endpoints.items()
+        if endpoint.data_centre in data_centres
+    }
+    return replace(tree, endpoints=endpoints)
--- /dev/null
+++ b/tests/coordination/role.feature
@@ -0,0 +1,162 @@
+Feature: The scheduler role moves and loses nothing
+  The role follows the view; its state is rebuilt from what gateways hold.
+
+  Background:
+    Given a coordinated region of VMs "a-1 a-2 b-1 b-2 c-1 c-2"
+    And coordinated endpoints "a/1=2 b/1=2 c/1=2"
+
+  Scenario: All VMs with one view follow one scheduler
+    Then all coordinated VMs follow the same scheduler
+    And just that VM holds the coordinated role
+
+  Scenario: The scheduler is killed with requests waiting and running
+    Given all coordinated slots are taken for 800 ms
+    When every VM asks for 2 slots of tier 2
+    And every VM asks for 2 slots of tier 0
+    And the scheduler is killed and the view tells it
+    Then all coordinated requests run exactly once
+    And no coordinated endpoint ever ran more than its slots
+    And every request of tier 0 ran before those of tier 2
+    And no scheduler holds anything in the end
+
+  Scenario: The scheduler is killed and the view does not tell it yet
+    Given all coordinated slots are taken for 800 ms
+    When every VM asks for 2 slots of tier 0
+    And the scheduler is killed
+    Then all coordinated requests run exactly once
+    And all coordinated VMs follow the same scheduler
+
+  Scenario: The scheduler freezes and comes back
+    Given all coordinated slots are taken for 800 ms
+    When every VM but the scheduler asks for 3 slots of tier 1
+    And the scheduler freezes for 3000 ms
+    Then all coordinated requests run exactly once
+    And the coordinated clock moves by 3000 ms
+    And all coordinated VMs follow the same scheduler
+    And no scheduler holds anything in the end
+
+  Scenario: A planned stop hands the role over and cuts nothing
+    Given all coordinated slots are taken for 800 ms
+    When every VM asks for 2 slots of tier 1
+    And the scheduler drains and the view tells it
+    Then its handover ends
+    And another coordinated VM holds the role
+    And all coordinated requests run exactly once
+    And no coordinated endpoint ever ran more than its slots
+
+  Scenario: A draining scheduler serves those that still follow it
+    Given all coordinated slots are taken for 800 ms
+    When the scheduler drains and only it knows
+    And another VM than the scheduler asks for a slot
+    Then all coordinated requests run exactly once
+
+  Scenario: A VM that joins and wins the hash takes over
+    Given a coordinated region of VMs "a-1"
+    And all coordinated slots are taken for 800 ms
+    When "a-1" asks for 4 slots of tier 1
+    And VMs join until the role moves
+    Then all coordinated requests run exactly once
+    And no coordinated endpoint ever ran more than its slots
+
+  Scenario: A gateway that dies frees its place, and its slots only in time
+    When another VM than the scheduler asks for a slot
+    And that VM is killed and the view tells it
+    Then the scheduler still holds the slot of its request
+    And no scheduler holds anything in the end
+
+  Scenario: A gateway that restarts is known by its new start
+    Given all coordinated slots are taken for 5000 ms
+    When another VM than the scheduler asks for a slot
+    And that VM restarts under the same name
+    Then the scheduler has no waiting request
+
+  Scenario: Late grants of an earlier scheduler are given back
+    Given messages of kind "Granted" are kept back
+    When another VM than the scheduler asks for a slot
+    And the role moves while the former scheduler lives on
+    And the network is whole again
+    And the kept messages arrive
+    Then all coordinated requests run exactly once
+    And no scheduler holds anything in the end
+
+  Scenario: A VM that is not chosen says whom it follows
+    When a VM that is not the scheduler gets a submit
+    Then it answers that it is not the scheduler and names the one it follows
+
+  Scenario: A data centre is cut off and heals
+    Given all coordinated slots are taken for 800 ms
+    When every VM asks for 3 slots of tier 1
+    And data centre "a" is cut off from "b c"
+    And the coordinated clock moves by 1000 ms
+    Then each side grants only its own endpoints
+    And the cut is healed
+    And all coordinated requests run exactly once
+    And all coordinated VMs follow the same scheduler
+    And no scheduler holds anything in the end
+
+  Scenario: A cut that the views do not show yet runs nothing twice
+    Given all coordinated slots are taken for 800 ms
+    When every VM asks for 3 slots of tier 1
+    And data centre "a" is cut off from "b c" without the views knowing
+    And the coordinated clock moves by 4000 ms
+    And the cut is healed
+    Then all coordinated requests run exactly once
+    And no scheduler holds anything in the end
+
+  Scenario: Without any scheduler a gateway grants its share, and goes back
+    When "b-1" loses all others without its view knowing
+    And "b-1" asks for 4 slots of tier 0
+    And "b-1" has to go alone
+    Then all coordinated requests run exactly once
+    And no coordinated endpoint ever ran more than its slots
+    And the cut is healed
+    And all coordinated VMs follow the same scheduler
+    And no scheduler holds anything in the end
+
+  Scenario: Waiting and running requests go back with their gateway
+    Given all coordinated slots take 4000 ms
+    When "b-1" loses all others without its view knowing
+    And "b-1" asks for 8 slots of tier 0
+    And "b-1" has to go alone
+    And the cut is healed
+    And the coordinated clock moves by 1000 ms
+    Then the scheduler knows all requests of "b-1"
+    And all coordinated requests run exactly once
+
+  Scenario: A new scheduler knows the running requests before it grants
+    Given all coordinated slots are taken for 5000 ms
+    When every VM asks for 1 slots of tier 0
+    And the role moves while the former scheduler lives on
+    And the coordinated clock moves by 600 ms
+    Then no coordinated endpoint ever ran more than its slots
+
+  Scenario: A policy that queues at each gateway sends no message
+    Given a coordinated region under policy "gateway_queues" of VMs "a-1 a-2"
+    When every VM asks for 3 slots of tier 0
+    Then all coordinated requests run exactly once
+    And no message went between coordinated VMs
+
+  Scenario: Reports feed the cores and a leaving engine is told on
+    Given an engine that reports its load, cache events and state "leaving"
+    When the scheduler polls its engines
+    Then the core got the load report and the cache events
+    And the engine counts as leaving and membership was told
+
+  Scenario: Broken reports change nothing
+    Given an engine that answers reports with garbage
+    When the scheduler polls its engines
+    Then the core got no report
+
+  Scenario: The status shows roles, queues and whom the gateway follows
+    Given all coordinated slots are taken for 5000 ms
+    When every VM asks for 1 slots of tier 1
+    And the coordinated clock moves by 100 ms
+    Then the status of the scheduler shows 6 waiting and 6 running requests
+
+  Scenario Outline: Rendezvous hashing moves few services when a VM goes
+    Then of 200 services only those of a lost VM move among <vms> VMs
+
+    Examples:
+      | vms |
+      | 3   |
+      | 9   |
