--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -205,6 +205,23 @@
     505, "lease_taken", "info", "lease fencing", "This VM holds the lease."
 )
 LEASE_LOST = _define(506, "lease_lost", "warning", "lease fencing", "It holds no more.")
+CLAIM_RELEASED = _define(
+    507,
+    "claim_released",
+    "info",
+    "key",
+    "A claim that was given up before dispatch is free again.",
+)
+ROWS_SWEPT = _define(
+    508, "rows_swept", "debug", "prefix rows", "Rows past their retention were deleted."
+)
+GATHERER_SILENT = _define(
+    509,
+    "gatherer_silent",
+    "info",
+    "gatherer writes",
+    "A peer that gathers commits did not answer; this VM reads back and commits.",
+)
 
 # 6xx: jobs
 JOB_ACCEPTED = _define(
@@ -234,6 +251,22 @@
     "A branch did not pass the checks and was left as it was.",
 )
 
+SETTINGS_ACCEPTED = _define(
+    703,
+    "settings_accepted",
+    "info",
+    "branch version",
+    "An operator's change is committed.",
+)
+SETTINGS_REFUSED = _define(
+    704,
+    "settings_refused",
+    "info",
+    "branch reason",
+    "An operator's change was refused; nothing of it is stored, unless the "
+    "platform's answer stayed unknown.",
+)
+
 # 8xx: endpoints
 ENDPOINT_LEAVING = _define(
     801, "endpoint_leaving", "info", "endpoint source", "It gets no further grant."
--- a/src/pomelolane/exceptions.py
+++ b/src/pomelolane/exceptions.py
@@ -43,6 +43,34 @@
         self.allowed = allowed
 
 
+class InvalidTreeError(PomelolaneError):
+    """The settings tree is wrong in one or more places.
+
+    Attributes:
+        problems: Every problem found, in order of file and line.
+    """
+
+    def __init__(self, problems: tuple[DeclarationError, ...]) -> None:
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+class UnknownOperatorError(PomelolaneError):
+    """The operator's key is missing or belongs to no team."""
+
+
+class ForbiddenBranchError(PomelolaneError):
+    """The operator's key is known but does not open this branch.
+
+    Attributes:
+        branch: The branch.
+    """
+
+    def __init__(self, branch: str) -> None:
+        super().__init__(f"this operator's key does not open branch {branch}")
+        self.branch = branch
+
+
 class RegistryError(PomelolaneError):
     """A plug-in name is unknown or registered twice."""
 
