Add scenarios, arrivals, the bound, figures and the experiment tool

Cause: policies have to be compared on the same trace in one run, against what was possible at all.

Loads are shares of what the engines can do of a phase's own mixture. Adding up the works' capacities alone was tried first and offered about 20% too little, because checks need decoding and summaries need prefill, so that both together fill an engine better than either.

The bound relaxes engines into one and solves the rest exactly by a greedy on a polymatroid; a linear program would need a solver for the same figure. A bound that puts tiers first was tried by worths far apart and left out: fractions make its digits unreadable; the top tier's own bound is told instead.

An inversion is counted only where the refused request could still have made its deadline on the engine that the lower tier went to.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,273 @@
+"""``python -m bench``: one scenario over several policies in one run.
+
+Each policy gets a cluster of its own and the same trace; where the machine
+has the cores, all clusters run side by side.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import signal
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import uvloop
+from tqdm import tqdm
+
+from bench.arrivals import make_arrivals
+from bench.bound import Slowdown, most_useful_answers
+from bench.deployment import read_deployment
+from bench.engines import engine_speeds, scale_engines
+from bench.experiment import PolicyRun, run_policy, start_cluster
+from bench.measure import Meter, tier_of, tier_ranks
+from bench.plot import draw
+from bench.processes import BenchError
+from bench.report import (
+    Experiment,
+    cpu_line,
+    detail_lines,
+    plain_lines,
+    table,
+    total_line,
+    write_results,
+)
+from bench.scenario import read_scenario, read_workloads, scenario_names
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from bench.arrivals import Arrival
+    from bench.cluster import Cluster
+    from bench.deployment import Deployment
+    from bench.engines import EngineSpeed
+    from bench.scenario import Scenario, Workloads
+
+POLICIES = (
+    "pomelolane",
+    "single_queue",
+    "gateway_queues",
+    "least_reported",
+    "round_robin",
+)
+_SMOKE_SECONDS = 4.0
+_CORES_PER_POLICY = 1.5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Options:
+    """Checked command line.
+
+    Attributes:
+        scenarios: Names or paths.
+        policies: Policies to compare.
+        seed: Seed of the traces.
+        vms: VMs in each data centre.
+        out: Folder for results.
+        smoke: Whether a few seconds are enough.
+        side_by_side: Clusters that run at one time.
+    """
+
+    scenarios: list[str]
+    policies: list[str]
+    seed: int
+    vms: int
+    out: Path
+    smoke: bool
+    side_by_side: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Plan:
+    """A scenario, ready to run."""
+
+    scenario: Scenario
+    workloads: Workloads
+    deployment: Deployment
+    engines: list[EngineSpeed]
+    arrivals: list[Arrival]
+    prompts: list[str]
+
+
+def read_options(arguments: Sequence[str] | None = None) -> Options:
+    """Read the command line."""
+    parser = argparse.ArgumentParser("python -m bench", description=__doc__)
+    parser.add_argument(
+        "--scenario",
+        default="all",
+        help="comma-separated names or .toml files; all: "
+        + ", ".join(scenario_names()),
+    )
+    parser.add_argument("--policies", default=",".join(POLICIES))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--vms", type=int, default=2, help="VMs in each data centre")
+    parser.add_argument("--out", type=Path, default=Path("out"))
+    parser.add_argument("--smoke", action="store_true", help="a few seconds only")
+    parser.add_argument(
+        "--side-by-side", type=int, default=0, help="clusters at one time; 0: by cores"
+    )
+    given = parser.parse_args(arguments)
+    policies = [name for name in given.policies.split(",") if name]
+    scenarios = scenario_names()
+    if given.scenario != "all":
+        scenarios = given.scenario.split(",")
+    return Options(
+        scenarios=scenarios,
+        policies=policies,
+        seed=given.seed,
+        vms=given.vms,
+        out=given.out,
+        smoke=given.smoke,
+        side_by_side=given.side_by_side or _by_cores(len(policies)),
+    )
+
+
+async def run_scenario(name: str, options: Options) -> Experiment:
+    """Run one scenario over all policies and measure it."""
+    plan = _make_plan(name, options)
+    runs = await _run_policies(plan, options)
+    bound, top_bound = _bounds(plan)
+    meter = Meter(plan.deployment, plan.engines, bound, plan.scenario.fair_work)
+    return Experiment(
+        scenario=plan.scenario.name,
+        summary=plan.scenario.summary,
+        seed=options.seed,
+        seconds=plan.scenario.seconds,
+        requests=len(plan.arrivals),
+        bound=bound,
+        top_bound=top_bound,
+        policies=[meter.figures(run) for run in runs],
+    )
+
+
+def _by_cores(policies: int) -> int:
+    cores = len(os.sched_getaffinity(0))
+    return max(1, min(policies, int(cores / _CORES_PER_POLICY)))
+
+
+def _make_plan(name: str, options: Options) -> _Plan:
+    workloads = read_workloads()
+    scenario = read_scenario(name)
+    rounds = -(-len(options.policies) // options.side_by_side)
+    if options.smoke:
+        scenario = scenario.shortened(_SMOKE_SECONDS / scenario.seconds)
+    elif rounds > 1:
+        scenario = scenario.shortened(1.0 / rounds)
+    deployment = read_deployment(workloads.deployment)
+    scale_engines(deployment, workloads)
+    engines = engine_speeds(deployment, workloads.shapes[0].service)
+    arrivals = make_arrivals(scenario, workloads, engines, options.seed)
+    return _Plan(
+        scenario=scenario,
+        workloads=workloads,
+        deployment=deployment,
+        engines=engines,
+        arrivals=arrivals,
+        prompts=[arrival.prompt() for arrival in arrivals],
+    )
+
+
+async def _run_policies(plan: _Plan, options: Options) -> list[PolicyRun]:
+    runs: list[PolicyRun] = []
+    total = len(plan.arrivals) * len(options.policies)
+    with tqdm(total=total, desc=plan.scenario.name, unit="req", leave=False) as bar:
+        for first in range(0, len(options.policies), options.side_by_side):
+            policies = options.policies[first : first + options.side_by_side]
+            runs += await _run_side_by_side(plan, policies, options.vms, bar)
+    return runs
+
+
+async def _run_side_by_side(
+    plan: _Plan, policies: Sequence[str], vms: int, bar: tqdm
+) -> list[PolicyRun]:
+    clusters: list[Cluster] = []
+    starting = [
+        asyncio.create_task(start_cluster(policy, plan.workloads, vms))
+        for policy in policies
+    ]
+    try:
+        clusters = await asyncio.gather(*starting)
+        return await asyncio.gather(
+            *(
+                run_policy(
+                    cluster,
+                    policy,
+                    plan.scenario,
+                    plan.arrivals,
+                    plan.prompts,
+                    bar.update,
+                )
+                for cluster, policy in zip(clusters, policies, strict=True)
+            )
+        )
+    finally:
+        started = await asyncio.gather(*starting, return_exceptions=True)
+        for cluster in started:
+            if not isinstance(cluster, BaseException):
+                await cluster.stop()
+
+
+def _bounds(plan: _Plan) -> tuple[float, float]:
+    """Return the bounds of useful answers, of all and of the top tier alone."""
+    slowdowns = [
+        Slowdown(fault.at_s, fault.endpoint, fault.control["slowdown"])
+        for fault in plan.scenario.faults
+        if "slowdown" in fault.control
+    ]
+    top = next(iter(tier_ranks(plan.deployment)))
+    top_arrivals = [
+        arrival for arrival in plan.arrivals if tier_of(plan.deployment, arrival) == top
+    ]
+    bound = most_useful_answers(plan.arrivals, plan.engines, slowdowns)
+    top_bound = most_useful_answers(top_arrivals, plan.engines, slowdowns)
+    return bound / max(1, len(plan.arrivals)), top_bound / max(1, len(top_arrivals))
+
+
+def _print_results(experiment: Experiment, options: Options) -> None:
+    paths = write_results(experiment, options.out)
+    paths.append(draw(experiment, options.out))
+    print(table(experiment))
+    for line in detail_lines(experiment):
+        print(line)
+    print(cpu_line(experiment))
+    print("written: " + " ".join(str(path) for path in paths))
+
+
+async def _main(options: Options) -> list[Experiment]:
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    experiments = []
+    for name in options.scenarios:
+        started = time.monotonic()
+        experiment = await run_scenario(name, options)
+        experiments.append(experiment)
+        _print_results(experiment, options)
+        print(f"took {time.monotonic() - started:.0f} s", flush=True)
+    return experiments
+
+
+def main() -> int:
+    """Run the command line's scenarios; plain lines come last."""
+    options = read_options()
+    try:
+        experiments = uvloop.run(_main(options))
+    except BenchError as error:
+        print(f"bench: {error}", file=sys.stderr)
+        return 1
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        print("bench: interrupted", file=sys.stderr)
+        return 130
+    print(total_line(experiments))
+    for experiment in experiments:
+        for line in plain_lines(experiment):
+            print(line)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/caller.py
+++ b/bench/caller.py
@@ -39,12 +39,13 @@
         outcome: Typed outcome of an error, empty on success.
         reason: Typed reason of an error, empty on success.
         retry_after_ms: When to come back, 0 where not said.
-        sent_at_ms: When the call was sent, on the monotonic clock.
+        sent_at_ms: Unix time at which the call was sent.
         ttft_ms: Time until the first token, -1 where none came.
         gaps_ms: Times between tokens.
         total_ms: Time until the end.
         text: The answer's text or body.
         whole: Whether the answer is whole and the caller's own.
+        tag: Marks every token of the right answer.
         error: What broke at the caller's side, empty if nothing did.
         location: Where a job's state can be read.
         headers: Headers of the answer, names in lower case.
@@ -61,6 +62,7 @@
     total_ms: float = 0.0
     text: str = ""
     whole: bool = False
+    tag: str = ""
     error: str = ""
     location: str = ""
     headers: dict[str, str] = field(default_factory=dict)
@@ -101,6 +103,7 @@
         work: str = "",
         prompt: str = "",
         output_tokens: int = 16,
+        max_tokens: int = 0,
         stream: bool = True,
         deadline_ms: int = 0,
         idempotency_key: str = "",
@@ -115,7 +118,8 @@
             service: Service name, sent as the model.
             work: Kind of work, empty for the service's default.
             prompt: The user's message.
-            output_tokens: Length of the answer asked for.
+            output_tokens: Length that the answer will have.
+            max_tokens: Bound that the caller states, 0 for just that length.
             stream: Whether tokens are streamed.
             deadline_ms: Deadline to send, 0 for the work's own.
             idempotency_key: Key to send, empty for none.
@@ -126,7 +130,7 @@
             "model": service,
             "messages": [{"role": "user", "content": prompt}],
             "stream": stream and not respond_async,
-            "max_tokens": output_tokens,
+            "max_tokens": max_tokens or output_tokens,
             "x_output_tokens": output_tokens,
         }
         headers = _headers(key, work, deadline_ms, idempotency_key, respond_async)
@@ -138,6 +142,7 @@
             msgspec.json.encode(body),
             timeout_ms or _patience_ms(deadline_ms),
         )
+        record.tag = answer_tag(prompt)
         if record.status == 200:
             record.whole = record.text == expected_text(prompt, output_tokens)
         return record
@@ -179,10 +184,10 @@
     ) -> CallRecord:
         """Wait for a job that :meth:`send` handed in and read its answer."""
         headers = {"Authorization": f"Bearer {key}"}
-        started = time.monotonic()
+        give_up_at_ms = _now_ms() + timeout_ms
         record = CallRecord(accepted.request_id, location=accepted.location)
         record.sent_at_ms = accepted.sent_at_ms
-        while (time.monotonic() - started) * 1000.0 < timeout_ms:
+        while _now_ms() < give_up_at_ms:
             state = await self.job_state(url, key, accepted.location)
             if state in _JOB_ENDED:
                 break
@@ -198,7 +203,8 @@
         )
         answer.location = accepted.location
         answer.sent_at_ms = accepted.sent_at_ms
-        answer.total_ms = time.monotonic() * 1000.0 - accepted.sent_at_ms
+        answer.total_ms = _unix_ms() - accepted.sent_at_ms
+        answer.tag = answer_tag(prompt)
         answer.whole = answer.text == expected_text(prompt, output_tokens)
         return answer
 
@@ -222,19 +228,20 @@
         body: bytes,
         timeout_ms: float,
     ) -> CallRecord:
-        record = CallRecord(sent_at_ms=time.monotonic() * 1000.0)
+        record = CallRecord(sent_at_ms=_unix_ms())
+        started_ms = _now_ms()
         timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000.0)
         try:
             request = self._session.request(
                 method, url, headers=headers, data=body, timeout=timeout
             )
             async with request as response:
-                await _read_answer(response, record)
+                await _read_answer(response, record, started_ms)
         except TimeoutError:
             record.error = "timeout"
         except aiohttp.ClientError as error:
             record.error = f"{type(error).__name__}: {error}"
-        record.total_ms = time.monotonic() * 1000.0 - record.sent_at_ms
+        record.total_ms = _now_ms() - started_ms
         return record
 
 
@@ -244,9 +251,14 @@
         return await caller.send(url, key, **call)
 
 
+def answer_tag(prompt: str) -> str:
+    """Return the mark of all tokens that answer a prompt."""
+    return xxh3_64_hexdigest(prompt.encode())[:_TAG_LENGTH]
+
+
 def expected_text(prompt: str, output_tokens: int) -> str:
     """Return the answer that the stand-in of an engine gives to a prompt."""
-    tag = xxh3_64_hexdigest(prompt.encode())[:_TAG_LENGTH]
+    tag = answer_tag(prompt)
     return "".join(f"{tag}-{number} " for number in range(output_tokens))
 
 
@@ -269,35 +281,47 @@
     return deadline_ms + _GRACE_MS if deadline_ms else _DEFAULT_TIMEOUT_MS
 
 
-async def _read_answer(response: aiohttp.ClientResponse, record: CallRecord) -> None:
+def _now_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
+def _unix_ms() -> float:
+    return time.time() * 1000.0
+
+
+async def _read_answer(
+    response: aiohttp.ClientResponse, record: CallRecord, started_ms: float
+) -> None:
     record.status = response.status
     record.headers = {name.lower(): value for name, value in response.headers.items()}
     record.request_id = record.headers.get("x-request-id", "")
     record.location = record.headers.get("location", "")
     if response.content_type == "text/event-stream":
-        await _read_stream(response, record)
+        await _read_stream(response, record, started_ms)
         return
     data = await response.read()
     if response.status < 300:
         record.text = _answer_text(data)
-        record.ttft_ms = time.monotonic() * 1000.0 - record.sent_at_ms
+        record.ttft_ms = _now_ms() - started_ms
         return
     _read_problem(data, record)
 
 
-async def _read_stream(response: aiohttp.ClientResponse, record: CallRecord) -> None:
+async def _read_stream(
+    response: aiohttp.ClientResponse, record: CallRecord, started_ms: float
+) -> None:
     """Collect raw chunks with their times; parse once the stream has ended."""
     parts: list[bytes] = []
-    last_ms = record.sent_at_ms
+    last_ms = started_ms
     try:
         async for data in response.content.iter_any():
-            now_ms = time.monotonic() * 1000.0
+            now_ms = _now_ms()
             events = data.count(_EVENT_END)
             parts.append(data)
             if not events:
                 continue
             if record.ttft_ms < 0:
-                record.ttft_ms = now_ms - record.sent_at_ms
+                record.ttft_ms = now_ms - started_ms
             else:
                 record.gaps_ms.append(now_ms - last_ms)
             record.gaps_ms.extend([0.0] * (events - 1))
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -35,7 +35,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-_KEEP_LOGS_VARIABLE = "POMELOLANE_KEEP_LOGS"
+_KEEP_LOGS_VARIABLE = "BENCH_KEEP_LOGS"
+_PRODUCT_VARIABLES = "POMELOLANE_"
 _SERVE = (sys.executable, "-m", "pomelolane", "serve")
 _READY_LINE = "ready"
 _DEFAULT_SERVICE_MS = 20
@@ -363,7 +364,11 @@
 
 
 def _environment() -> dict[str, str]:
-    environment = dict(os.environ)
+    environment = {
+        name: value
+        for name, value in os.environ.items()
+        if not name.startswith(_PRODUCT_VARIABLES)
+    }
     paths = [str(ROOT / "src"), str(ROOT)]
     if environment.get("PYTHONPATH"):
         paths.append(environment["PYTHONPATH"])
--- /dev/null
+++ b/bench/inversions.py
@@ -0,0 +1,88 @@
+"""Tier inversions, as the callers and the engines saw them.
+
+A refusal of a higher tier is an inversion when a request of a lower tier was
+dispatched afterwards, to an engine on which the refused one could still have
+made its deadline.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator, Mapping, Sequence
+
+    from bench.arrivals import Arrival
+    from bench.engines import EngineSpeed
+    from bench.experiment import Call
+
+OVERLOAD_REASONS = frozenset(
+    {"queue_full", "displaced", "deadline_unreachable", "deadline_passed"}
+)
+_EXPIRED = "deadline_passed"
+_IN_FLIGHT_MS = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Dispatch:
+    rank: int
+    service: str
+    endpoint_id: str
+    at_ms: float
+
+
+def count_inversions(
+    calls: Sequence[Call],
+    dispatches: Mapping[int, Sequence[tuple[str, float]]],
+    rank_of: Callable[[Arrival], int],
+    engines: Sequence[EngineSpeed],
+) -> int:
+    """Count the refusals that were tier inversions.
+
+    Args:
+        calls: All calls of the run.
+        dispatches: Endpoint and Unix time of each dispatch, by arrival.
+        rank_of: Rank of an arrival's tier; 0 is the highest.
+        engines: Speeds, for what the refused request would have needed.
+    """
+    sent = list(_all_dispatches(calls, dispatches, rank_of))
+    speeds = {engine.endpoint_id: engine for engine in engines}
+    refused = [call for call in calls if _is_overload_refusal(call)]
+    return sum(
+        1
+        for call in refused
+        if any(_inverts(item, call, rank_of(call.arrival), speeds) for item in sent)
+    )
+
+
+def _all_dispatches(
+    calls: Sequence[Call],
+    dispatches: Mapping[int, Sequence[tuple[str, float]]],
+    rank_of: Callable[[Arrival], int],
+) -> Iterator[_Dispatch]:
+    for call in calls:
+        for endpoint_id, at_ms in dispatches.get(call.arrival.number, ()):
+            rank = rank_of(call.arrival)
+            yield _Dispatch(rank, call.arrival.service, endpoint_id, at_ms)
+
+
+def _is_overload_refusal(call: Call) -> bool:
+    record = call.record
+    return record.outcome == "not_run" and record.reason in OVERLOAD_REASONS
+
+
+def _inverts(
+    item: _Dispatch, refused: Call, rank: int, speeds: Mapping[str, EngineSpeed]
+) -> bool:
+    if item.rank <= rank or item.service != refused.arrival.service:
+        return False
+    record, arrival = refused.record, refused.arrival
+    # A request that expired in the queue was passed over while it waited.
+    waited = record.reason == _EXPIRED
+    from_ms = record.sent_at_ms + (0.0 if waited else record.total_ms) + _IN_FLIGHT_MS
+    alone_s = speeds[item.endpoint_id].alone_s(
+        arrival.prompt_tokens, arrival.answer_tokens
+    )
+    until_ms = record.sent_at_ms + arrival.deadline_ms - alone_s * 1000.0
+    return from_ms < item.at_ms <= until_ms
--- a/tests/steps/bench_steps.py
+++ b/tests/steps/bench_steps.py
@@ -11,15 +11,22 @@
 from aiohttp import web
 from behave import given, then, when
 
-from bench.caller import expected_text, send
+from bench.arrivals import BYTES_PER_TOKEN, Arrival, make_arrivals, phase_rates
+from bench.bound import Slowdown, most_useful_answers
+from bench.caller import CallRecord, expected_text, send
 from bench.deployment import (
     ROOT,
     Deployment,
     organisation_key,
     read_deployment,
 )
+from bench.engines import EngineSpeed, engine_speeds, scale_engines
+from bench.experiment import Call
+from bench.inversions import count_inversions
 from bench.ports import PortBlock
 from bench.processes import BenchError, ManagedProcess, wait_until
+from bench.scenario import read_scenario, read_workloads
+from bench.shares import fair_tokens
 
 PROMPT = "species code for gulf shrimp?"
 LAUNCHER = """
@@ -269,3 +276,193 @@
     except BenchError:
         return
     raise AssertionError("an unknown deployment was read")
+
+
+def _arrival(number, at_s, prompt_tokens, answer_tokens, deadline_ms):
+    return Arrival(
+        number=number,
+        at_s=at_s,
+        service="s",
+        work="w",
+        organisation="o",
+        prompt_tokens=prompt_tokens,
+        answer_tokens=answer_tokens,
+        most_tokens=answer_tokens,
+        deadline_ms=deadline_ms,
+        family=-1,
+        prefix_tokens=0,
+        gateway=0,
+        seed=number,
+    )
+
+
+@given(
+    "a bench engine with {slots:d} slot, {prefill:d} prompt tokens/s and "
+    "{decode:d} answer tokens/s"
+)
+def step_engine(context, slots, prefill, decode):
+    context.engines = [EngineSpeed("e", slots, prefill, decode)]
+    context.arrivals = []
+    context.slowdowns = []
+
+
+@given(
+    "{count:d} bench requests of {prompt:d} prompt and {answer:d} answer tokens "
+    "at {at_s:d} s within {deadline_ms:d} ms"
+)
+def step_requests(context, count, prompt, answer, at_s, deadline_ms):
+    for _ in range(count):
+        number = len(context.arrivals)
+        arrival = _arrival(number, at_s, prompt, answer, deadline_ms)
+        context.arrivals.append(arrival)
+
+
+@given("the bench engine is {factor:d} times slower from {at_s:d} s on")
+def step_slower(context, factor, at_s):
+    context.slowdowns = [Slowdown(at_s, "e", factor)]
+
+
+@then("the bench bound is between {low:g} and {high:g}")
+def step_bound(context, low, high):
+    bound = most_useful_answers(context.arrivals, context.engines, context.slowdowns)
+    assert low - 1e-6 <= bound <= high + 1e-6, bound
+
+
+def _add_call(context, rank, record):
+    if not hasattr(context, "calls"):
+        context.calls, context.ranks, context.dispatches = [], {}, {}
+    number = len(context.calls)
+    context.ranks[number] = rank
+    arrival = _arrival(number, 0.0, 100, 5, 4000)
+    context.calls.append(Call(arrival, record, 0.0))
+    return number
+
+
+@given(
+    'a bench request of rank {rank:d} that is refused for "{reason}" after {ms:d} ms'
+)
+def step_refused_call(context, rank, reason, ms):
+    record = CallRecord(outcome="not_run", reason=reason, total_ms=ms)
+    _add_call(context, rank, record)
+
+
+@given("a bench request of rank {rank:d} that is dispatched after {ms:d} ms")
+def step_dispatched_call(context, rank, ms):
+    number = _add_call(context, rank, CallRecord(status=200, whole=True))
+    context.dispatches[number] = [("e", float(ms))]
+
+
+@then("the bench counts {expected:d} inversions")
+def step_inversions(context, expected):
+    engines = [EngineSpeed("e", 4, 1000.0, 10.0)]
+    found = count_inversions(
+        context.calls,
+        context.dispatches,
+        lambda arrival: context.ranks[arrival.number],
+        engines,
+    )
+    assert found == expected, found
+
+
+@given('bench teams "{one}" of weight {a:d} and "{other}" of weight {b:d}')
+def step_teams(context, one, a, other, b):
+    branches = {one: {"team": {"weight": a}}, other: {"team": {"weight": b}}}
+    context.deployment = Deployment("shares", branches)
+
+
+@given(
+    'bench organisations "{one}" of weight {a:d} and "{other}" of weight {b:d} '
+    'in "{team}"'
+)
+def step_organisations(context, one, a, other, b, team):
+    context.deployment.branches[team]["organisations"] = [
+        {"name": one, "weight": a},
+        {"name": other, "weight": b},
+    ]
+
+
+@when(
+    '{total:d} tokens are divided among demands of {demand:d} but {less:d} from "{n}"'
+)
+def step_divide(context, total, demand, less, n):
+    offered = dict.fromkeys(context.deployment.organisations(), float(demand))
+    offered[n] = float(less)
+    context.fair = fair_tokens(context.deployment, offered, float(total))
+
+
+@then('the fair tokens are "{a}" {x:d}, "{b}" {y:d}, "{c}" {z:d} and "{d}" {v:d}')
+def step_fair(context, a, x, b, y, c, z, d, v):
+    assert context.fair == {a: x, b: y, c: z, d: v}, context.fair
+
+
+@given('the bench scenario "{name}"')
+def step_scenario(context, name):
+    context.experiment = read_scenario(name)
+    context.workloads = read_workloads()
+    deployment = read_deployment(context.workloads.deployment)
+    scale_engines(deployment, context.workloads)
+    service = context.workloads.shapes[0].service
+    context.engines = engine_speeds(deployment, service)
+
+
+def _trace(context, seed):
+    return make_arrivals(context.experiment, context.workloads, context.engines, seed)
+
+
+@when("its trace is drawn twice with seed {seed:d}")
+def step_trace_twice(context, seed):
+    context.traces = [_trace(context, seed), _trace(context, seed)]
+
+
+@when("its trace is drawn with seeds {one:d} and {other:d}")
+def step_traces(context, one, other):
+    context.traces = [_trace(context, one), _trace(context, other)]
+
+
+@then("both bench traces are equal and ordered by time")
+def step_traces_equal(context):
+    one, other = context.traces
+    assert one == other
+    times = [arrival.at_s for arrival in one]
+    assert times == sorted(times)
+
+
+@then("the bench traces differ")
+def step_traces_differ(context):
+    one, other = context.traces
+    assert one != other
+
+
+@then("the offered load is near the planned one")
+def step_offered(context):
+    start_s, planned = 0.0, 0.0
+    for phase in context.experiment.phases:
+        rates = phase_rates(
+            phase, context.experiment, context.workloads, context.engines
+        )
+        planned += sum(rates.values()) * (phase.until_s - start_s)
+        start_s = phase.until_s
+    spread = 5 * planned**0.5
+    assert abs(len(context.traces[0]) - planned) < spread
+
+
+@then("prompts of one bench family begin alike and end differently")
+def step_families(context):
+    shared = [item for item in context.traces[0] if item.family == 0]
+    assert len(shared) > 1
+    one, other = (item.prompt() for item in shared[:2])
+    size = shared[0].prefix_tokens * BYTES_PER_TOKEN
+    assert one[:size] == other[:size]
+    assert one[size:] != other[size:]
+    assert len(one) == shared[0].prompt_tokens * BYTES_PER_TOKEN
+
+
+@then('reading the bench scenario "{name}" fails and names "{known}"')
+def step_no_scenario(context, name, known):
+    del context
+    try:
+        read_scenario(name)
+    except BenchError as error:
+        assert known in str(error)
+        return
+    raise AssertionError("an unknown scenario was read")
