--- a/bench/links.py
+++ b/bench/links.py
@@ -6,10 +6,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from bench.processes import BenchError
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from bench.controls import ControlClient
 
 PLATFORM = "platform"
@@ -60,22 +65,24 @@
 
     async def set_between(self, one: str, other: str, **settings: object) -> None:
         """Set mode or delay of all links between two places."""
-        if not any(link.joins(one, other) for link in self.links.values()):
-            raise ValueError(f"no proxied link joins {one} and {other}")
-        for link in self.links.values():
-            if link.joins(one, other):
-                await self.set_link(link.name, **settings)
+        names = [link.name for link in self.links.values() if link.joins(one, other)]
+        if not names:
+            raise BenchError(f"no proxied link joins {one} and {other}")
+        await self._set_links(names, **settings)
 
     async def set_link(self, name: str, **settings: object) -> None:
         """Set mode or delay of one link."""
         if self._proxy is None:
-            raise ValueError("this cluster was started without faults")
+            raise BenchError("this cluster was started without faults")
         await self._proxy.post(f"/links/{name}", settings)
 
     async def heal(self) -> None:
         """Let all links pass without delay again."""
-        for name in self.links:
-            await self.set_link(name, mode="pass", delay_ms=0)
+        await self._set_links(self.links, mode="pass", delay_ms=0)
+
+    async def _set_links(self, names: Iterable[str], **settings: object) -> None:
+        """Set many links at one time, as a cut would hit them."""
+        await asyncio.gather(*(self.set_link(name, **settings) for name in names))
 
     async def _open(
         self, name: str, source: str, target: str, real_address: str
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -17,13 +17,15 @@
 from bench.shares import largest_share_error
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from bench.arrivals import Arrival
     from bench.deployment import Deployment
     from bench.engines import EngineSpeed
     from bench.experiment import Call, PolicyRun
 
+    EngineRuns = Mapping[str, Sequence[dict[str, Any]]]
+
 _HIGHEST_MS = 600_000
 _DIGITS = 3
 
@@ -138,18 +140,20 @@
             tiers=[self._tier(name, run) for name in self._ranks],
             goodput_all=goodput,
             of_bound=goodput / max(1e-9, self._bound),
-            wasted_prefill=_wasted_share(run),
+            wasted_prefill=wasted_share(
+                run.runs, run.prefilled_tokens, _useful_tags(run)
+            ),
             repeated_prefix=_repeated_prefix_share(run),
             inversions=count_inversions(
                 run.calls, dispatches, self._rank_of, self._engines
             ),
             share_error=self._share_error(run),
-            ttft=_quantiles([call.record.ttft_ms for call in whole]),
-            gap=_quantiles([gap for call in whole for gap in call.record.gaps_ms]),
+            ttft=quantiles([call.record.ttft_ms for call in whole]),
+            gap=quantiles([gap for call in whole for gap in call.record.gaps_ms]),
             foreign=sum(1 for call in run.calls if _is_foreign(call)),
             busiest=busiest,
             busiest_share=run.cpu.get(busiest, 0.0),
-            caller_lag_ms=_quantiles([call.lag_ms for call in run.calls]).p95_ms,
+            caller_lag_ms=quantiles([call.lag_ms for call in run.calls]).p95_ms,
         )
 
     def _rank_of(self, arrival: Arrival) -> int:
@@ -169,8 +173,8 @@
             goodput=useful / len(calls) if calls else 1.0,
             refused=dict(Counter(_refusal(call) for call in calls if _refusal(call))),
             errors=dict(Counter(_error(call) for call in calls if _error(call))),
-            ttft=_quantiles([record.ttft_ms for record in whole]),
-            gap=_quantiles([gap for record in whole for gap in record.gaps_ms]),
+            ttft=quantiles([record.ttft_ms for record in whole]),
+            gap=quantiles([gap for record in whole for gap in record.gaps_ms]),
         )
 
     def _share_error(self, run: PolicyRun) -> float:
@@ -211,33 +215,43 @@
     return found
 
 
-def _runs_by_tag(run: PolicyRun) -> dict[str, list[dict[str, Any]]]:
-    found: dict[str, list[dict[str, Any]]] = defaultdict(list)
-    for runs in run.runs.values():
-        for item in runs:
-            found[item["tag"]].append(item)
-    return found
-
+def wasted_share(
+    runs: EngineRuns, prefilled_tokens: int, useful_tags: Iterable[str]
+) -> float:
+    """Return what was prefilled beyond one prefill for each useful answer.
 
-def _wasted_share(run: PolicyRun) -> float:
-    """Return what was prefilled beyond one prefill for each useful answer."""
-    if not run.prefilled_tokens:
+    Args:
+        runs: What the engines received, by endpoint.
+        prefilled_tokens: Prompt tokens that they computed.
+        useful_tags: Tags of the useful answers.
+    """
+    if not prefilled_tokens:
         return 0.0
-    by_tag = _runs_by_tag(run)
+    by_tag = _runs_by_tag(runs)
     useful_tokens = 0
-    for call in run.calls:
-        runs = by_tag.get(call.record.tag)
-        if not runs or not is_useful(call):
-            continue
-        best = max(runs, key=lambda item: item["generated"])
-        useful_tokens += best["prompt_tokens"] - best["cached_tokens"]
-    return max(0.0, 1.0 - useful_tokens / run.prefilled_tokens)
+    for tag in useful_tags:
+        if by_tag.get(tag):
+            best = max(by_tag[tag], key=lambda item: item["generated"])
+            useful_tokens += best["prompt_tokens"] - best["cached_tokens"]
+    return max(0.0, 1.0 - useful_tokens / prefilled_tokens)
+
+
+def _useful_tags(run: PolicyRun) -> list[str]:
+    return [call.record.tag for call in run.calls if is_useful(call)]
+
+
+def _runs_by_tag(runs: EngineRuns) -> dict[str, list[dict[str, Any]]]:
+    found: dict[str, list[dict[str, Any]]] = defaultdict(list)
+    for received in runs.values():
+        for item in received:
+            found[item["tag"]].append(item)
+    return found
 
 
 def _repeated_prefix_share(run: PolicyRun) -> float:
     if not run.prefilled_tokens:
         return 0.0
-    by_tag = _runs_by_tag(run)
+    by_tag = _runs_by_tag(run.runs)
     computed: Counter[int] = Counter()
     needed: dict[int, int] = {}
     for call in run.calls:
@@ -270,7 +284,8 @@
     return any(not word.startswith(tag) for word in words)
 
 
-def _quantiles(values_ms: Sequence[float]) -> Quantiles:
+def quantiles(values_ms: Sequence[float]) -> Quantiles:
+    """Return median and 95th percentile."""
     if not values_ms:
         return Quantiles()
     histogram = HdrHistogram(1, _HIGHEST_MS * 1000, _DIGITS)
