--- a/src/pomelolane/gateway/__init__.py
+++ b/src/pomelolane/gateway/__init__.py
@@ -8,6 +8,7 @@
 from pomelolane.gateway.dispatch import Dispatcher, RequestState
 from pomelolane.gateway.ending import Delivered
 from pomelolane.gateway.holders import HolderQueries
+from pomelolane.gateway.jobwork import JobWork
 from pomelolane.gateway.keyed import KeyedCalls
 from pomelolane.gateway.retries import RetryBudget
 
@@ -18,6 +19,7 @@
     "GatewayLimits",
     "HolderQueries",
     "JobCalls",
+    "JobWork",
     "KeyedCalls",
     "RequestState",
     "RetryBudget",
--- a/src/pomelolane/gateway/app.py
+++ b/src/pomelolane/gateway/app.py
@@ -24,7 +24,7 @@
 from pomelolane.gateway.problem import (
     encode_problem,
     problem_from_refusal,
-    problem_headers,
+    problem_response,
     refusal_from_bad_request,
 )
 from pomelolane.gateway.sinks import CallerSink
@@ -279,13 +279,5 @@
     return Response(status, headers or [], content)
 
 
-def problem_response(refusal: Refusal, request_id: str = "") -> Response:
-    """Return the problem-details answer to a refusal."""
-    problem = problem_from_refusal(refusal, request_id)
-    headers = [pair for pair in problem_headers(problem) if pair[0] != b"content-type"]
-    content = Content(b"application/problem+json", encode_problem(problem))
-    return Response(problem.status, headers, content)
-
-
 def _new_id() -> str:
     return uuid.uuid4().hex
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -44,6 +44,8 @@
         stream_id: The engine's stream of the last attempt.
         finished: Whether it has ended.
         outcome: Empty while open or on success, else the outcome.
+        outlives_cancel: Whether the engine's stream is left running when this
+            VM gives the request up, because a successor may resume it.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "excluded",
         "finished",
         "outcome",
+        "outlives_cancel",
         "stream_id",
     )
 
@@ -70,6 +73,7 @@
         self.stream_id = ""
         self.finished = False
         self.outcome = ""
+        self.outlives_cancel = False
 
     def attempt_id(self) -> str:
         """Return the id of the current attempt, also its stream id."""
@@ -226,7 +230,8 @@
             self._cancel_upstream(adapter, endpoint, state.stream_id)
             return self._late(state)
         except asyncio.CancelledError:
-            self._cancel_upstream(adapter, endpoint, state.stream_id)
+            if not state.outlives_cancel:
+                self._cancel_upstream(adapter, endpoint, state.stream_id)
             raise
         if not result.whole:
             return self._broken(state, endpoint, watch, "the answer ended early")
--- a/src/pomelolane/gateway/keyed.py
+++ b/src/pomelolane/gateway/keyed.py
@@ -9,8 +9,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from pomelolane import events
 from pomelolane.exceptions import (
     EndpointError,
@@ -22,6 +20,7 @@
 from pomelolane.gateway.sinks import KeptAnswer
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.platform import claim_key, reserved_job
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -47,12 +46,6 @@
 RELEASED = "released"
 
 
-def key_from_call(call: Call) -> str:
-    """Return the claim key: organisation and idempotency key, hashed."""
-    text = f"{call.organisation.name}\0{call.key}"
-    return xxhash.xxh3_128_hexdigest(text.encode())
-
-
 class KeyedCalls:
     """Serves calls that carry an idempotency key.
 
@@ -95,7 +88,7 @@
             sink: Takes a live answer.
             replay: Awaited with a kept answer's object.
         """
-        key = key_from_call(call)
+        key = claim_key(call.organisation.name, call.key)
         timeout_ms = min(call.deadline_ms, CLAIM_TIMEOUT_MS)
         record = await self._claims.claim(key, call.digest, timeout_ms=timeout_ms)
         if isinstance(record, Refusal):
@@ -108,6 +101,12 @@
                 Reason.KEY_REUSED,
                 detail="the key was used for another request; this one did not run",
             )
+        if reserved_job(record):
+            return Refusal(
+                Outcome.NOT_RUN,
+                Reason.CLAIM_HELD,
+                detail=f"the key belongs to job {reserved_job(record)}",
+            )
         return await self._attach(call, record, sink, replay)
 
     async def _serve_held(
--- /dev/null
+++ b/src/pomelolane/node.py
@@ -0,0 +1,122 @@
+"""One VM's parts, put together: gateway, scheduler role, member, job runner.
+
+All of them run on one loop on one thread.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+from blacksheep import Application
+
+from pomelolane import events
+from pomelolane.gateway import make_asgi
+from pomelolane.gateway.listener import Listener
+from pomelolane.logs import log_event
+
+if TYPE_CHECKING:
+    from pomelolane.parts import Parts
+    from pomelolane.settings.options import ServeOptions
+
+DRAIN_GRACE_S = 1.5
+"""How long a draining VM still takes callers that the balancer sends."""
+
+FLUSH_TIMEOUT_MS = 10_000
+
+
+class Node:
+    """A running VM.
+
+    Args:
+        options: Checked settings.
+        parts: From :func:`~pomelolane.parts.make_parts`.
+    """
+
+    def __init__(self, options: ServeOptions, parts: Parts) -> None:
+        self._options = options
+        self._parts = parts
+        self._app = Application()
+        self._listener = Listener(make_asgi(self._app), options.header_timeout_ms)
+        self._stopping = asyncio.Event()
+        self._became_ready = False
+        parts.tree.on_change(lambda tree: self._note_ready())
+
+    async def start(self) -> None:
+        """Listen, join the others and look for the settings."""
+        parts = self._parts
+        sock = _listening_socket(self._options.host, self._options.port)
+        await parts.member.start()
+        parts.mount(self._app, self.stop_soon)
+        await self._app.start()
+        await parts.coordination.start()
+        await parts.start_background()
+        await self._listener.start(sock)
+        host, port = sock.getsockname()[:2]
+        log_event(
+            events.VM_STARTED,
+            vm=self._options.vm_id,
+            data_centre=self._options.data_centre,
+            incarnation=parts.incarnation,
+            address=f"{host}:{port}",
+            version=parts.version,
+        )
+
+    def stop_soon(self) -> None:
+        """Begin the planned stop; called by a signal or an operator."""
+        self._stopping.set()
+
+    async def run_until_stopped(self) -> None:
+        """Serve until :meth:`stop_soon`, then stop gracefully."""
+        await self._stopping.wait()
+        await self._drain()
+        await self._stop()
+
+    async def _drain(self) -> None:
+        """Hand over the roles and finish every accepted request."""
+        parts = self._parts
+        log_event(
+            events.VM_DRAINING,
+            vm=self._options.vm_id,
+            open_requests=len(parts.dispatcher.open_requests),
+        )
+        parts.gateway.draining = True
+        parts.member.set_draining()
+        await asyncio.sleep(DRAIN_GRACE_S)
+        timeout_s = self._options.drain_timeout_ms / 1000
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._listener.stop()
+                await parts.finish_background()
+                await parts.coordination.handover()
+        except TimeoutError:
+            log_event(
+                events.TASK_FAILED,
+                task="drain",
+                error=f"not finished within {timeout_s:.0f} s",
+            )
+
+    async def _stop(self) -> None:
+        parts = self._parts
+        await parts.coordination.stop()
+        await parts.stop_background()
+        await parts.member.stop()
+        await parts.platform.aclose()
+        log_event(events.VM_STOPPED, vm=self._options.vm_id)
+
+    def _note_ready(self) -> None:
+        if self._became_ready or not self._parts.tree.ready:
+            return
+        self._became_ready = True
+        self._parts.member.set_ready()
+        branches = ",".join(sorted(self._parts.tree.value.versions))
+        log_event(events.VM_READY, vm=self._options.vm_id, branches=branches)
+
+
+def _listening_socket(host: str, port: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.setblocking(False)
+    return sock
