--- a/bench/core_trial.py
+++ b/bench/core_trial.py
@@ -61,6 +61,8 @@
     refused: dict[int, int] = field(default_factory=dict)
     late: dict[int, int] = field(default_factory=dict)
     tokens: dict[str, float] = field(default_factory=dict)
+    asked_by: dict[str, int] = field(default_factory=dict)
+    good_by: dict[str, int] = field(default_factory=dict)
     ttft_ms: dict[int, list[float]] = field(default_factory=dict)
     prefilled: float = 0.0
     discarded: float = 0.0
@@ -151,6 +153,8 @@
     def _arrive(self, arrival: Arrival) -> None:
         rank = arrival.handle.tier_rank
         self._result.asked[rank] = self._result.asked.get(rank, 0) + 1
+        name = arrival.handle.organisation
+        self._result.asked_by[name] = self._result.asked_by.get(name, 0) + 1
         self._pending[arrival.handle.request_id] = arrival
         core = self._core(arrival)
         self._take(core.submit(arrival.handle, arrival.at_ms), arrival.at_ms)
@@ -266,6 +270,7 @@
             tokens = handle.prefill_tokens + stream.output_tokens
             name = handle.organisation
             result.tokens[name] = result.tokens.get(name, 0.0) + tokens
+            result.good_by[name] = result.good_by.get(name, 0) + 1
         else:
             result.late[rank] = result.late.get(rank, 0) + 1
             result.discarded += stream.prefilled
@@ -329,6 +334,7 @@
     total = sum(sum(result.tokens.values()) for result in results)
     parts = (
         f"{name}:{sum(r.tokens.get(name, 0.0) for r in results) / total:.3f}"
+        f":{sum(r.good_by.get(name, 0) / r.asked_by[name] for r in results):.2f}"
         for name in names
     )
     return " shares=" + ",".join(parts)
--- a/src/pomelolane/scheduler/admission.py
+++ b/src/pomelolane/scheduler/admission.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.scheduler.estimate import needed_ms
 
 if TYPE_CHECKING:
     from pomelolane.scheduler.affinity import PrefixIndex
@@ -104,8 +105,13 @@
         """Return until when a request can begin and still be in time."""
         if not self._options.refuse_unreachable:
             return waiting.deadline_ms
-        best_ms = self._best_service_ms(waiting, now_ms)
-        return waiting.deadline_ms - best_ms * self._options.safety_factor
+        factor = self._options.safety_factor
+        middle_ms = self._best_service_ms(waiting, waiting.decode_tokens, now_ms)
+        long_ms = self._best_service_ms(waiting, waiting.long_decode_tokens, now_ms)
+        needed = needed_ms(
+            middle_ms * factor, long_ms * factor, waiting.handle.budget_ms
+        )
+        return waiting.deadline_ms - needed
 
     def expired(self, waiting: Waiting, now_ms: float) -> Refusal:
         """Return the refusal of a request that cannot be in time any more."""
@@ -142,11 +148,12 @@
             return True
         return self._fleet.eligible(excluded)
 
-    def _best_service_ms(self, waiting: Waiting, now_ms: float) -> float:
+    def _best_service_ms(
+        self, waiting: Waiting, decode_tokens: int, now_ms: float
+    ) -> float:
         handle = waiting.handle
         prefill = handle.prefill_tokens
-        summary = self._fleet.summary(now_ms)
-        best_ms = summary.best_service_ms(prefill, waiting.decode_tokens)
+        best_ms = self._fleet.summary(now_ms).best_service_ms(prefill, decode_tokens)
         if not self._options.affinity or not handle.prefix_hashes:
             return best_ms
         for endpoint_id in self._prefixes.holders(handle.prefix_hashes):
@@ -155,8 +162,7 @@
                 continue
             cached = self._prefixes.cached_tokens(endpoint_id, handle.prefix_hashes)
             rest = max(0, prefill - cached)
-            own_ms = worker.account.service_ms(rest, waiting.decode_tokens)
-            best_ms = min(best_ms, own_ms)
+            best_ms = min(best_ms, worker.account.service_ms(rest, decode_tokens))
         return best_ms
 
     def _too_late_after(self, waiting: Waiting, wait_ms: float, now_ms: float) -> bool:
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -186,11 +186,13 @@
         return self._flights.placement_of(request_id)
 
     def _expect(self, handle: Handle, now_ms: float) -> Waiting:
-        decode_tokens = self._lengths.expect(
+        length = self._lengths.expect(
             handle.work, handle.organisation, handle.decode_tokens
         )
         deadline_ms = now_ms + handle.budget_ms
-        return Waiting(handle, now_ms, deadline_ms, decode_tokens)
+        return Waiting(
+            handle, now_ms, deadline_ms, length.middle_tokens, length.long_tokens
+        )
 
     def _note_arrival(self, waiting: Waiting, now_ms: float) -> None:
         handle = waiting.handle
--- a/src/pomelolane/scheduler/estimate.py
+++ b/src/pomelolane/scheduler/estimate.py
@@ -72,8 +72,10 @@
 
 _MAX_RATIO = 4.0
 _MIN_RATIO = 0.02
-_LENGTH_QUANTILE = 0.7
+_MIDDLE_QUANTILE = 0.6
+_LONG_QUANTILE = 0.95
 _LENGTH_STEP = 0.05
+_CHANCE_SHARE = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +84,29 @@
     organisation: str
 
 
+@dataclass(frozen=True, slots=True)
+class ExpectedLength:
+    """Answer length to plan with.
+
+    Attributes:
+        middle_tokens: About as many answers are longer as are shorter.
+        long_tokens: Few answers are longer.
+    """
+
+    middle_tokens: int
+    long_tokens: int
+
+
+class _Ratios:
+    """Actual over expected length of one kind of answer."""
+
+    __slots__ = ("long", "middle")
+
+    def __init__(self) -> None:
+        self.middle = QuantileRatio(_MIDDLE_QUANTILE, _LENGTH_STEP)
+        self.long = QuantileRatio(_LONG_QUANTILE, _LENGTH_STEP)
+
+
 class AnswerLengths:
     """Answer lengths of one service, by work and organisation.
 
@@ -91,14 +116,18 @@
 
     def __init__(self, *, enabled: bool = True) -> None:
         self._enabled = enabled
-        self._ratios: dict[_LengthKey, QuantileRatio] = {}
+        self._ratios: dict[_LengthKey, _Ratios] = {}
 
-    def expect(self, work: str, organisation: str, expected_tokens: int) -> int:
+    def expect(
+        self, work: str, organisation: str, expected_tokens: int
+    ) -> ExpectedLength:
         """Return the answer length to plan with."""
-        ratio = self._ratios.get(_LengthKey(work, organisation))
-        if ratio is None or not self._enabled:
-            return expected_tokens
-        return max(1, round(expected_tokens * ratio.value))
+        ratios = self._ratios.get(_LengthKey(work, organisation))
+        if ratios is None or not self._enabled:
+            return ExpectedLength(expected_tokens, expected_tokens)
+        middle = max(1, round(expected_tokens * ratios.middle.value))
+        long = max(middle, round(expected_tokens * ratios.long.value))
+        return ExpectedLength(middle, long)
 
     def learn(
         self, work: str, organisation: str, expected_tokens: int, tokens: int
@@ -107,10 +136,20 @@
         if expected_tokens <= 0 or tokens <= 0:
             return
         key = _LengthKey(work, organisation)
-        ratio = self._ratios.get(key)
-        if ratio is None:
-            ratio = self._ratios[key] = QuantileRatio(_LENGTH_QUANTILE, _LENGTH_STEP)
-        ratio.add(tokens / expected_tokens)
+        ratios = self._ratios.get(key)
+        if ratios is None:
+            ratios = self._ratios[key] = _Ratios()
+        ratios.middle.add(tokens / expected_tokens)
+        ratios.long.add(tokens / expected_tokens)
+
+
+def needed_ms(middle_ms: float, long_ms: float, budget_ms: float) -> float:
+    """Return the time that a request should still have when it begins.
+
+    That is enough for a long answer; but where a long answer would need most of
+    the whole budget, a request that begins early enough gets its chance.
+    """
+    return min(long_ms, max(middle_ms, _CHANCE_SHARE * budget_ms))
 
 
 class DecayingCount:
--- a/src/pomelolane/scheduler/placement.py
+++ b/src/pomelolane/scheduler/placement.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from pomelolane.scheduler.estimate import needed_ms
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -39,6 +41,7 @@
         prefill_tokens: Prompt tokens to be processed.
         first_token_ms: Predicted time to the first token, wait included.
         total_ms: Predicted time to the last token, wait included.
+        long_ms: The same for an answer that few exceed in length.
     """
 
     worker: Worker
@@ -48,6 +51,7 @@
     prefill_tokens: int
     first_token_ms: float
     total_ms: float
+    long_ms: float
 
 
 class Placer:
@@ -92,8 +96,7 @@
             return best
         if best is not None and not _worth_waiting(best, later):
             return best
-        remaining_ms = waiting.deadline_ms - now_ms
-        if best is None or self._in_time(later, remaining_ms):
+        if best is None or self.in_time(waiting, later, now_ms):
             held.add(later.worker.endpoint_id)
             return None
         return best
@@ -126,17 +129,28 @@
         start_ms = max(wait_ms, ahead_ms)
         if account.endpoint.data_centre != handle.data_centre:
             start_ms += _OTHER_DATA_CENTRE_MS
-        own_ms = account.own_first_token_ms(prefill)
+        first_ms = start_ms + account.own_first_token_ms(prefill)
         total_ms = start_ms + account.service_ms(prefill, waiting.decode_tokens)
-        first_ms = start_ms + own_ms
-        return Placement(worker, wait_ms, ahead_ms, cached, prefill, first_ms, total_ms)
+        long_ms = start_ms + account.service_ms(prefill, waiting.long_decode_tokens)
+        return Placement(
+            worker,
+            wait_ms,
+            ahead_ms,
+            cached,
+            prefill,
+            first_ms,
+            total_ms,
+            long_ms,
+        )
 
     def in_time(self, waiting: Waiting, placement: Placement, now_ms: float) -> bool:
         """Tell whether a prediction meets the request's deadline."""
-        return self._in_time(placement, waiting.deadline_ms - now_ms)
-
-    def _in_time(self, placement: Placement, remaining_ms: float) -> bool:
-        return placement.total_ms * self._options.safety_factor <= remaining_ms
+        needed = needed_ms(
+            placement.total_ms * self._options.safety_factor,
+            placement.long_ms * self._options.safety_factor,
+            waiting.handle.budget_ms,
+        )
+        return now_ms + needed <= waiting.deadline_ms
 
     def _holders(self, handle: Handle) -> list[Worker]:
         if not self._options.affinity or not handle.prefix_hashes:
@@ -158,19 +172,18 @@
         now_ms: float,
     ) -> Placement | None:
         best: Placement | None = None
-        remaining_ms = waiting.deadline_ms - now_ms
         for worker in self._open_candidates(waiting, holders, held):
             placement = self.predict(waiting, worker, 0.0, now_ms)
-            if not self._usable(placement, remaining_ms):
+            if not self._usable(waiting, placement, now_ms):
                 continue
             if best is None or placement.total_ms < best.total_ms:
                 best = placement
         return best
 
-    def _usable(self, placement: Placement, remaining_ms: float) -> bool:
+    def _usable(self, waiting: Waiting, placement: Placement, now_ms: float) -> bool:
         if not self._options.refuse_unreachable:
             return True
-        return self._in_time(placement, remaining_ms)
+        return self.in_time(waiting, placement, now_ms)
 
     def _open_candidates(
         self, waiting: Waiting, holders: list[Worker], held: set[str]
--- a/src/pomelolane/scheduler/queue.py
+++ b/src/pomelolane/scheduler/queue.py
@@ -30,6 +30,7 @@
         submitted_ms: When it came.
         deadline_ms: When its last byte is due, on the core's clock.
         decode_tokens: Expected answer length as learnt.
+        long_decode_tokens: Answer length that few answers exceed.
         queued: Whether it still waits.
         predicted_wait_ms: Plain prediction of its wait when it came.
     """
@@ -38,6 +39,7 @@
     submitted_ms: float
     deadline_ms: float
     decode_tokens: int
+    long_decode_tokens: int
     queued: bool = True
     predicted_wait_ms: float = 0.0
 
@@ -358,15 +360,23 @@
 
 
 def _tries(organisation: _Organisation) -> Iterator[Waiting]:
+    """Yield the first requests by deadline, and then the one that came last.
+
+    The last one has most time left, so it may fit an endpoint that is too slow
+    for the first ones.
+    """
     passed: list[tuple[float, int, Waiting]] = []
     try:
         while len(passed) < _MAX_TRIES_PER_ORGANISATION:
             head = organisation.head()
             if head is None:
-                break
+                return
             yield head
             if head.queued:
                 passed.append(heapq.heappop(organisation.by_deadline))
+        last = organisation.by_arrival[next(reversed(organisation.by_arrival))]
+        if all(last is not entry[2] for entry in passed):
+            yield last
     finally:
         for entry in passed:
             heapq.heappush(organisation.by_deadline, entry)
