--- a/src/pomelolane/coordination/decisions.py
+++ b/src/pomelolane/coordination/decisions.py
@@ -13,11 +13,14 @@
 if TYPE_CHECKING:
     from pomelolane.coordination.book import Entry
     from pomelolane.outcomes import Refusal
-    from pomelolane.ports import Grant
+    from pomelolane.ports import Grant, SchedulingCore
+    from pomelolane.scheduler import Placement
 
 
-def log_grant(entry: Entry, grant: Grant, now_ms: float) -> None:
-    """Write the line of a grant."""
+def log_grant(entry: Entry, grant: Grant, core: SchedulingCore, now_ms: float) -> None:
+    """Write the line of a grant, with the prediction where the core tells it."""
+    placement = _placement_of(core, grant.request_id)
+    first_token_ms = grant.expected_ttft_ms
     log_event(
         PLACED,
         request=grant.request_id,
@@ -25,7 +28,10 @@
         endpoint=grant.endpoint_id,
         tier=entry.handle.tier_rank,
         waited_ms=now_ms - entry.arrived_ms,
-        score=grant.expected_ttft_ms,
+        queue_ms=placement.ahead_ms if placement else "",
+        prefill_ms=first_token_ms - placement.ahead_ms if placement else "",
+        cached_tokens=placement.cached_tokens if placement else "",
+        score=first_token_ms,
     )
 
 
@@ -40,3 +46,9 @@
         queued=queued,
         retry_after_ms=refusal.retry_after_ms,
     )
+
+
+def _placement_of(core: SchedulingCore, request_id: str) -> Placement | None:
+    """Return the figures of a grant, if this kind of core has any."""
+    read = getattr(core, "placement_of", None)
+    return read(request_id) if read is not None else None
--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -365,7 +365,7 @@
         entry.expected_ttft_ms = grant.expected_ttft_ms
         entry.granted_ms = now_ms
         self._send_granted(entry)
-        log_grant(entry, grant, now_ms)
+        log_grant(entry, grant, self.core, now_ms)
 
     def _send_granted(self, entry: Entry) -> None:
         message = Granted(
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from pomelolane.clock import ManualClock
 from pomelolane.coordination import make_coordination
@@ -257,6 +257,7 @@
         self.network = Network(self, seed)
         self.vms = {}
         self.peers = {}
+        self.incarnation = 1000
         self.requests = {}
         self.order = []
         self.used = {}
@@ -336,6 +337,15 @@
                 request.ended = True
         return vm
 
+    async def restart(self, name):
+        """Start a VM again, with a new incarnation and an empty book."""
+        self.kill(name)
+        self.incarnation += 1
+        self.peers[name] = replace(self.peers[name], incarnation=self.incarnation)
+        self.start_vm(name)
+        self.vms[name].coordination.configure(self.tree)
+        await self.settle()
+
     def cut(self, ones, others):
         """Lose all messages between two sides."""
         self.network.cuts |= {frozenset((a, b)) for a in ones for b in others}
--- a/tests/steps/coordination_steps.py
+++ b/tests/steps/coordination_steps.py
@@ -56,11 +56,6 @@
     return [name for name, vm in world.vms.items() if not vm.frozen]
 
 
-def _kill_lost(world, names):
-    for name in names:
-        world.kill(name)
-
-
 def _in_flight(world):
     return [r for r in world.requests.values() if not r.ended]
 
@@ -266,11 +261,8 @@
 def step_restart(context):
     world = context.world
     name = context.asker
-    world.kill(name)
-    world.peers[name] = replace(world.peers[name], incarnation=1000)
-    world.start_vm(name)
+    context.run(world.restart(name))
     world.share_view()
-    world.vms[name].coordination.configure(world.tree)
     context.run(world.run(50))
 
 
@@ -684,6 +676,7 @@
     st.one_of(
         st.tuples(st.just("freeze"), st.sampled_from(_NAMES)),
         st.tuples(st.just("thaw"), st.sampled_from(_NAMES)),
+        st.tuples(st.just("restart"), st.sampled_from(_NAMES)),
         st.tuples(st.just("cut"), st.sampled_from("abc")),
         st.tuples(st.just("heal"), st.just("")),
         st.tuples(st.just("views"), st.just("")),
@@ -723,6 +716,8 @@
     world.network.most_delay_ms = delay_ms
     await world.configure()
     for action, subject in actions:
+        if action == "restart":
+            await world.restart(subject)
         _act(world, action, subject)
         await world.run(int(subject) if action == "wait" else 20)
     for vm in world.vms.values():
