--- a/src/pomelolane/gateway/__init__.py
+++ b/src/pomelolane/gateway/__init__.py
@@ -4,11 +4,9 @@
 """
 
 from pomelolane.gateway.app import Gateway, GatewayLimits, make_asgi
-from pomelolane.gateway.deferred import JobCalls
 from pomelolane.gateway.dispatch import Dispatcher, RequestState
 from pomelolane.gateway.ending import Delivered
 from pomelolane.gateway.holders import HolderQueries
-from pomelolane.gateway.jobwork import JobWork
 from pomelolane.gateway.keyed import KeyedCalls
 from pomelolane.gateway.retries import RetryBudget
 
@@ -18,8 +16,6 @@
     "Gateway",
     "GatewayLimits",
     "HolderQueries",
-    "JobCalls",
-    "JobWork",
     "KeyedCalls",
     "RequestState",
     "RetryBudget",
--- a/src/pomelolane/gateway/app.py
+++ b/src/pomelolane/gateway/app.py
@@ -107,13 +107,15 @@
         add = app.router.add
         plain = function_from_method(self._plain_route)
         add("POST", "/v1/chat/completions", self._route(self.chat))
-        add("GET", "/v1/jobs/{job_id}", self._job_route(self._jobs.state))
-        add("GET", "/v1/jobs/{job_id}/answer", self._job_route(self._jobs.answer))
-        add("DELETE", "/v1/jobs/{job_id}", self._job_route(self._jobs.cancel))
         for method in ALL_METHODS:
             add(method, "/services/{service}/{path:path}", plain)
             add(method, "/services/{service}", plain)
         app.router.fallback = function_from_method(self._fallback)
+        if self._jobs is None:
+            return
+        add("GET", "/v1/jobs/{job_id}", self._job_route(self._jobs.state))
+        add("GET", "/v1/jobs/{job_id}/answer", self._job_route(self._jobs.answer))
+        add("DELETE", "/v1/jobs/{job_id}", self._job_route(self._jobs.cancel))
 
     async def chat(self, exchange: Exchange) -> Response | None:
         """Serve ``POST /v1/chat/completions``."""
--- /dev/null
+++ b/src/pomelolane/parts.py
@@ -0,0 +1,135 @@
+"""Makes the parts of one VM from its settings and ties them together.
+
+Nothing here decides anything; it is the one place that knows every part.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from importlib.metadata import PackageNotFoundError, version
+from typing import TYPE_CHECKING
+
+import pomelolane.defaults  # noqa: F401  (registers the built-in plug-ins)
+from pomelolane.adoption import TreeAdoption
+from pomelolane.clock import MonotonicClock
+from pomelolane.coordination import make_coordination
+from pomelolane.endpoints import ConnectionPool
+from pomelolane.gateway import (
+    Dispatcher,
+    Gateway,
+    GatewayLimits,
+    HolderQueries,
+    KeyedCalls,
+    RetryBudget,
+)
+from pomelolane.gateway.admin import Admin, AdminHooks
+from pomelolane.gateway.operations import Operations
+from pomelolane.platform import GroupCommitter, make_claims, platform_from_url
+from pomelolane.registry import ENDPOINT_ADAPTERS
+from pomelolane.settings.store import SettingsStore
+from pomelolane.settings.tree import branch_content_from_directory
+from pomelolane.solo import make_solo
+from pomelolane.tree import CurrentTree
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from blacksheep import Application
+
+    from pomelolane.coordination import Coordination
+    from pomelolane.platform import Platform, TableClaims
+    from pomelolane.settings.options import ServeOptions
+
+
+def _version() -> str:
+    try:
+        return version("pomelolane")
+    except PackageNotFoundError:
+        return "0+source"
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """Everything that one VM consists of."""
+
+    options: ServeOptions
+    incarnation: int
+    version: str
+    tree: CurrentTree
+    adoption: TreeAdoption
+    platform: Platform
+    store: SettingsStore
+    member: object
+    coordination: Coordination
+    dispatcher: Dispatcher
+    claims: TableClaims
+    keyed: KeyedCalls
+    gateway: Gateway
+
+    def mount(self, app: Application, stop_soon: Callable[[], None]) -> None:
+        """Add all routes to the application."""
+        self.gateway.mount(app)
+        Operations(self.gateway, lambda: self.gateway.ready, dict).mount(app)
+        hooks = AdminHooks(
+            stop_soon=stop_soon,
+            mark_leaving=self.coordination.mark_leaving,
+            offer=self.adoption.take,
+        )
+        Admin(self.store, self.gateway, self.tree, hooks).mount(app)
+
+    async def start_background(self) -> None:
+        """Bring the settings in and begin the work that needs no caller."""
+        contents = branch_content_from_directory(self.options.tree)
+        await self.store.import_first(contents)
+        for each in (await self.store.snapshot()).branches.values():
+            self.adoption.take(each.branch, each.version, each.content)
+
+    async def finish_background(self) -> None:
+        """Finish what was accepted."""
+        await self.keyed.drain()
+
+    async def stop_background(self) -> None:
+        """Stop the rest."""
+
+
+async def make_parts(options: ServeOptions) -> Parts:
+    """Make the parts of one VM."""
+    clock = MonotonicClock()
+    incarnation = time.time_ns() // 1_000_000
+    tree = CurrentTree()
+    platform = platform_from_url(options.platform, clock)
+    member = make_solo(options.vm_id, options.data_centre, incarnation)
+    coordination = make_coordination(
+        options.vm_id, options.data_centre, member, member, clock, options.policy
+    )
+    tree.on_change(coordination.configure)
+    pool = ConnectionPool()
+    adapters = {kind: make(pool) for kind, make in ENDPOINT_ADAPTERS.items()}
+    dispatcher = Dispatcher(
+        tree, coordination.client, adapters, RetryBudget(), clock, options.data_centre
+    )
+    committer = GroupCommitter(platform.table, clock)
+    claims = make_claims(
+        platform.table, options.vm_id, incarnation, clock, committer=committer
+    )
+    holders = HolderQueries(options.vm_id, member, member)
+    keyed = KeyedCalls(
+        claims, platform.objects, dispatcher, holders, tree, adapters, clock
+    )
+    limits = GatewayLimits(options.max_body_bytes, options.body_timeout_ms)
+    return Parts(
+        options=options,
+        incarnation=incarnation,
+        version=_version(),
+        tree=tree,
+        adoption=TreeAdoption(tree, options.address_map),
+        platform=platform,
+        store=SettingsStore(platform.table),
+        member=member,
+        coordination=coordination,
+        dispatcher=dispatcher,
+        claims=claims,
+        keyed=keyed,
+        gateway=Gateway(tree, dispatcher, keyed, None, limits),
+    )
