Ask engines for a stream even when the caller wants one answer

Ruled out: not reporting such answers at all, which would blind the scheduler to most short checks. The gateway now joins the events; as nothing goes out before the answer is whole, idempotent work may be sent again even after a break in the middle.

--- a/src/pomelolane/gateway/answers.py
+++ b/src/pomelolane/gateway/answers.py
@@ -16,6 +16,7 @@
     from pomelolane.gateway.sinks import KeptAnswer
 
 EVENT_STREAM = b"text/event-stream"
+JSON = b"application/json"
 _DATA = b"data: "
 _DONE = b"[DONE]"
 
--- a/src/pomelolane/gateway/app.py
+++ b/src/pomelolane/gateway/app.py
@@ -27,7 +27,7 @@
     problem_response,
     refusal_from_bad_request,
 )
-from pomelolane.gateway.sinks import CallerSink
+from pomelolane.gateway.sinks import CallerSink, JoiningSink
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
 
@@ -36,6 +36,7 @@
 
     from pomelolane.gateway.deferred import JobCalls
     from pomelolane.gateway.dispatch import Dispatcher
+    from pomelolane.gateway.ending import AnswerSink
     from pomelolane.gateway.intake import Call
     from pomelolane.gateway.keyed import KeyedCalls
     from pomelolane.model import Organisation, Tree
@@ -141,7 +142,9 @@
         if call.respond_async:
             return await self._jobs.accept(call)
         request_id = (b"x-request-id", call.request_id.encode())
-        sink = CallerSink(exchange, (request_id,))
+        sink: AnswerSink = CallerSink(exchange, (request_id,))
+        if not call.streamed:
+            sink = JoiningSink(exchange, (request_id,), call.service.name)
         task = asyncio.current_task()
 
         def on_gone() -> None:
@@ -162,7 +165,7 @@
         return await self._end(call, exchange, sink, result)
 
     async def _run(
-        self, call: Call, exchange: Exchange, sink: CallerSink
+        self, call: Call, exchange: Exchange, sink: AnswerSink
     ) -> Delivered | Refusal:
         if not call.key:
             return await self._dispatcher.run(self._dispatcher.open(call), sink)
@@ -184,7 +187,11 @@
         return bool(call.key) and state is not None and state.dispatched
 
     async def _end(
-        self, call: Call, exchange: Exchange, sink: CallerSink, refusal: Refusal
+        self,
+        call: Call,
+        exchange: Exchange,
+        sink: AnswerSink,
+        refusal: Refusal,
     ) -> Response | None:
         if refusal.reason is Reason.CALLER_GONE:
             return Response(CALLER_GONE_STATUS)
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -248,11 +248,13 @@
         if stream.status >= 500 and self._retry_is_open(state):
             raise EndpointBrokenError(f"the endpoint answered {stream.status}")
 
-        def on_first() -> None:
-            state.begun = True
+        def on_first(*, begun: bool = True) -> None:
+            state.begun = begun
             watch.first()
 
-        return await sink.take(stream, on_first, watch.progress)
+        result = await sink.take(stream, on_first, watch.progress)
+        state.begun = result.begun
+        return result
 
     def _delivered(
         self,
--- a/src/pomelolane/gateway/ending.py
+++ b/src/pomelolane/gateway/ending.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
 
     from pomelolane.endpoints import AnswerStream
+    from pomelolane.gateway.sinks import KeptAnswer
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,19 +49,44 @@
     cached_tokens: int = -1
 
 
+class FirstByte(Protocol):
+    """Hears of an answer's first body bytes."""
+
+    def __call__(self, *, begun: bool = True) -> None:
+        """Note the first byte.
+
+        Args:
+            begun: Whether it has left towards the caller.
+        """
+
+
 class Sink(Protocol):
     """Takes the answer of one attempt."""
 
     async def take(
         self,
         stream: AnswerStream,
-        on_first: Callable[[], None],
+        on_first: FirstByte,
         on_progress: Callable[[int], None],
     ) -> SinkResult:
         """Pass an answer on until its end.
 
         Args:
             stream: The arriving answer.
-            on_first: Called at the first body bytes.
+            on_first: Called at the first body bytes; with ``begun=False`` while
+                none of them has left towards the caller.
             on_progress: Called with the number of token events so far.
         """
+
+
+class AnswerSink(Sink, Protocol):
+    """A sink that ends at a caller.
+
+    Attributes:
+        streams_events: Whether the answer that goes out is an event stream.
+    """
+
+    streams_events: bool
+
+    def keep(self, tee: KeptAnswer) -> None:
+        """Collect a copy of the answer from here on."""
--- a/src/pomelolane/gateway/intake.py
+++ b/src/pomelolane/gateway/intake.py
@@ -87,7 +87,8 @@
         idempotent: Whether a failed attempt may be repeated.
         key: The caller's idempotency key, empty if none.
         respond_async: Whether the caller asked for a job.
-        streamed: Whether the caller wants server-sent events.
+        streamed: Whether the caller gets the answer as the endpoint sends it;
+            otherwise an engine's events are put together for it.
         method: HTTP method towards the endpoint.
         path: Path with query towards the endpoint.
         headers: Headers passed on.
@@ -158,7 +159,7 @@
         method="POST",
         path=CHAT_PATH,
         headers=((b"content-type", b"application/json"),),
-        body=_with_model(body, service),
+        body=_engine_body(body, service, chat.stream),
         prefill_tokens=estimate_tokens(prompt),
         decode_tokens=decode_tokens,
         prefix_hashes=hash_prefix(prompt),
@@ -196,7 +197,7 @@
         idempotent=declared or method in _SAFE_METHODS,
         key=_key(exchange),
         respond_async=_prefers_async(exchange, work),
-        streamed=False,
+        streamed=True,
         method=method,
         path=path,
         headers=_end_to_end(exchange.headers),
@@ -267,11 +268,21 @@
     return "".join(part.text for part in message.content)
 
 
-def _with_model(body: bytes, service: Service) -> bytes:
-    if not service.model or service.model == service.name:
+def _engine_body(body: bytes, service: Service, streamed: bool) -> bytes:
+    """Return the body for the engine, which is always asked for a stream.
+
+    The tokens of a stream tell the engine's pace and let another VM resume it;
+    for a caller who wants one JSON answer the gateway puts them together.
+    """
+    renamed = service.model and service.model != service.name
+    if streamed and not renamed:
         return body
     members = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    members["model"] = msgspec.Raw(msgspec.json.encode(service.model))
+    if renamed:
+        members["model"] = msgspec.Raw(msgspec.json.encode(service.model))
+    if not streamed:
+        members["stream"] = msgspec.Raw(b"true")
+        members["stream_options"] = msgspec.Raw(b'{"include_usage":true}')
     return msgspec.json.encode(members)
 
 
--- a/src/pomelolane/gateway/jobwork.py
+++ b/src/pomelolane/gateway/jobwork.py
@@ -11,7 +11,7 @@
 
 from pomelolane.clock import WallClock
 from pomelolane.exceptions import EndpointBrokenError, EndpointError, StreamGoneError
-from pomelolane.gateway.answers import completion_from_events, encode_answer
+from pomelolane.gateway.answers import encode_answer
 from pomelolane.gateway.sinks import KeptAnswer, MemorySink
 from pomelolane.gateway.stored import (
     StoredCall,
@@ -31,8 +31,6 @@
 
     OnPlaced = Callable[[str, str], Awaitable[None]]
 
-JSON = b"application/json"
-
 
 class JobWork:
     """Dispatches and resumes jobs.
@@ -116,13 +114,8 @@
         return Refusal(
             Outcome.FAILED, Reason.BODY_TOO_LARGE, detail="the answer is too large"
         )
-    is_events = answer.content_type.startswith(b"text/event-stream")
-    if is_events and not streamed:
-        converted = KeptAnswer()
-        converted.status = answer.status
-        converted.content_type = JSON
-        converted.add(completion_from_events(bytes(answer.body), model))
-        return encode_answer(converted)
+    if not streamed:
+        answer.join_events(model)
     return encode_answer(answer)
 
 
--- a/src/pomelolane/gateway/keyed.py
+++ b/src/pomelolane/gateway/keyed.py
@@ -26,9 +26,9 @@
     from collections.abc import Callable, Mapping
 
     from pomelolane.gateway.dispatch import Dispatcher, RequestState
+    from pomelolane.gateway.ending import AnswerSink
     from pomelolane.gateway.holders import HolderQueries
     from pomelolane.gateway.intake import Call
-    from pomelolane.gateway.sinks import CallerSink
     from pomelolane.messages import KeyAnswer
     from pomelolane.ports import (
         ClaimRecord,
@@ -79,7 +79,10 @@
         self._settling: set[asyncio.Task[None]] = set()
 
     async def serve(
-        self, call: Call, sink: CallerSink, replay: Callable[[bytes], object]
+        self,
+        call: Call,
+        sink: AnswerSink,
+        replay: Callable[[bytes], object],
     ) -> Delivered | Refusal:
         """Serve a keyed call to its end.
 
@@ -110,7 +113,7 @@
         return await self._attach(call, record, sink, replay)
 
     async def _serve_held(
-        self, call: Call, key: str, record: ClaimRecord, sink: CallerSink
+        self, call: Call, key: str, record: ClaimRecord, sink: AnswerSink
     ) -> Delivered | Refusal:
         state = self._dispatcher.open(call)
         self._holders.hold(key, state)
@@ -167,7 +170,7 @@
         self,
         call: Call,
         record: ClaimRecord,
-        sink: CallerSink,
+        sink: AnswerSink,
         replay: Callable[[bytes], object],
     ) -> Delivered | Refusal:
         deadline_ms = self._clock.now_ms() + call.deadline_ms
@@ -197,7 +200,7 @@
         self,
         call: Call,
         record: ClaimRecord,
-        sink: CallerSink,
+        sink: AnswerSink,
         replay: Callable[[bytes], object],
     ) -> Delivered | Refusal:
         """Take over a key whose holder states that it never dispatched."""
@@ -216,7 +219,11 @@
         )
 
     async def _follow(
-        self, call: Call, record: ClaimRecord, answer: KeyAnswer, sink: CallerSink
+        self,
+        call: Call,
+        record: ClaimRecord,
+        answer: KeyAnswer,
+        sink: AnswerSink,
     ) -> Delivered | Refusal | None:
         """Use what the holder says; None means ask again."""
         if answer.finished and answer.outcome:
@@ -227,12 +234,12 @@
                 Reason.ENDPOINT_BROKEN,
                 detail="the first request with this key ended so",
             )
-        if answer.stream_id and call.streamed and not answer.finished:
+        if answer.stream_id and not answer.finished:
             return await self._resume(record, answer, sink)
         return None
 
     async def _resume(
-        self, record: ClaimRecord, answer: KeyAnswer, sink: CallerSink
+        self, record: ClaimRecord, answer: KeyAnswer, sink: AnswerSink
     ) -> Delivered | Refusal | None:
         endpoint = self._tree.value.endpoints.get(answer.endpoint_id)
         if endpoint is None:
--- a/src/pomelolane/gateway/sinks.py
+++ b/src/pomelolane/gateway/sinks.py
@@ -6,15 +6,18 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from pomelolane.endpoints import relay
+from pomelolane.gateway.answers import EVENT_STREAM, JSON, completion_from_events
 from pomelolane.gateway.ending import SinkResult
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from pomelolane.endpoints import AnswerStream, RelayResult
+    from pomelolane.gateway.ending import FirstByte
     from pomelolane.gateway.exchange import AsgiMessage, AsgiSend, Exchange
 
 MAX_KEPT_BYTES = 8 * 1024 * 1024
@@ -50,7 +53,7 @@
     async def take(
         self,
         stream: AnswerStream,
-        on_first: Callable[[], None],
+        on_first: FirstByte,
         on_progress: Callable[[int], None],
     ) -> SinkResult:
         """Relay the answer; see :class:`~pomelolane.gateway.ending.Sink`."""
@@ -98,6 +101,14 @@
             return
         self.body += chunk
 
+    def join_events(self, model: str) -> None:
+        """Turn a whole event stream into one JSON answer; others stay."""
+        if not self.content_type.startswith(EVENT_STREAM):
+            return
+        joined = completion_from_events(bytes(self.body), model)
+        self.body = bytearray(joined)
+        self.content_type = JSON
+
 
 class MemorySink:
     """Collects an answer without a caller, for jobs."""
@@ -108,7 +119,7 @@
     async def take(
         self,
         stream: AnswerStream,
-        on_first: Callable[[], None],
+        on_first: FirstByte,
         on_progress: Callable[[int], None],
     ) -> SinkResult:
         """Collect the answer; see :class:`~pomelolane.gateway.ending.Sink`."""
@@ -122,6 +133,55 @@
         return _sink_result(result)
 
 
+class JoiningSink(MemorySink):
+    """Puts an engine's events together to one JSON answer for the caller.
+
+    Nothing goes out before the answer is whole, so that a break can still be
+    repaired by another attempt.
+
+    Args:
+        exchange: The caller's exchange.
+        headers: Headers of the answer.
+        model: Service name that the answer gives as its model.
+    """
+
+    streams_events = False
+
+    def __init__(
+        self, exchange: Exchange, headers: tuple[tuple[bytes, bytes], ...], model: str
+    ) -> None:
+        super().__init__()
+        self._exchange = exchange
+        self._headers = headers
+        self._model = model
+
+    def keep(self, tee: KeptAnswer) -> None:
+        """Collect into the copy that is kept for a repeated key."""
+        self.answer = tee
+
+    async def take(
+        self,
+        stream: AnswerStream,
+        on_first: FirstByte,
+        on_progress: Callable[[int], None],
+    ) -> SinkResult:
+        """Collect, then answer; see :class:`~pomelolane.gateway.ending.Sink`."""
+
+        def on_first_event() -> None:
+            # The caller has nothing yet, so this is not the answer's beginning.
+            on_first(begun=False)
+
+        collected = await super().take(stream, on_first_event, on_progress)
+        if not collected.whole or self.answer.overflowed:
+            return replace(collected, whole=False, begun=False)
+        self.answer.join_events(self._model)
+        headers = [(b"content-type", self.answer.content_type), *self._headers]
+        await self._exchange.respond(
+            self.answer.status, headers, bytes(self.answer.body)
+        )
+        return replace(collected, begun=True)
+
+
 def _teeing(send: AsgiSend, answer: KeptAnswer) -> AsgiSend:
     async def send_and_keep(message: AsgiMessage) -> None:
         answer.add(message.get("body", b""))
@@ -146,4 +206,4 @@
 
 
 def _is_event_stream(stream: AnswerStream) -> bool:
-    return _header(stream, b"content-type").startswith(b"text/event-stream")
+    return _header(stream, b"content-type").startswith(EVENT_STREAM)
--- a/src/pomelolane/gateway/stored.py
+++ b/src/pomelolane/gateway/stored.py
@@ -1,7 +1,6 @@
 """A checked call as bytes, for a job that any VM may run later.
 
-Engines are always asked for an event stream, because a stream can be resumed
-by another VM; the caller's own wish is kept beside it.
+It is rebuilt under the settings tree that is in force when the job runs.
 """
 
 from __future__ import annotations
@@ -12,7 +11,7 @@
 
 from pomelolane.exceptions import PomelolaneError
 from pomelolane.gateway.intake import Call
-from pomelolane.model import Organisation, ServiceKind
+from pomelolane.model import Organisation
 
 if TYPE_CHECKING:
     from pomelolane.model import Tree
@@ -44,11 +43,6 @@
 
 def encode_call(call: Call) -> bytes:
     """Encode a call for the object store."""
-    body = call.body
-    if call.service.kind is ServiceKind.ENGINE:
-        members = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-        members["stream"] = msgspec.Raw(b"true")
-        body = msgspec.json.encode(members)
     stored = StoredCall(
         organisation=call.organisation.name,
         team=call.organisation.team,
@@ -60,7 +54,7 @@
         method=call.method,
         path=call.path,
         headers=call.headers,
-        body=body,
+        body=call.body,
         prefill_tokens=call.prefill_tokens,
         decode_tokens=call.decode_tokens,
         prefix_hashes=call.prefix_hashes,
