Keep endpoints of a cut-off data centre declared, as leaving

Declared as leaving it gets no grant just the same, keeps its learnt speed and opens again; what is marked as leaving by an operator is marked again.

--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -67,6 +67,7 @@
         self._timings = timings
         self._share_of = share_of
         self._share = 1.0
+        self._leaving: set[str] = set()
         self._tree: Tree | None = None
         self._settle_by_ms: float | None = None
         self._awaited: frozenset[str] = frozenset()
@@ -77,8 +78,15 @@
         """Adopt a settings tree, already cut down to what may be granted."""
         self._tree = tree
         self._carry_out(self.core.configure(tree, self._clock.now_ms()))
+        for endpoint_id in self._leaving & set(tree.endpoints):
+            self._mark_leaving(endpoint_id)
         self._update_share()
 
+    def mark_leaving(self, endpoint_id: str) -> None:
+        """Grant nothing more to an endpoint, whatever the tree says."""
+        self._leaving.add(endpoint_id)
+        self._mark_leaving(endpoint_id)
+
     def settle(self, gateways: Iterable[str]) -> None:
         """Hold all grants until these gateways have registered, or a while."""
         self._awaited = frozenset(gateways)
@@ -119,7 +127,8 @@
             return []
         if tree.services[self.service].kind != kind:
             return []
-        return [e for e in tree.endpoints.values() if e.service == self.service]
+        own = (e for e in tree.endpoints.values() if e.service == self.service)
+        return [endpoint for endpoint in own if not endpoint.leaving]
 
     def close(self) -> None:
         """Forget everything but what the core has learnt."""
@@ -317,6 +326,9 @@
         latest_ms = now_ms + self._timings.orphan_limit_ms
         return min(max(end_ms, earliest_ms), latest_ms)
 
+    def _mark_leaving(self, endpoint_id: str) -> None:
+        self._carry_out(self.core.mark_leaving(endpoint_id, self._clock.now_ms()))
+
     def _update_share(self) -> None:
         share = self._share_of(self.followers())
         if share != self._share:
--- a/src/pomelolane/coordination/fallback.py
+++ b/src/pomelolane/coordination/fallback.py
@@ -57,14 +57,13 @@
         self._tree = tree
         self._share = share
         for desk in list(self._desks.values()):
-            self._configure(desk)
+            desk.configure(self._tree)
 
     def mark_leaving(self, endpoint_id: str) -> None:
         """Grant nothing more to an endpoint."""
         self._leaving.add(endpoint_id)
-        now_ms = self._clock.now_ms()
         for desk in list(self._desks.values()):
-            desk.apply(desk.core.mark_leaving(endpoint_id, now_ms))
+            desk.mark_leaving(endpoint_id)
 
     def tick(self) -> None:
         """Drive the desks."""
@@ -98,15 +97,11 @@
                 lambda followers: self._share,
             )
             self._desks[service] = desk
-            self._configure(desk)
+            for endpoint_id in self._leaving:
+                desk.mark_leaving(endpoint_id)
+            desk.configure(self._tree)
         return desk
 
-    def _configure(self, desk: Desk) -> None:
-        now_ms = self._clock.now_ms()
-        desk.configure(self._tree)
-        for endpoint_id in self._leaving:
-            desk.apply(desk.core.mark_leaving(endpoint_id, now_ms))
-
     def _close(self, service: str) -> None:
         desk = self._desks.pop(service, None)
         if desk is not None:
--- a/src/pomelolane/coordination/role.py
+++ b/src/pomelolane/coordination/role.py
@@ -90,9 +90,8 @@
     def mark_leaving(self, endpoint_id: str) -> None:
         """Grant nothing more to an endpoint."""
         self._leaving.add(endpoint_id)
-        now_ms = self._clock.now_ms()
         for desk in list(self._desks.values()):
-            desk.apply(desk.core.mark_leaving(endpoint_id, now_ms))
+            desk.mark_leaving(endpoint_id)
 
     def tick(self) -> None:
         """Drive the desks, and end those that nobody follows any more."""
@@ -199,9 +198,9 @@
             self._timings,
             self._share_of,
         )
-        desk.configure(self._scoped_tree())
         for endpoint_id in self._leaving:
-            desk.apply(core.mark_leaving(endpoint_id, self._clock.now_ms()))
+            desk.mark_leaving(endpoint_id)
+        desk.configure(self._scoped_tree())
         return desk
 
     def _leave(self, service: str) -> None:
--- a/src/pomelolane/coordination/scope.py
+++ b/src/pomelolane/coordination/scope.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from pomelolane.model import Tree
+    from pomelolane.model import Endpoint, Tree
     from pomelolane.ports import View
 
 
@@ -20,10 +20,19 @@
 
 
 def scoped_tree(tree: Tree, data_centres: frozenset[str]) -> Tree:
-    """Return the tree with only the endpoints of these data centres."""
+    """Return the tree with all endpoints elsewhere as leaving.
+
+    They are not dropped, so that a core still knows their speeds and what runs
+    there when a cut has healed.
+    """
     endpoints = {
-        endpoint_id: endpoint
+        endpoint_id: _scoped(endpoint, data_centres)
         for endpoint_id, endpoint in tree.endpoints.items()
-        if endpoint.data_centre in data_centres
     }
     return replace(tree, endpoints=endpoints)
+
+
+def _scoped(endpoint: Endpoint, data_centres: frozenset[str]) -> Endpoint:
+    if endpoint.data_centre in data_centres:
+        return endpoint
+    return replace(endpoint, leaving=True)
