Give each policy of the bench a worker process of its own

A late caller hides the queue it should measure.

Workers wait for a common start, so that they load the machine alike.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,7 +1,7 @@
 """``python -m bench``: one scenario over several policies in one run.
 
-Each policy gets a cluster of its own and the same trace; where the machine
-has the cores, all clusters run side by side.
+Each policy gets a cluster and a caller process of its own and the same trace;
+where the machine has the cores, all of them run side by side.
 """
 
 from __future__ import annotations
@@ -19,12 +19,9 @@
 import uvloop
 from tqdm import tqdm
 
-from bench.arrivals import make_arrivals
 from bench.bound import Slowdown, most_useful_answers
-from bench.deployment import read_deployment
-from bench.engines import engine_speeds, scale_engines
-from bench.experiment import PolicyRun, run_policy, start_cluster
 from bench.measure import Meter, tier_of, tier_ranks
+from bench.plan import Plan, make_plan
 from bench.plot import draw
 from bench.processes import BenchError
 from bench.report import (
@@ -36,16 +33,13 @@
     total_line,
     write_results,
 )
-from bench.scenario import read_scenario, read_workloads, scenario_names
+from bench.scenario import scenario_names
+from bench.workers import run_workers
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from bench.arrivals import Arrival
-    from bench.cluster import Cluster
-    from bench.deployment import Deployment
-    from bench.engines import EngineSpeed
-    from bench.scenario import Scenario, Workloads
+    from bench.experiment import PolicyRun
 
 POLICIES = (
     "pomelolane",
@@ -81,18 +75,6 @@
     side_by_side: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Plan:
-    """A scenario, ready to run."""
-
-    scenario: Scenario
-    workloads: Workloads
-    deployment: Deployment
-    engines: list[EngineSpeed]
-    arrivals: list[Arrival]
-    prompts: list[str]
-
-
 def read_options(arguments: Sequence[str] | None = None) -> Options:
     """Read the command line."""
     parser = argparse.ArgumentParser("python -m bench", description=__doc__)
@@ -128,7 +110,7 @@
 
 async def run_scenario(name: str, options: Options) -> Experiment:
     """Run one scenario over all policies and measure it."""
-    plan = _make_plan(name, options)
+    plan = _plan_of(name, options)
     runs = await _run_policies(plan, options)
     bound, top_bound = _bounds(plan)
     meter = Meter(plan.deployment, plan.engines, bound, plan.scenario.fair_work)
@@ -149,69 +131,23 @@
     return max(1, min(policies, int(cores / _CORES_PER_POLICY)))
 
 
-def _make_plan(name: str, options: Options) -> _Plan:
-    workloads = read_workloads()
-    scenario = read_scenario(name)
+def _plan_of(name: str, options: Options) -> Plan:
     rounds = -(-len(options.policies) // options.side_by_side)
-    if options.smoke:
-        scenario = scenario.shortened(_SMOKE_SECONDS / scenario.seconds)
-    elif rounds > 1:
-        scenario = scenario.shortened(1.0 / rounds)
-    deployment = read_deployment(workloads.deployment)
-    scale_engines(deployment, workloads)
-    engines = engine_speeds(deployment, workloads.shapes[0].service)
-    arrivals = make_arrivals(scenario, workloads, engines, options.seed)
-    return _Plan(
-        scenario=scenario,
-        workloads=workloads,
-        deployment=deployment,
-        engines=engines,
-        arrivals=arrivals,
-        prompts=[arrival.prompt() for arrival in arrivals],
-    )
+    seconds = _SMOKE_SECONDS if options.smoke else 0.0
+    return make_plan(name, options.seed, seconds=seconds, rounds=rounds)
 
 
-async def _run_policies(plan: _Plan, options: Options) -> list[PolicyRun]:
+async def _run_policies(plan: Plan, options: Options) -> list[PolicyRun]:
     runs: list[PolicyRun] = []
     total = len(plan.arrivals) * len(options.policies)
     with tqdm(total=total, desc=plan.scenario.name, unit="req", leave=False) as bar:
         for first in range(0, len(options.policies), options.side_by_side):
             policies = options.policies[first : first + options.side_by_side]
-            runs += await _run_side_by_side(plan, policies, options.vms, bar)
+            runs += await run_workers(plan, policies, options.vms, bar.update)
     return runs
 
 
-async def _run_side_by_side(
-    plan: _Plan, policies: Sequence[str], vms: int, bar: tqdm
-) -> list[PolicyRun]:
-    clusters: list[Cluster] = []
-    starting = [
-        asyncio.create_task(start_cluster(policy, plan.workloads, vms))
-        for policy in policies
-    ]
-    try:
-        clusters = await asyncio.gather(*starting)
-        return await asyncio.gather(
-            *(
-                run_policy(
-                    cluster,
-                    policy,
-                    plan.scenario,
-                    plan.arrivals,
-                    plan.prompts,
-                    bar.update,
-                )
-                for cluster, policy in zip(clusters, policies, strict=True)
-            )
-        )
-    finally:
-        started = await asyncio.gather(*starting, return_exceptions=True)
-        for cluster in started:
-            if not isinstance(cluster, BaseException):
-                await cluster.stop()
-
-
-def _bounds(plan: _Plan) -> tuple[float, float]:
+def _bounds(plan: Plan) -> tuple[float, float]:
     """Return the bounds of useful answers, of all and of the top tier alone."""
     slowdowns = [
         Slowdown(fault.at_s, fault.endpoint, fault.control["slowdown"])
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -265,7 +265,7 @@
             *flags,
         )
         process = ManagedProcess(
-            name, command, self.folder / f"{name}.log", _environment()
+            name, command, self.folder / f"{name}.log", child_environment()
         )
         self._processes.append(process)
         process.spawn()
@@ -322,7 +322,7 @@
             *self.options.extra_flags,
         )
         log_path = self.folder / f"{place.vm_id}.log"
-        vm = Vm(place, command, log_path, _environment(), self._session)
+        vm = Vm(place, command, log_path, child_environment(), self._session)
         self._processes.append(vm)
         return vm
 
@@ -363,7 +363,8 @@
     return flags
 
 
-def _environment() -> dict[str, str]:
+def child_environment() -> dict[str, str]:
+    """Return the variables for a child, without any setting of the product."""
     environment = {
         name: value
         for name, value in os.environ.items()
