Add the transport between VMs with keys and replay refusal

Cause: VMs need typed messages whose sender is authenticated. Ruled out: the routing id as the sender's name (ZeroMQ's authentication request carries the server's own, so it can't be checked against the key, and a handover lets one key holder displace another's connection); one frame a message (CURVE adds some 33 bytes to each).

--- /dev/null
+++ b/src/pomelolane/membership/envelope.py
@@ -0,0 +1,114 @@
+"""The envelope around messages: who sent them, in which start and order.
+
+It lets a receiver refuse what an earlier start of a VM sent and what was sent
+before already.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Annotated
+
+import msgspec
+
+from pomelolane.exceptions import TransportError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pomelolane.ports import Clock
+
+FORGET_SENDER_MS = 60_000
+"""Silence after which a sender's numbers are forgotten.
+
+A VM replaced on a machine whose wall clock is behind would otherwise never be
+heard again; a recorded connection can't be replayed under CURVE anyway.
+"""
+
+_Natural = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """What goes over the wire in one frame.
+
+    Attributes:
+        incarnation: Number of the sender's start.
+        sequence: Grows by one with each envelope to the same receiver.
+        messages: Encoded messages.
+    """
+
+    incarnation: _Natural
+    sequence: _Natural
+    messages: tuple[msgspec.Raw, ...]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(
+    incarnation: int, sequence: int, messages: Sequence[bytes]
+) -> bytes:
+    """Encode already encoded messages into one frame."""
+    raw = tuple(msgspec.Raw(message) for message in messages)
+    return _encoder.encode(Envelope(incarnation, sequence, raw))
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Decode a frame.
+
+    Raises:
+        TransportError: The bytes are no envelope.
+    """
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
+        raise TransportError(f"undecodable envelope: {error}") from error
+
+
+@dataclass(slots=True)
+class _Sender:
+    incarnation: int
+    sequence: int
+    heard_ms: float
+
+
+class ReplayGuard:
+    """Admits each envelope of the newest start of a sender once.
+
+    Args:
+        clock: Time source.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._senders: dict[str, _Sender] = {}
+
+    def admit(self, vm_id: str, envelope: Envelope) -> None:
+        """Take note of an envelope.
+
+        Raises:
+            TransportError: It is from an earlier start, or not a new one.
+        """
+        now_ms = self._clock.now_ms()
+        known = self._senders.get(vm_id)
+        if known is not None and now_ms - known.heard_ms < FORGET_SENDER_MS:
+            _check_newer(known, envelope)
+        self._senders[vm_id] = _Sender(envelope.incarnation, envelope.sequence, now_ms)
+
+    def forget_silent(self) -> None:
+        """Free the memory of senders that have long been silent."""
+        limit_ms = self._clock.now_ms() - FORGET_SENDER_MS
+        silent = [
+            name for name, known in self._senders.items() if known.heard_ms < limit_ms
+        ]
+        for name in silent:
+            del self._senders[name]
+
+
+def _check_newer(known: _Sender, envelope: Envelope) -> None:
+    if envelope.incarnation < known.incarnation:
+        raise TransportError("message of an earlier start")
+    same_start = envelope.incarnation == known.incarnation
+    if same_start and envelope.sequence <= known.sequence:
+        raise TransportError("message repeated")
--- /dev/null
+++ b/src/pomelolane/membership/keys.py
@@ -0,0 +1,136 @@
+"""Who may speak as which VM: CURVE keys given by the settings.
+
+A cluster is a table of public keys: ``vm=KEY`` binds one VM id to one key, so
+that the sender's id is authenticated and not merely claimed; ``*=KEY`` is a key
+pair shared by every VM that is not listed by name, whose holders prove only
+that they belong to the cluster and may claim any unlisted id. ZeroMQ refuses a
+connection with a key that is not in the table; which of the listed keys it was
+is checked with each frame against the id that the connection states. The table
+serves both directions: a VM accepts connections from listed keys only, and
+connects to a peer only if that proves to hold the private half of its listed
+key. One list for both was preferred to a certificate authority (another service
+to run) and to trust on first use (VMs are replaced at any time and keep
+nothing).
+
+Without keys a VM talks in the clear, and then over loopback addresses only.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass, field
+
+import zmq
+from zmq.auth.asyncio import AsyncioAuthenticator
+from zmq.utils import z85
+
+from pomelolane.events import MESSAGE_REJECTED
+from pomelolane.exceptions import SettingError
+from pomelolane.logs import log_event
+
+SHARED_NAME = "*"
+"""Stands in the table for every VM that is not listed by name."""
+
+UNLISTED_KEY = "key not listed"
+USER_ID_PROPERTY = "User-Id"
+"""Property of a received frame in which ZeroMQ states the sender's key."""
+
+_KEY_BYTES = 32
+_CLUSTER_ALLOWED = "a comma-separated list of vm=KEY or *=KEY, keys as 64 hex digits"
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterKeys:
+    """This VM's key pair and the public keys of the cluster, in Z85.
+
+    Attributes:
+        public_key: Own public key.
+        private_key: Own private key.
+        allowed: Public keys by VM id, or by :data:`SHARED_NAME`.
+    """
+
+    public_key: bytes
+    private_key: bytes = field(repr=False)
+    allowed: dict[str, bytes]
+
+    def key_of(self, vm_id: str) -> bytes:
+        """Return the key that a VM has to prove, empty where it has none."""
+        return self.allowed.get(vm_id) or self.allowed.get(SHARED_NAME, b"")
+
+
+def cluster_keys_from_flags(
+    private_key_hex: str, public_key_hex: str, cluster_keys: str
+) -> ClusterKeys | None:
+    """Build the keys from their three flags; None where none is given.
+
+    Raises:
+        SettingError: A flag is missing or malformed.
+    """
+    if not (private_key_hex or public_key_hex or cluster_keys):
+        return None
+    private_key = _z85_from_hex("--private-key-hex", private_key_hex)
+    public_key = _z85_from_hex("--public-key-hex", public_key_hex)
+    if zmq.curve_public(private_key) != public_key:
+        allowed = "the public half of --private-key-hex"
+        raise SettingError("--public-key-hex", public_key_hex, allowed)
+    return ClusterKeys(public_key, private_key, _allowed_from_flag(cluster_keys))
+
+
+def _allowed_from_flag(text: str) -> dict[str, bytes]:
+    allowed: dict[str, bytes] = {}
+    for item in filter(None, (part.strip() for part in text.split(","))):
+        name, _, key_hex = item.partition("=")
+        if not name or not key_hex or name in allowed:
+            raise SettingError("--cluster-keys", item, _CLUSTER_ALLOWED)
+        allowed[name] = _z85_from_hex("--cluster-keys", key_hex)
+    if not allowed:
+        raise SettingError("--cluster-keys", text, _CLUSTER_ALLOWED)
+    return allowed
+
+
+def _z85_from_hex(flag: str, text: str) -> bytes:
+    try:
+        key = bytes.fromhex(text)
+    except ValueError:
+        key = b""
+    if len(key) != _KEY_BYTES:
+        raise SettingError(flag, "(hidden)", "a key of 64 hex digits")
+    return z85.encode(key)
+
+
+def check_plain_address(flag: str, host: str) -> None:
+    """Refuse an address for talk in the clear unless it is a loopback one.
+
+    Raises:
+        SettingError: Keys are needed there.
+    """
+    try:
+        loopback = ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        loopback = False
+    if not loopback:
+        raise SettingError(flag, host, "a loopback address unless keys are given")
+
+
+class KeyAuthenticator(AsyncioAuthenticator):
+    """Answers ZeroMQ's authentication requests on the event loop.
+
+    Args:
+        context: The context whose server sockets it guards.
+        keys: The cluster's keys.
+    """
+
+    def __init__(self, context: zmq.Context, keys: ClusterKeys) -> None:
+        super().__init__(context)
+        self._listed = frozenset(keys.allowed.values())
+        self.refused = 0
+        self.configure_curve_callback("*", self)
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tell whether the key is listed; named so by the library."""
+        del domain
+        if key in self._listed:
+            return True
+        self.refused += 1
+        log_event(MESSAGE_REJECTED, peer=key.decode(), error=UNLISTED_KEY)
+        return False
--- /dev/null
+++ b/src/pomelolane/membership/links.py
@@ -0,0 +1,148 @@
+"""One outgoing connection to another VM, with its queue.
+
+Messages that become ready in one turn of the loop leave in one frame.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+import zmq
+
+from pomelolane.membership.envelope import encode_envelope
+
+if TYPE_CHECKING:
+    from pomelolane.membership.keys import ClusterKeys
+    from pomelolane.ports import Clock
+
+MAX_QUEUED = 1000
+MAX_BATCH_MESSAGES = 64
+MAX_BATCH_BYTES = 256 * 1024
+MAX_WAIT_MS = 1000.0
+RETRY_S = 0.02
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1000
+UNACKNOWLEDGED_MAX_MS = 2000
+HANDSHAKE_MAX_MS = 2000
+CLOSE_LINGER_MS = 200
+SOCKET_QUEUE = 16
+VM_PROPERTY = "X-Vm"
+"""Property of a connection in which the connecting VM states its id."""
+
+
+class Link:
+    """A DEALER socket to one VM; only ever written to.
+
+    The queue is kept here and ZeroMQ's own is short, so that what waited too
+    long is dropped instead of arriving late after a cut has healed.
+
+    Args:
+        context: ZeroMQ context.
+        vm_id: This VM's id, stated at the handshake.
+        incarnation: Number of this VM's start.
+        address: The peer's ``ip:port``.
+        keys: Own keys, None in the clear.
+        server_key: Key that the peer has to prove.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        context: zmq.Context,
+        vm_id: str,
+        incarnation: int,
+        address: str,
+        keys: ClusterKeys | None,
+        server_key: bytes,
+        clock: Clock,
+    ) -> None:
+        self.address = address
+        self.bytes_sent = 0
+        self.frames_sent = 0
+        self.messages_dropped = 0
+        self._incarnation = incarnation
+        self._clock = clock
+        self._sequence = 0
+        self._queue: deque[tuple[float, bytes]] = deque()
+        self._timer: asyncio.Handle | None = None
+        self._socket = _open_socket(context, vm_id, keys, server_key)
+        self._socket.connect(f"tcp://{address}")
+
+    def put(self, data: bytes) -> bool:
+        """Queue an encoded message; False where the queue is full."""
+        if len(self._queue) >= MAX_QUEUED:
+            self._drop_overdue()
+        if len(self._queue) >= MAX_QUEUED:
+            return False
+        self._queue.append((self._clock.now_ms(), data))
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_soon(self._flush)
+        return True
+
+    def close(self) -> None:
+        """Send what is queued if that can be done at once, then close."""
+        if self._timer is not None:
+            self._timer.cancel()
+        while self._queue and self._send_batch():
+            pass
+        self._queue.clear()
+        self._socket.close(linger=CLOSE_LINGER_MS)
+
+    def _flush(self) -> None:
+        self._timer = None
+        self._drop_overdue()
+        while self._queue:
+            if not self._send_batch():
+                loop = asyncio.get_running_loop()
+                self._timer = loop.call_later(RETRY_S, self._flush)
+                return
+
+    def _send_batch(self) -> bool:
+        batch = self._next_batch()
+        frame = encode_envelope(self._incarnation, self._sequence + 1, batch)
+        try:
+            self._socket.send(frame, zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        self._sequence += 1
+        self.bytes_sent += len(frame)
+        self.frames_sent += 1
+        for _ in batch:
+            self._queue.popleft()
+        return True
+
+    def _next_batch(self) -> list[bytes]:
+        batch: list[bytes] = []
+        size = 0
+        for _, data in self._queue:
+            size += len(data)
+            if batch and (size > MAX_BATCH_BYTES or len(batch) >= MAX_BATCH_MESSAGES):
+                break
+            batch.append(data)
+        return batch
+
+    def _drop_overdue(self) -> None:
+        limit_ms = self._clock.now_ms() - MAX_WAIT_MS
+        while self._queue and self._queue[0][0] < limit_ms:
+            self._queue.popleft()
+            self.messages_dropped += 1
+
+
+def _open_socket(
+    context: zmq.Context, vm_id: str, keys: ClusterKeys | None, server_key: bytes
+) -> zmq.Socket:
+    socket = context.socket(zmq.DEALER)
+    socket.setsockopt(zmq.METADATA, f"{VM_PROPERTY}:{vm_id}".encode())
+    socket.setsockopt(zmq.IMMEDIATE, 1)
+    socket.setsockopt(zmq.SNDHWM, SOCKET_QUEUE)
+    socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+    socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MAX_MS)
+    socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MAX_MS)
+    if keys is not None:
+        socket.curve_publickey = keys.public_key
+        socket.curve_secretkey = keys.private_key
+        socket.curve_serverkey = server_key
+    return socket
