--- a/src/pomelolane/gateway/__init__.py
+++ b/src/pomelolane/gateway/__init__.py
@@ -4,7 +4,6 @@
 """
 
 from pomelolane.gateway.app import Gateway, GatewayLimits, make_asgi
-from pomelolane.gateway.deferred import JobCalls
 from pomelolane.gateway.dispatch import Dispatcher, RequestState
 from pomelolane.gateway.ending import Delivered
 from pomelolane.gateway.holders import HolderQueries
@@ -17,7 +16,6 @@
     "Gateway",
     "GatewayLimits",
     "HolderQueries",
-    "JobCalls",
     "KeyedCalls",
     "RequestState",
     "RetryBudget",
