--- a/tests/environment.py
+++ b/tests/environment.py
@@ -18,19 +18,19 @@
 
 
 def before_scenario(context, scenario):
-    """Give the scenario a loop and a helper that runs coroutines on it."""
+    """Give the scenario a loop and a way to run coroutines on it."""
     del scenario
     context.loop = asyncio.new_event_loop()
     context.run = context.loop.run_until_complete
+    # Clean-ups run last in, first out: the loop outlives all others.
+    context.add_cleanup(_close_loop, context.loop)
 
 
-def after_scenario(context, scenario):
-    """Cancel what is left on the loop and close it."""
-    del scenario
-    pending = asyncio.all_tasks(context.loop)
+def _close_loop(loop):
+    pending = asyncio.all_tasks(loop)
     for task in pending:
         task.cancel()
     if pending:
-        context.run(asyncio.gather(*pending, return_exceptions=True))
-    context.run(context.loop.shutdown_asyncgens())
-    context.loop.close()
+        loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+    loop.run_until_complete(loop.shutdown_asyncgens())
+    loop.close()
