--- a/tests/settings/faults.py
+++ b/tests/settings/faults.py
@@ -1,55 +1,29 @@
-"""A table in memory that loses writes and replies.
+"""A faulty table that lets something happen right after a lost answer.
 
-A lost reply leaves the write in effect, a lost write does not.
+Another operator's change, or an outage, then falls between a write and the
+reading back.
 """
 
 from __future__ import annotations
 
-import asyncio
-
-from pomelolane.exceptions import CommitUnknownError, PlatformUnavailableError
+from pomelolane.exceptions import CommitUnknownError
 from pomelolane.platform import EmbeddedTable
+from tests.faults import FaultyTable
 
 
-class FaultyTable(EmbeddedTable):
-    """A table that loses writes and replies when told to."""
+class HookedTable(FaultyTable):
+    """A faulty table of its own, with one hook."""
 
     def __init__(self):
-        super().__init__()
-        self.lost_replies = 0
-        self.lost_writes = 0
-        self.down = False
+        super().__init__(EmbeddedTable())
         self.after_loss = None
 
-    async def read(self, key):
-        """Read one row."""
-        await self._pass()
-        return await super().read(key)
-
-    async def scan(self, prefix, *, limit=1000):
-        """Read the rows of a prefix."""
-        await self._pass()
-        return await super().scan(prefix, limit=limit)
-
     async def commit(self, writes, *, atomic=True):
-        """Commit, and lose what is to be lost."""
-        await self._pass()
-        if self.lost_writes:
-            self.lost_writes -= 1
-            await self._lose()
-        results = await super().commit(writes, atomic=atomic)
-        if self.lost_replies:
-            self.lost_replies -= 1
-            await self._lose()
-        return results
-
-    async def _pass(self):
-        await asyncio.sleep(0)
-        if self.down:
-            raise PlatformUnavailableError("down")
-
-    async def _lose(self):
-        callback, self.after_loss = self.after_loss, None
-        if callback:
-            await callback()
-        raise CommitUnknownError("lost")
+        """Commit, and run the hook once where the answer is lost."""
+        try:
+            return await super().commit(writes, atomic=atomic)
+        except CommitUnknownError:
+            hook, self.after_loss = self.after_loss, None
+            if hook:
+                await hook()
+            raise
--- a/tests/settings/store.feature
+++ b/tests/settings/store.feature
@@ -47,6 +47,21 @@
     When settings operator "fleet" changes "fleet" from version 1
     Then the settings change meets version 2
 
+  Scenario: A write that was held back arrives after its repetition
+    Given the settings table holds back 1 write
+    When settings operator "fleet" changes "fleet" from version 1
+    Then the settings change is accepted as version 2
+    When the write held back arrives in the settings table
+    Then the settings branch "fleet" stands at version 2
+    And the settings counter stands at 2
+
+  Scenario: A write that was held back arrives before its repetition
+    Given the settings table holds back 1 write
+    And the write held back arrives at once in the settings table
+    When settings operator "fleet" changes "fleet" from version 1
+    Then the settings change is accepted as version 2
+    And the settings counter stands at 2
+
   Scenario: The table goes silent for good after a change
     Given the settings table loses 99 replies after the write
     When settings operator "fleet" changes "fleet" from version 1
--- a/tests/settings/trees.py
+++ b/tests/settings/trees.py
@@ -5,9 +5,15 @@
 
 from __future__ import annotations
 
+import hashlib
+import json
 import tempfile
 from pathlib import Path
 
+import msgspec
+
+from pomelolane.settings import branch_content_from_directory
+
 DIGEST = "a" * 63
 
 PLATFORM_YAML = f"""\
@@ -83,3 +89,20 @@
         (root / name).parent.mkdir(exist_ok=True)
         (root / name).write_text(text)
     return root
+
+
+def operator_key(team: str) -> str:
+    """Return the operator's key that the scenarios use for a team."""
+    return f"key-{team}"
+
+
+def make_operated_contents(context) -> dict[str, bytes]:
+    """Return the tree's branches, opened by the scenarios' operator keys."""
+    contents = branch_content_from_directory(make_settings_directory(context))
+    changed = {}
+    for branch, content in contents.items():
+        data = json.loads(content)
+        digest = hashlib.sha256(operator_key(branch).encode()).hexdigest()
+        data["team"]["operator_key_sha256"] = digest
+        changed[branch] = msgspec.json.encode(data, order="sorted")
+    return changed
--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -14,6 +14,7 @@
 
 from pomelolane.commands.application import run_application
 from pomelolane.events import CATALOGUE
+from pomelolane.platform import EmbeddedTable
 from pomelolane.report import (
     EndpointReport,
     PeerReport,
@@ -23,7 +24,6 @@
 )
 from pomelolane.settings import OPTIONS, branch_content_from_directory
 from tests.commands.vm import FakeVm
-from tests.settings.faults import FaultyTable
 from tests.settings.trees import make_settings_directory
 
 REPORT = StatusReport(
@@ -88,7 +88,7 @@
     keys = {"operators": {team: key_of(team) for team in TEAMS[:3]}}
     context.key_file.write_text(json.dumps(keys))
     branches = branch_content_from_directory(context.directory)
-    context.vm = FakeVm(FaultyTable(), branches, REPORT)
+    context.vm = FakeVm(EmbeddedTable(), branches, REPORT)
     context.vm.start()
     context.add_cleanup(context.vm.stop)
 
--- a/tests/steps/settings_store_steps.py
+++ b/tests/steps/settings_store_steps.py
@@ -3,21 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import json
 
-import msgspec
 from behave import given, then, when
 
 from pomelolane.exceptions import (
     PomelolaneError,
     VersionConflictError,
 )
-from pomelolane.settings import admin, branch_content_from_directory
+from pomelolane.settings import admin
 from pomelolane.settings.rows import BranchVersion
 from pomelolane.settings.store import Change, SettingsStore
-from tests.settings.faults import FaultyTable
-from tests.settings.trees import make_settings_directory
+from tests.faults import LATE_WRITE, LOST_REPLY, LOST_WRITE
+from tests.settings.faults import HookedTable
+from tests.settings.trees import make_operated_contents, operator_key
 
 HANDLERS = {
     "INDEX": admin.answer_index,
@@ -27,21 +26,6 @@
 }
 
 
-def operator_key(team):
-    return f"key-{team}"
-
-
-def make_contents(context):
-    contents = branch_content_from_directory(make_settings_directory(context))
-    changed = {}
-    for branch, content in contents.items():
-        data = json.loads(content)
-        digest = hashlib.sha256(operator_key(branch).encode()).hexdigest()
-        data["team"]["operator_key_sha256"] = digest
-        changed[branch] = msgspec.json.encode(data, order="sorted")
-    return changed
-
-
 def changed_content(context, branch, queue_limit=7):
     data = json.loads(context.contents[branch])
     if "services" in data:
@@ -60,32 +44,47 @@
 
 @given("a settings store with the teams fleet and quota")
 def given_store(context):
-    context.settings_table = FaultyTable()
+    context.settings_table = HookedTable()
     context.settings_store = SettingsStore(context.settings_table)
-    context.contents = make_contents(context)
+    context.contents = make_operated_contents(context)
     assert context.run(context.settings_store.import_first(context.contents))
 
 
 @given("the settings table loses {count:d} reply after the write")
 @given("the settings table loses {count:d} replies after the write")
 def given_lost_replies(context, count):
-    context.settings_table.lost_replies = count
+    context.settings_table.faults.extend([LOST_REPLY] * count)
 
 
 @given("the settings table loses {count:d} write")
 def given_lost_writes(context, count):
-    context.settings_table.lost_writes = count
+    context.settings_table.faults.extend([LOST_WRITE] * count)
+
+
+@given("the settings table holds back 1 write")
+def given_late_write(context):
+    context.settings_table.faults.append(LATE_WRITE)
+
+
+@given("the write held back arrives at once in the settings table")
+def given_late_arrives(context):
+    context.settings_table.after_loss = context.settings_table.deliver_late
+
+
+@when("the write held back arrives in the settings table")
+def when_late_arrives(context):
+    context.run(context.settings_table.deliver_late())
 
 
 @given("the settings table is down")
 def given_down(context):
-    context.settings_table.down = True
+    context.settings_table.is_down = True
 
 
 @given("the settings table goes down after that write")
 def given_down_after(context):
     async def go_down():
-        context.settings_table.down = True
+        context.settings_table.is_down = True
 
     context.settings_table.after_loss = go_down
 
