--- a/src/pomelolane/gateway/app.py
+++ b/src/pomelolane/gateway/app.py
@@ -24,7 +24,7 @@
 from pomelolane.gateway.problem import (
     encode_problem,
     problem_from_refusal,
-    problem_headers,
+    problem_response,
     refusal_from_bad_request,
 )
 from pomelolane.gateway.sinks import CallerSink
@@ -107,13 +107,15 @@
         add = app.router.add
         plain = function_from_method(self._plain_route)
         add("POST", "/v1/chat/completions", self._route(self.chat))
-        add("GET", "/v1/jobs/{job_id}", self._job_route(self._jobs.state))
-        add("GET", "/v1/jobs/{job_id}/answer", self._job_route(self._jobs.answer))
-        add("DELETE", "/v1/jobs/{job_id}", self._job_route(self._jobs.cancel))
         for method in ALL_METHODS:
             add(method, "/services/{service}/{path:path}", plain)
             add(method, "/services/{service}", plain)
         app.router.fallback = function_from_method(self._fallback)
+        if self._jobs is None:
+            return
+        add("GET", "/v1/jobs/{job_id}", self._job_route(self._jobs.state))
+        add("GET", "/v1/jobs/{job_id}/answer", self._job_route(self._jobs.answer))
+        add("DELETE", "/v1/jobs/{job_id}", self._job_route(self._jobs.cancel))
 
     async def chat(self, exchange: Exchange) -> Response | None:
         """Serve ``POST /v1/chat/completions``."""
@@ -279,13 +281,5 @@
     return Response(status, headers or [], content)
 
 
-def problem_response(refusal: Refusal, request_id: str = "") -> Response:
-    """Return the problem-details answer to a refusal."""
-    problem = problem_from_refusal(refusal, request_id)
-    headers = [pair for pair in problem_headers(problem) if pair[0] != b"content-type"]
-    content = Content(b"application/problem+json", encode_problem(problem))
-    return Response(problem.status, headers, content)
-
-
 def _new_id() -> str:
     return uuid.uuid4().hex
