Relay to uvicorn's transport in the callback that received the bytes

An ASGI send costs a task switch and a dictionary a token. The direct sink writes chunked framing itself and pauses the endpoint when the caller's buffer is full; uvicorn still writes head and end.

--- /dev/null
+++ b/bench/relay_load.py
@@ -0,0 +1,104 @@
+"""The callers of the relay bench: streams of tokens, read and timed.
+
+They use the product's own endpoint client, straight or through a VM.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from pomelolane.endpoints import SseCounter, make_engine_adapter
+from pomelolane.model import Endpoint
+from pomelolane.ports import EndpointAdapter, UpstreamRequest
+
+_PATH = "/v1/chat/completions"
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """How much is sent.
+
+    Attributes:
+        requests_per_s: Arrivals, evenly spaced.
+        output_tokens: Length of each answer.
+        seconds: For how long requests are sent.
+        headers: Headers of each request.
+        model: Service asked for.
+    """
+
+    requests_per_s: float
+    output_tokens: int
+    seconds: float
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    model: str = "bench"
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """What the callers saw.
+
+    Attributes:
+        ttft_ms: Time to first token of each request.
+        events: Events read.
+        failed: Requests that did not come whole.
+        cpu_s: CPU time of this process meanwhile.
+    """
+
+    ttft_ms: list[float] = field(default_factory=list)
+    events: int = 0
+    failed: int = 0
+    cpu_s: float = 0.0
+
+
+async def run_load(address: str, load: Load) -> LoadResult:
+    """Send requests to an address and read all answers."""
+    result = LoadResult()
+    adapter = make_engine_adapter()
+    endpoint = Endpoint("target", load.model, "dc", address)
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    cpu_started = time.process_time()
+    tasks = []
+    for number in range(int(load.requests_per_s * load.seconds)):
+        at = started + number / load.requests_per_s
+        if (delay := at - loop.time()) > 0:
+            await asyncio.sleep(delay)
+        request = _request(number, load)
+        tasks.append(loop.create_task(_call(adapter, endpoint, request, load, result)))
+    await asyncio.gather(*tasks)
+    result.cpu_s = time.process_time() - cpu_started
+    return result
+
+
+def _request(number: int, load: Load) -> UpstreamRequest:
+    body = (
+        b'{"model":"%b","stream":true,"max_tokens":%d,"x_output_tokens":%d,'
+        b'"messages":[{"role":"user","content":"entry %d"}]}'
+    ) % (load.model.encode(), load.output_tokens, load.output_tokens, number)
+    headers = ((b"content-type", b"application/json"), *load.headers)
+    return UpstreamRequest(f"load-{number}", "", "POST", _PATH, headers, body)
+
+
+async def _call(
+    adapter: EndpointAdapter,
+    endpoint: Endpoint,
+    request: UpstreamRequest,
+    load: Load,
+    result: LoadResult,
+) -> None:
+    counter = SseCounter()
+    started = time.perf_counter()
+    try:
+        stream = await adapter.dispatch(endpoint, request)
+        async for data in stream.chunks():
+            if not counter.data_lines:
+                result.ttft_ms.append((time.perf_counter() - started) * 1000.0)
+            counter.feed(data)
+    except Exception:
+        result.failed += 1
+        return
+    result.events += counter.events
+    if not counter.is_done or counter.events < load.output_tokens:
+        result.failed += 1
--- a/src/pomelolane/endpoints/meter.py
+++ b/src/pomelolane/endpoints/meter.py
@@ -10,11 +10,16 @@
 from pomelolane.endpoints.sse import SseCounter, usage_from_json
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pomelolane.endpoints.stream import AnswerStream
 
 MAX_USAGE_BODY_BYTES = 1024 * 1024
 """Size above which a JSON answer is not kept to read its usage."""
 
+PROGRESS_PIECES = 16
+"""Pieces after which the observer hears of progress again."""
+
 _CACHED_TOKENS = b"x-cached-tokens"
 _JSON = b"application/json"
 
@@ -81,3 +86,39 @@
         self._kept.append(data)
         if self.bytes > MAX_USAGE_BODY_BYTES:
             self._kept = None
+
+
+class RelayObserver:
+    """Hears of a relayed answer's progress; both calls must be quick.
+
+    Args:
+        on_first: Called at the first byte of the body.
+        on_progress: Called with the number of chunks so far, now and then and
+            at the end.
+    """
+
+    __slots__ = ("_pieces_left", "on_first", "on_progress")
+
+    def __init__(
+        self,
+        on_first: Callable[[], None] | None = None,
+        on_progress: Callable[[int], None] | None = None,
+    ) -> None:
+        self.on_first = on_first or _ignore
+        self.on_progress = on_progress or _ignore
+        self._pieces_left = 1
+
+    def progress(self, meter: AnswerMeter) -> None:
+        """Take note of a piece, and tell of the first and each sixteenth."""
+        self._pieces_left -= 1
+        if self._pieces_left == 0:
+            self._pieces_left = PROGRESS_PIECES
+            self.on_progress(meter.chunks)
+
+    def last(self, meter: AnswerMeter) -> None:
+        """Tell of the end."""
+        self.on_progress(meter.chunks)
+
+
+def _ignore(*_: object) -> None:
+    pass
--- a/src/pomelolane/endpoints/relay.py
+++ b/src/pomelolane/endpoints/relay.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pomelolane.endpoints.meter import AnswerMeter
+from pomelolane.endpoints.direct import DirectSink, direct_cycle
+from pomelolane.endpoints.meter import AnswerMeter, RelayObserver
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -47,29 +48,6 @@
     started: bool
 
 
-class RelayObserver:
-    """Hears of a relayed answer's progress; both calls must be quick.
-
-    Args:
-        on_first: Called at the first byte of the body.
-        on_progress: Called with the number of chunks so far, now and then.
-    """
-
-    __slots__ = ("on_first", "on_progress")
-
-    def __init__(
-        self,
-        on_first: Callable[[], None] | None = None,
-        on_progress: Callable[[int], None] | None = None,
-    ) -> None:
-        self.on_first = on_first or _ignore
-        self.on_progress = on_progress or _ignore
-
-
-def _ignore(*_: object) -> None:
-    pass
-
-
 async def relay(
     stream: AnswerStream,
     send: Send,
@@ -96,7 +74,7 @@
     observer = RelayObserver(on_first, on_progress)
     meter = AnswerMeter(stream)
     passing = asyncio.ensure_future(_pass_on(stream, send, meter, observer, headers))
-    caller_gone = await _finished_before_disconnect(passing, receive_disconnected)
+    caller_gone = await _caller_left_first(passing, receive_disconnected)
     return RelayResult(
         status=stream.status,
         chunks=meter.chunks,
@@ -118,19 +96,15 @@
     raise ConnectionAbortedError("the endpoint's answer was cut short")
 
 
-async def _finished_before_disconnect(
-    passing: asyncio.Future[None], gone: asyncio.Event | None
+async def _caller_left_first(
+    passing: asyncio.Future[bool], gone: asyncio.Event | None
 ) -> bool:
     if gone is None:
-        await passing
-        return False
+        return await passing
     leaving = asyncio.ensure_future(gone.wait())
     try:
         await asyncio.wait((passing, leaving), return_when=asyncio.FIRST_COMPLETED)
-        if passing.done():
-            await passing
-            return False
-        return True
+        return await passing if passing.done() else True
     finally:
         for task in (passing, leaving):
             task.cancel()
@@ -144,10 +118,11 @@
     meter: AnswerMeter,
     observer: RelayObserver,
     headers: tuple[tuple[bytes, bytes], ...],
-) -> None:
+) -> bool:
+    """Pass the answer on and return whether the caller was seen to leave."""
     await stream.wait()
     if stream.is_broken_unread:
-        return
+        return False
     await send(
         {
             "type": "http.response.start",
@@ -157,9 +132,23 @@
     )
     meter.started = True
     observer.on_first()
+    caller_gone = await _pass_body(stream, send, meter, observer)
+    observer.last(meter)
+    if meter.is_whole and not caller_gone:
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+    return caller_gone
+
+
+async def _pass_body(
+    stream: AnswerStream, send: Send, meter: AnswerMeter, observer: RelayObserver
+) -> bool:
+    cycle = direct_cycle(send)
+    if cycle is not None:
+        sink = DirectSink(stream, cycle, meter, observer)
+        await sink.run()
+        return sink.caller_gone
     while data := await stream.read_ready():
-        meter.feed(data)
         await send({"type": "http.response.body", "body": data, "more_body": True})
-        observer.on_progress(meter.chunks)
-    if meter.is_whole:
-        await send({"type": "http.response.body", "body": b"", "more_body": False})
+        meter.feed(data)
+        observer.progress(meter)
+    return False
