Add compact heartbeats and digests to the messages

Cause: a full heartbeat twice a second to each of 29 peers, and a digest of 30 VMs to 26 delegates, would exceed 9 KB a second. Change: pulses that name the hash of the last full content, requests for that content, and additive fields; Peer says whether a VM is ready.

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -188,6 +188,15 @@
     "An inter-VM message was malformed, replayed or not authentic.",
 )
 
+VM_WOKE = _define(
+    406,
+    "vm_woke",
+    "warning",
+    "paused_ms",
+    "This process did not run for a while; its view counts as stale until it is heard "
+    "again.",
+)
+
 # 5xx: platform, claims, leases
 PLATFORM_DOWN = _define(501, "platform_down", "warning", "error", "A call failed.")
 PLATFORM_UP = _define(502, "platform_up", "info", "down_ms", "Calls succeed again.")
--- a/src/pomelolane/messages.py
+++ b/src/pomelolane/messages.py
@@ -236,7 +236,11 @@
         ready: Whether it takes callers.
         draining: Whether it is stopping.
         versions: Settings version by branch.
-        leaving: Endpoints that the sender knows to be leaving.
+        leaving: Endpoints that the sender itself found to be leaving.
+        address: ``ip:port`` at which others reach the sender.
+        stopped: Whether this is the sender's last message.
+        remote: Hash of the digest of each other data centre that the sender
+            hears of directly; empty unless it is a delegate.
     """
 
     vm_id: str
@@ -247,6 +251,23 @@
     draining: bool
     versions: dict[str, int]
     leaving: tuple[str, ...] = ()
+    address: str = ""
+    stopped: bool = False
+    remote: dict[str, int] = {}
+
+
+class Pulse(Message, frozen=True):
+    """A heartbeat whose content is that of the last full one.
+
+    Attributes:
+        state_hash: Hash of that content.
+    """
+
+    state_hash: int
+
+
+class HeartbeatWanted(Message, frozen=True):
+    """Answer to a pulse whose content the receiver does not have."""
 
 
 class MemberState(msgspec.Struct, frozen=True, array_like=True):
@@ -269,6 +290,7 @@
         versions: Highest settings version by branch.
         leaving: Endpoints known to be leaving.
         capacity: Free slots by service.
+        reply: Whether it answers another digest, and so wants no answer.
     """
 
     data_centre: str
@@ -277,6 +299,25 @@
     versions: dict[str, int]
     leaving: tuple[str, ...] = ()
     capacity: dict[str, int] = {}
+    reply: bool = False
+
+
+class DigestPulse(Message, frozen=True):
+    """A digest whose content is that of the last full one.
+
+    Attributes:
+        data_centre: The summarised data centre.
+        digest_hash: Hash of that content.
+    """
+
+    data_centre: str
+    digest_hash: int
+
+
+class DigestWanted(Message, frozen=True):
+    """Ask a VM for the digest that it has of a data centre."""
+
+    data_centre: str
 
 
 class BranchWanted(Message, frozen=True):
@@ -348,7 +389,11 @@
     | SyncAck
     | Unfollow
     | Heartbeat
+    | Pulse
+    | HeartbeatWanted
     | Digest
+    | DigestPulse
+    | DigestWanted
     | BranchWanted
     | BranchContent
     | EndpointLeaving
@@ -382,10 +427,13 @@
     "BranchContent",
     "BranchWanted",
     "Digest",
+    "DigestPulse",
+    "DigestWanted",
     "EndpointLeaving",
     "Granted",
     "Handle",
     "Heartbeat",
+    "HeartbeatWanted",
     "KeyAnswer",
     "KeyQuery",
     "MemberState",
@@ -393,6 +441,7 @@
     "NotScheduler",
     "Outcome",
     "Progress",
+    "Pulse",
     "Refused",
     "RunningHandle",
     "StreamEvent",
--- a/src/pomelolane/ports.py
+++ b/src/pomelolane/ports.py
@@ -149,6 +149,7 @@
         data_centre: Where it stands.
         address: ``ip:port`` of its inter-VM interface.
         draining: Whether it is stopping; it takes no new role.
+        ready: Whether it has its settings and takes callers.
     """
 
     vm_id: str
@@ -156,6 +157,7 @@
     data_centre: str
     address: str
     draining: bool = False
+    ready: bool = True
 
 
 @dataclass(frozen=True, slots=True)
