--- a/src/pomelolane/endpoints/connection.py
+++ b/src/pomelolane/endpoints/connection.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from typing import TYPE_CHECKING
 
@@ -126,6 +127,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keep the transport."""
         self._transport = transport
+        _delay_acks(self._sock)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes and pass on what they hold of the body."""
@@ -241,3 +243,11 @@
             stream.finish(complete=False, error=error)
         elif waiter is not None and not waiter.done():
             waiter.set_exception(error)
+
+
+def _delay_acks(sock: socket.socket | None) -> None:
+    """Ask not to acknowledge each token by a packet of its own (Linux)."""
+    option = getattr(socket, "TCP_QUICKACK", None)
+    if option is not None and sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, option, 0)
--- a/src/pomelolane/endpoints/direct.py
+++ b/src/pomelolane/endpoints/direct.py
@@ -17,6 +17,9 @@
     from pomelolane.endpoints.meter import AnswerMeter, RelayObserver
     from pomelolane.endpoints.stream import AnswerStream
 
+METERED_PIECES = 8
+"""Pieces of an event stream that are counted, and told of, together."""
+
 
 def direct_cycle(send: object) -> RequestResponseCycle | None:
     """Return uvicorn's cycle behind an ASGI ``send`` if it can be driven so."""
@@ -55,8 +58,9 @@
         self._protocol: RelayHttpProtocol = cycle.transport.get_protocol()
         self._is_chunked = bool(cycle.chunked_encoding)
         self._meter = meter
-        self._feed = meter.feed
         self._observer = observer
+        self._unmetered: list[bytes] = []
+        self._batch_pieces = METERED_PIECES if stream.is_events else 1
         self._ended = asyncio.get_running_loop().create_future()
 
     async def run(self) -> None:
@@ -77,16 +81,19 @@
     # --- the endpoint's side ---
 
     def write(self, data: bytes) -> None:
-        """Pass on a piece at once."""
+        """Pass on a piece at once; event streams are metered in batches."""
         if self._is_chunked:
             self._transport.write(b"%x\r\n%b\r\n" % (len(data), data))
         else:
             self._write_counted(data)
-        self._feed(data)
-        self._observer.progress(self._meter)
+        unmetered = self._unmetered
+        unmetered.append(data)
+        if len(unmetered) >= self._batch_pieces:
+            self._meter_batch()
 
     def end(self) -> None:
         """End with the stream."""
+        self._meter_batch()
         if not self._ended.done():
             self._ended.set_result(None)
 
@@ -106,6 +113,13 @@
         self._stream.detach()
         self.end()
 
+    def _meter_batch(self) -> None:
+        pieces = self._unmetered
+        if pieces:
+            self._unmetered = []
+            self._meter.feed_all(pieces)
+            self._observer.on_progress(self._meter.chunks)
+
     def _write_counted(self, data: bytes) -> None:
         cycle = self._cycle
         if cycle.scope["method"] == "HEAD":
--- a/src/pomelolane/endpoints/meter.py
+++ b/src/pomelolane/endpoints/meter.py
@@ -17,9 +17,6 @@
 MAX_USAGE_BODY_BYTES = 1024 * 1024
 """Size above which a JSON answer is not kept to read its usage."""
 
-PROGRESS_PIECES = 16
-"""Pieces after which the observer hears of progress again."""
-
 _CACHED_TOKENS = b"x-cached-tokens"
 _JSON = b"application/json"
 
@@ -52,6 +49,11 @@
         elif self._kept is not None:
             self._keep(data)
 
+    def feed_all(self, pieces: list[bytes]) -> None:
+        """Take several pieces at once."""
+        self.feed(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+        self.pieces += len(pieces) - 1
+
     @property
     def chunks(self) -> int:
         """Events of an event stream, pieces of any other body."""
@@ -97,7 +99,7 @@
             at the end.
     """
 
-    __slots__ = ("_pieces_left", "on_first", "on_progress")
+    __slots__ = ("on_first", "on_progress")
 
     def __init__(
         self,
@@ -106,18 +108,6 @@
     ) -> None:
         self.on_first = on_first or _ignore
         self.on_progress = on_progress or _ignore
-        self._pieces_left = 1
-
-    def progress(self, meter: AnswerMeter) -> None:
-        """Take note of a piece, and tell of the first and each sixteenth."""
-        self._pieces_left -= 1
-        if self._pieces_left == 0:
-            self._pieces_left = PROGRESS_PIECES
-            self.on_progress(meter.chunks)
-
-    def last(self, meter: AnswerMeter) -> None:
-        """Tell of the end."""
-        self.on_progress(meter.chunks)
 
 
 def _ignore(*_: object) -> None:
--- a/src/pomelolane/endpoints/relay.py
+++ b/src/pomelolane/endpoints/relay.py
@@ -133,7 +133,6 @@
     meter.started = True
     observer.on_first()
     caller_gone = await _pass_body(stream, send, meter, observer)
-    observer.last(meter)
     if meter.is_whole and not caller_gone:
         await send({"type": "http.response.body", "body": b"", "more_body": False})
     return caller_gone
@@ -150,5 +149,5 @@
     while data := await stream.read_ready():
         await send({"type": "http.response.body", "body": data, "more_body": True})
         meter.feed(data)
-        observer.progress(meter)
+        observer.on_progress(meter.chunks)
     return False
