Wire in the job runner and the relay's direct way

The exchange reads uvicorn's own record of an answer, because the relay writes beside it; blacksheep's own answers pass unless one has begun here.

--- a/src/pomelolane/gateway/app.py
+++ b/src/pomelolane/gateway/app.py
@@ -112,8 +112,6 @@
             add(method, "/services/{service}/{path:path}", plain)
             add(method, "/services/{service}", plain)
         app.router.fallback = function_from_method(self._fallback)
-        if self._jobs is None:
-            return
         add("GET", "/v1/jobs/{job_id}", self._job_route(self._jobs.state))
         add("GET", "/v1/jobs/{job_id}/answer", self._job_route(self._jobs.answer))
         add("DELETE", "/v1/jobs/{job_id}", self._job_route(self._jobs.cancel))
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -202,6 +202,7 @@
             await on_placed(state.endpoint_id, state.stream_id)
         dispatched_before = state.dispatched
         state.dispatched = True
+        watch.dispatched()
         self._log_dispatch(state, watch.grant, queued_ms)
         adapter = self._adapters[state.call.service.kind.value]
         try:
@@ -233,6 +234,9 @@
             if not state.outlives_cancel:
                 self._cancel_upstream(adapter, endpoint, state.stream_id)
             raise
+        if result.caller_gone:
+            self._cancel_upstream(adapter, endpoint, state.stream_id)
+            return Refusal(Outcome.CUT_SHORT, Reason.CALLER_GONE)
         if not result.whole:
             return self._broken(state, endpoint, watch, "the answer ended early")
         watch.finish(cached_tokens=result.cached_tokens)
--- a/src/pomelolane/gateway/ending.py
+++ b/src/pomelolane/gateway/ending.py
@@ -41,12 +41,14 @@
         begun: Whether any byte of it has left towards the caller.
         chunks: Token events seen.
         cached_tokens: Prompt tokens reported as cached, -1 if unknown.
+        caller_gone: Whether the caller left before the end.
     """
 
     whole: bool
     begun: bool
     chunks: int
     cached_tokens: int = -1
+    caller_gone: bool = False
 
 
 class FirstByte(Protocol):
--- a/src/pomelolane/gateway/exchange.py
+++ b/src/pomelolane/gateway/exchange.py
@@ -32,9 +32,7 @@
         path: Raw path.
         query: Raw query string.
         headers: All headers, names in lower case.
-        answered: Whether an answer has been begun here.
         body_read: Whether the whole request body has been read.
-        completed: Whether the last byte of the answer was handed over.
         gone: Whether the caller left before the answer ended.
     """
 
@@ -45,14 +43,32 @@
         self.path: bytes = scope["raw_path"]
         self.query: bytes = scope["query_string"]
         self.headers: list[tuple[bytes, bytes]] = scope["headers"]
-        self.answered = False
-        self.completed = False
         self.gone = False
+        self._answered = False
+        self._completed = False
+        # uvicorn's own record of the answer, which also knows of bytes that
+        # the relay wrote beside this class; absent under other servers.
+        self._cycle = getattr(send, "__self__", None)
         self._receive = receive
         self._send = send
         self.body_read = False
         self._watcher: asyncio.Task[None] | None = None
 
+    @property
+    def answered(self) -> bool:
+        """Whether an answer has been begun here."""
+        return self._answered or getattr(self._cycle, "response_started", False)
+
+    @property
+    def completed(self) -> bool:
+        """Whether the last byte of the answer was handed over."""
+        return self._completed or getattr(self._cycle, "response_complete", False)
+
+    @property
+    def raw_send(self) -> AsgiSend:
+        """The server's own ``send``, for the relay's direct way."""
+        return self._send
+
     def header(self, name: bytes) -> bytes:
         """Return the first value of a header, empty where it is absent."""
         for known, value in self.headers:
@@ -116,15 +132,15 @@
 
     async def send(self, message: AsgiMessage) -> None:
         """Send an ASGI message of an answer given here."""
-        self.answered = True
+        self._answered = True
         is_body = message["type"] == "http.response.body"
         if is_body and not message.get("more_body", False):
-            self.completed = True
+            self._completed = True
         await self._send(message)
 
     def abort(self) -> None:
         """Leave a begun answer open, so that the server cuts the connection."""
-        self.answered = True
+        self._answered = True
 
     async def respond(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
@@ -160,8 +176,13 @@
         exchange = Exchange(scope, receive, send)
         scope[SCOPE_KEY] = exchange
 
+        passes = False
+
         async def send_unless_answered(message: AsgiMessage) -> None:
-            if not exchange.answered:
+            nonlocal passes
+            if message["type"] == "http.response.start":
+                passes = not exchange.answered
+            if passes:
                 await send(message)
 
         try:
--- a/src/pomelolane/gateway/listener.py
+++ b/src/pomelolane/gateway/listener.py
@@ -10,8 +10,8 @@
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from pomelolane.endpoints.caller_protocol import RelayHttpProtocol
 from pomelolane.gateway.problem import (
     encode_problem,
     problem_from_refusal,
@@ -33,10 +33,10 @@
 }
 
 
-def make_protocol(header_timeout_ms: int) -> type[HttpToolsProtocol]:
+def make_protocol(header_timeout_ms: int) -> type[RelayHttpProtocol]:
     """Return a protocol class with the given bound on a head's time."""
 
-    class GuardedProtocol(HttpToolsProtocol):
+    class GuardedProtocol(RelayHttpProtocol):
         """uvicorn's protocol with guards on the head of each request."""
 
         def __init__(self, *args: Any, **kwargs: Any) -> None:
--- a/src/pomelolane/gateway/sinks.py
+++ b/src/pomelolane/gateway/sinks.py
@@ -41,7 +41,7 @@
         headers: tuple[tuple[bytes, bytes], ...],
         tee: KeptAnswer | None = None,
     ) -> None:
-        self._send = exchange.send
+        self._send = exchange.raw_send
         self._headers = headers
         self._tee = tee
         self.streams_events = False
--- a/src/pomelolane/gateway/watch.py
+++ b/src/pomelolane/gateway/watch.py
@@ -21,7 +21,7 @@
 
     Attributes:
         grant: The grant it runs under.
-        ttft_ms: Time from the grant to the first token, -1 until then.
+        ttft_ms: Time from dispatch to the first token, -1 until then.
     """
 
     def __init__(self, client: SchedulerClient, grant: Grant, clock: Clock) -> None:
@@ -35,6 +35,11 @@
         self._reported_tokens = 0
         self._done = False
 
+    def dispatched(self) -> None:
+        """Note that the first byte of the request leaves now."""
+        self._begun_ms = self._clock.now_ms()
+        self._reported_ms = self._begun_ms
+
     def first(self) -> None:
         """Note the first byte of the answer."""
         if self.ttft_ms >= 0:
--- a/src/pomelolane/parts.py
+++ b/src/pomelolane/parts.py
@@ -24,7 +24,10 @@
     RetryBudget,
 )
 from pomelolane.gateway.admin import Admin, AdminHooks
+from pomelolane.gateway.deferred import JobCalls
+from pomelolane.gateway.jobwork import JobWork
 from pomelolane.gateway.operations import Operations
+from pomelolane.jobs import make_jobs
 from pomelolane.platform import GroupCommitter, make_claims, platform_from_url
 from pomelolane.registry import ENDPOINT_ADAPTERS
 from pomelolane.settings.store import SettingsStore
@@ -38,6 +41,7 @@
     from blacksheep import Application
 
     from pomelolane.coordination import Coordination
+    from pomelolane.jobs import Jobs
     from pomelolane.platform import Platform, TableClaims
     from pomelolane.settings.options import ServeOptions
 
@@ -66,6 +70,7 @@
     claims: TableClaims
     keyed: KeyedCalls
     gateway: Gateway
+    jobs: Jobs
 
     def mount(self, app: Application, stop_soon: Callable[[], None]) -> None:
         """Add all routes to the application."""
@@ -84,9 +89,11 @@
         await self.store.import_first(contents)
         for each in (await self.store.snapshot()).branches.values():
             self.adoption.take(each.branch, each.version, each.content)
+        self.jobs.runner.start()
 
     async def finish_background(self) -> None:
         """Finish what was accepted."""
+        await self.jobs.runner.drain(self.options.drain_timeout_ms)
         await self.keyed.drain()
 
     async def stop_background(self) -> None:
@@ -117,6 +124,20 @@
     keyed = KeyedCalls(
         claims, platform.objects, dispatcher, holders, tree, adapters, clock
     )
+    work = JobWork(dispatcher, platform.objects, tree, adapters)
+    jobs = make_jobs(
+        platform.table,
+        platform.objects,
+        committer,
+        claims,
+        work,
+        member,
+        vm_id=options.vm_id,
+        incarnation=incarnation,
+        region=options.region,
+        data_centre=options.data_centre,
+        clock=clock,
+    )
     limits = GatewayLimits(options.max_body_bytes, options.body_timeout_ms)
     return Parts(
         options=options,
@@ -131,5 +152,6 @@
         dispatcher=dispatcher,
         claims=claims,
         keyed=keyed,
-        gateway=Gateway(tree, dispatcher, keyed, None, limits),
+        gateway=Gateway(tree, dispatcher, keyed, JobCalls(jobs.api), limits),
+        jobs=jobs,
     )
