Let the direct relay pass wrapped sends and copies, and prove it under uvicorn

A gateway that wraps ASGI's send gives the server's own beside it; a copy for repeated keys no longer costs the direct way. Statuses over 599 and lengths on bodiless answers, which uvicorn cannot write, are dealt with. The ASGI wrapper goes: the gateway has its own.

--- a/bench/relay_vm.py
+++ b/bench/relay_vm.py
@@ -13,9 +13,7 @@
 import uvicorn
 from blacksheep.client import ClientSession
 
-from pomelolane.endpoints import make_engine_adapter, relay
-from pomelolane.endpoints.asgi import CallerChannel, RelayingApp
-from pomelolane.endpoints.caller_protocol import RelayHttpProtocol
+from pomelolane.endpoints import RelayHttpProtocol, make_engine_adapter, relay
 from pomelolane.model import Endpoint
 from pomelolane.ports import UpstreamRequest
 
@@ -25,6 +23,7 @@
     from pomelolane.endpoints import AnswerStream
 
 _PATH = "/v1/chat/completions"
+_SEND_KEY = "bench.send"
 _EVENTS = b"text/event-stream"
 
 
@@ -74,10 +73,9 @@
 
     async def relayed(self, request: blacksheep.Request) -> blacksheep.Response:
         """The adapter and the relay."""
-        channel: CallerChannel = request.scope[CallerChannel.SCOPE_KEY]
         stream = await self._dispatch(request)
-        channel.watch()
-        await relay(stream, channel.take(), channel.gone)
+        send = request.scope.pop(_SEND_KEY)
+        await relay(stream, send)
         return blacksheep.Response(200)
 
     def _session(self, make: Callable[[], Any]) -> Any:
@@ -102,7 +100,25 @@
 MODES = ("blacksheep_client", "aiohttp_client", "streamed", "thin", "fast")
 
 
-def _make_app(address: str, mode: str) -> RelayingApp:
+def _with_raw_send(app: blacksheep.Application) -> Any:
+    """Let handlers take the server's ``send`` and answer by it."""
+
+    async def serve(scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] != "http":
+            await app(scope, receive, send)
+            return
+        scope[_SEND_KEY] = send
+
+        async def send_unless_taken(message: Any) -> None:
+            if _SEND_KEY in scope:
+                await send(message)
+
+        await app(scope, receive, send_unless_taken)
+
+    return serve
+
+
+def _make_app(address: str, mode: str) -> Any:
     vm = _Vm(address)
     app = blacksheep.Application()
     handler = vm.relayed if mode in ("thin", "fast") else getattr(vm, mode)
@@ -111,7 +127,7 @@
         return await handler(request)
 
     app.router.add_post(_PATH, handle)
-    return RelayingApp(app)
+    return _with_raw_send(app)
 
 
 def main() -> None:
--- a/src/pomelolane/endpoints/__init__.py
+++ b/src/pomelolane/endpoints/__init__.py
@@ -4,18 +4,20 @@
 """
 
 from pomelolane.endpoints.adapter import make_engine_adapter, make_plain_adapter
+from pomelolane.endpoints.caller_protocol import CallerListener, RelayHttpProtocol
 from pomelolane.endpoints.pool import ConnectionPool
-from pomelolane.endpoints.relay import RelayResult, abort_answer, relay
+from pomelolane.endpoints.relay import RelayResult, relay
 from pomelolane.endpoints.sse import SseCounter, Usage, usage_from_json
 from pomelolane.endpoints.stream import AnswerStream
 
 __all__ = [
     "AnswerStream",
+    "CallerListener",
     "ConnectionPool",
+    "RelayHttpProtocol",
     "RelayResult",
     "SseCounter",
     "Usage",
-    "abort_answer",
     "make_engine_adapter",
     "make_plain_adapter",
     "relay",
--- a/src/pomelolane/endpoints/connection.py
+++ b/src/pomelolane/endpoints/connection.py
@@ -24,6 +24,7 @@
 """Bound on the headers of one answer."""
 
 _FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
 _SWITCHING_PROTOCOLS = 101
 
 
@@ -200,6 +201,8 @@
             raise EndpointBrokenError("the endpoint switched protocols")
         if status < _FIRST_FINAL_STATUS:
             return
+        if status > _LAST_STATUS:
+            raise EndpointBrokenError(f"the endpoint answered status {status}")
         names = {name for name, _ in self._headers}
         self._framed = b"content-length" in names or b"transfer-encoding" in names
         headers = strip_hop_headers(self._headers)
--- a/src/pomelolane/endpoints/direct.py
+++ b/src/pomelolane/endpoints/direct.py
@@ -77,6 +77,7 @@
         finally:
             self._protocol.listener = None
             self._stream.detach()
+            self._meter_batch()
 
     # --- the endpoint's side ---
 
--- a/src/pomelolane/endpoints/meter.py
+++ b/src/pomelolane/endpoints/meter.py
@@ -24,17 +24,24 @@
 class AnswerMeter:
     """What is known of an answer so far.
 
+    Args:
+        stream: The answer.
+        copy_to: Given all that the meter is fed.
+
     Attributes:
         bytes: Body bytes.
         pieces: Pieces in which they came.
         started: Whether the caller's answer was opened.
     """
 
-    def __init__(self, stream: AnswerStream) -> None:
+    def __init__(
+        self, stream: AnswerStream, copy_to: Callable[[bytes], None] | None = None
+    ) -> None:
         self.bytes = 0
         self.pieces = 0
         self.started = False
         self._stream = stream
+        self._copy_to = copy_to
         self._counter = SseCounter() if stream.is_events else None
         self._kept: list[bytes] | None = None
         if stream.header(b"content-type").startswith(_JSON):
@@ -48,6 +55,8 @@
             self._counter.feed(data)
         elif self._kept is not None:
             self._keep(data)
+        if self._copy_to is not None:
+            self._copy_to(data)
 
     def feed_all(self, pieces: list[bytes]) -> None:
         """Take several pieces at once."""
--- a/src/pomelolane/endpoints/relay.py
+++ b/src/pomelolane/endpoints/relay.py
@@ -15,13 +15,19 @@
 from pomelolane.endpoints.meter import AnswerMeter, RelayObserver
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Sequence
+
+    from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
     from pomelolane.endpoints.stream import AnswerStream
 
+    Header = tuple[bytes, bytes]
     Send = Callable[[dict[str, object]], Awaitable[None]]
 
 
+_BODILESS_STATUSES = (204, 304)
+
+
 @dataclass(frozen=True, slots=True)
 class RelayResult:
     """How a relayed answer ended.
@@ -55,25 +61,35 @@
     *,
     on_first: Callable[[], None] | None = None,
     on_progress: Callable[[int], None] | None = None,
-    headers: tuple[tuple[bytes, bytes], ...] = (),
+    headers: tuple[Header, ...] = (),
+    raw_send: Send | None = None,
+    copy_to: Callable[[bytes], None] | None = None,
 ) -> RelayResult:
     """Pass an answer on to the caller and close the answer if it is whole.
 
     An answer that did not come whole is left open, so that the gateway can add
-    a last event and close it, or call :func:`abort_answer`. The stream is left
-    to the gateway as well, which may keep or close it.
+    a last event and close it, or return and have the server cut it. The stream
+    is left to the gateway as well, which may keep or close it.
 
     Args:
         stream: The endpoint's answer.
-        send: The raw ASGI ``send``.
+        send: Takes the answer's ASGI messages: its head, its end, and, where
+            the server cannot be driven directly, its body.
         receive_disconnected: Set when the caller has left.
         on_first: Called at the first byte of the body.
         on_progress: Called with the number of chunks so far, now and then.
         headers: Headers added to the endpoint's.
+        raw_send: The server's own ASGI ``send`` if ``send`` wraps it; the body
+            then passes by ``send`` where the server can be driven directly.
+        copy_to: Given every byte of the body that is passed on, some of them a
+            few tokens late, all of them before the relay returns.
     """
     observer = RelayObserver(on_first, on_progress)
-    meter = AnswerMeter(stream)
-    passing = asyncio.ensure_future(_pass_on(stream, send, meter, observer, headers))
+    meter = AnswerMeter(stream, copy_to)
+    cycle = direct_cycle(raw_send or send)
+    passing = asyncio.ensure_future(
+        _pass_on(stream, send, cycle, meter, observer, headers)
+    )
     caller_gone = await _caller_left_first(passing, receive_disconnected)
     return RelayResult(
         status=stream.status,
@@ -87,15 +103,6 @@
     )
 
 
-async def abort_answer(send: Send) -> None:
-    """Close the caller's connection so that it sees the answer as cut.
-
-    Raises:
-        ConnectionAbortedError: Where the server has no other way.
-    """
-    raise ConnectionAbortedError("the endpoint's answer was cut short")
-
-
 async def _caller_left_first(
     passing: asyncio.Future[bool], gone: asyncio.Event | None
 ) -> bool:
@@ -115,9 +122,10 @@
 async def _pass_on(
     stream: AnswerStream,
     send: Send,
+    cycle: RequestResponseCycle | None,
     meter: AnswerMeter,
     observer: RelayObserver,
-    headers: tuple[tuple[bytes, bytes], ...],
+    headers: tuple[Header, ...],
 ) -> bool:
     """Pass the answer on and return whether the caller was seen to leave."""
     await stream.wait()
@@ -127,21 +135,31 @@
         {
             "type": "http.response.start",
             "status": stream.status,
-            "headers": [*stream.headers, *headers],
+            "headers": [*_caller_headers(stream), *headers],
         }
     )
     meter.started = True
     observer.on_first()
-    caller_gone = await _pass_body(stream, send, meter, observer)
+    caller_gone = await _pass_body(stream, send, cycle, meter, observer)
     if meter.is_whole and not caller_gone:
         await send({"type": "http.response.body", "body": b"", "more_body": False})
     return caller_gone
 
 
+def _caller_headers(stream: AnswerStream) -> Sequence[Header]:
+    """Return the headers, without a length that the caller's server would miss."""
+    if stream.status not in _BODILESS_STATUSES:
+        return stream.headers
+    return [header for header in stream.headers if header[0] != b"content-length"]
+
+
 async def _pass_body(
-    stream: AnswerStream, send: Send, meter: AnswerMeter, observer: RelayObserver
+    stream: AnswerStream,
+    send: Send,
+    cycle: RequestResponseCycle | None,
+    meter: AnswerMeter,
+    observer: RelayObserver,
 ) -> bool:
-    cycle = direct_cycle(send)
     if cycle is not None:
         sink = DirectSink(stream, cycle, meter, observer)
         await sink.run()
--- a/tests/endpoints/connection.feature
+++ b/tests/endpoints/connection.feature
@@ -28,6 +28,7 @@
       | answers what is not HTTP        | broken  |
       | answers with an endless head    | broken  |
       | switches protocols              | broken  |
+      | answers with an unknown status  | broken  |
 
   Scenario: a request that cannot be written is refused unsent
     Given an endpoint that answers with a length and the body "hello world"
--- a/tests/steps/endpoints_steps.py
+++ b/tests/steps/endpoints_steps.py
@@ -117,6 +117,9 @@
         b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 40000
     ),
     "switches protocols": answering(head(101, upgrade="x", connection="upgrade")),
+    "answers 204": answering(head(204)),
+    "answers 304 with a length": answering(head(304, content_length=500)),
+    "answers with an unknown status": answering(head(999, content_length=0)),
     "answers 404": answering(head(404, content_length=0)),
     "closes after each answer without saying so": answering(HELLO_ANSWER, close=True),
     "sends bytes after the end of its answer": answering(HELLO_ANSWER + b"surplus"),
