--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -35,7 +35,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-_KEEP_LOGS_VARIABLE = "POMELOLANE_KEEP_LOGS"
+_KEEP_LOGS_VARIABLE = "BENCH_KEEP_LOGS"
+_PRODUCT_VARIABLES = "POMELOLANE_"
 _SERVE = (sys.executable, "-m", "pomelolane", "serve")
 _READY_LINE = "ready"
 _DEFAULT_SERVICE_MS = 20
@@ -264,7 +265,7 @@
             *flags,
         )
         process = ManagedProcess(
-            name, command, self.folder / f"{name}.log", _environment()
+            name, command, self.folder / f"{name}.log", child_environment()
         )
         self._processes.append(process)
         process.spawn()
@@ -321,7 +322,7 @@
             *self.options.extra_flags,
         )
         log_path = self.folder / f"{place.vm_id}.log"
-        vm = Vm(place, command, log_path, _environment(), self._session)
+        vm = Vm(place, command, log_path, child_environment(), self._session)
         self._processes.append(vm)
         return vm
 
@@ -362,8 +363,13 @@
     return flags
 
 
-def _environment() -> dict[str, str]:
-    environment = dict(os.environ)
+def child_environment() -> dict[str, str]:
+    """Return the variables for a child, without any setting of the product."""
+    environment = {
+        name: value
+        for name, value in os.environ.items()
+        if not name.startswith(_PRODUCT_VARIABLES)
+    }
     paths = [str(ROOT / "src"), str(ROOT)]
     if environment.get("PYTHONPATH"):
         paths.append(environment["PYTHONPATH"])
--- a/src/pomelolane/gateway/app.py
+++ b/src/pomelolane/gateway/app.py
@@ -24,10 +24,10 @@
 from pomelolane.gateway.problem import (
     encode_problem,
     problem_from_refusal,
-    problem_headers,
+    problem_response,
     refusal_from_bad_request,
 )
-from pomelolane.gateway.sinks import CallerSink
+from pomelolane.gateway.sinks import CallerSink, JoiningSink
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
 
@@ -36,6 +36,7 @@
 
     from pomelolane.gateway.deferred import JobCalls
     from pomelolane.gateway.dispatch import Dispatcher
+    from pomelolane.gateway.ending import AnswerSink
     from pomelolane.gateway.intake import Call
     from pomelolane.gateway.keyed import KeyedCalls
     from pomelolane.model import Organisation, Tree
@@ -107,13 +108,13 @@
         add = app.router.add
         plain = function_from_method(self._plain_route)
         add("POST", "/v1/chat/completions", self._route(self.chat))
-        add("GET", "/v1/jobs/{job_id}", self._job_route(self._jobs.state))
-        add("GET", "/v1/jobs/{job_id}/answer", self._job_route(self._jobs.answer))
-        add("DELETE", "/v1/jobs/{job_id}", self._job_route(self._jobs.cancel))
         for method in ALL_METHODS:
             add(method, "/services/{service}/{path:path}", plain)
             add(method, "/services/{service}", plain)
         app.router.fallback = function_from_method(self._fallback)
+        add("GET", "/v1/jobs/{job_id}", self._job_route(self._jobs.state))
+        add("GET", "/v1/jobs/{job_id}/answer", self._job_route(self._jobs.answer))
+        add("DELETE", "/v1/jobs/{job_id}", self._job_route(self._jobs.cancel))
 
     async def chat(self, exchange: Exchange) -> Response | None:
         """Serve ``POST /v1/chat/completions``."""
@@ -139,7 +140,9 @@
         if call.respond_async:
             return await self._jobs.accept(call)
         request_id = (b"x-request-id", call.request_id.encode())
-        sink = CallerSink(exchange, (request_id,))
+        sink: AnswerSink = CallerSink(exchange, (request_id,))
+        if not call.streamed:
+            sink = JoiningSink(exchange, (request_id,), call.service.name)
         task = asyncio.current_task()
 
         def on_gone() -> None:
@@ -160,7 +163,7 @@
         return await self._end(call, exchange, sink, result)
 
     async def _run(
-        self, call: Call, exchange: Exchange, sink: CallerSink
+        self, call: Call, exchange: Exchange, sink: AnswerSink
     ) -> Delivered | Refusal:
         if not call.key:
             return await self._dispatcher.run(self._dispatcher.open(call), sink)
@@ -182,7 +185,11 @@
         return bool(call.key) and state is not None and state.dispatched
 
     async def _end(
-        self, call: Call, exchange: Exchange, sink: CallerSink, refusal: Refusal
+        self,
+        call: Call,
+        exchange: Exchange,
+        sink: AnswerSink,
+        refusal: Refusal,
     ) -> Response | None:
         if refusal.reason is Reason.CALLER_GONE:
             return Response(CALLER_GONE_STATUS)
@@ -279,13 +286,5 @@
     return Response(status, headers or [], content)
 
 
-def problem_response(refusal: Refusal, request_id: str = "") -> Response:
-    """Return the problem-details answer to a refusal."""
-    problem = problem_from_refusal(refusal, request_id)
-    headers = [pair for pair in problem_headers(problem) if pair[0] != b"content-type"]
-    content = Content(b"application/problem+json", encode_problem(problem))
-    return Response(problem.status, headers, content)
-
-
 def _new_id() -> str:
     return uuid.uuid4().hex
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -44,6 +44,8 @@
         stream_id: The engine's stream of the last attempt.
         finished: Whether it has ended.
         outcome: Empty while open or on success, else the outcome.
+        outlives_cancel: Whether the engine's stream is left running when this
+            VM gives the request up, because a successor may resume it.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "excluded",
         "finished",
         "outcome",
+        "outlives_cancel",
         "stream_id",
     )
 
@@ -70,6 +73,7 @@
         self.stream_id = ""
         self.finished = False
         self.outcome = ""
+        self.outlives_cancel = False
 
     def attempt_id(self) -> str:
         """Return the id of the current attempt, also its stream id."""
@@ -198,6 +202,7 @@
             await on_placed(state.endpoint_id, state.stream_id)
         dispatched_before = state.dispatched
         state.dispatched = True
+        watch.dispatched()
         self._log_dispatch(state, watch.grant, queued_ms)
         adapter = self._adapters[state.call.service.kind.value]
         try:
@@ -226,8 +231,12 @@
             self._cancel_upstream(adapter, endpoint, state.stream_id)
             return self._late(state)
         except asyncio.CancelledError:
-            self._cancel_upstream(adapter, endpoint, state.stream_id)
+            if not state.outlives_cancel:
+                self._cancel_upstream(adapter, endpoint, state.stream_id)
             raise
+        if result.caller_gone:
+            self._cancel_upstream(adapter, endpoint, state.stream_id)
+            return Refusal(Outcome.CUT_SHORT, Reason.CALLER_GONE)
         if not result.whole:
             return self._broken(state, endpoint, watch, "the answer ended early")
         watch.finish(cached_tokens=result.cached_tokens)
@@ -243,11 +252,13 @@
         if stream.status >= 500 and self._retry_is_open(state):
             raise EndpointBrokenError(f"the endpoint answered {stream.status}")
 
-        def on_first() -> None:
-            state.begun = True
+        def on_first(*, begun: bool = True) -> None:
+            state.begun = begun
             watch.first()
 
-        return await sink.take(stream, on_first, watch.progress)
+        result = await sink.take(stream, on_first, watch.progress)
+        state.begun = result.begun
+        return result
 
     def _delivered(
         self,
--- a/src/pomelolane/gateway/keyed.py
+++ b/src/pomelolane/gateway/keyed.py
@@ -9,8 +9,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from pomelolane import events
 from pomelolane.exceptions import (
     EndpointError,
@@ -22,14 +20,15 @@
 from pomelolane.gateway.sinks import KeptAnswer
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.platform import claim_key, reserved_job
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from pomelolane.gateway.dispatch import Dispatcher, RequestState
+    from pomelolane.gateway.ending import AnswerSink
     from pomelolane.gateway.holders import HolderQueries
     from pomelolane.gateway.intake import Call
-    from pomelolane.gateway.sinks import CallerSink
     from pomelolane.messages import KeyAnswer
     from pomelolane.ports import (
         ClaimRecord,
@@ -47,12 +46,6 @@
 RELEASED = "released"
 
 
-def key_from_call(call: Call) -> str:
-    """Return the claim key: organisation and idempotency key, hashed."""
-    text = f"{call.organisation.name}\0{call.key}"
-    return xxhash.xxh3_128_hexdigest(text.encode())
-
-
 class KeyedCalls:
     """Serves calls that carry an idempotency key.
 
@@ -86,7 +79,10 @@
         self._settling: set[asyncio.Task[None]] = set()
 
     async def serve(
-        self, call: Call, sink: CallerSink, replay: Callable[[bytes], object]
+        self,
+        call: Call,
+        sink: AnswerSink,
+        replay: Callable[[bytes], object],
     ) -> Delivered | Refusal:
         """Serve a keyed call to its end.
 
@@ -95,7 +91,7 @@
             sink: Takes a live answer.
             replay: Awaited with a kept answer's object.
         """
-        key = key_from_call(call)
+        key = claim_key(call.organisation.name, call.key)
         timeout_ms = min(call.deadline_ms, CLAIM_TIMEOUT_MS)
         record = await self._claims.claim(key, call.digest, timeout_ms=timeout_ms)
         if isinstance(record, Refusal):
@@ -108,10 +104,16 @@
                 Reason.KEY_REUSED,
                 detail="the key was used for another request; this one did not run",
             )
+        if reserved_job(record):
+            return Refusal(
+                Outcome.NOT_RUN,
+                Reason.CLAIM_HELD,
+                detail=f"the key belongs to job {reserved_job(record)}",
+            )
         return await self._attach(call, record, sink, replay)
 
     async def _serve_held(
-        self, call: Call, key: str, record: ClaimRecord, sink: CallerSink
+        self, call: Call, key: str, record: ClaimRecord, sink: AnswerSink
     ) -> Delivered | Refusal:
         state = self._dispatcher.open(call)
         self._holders.hold(key, state)
@@ -168,7 +170,7 @@
         self,
         call: Call,
         record: ClaimRecord,
-        sink: CallerSink,
+        sink: AnswerSink,
         replay: Callable[[bytes], object],
     ) -> Delivered | Refusal:
         deadline_ms = self._clock.now_ms() + call.deadline_ms
@@ -198,7 +200,7 @@
         self,
         call: Call,
         record: ClaimRecord,
-        sink: CallerSink,
+        sink: AnswerSink,
         replay: Callable[[bytes], object],
     ) -> Delivered | Refusal:
         """Take over a key whose holder states that it never dispatched."""
@@ -217,7 +219,11 @@
         )
 
     async def _follow(
-        self, call: Call, record: ClaimRecord, answer: KeyAnswer, sink: CallerSink
+        self,
+        call: Call,
+        record: ClaimRecord,
+        answer: KeyAnswer,
+        sink: AnswerSink,
     ) -> Delivered | Refusal | None:
         """Use what the holder says; None means ask again."""
         if answer.finished and answer.outcome:
@@ -228,12 +234,12 @@
                 Reason.ENDPOINT_BROKEN,
                 detail="the first request with this key ended so",
             )
-        if answer.stream_id and call.streamed and not answer.finished:
+        if answer.stream_id and not answer.finished:
             return await self._resume(record, answer, sink)
         return None
 
     async def _resume(
-        self, record: ClaimRecord, answer: KeyAnswer, sink: CallerSink
+        self, record: ClaimRecord, answer: KeyAnswer, sink: AnswerSink
     ) -> Delivered | Refusal | None:
         endpoint = self._tree.value.endpoints.get(answer.endpoint_id)
         if endpoint is None:
