--- a/src/pomelolane/jobs/changes.py
+++ b/src/pomelolane/jobs/changes.py
@@ -52,13 +52,15 @@
     """Record that nothing was sent.
 
     It writes even where nothing is recorded: a placement still under way then
-    finds another version and cannot apply any more.
+    finds another version and cannot apply any more. The next dispatch is a new
+    attempt, so that no two of them share a stream id.
     """
 
     def change(record: JobRecord) -> JobRecord | None:
         if not _holds(token, record):
             return None
-        return replace(record, endpoint_id="", stream_id="")
+        next_attempt = record.attempt + 1
+        return replace(record, endpoint_id="", stream_id="", attempt=next_attempt)
 
     return change
 
--- a/src/pomelolane/jobs/execution.py
+++ b/src/pomelolane/jobs/execution.py
@@ -244,7 +244,7 @@
                     return result
             except StreamGoneError:
                 gone += 1
-            except EndpointError as error:
+            except (EndpointError, PlatformError) as error:
                 detail = str(error)
                 refusal = Refusal(Outcome.UNKNOWN, Reason.ENDPOINT_BROKEN, 0, detail)
             if self._clock.now_ms() >= give_up_ms or self._is_overdue():
--- a/src/pomelolane/jobs/record.py
+++ b/src/pomelolane/jobs/record.py
@@ -55,7 +55,7 @@
         runner_vm: VM that runs it, empty if none.
         runner_incarnation: That VM's start.
         run_token: Token of the run; a new one with each change of runner.
-        attempt: Runs begun, resumed ones not counted.
+        attempt: Number of the dispatch; a resumed one keeps it.
         endpoint_id: Where it was sent, set before its first byte leaves.
         stream_id: The engine's stream there.
         answer_object: Object with the answer, when done.
--- a/src/pomelolane/platform/__init__.py
+++ b/src/pomelolane/platform/__init__.py
@@ -25,6 +25,14 @@
     EmbeddedWeightStore,
 )
 from pomelolane.platform.health import PlatformHealth
+from pomelolane.platform.leases import Lease, Leases, make_leases
+from pomelolane.platform.orders import (
+    Demand,
+    ModelOrders,
+    OrderResult,
+    endpoint_to_load,
+    make_model_orders,
+)
 from pomelolane.platform.retention import ClaimSweeper
 from pomelolane.platform.weights import PacedPulls, WeightStore
 
@@ -32,11 +40,16 @@
     "EMBEDDED",
     "ClaimSweeper",
     "Committer",
+    "Demand",
     "EmbeddedObjectStore",
     "EmbeddedTable",
     "EmbeddedVmList",
     "EmbeddedWeightStore",
     "GroupCommitter",
+    "Lease",
+    "Leases",
+    "ModelOrders",
+    "OrderResult",
     "PacedPulls",
     "Platform",
     "PlatformHealth",
@@ -44,9 +57,12 @@
     "WeightStore",
     "claim_key",
     "decode_claim",
+    "endpoint_to_load",
     "job_reservation",
     "make_claims",
     "make_embedded_platform",
+    "make_leases",
+    "make_model_orders",
     "platform_from_url",
     "reserved_job",
 ]
--- a/src/pomelolane/platform/weights.py
+++ b/src/pomelolane/platform/weights.py
@@ -32,7 +32,7 @@
 
 
 class PacedPulls:
-    """Pulls weights no faster than the store allows.
+    """Pulls weights, or lets engines pull them, no faster than allowed.
 
     Args:
         store: Where the weights are.
@@ -65,21 +65,27 @@
         """
         async with self._turn:
             for attempt in range(1, self._attempts + 1):
-                await self._wait_for_turn()
+                await self._turn_comes()
                 try:
                     return await self._store.fetch(model)
                 except RateLimitedError as error:
-                    self._postpone(error.retry_after_ms)
+                    self.postpone(error.retry_after_ms)
                     if attempt == self._attempts:
                         raise
         raise AssertionError("unreachable")
 
-    async def _wait_for_turn(self) -> None:
+    async def wait_for_turn(self) -> None:
+        """Wait until the next pull may begin, e.g. one that an engine makes."""
+        async with self._turn:
+            await self._turn_comes()
+
+    def postpone(self, retry_after_ms: int) -> None:
+        """Begin no pull before the store asked to be called again."""
+        wait_ms = max(float(retry_after_ms), self._interval_ms)
+        self._next_at_ms = self._clock.now_ms() + wait_ms
+
+    async def _turn_comes(self) -> None:
         wait_ms = self._next_at_ms - self._clock.now_ms()
         if wait_ms > 0:
             await asyncio.sleep(wait_ms / 1000.0)
         self._next_at_ms = self._clock.now_ms() + self._interval_ms
-
-    def _postpone(self, retry_after_ms: int) -> None:
-        wait_ms = max(float(retry_after_ms), self._interval_ms)
-        self._next_at_ms = self._clock.now_ms() + wait_ms
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -54,6 +54,7 @@
     def __init__(self) -> None:
         self.runs: list[str] = []
         self.streams: dict[str, bytes] = {}
+        self.used: set[str] = set()
         self.open = asyncio.Event()
         self.open.set()
         self.cut = 0
@@ -84,7 +85,6 @@
         self.thaw = asyncio.Event()
         self.thaw.set()
         self.waiting = 0
-        self._count = 0
 
     async def dispatch(self, job, body, on_placed):
         """Wait for a slot, place, run and answer."""
@@ -96,10 +96,11 @@
         if self.refusals:
             self.refusals -= 1
             return Refusal(Outcome.NOT_RUN, Reason.QUEUE_FULL, 1)
-        self._count += 1
-        stream_id = f"{job.job_id}-{self.vm_id}-{self._count}"
+        stream_id = f"{job.job_id}-{job.attempt}"
         await self.thaw.wait()
         await on_placed("e1", stream_id)
+        assert stream_id not in self.engine.used, stream_id
+        self.engine.used.add(stream_id)
         self.engine.runs.append(job.job_id)
         self.engine.streams[stream_id] = answer_to(body)
         return await self.engine.answer(stream_id)
