Run the client commands against a VM's process; prove the counter's guard

Cause: the fake VM can't show that the served interface and the graceful stop fit the commands, and no scenario failed without the counter's condition. Change: one scenario applies, rolls forward and stops a real process; another lets two teams take the same free share at once, of which one is refused. Keys of operators are checked in one place less.

--- a/src/pomelolane/commands/diff.py
+++ b/src/pomelolane/commands/diff.py
@@ -15,7 +15,7 @@
 
 def difference_of_contents(old: bytes, new: bytes) -> list[str]:
     """Return the difference as lines that begin with ``+``, ``-`` or ``~``."""
-    before = _flat(msgspec.json.decode(old) if old else {})
+    before = _flat(msgspec.json.decode(old)) if old else {}
     after = _flat(msgspec.json.decode(new))
     lines = []
     for path in dict.fromkeys((*before, *after)):
--- a/src/pomelolane/commands/serve.py
+++ b/src/pomelolane/commands/serve.py
@@ -5,11 +5,15 @@
 
 from __future__ import annotations
 
+import errno
 from typing import TYPE_CHECKING, ClassVar
 
 from pomelolane.commands.base import PlainCommand
 from pomelolane.commands.exits import ExitCode
 from pomelolane.commands.serve_flags import options_of_command, serve_flags
+from pomelolane.exceptions import SettingError
+
+_ADDRESS_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EACCES)
 
 if TYPE_CHECKING:
     from cleo.io.inputs.option import Option
@@ -31,4 +35,11 @@
         options = options_of_command(self)
         from pomelolane import server
 
-        return server.run(options) or ExitCode.OK
+        try:
+            return server.run(options) or ExitCode.OK
+        except OSError as error:
+            if error.errno not in _ADDRESS_ERRORS:
+                raise
+            address = f"{options.host}:{options.port}"
+            allowed = f"an address that this machine can listen on ({error.strerror})"
+            raise SettingError("--host and --port", address, allowed) from None
--- a/src/pomelolane/settings/keys.py
+++ b/src/pomelolane/settings/keys.py
@@ -18,8 +18,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from pomelolane.model import Tree
-
 
 class _TeamPart(msgspec.Struct, frozen=True):
     operator_key_sha256: str = ""
@@ -35,45 +33,12 @@
     Raises:
         UnknownOperatorError: It is nobody's.
     """
-    digests = {name: _operator_digest(content) for name, content in branches.items()}
-    return _team_of_key(digests, key)
-
-
-def require_endpoint_operator(tree: Tree, endpoint_id: str, key: str) -> None:
-    """Check that a key may mark an endpoint as leaving.
-
-    Its own team's key may, and the platform's.
-
-    Raises:
-        UnknownOperatorError: The key is nobody's.
-        ForbiddenBranchError: It belongs to another team.
-    """
-    operator = operator_in_tree(tree, key)
-    endpoint = tree.endpoints.get(endpoint_id)
-    owner = tree.services[endpoint.service].team if endpoint else PLATFORM_BRANCH
-    if operator not in (owner, PLATFORM_BRANCH):
-        raise ForbiddenBranchError(owner)
-
-
-def require_platform_operator(tree: Tree, key: str) -> None:
-    """Check that a key may drain a VM; only the platform's may.
-
-    Raises:
-        UnknownOperatorError: The key is nobody's.
-        ForbiddenBranchError: It belongs to another team.
-    """
-    if operator_in_tree(tree, key) != PLATFORM_BRANCH:
-        raise ForbiddenBranchError(PLATFORM_BRANCH)
-
-
-def operator_in_tree(tree: Tree, key: str) -> str:
-    """Return the team whose operator's key it is in the tree in force.
-
-    Raises:
-        UnknownOperatorError: It is nobody's.
-    """
-    digests = {team.name: team.operator_key_sha256 for team in tree.teams.values()}
-    return _team_of_key(digests, key)
+    digest = hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
+    for branch, content in branches.items():
+        kept = _operator_digest(content)
+        if kept and hmac.compare_digest(kept.encode(), digest.encode()):
+            return branch
+    raise UnknownOperatorError("the operator's key is missing or belongs to no team")
 
 
 def bearer_key(authorization: str) -> str:
@@ -112,14 +77,6 @@
         raise ForbiddenBranchError(branch)
 
 
-def _team_of_key(digests: Mapping[str, str], key: str) -> str:
-    digest = hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
-    for team, kept in digests.items():
-        if kept and hmac.compare_digest(kept.encode(), digest.encode()):
-            return team
-    raise UnknownOperatorError("the operator's key is missing or belongs to no team")
-
-
 def _operator_digest(content: bytes) -> str:
     try:
         return msgspec.json.decode(content, type=_BranchPart).team.operator_key_sha256
--- a/tests/commands/vm.py
+++ b/tests/commands/vm.py
@@ -11,9 +11,9 @@
 
 from aiohttp import web
 
-from pomelolane.exceptions import PomelolaneError
+from pomelolane.exceptions import ForbiddenBranchError, PomelolaneError
 from pomelolane.report import StatusReport, encode_report
-from pomelolane.settings import SettingsStore, admin, keys, tree_from_branches
+from pomelolane.settings import SettingsStore, admin, keys
 
 
 class FakeVm:
@@ -101,20 +101,18 @@
         return handle
 
     async def _drain(self, request):
-        return self._operate(request, self.report.vm.id, keys.require_platform_operator)
+        return self._operate(request, self.report.vm.id, ("platform",))
 
     async def _leaving(self, request):
-        endpoint = request.match_info["endpoint"]
+        owners = ("platform", "fleet")
+        return self._operate(request, request.match_info["endpoint"], owners)
 
-        def require(tree, key):
-            keys.require_endpoint_operator(tree, endpoint, key)
-
-        return self._operate(request, endpoint, require)
-
-    def _operate(self, request, target, require):
+    def _operate(self, request, target, owners):
         key = keys.bearer_key(request.headers.get("Authorization", ""))
         try:
-            require(tree_from_branches(self.branches), key)
+            operator = keys.operator_of_key(self.branches, key)
+            if operator not in owners:
+                raise ForbiddenBranchError(owners[-1])
         except PomelolaneError as error:
             return _response(admin.response_from_error(error))
         self.drained.append(target)
--- a/tests/settings/store.feature
+++ b/tests/settings/store.feature
@@ -23,6 +23,11 @@
     When settings operators change "fleet" and "quota" from version 1 at the same moment
     Then both settings changes are accepted
 
+  Scenario: Two teams take the same free share at the same moment
+    Given settings operator "fleet" lowers the weight of "fleet" to 0.4
+    When settings operators raise "fleet" and "quota" by 0.1 at the same moment
+    Then one settings change is accepted and the other ends as "InvalidTreeError"
+
   Scenario: A reply is lost after the change took effect
     Given the settings table loses 1 reply after the write
     When settings operator "fleet" changes "fleet" from version 1
--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -6,12 +6,15 @@
 import hashlib
 import json
 import os
+import re
 import shlex
+import sys
 
 from behave import given, then, when
 from cleo.io.inputs.argv_input import ArgvInput
 from cleo.io.outputs.buffered_output import BufferedOutput
 
+from bench.processes import ManagedProcess, wait_until
 from pomelolane.commands.application import run_application
 from pomelolane.events import CATALOGUE
 from pomelolane.platform import EmbeddedTable
@@ -80,17 +83,57 @@
             path.write_text("\n".join(lines) + "\n")
 
 
-@given("a command VM with the declarations of fleet and quota")
-def given_vm(context):
+def make_declarations(context):
     context.directory = make_settings_directory(context)
     set_operator_keys(context.directory)
     context.key_file = context.directory / "keys.json"
     keys = {"operators": {team: key_of(team) for team in TEAMS[:3]}}
     context.key_file.write_text(json.dumps(keys))
+
+
+@given("a command VM with the declarations of fleet and quota")
+def given_vm(context):
+    make_declarations(context)
     branches = branch_content_from_directory(context.directory)
     context.vm = FakeVm(EmbeddedTable(), branches, REPORT)
     context.vm.start()
     context.add_cleanup(context.vm.stop)
+    context.vm_url = context.vm.url
+
+
+@given("a command VM process with the declarations of fleet and quota")
+def given_vm_process(context):
+    make_declarations(context)
+    command = (
+        *(sys.executable, "-m", "pomelolane", "serve", "--vm-id", "vm1"),
+        *("--region", "here", "--data-centre", "d", "--port", "0"),
+        *("--peer-port", "0", "--tree", str(context.directory)),
+    )
+    log = context.directory / "vm.log"
+    context.vm_process = ManagedProcess("vm1", command, log, os.environ)
+    context.vm_process.spawn()
+    context.add_cleanup(context.vm_process.kill)
+    context.run(wait_until(lambda: "E102" in log.read_text(), 30, "not ready"))
+    address = re.search(r"E101 .* address=(\S+)", log.read_text())[1]
+    context.vm_url = f"http://{address}"
+
+
+@when("the command VM process gets SIGTERM")
+def when_terminated(context):
+    context.vm_process.terminate()
+
+
+@then("the command VM process ends with {code:d}")
+def then_process_ends(context, code):
+    assert context.run(context.vm_process.wait_exit()) == code
+
+
+@then("the command VM process logs no operator's key or digest")
+def then_log_without_keys(context):
+    logged = context.vm_process.log_text()
+    for team in TEAMS:
+        assert key_of(team) not in logged
+        assert digest_of(team) not in logged
 
 
 @given('in the command directory "{file}" has "{old}" replaced by "{new}"')
@@ -158,7 +201,7 @@
 def when_client_run(context, call):
     call = call.format(directory=context.directory, keys=context.key_file)
     run_command(
-        context, call, POMELOLANE_URL=context.vm.url, POMELOLANE_KEY="caller-key"
+        context, call, POMELOLANE_URL=context.vm_url, POMELOLANE_KEY="caller-key"
     )
 
 
@@ -167,7 +210,7 @@
     call = call.format(directory=context.directory)
     keys = f"{team}={key_of(team)}"
     run_command(
-        context, call, POMELOLANE_URL=context.vm.url, POMELOLANE_OPERATOR_KEYS=keys
+        context, call, POMELOLANE_URL=context.vm_url, POMELOLANE_OPERATOR_KEYS=keys
     )
 
 
--- a/tests/steps/settings_store_steps.py
+++ b/tests/steps/settings_store_steps.py
@@ -149,6 +149,40 @@
     context.results = context.run(race())
 
 
+def content_with_weight(context, branch, change):
+    contents = context.run(context.settings_store.snapshot()).contents()
+    data = json.loads(contents[branch])
+    data["team"]["weight"] = round(data["team"]["weight"] + change, 3)
+    return json.dumps(data).encode()
+
+
+@given('settings operator "{operator}" lowers the weight of "{branch}" to {weight:g}')
+def given_lower_weight(context, operator, branch, weight):
+    content = content_with_weight(context, branch, weight - 0.5)
+    result = context.run(put(context, operator, branch, 1, content))
+    assert isinstance(result, BranchVersion), result
+
+
+@when('settings operators raise "{one}" and "{other}" by {share:g} at the same moment')
+def when_both_raise(context, one, other, share):
+    wishes = [
+        (branch, version, content_with_weight(context, branch, share))
+        for branch, version in ((one, 2), (other, 1))
+    ]
+
+    async def race():
+        calls = (put(context, branch, branch, *wish) for branch, *wish in wishes)
+        return await asyncio.gather(*calls)
+
+    context.results = context.run(race())
+
+
+@then('one settings change is accepted and the other ends as "{error}"')
+def then_one_ends_as(context, error):
+    kinds = {type(each).__name__ for each in context.results}
+    assert kinds == {"BranchVersion", error}, context.results
+
+
 @when('settings operator "{operator}" drops the tier "{tier}"')
 def when_tier_dropped(context, operator, tier):
     data = json.loads(context.contents["platform"])
