Prove that the client never repeats a call whose connection was lost

Cause: without the body that can be read once only, no scenario failed, since a conflict is settled by reading back; for a plain service's PUT or DELETE the quiet repetition would be a second run. Change: three scenarios count the calls that arrive; without the guard two of them fail (PUT and DELETE), with it none.

--- a/tests/commands/client.feature
+++ b/tests/commands/client.feature
@@ -139,3 +139,14 @@
     When the client command "request asker hi" is run
     Then the command ends with 3
     And the command complains in one line with "come back in 700 ms"
+
+  Scenario Outline: A call whose connection is lost is not repeated
+    When the client command "request ledger body --path x --method <method>" is run
+    Then the command ends with 5
+    And the command VM got 1 call of a plain service
+
+    Examples:
+      | method |
+      | POST   |
+      | PUT    |
+      | DELETE |
--- a/tests/commands/vm.py
+++ b/tests/commands/vm.py
@@ -34,6 +34,7 @@
         self.seen_headers: dict[str, str] = {}
         self.drained: list[str] = []
         self.drop_answers = 0
+        self.dropped_calls = 0
         self.url = ""
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
@@ -70,6 +71,7 @@
         add("POST", "/admin/drain", self._drain)
         add("POST", "/admin/endpoints/{endpoint}/leaving", self._leaving)
         add("POST", "/v1/chat/completions", self._chat)
+        add("*", "/services/{path:.*}", self._drop)
         self._runner = web.AppRunner(app)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
@@ -118,6 +120,12 @@
         self.drained.append(target)
         return web.Response(status=202)
 
+    async def _drop(self, request):
+        await request.read()
+        self.dropped_calls += 1
+        request.transport.close()
+        return web.Response()
+
     async def _chat(self, request):
         self.seen_headers = dict(request.headers)
         if self.chat_problem:
--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -278,3 +278,8 @@
 @then('the command VM saw the header "{name}" as "{value}"')
 def then_header_seen(context, name, value):
     assert context.vm.seen_headers.get(name) == value, context.vm.seen_headers
+
+
+@then("the command VM got {count:d} call of a plain service")
+def then_calls(context, count):
+    assert context.vm.dropped_calls == count, context.vm.dropped_calls
