--- a/tests/commands/vm.py
+++ b/tests/commands/vm.py
@@ -11,9 +11,9 @@
 
 from aiohttp import web
 
-from pomelolane.exceptions import PomelolaneError
+from pomelolane.exceptions import ForbiddenBranchError, PomelolaneError
 from pomelolane.report import StatusReport, encode_report
-from pomelolane.settings import SettingsStore, admin, keys, tree_from_branches
+from pomelolane.settings import SettingsStore, admin, keys
 
 
 class FakeVm:
@@ -34,6 +34,7 @@
         self.seen_headers: dict[str, str] = {}
         self.drained: list[str] = []
         self.drop_answers = 0
+        self.dropped_calls = 0
         self.url = ""
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
@@ -70,6 +71,7 @@
         add("POST", "/admin/drain", self._drain)
         add("POST", "/admin/endpoints/{endpoint}/leaving", self._leaving)
         add("POST", "/v1/chat/completions", self._chat)
+        add("*", "/services/{path:.*}", self._drop)
         self._runner = web.AppRunner(app)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
@@ -101,25 +103,29 @@
         return handle
 
     async def _drain(self, request):
-        return self._operate(request, self.report.vm.id, keys.require_platform_operator)
+        return self._operate(request, self.report.vm.id, ("platform",))
 
     async def _leaving(self, request):
-        endpoint = request.match_info["endpoint"]
+        owners = ("platform", "fleet")
+        return self._operate(request, request.match_info["endpoint"], owners)
 
-        def require(tree, key):
-            keys.require_endpoint_operator(tree, endpoint, key)
-
-        return self._operate(request, endpoint, require)
-
-    def _operate(self, request, target, require):
+    def _operate(self, request, target, owners):
         key = keys.bearer_key(request.headers.get("Authorization", ""))
         try:
-            require(tree_from_branches(self.branches), key)
+            operator = keys.operator_of_key(self.branches, key)
+            if operator not in owners:
+                raise ForbiddenBranchError(owners[-1])
         except PomelolaneError as error:
             return _response(admin.response_from_error(error))
         self.drained.append(target)
         return web.Response(status=202)
 
+    async def _drop(self, request):
+        await request.read()
+        self.dropped_calls += 1
+        request.transport.close()
+        return web.Response()
+
     async def _chat(self, request):
         self.seen_headers = dict(request.headers)
         if self.chat_problem:
