--- a/src/pomelolane/coordination/epochs.py
+++ b/src/pomelolane/coordination/epochs.py
@@ -10,7 +10,7 @@
 """In place of an epoch: only a sign of life is wanted."""
 
 _COUNTER_BITS = 20
-_START_MASK = (1 << 40) - 1
+_START_MASK = (1 << 42) - 1
 
 
 class Epochs:
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -146,9 +146,12 @@
         self.vm_id = vm_id
         self.network = network
         self.handlers = {}
+        self.ended = False
 
     def send(self, vm_id, message):
         """Hand a message to the network."""
+        if self.ended:
+            return False
         return self.network.send(self.vm_id, vm_id, message)
 
     def subscribe(self, kind, handler):
@@ -333,6 +336,7 @@
     def kill(self, name):
         """End a VM and its requests."""
         vm = self.vms.pop(name)
+        vm.transport.ended = True
         for request in self.requests.values():
             if request.gateway == name and request.task and not request.ended:
                 request.task.cancel()
@@ -381,10 +385,9 @@
             await self.sleep(self.run_ms)
         finally:
             self.used[endpoint_id] -= 1
-        request.ended = True
-        client.observe(
-            StreamEvent(request.handle.request_id, endpoint_id, tokens=5, finished=True)
-        )
+            request.ended = True
+            event = StreamEvent(request.handle.request_id, endpoint_id, finished=True)
+            client.observe(event)
 
     async def sleep(self, for_ms):
         """Wait on the world's clock."""
