--- a/tests/coordination/client.feature
+++ b/tests/coordination/client.feature
@@ -12,15 +12,15 @@
     Then 2 coordinated requests have a slot before the clock moves
 
   Scenario: Every request gets one slot and no endpoint more than it has
-    When every VM asks for 5 slots of tier 1
+    When "each" asks for 5 slots of tier 1
     Then all coordinated requests run exactly once
     And no coordinated endpoint ever ran more than its slots
     And no scheduler holds anything in the end
 
   Scenario: A higher tier goes first over all VMs
     Given all coordinated slots are taken
-    When every VM asks for 2 slots of tier 2
-    And every VM asks for 2 slots of tier 0
+    When "each" asks for 2 slots of tier 2
+    And "each" asks for 2 slots of tier 0
     Then all coordinated requests run exactly once
     And every request of tier 0 ran before those of tier 2
 
@@ -46,21 +46,21 @@
 
   Scenario: A grant for a request that was cancelled meanwhile is given back
     Given messages of kind "Granted" are kept back
-    When another VM than the scheduler asks for a slot
+    When "another" asks for 1 slots of tier 0
     And the last coordinated request is cancelled
     And the kept messages arrive
     Then no scheduler holds anything in the end
-    And the last coordinated request was never dispatched
+    And the last coordinated request ran at "nowhere"
 
   Scenario: A grant repeated by the network is used once
-    Given every message is delivered twice
-    When every VM asks for 4 slots of tier 0
+    Given a network that loses 0 %, doubles 100 % and delays by up to 0 ms
+    When "each" asks for 4 slots of tier 0
     Then all coordinated requests run exactly once
     And no scheduler holds anything in the end
 
   Scenario: A lost grant is sent again
     Given no message of kind "Granted" arrives
-    When another VM than the scheduler asks for a slot
+    When "another" asks for 1 slots of tier 0
     And the coordinated clock moves by 200 ms
     And the network is whole again
     Then all coordinated requests run exactly once
@@ -68,7 +68,7 @@
 
   Scenario: A lost submit is sent again with the budget that is left
     Given no message of kind "Submit" arrives
-    When another VM than the scheduler asks for a slot
+    When "another" asks for 1 slots of tier 0
     And the coordinated clock moves by 200 ms
     And the network is whole again and submits are noted
     Then all coordinated requests run exactly once
@@ -76,7 +76,7 @@
 
   Scenario: A lost release is found by comparing books
     Given no message of kind "Progress" arrives
-    When another VM than the scheduler asks for a slot
+    When "another" asks for 1 slots of tier 0
     And the coordinated clock moves by 200 ms
     And the network is whole again
     Then all coordinated requests run exactly once
@@ -84,7 +84,7 @@
 
   Scenario: A grant for an endpoint known to be leaving is not used
     Given all coordinated endpoints but "b/1" are leaving, as the gateways know
-    When another VM than the scheduler asks for a slot
+    When "another" asks for 1 slots of tier 0
     Then all coordinated requests run exactly once
     And the last coordinated request ran at "b/1"
 
@@ -99,7 +99,7 @@
 
   Scenario Outline: Messages lost, delayed and doubled lose no request
     Given a network that loses <loss> %, doubles <doubled> % and delays by up to <delay> ms
-    When every VM asks for 6 slots of tier 1
+    When "each" asks for 6 slots of tier 1
     Then all coordinated requests run exactly once
     And no scheduler holds anything in the end
 
--- a/tests/coordination/role.feature
+++ b/tests/coordination/role.feature
@@ -11,9 +11,10 @@
 
   Scenario: The scheduler is killed with requests waiting and running
     Given all coordinated slots are taken for 800 ms
-    When every VM asks for 2 slots of tier 2
-    And every VM asks for 2 slots of tier 0
-    And the scheduler is killed and the view tells it
+    When "each" asks for 2 slots of tier 2
+    And "each" asks for 2 slots of tier 0
+    And the scheduler is killed
+    And the views tell it
     Then all coordinated requests run exactly once
     And no coordinated endpoint ever ran more than its slots
     And every request of tier 0 ran before those of tier 2
@@ -21,14 +22,14 @@
 
   Scenario: The scheduler is killed and the view does not tell it yet
     Given all coordinated slots are taken for 800 ms
-    When every VM asks for 2 slots of tier 0
+    When "each" asks for 2 slots of tier 0
     And the scheduler is killed
     Then all coordinated requests run exactly once
     And all coordinated VMs follow the same scheduler
 
   Scenario: The scheduler freezes and comes back
     Given all coordinated slots are taken for 800 ms
-    When every VM but the scheduler asks for 3 slots of tier 1
+    When "others" asks for 3 slots of tier 1
     And the scheduler freezes for 3000 ms
     Then all coordinated requests run exactly once
     And the coordinated clock moves by 3000 ms
@@ -37,8 +38,9 @@
 
   Scenario: A planned stop hands the role over and cuts nothing
     Given all coordinated slots are taken for 800 ms
-    When every VM asks for 2 slots of tier 1
-    And the scheduler drains and the view tells it
+    When "each" asks for 2 slots of tier 1
+    And the scheduler drains
+    And the views tell it
     Then its handover ends
     And another coordinated VM holds the role
     And all coordinated requests run exactly once
@@ -46,8 +48,8 @@
 
   Scenario: A draining scheduler serves those that still follow it
     Given all coordinated slots are taken for 800 ms
-    When the scheduler drains and only it knows
-    And another VM than the scheduler asks for a slot
+    When the scheduler drains
+    And "another" asks for 1 slots of tier 0
     Then all coordinated requests run exactly once
 
   Scenario: A VM that joins and wins the hash takes over
@@ -59,20 +61,22 @@
     And no coordinated endpoint ever ran more than its slots
 
   Scenario: A gateway that dies frees its place, and its slots only in time
-    When another VM than the scheduler asks for a slot
-    And that VM is killed and the view tells it
+    When "another" asks for 1 slots of tier 0
+    And that VM is killed
+    And the views tell it
     Then the scheduler still holds the slot of its request
     And no scheduler holds anything in the end
 
   Scenario: A gateway that restarts is known by its new start
     Given all coordinated slots are taken for 5000 ms
-    When another VM than the scheduler asks for a slot
+    When "another" asks for 1 slots of tier 0
     And that VM restarts under the same name
+    And the views tell it
     Then the scheduler has no waiting request
 
   Scenario: Late grants of an earlier scheduler are given back
     Given messages of kind "Granted" are kept back
-    When another VM than the scheduler asks for a slot
+    When "another" asks for 1 slots of tier 0
     And the role moves while the former scheduler lives on
     And the network is whole again
     And the kept messages arrive
@@ -85,8 +89,9 @@
 
   Scenario: A data centre is cut off and heals
     Given all coordinated slots are taken for 800 ms
-    When every VM asks for 3 slots of tier 1
+    When "each" asks for 3 slots of tier 1
     And data centre "a" is cut off from "b c"
+    And the views tell it
     And the coordinated clock moves by 1000 ms
     Then each side grants only its own endpoints
     And the cut is healed
@@ -96,8 +101,8 @@
 
   Scenario: A cut that the views do not show yet runs nothing twice
     Given all coordinated slots are taken for 800 ms
-    When every VM asks for 3 slots of tier 1
-    And data centre "a" is cut off from "b c" without the views knowing
+    When "each" asks for 3 slots of tier 1
+    And data centre "a" is cut off from "b c"
     And the coordinated clock moves by 4000 ms
     And the cut is healed
     Then all coordinated requests run exactly once
@@ -125,14 +130,14 @@
 
   Scenario: A new scheduler knows the running requests before it grants
     Given all coordinated slots are taken for 5000 ms
-    When every VM asks for 1 slots of tier 0
+    When "each" asks for 1 slots of tier 0
     And the role moves while the former scheduler lives on
     And the coordinated clock moves by 600 ms
     Then no coordinated endpoint ever ran more than its slots
 
   Scenario: A policy that queues at each gateway sends no message
     Given a coordinated region under policy "gateway_queues" of VMs "a-1 a-2"
-    When every VM asks for 3 slots of tier 0
+    When "each" asks for 3 slots of tier 0
     Then all coordinated requests run exactly once
     And no message went between coordinated VMs
 
@@ -149,7 +154,7 @@
 
   Scenario: The status shows roles, queues and whom the gateway follows
     Given all coordinated slots are taken for 5000 ms
-    When every VM asks for 1 slots of tier 1
+    When "each" asks for 1 slots of tier 1
     And the coordinated clock moves by 100 ms
     Then the status of the scheduler shows 6 waiting and 6 running requests
 
--- /dev/null
+++ b/tests/steps/coordination_report_steps.py
@@ -0,0 +1,110 @@
+"""Steps of the coordination features: engines' reports and the status."""
+
+import asyncio
+from dataclasses import replace
+
+import aiohttp
+from aiohttp import web
+from behave import given, then, when
+
+from tests.coordination.fakes import FakeCore
+from tests.coordination.world import (
+    World,
+    make_tree,
+    scheduler_desk,
+)
+
+# --- reports ----------------------------------------------------------------
+
+
+class _ReportingCore(FakeCore):
+    def __init__(self, service):
+        super().__init__(service)
+        self.reports = []
+        self.events = []
+
+    def report_load(self, report, now_ms):
+        self.reports.append(report)
+        return []
+
+    def report_cache(self, event, now_ms):
+        self.events.append(event)
+
+
+async def _serve(started, load, events):
+    async def answer_load(request):
+        return web.Response(body=load, content_type="application/json")
+
+    async def answer_events(request):
+        return web.Response(body=events, content_type="application/json")
+
+    app = web.Application()
+    app.router.add_get("/load", answer_load)
+    app.router.add_get("/cache/events", answer_events)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    try:
+        started.set_result(runner.addresses[0][1])
+        await asyncio.Event().wait()
+    finally:
+        await runner.cleanup()
+
+
+def _engine(context, load, events):
+    # The task ends with the scenario, which cancels what is left on its loop.
+    started = context.loop.create_future()
+    context.engine = context.loop.create_task(_serve(started, load, events))
+    port = context.run(started)
+    world = World(["a-1"], {"a/1": 2}, core=_ReportingCore)
+    endpoint = replace(world.tree.endpoints["a/1"], address=f"127.0.0.1:{port}")
+    world.tree = replace(make_tree({}), endpoints={"a/1": endpoint})
+    context.run(world.configure())
+    context.world = world
+
+
+@given('an engine that reports its load, cache events and state "{state}"')
+def step_engine(context, state):
+    load = (
+        b'{"running":3,"waiting":1,"kv_used_tokens":9,"age_ms":500.5,'
+        b'"models":["m"],"state":"' + state.encode() + b'"}'
+    )
+    events = b'{"events":[{"sequence":4,"stored":true,"prefix_hash":77}]}'
+    _engine(context, load, events)
+
+
+@given("an engine that answers reports with garbage")
+def step_garbage(context):
+    _engine(context, b'{"running":"many"}', b"[")
+
+
+@when("the scheduler polls its engines")
+def step_poll(context):
+    coordination = context.world.vms["a-1"].coordination
+
+    async def poll():
+        async with aiohttp.ClientSession() as session:
+            await coordination.poller.poll(session)
+
+    context.run(poll())
+
+
+@then("the core got the load report and the cache events")
+def step_got(context):
+    core = scheduler_desk(context.world).core
+    assert [(r.running, r.waiting, r.age_ms) for r in core.reports] == [(3, 1, 500.5)]
+    assert [(e.sequence, e.prefix_hash) for e in core.events] == [(4, 77)]
+
+
+@then("the engine counts as leaving and membership was told")
+def step_told(context):
+    assert scheduler_desk(context.world).core.leaving == {"a/1"}
+    assert context.world.told_leaving == ["a/1"]
+
+
+@then("the core got no report")
+def step_got_none(context):
+    core = scheduler_desk(context.world).core
+    assert not core.reports
+    assert not core.events
