Pass over VMs without settings; send long lists seldom; note what was admitted

Cause: a VM that joins the view before it has its settings wins the hash for some services and can only decline; every gateway would ask it again and again until its own bound passed. Peers that are not ready are no candidates, one that does not know a service is passed over for it, and a scheduler that restarted under its name gets everything registered at once.

Lists of requests go whole in each sync while they are short and in each fourth otherwise. A handle tells a successor that it was counted against limits already (the core does not read that yet).

--- a/src/pomelolane/coordination/chooser.py
+++ b/src/pomelolane/coordination/chooser.py
@@ -48,6 +48,7 @@
         self._suspected_until: dict[str, float] = {}
         self._hints: dict[str, tuple[str, float]] = {}
         self._deaf_until: dict[str, float] = {}
+        self._unable: dict[tuple[str, str], float] = {}
         self._chosen: dict[str, str] = {}
         self.is_stopping = False
         self._callbacks: list[Callable[[], None]] = []
@@ -69,6 +70,16 @@
             self._chosen[service] = chosen
         return chosen
 
+    def incarnation_of(self, vm_id: str) -> int:
+        """Return the number of a VM's start, 0 while it is not in the view."""
+        peer = self.view().peers.get(vm_id)
+        return peer.incarnation if peer is not None else 0
+
+    def gateways(self) -> frozenset[str]:
+        """Return the VMs that may hold requests, this one included."""
+        peers = self.view().peers.values()
+        return frozenset(p.vm_id for p in peers if p.ready) | {self._vm_id}
+
     def is_suspected(self, vm_id: str) -> bool:
         """Tell whether a VM is passed over because of its silence."""
         return vm_id in self._suspected_until
@@ -107,6 +118,13 @@
             self._hints[service] = (vm_id, self._clock.now_ms() + _HINT_MS)
             self._changed()
 
+    def pass_over(self, service: str, vm_id: str, for_ms: float) -> None:
+        """Choose others for a service that a VM does not know."""
+        self._unable[service, vm_id] = self._clock.now_ms() + for_ms
+        if self._hints.get(service, ("",))[0] == vm_id:
+            del self._hints[service]
+        self._changed()
+
     def stop(self) -> None:
         """Leave this VM out from now on, as long as there is another."""
         self.is_stopping = True
@@ -119,6 +137,7 @@
             _drop_ended(self._suspected_until, now_ms),
             _drop_ended(self._hints, now_ms, lambda hint: hint[1]),
             _drop_ended(self._deaf_until, now_ms),
+            _drop_ended(self._unable, now_ms),
         ]
         if any(ended):
             self._changed()
@@ -128,19 +147,21 @@
             return self._hints[service][0]
         peers = self.view().peers
         live = [vm for vm in peers if not self.is_suspected(vm)]
-        staying = [vm for vm in live if not self._is_stopping(vm)]
-        return rendezvous(service, staying or live or [self._vm_id])
+        able = [vm for vm in live if self._is_able(service, vm)]
+        return rendezvous(service, able or live or [self._vm_id])
 
-    def _is_stopping(self, vm_id: str) -> bool:
+    def _is_able(self, service: str, vm_id: str) -> bool:
         if vm_id == self._vm_id and self.is_stopping:
-            return True
-        return self.view().peers[vm_id].draining
+            return False
+        peer = self.view().peers[vm_id]
+        return peer.ready and not peer.draining and (service, vm_id) not in self._unable
 
     def _view_changed(self, view: View) -> None:
         for vm_id in [vm for vm in self._suspected_until if vm not in view.peers]:
             del self._suspected_until[vm_id]
         self._hints.clear()
         self._deaf_until.clear()
+        self._unable.clear()
         self._changed()
 
     def _changed(self) -> None:
@@ -150,7 +171,7 @@
 
 
 def _drop_ended(
-    untils: dict[str, Any], now_ms: float, until: Callable[[Any], float] = float
+    untils: dict[Any, Any], now_ms: float, until: Callable[[Any], float] = float
 ) -> bool:
     ended = [key for key, value in untils.items() if until(value) <= now_ms]
     for key in ended:
--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -128,16 +128,17 @@
             case Refused():
                 self._refused(sender, message)
             case SubmitAck():
-                self._heard(sender, message.epoch)
+                self._submit_answered(sender, message)
             case SyncAck():
                 self._sync_answered(sender, message)
             case NotScheduler():
                 self._rejected(sender, message)
 
-    def _heard(self, sender: str, epoch: int) -> None:
+    def _submit_answered(self, sender: str, message: SubmitAck) -> None:
         for link in self._links.values():
-            if link.is_current(sender, epoch):
+            if link.is_current(sender, message.epoch):
                 link.heard()
+                link.admitted(message.request_ids)
 
     def _sync_answered(self, sender: str, message: SyncAck) -> None:
         link = self._links.get(message.service)
@@ -152,7 +153,12 @@
         if link is None or not link.is_current(sender, message.epoch):
             return
         link.rejected()
-        self._context.chooser.take_hint(message.service, message.scheduler)
+        chooser = self._context.chooser
+        if message.scheduler:
+            chooser.take_hint(message.service, message.scheduler)
+        else:
+            for_ms = self._context.timings.suspect_ms
+            chooser.pass_over(message.service, sender, for_ms)
 
     def _granted(self, sender: str, message: Granted) -> None:
         ticket = self._tickets.get(message.request_id)
--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -200,7 +200,7 @@
     def _share(self) -> float:
         if not self._is_shared and self._policy not in _SPLIT_POLICIES:
             return 1.0
-        return 1.0 / max(1, len(self._chooser.view().peers))
+        return 1.0 / len(self._chooser.gateways())
 
     def _rescope_local(self) -> None:
         view = self._chooser.view()
--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -182,13 +182,11 @@
             for request_id in message.waiting
             if not self._confirm_waiting(gateway, message.epoch, request_id)
         ]
-        if message.running is not None:
-            missing += [
-                name for name in message.running if name not in follower.entries
-            ]
-        self._count_absences(follower, message)
+        missing += [name for name in message.running if name not in follower.entries]
+        if message.whole:
+            self._count_absences(follower, message)
         self._send(gateway, SyncAck(message.epoch, self.service, tuple(missing)))
-        if message.running is not None and not missing:
+        if message.whole and not missing:
             follower.registered = True
         self._end_settling(self._clock.now_ms())
 
@@ -202,12 +200,9 @@
         return True
 
     def _count_absences(self, follower: Follower, message: Sync) -> None:
-        listed = {*message.waiting, *(message.running or ())}
+        listed = {*message.waiting, *message.running}
         for entry in list(follower.entries.values()):
-            if entry.request_id in listed:
-                entry.absences = 0
-            elif not entry.endpoint_id or message.running is not None:
-                entry.absences += 1
+            entry.absences = 0 if entry.request_id in listed else entry.absences + 1
             if entry.absences >= _ABSENCES_UNTIL_GONE:
                 self._forget(entry)
 
--- a/src/pomelolane/coordination/link.py
+++ b/src/pomelolane/coordination/link.py
@@ -28,6 +28,7 @@
     from pomelolane.messages import StreamEvent
 
 _HANDLES_PER_SUBMIT = 200
+_SHORT_LISTS = 32
 _QUESTIONS_BEFORE_ALONE = 3
 
 
@@ -62,6 +63,7 @@
         self._candidate = (LOCAL, 0)
         self._sought_ms = self._synced_ms
         self._is_started = False
+        self._incarnation = 0
 
     # --- what the gateway holds -------------------------------------------
 
@@ -145,12 +147,13 @@
 
     def sync(self) -> None:
         """Tell the scheduler what is held, and see whether it is there."""
-        every = self._timings.running_every
-        lists_running = self._syncs % every == 0 or not self.waiting
-        running = tuple(self.running) if lists_running else None
+        is_short = len(self.waiting) + len(self.running) <= _SHORT_LISTS
+        is_whole = is_short or self._syncs % self._timings.whole_every == 0
+        waiting = tuple(self.waiting) if is_whole else ()
+        running = tuple(self.running) if is_whole else ()
         self._syncs += 1
         self._synced_ms = self._context.clock.now_ms()
-        self._ask(Sync(self.epoch, self.service, tuple(self.waiting), running))
+        self._ask(Sync(self.epoch, self.service, is_whole, waiting, running))
 
     def _ask(self, message: Message) -> None:
         now_ms = self._context.clock.now_ms()
@@ -178,6 +181,13 @@
         self._asks = 0
         self._retry_at_ms = None
 
+    def admitted(self, request_ids: Sequence[str]) -> None:
+        """Note requests that a scheduler has counted against limits."""
+        for request_id in request_ids:
+            ticket = self.waiting.get(request_id)
+            if ticket is not None:
+                ticket.admitted = True
+
     def sync_answered(self, missing: Sequence[str]) -> None:
         """Register again what the scheduler does not know."""
         waiting = [self.waiting[name] for name in missing if name in self.waiting]
@@ -206,9 +216,13 @@
         chosen = self._context.chooser.scheduler(self.service)
         if self.is_alone and self._is_started:
             self._seek(chosen)
-        elif chosen != self.scheduler:
+        elif chosen != self.scheduler or self._has_restarted(chosen):
             self._follow(chosen, self._context.epochs.next())
 
+    def _has_restarted(self, scheduler: str) -> bool:
+        now = self._context.chooser.incarnation_of(scheduler)
+        return now not in (0, self._incarnation)
+
     def start(self) -> None:
         """Follow the first scheduler."""
         if not self._is_started:
@@ -230,6 +244,7 @@
         self.leave()
         self.scheduler = scheduler
         self.epoch = epoch
+        self._incarnation = self._context.chooser.incarnation_of(scheduler)
         log_event(
             SCHEDULER_CHOSEN,
             service=self.service,
@@ -259,7 +274,7 @@
         if self._candidate[0] != chosen:
             self._candidate = (chosen, self._context.epochs.next())
         self._sought_ms = self._context.clock.now_ms()
-        question = Sync(self._candidate[1], self.service)
+        question = Sync(self._candidate[1], self.service, whole=False)
         self._context.send(chosen, self.service, question)
 
     # --- time -------------------------------------------------------------
--- a/src/pomelolane/coordination/options.py
+++ b/src/pomelolane/coordination/options.py
@@ -24,7 +24,7 @@
         retry_ms: Pause after a VM said that it is not the scheduler.
         waiting_sync_ms: Period of syncs while requests wait.
         running_sync_ms: Period of syncs while requests only run.
-        running_every: Each how many syncs the running requests are listed.
+        whole_every: Each how many syncs long lists are sent.
         progress_ms: Longest time for which token progress is gathered.
         fallback_ms: Without a scheduler for this long a gateway goes alone.
         settle_ms: Longest wait of a new scheduler for its gateways.
@@ -43,7 +43,7 @@
     retry_ms: float = 100.0
     waiting_sync_ms: float = 300.0
     running_sync_ms: float = 1000.0
-    running_every: int = 4
+    whole_every: int = 4
     progress_ms: float = 250.0
     fallback_ms: float = 1500.0
     settle_ms: float = 300.0
--- a/src/pomelolane/coordination/role.py
+++ b/src/pomelolane/coordination/role.py
@@ -107,9 +107,9 @@
         A VM that sees others of which none follows it may be the one that is
         cut off, while they follow a scheduler of their own.
         """
-        peers = self._chooser.view().peers
-        if len(peers) > 1 and followers <= {self._vm_id}:
-            return 1.0 / len(peers)
+        gateways = self._chooser.gateways()
+        if len(gateways) > 1 and followers <= {self._vm_id}:
+            return 1.0 / len(gateways)
         return 1.0
 
     def desk(self, service: str) -> Desk | None:
@@ -171,9 +171,13 @@
         if desk is not None:
             desk.receive(gateway, message)
         elif not isinstance(message, Unfollow):
-            chosen = self._chooser.scheduler(service)
-            reply = NotScheduler(message.epoch, service, chosen)
-            self._transport.send(gateway, reply)
+            self._decline(gateway, message.epoch, service)
+
+    def _decline(self, gateway: str, epoch: int, service: str) -> None:
+        known = service in self._tree.services
+        chosen = self._chooser.scheduler(service) if known else ""
+        self._transport.send(gateway, NotScheduler(epoch, service, chosen))
+        if known:
             self.on_doubt(service)
 
     # --- taking and leaving -----------------------------------------------
@@ -183,7 +187,7 @@
         self._lingering_since_ms.pop(service, None)
         if service not in self._desks:
             self._desks[service] = self._make_desk(service)
-        self._desks[service].settle(self._chooser.view().peers)
+        self._desks[service].settle(self._chooser.gateways())
 
     def _make_desk(self, service: str) -> Desk:
         core = self._cores.get(service)
--- a/src/pomelolane/coordination/tickets.py
+++ b/src/pomelolane/coordination/tickets.py
@@ -32,6 +32,7 @@
         deadline_ms: Its deadline on this VM's clock.
         answer: Resolved with the grant or the refusal.
         endpoint_id: Where it was granted, empty while it waits.
+        admitted: Whether a scheduler has counted it against limits.
         started: Whether the first token was seen.
         decoded_tokens: Answer tokens seen so far.
     """
@@ -40,6 +41,7 @@
     deadline_ms: float
     answer: asyncio.Future = field(repr=False)
     endpoint_id: str = ""
+    admitted: bool = False
     started: bool = False
     decoded_tokens: int = 0
 
@@ -51,7 +53,9 @@
     def handle_at(self, now_ms: float) -> Handle:
         """Return the handle with the budget that is left."""
         budget_ms = max(0, round(self.deadline_ms - now_ms))
-        return msgspec.structs.replace(self.handle, budget_ms=budget_ms)
+        return msgspec.structs.replace(
+            self.handle, budget_ms=budget_ms, admitted=self.admitted
+        )
 
     def running_at(self, now_ms: float) -> RunningHandle:
         """Return what a new scheduler has to know of the running request."""
--- a/src/pomelolane/messages.py
+++ b/src/pomelolane/messages.py
@@ -34,6 +34,8 @@
         data_centre: The gateway's data centre.
         excluded: Endpoints that already failed this request.
         attempt: 0 for the first dispatch.
+        admitted: Whether a scheduler has counted it against limits already; it
+            is registered again then and not counted twice.
     """
 
     request_id: str
@@ -49,6 +51,7 @@
     data_centre: str = ""
     excluded: tuple[str, ...] = ()
     attempt: int = 0
+    admitted: bool = False
 
 
 class RunningHandle(msgspec.Struct, frozen=True, array_like=True):
@@ -100,7 +103,8 @@
     Attributes:
         epoch: Copied from the submit.
         service: The service.
-        scheduler: VM that the answering one follows itself, empty if none.
+        scheduler: VM that the answering one follows itself, empty if it does
+            not know the service (yet).
     """
 
     epoch: int
@@ -188,15 +192,16 @@
     Attributes:
         epoch: The gateway's number for its current choice of scheduler.
         service: The service.
+        whole: Whether the lists are there; without them it is a sign of life.
         waiting: Requests that still wait for a slot.
-        running: Dispatched requests, or None where this message is silent
-            on them.
+        running: Dispatched requests.
     """
 
     epoch: int
     service: str
+    whole: bool = True
     waiting: tuple[str, ...] = ()
-    running: tuple[str, ...] | None = None
+    running: tuple[str, ...] = ()
 
 
 class SyncAck(Message, frozen=True):
--- a/tests/coordination/role.feature
+++ b/tests/coordination/role.feature
@@ -165,3 +165,9 @@
       | vms |
       | 3   |
       | 9   |
+
+  Scenario: A VM without its settings is passed over as scheduler
+    When the scheduler has lost its settings and restarts
+    And "a-1" asks for 2 slots of tier 0
+    Then all coordinated requests run exactly once
+    And another coordinated VM holds the role
--- a/tests/coordination/world.py
+++ b/tests/coordination/world.py
@@ -105,11 +105,12 @@
         await self.settle()
 
     def scheduler(self, service="pool"):
-        return max(
-            (vm.coordination.client.links()[service].scheduler, name)
-            for name, vm in self.vms.items()
+        links = [
+            vm.coordination.client.links().get(service)
+            for vm in self.vms.values()
             if not vm.frozen
-        )[0]
+        ]
+        return max(link.scheduler for link in links if link is not None)
 
     def kill(self, name):
         vm = self.vms.pop(name)
@@ -120,12 +121,13 @@
                 request.ended = True
         return vm
 
-    async def restart(self, name):
+    async def restart(self, name, configured=True):
         self.kill(name)
         self.incarnation += 1
         self.peers[name] = replace(self.peers[name], incarnation=self.incarnation)
         self.start_vm(name)
-        self.vms[name].coordination.configure(self.tree)
+        if configured:
+            self.vms[name].coordination.configure(self.tree)
         await self.settle()
 
     def cut(self, ones, others):
--- a/tests/steps/coordination_fault_steps.py
+++ b/tests/steps/coordination_fault_steps.py
@@ -54,6 +54,14 @@
     context.run(context.world.restart(context.asker))
 
 
+@when("the scheduler has lost its settings and restarts")
+def step_restart_empty(context):
+    world = world_of(context)
+    context.drained = world.scheduler()
+    context.run(world.restart(context.drained, configured=False))
+    step_views(context)
+
+
 @when("the views tell it")
 def step_views(context):
     context.world.share_reachable_views()
