--- a/bench/engines.py
+++ b/bench/engines.py
@@ -57,8 +57,18 @@
         return min(by_slots, 1.0 / prefill_s)
 
 
-def scale_engines(deployment: Deployment, workloads: Workloads) -> None:
-    """Slow a deployment's engines down by the workloads' factors."""
+def scale_deployment(deployment: Deployment, workloads: Workloads) -> None:
+    """Slow engines down, and declare the lengths that answers then have."""
+    _scale_engines(deployment, workloads)
+    for service in deployment.services().values():
+        for work in service["works"]:
+            for shape in workloads.shapes:
+                if (shape.service, shape.work) == (service["name"], work["name"]):
+                    work["output_tokens"] = round(shape.answer.median)
+                    work["deadline_ms"] = shape.deadline_ms
+
+
+def _scale_engines(deployment: Deployment, workloads: Workloads) -> None:
     for plan in deployment.endpoints():
         if plan.kind != "engine":
             continue
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -15,7 +15,7 @@
 
 from bench.caller import Caller, CallRecord
 from bench.cluster import Cluster
-from bench.engines import scale_engines
+from bench.engines import scale_deployment
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -73,7 +73,7 @@
         vms_per_data_centre=vms_per_data_centre,
         faults=False,
         policy=policy,
-        edit=lambda deployment: scale_engines(deployment, workloads),
+        edit=lambda deployment: scale_deployment(deployment, workloads),
         extra_flags=("--log-level", "warning"),
     )
 
--- a/bench/plan.py
+++ b/bench/plan.py
@@ -10,7 +10,7 @@
 
 from bench.arrivals import make_arrivals
 from bench.deployment import read_deployment
-from bench.engines import engine_speeds, scale_engines
+from bench.engines import engine_speeds, scale_deployment
 from bench.scenario import read_scenario, read_workloads
 
 if TYPE_CHECKING:
@@ -60,7 +60,7 @@
     if seconds != scenario.seconds:
         scenario = scenario.shortened(seconds / scenario.seconds)
     deployment = read_deployment(workloads.deployment)
-    scale_engines(deployment, workloads)
+    scale_deployment(deployment, workloads)
     engines = engine_speeds(deployment, workloads.shapes[0].service)
     return Plan(
         name=name,
--- /dev/null
+++ b/tests/bench/cluster.feature
@@ -0,0 +1,22 @@
+@processes
+Feature: A whole deployment as processes
+  Tests, bench and demo start the same real processes.
+
+  Scenario: A cluster serves, is cut and heals, and leaves nothing behind
+    Given a bench cluster of "comision" with 1 VM in each data centre and faults
+    When the bench caller asks every VM of the cluster for an entry check
+    Then all bench answers are whole
+    When the bench cuts "sala-tampico" off from "sala-veracruz" and from the platform
+    And the bench heals all links
+    And the bench restarts the VM "sala-veracruz-vm1"
+    And the bench caller asks every VM of the cluster for an entry check
+    Then all bench answers are whole
+    When the bench cluster is stopped
+    Then no process of the bench cluster is left
+
+  Scenario: A deployment that does not exist starts nothing
+    Then starting a bench cluster of "nowhere" fails
+
+  Scenario: A short experiment prints its plain lines
+    When "python -m bench --smoke --scenario steady --vms 1 --policies pomelolane" is run
+    Then its last line begins with "bench scenario=steady policy=pomelolane goodput_top="
