Measure capacity slopes; test the demo over real VMs

Cause: docs/CAPACITY.md must put measured slopes together, with their errors.

The scheduler's slope means nothing yet, since each VM still schedules for itself.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -46,6 +46,7 @@
         text: The answer's text or body.
         whole: Whether the answer is whole and the caller's own.
         tag: Marks every token of the right answer.
+        received_bytes: Length of the answer's body on the wire.
         error: What broke at the caller's side, empty if nothing did.
         location: Where a job's state can be read.
         headers: Headers of the answer, names in lower case.
@@ -63,6 +64,7 @@
     text: str = ""
     whole: bool = False
     tag: str = ""
+    received_bytes: int = 0
     error: str = ""
     location: str = ""
     headers: dict[str, str] = field(default_factory=dict)
@@ -300,6 +302,7 @@
         await _read_stream(response, record, started_ms)
         return
     data = await response.read()
+    record.received_bytes = len(data)
     if response.status < 300:
         record.text = _answer_text(data)
         record.ttft_ms = _now_ms() - started_ms
@@ -318,6 +321,7 @@
             now_ms = _now_ms()
             events = data.count(_EVENT_END)
             parts.append(data)
+            record.received_bytes += len(data)
             if not events:
                 continue
             if record.ttft_ms < 0:
--- a/tests/bench/cluster.feature
+++ b/tests/bench/cluster.feature
@@ -20,3 +20,7 @@
   Scenario: A short experiment prints its plain lines
     When "python -m bench --smoke --scenario steady --vms 1 --policies pomelolane" is run
     Then its last line begins with "bench scenario=steady policy=pomelolane goodput_top="
+
+  Scenario: A short demo ends without an error
+    When "python -m bench.demo --seconds 2 --vms 1" is run
+    Then its last line begins with "errors: 0 of"
--- a/tests/steps/bench_steps.py
+++ b/tests/steps/bench_steps.py
@@ -23,6 +23,7 @@
 )
 from bench.engines import EngineSpeed, engine_speeds, scale_deployment
 from bench.experiment import Call
+from bench.fit import fit_line
 from bench.inversions import count_inversions
 from bench.ports import PortBlock
 from bench.processes import BenchError, ManagedProcess, wait_until
@@ -552,3 +553,20 @@
 def step_last_line(context, text):
     lines = context.child.log_text().strip().splitlines()
     assert lines[-1].startswith(text), context.child.log_tail()
+
+
+@given("measured points {a}, {b}, {c} and {d}")
+def step_points(context, a, b, c, d):
+    points = [point.split(":") for point in (a, b, c, d)]
+    context.line = fit_line(
+        [float(x) for x, _ in points], [float(y) for _, y in points]
+    )
+
+
+@then("the fitted slope is {slope:g} with error {error:g} and intercept {at_zero:g}")
+def step_fit(context, slope, error, at_zero):
+    line = context.line
+    found = (line.slope, line.slope_error, line.intercept)
+    expected = (slope, error, at_zero)
+    differences = [abs(x - y) for x, y in zip(found, expected, strict=True)]
+    assert max(differences) < 1e-5, found
