Test the stand-ins' models, faults and interfaces

The features found four faults: a step that was due together with the end of a prefill gave the new request two tokens at once (steps go first now); a reader that left while its answer was closed was logged as an error; a run's tokens were counted as computed and not as handed over, which differs when an engine dies in between; and a broken-off answer could not be told from a whole one in the test's own reader.

--- a/standins/engine/batch.py
+++ b/standins/engine/batch.py
@@ -141,10 +141,10 @@
         """
         emitted: list[Sequence] = []
         while (at_ms := self.next_event_ms()) is not None and at_ms <= now_ms:
-            if self._prefilling is not None and at_ms == self._prefill_ends_at_ms:
-                emitted.append(self._finish_prefill(self._prefilling, at_ms))
-            else:
+            if at_ms == self._next_step_at_ms or self._prefilling is None:
                 emitted += self._step(at_ms)
+            else:
+                emitted.append(self._finish_prefill(self._prefilling, at_ms))
             self._admit(at_ms)
         return emitted
 
--- a/standins/engine/http.py
+++ b/standins/engine/http.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import uuid
 from typing import TYPE_CHECKING
 
@@ -191,20 +192,30 @@
     await stream.wait_for_chunk(from_chunk)
     response = web.StreamResponse(headers=_answer_headers(stream))
     response.content_type = "text/event-stream"
+    with contextlib.suppress(ConnectionResetError):  # The reader may be gone.
+        await _send_events(request, response, stream, from_chunk)
+    return response
+
+
+async def _send_events(
+    request: web.Request,
+    response: web.StreamResponse,
+    stream: Stream,
+    from_chunk: int,
+) -> None:
     await response.prepare(request)
     transport = request.transport
     if transport is None or stream.end is StreamEnd.LOST:
-        return response
+        return
     # The headers leave with the first write; all later ones go past aiohttp.
     first = stream.events_from(from_chunk)
-    reached = stream.chunks
+    reached = max(from_chunk, stream.chunks)
     ended = stream.end is not None
     await response.write(first)
     if not ended:
         stream.attach(ConnectionSink(transport), reached)
         await stream.ended.wait()
     await response.write_eof()
-    return response
 
 
 def _answer_headers(stream: Stream) -> dict[str, str]:
--- a/standins/engine/journal.py
+++ b/standins/engine/journal.py
@@ -132,7 +132,7 @@
 def _updated(run: Run, stream: Stream) -> Run:
     sequence = stream.sequence
     run.cached_tokens = sequence.cached_tokens
-    run.generated = sequence.generated
+    run.generated = stream.chunks
     run.state = _STATES[stream.end]
     if run.started_at_ms is None and sequence.started_at_ms is not None:
         run.started_at_ms = _unix_ms(sequence.started_at_ms)
--- /dev/null
+++ b/tests/steps/standins_steps.py
@@ -0,0 +1,475 @@
+"""Steps for the stand-ins over sockets, started on the scenario's loop."""
+
+import asyncio
+import contextlib
+import json
+import sys
+import tempfile
+
+import aiohttp
+import xxhash
+from behave import given, then, when
+
+from standins.engine import EngineOptions, start_engine
+from standins.engine.prompts import BLOCK_BYTES, block_hashes
+from standins.platform import PlatformOptions, start_platform
+from standins.proxy import ProxyOptions, start_proxy
+from standins.service import ServiceOptions, start_service
+
+ENGINE = EngineOptions(decode_tokens_per_s=2000.0, prefill_tokens_per_s=100_000.0)
+PROMPT = "¿Qué especie es el código 042?"
+
+
+def _keep(context, standin):
+    """Close a stand-in at the scenario's end."""
+    context.add_cleanup(lambda: context.run(standin.aclose()))
+    return standin
+
+
+async def _call(method, port, path, **options):
+    """Return status and body of a call, 0 and nothing where it broke."""
+    url = f"http://127.0.0.1:{port}{path}"
+    try:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, url, **options) as answer,
+        ):
+            return answer.status, await answer.read()
+    except aiohttp.ClientError:
+        return 0, b""
+
+
+def _request(context, method, path, **options):
+    """Call the stand-in under test and keep its status."""
+    call = _call(method, context.standin.server.port, path, **options)
+    context.status, context.body = context.run(call)
+    return context.body
+
+
+def _control(context, method, path, **options):
+    """Call the control port of the stand-in under test."""
+    call = _call(method, context.standin.control.port, path, **options)
+    status, body = context.run(call)
+    assert status == 200, body
+    return json.loads(body)
+
+
+async def _until(condition):
+    """Wait until a condition holds; the scenario hangs if it never does."""
+    while not condition():  # noqa: ASYNC110
+        await asyncio.sleep(0.001)
+
+
+@then("the stand-in status is {status:d}")
+def step_status(context, status):
+    assert context.status == status, (context.status, context.body)
+
+
+@then("the stand-in connection broke")
+def step_broke(context):
+    assert context.status == 0
+
+
+# --- engine -----------------------------------------------------------------
+
+
+@given("a stand-in engine")
+def step_engine(context):
+    context.standin = _keep(context, context.run(start_engine(ENGINE)))
+
+
+@given("a stand-in engine that honours fencing")
+def step_fencing_engine(context):
+    options = EngineOptions(honours_fencing=True)
+    context.standin = _keep(context, context.run(start_engine(options)))
+
+
+def _chat(context, request_id, tokens, *, stream=True, prompt=PROMPT):
+    context.expected_tokens = tokens
+    context.prompt = prompt
+    body = {
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": stream,
+        "x_output_tokens": tokens,
+    }
+    headers = {"X-Request-Id": request_id}
+    path = "/v1/chat/completions"
+    return {"path": path, "json": body, "headers": headers}
+
+
+def _read_events(context, body):
+    """Keep the tokens of a body of events, and whether it was closed."""
+    events = [e[6:] for e in body.decode().split("\n\n") if e.startswith("data: ")]
+    context.done = bool(events) and events[-1] == "[DONE]"
+    chunks = [json.loads(event) for event in events if event != "[DONE]"]
+    context.answer_text = "".join(
+        chunk["choices"][0]["delta"].get("content", "") for chunk in chunks
+    )
+
+
+@given('a stand-in answer of {tokens:d} tokens was streamed as "{request_id}"')
+@when('a stand-in answer of {tokens:d} tokens is streamed as "{request_id}"')
+def step_stream(context, tokens, request_id):
+    options = _chat(context, request_id, tokens)
+    _read_events(context, _request(context, "POST", **options))
+
+
+@when(
+    "a stand-in answer of {tokens:d} tokens to a prompt of {blocks:d} blocks "
+    'is streamed as "{request_id}"'
+)
+def step_stream_blocks(context, tokens, blocks, request_id):
+    prompt = "x" * BLOCK_BYTES * blocks
+    _request(context, "POST", **_chat(context, request_id, tokens, prompt=prompt))
+
+
+@when('a stand-in answer of {tokens:d} tokens is read at once as "{request_id}"')
+def step_read_at_once(context, tokens, request_id):
+    options = _chat(context, request_id, tokens, stream=False)
+    answer = json.loads(_request(context, "POST", **options))
+    context.answer_text = answer["choices"][0]["message"]["content"]
+    context.done = answer["choices"][0]["finish_reason"] == "stop"
+
+
+@when(
+    'a stand-in answer of {tokens:d} tokens is begun as "{request_id}" '
+    "and its reader goes"
+)
+def step_begin(context, tokens, request_id):
+    async def read_one_chunk(path, **options):
+        url = f"http://127.0.0.1:{context.standin.server.port}{path}"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, **options) as answer,
+        ):
+            await answer.content.readany()
+
+    context.run(read_one_chunk(**_chat(context, request_id, tokens)))
+
+
+@when(
+    'a stand-in answer of {tokens:d} tokens is requested as "{request_id}" '
+    "without waiting"
+)
+def step_request_in_background(context, tokens, request_id):
+    options = _chat(context, request_id, tokens)
+    call = _call("POST", context.standin.server.port, **options)
+    context.background = context.loop.create_task(call)
+
+
+@then("the stand-in answer arrives whole")
+def step_arrives(context):
+    _, body = context.run(context.background)
+    _read_events(context, body)
+    step_whole(context)
+
+
+@when('the stand-in stream "{stream_id}" is resumed from chunk {chunk:d}')
+def step_resume(context, stream_id, chunk):
+    path = f"/v1/streams/{stream_id}?from={chunk}"
+    _read_events(context, _request(context, "GET", path))
+
+
+@when('the stand-in stream "{stream_id}" is cancelled')
+def step_cancel_stream(context, stream_id):
+    _request(context, "POST", f"/v1/streams/{stream_id}/cancel")
+
+
+def _expected_text(context, numbers):
+    tag = xxhash.xxh3_64_hexdigest(context.prompt.encode())[:12]
+    return "".join(f"{tag}-{number} " for number in numbers)
+
+
+@then("the stand-in answer is whole")
+def step_whole(context):
+    expected = _expected_text(context, range(context.expected_tokens))
+    assert (context.answer_text, context.done) == (expected, True), context.answer_text
+
+
+@then('the stand-in answer has the tokens "{numbers}"')
+def step_has_tokens(context, numbers):
+    assert context.answer_text == _expected_text(context, numbers.split()), (
+        context.answer_text
+    )
+
+
+@then("the stand-in answer broke off")
+def step_broke_off(context):
+    assert context.status == 0
+
+
+def _runs(context, request_id):
+    runs = _control(context, "GET", "/runs")
+    return [run for run in runs if run["request_id"] == request_id]
+
+
+@then('the stand-in engine has run "{request_id}" {times:d} times')
+def step_ran(context, request_id, times):
+    assert len(_runs(context, request_id)) == times
+
+
+@then('the stand-in run "{request_id}" is "{state}" with {tokens:d} tokens')
+def step_run_state(context, request_id, state, tokens):
+    (run,) = _runs(context, request_id)
+    assert (run["state"], run["generated"]) == (state, tokens), run
+
+
+@then('the stand-in run "{request_id}" is "{state}" before its end')
+def step_run_early(context, request_id, state):
+    (run,) = _runs(context, request_id)
+    assert run["state"] == state, run
+    assert 0 < run["generated"] < context.expected_tokens, run
+
+
+@then("the stand-in engine refuses connections")
+def step_engine_refuses(context):
+    _request(context, "GET", "/load")
+    assert context.status == 0
+
+
+@then('the stand-in load report says "{state}"')
+def step_load_state(context, state):
+    assert json.loads(_request(context, "GET", "/load"))["state"] == state
+
+
+@then("the stand-in cache events name the blocks of the prompt")
+def step_events_name_blocks(context):
+    answer = json.loads(_request(context, "GET", "/cache/events?after=0"))
+    named = [event["prefix_hash"] for event in answer["events"]]
+    assert named == list(block_hashes(context.prompt.encode())), answer
+
+
+@given('the stand-in order "{name}" with fencing {fencing:d} was taken')
+@when('the stand-in order "{name}" with fencing {fencing:d} is given')
+def step_order(context, name, fencing):
+    order = {"kind": "load_adapter", "name": name, "fencing": fencing}
+    _request(context, "POST", "/orders", json=order)
+
+
+# --- control ports ----------------------------------------------------------
+
+
+@given("the stand-in {kind}'s control sets {faults}")
+@when("the stand-in {kind}'s control sets {faults}")
+def step_control(context, kind, faults):
+    del kind
+    _control(context, "POST", "/control", data=faults)
+
+
+# --- a process with many engines --------------------------------------------
+
+
+@given('a stand-in process with engines "{names}"')
+def step_process(context, names):
+    async def start(path):
+        return await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "standins.engine", "--config", path),
+            stdout=asyncio.subprocess.PIPE,
+        )
+
+    async def stop(process):
+        process.terminate()
+        await process.wait()
+
+    async def read_ready(process):
+        line = (await process.stdout.readline()).decode()
+        assert line.startswith("ready "), line
+        return dict(part.split("=") for part in line.split()[1:])
+
+    config = tempfile.NamedTemporaryFile("w", suffix=".json")  # noqa: SIM115
+    context.add_cleanup(config.close)
+    json.dump([{"endpoint-id": name} for name in names.split()], config)
+    config.flush()
+    process = context.run(start(config.name))
+    context.add_cleanup(lambda: context.run(stop(process)))
+    ready = [context.run(read_ready(process)) for _ in names.split()]
+    context.ready = {values["endpoint_id"]: values for values in ready}
+
+
+@when('the stand-in engine "{name}" of the process dies')
+def step_one_dies(context, name):
+    ports = context.ready[name]
+    call = _call("POST", ports["control_port"], "/control", json={"die": True})
+    assert context.run(call)[0] == 200
+    assert context.run(_call("GET", ports["port"], "/load"))[0] == 0
+
+
+@then('the stand-in engine "{name}" of the process still answers')
+def step_other_answers(context, name):
+    assert context.run(_call("GET", context.ready[name]["port"], "/load"))[0] == 200
+
+
+# --- platform ---------------------------------------------------------------
+
+
+@given("a stand-in platform")
+def step_platform(context):
+    context.standin = _keep(context, context.run(start_platform(PlatformOptions())))
+
+
+def _commit(context, keys, *, atomic=True):
+    writes = [{"key": key, "value": "aGk=", "if_version": 0} for key in keys.split()]
+    body = {"atomic": atomic, "writes": writes}
+    _request(context, "POST", "/v1/table/commit", json=body)
+
+
+@given('stand-in row "{key}" is written if absent')
+@when('stand-in row "{key}" is written if absent')
+def step_write(context, key):
+    _commit(context, key)
+
+
+@when('stand-in rows "{keys}" are written if absent, atomic')
+def step_write_atomic(context, keys):
+    _commit(context, keys)
+
+
+@when('stand-in rows "{keys}" are written if absent, each alone')
+def step_write_alone(context, keys):
+    _commit(context, keys, atomic=False)
+
+
+@then('the stand-in row "{key}" has version {version:d}')
+def step_version(context, key, version):
+    row = json.loads(_request(context, "GET", f"/v1/table/row?key={key}"))
+    assert row == {"key": key, "version": version, "value": "aGk="}, row
+
+
+@then('the stand-in rows under "{prefix}" are "{keys}"')
+def step_rows(context, prefix, keys):
+    rows = _control(context, "GET", f"/rows?prefix={prefix}")["rows"]
+    assert [row["key"] for row in rows] == keys.split(), rows
+
+
+@when('the stand-in object "{name}" is put, read and deleted')
+def step_object(context, name):
+    context.statuses = []
+    for method in ("PUT", "GET", "DELETE", "GET"):
+        data = b"body" if method == "PUT" else None
+        _request(context, method, f"/v1/objects/{name}", data=data)
+        context.statuses.append(str(context.status))
+
+
+@then('the stand-in statuses are "{statuses}"')
+def step_statuses(context, statuses):
+    assert context.statuses == statuses.split(), context.statuses
+
+
+# --- plain service ----------------------------------------------------------
+
+
+@given("a stand-in service")
+def step_service(context):
+    options = ServiceOptions(service_ms=1.0)
+    context.standin = _keep(context, context.run(start_service(options)))
+
+
+@when('the stand-in service is called with key "{key}" {times:d} times')
+def step_call_service(context, key, times):
+    for _ in range(times):
+        headers = {"Idempotency-Key": key}
+        _request(context, "PUT", "/catch/7?x=1", data=b"catch", headers=headers)
+
+
+@then('the stand-in service counted {times:d} runs of key "{key}"')
+def step_counted(context, times, key):
+    runs = [run for run in _control(context, "GET", "/runs") if run["key"] == key]
+    assert [run["ran"] for run in runs] == list(range(1, times + 1)), runs
+    assert all(run["path"] == "/catch/7?x=1" for run in runs)
+
+
+# --- fault proxy ------------------------------------------------------------
+
+
+@given("a stand-in link to an echo server")
+def step_link(context):
+    context.received = 0
+    context.sent = context.echoed = b""
+    context.client = None
+
+    async def echo(reader, writer):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                context.received += len(data)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+    async def start():
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        context.add_cleanup(server.close)
+        return server.sockets[0].getsockname()[1]
+
+    context.proxy = _keep(context, context.run(start_proxy(ProxyOptions())))
+    target = f"127.0.0.1:{context.run(start())}"
+    body = {"name": "l", "target": target}
+    call = _call("POST", context.proxy.control.port, "/links", json=body)
+    context.link_port = json.loads(context.run(call)[1])["listen_port"]
+
+
+@given("the stand-in link has {change}")
+@when("the stand-in link has {change}")
+def step_link_change(context, change):
+    call = _call("POST", context.proxy.control.port, "/links/l", data=change)
+    assert context.run(call)[0] == 200
+
+
+@given("a client is connected over the stand-in link")
+def step_connect(context):
+    connect = asyncio.open_connection("127.0.0.1", context.link_port)
+    context.client = context.run(connect)
+    context.add_cleanup(context.client[1].close)
+
+
+@when("{count:d} bytes are sent over the stand-in link")
+def step_send(context, count):
+    step_connect(context)
+    _send(context, bytes(i % 251 for i in range(count)))
+
+
+@when("{count:d} more bytes are sent over the stand-in link")
+def step_send_more(context, count):
+    _send(context, b"m" * count)
+
+
+def _send(context, data):
+    context.sent = data
+    context.client[1].write(data)
+
+
+def _read_echo(context):
+    return context.run(context.client[0].readexactly(len(context.sent)))
+
+
+@then("all of them come back over the stand-in link")
+@then("only the last {count:d} bytes come back over the stand-in link")
+def step_echoed(context, count=0):
+    del count
+    assert _read_echo(context) == context.sent
+
+
+@then("the stand-in client's connection is broken")
+def step_client_broken(context):
+    with contextlib.suppress(ConnectionResetError):
+        assert context.run(context.client[0].read(1)) == b""
+
+
+@then("the stand-in link refuses connections")
+def step_link_refuses(context):
+    try:
+        context.run(asyncio.open_connection("127.0.0.1", context.link_port))
+    except ConnectionRefusedError:
+        return
+    raise AssertionError
+
+
+@then("the stand-in echo server has received {count:d} bytes")
+def step_received(context, count):
+    call = _call("GET", context.proxy.control.port, "/links")
+    assert context.run(call)[0] == 200
+    assert context.received == count
+
+
+@then("the stand-in echo server receives {count:d} bytes")
+def step_receives(context, count):
+    context.run(_until(lambda: context.received == count))
