Let a relay with a copy outlive its caller

A keyed call goes on when its caller leaves, so that a repeat finds the answer: the direct sink then drops the caller's bytes, wakes a paused endpoint and feeds the copy to the end. One task fewer a relay without a disconnect event.

--- a/src/pomelolane/endpoints/direct.py
+++ b/src/pomelolane/endpoints/direct.py
@@ -69,10 +69,10 @@
         try:
             if self._cycle.disconnected:
                 self.on_lost()
-                return
-            if self._cycle.flow.write_paused:
+            elif self._cycle.flow.write_paused:
                 self.on_full()
-            self._stream.attach(self)
+            if not self._ended.done():
+                self._stream.attach(self)
             await self._ended
         finally:
             self._protocol.listener = None
@@ -109,10 +109,14 @@
         self._stream.resume()
 
     def on_lost(self) -> None:
-        """End with the caller."""
+        """End with the caller, or go on for the copy alone."""
         self.caller_gone = True
-        self._stream.detach()
-        self.end()
+        self._write = _drop
+        if self._meter.copies:
+            self._stream.resume()
+        else:
+            self._stream.detach()
+            self.end()
 
     def _meter_batch(self) -> None:
         pieces = self._unmetered
@@ -127,3 +131,7 @@
             return
         cycle.expected_content_length -= len(data)
         self._write(data)
+
+
+def _drop(data: bytes) -> None:
+    del data
--- a/src/pomelolane/endpoints/meter.py
+++ b/src/pomelolane/endpoints/meter.py
@@ -63,6 +63,11 @@
         self.feed(pieces[0] if len(pieces) == 1 else b"".join(pieces))
         self.pieces += len(pieces) - 1
 
+    @property
+    def copies(self) -> bool:
+        """Whether what is fed is also wanted elsewhere."""
+        return self._copy_to is not None
+
     @property
     def chunks(self) -> int:
         """Events of an event stream, pieces of any other body."""
--- a/src/pomelolane/endpoints/relay.py
+++ b/src/pomelolane/endpoints/relay.py
@@ -15,7 +15,7 @@
 from pomelolane.endpoints.meter import AnswerMeter, RelayObserver
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Sequence
+    from collections.abc import Awaitable, Callable, Coroutine, Sequence
 
     from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
@@ -36,7 +36,8 @@
         status: The endpoint's HTTP status.
         chunks: Events of an event stream, pieces of any other body.
         bytes: Body bytes passed on.
-        whole: Whether every byte came, was passed on, and the answer is closed.
+        whole: Whether every byte came and was passed on, to the caller or, when
+            it has left, to the copy; the caller's answer is closed then.
         caller_gone: Whether the caller left first.
         broken: Whether the endpoint's stream ended too early.
         cached_tokens: Prompt tokens that the engine found cached, or -1.
@@ -82,20 +83,22 @@
         raw_send: The server's own ASGI ``send`` if ``send`` wraps it; the body
             then passes by ``send`` where the server can be driven directly.
         copy_to: Given every byte of the body that is passed on, some of them a
-            few tokens late, all of them before the relay returns.
+            few tokens late, all of them before the relay returns. With a copy
+            the relay goes on when a directly driven caller leaves.
     """
     observer = RelayObserver(on_first, on_progress)
     meter = AnswerMeter(stream, copy_to)
     cycle = direct_cycle(raw_send or send)
-    passing = asyncio.ensure_future(
-        _pass_on(stream, send, cycle, meter, observer, headers)
-    )
-    caller_gone = await _caller_left_first(passing, receive_disconnected)
+    passing = _pass_on(stream, send, cycle, meter, observer, headers)
+    if receive_disconnected is None:
+        caller_gone = await passing
+    else:
+        caller_gone = await _caller_left_first(passing, receive_disconnected)
     return RelayResult(
         status=stream.status,
         chunks=meter.chunks,
         bytes=meter.bytes,
-        whole=meter.is_whole and not caller_gone,
+        whole=meter.is_whole and (not caller_gone or copy_to is not None),
         caller_gone=caller_gone,
         broken=stream.ended and not meter.is_whole,
         cached_tokens=meter.cached_tokens,
@@ -104,10 +107,9 @@
 
 
 async def _caller_left_first(
-    passing: asyncio.Future[bool], gone: asyncio.Event | None
+    passing: Coroutine[None, None, bool], gone: asyncio.Event
 ) -> bool:
-    if gone is None:
-        return await passing
+    passing = asyncio.ensure_future(passing)
     leaving = asyncio.ensure_future(gone.wait())
     try:
         await asyncio.wait((passing, leaving), return_when=asyncio.FIRST_COMPLETED)
--- a/tests/endpoints/direct.feature
+++ b/tests/endpoints/direct.feature
@@ -41,6 +41,12 @@
     Then the relay says that the caller has gone
     And the endpoint's connection is closed
 
+  Scenario: a relay with a copy goes on without its caller
+    Given an engine that streams 5 events and the rest when told
+    When a caller of a copying server reads 5 events and leaves
+    And the engine is told to stream the rest
+    Then the relay is whole without its caller, and so is the copy
+
   Scenario Outline: an answer that did not come whole never looks whole
     Given an endpoint that <fault>
     When a caller asks the relaying server once and reads to the end
@@ -59,7 +65,7 @@
 
   Scenario: a copy holds every byte
     Given an engine that streams 50 events and its end
-    When a caller asks the relaying server 1 times on one connection
+    When a caller asks the copying server
     Then the copy of the relayed answer is the answer
 
   Scenario: however the endpoint cuts its bytes, the caller gets the same ones
--- a/tests/steps/endpoints_direct_steps.py
+++ b/tests/steps/endpoints_direct_steps.py
@@ -28,6 +28,7 @@
         self.context = context
         self.results = []
         self.copies = []
+        self.copying = False
         self.relayed = asyncio.Event()
 
     async def __call__(self, scope, receive, send):
@@ -37,8 +38,9 @@
         sent = UpstreamRequest("r1", "", scope["method"], scope["path"], (), b"{}")
         stream = await self.context.engine.dispatch(self.context.endpoint, sent)
         copy = bytearray()
+        copy_to = copy.extend if self.copying else None
         try:
-            result = await relay(stream, send, copy_to=copy.extend)
+            result = await relay(stream, send, copy_to=copy_to)
         finally:
             await stream.aclose()
         self.copies.append(bytes(copy))
@@ -168,6 +170,48 @@
     context.result = context.relaying.results[0]
 
 
+@given("an engine that streams {count:d} events and the rest when told")
+def step_rest_when_told(context, count):
+    context.told = asyncio.Event()
+
+    async def handle(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(event_head() + chunk(event_bytes(count)))
+        await context.told.wait()
+        writer.write(chunk(event_bytes(count)) + chunk(DONE) + chunk(b""))
+
+    serve(context, handle)
+
+
+@when("a caller of a copying server reads {count:d} events and leaves")
+def step_leave_copying(context, count):
+    context.relaying.copying = True
+
+    async def leave():
+        reader, writer = await context.relaying.connect()
+        writer.write(REQUEST)
+        await reader.readuntil(b'{"n":%d}\n\n' % (count - 1))
+        writer.transport.abort()
+        protocol = next(iter(context.relaying.server.server_state.connections))
+        while not protocol.cycle.disconnected:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+
+    context.run(asyncio.wait_for(leave(), 10))
+
+
+@when("the engine is told to stream the rest")
+def step_tell_rest(context):
+    context.told.set()
+    context.run(asyncio.wait_for(context.relaying.relayed.wait(), 10))
+
+
+@then("the relay is whole without its caller, and so is the copy")
+def step_whole_without(context):
+    (result,) = context.relaying.results
+    assert result.whole and result.caller_gone, result
+    assert context.relaying.copies == [event_bytes(5) * 2 + DONE]
+
+
 @when("a caller asks the relaying server once and reads to the end")
 def step_ask_cut(context):
     async def ask():
@@ -247,6 +291,12 @@
     assert [body for _, body in context.answers] == [event_bytes(5) + DONE] * count
 
 
+@when("a caller asks the copying server")
+def step_ask_copying(context):
+    context.relaying.copying = True
+    step_ask(context, 1)
+
+
 @then("the copy of the relayed answer is the answer")
 def step_copy(context):
     assert context.relaying.copies == [context.answers[0][1]]
