--- a/bench/relay.py
+++ b/bench/relay.py
@@ -8,17 +8,21 @@
 
 import argparse
 import contextlib
+import http.client
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from dataclasses import dataclass
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import psutil
 import uvloop
 
 from bench.relay_load import Load, LoadResult, run_load
+from bench.relay_product import KEY, serve_flags, write_tree
 from bench.relay_vm import MODES
 
 if TYPE_CHECKING:
@@ -27,6 +31,10 @@
 _START_TIMEOUT_S = 20.0
 _MICRO = 1e6
 
+PUMP = "pump"
+PRODUCT = "serve"
+_HEADERS = ((b"authorization", b"Bearer " + KEY.encode()),)
+
 
 @dataclass(frozen=True, slots=True)
 class _Loads:
@@ -90,25 +98,31 @@
 
 @contextlib.contextmanager
 def _process(module: str, *flags: str) -> Iterator[tuple[psutil.Process, str]]:
+    """Run a module that takes ``--port`` until the end of the block."""
     port = _free_port()
-    command = [sys.executable, "-m", module, "--port", str(port), *flags]
-    child = subprocess.Popen(command)
-    try:
-        _await_listening(port)
-        yield psutil.Process(child.pid), f"127.0.0.1:{port}"
-    finally:
-        child.kill()
-        child.wait()
-
-
-def _await_listening(port: int) -> None:
+    command = [sys.executable, "-m", *module.split(), f"--port={port}", *flags]
+    with tempfile.TemporaryFile() as log:
+        child = subprocess.Popen(command, stderr=log)
+        try:
+            _await_ready(port)
+            yield psutil.Process(child.pid), f"127.0.0.1:{port}"
+        finally:
+            child.kill()
+            child.wait()
+
+
+def _await_ready(port: int) -> None:
+    """Wait until the port speaks HTTP and does not answer 503."""
     until = time.monotonic() + _START_TIMEOUT_S
     while time.monotonic() < until:
-        with contextlib.suppress(OSError), socket.socket() as sock:
-            sock.connect(("127.0.0.1", port))
-            return
-        time.sleep(0.02)
-    raise TimeoutError(f"nothing listens on port {port}")
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            connection.request("GET", "/readyz")
+            if connection.getresponse().status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+                return
+        connection.close()
+        time.sleep(0.05)
+    raise TimeoutError(f"nothing is ready on port {port}")
 
 
 def _cpu_s(process: psutil.Process) -> float:
@@ -134,15 +148,24 @@
 
 
 def _measure_mode(mode: str, endpoint: str, loads: _Loads) -> Measured:
-    flags = ["--endpoint", endpoint]
-    module = "bench.relay_pump"
-    if mode != "pump":
-        module = "bench.relay_vm"
-        flags += ["--mode", mode]
+    if mode == PRODUCT:
+        return _measure_product(endpoint, loads)
+    module = "bench.relay_pump" if mode == PUMP else "bench.relay_vm"
+    flags = [f"--endpoint={endpoint}"]
+    if mode != PUMP:
+        flags.append(f"--mode={mode}")
     with _process(module, *flags) as (process, address):
         return _measure(mode, process, address, loads)
 
 
+def _measure_product(endpoint: str, loads: _Loads) -> Measured:
+    with tempfile.TemporaryDirectory() as folder:
+        write_tree(Path(folder), endpoint)
+        flags = serve_flags(Path(folder), _free_port())
+        with _process("pomelolane serve", *flags) as (process, address):
+            return _measure(PRODUCT, process, address, loads)
+
+
 def _print(measured: Measured) -> None:
     print(
         f"{measured.name:18} us_per_token={measured.us_per_token:6.1f}"
@@ -158,9 +181,9 @@
 
 def _run(options: argparse.Namespace) -> list[Measured]:
     loads = _Loads(
-        warm_up=Load(100, 8, 1.0),
-        tokens=Load(options.streams, options.output_tokens, 1.0),
-        arrivals=Load(options.requests_per_s, 8, options.seconds),
+        warm_up=Load(100, 8, 1.0, _HEADERS),
+        tokens=Load(options.streams, options.output_tokens, 1.0, _HEADERS),
+        arrivals=Load(options.requests_per_s, 8, options.seconds, _HEADERS),
     )
     speed = ("--tokens-per-s", str(options.tokens_per_s))
     measured = []
@@ -185,7 +208,9 @@
 def main() -> None:
     """Run the bench and print its figures."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--modes", default="pump,fast", help=",".join(MODES))
+    parser.add_argument(
+        "--modes", default="pump,fast,serve", help=",".join((PUMP, *MODES, PRODUCT))
+    )
     parser.add_argument("--requests-per-s", type=float, default=200.0)
     parser.add_argument("--streams", type=float, default=200.0)
     parser.add_argument("--output-tokens", type=int, default=355)
--- a/bench/relay_engine.py
+++ b/bench/relay_engine.py
@@ -20,6 +20,7 @@
     b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
     b"x-cached-tokens: 0\r\ntransfer-encoding: chunked\r\n\r\n"
 )
+_UNKNOWN = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
 _EVENT = (
     b'data: {"id":"%b","object":"chat.completion.chunk","choices":[{"index":0,'
     b'"delta":{"content":"0123456789ab-%d "},"finish_reason":null}]}\n\n'
@@ -91,7 +92,10 @@
         self._body += body
 
     def on_message_complete(self) -> None:
-        """Open a stream with its first token."""
+        """Open a stream with its first token; anything but a call is unknown."""
+        if self._parser.get_method() != b"POST":
+            self._transport.write(_UNKNOWN)
+            return
         order = msgspec.json.decode(bytes(self._body), type=Order)
         self._body.clear()
         self._next = 0
--- a/bench/relay_load.py
+++ b/bench/relay_load.py
@@ -9,11 +9,8 @@
 import time
 from dataclasses import dataclass, field
 
-from pomelolane.endpoints import SseCounter, make_engine_adapter
-from pomelolane.model import Endpoint
-from pomelolane.ports import EndpointAdapter, UpstreamRequest
-
-_PATH = "/v1/chat/completions"
+from pomelolane.endpoints import ConnectionPool, SseCounter
+from pomelolane.exceptions import EndpointError
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,8 +52,7 @@
 async def run_load(address: str, load: Load) -> LoadResult:
     """Send requests to an address and read all answers."""
     result = LoadResult()
-    adapter = make_engine_adapter()
-    endpoint = Endpoint("target", load.model, "dc", address)
+    pool = ConnectionPool()
     loop = asyncio.get_running_loop()
     started = loop.time()
     cpu_started = time.process_time()
@@ -66,39 +62,48 @@
         if (delay := at - loop.time()) > 0:
             await asyncio.sleep(delay)
         request = _request(number, load)
-        tasks.append(loop.create_task(_call(adapter, endpoint, request, load, result)))
+        call = _call(pool, address, request, load.output_tokens, result)
+        tasks.append(loop.create_task(call))
     await asyncio.gather(*tasks)
     result.cpu_s = time.process_time() - cpu_started
     return result
 
 
-def _request(number: int, load: Load) -> UpstreamRequest:
+def _request(number: int, load: Load) -> bytes:
     body = (
         b'{"model":"%b","stream":true,"max_tokens":%d,"x_output_tokens":%d,'
         b'"messages":[{"role":"user","content":"entry %d"}]}'
     ) % (load.model.encode(), load.output_tokens, load.output_tokens, number)
-    headers = ((b"content-type", b"application/json"), *load.headers)
-    return UpstreamRequest(f"load-{number}", "", "POST", _PATH, headers, body)
+    head = [
+        b"POST /v1/chat/completions HTTP/1.1",
+        b"host: bench",
+        b"content-type: application/json",
+        b"x-request-id: load-%d" % number,
+        b"content-length: %d" % len(body),
+        *(name + b": " + value for name, value in load.headers),
+    ]
+    return b"\r\n".join([*head, b"", body])
 
 
 async def _call(
-    adapter: EndpointAdapter,
-    endpoint: Endpoint,
-    request: UpstreamRequest,
-    load: Load,
+    pool: ConnectionPool,
+    address: str,
+    request: bytes,
+    output_tokens: int,
     result: LoadResult,
 ) -> None:
     counter = SseCounter()
     started = time.perf_counter()
     try:
-        stream = await adapter.dispatch(endpoint, request)
+        connection = await pool.acquire(address)
+        stream = await connection.exchange("POST", (request,))
         async for data in stream.chunks():
             if not counter.data_lines:
                 result.ttft_ms.append((time.perf_counter() - started) * 1000.0)
             counter.feed(data)
-    except Exception:
+    except EndpointError:
         result.failed += 1
         return
     result.events += counter.events
-    if not counter.is_done or counter.events < load.output_tokens:
+    if not counter.is_done or counter.events < output_tokens:
         result.failed += 1
--- a/src/pomelolane/endpoints/relay.py
+++ b/src/pomelolane/endpoints/relay.py
@@ -63,7 +63,6 @@
     on_first: Callable[[], None] | None = None,
     on_progress: Callable[[int], None] | None = None,
     headers: tuple[Header, ...] = (),
-    raw_send: Send | None = None,
     copy_to: Callable[[bytes], None] | None = None,
 ) -> RelayResult:
     """Pass an answer on to the caller and close the answer if it is whole.
@@ -74,21 +73,19 @@
 
     Args:
         stream: The endpoint's answer.
-        send: Takes the answer's ASGI messages: its head, its end, and, where
-            the server cannot be driven directly, its body.
+        send: The server's own ASGI ``send``; the body passes it by where the
+            server can be driven directly.
         receive_disconnected: Set when the caller has left.
         on_first: Called at the first byte of the body.
         on_progress: Called with the number of chunks so far, now and then.
         headers: Headers added to the endpoint's.
-        raw_send: The server's own ASGI ``send`` if ``send`` wraps it; the body
-            then passes by ``send`` where the server can be driven directly.
         copy_to: Given every byte of the body that is passed on, some of them a
             few tokens late, all of them before the relay returns. With a copy
             the relay goes on when a directly driven caller leaves.
     """
     observer = RelayObserver(on_first, on_progress)
     meter = AnswerMeter(stream, copy_to)
-    cycle = direct_cycle(raw_send or send)
+    cycle = direct_cycle(send)
     passing = _pass_on(stream, send, cycle, meter, observer, headers)
     if receive_disconnected is None:
         caller_gone = await passing
