Cut the disguised chunk where it really looks like one

The step's slice was a byte short, so that its own assertion failed; with the border check taken out of the connection the scenario now fails, as it should.

--- a/tests/steps/endpoints_steps.py
+++ b/tests/steps/endpoints_steps.py
@@ -700,7 +700,7 @@
     disguised = b"X\r\n" + b"y" * 14
     whole = chunk(disguised)
     # The second segment alone reads like a chunk of one byte.
-    segments = [chunk(first) + whole[:1], whole[1:6], whole[6:] + chunk(b"")]
+    segments = [chunk(first) + whole[:1], whole[1:7], whole[7:] + chunk(b"")]
     assert segments[1] == chunk(b"X")
     sink, stream = context.run(feed_cut(segments))
     assert sink.body == first + disguised, sink.body
