--- a/bench/relay.py
+++ b/bench/relay.py
@@ -9,6 +9,7 @@
 import argparse
 import contextlib
 import http.client
+import math
 import socket
 import subprocess
 import sys
@@ -86,7 +87,7 @@
 
     def ttft_ms(self, quantile: float) -> float:
         """Return a quantile of the time to first token."""
-        values = sorted(self.arrivals.ttft_ms)
+        values = sorted(self.arrivals.ttft_ms) or [math.nan]
         return values[min(len(values) - 1, int(quantile * len(values)))]
 
 
--- a/bench/relay_load.py
+++ b/bench/relay_load.py
@@ -12,6 +12,8 @@
 from pomelolane.endpoints import ConnectionPool, SseCounter
 from pomelolane.exceptions import EndpointError
 
+_CALL_TIMEOUT_S = 30.0
+
 
 @dataclass(frozen=True, slots=True)
 class Load:
@@ -95,13 +97,14 @@
     counter = SseCounter()
     started = time.perf_counter()
     try:
-        connection = await pool.acquire(address)
-        stream = await connection.exchange("POST", (request,))
-        async for data in stream.chunks():
-            if not counter.data_lines:
-                result.ttft_ms.append((time.perf_counter() - started) * 1000.0)
-            counter.feed(data)
-    except EndpointError:
+        async with asyncio.timeout(_CALL_TIMEOUT_S):
+            connection = await pool.acquire(address)
+            stream = await connection.exchange("POST", (request,))
+            async for data in stream.chunks():
+                if not counter.data_lines:
+                    result.ttft_ms.append((time.perf_counter() - started) * 1000.0)
+                counter.feed(data)
+    except (EndpointError, TimeoutError):
         result.failed += 1
         return
     result.events += counter.events
--- a/src/pomelolane/endpoints/pool.py
+++ b/src/pomelolane/endpoints/pool.py
@@ -77,8 +77,11 @@
             connection.discard()
 
     def _is_fresh(self, connection: HttpConnection) -> bool:
+        return self._is_young(connection) and not connection.is_stale()
+
+    def _is_young(self, connection: HttpConnection) -> bool:
         idle_ms = self._clock.now_ms() - connection.idle_since_ms
-        return idle_ms < self._max_idle_ms and not connection.is_stale()
+        return idle_ms < self._max_idle_ms
 
     async def _connect(self, address: str) -> HttpConnection:
         loop = asyncio.get_running_loop()
@@ -106,7 +109,7 @@
         idle = self._idle[self._address_by_connection[connection]]
         connection.idle_since_ms = self._clock.now_ms()
         idle.append(connection)
-        if len(idle) > MAX_IDLE_PER_ADDRESS:
+        while len(idle) > MAX_IDLE_PER_ADDRESS or not self._is_young(idle[0]):
             idle.pop(0).discard()
 
     def _on_closed(self, connection: HttpConnection) -> None:
--- a/tests/endpoints/pool.feature
+++ b/tests/endpoints/pool.feature
@@ -34,3 +34,8 @@
     When the endpoint's answer is read 2 times
     Then the endpoint saw 2 connections
     And no endpoint call failed
+
+  Scenario: idle connections that nobody takes are dropped by those that come
+    Given an endpoint that answers with a length and the body "hello world"
+    When 4 answers are read at once, and 1 more 5 seconds later
+    Then the endpoint pool keeps 1 idle connections
--- a/tests/steps/endpoints_steps.py
+++ b/tests/steps/endpoints_steps.py
@@ -288,6 +288,22 @@
     context.run(read_all(context, request()))
 
 
+@when("{count:d} answers are read at once, and 1 more {seconds:d} seconds later")
+def step_read_at_once(context, count, seconds):
+    async def read_at_once():
+        await asyncio.gather(*(read_all(context, request()) for _ in range(count)))
+
+    context.run(read_at_once())
+    assert context.pool.idle_count(context.server.address) == count
+    context.clock.advance(seconds * 1000)
+    context.run(read_all(context, request()))
+
+
+@then("the endpoint pool keeps {count:d} idle connections")
+def step_idle_count(context, count):
+    assert context.pool.idle_count(context.server.address) == count
+
+
 @when("an ended stream is closed while its connection serves the next one")
 def step_close_ended(context):
     async def run():
