Wait for a VM's process to listen as well as to be ready

Cause: the scenario failed once in a whole run: a VM logs E102 (ready) before E101 (listening, with the address), and the log was read between the two. Change: the step awaits both lines.

--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -39,6 +39,8 @@
     settings={"fleet": 1},
 )
 
+LISTENING = re.compile(r"E101 .* address=(\S+)")
+
 TEAMS = ("platform", "fleet", "quota", "tags")
 
 TAGS_YAML = "team:\n  weight: 0.0001\n  operator_key_sha256: {digest}\n"
@@ -113,11 +115,15 @@
     context.vm_process = ManagedProcess("vm1", command, log, os.environ)
     context.vm_process.spawn()
     context.add_cleanup(context.vm_process.kill)
-    context.run(wait_until(lambda: "E102" in log.read_text(), 30, "not ready"))
-    address = re.search(r"E101 .* address=(\S+)", log.read_text())[1]
+    context.run(wait_until(lambda: is_ready(log.read_text()), 30, "not ready"))
+    address = LISTENING.search(log.read_text())[1]
     context.vm_url = f"http://{address}"
 
 
+def is_ready(logged):
+    return "E102" in logged and LISTENING.search(logged) is not None
+
+
 @when("the command VM process gets SIGTERM")
 def when_terminated(context):
     context.vm_process.terminate()
