--- a/standins/engine/core.py
+++ b/standins/engine/core.py
@@ -187,6 +187,9 @@
         self.freeze(False)
         self.slow_down(1.0)
         self.faults = Faults(dead=self.faults.dead)
+        self.load.lag_ms = self.options.report_lag_ms
+        self.events.lag_ms = self.options.event_lag_ms
+        self.events.loss = self.options.event_loss
         self._journal.reset()
         self._tally.prefilled_tokens = 0
         self._tally.generated_tokens = 0
@@ -249,7 +252,11 @@
     def _forget_later(self, stream: Stream) -> None:
         self._open.pop(stream.sequence, None)
         kept_s = self.options.stream_kept_ms / MS_PER_S
-        self._loop.call_later(kept_s, self._streams.pop, stream.stream_id, None)
+        self._loop.call_later(kept_s, self._forget, stream)
+
+    def _forget(self, stream: Stream) -> None:
+        if self._streams.get(stream.stream_id) is stream:
+            del self._streams[stream.stream_id]
 
     def _after_change(self, now: float) -> None:
         """Note the load and set the timer for what is due next."""
--- a/tests/standins/engine/batch.feature
+++ b/tests/standins/engine/batch.feature
@@ -42,3 +42,6 @@
     When stand-in requests "a:1024:2" are submitted at 0 ms
     And the stand-in batch takes 10 times as long from 56 ms on
     Then the stand-in tokens are "a@2056 a@2156"
+
+  Scenario: Whatever comes and goes, every request ends and no memory is left held
+    Then any mix of stand-in requests, cancels, pauses and slowdowns adds up
--- a/tests/standins/engine/http.feature
+++ b/tests/standins/engine/http.feature
@@ -80,6 +80,11 @@
     When the stand-in order "b" with fencing 4 is given
     Then the stand-in status is 409
 
+  Scenario: An ordered model is loaded while the weight store allows it
+    Given a stand-in engine that pulls 1000 of at most 1 weight bytes a second
+    When the stand-in models "m1 m2" are ordered one after the other
+    Then the stand-in engine has loaded "m1" and failed "m2"
+
   @processes
   Scenario: One process hosts several engines, and one of them dies alone
     Given a stand-in process with engines "e1 e2"
--- a/tests/steps/standins_model_steps.py
+++ b/tests/steps/standins_model_steps.py
@@ -1,8 +1,18 @@
 """Steps for the stand-ins' pure models, where time is passed in."""
 
 from behave import given, then, when
-
-from standins.engine import Batch, BlockCache, Sequence, Speeds, Tally
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from standins.engine import (
+    Batch,
+    BlockCache,
+    Sequence,
+    SequenceState,
+    Speeds,
+    Tally,
+)
 from standins.engine.prompts import BLOCK_TOKENS, prompt_from_bytes
 from standins.engine.reports import LaggedLoad, LateEvents, LoadFigures
 from standins.platform import LaggingList, ListedMachine, RateLimit
@@ -95,6 +105,62 @@
     assert context.tally.prefilled_tokens == tokens, context.tally
 
 
+REQUESTS = st.tuples(st.sampled_from("abc"), st.integers(0, 5000), st.integers(1, 9))
+ACTIONS = st.tuples(
+    st.floats(0, 300),
+    st.sampled_from(["submit", "cancel", "pause", "slow"]),
+    REQUESTS,
+)
+
+
+@then("any mix of stand-in requests, cancels, pauses and slowdowns adds up")
+def step_adds_up(context):
+    del context
+
+    @settings(max_examples=100, deadline=None, database=None, derandomize=True)
+    @for_all(st.lists(ACTIONS, max_size=30))
+    def check(actions):
+        _check_mix(actions)
+
+    check()
+
+
+def _check_mix(actions):
+    cache = BlockCache(2048, lambda stored, block: None)
+    tally = Tally()
+    batch = Batch(Speeds(3, 1000, 100), cache, tally)
+    sequences, tokens, now_ms = [], [], 0.0
+    for wait_ms, action, (name, prompt_bytes, output_tokens) in actions:
+        now_ms += wait_ms
+        tokens += batch.advance(now_ms)
+        if action == "submit":
+            prompt = prompt_from_bytes(name.encode() * prompt_bytes)
+            sequences.append(Sequence(prompt, output_tokens))
+            batch.submit(sequences[-1], now_ms)
+        elif action == "cancel" and sequences:
+            batch.cancel(sequences[prompt_bytes % len(sequences)], now_ms)
+        elif action == "pause":
+            batch.delay(output_tokens)
+            now_ms += output_tokens
+        else:
+            batch.slow_down(output_tokens, now_ms)
+        assert cache.used_tokens <= 2048
+        assert batch.running <= 3
+    tokens += [sequence for sequence, _ in _tokens_until_idle(batch)]
+    _check_ends(sequences, tokens)
+    assert (cache.used_tokens, batch.running, batch.waiting) == (0, 0, 0)
+    assert tally.generated_tokens == len(tokens)
+
+
+def _check_ends(sequences, tokens):
+    for sequence in sequences:
+        assert tokens.count(sequence) == sequence.generated
+        if sequence.state is SequenceState.FINISHED:
+            assert sequence.generated == sequence.output_tokens
+        else:
+            assert sequence.state is SequenceState.CANCELLED
+
+
 # --- cache ------------------------------------------------------------------
 
 
--- a/tests/steps/standins_steps.py
+++ b/tests/steps/standins_steps.py
@@ -246,6 +246,33 @@
     _request(context, "POST", "/orders", json=order)
 
 
+@given(
+    "a stand-in engine that pulls {size:d} of at most {per_s:d} weight bytes a second"
+)
+def step_pulling_engine(context, size, per_s):
+    limits = PlatformOptions(weight_bytes=size, weight_bytes_per_s=per_s)
+    platform = _keep(context, context.run(start_platform(limits)))
+    url = f"http://127.0.0.1:{platform.server.port}"
+    options = EngineOptions(model="m0", weights=url, load_ms=0.0)
+    context.standin = _keep(context, context.run(start_engine(options)))
+
+
+@when('the stand-in models "{names}" are ordered one after the other')
+def step_order_models(context, names):
+    for name in names.split():
+        order = {"kind": "load_model", "name": name}
+        _request(context, "POST", "/orders", json=order)
+        state = context.standin.engine.orders.state
+        context.run(_until(lambda state=state: not state.loading))
+
+
+@then('the stand-in engine has loaded "{loaded}" and failed "{failed}"')
+def step_loaded(context, loaded, failed):
+    state = json.loads(_request(context, "GET", "/orders/state"))
+    assert state["models"] == ["m0", *loaded.split()], state
+    assert state["failed"] == failed.split(), state
+
+
 # --- control ports ----------------------------------------------------------
 
 
