--- a/src/pomelolane/messages.py
+++ b/src/pomelolane/messages.py
@@ -377,6 +377,57 @@
     outcome: str = ""
 
 
+class RelayedWrite(msgspec.Struct, frozen=True, array_like=True):
+    """One conditional write on its way to the VM that commits it.
+
+    Attributes:
+        key: Row key.
+        value: New value.
+        if_version: Version the row must have, 0 for absent, None for any.
+    """
+
+    key: str
+    value: bytes
+    if_version: int | None
+
+
+class RelayedResult(msgspec.Struct, frozen=True, array_like=True):
+    """What became of a relayed write.
+
+    Attributes:
+        applied: Whether its condition held.
+        version: The row's version afterwards.
+        unavailable: Whether it was certainly not applied.
+        unknown: Whether the reply to its commit was lost.
+    """
+
+    applied: bool = False
+    version: int = 0
+    unavailable: bool = False
+    unknown: bool = False
+
+
+class ClaimBatch(Message, frozen=True):
+    """A VM to the one that gathers writes of its data centre: commit these.
+
+    Attributes:
+        batch_id: The sender's number for the batch.
+        lazy: Whether they may wait for company.
+        writes: The writes, each on its own condition.
+    """
+
+    batch_id: int
+    lazy: bool
+    writes: tuple[RelayedWrite, ...]
+
+
+class ClaimResults(Message, frozen=True):
+    """The answer to a batch, in the order of its writes."""
+
+    batch_id: int
+    results: tuple[RelayedResult, ...]
+
+
 AnyMessage = (
     Submit
     | SubmitAck
@@ -399,6 +450,8 @@
     | EndpointLeaving
     | KeyQuery
     | KeyAnswer
+    | ClaimBatch
+    | ClaimResults
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -426,6 +479,8 @@
     "AnyMessage",
     "BranchContent",
     "BranchWanted",
+    "ClaimBatch",
+    "ClaimResults",
     "Digest",
     "DigestPulse",
     "DigestWanted",
@@ -443,6 +498,8 @@
     "Progress",
     "Pulse",
     "Refused",
+    "RelayedResult",
+    "RelayedWrite",
     "RunningHandle",
     "StreamEvent",
     "Submit",
