--- a/src/pomelolane/platform/__init__.py
+++ b/src/pomelolane/platform/__init__.py
@@ -24,6 +24,11 @@
     EmbeddedVmList,
     EmbeddedWeightStore,
 )
+from pomelolane.platform.gather import (
+    GatheringCommitter,
+    GatherSettings,
+    make_gathering_committer,
+)
 from pomelolane.platform.health import PlatformHealth
 from pomelolane.platform.leases import Lease, Leases, make_leases
 from pomelolane.platform.orders import (
@@ -45,6 +50,8 @@
     "EmbeddedTable",
     "EmbeddedVmList",
     "EmbeddedWeightStore",
+    "GatherSettings",
+    "GatheringCommitter",
     "GroupCommitter",
     "Lease",
     "Leases",
@@ -61,6 +68,7 @@
     "job_reservation",
     "make_claims",
     "make_embedded_platform",
+    "make_gathering_committer",
     "make_leases",
     "make_model_orders",
     "platform_from_url",
--- a/src/pomelolane/platform/committer.py
+++ b/src/pomelolane/platform/committer.py
@@ -138,6 +138,11 @@
             self._task = loop.create_task(self._run())
         return pending
 
+    def set_spacing(self, spacing_ms: float) -> None:
+        """Set the least time between the starts of two commits."""
+        self._least_spacing_ms = spacing_ms
+        self.spacing_ms = spacing_ms
+
     def _turned_away(self) -> bool:
         if self._failed_at_ms is None:
             return False
