Look after models, and clean up after claims, jobs and heartbeats

A service whose waiting requests outgrow the slots of the engines that have its model gets a load ordered, proved against the engine stand-in's process. Swept claims take their kept answers with them, heartbeats of VMs long gone are deleted, and the longest waiting job is looked at first.

--- a/src/pomelolane/jobs/assembly.py
+++ b/src/pomelolane/jobs/assembly.py
@@ -75,7 +75,7 @@
         dispatcher,
         membership,
         RunnerWatch(table, membership, clock, region, settings.lapse_ms),
-        Heart(committer, region, vm_id, incarnation),
+        Heart(committer, region, vm_id, incarnation, wall),
         vm_id,
         incarnation,
         clock,
--- a/src/pomelolane/jobs/liveness.py
+++ b/src/pomelolane/jobs/liveness.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from pomelolane.jobs.record import JobRecord
     from pomelolane.platform import Committer
-    from pomelolane.ports import Clock, Membership, Table
+    from pomelolane.ports import Clock, Membership, Row, Table
 
 BEAT_PREFIX = "jobs/beats"
 
@@ -28,11 +28,18 @@
         vm_id: The runner.
         incarnation: Its start.
         count: Grows with each beat.
+        written_at_ms: Wall time, for deleting the rows of VMs long gone only.
     """
 
     vm_id: str
     incarnation: int
     count: int
+    written_at_ms: float
+
+
+def decode_beat(row: Row) -> Beat:
+    """Decode a heartbeat row."""
+    return msgspec.json.decode(row.value, type=Beat)
 
 
 class Heart:
@@ -43,14 +50,23 @@
         region: Region of the jobs.
         vm_id: This VM.
         incarnation: This start of it.
+        wall: Time of day, for retention only.
     """
 
     def __init__(
-        self, committer: Committer, region: str, vm_id: str, incarnation: int
+        self,
+        committer: Committer,
+        region: str,
+        vm_id: str,
+        incarnation: int,
+        wall: Clock,
     ) -> None:
         self._committer = committer
         self._key = f"{BEAT_PREFIX}/{region}/{vm_id}"
-        self._beat = Beat(vm_id, incarnation, 0)
+        self._vm_id = vm_id
+        self._incarnation = incarnation
+        self._wall = wall
+        self._count = 0
 
     async def beat(self) -> None:
         """Write the next beat.
@@ -58,9 +74,10 @@
         Raises:
             PlatformError: Perhaps not written.
         """
-        last = self._beat
-        self._beat = Beat(last.vm_id, last.incarnation, last.count + 1)
-        write = Write(self._key, msgspec.json.encode(self._beat), None)
+        self._count += 1
+        now_ms = self._wall.now_ms()
+        beat = Beat(self._vm_id, self._incarnation, self._count, now_ms)
+        write = Write(self._key, msgspec.json.encode(beat), None)
         await self._committer.submit(write, lazy=True).future
 
 
@@ -127,7 +144,7 @@
 
     async def _read_beats(self) -> dict[str, Beat]:
         rows = await self._table.scan(self._prefix)
-        beats = [msgspec.json.decode(row.value, type=Beat) for row in rows]
+        beats = [decode_beat(row) for row in rows]
         return {beat.vm_id: beat for beat in beats}
 
     def _silence(self, runner: tuple[str, int], beat: Beat | None) -> _Silence:
--- a/src/pomelolane/jobs/retention.py
+++ b/src/pomelolane/jobs/retention.py
@@ -38,6 +38,9 @@
             await self._store.archive(due[:ARCHIVED_AT_ONCE])
             kept = await self._store.scan_kept(f"{self._part:02x}")
             await self._store.forget([job for job in kept if self._is_over(job.record)])
+            if self._part == 0:
+                over_ms = self._wall.now_ms() - self._settings.retention_ms
+                await self._store.forget_beats(over_ms)
         except PlatformError:
             return
         self._part = (self._part + 1) % _PARTS
--- a/src/pomelolane/jobs/store.py
+++ b/src/pomelolane/jobs/store.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.exceptions import CommitUnknownError
+from pomelolane.jobs.liveness import BEAT_PREFIX, decode_beat
 from pomelolane.jobs.record import (
     KEPT_PREFIX,
     OPEN_PREFIX,
@@ -72,13 +73,14 @@
         return NOT_FOUND
 
     async def scan_open(self) -> list[StoredJob]:
-        """Read all jobs that are not archived.
+        """Read all jobs that are not archived, the longest waiting first.
 
         Raises:
             PlatformError: The table does not answer.
         """
         rows = await self._scan(f"{OPEN_PREFIX}/{self.region}/")
-        return [_stored(row) for row in rows]
+        jobs = [_stored(row) for row in rows]
+        return sorted(jobs, key=lambda job: job.record.accepted_wall_ms)
 
     async def scan_kept(self, part: str) -> list[StoredJob]:
         """Read the archived jobs whose id starts with ``part``."""
@@ -191,6 +193,21 @@
         if writes:
             await self._table.commit(writes, atomic=False)
 
+    async def forget_beats(self, before_wall_ms: float) -> None:
+        """Delete the heartbeats of VMs that are long gone.
+
+        Raises:
+            PlatformError: Perhaps not deleted; repeated later.
+        """
+        rows = await self._table.scan(f"{BEAT_PREFIX}/{self.region}/")
+        writes = [
+            Write(row.key, None, row.version)
+            for row in rows
+            if decode_beat(row).written_at_ms < before_wall_ms
+        ]
+        if writes:
+            await self._table.commit(writes, atomic=False)
+
 
 def _stored(row: Row) -> StoredJob:
     return StoredJob(decode_job(row.value), row.version)
--- a/src/pomelolane/platform/__init__.py
+++ b/src/pomelolane/platform/__init__.py
@@ -30,6 +30,7 @@
     make_gathering_committer,
 )
 from pomelolane.platform.health import PlatformHealth
+from pomelolane.platform.keeper import ModelKeeper
 from pomelolane.platform.leases import Lease, Leases, make_leases
 from pomelolane.platform.orders import (
     Demand,
@@ -55,6 +56,7 @@
     "GroupCommitter",
     "Lease",
     "Leases",
+    "ModelKeeper",
     "ModelOrders",
     "OrderResult",
     "PacedPulls",
--- a/src/pomelolane/platform/retention.py
+++ b/src/pomelolane/platform/retention.py
@@ -11,13 +11,13 @@
 from pomelolane.events import ROWS_SWEPT
 from pomelolane.exceptions import PlatformError
 from pomelolane.logs import log_event
-from pomelolane.platform.claims import CLAIM_PREFIX, CLAIMED, decode_claim
+from pomelolane.platform.claims import CLAIM_PREFIX, CLAIMED, decode_claim, reserved_job
 from pomelolane.ports import Write
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from pomelolane.ports import Clock, Row, Table
+    from pomelolane.ports import Clock, ObjectStore, Row, Table
 
 DEFAULT_RETENTION_MS = 48 * 3600 * 1000.0
 DEFAULT_SWEEP_INTERVAL_MS = 30_000.0
@@ -33,6 +33,7 @@
 
     Args:
         table: The platform's table.
+        objects: Where kept answers are.
         wall: Time of day.
         retention_ms: How long an ended claim is kept.
     """
@@ -40,11 +41,13 @@
     def __init__(
         self,
         table: Table,
+        objects: ObjectStore,
         wall: Clock,
         *,
         retention_ms: float = DEFAULT_RETENTION_MS,
     ) -> None:
         self._table = table
+        self._objects = objects
         self._wall = wall
         self._retention_ms = retention_ms
 
@@ -68,15 +71,22 @@
         Raises:
             PlatformError: The table does not answer; nothing is lost by it.
         """
-        rows = await self._table.scan(prefix)
-        writes = [Write(row.key, None, row.version) for row in self._over(rows)]
-        if not writes:
+        rows = self._over(await self._table.scan(prefix))
+        if not rows:
             return 0
+        for row in rows:
+            await self._forget_answer(row)
+        writes = [Write(row.key, None, row.version) for row in rows]
         results = await self._table.commit(writes, atomic=False)
         deleted = sum(result.applied for result in results)
         log_event(ROWS_SWEPT, prefix=prefix, rows=deleted)
         return deleted
 
+    async def _forget_answer(self, row: Row) -> None:
+        record = decode_claim(row).record
+        if record.answer_object and not reserved_job(record):
+            await self._objects.delete(record.answer_object)
+
     def _over(self, rows: Sequence[Row]) -> list[Row]:
         now_ms = self._wall.now_ms()
         return [row for row in rows if self._ends_at_ms(row) < now_ms]
--- a/tests/platform/claims.feature
+++ b/tests/platform/claims.feature
@@ -94,8 +94,10 @@
     Then the claim's row says "done" by "a"
     When the claims are swept at once
     Then the claim's row says "done" by "a"
+    And the claim's kept answer is present
     When the claims are swept after their retention
     Then the claim's row is absent
+    And the claim's kept answer is absent
 
   Scenario: Whatever fails, no key is ever held twice
     Then random claims under random faults never hold a key twice
--- a/tests/platform/orders.feature
+++ b/tests/platform/orders.feature
@@ -57,3 +57,11 @@
     Given a weight store that refuses the first 2 pulls
     When a model is pulled
     Then the pull succeeds after 3 tries, no sooner than the store asked
+
+  @processes
+  Scenario: A real engine without its model gets one when demand asks for it
+    Given an engine process without the model and a model keeper
+    When 1 requests wait and the keeper looks after the service
+    Then the engine process has the model, by an order with fencing 1
+    When 1 requests wait and the keeper looks after the service
+    Then the engine process got 1 order
--- a/tests/steps/claims_steps.py
+++ b/tests/steps/claims_steps.py
@@ -13,6 +13,7 @@
 from pomelolane.outcomes import Outcome, Refusal
 from pomelolane.platform import (
     ClaimSweeper,
+    EmbeddedObjectStore,
     EmbeddedTable,
     GroupCommitter,
     decode_claim,
@@ -43,6 +44,8 @@
 def step_claims_table(context):
     context.wall = ManualClock()
     context.faulty = FaultyTable(EmbeddedTable())
+    context.objects = EmbeddedObjectStore()
+    context.run(context.objects.put("object-1", b"answer"))
     context.claims = {}
 
 
@@ -176,7 +179,9 @@
 
 
 def _sweep(context):
-    sweeper = ClaimSweeper(context.faulty, context.wall, retention_ms=_RETENTION_MS)
+    sweeper = ClaimSweeper(
+        context.faulty, context.objects, context.wall, retention_ms=_RETENTION_MS
+    )
     context.run(sweeper.sweep("claims/"))
 
 
@@ -243,6 +248,12 @@
     assert _row_state(context) is None
 
 
+@then("the claim's kept answer is {presence}")
+def step_kept_answer(context, presence):
+    found = context.run(context.objects.get("object-1"))
+    assert bool(found) == (presence == "present")
+
+
 @then('claims VM "{vm_id}" can claim "{key}"')
 def step_can_claim(context, vm_id, key):
     async def can():
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -14,21 +14,30 @@
 
 from bench.processes import ManagedProcess
 from pomelolane.clock import MonotonicClock
+from pomelolane.model import Endpoint, Service, ServiceKind, Tree
 from pomelolane.outcomes import Refusal
-from pomelolane.platform import decode_claim, make_claims, platform_from_url
+from pomelolane.platform import (
+    EmbeddedTable,
+    EmbeddedWeightStore,
+    ModelKeeper,
+    ModelOrders,
+    PacedPulls,
+    decode_claim,
+    make_claims,
+    make_leases,
+    platform_from_url,
+)
+from pomelolane.platform.orders import HttpOrderSender
 from pomelolane.ports import Write
 from tests.faults import until
 
 
-async def _start(context, *flags):
+async def _start(context, module, *flags):
     directory = Path(tempfile.mkdtemp())
     context.add_cleanup(shutil.rmtree, directory)
-    command = [sys.executable, "-m", "standins.platform", "--port", "0"]
+    command = [sys.executable, "-m", module, "--port", "0", "--control-port", "0"]
     process = ManagedProcess(
-        "platform",
-        [*command, "--control-port", "0", *flags],
-        directory / "platform.log",
-        os.environ,
+        module, [*command, *flags], directory / "process.log", os.environ
     )
     context.add_cleanup(process.kill)
     process.spawn()
@@ -39,7 +48,7 @@
 
 
 def _open(context, *flags):
-    words = context.run(_start(context, *flags))
+    words = context.run(_start(context, "standins.platform", *flags))
     context.url = f"http://127.0.0.1:{words['port']}"
     context.control_url = f"http://127.0.0.1:{words['control_port']}"
     context.wire = _platform(context)
@@ -177,3 +186,59 @@
 @then("all wire claims are held")
 def step_all_hold(context):
     assert all(record and record.fresh for record in context.results)
+
+
+# --- load orders to an engine's process
+
+
+@given("an engine process without the model and a model keeper")
+def step_engine_process(context):
+    flags = ("--endpoint-id", "e", "--model", "other", "--honours-fencing")
+    words = context.run(_start(context, "standins.engine", *flags))
+    address = f"127.0.0.1:{words['port']}"
+    endpoint = Endpoint("e", "s", "dc", address, honours_fencing=True)
+    context.service = Service("s", "t", ServiceKind.ENGINE, {}, model="m")
+    tree = Tree(services={"s": context.service}, endpoints={"e": endpoint})
+    clock = MonotonicClock()
+    context.sender = HttpOrderSender()
+    context.add_cleanup(lambda: context.run(context.sender.aclose()))
+    pulls = PacedPulls(EmbeddedWeightStore(), clock, interval_ms=1)
+    leases = make_leases(EmbeddedTable(), "a", clock)
+    orders = ModelOrders(leases, context.sender, pulls)
+    context.waiting = 0
+    context.keeper = ModelKeeper(
+        orders,
+        context.sender,
+        lambda: tree,
+        lambda service: context.waiting,
+        lambda service: True,
+    )
+    context.endpoint = endpoint
+
+
+@when("{count:d} requests wait and the keeper looks after the service")
+def step_look_after(context, count):
+    context.waiting = count
+    context.run(context.keeper.look_after(context.service))
+
+
+async def _order_state(context):
+    url = f"http://{context.endpoint.address}/orders/state"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        return await response.json()
+
+
+@then("the engine process has the model, by an order with fencing {fencing:d}")
+def step_engine_has(context, fencing):
+    async def has():
+        return "m" in (await _order_state(context))["models"]
+
+    context.run(until(has))
+    state = context.run(_order_state(context))
+    assert state["fencing"] == fencing, state
+
+
+@then("the engine process got {count:d} order")
+def step_engine_orders(context, count):
+    state = context.run(_order_state(context))
+    assert len(state["carried_out"]) == count, state
