--- a/src/pomelolane/membership/__init__.py
+++ b/src/pomelolane/membership/__init__.py
@@ -5,22 +5,20 @@
 
 from __future__ import annotations
 
-from pomelolane.membership.addresses import (
-    AddressBook,
-    Seed,
-    address_map_from_flag,
-    seeds_from_flag,
-)
-from pomelolane.membership.keys import ClusterKeys, cluster_keys_from_flags
+from pomelolane.membership.addresses import AddressBook
+from pomelolane.membership.keys import ClusterKeys, cluster_keys_from_settings
+from pomelolane.membership.member import Member, make_member
+from pomelolane.membership.rendezvous import choose, choose_several
 from pomelolane.membership.transport import ZmqTransport, make_transport
 
 __all__ = [
     "AddressBook",
     "ClusterKeys",
-    "Seed",
+    "Member",
     "ZmqTransport",
-    "address_map_from_flag",
-    "cluster_keys_from_flags",
+    "choose",
+    "choose_several",
+    "cluster_keys_from_settings",
+    "make_member",
     "make_transport",
-    "seeds_from_flag",
 ]
--- /dev/null
+++ b/src/pomelolane/membership/delegate.py
@@ -0,0 +1,309 @@
+"""What data centres tell each other, through two delegates each.
+
+A delegate sends a digest of its data centre to the delegates of the others;
+its own heartbeat then names the digests that it has, and the VMs around it ask
+for those that they lack.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.events import DELEGATE_ROLE
+from pomelolane.logs import log_event
+from pomelolane.membership.digests import DigestTable, newer_state
+from pomelolane.membership.hashing import hash_of_digest
+from pomelolane.membership.heartbeat import INTERVAL_MS
+from pomelolane.membership.rendezvous import choose_several
+from pomelolane.membership.view import peer_from_state
+from pomelolane.messages import Digest, DigestPulse, DigestWanted, MemberState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    import msgspec
+
+    from pomelolane.membership.context import MemberContext
+    from pomelolane.membership.digests import Merged
+    from pomelolane.messages import Heartbeat
+    from pomelolane.ports import Peer
+
+DELEGATES = 2
+PROBES = 3
+"""VMs of a silent data centre that are tried at one beat."""
+
+INHERITED = ""
+"""Source of what a new delegate knew before it heard anything directly."""
+
+
+def choose_delegates(
+    data_centre: str, draining_by_vm: Mapping[str, bool]
+) -> tuple[str, ...]:
+    """Return the VMs that speak for a data centre, stopping ones last."""
+    staying = [vm_id for vm_id, draining in draining_by_vm.items() if not draining]
+    return choose_several(data_centre, staying or draining_by_vm, DELEGATES)
+
+
+class DigestExchange:
+    """Sends and takes in digests.
+
+    Args:
+        context: The member's parts.
+        on_change: Called when something became known of a data centre.
+        on_digest: Called with each digest and the VM that it came from.
+    """
+
+    def __init__(
+        self,
+        context: MemberContext,
+        on_change: Callable[[], None],
+        on_digest: Callable[[str, Digest], None],
+    ) -> None:
+        self._context = context
+        self._on_change = on_change
+        self._on_digest = on_digest
+        self._direct = DigestTable(from_members=True)
+        self._relayed = DigestTable(from_members=False)
+        self._sent: dict[str, int] = {}
+        self._replied_ms: dict[str, float] = {}
+        self._last_hash = -1
+        self.is_delegate = False
+        context.transport.subscribe(Digest, self._take_digest)
+        context.transport.subscribe(DigestPulse, self._take_pulse)
+        context.transport.subscribe(DigestWanted, self._take_wanted)
+
+    # --- what is known ------------------------------------------------------
+
+    def data_centres(self) -> set[str]:
+        """Return the other data centres that are heard of."""
+        return {*self._direct.data_centres(), *self._relayed.data_centres()}
+
+    def remote_peers(self) -> dict[str, Peer]:
+        """Return the VMs of the other data centres."""
+        peers: dict[str, Peer] = {}
+        for data_centre in self.data_centres():
+            for state in self._states(data_centre).values():
+                peers[state.vm_id] = peer_from_state(state, data_centre)
+        return peers
+
+    def listing(self) -> dict[str, int]:
+        """Return the hashes of the digests heard directly, as a delegate."""
+        if not self.is_delegate:
+            return {}
+        tables = self._direct
+        return {each: tables.merged(each).digest_hash for each in tables.data_centres()}
+
+    def leaving(self) -> set[str]:
+        """Return the endpoints that other data centres say are leaving."""
+        return {
+            endpoint_id
+            for data_centre in self.data_centres()
+            for merged in self._known(data_centre)
+            for endpoint_id in merged.digest.leaving
+        }
+
+    def delegates_elsewhere(self) -> list[str]:
+        """Return the delegates of the other data centres that are known."""
+        return [
+            vm_id
+            for data_centre in sorted(self.data_centres())
+            for vm_id in self._delegates_of(data_centre)
+        ]
+
+    def all_heard_after(self, moment_ms: float) -> bool:
+        """Tell whether every known data centre was heard of after a moment."""
+        tables = (self._direct, self._relayed)
+        return all(table.all_heard_after(moment_ms) for table in tables)
+
+    # --- time and role ------------------------------------------------------
+
+    def set_role(self, is_delegate: bool, now_ms: float) -> bool:
+        """Take or leave the delegate's role; True on a change."""
+        if is_delegate == self.is_delegate:
+            return False
+        self.is_delegate = is_delegate
+        log_event(
+            DELEGATE_ROLE, data_centre=self._context.data_centre, held=is_delegate
+        )
+        if is_delegate:
+            self._inherit(now_ms)
+        self._sent.clear()
+        return True
+
+    def expire(self, now_ms: float) -> None:
+        """Drop what nobody speaks of any more."""
+        self._direct.expire(now_ms)
+        self._relayed.expire(now_ms)
+
+    def excuse(self, now_ms: float) -> None:
+        """Count everything as heard now, after this VM itself has paused."""
+        self._direct.excuse(now_ms)
+        self._relayed.excuse(now_ms)
+
+    def beat(self, now_ms: float) -> None:
+        """As a delegate, send a sign of life to the other data centres."""
+        if not self.is_delegate:
+            return
+        digest = self.own()
+        digest_hash = hash_of_digest(digest)
+        self._last_hash = digest_hash
+        for vm_id in self._targets(now_ms):
+            self._send_digest(vm_id, digest, digest_hash)
+
+    def publish(self) -> None:
+        """As a delegate, send the own digest at once if it has changed."""
+        if not self.is_delegate:
+            return
+        digest = self.own()
+        digest_hash = hash_of_digest(digest)
+        if digest_hash == self._last_hash:
+            return
+        self._last_hash = digest_hash
+        for vm_id in self.delegates_elsewhere():
+            self._send_digest(vm_id, digest, digest_hash)
+
+    def own(self, *, reply: bool = False) -> Digest:
+        """Return the digest of this VM's data centre as it stands."""
+        context = self._context
+        heartbeats = list(context.table.heartbeats())
+        members = [_state_of(heartbeat) for heartbeat in heartbeats]
+        if not context.state.stopped:
+            members.append(self._own_state())
+        leaving = set(context.marks.own)
+        leaving.update(*(heartbeat.leaving for heartbeat in heartbeats))
+        return Digest(
+            data_centre=context.data_centre,
+            sequence=0,
+            members=tuple(sorted(members, key=lambda state: state.vm_id)),
+            versions=context.state.versions,
+            leaving=tuple(sorted(leaving)),
+            reply=reply,
+        )
+
+    def take_listing(self, heartbeat: Heartbeat) -> None:
+        """Take note of the digests that a VM of the own data centre has."""
+        vm_id = heartbeat.vm_id
+        heard_ms = self._context.heard_ms()
+        for data_centre in self._relayed.data_centres():
+            if data_centre not in heartbeat.remote:
+                others = set(self._relayed.sources(data_centre)) - {vm_id}
+                self._relayed.keep_sources(data_centre, others)
+        for data_centre, digest_hash in heartbeat.remote.items():
+            known = self._relayed.confirm(vm_id, data_centre, digest_hash, heard_ms)
+            if not known and data_centre != self._context.data_centre:
+                self._context.transport.send(vm_id, DigestWanted(data_centre))
+
+    # --- messages -----------------------------------------------------------
+
+    def _take_digest(self, sender: str, digest: Digest) -> None:
+        context = self._context
+        now_ms = context.clock.now_ms()
+        for state in digest.members:
+            context.contacts.learn(
+                state.vm_id, digest.data_centre, state.address, now_ms
+            )
+        if digest.data_centre == context.data_centre:
+            return
+        local = sender in context.table
+        table = self._relayed if local else self._direct
+        table.put(sender, digest, context.heard_ms())
+        context.contacts.heard(sender, now_ms)
+        self._on_digest(sender, digest)
+        self._on_change()
+        if not local and not digest.reply:
+            self._correct(sender, now_ms)
+
+    def _take_pulse(self, sender: str, pulse: DigestPulse) -> None:
+        context = self._context
+        if pulse.data_centre == context.data_centre:
+            return
+        known = self._direct.confirm(
+            sender, pulse.data_centre, pulse.digest_hash, context.heard_ms()
+        )
+        if not known:
+            context.transport.send(sender, DigestWanted(pulse.data_centre))
+        self._correct(sender, context.clock.now_ms())
+
+    def _take_wanted(self, sender: str, wanted: DigestWanted) -> None:
+        context = self._context
+        if wanted.data_centre == context.data_centre:
+            context.transport.send(sender, self.own())
+            return
+        merged = self._direct.merged(wanted.data_centre)
+        if merged is not None and sender in context.table:
+            context.transport.send(sender, merged.digest)
+
+    def _correct(self, sender: str, now_ms: float) -> None:
+        # Whoever takes this VM for a delegate learns who is one, but not at
+        # every message, and an answer is never answered.
+        if self.is_delegate:
+            return
+        if now_ms - self._replied_ms.get(sender, -INTERVAL_MS) < INTERVAL_MS:
+            return
+        self._replied_ms[sender] = now_ms
+        self._context.transport.send(sender, self.own(reply=True))
+
+    # --- helpers ------------------------------------------------------------
+
+    def _send_digest(self, vm_id: str, digest: Digest, digest_hash: int) -> None:
+        message: msgspec.Struct = digest
+        if self._sent.get(vm_id) == digest_hash:
+            message = DigestPulse(digest.data_centre, digest_hash)
+        if self._context.transport.send(vm_id, message):
+            self._sent[vm_id] = digest_hash
+
+    def _targets(self, now_ms: float) -> list[str]:
+        targets = self.delegates_elsewhere()
+        contacts = self._context.contacts
+        silent = contacts.data_centres() - set(self._direct.data_centres())
+        for data_centre in sorted(silent - {self._context.data_centre}):
+            targets += contacts.due(data_centre, targets, PROBES, now_ms)
+        return targets
+
+    def _delegates_of(self, data_centre: str) -> tuple[str, ...]:
+        states = self._states(data_centre).values()
+        return choose_delegates(
+            data_centre, {state.vm_id: state.draining for state in states}
+        )
+
+    def _states(self, data_centre: str) -> dict[str, MemberState]:
+        states: dict[str, MemberState] = {}
+        for merged in self._known(data_centre):
+            for state in merged.digest.members:
+                states[state.vm_id] = newer_state(states.get(state.vm_id), state)
+        return states
+
+    def _known(self, data_centre: str) -> list[Merged]:
+        relayed = self._relayed.merged(data_centre)
+        direct = self._direct.merged(data_centre)
+        # Others write to a plain member by mistake only, and not regularly.
+        if relayed is not None and not self.is_delegate:
+            direct = None
+        return [each for each in (relayed, direct) if each is not None]
+
+    def _inherit(self, now_ms: float) -> None:
+        for data_centre in self._relayed.data_centres():
+            if data_centre not in self._direct.data_centres():
+                merged = self._relayed.merged(data_centre)
+                self._direct.put(INHERITED, merged.digest, now_ms)
+
+    def _own_state(self) -> MemberState:
+        context = self._context
+        state = context.state
+        return MemberState(
+            context.vm_id,
+            context.incarnation,
+            state.ready,
+            state.draining,
+            state.address,
+        )
+
+
+def _state_of(heartbeat: Heartbeat) -> MemberState:
+    return MemberState(
+        heartbeat.vm_id,
+        heartbeat.incarnation,
+        heartbeat.ready,
+        heartbeat.draining,
+        heartbeat.address,
+    )
--- /dev/null
+++ b/src/pomelolane/membership/departures.py
@@ -0,0 +1,97 @@
+"""Passes on at once that an endpoint is leaving, to every VM that is heard.
+
+What is lost on the way comes again with each heartbeat and digest.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.events import ENDPOINT_LEAVING, TASK_FAILED
+from pomelolane.logs import log_event
+from pomelolane.messages import EndpointLeaving
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from pomelolane.membership.context import MemberContext
+    from pomelolane.membership.delegate import DigestExchange
+
+HEARD_SOURCE = "members"
+
+
+class Departures:
+    """Makes, passes on and follows marks of leaving endpoints.
+
+    Args:
+        context: The member's parts.
+        exchange: Who speaks for the other data centres.
+    """
+
+    def __init__(self, context: MemberContext, exchange: DigestExchange) -> None:
+        self._context = context
+        self._exchange = exchange
+        self._on_leaving: list[Callable[[str, str], None]] = []
+        self._on_returned: list[Callable[[str], None]] = []
+        context.transport.subscribe(EndpointLeaving, self._take)
+
+    def on_leaving(self, callback: Callable[[str, str], None]) -> None:
+        """Call ``callback(endpoint_id, source)`` once for each mark."""
+        self._on_leaving.append(callback)
+
+    def on_returned(self, callback: Callable[[str], None]) -> None:
+        """Call back when nobody marks an endpoint any more."""
+        self._on_returned.append(callback)
+
+    def mark(self, endpoint_id: str, source: str) -> None:
+        """Mark an endpoint and tell everybody."""
+        now_ms = self._context.clock.now_ms()
+        if not self._context.marks.mark_own(endpoint_id, source, now_ms):
+            return
+        message = EndpointLeaving(endpoint_id, source)
+        self._send_to_own(message)
+        self._send_elsewhere(message)
+        self._tell((endpoint_id,), source)
+
+    def follow(self) -> None:
+        """Take in what heartbeats and digests say, and end old marks."""
+        context = self._context
+        now_ms = context.clock.now_ms()
+        repeated = self._exchange.leaving()
+        repeated.update(
+            *(heartbeat.leaving for heartbeat in context.table.heartbeats())
+        )
+        if repeated:
+            self._tell(context.marks.refresh(repeated, now_ms), HEARD_SOURCE)
+        for endpoint_id in context.marks.expire(now_ms):
+            for callback in self._on_returned:
+                callback(endpoint_id)
+
+    def _take(self, sender: str, message: EndpointLeaving) -> None:
+        context = self._context
+        new = context.marks.refresh((message.endpoint_id,), context.clock.now_ms())
+        if not new:
+            return
+        if self._exchange.is_delegate:
+            if sender in context.table:
+                self._send_elsewhere(message)
+            else:
+                self._send_to_own(message)
+        self._tell(new, message.source)
+
+    def _send_to_own(self, message: EndpointLeaving) -> None:
+        for heartbeat in self._context.table.heartbeats():
+            self._context.transport.send(heartbeat.vm_id, message)
+
+    def _send_elsewhere(self, message: EndpointLeaving) -> None:
+        for vm_id in self._exchange.delegates_elsewhere():
+            self._context.transport.send(vm_id, message)
+
+    def _tell(self, endpoint_ids: Iterable[str], source: str) -> None:
+        for endpoint_id in endpoint_ids:
+            log_event(ENDPOINT_LEAVING, endpoint=endpoint_id, source=source)
+            for callback in self._on_leaving:
+                try:
+                    callback(endpoint_id, source)
+                except Exception as error:
+                    log_event(TASK_FAILED, task="leaving mark", error=repr(error))
--- /dev/null
+++ b/src/pomelolane/membership/digests.py
@@ -0,0 +1,182 @@
+"""Digests of other data centres, each kept by the VM that it came from.
+
+A data centre is known while some source is heard; what several sources say of
+it is merged, so that two delegates with unequal views do not take turns.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pomelolane.membership.hashing import hash_of_digest
+from pomelolane.messages import Digest, MemberState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+TIMEOUT_MS = 2000.0
+MISSED_BEAT_MS = 750.0
+
+
+@dataclass(slots=True)
+class _Entry:
+    digest: Digest
+    digest_hash: int
+    heard_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Merged:
+    """What is known of one data centre.
+
+    Attributes:
+        digest: The sources' digests made one.
+        digest_hash: Its hash.
+    """
+
+    digest: Digest
+    digest_hash: int
+
+
+class DigestTable:
+    """Digests by data centre and source; pure, time is passed in.
+
+    Args:
+        from_members: Whether the sources are VMs of the digested data centres
+            themselves, so that one may say that another one is gone.
+    """
+
+    def __init__(self, *, from_members: bool) -> None:
+        self._from_members = from_members
+        self._entries: dict[str, dict[str, _Entry]] = {}
+        self._merged: dict[str, Merged] = {}
+
+    def data_centres(self) -> tuple[str, ...]:
+        """Return the data centres that are known."""
+        return tuple(self._entries)
+
+    def sources(self, data_centre: str) -> tuple[str, ...]:
+        """Return from whom digests of a data centre came."""
+        return tuple(self._entries.get(data_centre, ()))
+
+    def put(self, source: str, digest: Digest, now_ms: float) -> None:
+        """Keep a digest in place of the source's earlier one."""
+        entry = _Entry(digest, hash_of_digest(digest), now_ms)
+        self._entries.setdefault(digest.data_centre, {})[source] = entry
+        self._merged.pop(digest.data_centre, None)
+
+    def confirm(
+        self, source: str, data_centre: str, digest_hash: int, now_ms: float
+    ) -> bool:
+        """Take note of a pulse; False where its content is not known."""
+        entries = self._entries.get(data_centre, {})
+        own = entries.get(source)
+        if own is not None:
+            own.heard_ms = now_ms
+            if own.digest_hash == digest_hash:
+                return True
+        for entry in entries.values():
+            if entry.digest_hash == digest_hash:
+                self.put(source, entry.digest, now_ms)
+                return True
+        return False
+
+    def keep_sources(self, data_centre: str, sources: Iterable[str]) -> None:
+        """Drop a data centre's entries of all but some sources."""
+        entries = self._entries.get(data_centre, {})
+        for source in entries.keys() - set(sources):
+            self._drop(data_centre, source)
+
+    def expire(self, now_ms: float) -> None:
+        """Drop the entries of sources that are silent or said to be gone."""
+        silent = [
+            (data_centre, source)
+            for data_centre, entries in self._entries.items()
+            for source, entry in entries.items()
+            if now_ms - entry.heard_ms > TIMEOUT_MS
+            or self._is_disowned(source, entries, now_ms)
+        ]
+        for data_centre, source in silent:
+            self._drop(data_centre, source)
+
+    def excuse(self, now_ms: float) -> None:
+        """Count all sources as heard now, after this VM itself has paused."""
+        for entries in self._entries.values():
+            for entry in entries.values():
+                entry.heard_ms = now_ms
+
+    def all_heard_after(self, moment_ms: float) -> bool:
+        """Tell whether every data centre was heard of after a moment."""
+        return all(
+            any(entry.heard_ms > moment_ms for entry in entries.values())
+            for entries in self._entries.values()
+        )
+
+    def merged(self, data_centre: str) -> Merged | None:
+        """Return what is known of a data centre."""
+        if data_centre not in self._entries:
+            return None
+        if data_centre not in self._merged:
+            entries = self._entries[data_centre].values()
+            digest = _merge([entry.digest for entry in entries])
+            self._merged[data_centre] = Merged(digest, hash_of_digest(digest))
+        return self._merged[data_centre]
+
+    def _is_disowned(
+        self, source: str, entries: Mapping[str, _Entry], now_ms: float
+    ) -> bool:
+        # A silent source alone is not enough, nor what another one says: after
+        # a partition two delegates may each call the other gone.
+        def is_fresh(entry: _Entry) -> bool:
+            return now_ms - entry.heard_ms <= MISSED_BEAT_MS
+
+        if not self._from_members or is_fresh(entries[source]):
+            return False
+        return any(
+            is_fresh(entry)
+            and all(state.vm_id != source for state in entry.digest.members)
+            for entry in entries.values()
+        )
+
+    def _drop(self, data_centre: str, source: str) -> None:
+        entries = self._entries[data_centre]
+        del entries[source]
+        self._merged.pop(data_centre, None)
+        if not entries:
+            del self._entries[data_centre]
+
+
+def _merge(digests: list[Digest]) -> Digest:
+    members: dict[str, MemberState] = {}
+    versions: dict[str, int] = {}
+    leaving: set[str] = set()
+    for digest in digests:
+        leaving.update(digest.leaving)
+        for branch, version in digest.versions.items():
+            versions[branch] = max(version, versions.get(branch, 0))
+        for state in digest.members:
+            members[state.vm_id] = newer_state(members.get(state.vm_id), state)
+    return Digest(
+        data_centre=digests[0].data_centre,
+        sequence=0,
+        members=tuple(members[vm_id] for vm_id in sorted(members)),
+        versions=dict(sorted(versions.items())),
+        leaving=tuple(sorted(leaving)),
+    )
+
+
+def newer_state(one: MemberState | None, other: MemberState) -> MemberState:
+    """Return the later of two states of one VM."""
+    if one is None or other.incarnation > one.incarnation:
+        return other
+    if other.incarnation < one.incarnation:
+        return one
+    # Of two views of one start, the one that saw it ready or draining is later.
+    return MemberState(
+        one.vm_id,
+        one.incarnation,
+        one.ready or other.ready,
+        one.draining or other.draining,
+        one.address,
+    )
--- a/src/pomelolane/membership/keys.py
+++ b/src/pomelolane/membership/keys.py
@@ -1,7 +1,7 @@
 """Who may speak as which VM: CURVE keys given by the settings.
 
 A cluster is a table of public keys: ``vm=KEY`` binds one VM id to one key, so
-that the sender's id is authenticated and not merely claimed; ``*=KEY`` is a key
+that the sender's id is authenticated and not merely claimed; a bare ``KEY`` is a key
 pair shared by every VM that is not listed by name, whose holders prove only
 that they belong to the cluster and may claim any unlisted id. ZeroMQ refuses a
 connection with a key that is not in the table; which of the listed keys it was
@@ -19,6 +19,7 @@
 
 import ipaddress
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import zmq
 from zmq.auth.asyncio import AsyncioAuthenticator
@@ -28,6 +29,9 @@
 from pomelolane.exceptions import SettingError
 from pomelolane.logs import log_event
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 SHARED_NAME = "*"
 """Stands in the table for every VM that is not listed by name."""
 
@@ -36,7 +40,7 @@
 """Property of a received frame in which ZeroMQ states the sender's key."""
 
 _KEY_BYTES = 32
-_CLUSTER_ALLOWED = "a comma-separated list of vm=KEY or *=KEY, keys as 64 hex digits"
+_CLUSTER_ALLOWED = "vm=KEY for each VM, or one KEY for all others, parted by commas"
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,13 +62,13 @@
         return self.allowed.get(vm_id) or self.allowed.get(SHARED_NAME, b"")
 
 
-def cluster_keys_from_flags(
-    private_key_hex: str, public_key_hex: str, cluster_keys: str
+def cluster_keys_from_settings(
+    private_key_hex: str, public_key_hex: str, cluster_keys: Sequence[str]
 ) -> ClusterKeys | None:
-    """Build the keys from their three flags; None where none is given.
+    """Build the keys from their three settings; None where none is given.
 
     Raises:
-        SettingError: A flag is missing or malformed.
+        SettingError: A setting is missing or malformed.
     """
     if not (private_key_hex or public_key_hex or cluster_keys):
         return None
@@ -73,18 +77,19 @@
     if zmq.curve_public(private_key) != public_key:
         allowed = "the public half of --private-key-hex"
         raise SettingError("--public-key-hex", public_key_hex, allowed)
-    return ClusterKeys(public_key, private_key, _allowed_from_flag(cluster_keys))
+    return ClusterKeys(public_key, private_key, _allowed_keys(cluster_keys))
 
 
-def _allowed_from_flag(text: str) -> dict[str, bytes]:
+def _allowed_keys(items: Sequence[str]) -> dict[str, bytes]:
     allowed: dict[str, bytes] = {}
-    for item in filter(None, (part.strip() for part in text.split(","))):
-        name, _, key_hex = item.partition("=")
-        if not name or not key_hex or name in allowed:
+    for item in items:
+        name, _, key_hex = item.rpartition("=")
+        name = name or SHARED_NAME
+        if name in allowed:
             raise SettingError("--cluster-keys", item, _CLUSTER_ALLOWED)
         allowed[name] = _z85_from_hex("--cluster-keys", key_hex)
     if not allowed:
-        raise SettingError("--cluster-keys", text, _CLUSTER_ALLOWED)
+        raise SettingError("--cluster-keys", "", _CLUSTER_ALLOWED)
     return allowed
 
 
--- a/src/pomelolane/membership/links.py
+++ b/src/pomelolane/membership/links.py
@@ -23,7 +23,7 @@
 MAX_WAIT_MS = 1000.0
 RETRY_S = 0.02
 RECONNECT_MS = 100
-RECONNECT_MAX_MS = 1000
+RECONNECT_MAX_MS = 400
 UNACKNOWLEDGED_MAX_MS = 2000
 HANDSHAKE_MAX_MS = 2000
 CLOSE_LINGER_MS = 200
@@ -88,7 +88,7 @@
         while self._queue and self._send_batch():
             pass
         self._queue.clear()
-        self._socket.close(linger=CLOSE_LINGER_MS)
+        self._socket.close()
 
     def _flush(self) -> None:
         self._timer = None
@@ -135,6 +135,7 @@
 ) -> zmq.Socket:
     socket = context.socket(zmq.DEALER)
     socket.setsockopt(zmq.METADATA, f"{VM_PROPERTY}:{vm_id}".encode())
+    socket.setsockopt(zmq.LINGER, CLOSE_LINGER_MS)
     socket.setsockopt(zmq.IMMEDIATE, 1)
     socket.setsockopt(zmq.SNDHWM, SOCKET_QUEUE)
     socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
--- /dev/null
+++ b/src/pomelolane/membership/listing.py
@@ -0,0 +1,93 @@
+"""Reads the platform's lagging list of VMs, as a delegate or while alone.
+
+The list only says whom to try and which endpoints are leaving.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from pomelolane.exceptions import PlatformError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from pomelolane.membership.context import MemberContext
+    from pomelolane.membership.delegate import DigestExchange
+    from pomelolane.membership.departures import Departures
+    from pomelolane.ports import ListedVm, VmList
+
+POLL_S = 1.0
+PLATFORM_SOURCE = "platform"
+
+
+class ListReader:
+    """Polls the list.
+
+    Args:
+        vm_list: The platform's list.
+        context: The member's parts.
+        exchange: Whether this VM is a delegate.
+        departures: Where endpoints are marked.
+        is_endpoint: Whether a listed id is that of an endpoint, as far as the
+            settings are known.
+    """
+
+    def __init__(
+        self,
+        vm_list: VmList,
+        context: MemberContext,
+        exchange: DigestExchange,
+        departures: Departures,
+        is_endpoint: Callable[[str], bool],
+    ) -> None:
+        self._vm_list = vm_list
+        self._context = context
+        self._exchange = exchange
+        self._departures = departures
+        self._is_endpoint = is_endpoint
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            if self._exchange.is_delegate:
+                await self._poll()
+            else:
+                self._keep_marks(frozenset())
+            await asyncio.sleep(POLL_S)
+
+    async def _poll(self) -> None:
+        try:
+            entries = await self._vm_list.read()
+        except PlatformError:
+            return
+        self._take(entries)
+
+    def _take(self, entries: Sequence[ListedVm]) -> None:
+        context = self._context
+        now_ms = context.clock.now_ms()
+        for entry in entries:
+            if entry.leaving or self._is_endpoint(entry.vm_id):
+                continue
+            context.contacts.learn(
+                entry.vm_id,
+                entry.data_centre,
+                entry.address,
+                now_ms,
+                certain=False,
+            )
+        self._keep_marks(frozenset(entry.vm_id for entry in entries if entry.leaving))
+
+    def _keep_marks(self, leaving: frozenset[str]) -> None:
+        marks = self._context.marks
+        for endpoint_id in sorted(leaving - set(marks.own)):
+            if not self._is_vm(endpoint_id):
+                self._departures.mark(endpoint_id, PLATFORM_SOURCE)
+        marked = set(marks.own_of_source(PLATFORM_SOURCE))
+        for endpoint_id in marked - leaving:
+            marks.clear_own(endpoint_id)
+
+    def _is_vm(self, listed_id: str) -> bool:
+        context = self._context
+        return listed_id == context.vm_id or context.contacts.is_vm(listed_id)
--- /dev/null
+++ b/src/pomelolane/membership/local.py
@@ -0,0 +1,126 @@
+"""Heartbeats to and from the VMs of the own data centre, each to each.
+
+A full heartbeat goes out at every change and to every newcomer, a pulse that
+names its hash in between.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.membership.hashing import hash_of_heartbeat
+from pomelolane.messages import Heartbeat, HeartbeatWanted, Pulse
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from pomelolane.membership.context import MemberContext
+    from pomelolane.messages import Message
+
+PROBES = 64
+"""VMs of the own data centre that are tried at one beat."""
+
+
+class LocalHeartbeats:
+    """Sends this VM's heartbeats and takes in the others'.
+
+    Args:
+        context: The member's parts.
+        remote: Returns the hash of each other data centre's digest.
+        on_new: Called with each VM that is new or was started again.
+        on_heard: Called with the sender's last heartbeat at each sign of life
+            and whether it has just come in full.
+    """
+
+    def __init__(
+        self,
+        context: MemberContext,
+        remote: Callable[[], Mapping[str, int]],
+        on_new: Callable[[str], None],
+        on_heard: Callable[[Heartbeat, bool], None],
+    ) -> None:
+        self._context = context
+        self._remote = remote
+        self._on_new = on_new
+        self._on_heard = on_heard
+        self._sequence = 0
+        self._announced = -1
+        context.transport.subscribe(Heartbeat, self._take_heartbeat)
+        context.transport.subscribe(Pulse, self._take_pulse)
+        context.transport.subscribe(HeartbeatWanted, self._take_wanted)
+
+    def own(self) -> Heartbeat:
+        """Return this VM's heartbeat as it stands."""
+        context = self._context
+        state = context.state
+        return Heartbeat(
+            vm_id=context.vm_id,
+            incarnation=context.incarnation,
+            data_centre=context.data_centre,
+            sequence=self._sequence,
+            ready=state.ready,
+            draining=state.draining,
+            versions=state.versions,
+            leaving=context.marks.own,
+            address=state.address,
+            stopped=state.stopped,
+            remote=dict(sorted(self._remote().items())),
+        )
+
+    def beat(self, now_ms: float) -> None:
+        """Send a sign of life to all, and try those that are silent."""
+        self._sequence += 1
+        context = self._context
+        if not self.announce():
+            self._broadcast(Pulse(self._announced))
+        alive = [heartbeat.vm_id for heartbeat in context.table.heartbeats()]
+        silent = context.contacts.due(context.data_centre, alive, PROBES, now_ms)
+        for vm_id in silent:
+            context.transport.send(vm_id, self.own())
+
+    def announce(self, *, always: bool = False) -> bool:
+        """Send the own heartbeat in full if it has changed."""
+        heartbeat = self.own()
+        state_hash = hash_of_heartbeat(heartbeat)
+        if state_hash == self._announced and not always:
+            return False
+        self._announced = state_hash
+        self._broadcast(heartbeat)
+        return True
+
+    def introduce(self, vm_id: str) -> None:
+        """Send the own heartbeat in full to one VM."""
+        self._context.transport.send(vm_id, self.own())
+
+    def _broadcast(self, message: Message) -> None:
+        for heartbeat in self._context.table.heartbeats():
+            self._context.transport.send(heartbeat.vm_id, message)
+
+    def _take_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
+        context = self._context
+        foreign = heartbeat.data_centre != context.data_centre
+        if foreign or heartbeat.vm_id != sender:
+            return
+        heard_ms = context.heard_ms()
+        is_new = context.table.take(heartbeat, heard_ms)
+        context.contacts.learn(
+            sender, heartbeat.data_centre, heartbeat.address, heard_ms
+        )
+        context.contacts.heard(sender, heard_ms)
+        if is_new:
+            self._on_new(sender)
+        self._on_heard(heartbeat, True)
+
+    def _take_pulse(self, sender: str, pulse: Pulse) -> None:
+        context = self._context
+        known = context.table.pulse(sender, pulse.state_hash, context.heard_ms())
+        if not known:
+            context.transport.send(sender, HeartbeatWanted())
+            return
+        heartbeat = context.table.find(sender)
+        if heartbeat is not None:
+            self._on_heard(heartbeat, False)
+
+    def _take_wanted(self, sender: str, message: HeartbeatWanted) -> None:
+        del message
+        self.introduce(sender)
--- /dev/null
+++ b/src/pomelolane/membership/member.py
@@ -0,0 +1,382 @@
+"""One VM's membership: who is alive, who speaks for whom, what is leaving.
+
+It keeps the view; heartbeats, digests and marks are the work of its parts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from pomelolane.clock import MonotonicClock
+from pomelolane.events import TASK_FAILED, VM_WOKE
+from pomelolane.logs import log_event
+from pomelolane.membership.contacts import Contacts
+from pomelolane.membership.context import MemberContext, OwnState
+from pomelolane.membership.delegate import DigestExchange, choose_delegates
+from pomelolane.membership.departures import Departures
+from pomelolane.membership.digests import TIMEOUT_MS
+from pomelolane.membership.heartbeat import INTERVAL_MS, HeartbeatTable
+from pomelolane.membership.leaving import LeavingMarks
+from pomelolane.membership.listing import ListReader
+from pomelolane.membership.local import LocalHeartbeats
+from pomelolane.membership.pause import BACKLOG_MS, PauseDetector
+from pomelolane.membership.transport import make_transport
+from pomelolane.membership.view import ViewKeeper, peer_from_heartbeat
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+    from pomelolane.membership.keys import ClusterKeys
+    from pomelolane.membership.transport import ZmqTransport
+    from pomelolane.messages import Digest, Heartbeat, Message
+    from pomelolane.ports import Clock, View, VmList
+    from pomelolane.settings.kinds import Seed
+
+TICK_S = 0.1
+CLEAN_UP_MS = 10_000.0
+LAST_WORDS_S = 0.05
+
+
+class Member:
+    """The :class:`~pomelolane.ports.Membership` of a running VM.
+
+    Args:
+        context: Parts shared with the exchanges.
+        advertise: ``ip:port`` that others are told, empty for host and port.
+        vm_list: The platform's list, None where there is none.
+        is_endpoint: Whether a listed id is that of an endpoint.
+    """
+
+    def __init__(
+        self,
+        context: MemberContext,
+        advertise: str,
+        vm_list: VmList | None,
+        is_endpoint: Callable[[str], bool],
+    ) -> None:
+        self._context = context
+        self._advertise = advertise
+        self._exchange = DigestExchange(context, self._touch, self._take_digest)
+        self._local = LocalHeartbeats(
+            context, self._exchange.listing, self._greet, self._take_heartbeat
+        )
+        self._departures = Departures(context, self._exchange)
+        self._keeper = ViewKeeper(peer_from_heartbeat(self._local.own()))
+        self._reader = vm_list and ListReader(
+            vm_list, context, self._exchange, self._departures, is_endpoint
+        )
+        self._on_versions: list[Callable[[str, Mapping[str, int]], None]] = []
+        self._on_pause: list[Callable[[float], None]] = []
+        self._tasks: list[asyncio.Task] = []
+        self._touched = False
+        self._next_beat_ms = 0.0
+        self._next_clean_up_ms = 0.0
+
+    # --- who is there -------------------------------------------------------
+
+    @property
+    def transport(self) -> ZmqTransport:
+        """The messages to other VMs."""
+        return self._context.transport
+
+    @property
+    def vm_id(self) -> str:
+        """This VM."""
+        return self._context.vm_id
+
+    @property
+    def data_centre(self) -> str:
+        """Where this VM stands."""
+        return self._context.data_centre
+
+    @property
+    def incarnation(self) -> int:
+        """Number of this start of the VM."""
+        return self._context.incarnation
+
+    @property
+    def is_delegate(self) -> bool:
+        """Whether this VM speaks for its data centre."""
+        return self._exchange.is_delegate
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether the view is from before a pause of this process."""
+        return self._context.pause.woke_ms is not None
+
+    def view(self) -> View:
+        """Return the current view."""
+        return self._keeper.view
+
+    def on_change(self, callback: Callable[[View], None]) -> None:
+        """Call back after each change of the view."""
+        self._keeper.on_change(callback)
+
+    def on_pause(self, callback: Callable[[float], None]) -> None:
+        """Call ``callback(paused_ms)`` when this process has not run for long."""
+        self._on_pause.append(callback)
+
+    def neighbours(self) -> tuple[str, ...]:
+        """Return the other live VMs of the own data centre."""
+        return tuple(each.vm_id for each in self._context.table.heartbeats())
+
+    def delegates_elsewhere(self) -> tuple[str, ...]:
+        """Return the known delegates of the other data centres."""
+        return tuple(self._exchange.delegates_elsewhere())
+
+    # --- messages -----------------------------------------------------------
+
+    def send(self, vm_id: str, message: Message) -> bool:
+        """Send through the transport."""
+        return self.transport.send(vm_id, message)
+
+    def subscribe(
+        self, kind: type[Message], handler: Callable[[str, Message], None]
+    ) -> None:
+        """Subscribe at the transport."""
+        self.transport.subscribe(kind, handler)
+
+    # --- own state ----------------------------------------------------------
+
+    def set_ready(self, ready: bool = True) -> None:
+        """Tell the others whether this VM takes callers."""
+        self._context.state.ready = ready
+        self._touch()
+
+    def set_draining(self) -> None:
+        """Tell the others that this VM is stopping."""
+        self._context.state.draining = True
+        self._touch()
+
+    def set_versions(self, versions: Mapping[str, int]) -> None:
+        """Tell the others the settings versions in force here."""
+        self._context.state.versions = dict(sorted(versions.items()))
+        self._touch()
+
+    def on_versions(self, callback: Callable[[str, Mapping[str, int]], None]) -> None:
+        """Call ``callback(vm_id, versions)`` with what others have in force."""
+        self._on_versions.append(callback)
+
+    # --- leaving endpoints --------------------------------------------------
+
+    def mark_leaving(self, endpoint_id: str, source: str) -> None:
+        """Mark an endpoint as leaving and tell everybody at once."""
+        self._departures.mark(endpoint_id, source)
+        self._touch()
+
+    def clear_leaving(self, endpoint_id: str) -> None:
+        """Take back a mark made here."""
+        self._context.marks.clear_own(endpoint_id)
+        self._touch()
+
+    def leaving_endpoints(self) -> frozenset[str]:
+        """Return the endpoints that anybody marks as leaving."""
+        return self._context.marks.known
+
+    def on_leaving(self, callback: Callable[[str, str], None]) -> None:
+        """Call ``callback(endpoint_id, source)`` once for each mark."""
+        self._departures.on_leaving(callback)
+
+    def on_returned(self, callback: Callable[[str], None]) -> None:
+        """Call back when nobody marks an endpoint any more."""
+        self._departures.on_returned(callback)
+
+    # --- life ---------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Listen and look for the others."""
+        context = self._context
+        await context.transport.start()
+        context.state.address = self._advertise or context.transport.address
+        context.pause.ran(context.clock.now_ms())
+        self._refresh({})
+        self._start_task(self._run())
+        if self._reader is not None:
+            self._start_task(self._reader.run())
+
+    async def stop(self) -> None:
+        """Take leave of the others and close the connections."""
+        context = self._context
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        context.state.draining = True
+        context.state.stopped = True
+        self._local.announce()
+        self._exchange.publish()
+        await asyncio.sleep(LAST_WORDS_S)
+        await context.transport.stop()
+
+    def tick(self) -> None:
+        """Do what is due; called every :data:`TICK_S`."""
+        context = self._context
+        now_ms = context.clock.now_ms()
+        self._notice_pause(now_ms)
+        context.pause.ran(now_ms)
+        silent_ms = context.table.expire(now_ms)
+        self._exchange.expire(now_ms)
+        self._departures.follow()
+        self._recover(now_ms)
+        self._refresh(silent_ms)
+        if now_ms >= self._next_beat_ms:
+            self._beat(now_ms)
+        if now_ms >= self._next_clean_up_ms:
+            self._clean_up(now_ms)
+
+    def _start_task(self, coroutine: object) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                self.tick()
+            except Exception as error:
+                log_event(TASK_FAILED, task="member", error=repr(error))
+            await asyncio.sleep(TICK_S)
+
+    def _beat(self, now_ms: float) -> None:
+        self._next_beat_ms = now_ms + INTERVAL_MS
+        self._local.beat(now_ms)
+        if not self.is_stale:
+            self._exchange.beat(now_ms)
+
+    def _clean_up(self, now_ms: float) -> None:
+        self._next_clean_up_ms = now_ms + CLEAN_UP_MS
+        for vm_id in self._context.contacts.expire(now_ms):
+            self.transport.disconnect(vm_id)
+        self.transport.forget_silent()
+
+    # --- changes ------------------------------------------------------------
+
+    def _touch(self) -> None:
+        if self._touched or not self._tasks:
+            return
+        self._touched = True
+        asyncio.get_running_loop().call_soon(self._settle)
+
+    def _settle(self) -> None:
+        self._touched = False
+        self._refresh({})
+
+    def _refresh(self, silent_ms: Mapping[str, float]) -> None:
+        context = self._context
+        now_ms = context.clock.now_ms()
+        own = self._local.own()
+        draining = {each.vm_id: each.draining for each in context.table.heartbeats()}
+        draining[context.vm_id] = own.draining
+        delegates = choose_delegates(context.data_centre, draining)
+        self._exchange.set_role(context.vm_id in delegates, now_ms)
+        if self.is_stale:
+            return
+        peers = self._exchange.remote_peers()
+        for heartbeat in context.table.heartbeats():
+            peers[heartbeat.vm_id] = peer_from_heartbeat(heartbeat)
+        peers[context.vm_id] = peer_from_heartbeat(own)
+        self._keeper.replace(peers, silent_ms)
+        self._local.announce()
+        self._exchange.publish()
+
+    def _notice_pause(self, now_ms: float) -> None:
+        context = self._context
+        gap_ms = context.pause.gap_ms(now_ms)
+        if not gap_ms:
+            return
+        context.pause.wake(now_ms)
+        context.table.excuse(now_ms)
+        self._exchange.excuse(now_ms)
+        log_event(VM_WOKE, paused_ms=gap_ms)
+        self._local.announce(always=True)
+        for callback in self._on_pause:
+            callback(gap_ms)
+
+    def _recover(self, now_ms: float) -> None:
+        woke_ms = self._context.pause.woke_ms
+        if woke_ms is None:
+            return
+        backlog_ms = woke_ms + BACKLOG_MS
+        heard_all = self._context.table.all_heard_after(
+            backlog_ms
+        ) and self._exchange.all_heard_after(backlog_ms)
+        if heard_all or now_ms - woke_ms > TIMEOUT_MS:
+            self._context.pause.recover()
+
+    # --- what others say ----------------------------------------------------
+
+    def _greet(self, vm_id: str) -> None:
+        # The digest tells a newcomer the addresses of the others around it.
+        self._local.introduce(vm_id)
+        self.transport.send(vm_id, self._exchange.own(reply=True))
+
+    def _take_heartbeat(self, heartbeat: Heartbeat, in_full: bool) -> None:
+        self._notice_pause(self._context.clock.now_ms())
+        self._exchange.take_listing(heartbeat)
+        if in_full:
+            self._tell_versions(heartbeat.vm_id, heartbeat.versions)
+            self._touch()
+
+    def _take_digest(self, sender: str, digest: Digest) -> None:
+        self._notice_pause(self._context.clock.now_ms())
+        self._tell_versions(sender, digest.versions)
+
+    def _tell_versions(self, vm_id: str, versions: Mapping[str, int]) -> None:
+        for callback in self._on_versions:
+            callback(vm_id, versions)
+
+
+def make_member(
+    vm_id: str,
+    data_centre: str,
+    incarnation: int,
+    *,
+    host: str = "127.0.0.1",
+    peer_port: int = 0,
+    advertise: str = "",
+    seeds: Sequence[Seed] = (),
+    address_map: Mapping[str, str] | None = None,
+    keys: ClusterKeys | None = None,
+    vm_list: VmList | None = None,
+    is_endpoint: Callable[[str], bool] = lambda listed_id: False,
+    clock: Clock | None = None,
+) -> Member:
+    """Build the member of one VM, its transport included.
+
+    Args:
+        vm_id: This VM.
+        data_centre: Where it stands.
+        incarnation: Number of this start, higher than any earlier one; the
+            wall clock at the start in milliseconds serves.
+        host: Address to listen on for VMs.
+        peer_port: Port to listen on for VMs, 0 for any free one.
+        advertise: ``ip:port`` that others are told, empty for the above.
+        seeds: VMs known from the settings.
+        address_map: This VM's own routes, which override everything.
+        keys: CURVE keys, None to talk in the clear over loopback.
+        vm_list: The platform's list, None where there is none.
+        is_endpoint: Whether an id on that list is an endpoint's.
+        clock: Time source.
+    """
+    used_clock = clock or MonotonicClock()
+    transport = make_transport(
+        vm_id,
+        incarnation,
+        host=host,
+        port=peer_port,
+        seeds=seeds,
+        address_map=address_map,
+        keys=keys,
+        clock=used_clock,
+    )
+    context = MemberContext(
+        vm_id=vm_id,
+        incarnation=incarnation,
+        data_centre=data_centre,
+        state=OwnState(),
+        transport=transport,
+        contacts=Contacts(vm_id, seeds, transport.addresses),
+        table=HeartbeatTable(),
+        marks=LeavingMarks(),
+        pause=PauseDetector(used_clock.now_ms()),
+        clock=used_clock,
+    )
+    return Member(context, advertise, vm_list, is_endpoint)
--- /dev/null
+++ b/src/pomelolane/membership/rendezvous.py
@@ -0,0 +1,33 @@
+"""Rendezvous hashing: VMs with equal views choose alike without a message.
+
+When a candidate goes, only what it was chosen for moves.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from xxhash import xxh3_64_intdigest
+
+from pomelolane.sentinels import NO_PEER
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pomelolane.sentinels import Missing
+
+
+def choose(key: str, candidates: Iterable[str]) -> str | Missing:
+    """Return the candidate with the highest hash for a key."""
+    chosen = choose_several(key, candidates, 1)
+    return chosen[0] if chosen else NO_PEER
+
+
+def choose_several(key: str, candidates: Iterable[str], count: int) -> tuple[str, ...]:
+    """Return up to ``count`` candidates, highest hash first."""
+    ranked = sorted(candidates, key=lambda name: (_weight(key, name), name))
+    return tuple(reversed(ranked[-count:]))
+
+
+def _weight(key: str, name: str) -> int:
+    return xxh3_64_intdigest(f"{key}\0{name}".encode())
--- a/src/pomelolane/membership/transport.py
+++ b/src/pomelolane/membership/transport.py
@@ -28,12 +28,12 @@
 from pomelolane.messages import decode_message, encode_message
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping, Sequence
 
-    from pomelolane.membership.addresses import Seed
     from pomelolane.membership.keys import ClusterKeys
     from pomelolane.messages import Message
     from pomelolane.ports import Clock
+    from pomelolane.settings.kinds import Seed
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 MAX_READ_BATCH = 256
@@ -85,6 +85,11 @@
         self._router: zmq.Socket | None = None
         self._authenticator: KeyAuthenticator | None = None
 
+    @property
+    def address(self) -> str:
+        """``ip:port`` on which this VM listens."""
+        return f"{self._host}:{self.port}"
+
     @property
     def bytes_sent(self) -> int:
         """Payload bytes handed to ZeroMQ, envelopes included."""
@@ -285,8 +290,8 @@
     *,
     host: str = "127.0.0.1",
     port: int = 0,
-    seeds: tuple[Seed, ...] = (),
-    address_map: dict[str, str] | None = None,
+    seeds: Sequence[Seed] = (),
+    address_map: Mapping[str, str] | None = None,
     keys: ClusterKeys | None = None,
     clock: Clock | None = None,
 ) -> ZmqTransport:
--- /dev/null
+++ b/tests/membership/lone_member.py
@@ -0,0 +1,26 @@
+"""One member in a process of its own, for the freeze.
+
+Prints a line when it has noticed a pause; ends at the end of its input.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from pomelolane.membership import make_member
+from pomelolane.settings.kinds import Seed
+
+
+async def main(vm_id, data_centre, seed_id, seed_address):
+    """Run the member until the input ends."""
+    seeds = (Seed(seed_id, data_centre, seed_address),)
+    member = make_member(vm_id, data_centre, 1, seeds=seeds)
+    member.on_pause(lambda gap_ms: print(f"paused {gap_ms:.0f}", flush=True))
+    await member.start()
+    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+    await member.stop()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(*sys.argv[1:]))
--- /dev/null
+++ b/tests/membership/tables.feature
@@ -0,0 +1,58 @@
+Feature: The member's tables
+  Time is moved by hand here; nothing waits.
+
+  Scenario: A silent VM is dropped after the allowed silence
+    Given a table with heartbeats of "x" at 0 ms and of "y" at 500 ms
+    When the table expires at 1601 ms
+    Then the table holds only "y"
+
+  Scenario: An older start's heartbeat is ignored
+    Given a table with heartbeats of "x" at 0 ms and of "y" at 500 ms
+    When a heartbeat of an earlier start of "x" comes
+    Then the table still holds the later start of "x"
+
+  Scenario: A pulse with an unknown hash asks for the content
+    Given a table with heartbeats of "x" at 0 ms and of "y" at 500 ms
+    Then a pulse of "x" with another hash is not known
+    And a pulse of "z" is not known
+
+  Scenario: A digest from a silent source goes when a fresh one disowns it
+    Given digests of "dcb" by "b1" with "b1 b2" and by "b2" with "b1 b2"
+    When "b2" says at 1000 ms that "dcb" is "b2"
+    Then the digests expired at 1100 ms hold "b2"
+
+  Scenario: Two fresh delegates that disown each other are both believed
+    Given digests of "dcb" by "b1" with "b1" and by "b2" with "b2"
+    Then the digests expired at 600 ms hold "b1 b2"
+
+  Scenario: A stale digest ends with its source
+    Given digests of "dcb" by "b1" with "b1" and by "b2" with "b1 b2"
+    Then the digests expired at 2001 ms hold nothing
+
+  Scenario: A mark lives while it is repeated and a while longer
+    Given an endpoint marked as leaving by another VM at 0 ms
+    Then the mark holds at 29000 ms and is over at 30001 ms
+
+  Scenario: Rendezvous hashing moves only what a lost VM held
+    Given 1000 keys spread over 9 candidates by rendezvous hashing
+    When a candidate goes
+    Then only the keys that it held have moved
+    And no candidate holds more than a quarter of the keys
+
+  Scenario: A paused VM treats its view as stale until it has heard again
+    Given two members in one data centre on clocks moved by hand
+    When the first one's clock jumps by 5000 ms
+    Then the first one is stale and still holds its view
+    When it has heard the other one again
+    Then the first one is not stale and holds its view
+
+  Scenario: A paused VM drops whom it does not hear again
+    Given two members in one data centre on clocks moved by hand
+    When the first one's clock jumps by 5000 ms
+    And the other one stays silent for 2100 ms more
+    Then the first one is not stale and sees only itself
+
+  Scenario: What never answers is tried ever less often
+    Given a contact from the platform's list and a seed
+    When contacts are tried for 60 seconds
+    Then the seed was tried 60 times and the other 6 times
--- /dev/null
+++ b/tests/steps/membership_member_steps.py
@@ -0,0 +1,333 @@
+"""Steps of member.feature: several members over real sockets."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+
+import zmq
+from behave import given, then, when
+
+from pomelolane.membership import ClusterKeys
+from pomelolane.messages import Heartbeat
+from pomelolane.ports import ListedVm
+from tests.membership.region import Region
+from tests.membership.waiting import eventually, stop_at_end
+
+NAMES = "abcdef"
+
+
+class FakeList:
+    """The platform's list, filled by the steps."""
+
+    def __init__(self):
+        self.entries = []
+
+    async def read(self):
+        """Return the list as it stands."""
+        return tuple(self.entries)
+
+
+def make_region(context, layout, **options):
+    context.region = Region(layout, **options)
+    stop_at_end(context, context.region)
+    return context.region
+
+
+def layout_of(data_centres, count):
+    return {
+        f"dc{name}": [f"{name}{number}" for number in range(1, count + 1)]
+        for name in NAMES[:data_centres]
+    }
+
+
+def call(context, function, *arguments):
+    """Call something that needs a running loop."""
+
+    async def inside():
+        return function(*arguments)
+
+    return context.run(inside())
+
+
+def wait_for(context, condition, what):
+    context.run(eventually(condition, what))
+
+
+@given('members "{names}" in "{dc}" that know "{seed}" only')
+def step_one_seed(context, names, dc, seed):
+    region = make_region(context, {dc: names.split()})
+    context.run(region.start(seeds=[seed]))
+
+
+@given("a region of {data_centres:d} data centres with {count:d} members each")
+@given("a region of {data_centres:d} data centre with {count:d} members each")
+def step_region(context, data_centres, count):
+    region = make_region(context, layout_of(data_centres, count))
+    context.run(region.start())
+
+
+@given(
+    "a region with keys of {data_centres:d} data centres with {count:d} members each"
+)
+def step_region_keys(context, data_centres, count):
+    layout = layout_of(data_centres, count)
+    pairs = {vm: zmq.curve_keypair() for ids in layout.values() for vm in ids}
+    allowed = {vm: pair[0] for vm, pair in pairs.items()}
+    keys = {vm: ClusterKeys(*pair, allowed) for vm, pair in pairs.items()}
+    context.run(make_region(context, layout, keys=keys).start())
+
+
+@given("every member sees all running members")
+@then("every member sees all running members")
+def step_agree(context):
+    wait_for(context, context.region.agree, "all views agree")
+
+
+@then("each data centre has 2 delegates")
+def step_delegates(context):
+    region = context.region
+    names = {member.data_centre for member in region.members.values()}
+
+    def two_each():
+        return all(len(region.delegates(name)) == 2 for name in names)
+
+    wait_for(context, two_each, "two delegates each")
+
+
+@when('member "{vm_id}" is killed')
+def step_kill(context, vm_id):
+    context.run(context.region.kill(vm_id))
+
+
+@when('member "{vm_id}" starts again')
+def step_start_again(context, vm_id):
+    context.run(context.region.start(vm_id))
+
+
+@then('every member sees "{vm_id}" in its new start')
+def step_new_start(context, vm_id):
+    members = context.region.members
+    wanted = members[vm_id].incarnation
+
+    def all_see_it():
+        peers = [member.view().peers.get(vm_id) for member in members.values()]
+        return all(peer and peer.incarnation == wanted for peer in peers)
+
+    wait_for(context, all_see_it, "the new incarnation everywhere")
+
+
+@when('the first delegate of "{dc}" leaves')
+def step_leave(context, dc):
+    context.gone = min(context.region.delegates(dc))
+    # Nobody ticks from here on, so that only its own words can remove it.
+    context.run(context.region.leave(context.gone))
+
+
+@then("its neighbours have dropped it without waiting for silence")
+def step_dropped(context):
+    neighbours = [
+        member
+        for member in context.region.members.values()
+        if member.data_centre == "dca"
+    ]
+    for member in neighbours:
+        heard = member._context.table.find(context.gone)
+        assert heard is None, "still there after its last words"
+
+
+@when('the first delegate of "{dc}" is draining')
+def step_drain(context, dc):
+    context.gone = min(context.region.delegates(dc))
+    call(context, context.region.members[context.gone].set_draining)
+
+
+@then("every member sees it draining")
+def step_sees_draining(context):
+    members = context.region.members.values()
+
+    def all_see_it():
+        peers = [member.view().peers.get(context.gone) for member in members]
+        return all(peer and peer.draining for peer in peers)
+
+    wait_for(context, all_see_it, "draining everywhere")
+
+
+@then("it is no delegate any more")
+def step_no_delegate(context):
+    region = context.region
+    wait_for(
+        context,
+        lambda: len(region.delegates("dca") - {context.gone}) == 2,
+        "two others are delegates",
+    )
+    assert context.gone not in region.delegates("dca")
+
+
+@when('the links between "{one}" and "{other}" are set to "{mode}"')
+def step_links(context, one, other, mode):
+    context.run(context.region.set_between(one, other, mode))
+
+
+def of_data_centre(context, name):
+    members = context.region.members
+    return {vm for vm, member in members.items() if member.data_centre == name}
+
+
+@then('"{one}" and "{other}" don\'t see each other')
+def step_apart(context, one, other):
+    region = context.region
+    sides = (of_data_centre(context, one), of_data_centre(context, other))
+
+    def apart():
+        return all(
+            not region.sees(vm_id) & far
+            for near, far in (sides, sides[::-1])
+            for vm_id in near
+        )
+
+    wait_for(context, apart, "the far side is gone")
+
+
+@then('"{name}" sees all running members')
+def step_one_sees(context, name):
+    region = context.region
+    for vm_id in of_data_centre(context, name):
+        assert region.sees(vm_id) == set(region.members)
+
+
+@when('both delegates of "{dc}" are killed')
+def step_kill_both(context, dc):
+    region = context.region
+    killed = region.delegates(dc)
+    rest = of_data_centre(context, dc) - killed
+    context.missed = []
+
+    def note(view):
+        context.missed.extend(rest - view.peers.keys())
+
+    for vm_id in of_data_centre(context, "dcb"):
+        region.members[vm_id].on_change(note)
+    for vm_id in killed:
+        context.run(region.kill(vm_id))
+
+
+@then('the rest of "dca" has never left the view of "dcb"')
+def step_never_left(context):
+    assert not context.missed, context.missed
+
+
+@when('member "{vm_id}" marks endpoint "{endpoint}" as leaving for "{source}"')
+def step_mark_leaving(context, vm_id, endpoint, source):
+    context.told = []
+    for name, member in context.region.members.items():
+        member.on_leaving(lambda *got, name=name: context.told.append((name, *got)))
+    call(context, context.region.members[vm_id].mark_leaving, endpoint, source)
+
+
+@then('every member is told once that "{endpoint}" is leaving for "{source}"')
+def step_told(context, endpoint, source):
+    wanted = {(name, endpoint, source) for name in context.region.members}
+    wait_for(context, lambda: set(context.told) >= wanted, "everybody is told")
+    assert sorted(context.told) == sorted(wanted)
+
+
+@then('every member knows that "{endpoint}" is leaving')
+def step_knows(context, endpoint):
+    members = context.region.members.values()
+    wait_for(
+        context,
+        lambda: all(endpoint in each.leaving_endpoints() for each in members),
+        "the mark is known everywhere",
+    )
+
+
+@given('members "{names}" in "{dc}" that know nobody but the platform\'s list')
+def step_by_list(context, names, dc):
+    context.vm_list = FakeList()
+    region = make_region(context, {dc: names.split()}, vm_list=context.vm_list)
+    context.run(region.start(seeds=[]))
+    for vm_id, member in region.members.items():
+        entry = ListedVm(vm_id, dc, member.transport.address, False)
+        context.vm_list.entries.append(entry)
+
+
+@when('the platform\'s list marks endpoint "{endpoint}" as leaving')
+def step_list_marks(context, endpoint):
+    context.vm_list.entries.append(ListedVm(endpoint, "dca", "127.0.0.1:9", True))
+
+
+@when('member "a1" sends a heartbeat in the name of "a2" that says stopped')
+def step_false_name(context):
+    false = Heartbeat("a2", 99, "dca", 1, True, True, {}, stopped=True)
+    call(context, context.region.members["a1"].send, "a2", false)
+    call(context, context.region.members["a1"].send, "a1", false)
+
+
+@when("{count:d} further beats have passed")
+def step_beats(context, count):
+    region = context.region
+    transport = region.members["a1"].transport
+    context.frames = transport.frames_sent
+    context.bytes = transport.bytes_sent
+    wanted = context.frames + count * 3
+
+    wait_for(context, lambda: transport.frames_sent >= wanted, "the beats")
+
+
+@then("a beat to one neighbour has taken at most {limit:d} bytes")
+def step_bytes(context, limit):
+    transport = context.region.members["a1"].transport
+    frames = transport.frames_sent - context.frames
+    assert (transport.bytes_sent - context.bytes) / frames <= limit
+
+
+@given('a member process "{vm_id}" in the data centre of member "a1"')
+def step_process(context, vm_id):
+    region = make_region(context, {"dca": ["a1"]})
+    context.run(region.start())
+    address = region.members["a1"].transport.address
+    command = [sys.executable, "-m", "tests.membership.lone_member"]
+    context.child = subprocess.Popen(
+        [*command, vm_id, "dca", "a1", address],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
+    context.add_cleanup(end_process, context.child)
+    context.process_id = vm_id
+    wait_for(context, lambda: vm_id in region.sees("a1"), "the process is seen")
+
+
+def end_process(child):
+    child.send_signal(signal.SIGCONT)
+    child.kill()
+    child.communicate()
+
+
+@when('the process is frozen until "a1" has dropped it')
+def step_freeze(context):
+    context.child.send_signal(signal.SIGSTOP)
+    region = context.region
+    gone = lambda: context.process_id not in region.sees("a1")  # noqa: E731
+    wait_for(context, gone, "the frozen process is dropped")
+
+
+@when("the process is woken")
+def step_wake(context):
+    context.child.send_signal(signal.SIGCONT)
+
+
+@then('"a1" sees the process again')
+def step_sees_again(context):
+    region = context.region
+    back = lambda: context.process_id in region.sees("a1")  # noqa: E731
+    wait_for(context, back, "the process is seen again")
+
+
+@then("the process has noticed its pause")
+def step_noticed(context):
+    read = asyncio.to_thread(context.child.stdout.readline)
+    line = context.run(asyncio.wait_for(read, 10.0))
+    assert line.startswith("paused "), line
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -1,7 +1,5 @@
 """Steps of the membership features that need the transport alone."""
 
-import asyncio
-
 import zmq
 from behave import given, then, when
 from hypothesis import given as hypothesis_given
@@ -12,40 +10,13 @@
 from pomelolane.membership import (
     AddressBook,
     ClusterKeys,
-    Seed,
     make_transport,
 )
 from pomelolane.membership.envelope import encode_envelope
 from pomelolane.membership.links import MAX_WAIT_MS, VM_PROPERTY
 from pomelolane.messages import KeyAnswer, KeyQuery, encode_message
-
-WAIT_S = 10.0
-
-
-def stop_at_end(context, part):
-    """Stop a part while the scenario's loop still runs."""
-
-    async def keep():
-        try:
-            await asyncio.Event().wait()
-        finally:
-            await part.stop()
-
-    context.keepers = [
-        *getattr(context, "keepers", []),
-        context.loop.create_task(keep()),
-    ]
-    context.run(asyncio.sleep(0))
-
-
-async def eventually(condition, what):
-    """Wait until ``condition()`` holds, without a time of its own."""
-    try:
-        async with asyncio.timeout(WAIT_S):
-            while not condition():  # noqa: ASYNC110 - any state of any part
-                await asyncio.sleep(0.01)
-    except TimeoutError:
-        raise AssertionError(f"never came true: {what}") from None
+from pomelolane.settings.kinds import Seed
+from tests.membership.waiting import eventually, stop_at_end
 
 
 def make_keys(security):
--- /dev/null
+++ b/tests/steps/membership_tables_steps.py
@@ -0,0 +1,238 @@
+"""Steps of the features of the member's pure parts."""
+
+import asyncio
+
+from behave import given, then, when
+
+from pomelolane.clock import ManualClock
+from pomelolane.membership import AddressBook, choose, make_member
+from pomelolane.membership.contacts import Contacts
+from pomelolane.membership.digests import DigestTable
+from pomelolane.membership.heartbeat import HeartbeatTable
+from pomelolane.membership.leaving import LeavingMarks
+from pomelolane.messages import Digest, Heartbeat, MemberState
+from pomelolane.settings.kinds import Seed
+
+
+def heartbeat_of(vm_id, incarnation=2):
+    return Heartbeat(vm_id, incarnation, "dca", 1, True, False, {})
+
+
+def digest_of(data_centre, members):
+    states = tuple(MemberState(each, 1, True, False, "") for each in members.split())
+    return Digest(data_centre, 0, states, {})
+
+
+@given('a table with heartbeats of "x" at 0 ms and of "y" at 500 ms')
+def step_table(context):
+    context.heartbeats = HeartbeatTable()
+    assert context.heartbeats.take(heartbeat_of("x"), 0.0)
+    assert context.heartbeats.take(heartbeat_of("y"), 500.0)
+
+
+@when("the table expires at {now:d} ms")
+def step_expire(context, now):
+    assert context.heartbeats.expire(1600.0) == {}
+    context.silent = context.heartbeats.expire(float(now))
+
+
+@then('the table holds only "y"')
+def step_only_y(context):
+    assert list(context.silent) == ["x"]
+    assert [each.vm_id for each in context.heartbeats.heartbeats()] == ["y"]
+
+
+@when('a heartbeat of an earlier start of "x" comes')
+def step_earlier(context):
+    assert not context.heartbeats.take(heartbeat_of("x", 1), 600.0)
+
+
+@then('the table still holds the later start of "x"')
+def step_later(context):
+    assert context.heartbeats.find("x").incarnation == 2
+
+
+@then('a pulse of "x" with another hash is not known')
+def step_other_hash(context):
+    assert not context.heartbeats.pulse("x", -1, 600.0)
+
+
+@then('a pulse of "z" is not known')
+def step_unknown(context):
+    assert not context.heartbeats.pulse("z", 1, 600.0)
+    assert context.heartbeats.find("z") is None
+
+
+@given('digests of "{dc}" by "b1" with "{first}" and by "b2" with "{second}"')
+def step_digests(context, dc, first, second):
+    context.digests = DigestTable(from_members=True)
+    context.digests.put("b1", digest_of(dc, first), 0.0)
+    context.digests.put("b2", digest_of(dc, second), 0.0)
+
+
+@when('"b2" says at {now:d} ms that "{dc}" is "{members}"')
+def step_disown(context, now, dc, members):
+    context.digests.put("b2", digest_of(dc, members), float(now))
+
+
+@then('the digests expired at {now:d} ms hold "{members}"')
+def step_hold(context, now, members):
+    context.digests.expire(float(now))
+    states = context.digests.merged("dcb").digest.members
+    assert [state.vm_id for state in states] == members.split()
+
+
+@then("the digests expired at {now:d} ms hold nothing")
+def step_hold_nothing(context, now):
+    context.digests.expire(float(now))
+    assert context.digests.merged("dcb") is None
+    assert not context.digests.data_centres()
+
+
+@given("an endpoint marked as leaving by another VM at 0 ms")
+def step_mark(context):
+    context.marks = LeavingMarks()
+    assert context.marks.refresh(("e",), 0.0) == ("e",)
+    assert context.marks.refresh(("e",), 0.0) == ()
+
+
+@then("the mark holds at {first:d} ms and is over at {second:d} ms")
+def step_mark_ends(context, first, second):
+    assert context.marks.expire(float(first)) == ()
+    assert context.marks.known == {"e"}
+    assert context.marks.expire(float(second)) == ("e",)
+    assert not context.marks.known
+
+
+@given("{count:d} keys spread over {candidates:d} candidates by rendezvous hashing")
+def step_spread(context, count, candidates):
+    context.candidates = [f"vm{number}" for number in range(candidates)]
+    context.rendezvous_keys = [f"key{number}" for number in range(count)]
+    context.before = spread(context)
+
+
+def spread(context):
+    return {key: choose(key, context.candidates) for key in context.rendezvous_keys}
+
+
+@when("a candidate goes")
+def step_candidate_goes(context):
+    context.gone = context.candidates.pop(4)
+    context.after = spread(context)
+
+
+@then("only the keys that it held have moved")
+def step_moved(context):
+    before, after = context.before, context.after
+    moved = {key for key in before if before[key] != after[key]}
+    assert moved == {key for key in before if before[key] == context.gone}
+
+
+@then("no candidate holds more than a quarter of the keys")
+def step_even(context):
+    holders = list(context.after.values())
+    most = max(holders.count(each) for each in context.candidates)
+    assert most <= len(holders) / 4
+
+
+@given("two members in one data centre on clocks moved by hand")
+def step_two(context):
+    context.clocks = [ManualClock(), ManualClock()]
+    context.pair = []
+    for number, clock in enumerate(context.clocks):
+        member = make_member(f"m{number}", "dca", 1, clock=clock)
+        # Only the clock in the steps makes it tick.
+        context.run(member.transport.start())
+        context.pair.append(member)
+    for one, other in (context.pair, context.pair[::-1]):
+        one.transport.addresses.learn(other.vm_id, other.transport.address)
+        one._context.contacts.learn(other.vm_id, "dca", other.transport.address, 0.0)
+    context.run(exchange(context, lambda: all_see(context)))
+
+
+def all_see(context):
+    return all(len(member.view().peers) == 2 for member in context.pair)
+
+
+async def exchange(context, condition):
+    """Let both tick, 100 ms at a time, until a condition holds."""
+    for _ in range(200):
+        for member, clock in zip(context.pair, context.clocks, strict=True):
+            clock.advance(100.0)
+            member.tick()
+        await asyncio.sleep(0.01)
+        if condition():
+            return
+    raise AssertionError("the members never got there")
+
+
+async def move_first(context, by_ms):
+    context.clocks[0].advance(by_ms)
+    context.pair[0].tick()
+
+
+@when("the first one's clock jumps by {gap:d} ms")
+def step_jump(context, gap):
+    context.paused = []
+    context.pair[0].on_pause(context.paused.append)
+    context.run(move_first(context, float(gap)))
+
+
+@then("the first one is stale and still holds its view")
+def step_stale(context):
+    first = context.pair[0]
+    assert first.is_stale
+    assert len(context.paused) == 1
+    assert context.paused[0] >= 5000.0
+    assert set(first.view().peers) == {"m0", "m1"}
+
+
+@when("it has heard the other one again")
+def step_heard(context):
+    first = context.pair[0]
+    context.run(exchange(context, lambda: not first.is_stale))
+
+
+@then("the first one is not stale and holds its view")
+def step_recovered(context):
+    assert not context.pair[0].is_stale
+    assert set(context.pair[0].view().peers) == {"m0", "m1"}
+    context.run(stop_pair(context))
+
+
+async def stop_pair(context):
+    for member in context.pair:
+        await member.transport.stop()
+
+
+@when("the other one stays silent for {gap:d} ms more")
+def step_silent(context, gap):
+    for _ in range(gap // 100):
+        context.run(move_first(context, 100.0))
+
+
+@then("the first one is not stale and sees only itself")
+def step_alone(context):
+    assert not context.pair[0].is_stale
+    assert set(context.pair[0].view().peers) == {"m0"}
+    context.run(stop_pair(context))
+
+
+@given("a contact from the platform's list and a seed")
+def step_contacts(context):
+    seeds = (Seed("seed", "dca", "127.0.0.1:1"),)
+    context.contacts = Contacts("me", seeds, AddressBook(seeds))
+    context.contacts.learn("other", "dca", "127.0.0.1:2", 0.0, certain=False)
+
+
+@when("contacts are tried for {seconds:d} seconds")
+def step_try(context, seconds):
+    context.tried = []
+    for now_ms in range(0, seconds * 1000, 500):
+        context.tried += context.contacts.due("dca", (), 10, float(now_ms))
+
+
+@then("the seed was tried {seed:d} times and the other {other:d} times")
+def step_tried(context, seed, other):
+    assert context.tried.count("seed") == seed
+    assert context.tried.count("other") == other, context.tried.count("other")
