Refresh the view only when something may have changed

Cause: at 30 members a plain member used 2.8 percent of a core, against 2 allowed for all control traffic. Ruled out: CURVE (2.7 percent without keys). Change: the view is rebuilt at a beat, an expiry or a full heartbeat and not at each tick; the reader asks for readiness instead of catching an exception.

--- a/src/pomelolane/membership/delegate.py
+++ b/src/pomelolane/membership/delegate.py
@@ -130,10 +130,11 @@
         self._sent.clear()
         return True
 
-    def expire(self, now_ms: float) -> None:
-        """Drop what nobody speaks of any more."""
-        self._direct.expire(now_ms)
-        self._relayed.expire(now_ms)
+    def expire(self, now_ms: float) -> bool:
+        """Drop what nobody speaks of any more; True where there was any."""
+        direct = self._direct.expire(now_ms)
+        relayed = self._relayed.expire(now_ms)
+        return direct or relayed
 
     def excuse(self, now_ms: float) -> None:
         """Count everything as heard now, after this VM itself has paused."""
--- a/src/pomelolane/membership/digests.py
+++ b/src/pomelolane/membership/digests.py
@@ -88,8 +88,12 @@
         for source in entries.keys() - set(sources):
             self._drop(data_centre, source)
 
-    def expire(self, now_ms: float) -> None:
-        """Drop the entries of sources that are silent or said to be gone."""
+    def expire(self, now_ms: float) -> bool:
+        """Drop the entries of sources that are silent or said to be gone.
+
+        Returns:
+            Whether there were any.
+        """
         silent = [
             (data_centre, source)
             for data_centre, entries in self._entries.items()
@@ -99,6 +103,7 @@
         ]
         for data_centre, source in silent:
             self._drop(data_centre, source)
+        return bool(silent)
 
     def excuse(self, now_ms: float) -> None:
         """Count all sources as heard now, after this VM itself has paused."""
--- a/src/pomelolane/membership/member.py
+++ b/src/pomelolane/membership/member.py
@@ -215,11 +215,11 @@
         self._notice_pause(now_ms)
         context.pause.ran(now_ms)
         silent_ms = context.table.expire(now_ms)
-        self._exchange.expire(now_ms)
-        self._departures.follow()
-        self._recover(now_ms)
-        self._refresh(silent_ms)
-        if now_ms >= self._next_beat_ms:
+        changed = self._exchange.expire(now_ms) or self._recover(now_ms)
+        beat_is_due = now_ms >= self._next_beat_ms
+        if silent_ms or changed or beat_is_due:
+            self._refresh(silent_ms)
+        if beat_is_due:
             self._beat(now_ms)
         if now_ms >= self._next_clean_up_ms:
             self._clean_up(now_ms)
@@ -267,6 +267,7 @@
         draining[context.vm_id] = own.draining
         delegates = choose_delegates(context.data_centre, draining)
         self._exchange.set_role(context.vm_id in delegates, now_ms)
+        self._departures.follow()
         if self.is_stale:
             return
         peers = self._exchange.remote_peers()
@@ -290,16 +291,19 @@
         for callback in self._on_pause:
             callback(gap_ms)
 
-    def _recover(self, now_ms: float) -> None:
+    def _recover(self, now_ms: float) -> bool:
+        """End the stale spell after a pause; True where it ends now."""
         woke_ms = self._context.pause.woke_ms
         if woke_ms is None:
-            return
+            return False
         backlog_ms = woke_ms + BACKLOG_MS
         heard_all = self._context.table.all_heard_after(
             backlog_ms
         ) and self._exchange.all_heard_after(backlog_ms)
-        if heard_all or now_ms - woke_ms > TIMEOUT_MS:
-            self._context.pause.recover()
+        if not heard_all and now_ms - woke_ms <= TIMEOUT_MS:
+            return False
+        self._context.pause.recover()
+        return True
 
     # --- what others say ----------------------------------------------------
 
--- a/src/pomelolane/membership/transport.py
+++ b/src/pomelolane/membership/transport.py
@@ -225,16 +225,11 @@
     def _read_ready(self) -> None:
         # The socket's descriptor signals edges, so it is read until empty; a
         # long backlog yields to the rest of the loop in between.
-        if self._router is None:
-            return
         for _ in range(MAX_READ_BATCH):
-            try:
-                frames = self._router.recv_multipart(zmq.NOBLOCK, copy=False)
-            except zmq.Again:
-                return
-            self._receive(frames)
-            if self._router is None:
+            router = self._router
+            if router is None or not router.getsockopt(zmq.EVENTS) & zmq.POLLIN:
                 return
+            self._receive(router.recv_multipart(zmq.NOBLOCK, copy=False))
         asyncio.get_running_loop().call_soon(self._read_ready)
 
     def _receive(self, frames: list[zmq.Frame]) -> None:
