--- a/src/pomelolane/adoption.py
+++ b/src/pomelolane/adoption.py
@@ -40,23 +40,47 @@
         Returns:
             Whether the tree in force holds it now.
         """
-        if version <= self._versions.get(branch, 0):
+        return self.take_all({branch: (version, content)})
+
+    def take_all(self, branches: Mapping[str, tuple[int, bytes]]) -> bool:
+        """Take the higher versions among branches, compiled once.
+
+        Args:
+            branches: Version and content by branch.
+
+        Returns:
+            Whether the tree in force holds all that was taken.
+        """
+        newer = {
+            branch: each
+            for branch, each in branches.items()
+            if each[0] > self._versions.get(branch, 0)
+        }
+        if not newer:
             return False
-        self._contents[branch] = content
-        self._versions[branch] = version
+        for branch, (version, content) in newer.items():
+            self._versions[branch] = version
+            self._contents[branch] = content
         try:
             tree = tree_from_branches(self._contents, self._versions)
         except InvalidTreeError as error:
             # Branches arrive one by one; the rest of a change that spans two
             # of them makes the tree whole again.
-            log_event(
-                events.SETTINGS_REJECTED, branch=branch, version=version, error=error
-            )
+            self._log_rejected(newer, error)
             return False
         self._current.adopt(self._routed(tree))
-        log_event(events.SETTINGS_APPLIED, branch=branch, version=version)
+        for branch, (version, _) in newer.items():
+            log_event(events.SETTINGS_APPLIED, branch=branch, version=version)
         return True
 
+    def _log_rejected(
+        self, newer: Mapping[str, tuple[int, bytes]], error: InvalidTreeError
+    ) -> None:
+        for branch, (version, _) in newer.items():
+            log_event(
+                events.SETTINGS_REJECTED, branch=branch, version=version, error=error
+            )
+
     def _routed(self, tree: Tree) -> Tree:
         for endpoint_id in self._address_map.keys() & tree.endpoints.keys():
             endpoint = tree.endpoints[endpoint_id]
--- a/src/pomelolane/parts.py
+++ b/src/pomelolane/parts.py
@@ -28,11 +28,12 @@
 from pomelolane.gateway.jobwork import JobWork
 from pomelolane.gateway.operations import Operations
 from pomelolane.jobs import make_jobs
+from pomelolane.membership import cluster_keys_from_settings, make_member
 from pomelolane.platform import GroupCommitter, make_claims, platform_from_url
 from pomelolane.registry import ENDPOINT_ADAPTERS
 from pomelolane.settings.store import SettingsStore
 from pomelolane.settings.tree import branch_content_from_directory
-from pomelolane.solo import make_solo
+from pomelolane.statusboard import build_report
 from pomelolane.tree import CurrentTree
 
 if TYPE_CHECKING:
@@ -42,6 +43,7 @@
 
     from pomelolane.coordination import Coordination
     from pomelolane.jobs import Jobs
+    from pomelolane.membership import Member
     from pomelolane.platform import Platform, TableClaims
     from pomelolane.settings.options import ServeOptions
 
@@ -64,7 +66,7 @@
     adoption: TreeAdoption
     platform: Platform
     store: SettingsStore
-    member: object
+    member: Member
     coordination: Coordination
     dispatcher: Dispatcher
     claims: TableClaims
@@ -72,23 +74,32 @@
     gateway: Gateway
     jobs: Jobs
 
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return self.gateway.ready
+
     def mount(self, app: Application, stop_soon: Callable[[], None]) -> None:
         """Add all routes to the application."""
         self.gateway.mount(app)
-        Operations(self.gateway, lambda: self.gateway.ready, dict).mount(app)
+        Operations(self.gateway, self.is_ready, lambda: build_report(self)).mount(app)
         hooks = AdminHooks(
             stop_soon=stop_soon,
-            mark_leaving=self.coordination.mark_leaving,
+            mark_leaving=lambda endpoint: self.member.mark_leaving(
+                endpoint, "operator"
+            ),
             offer=self.adoption.take,
         )
         Admin(self.store, self.gateway, self.tree, hooks).mount(app)
 
     async def start_background(self) -> None:
         """Bring the settings in and begin the work that needs no caller."""
-        contents = branch_content_from_directory(self.options.tree)
-        await self.store.import_first(contents)
-        for each in (await self.store.snapshot()).branches.values():
-            self.adoption.take(each.branch, each.version, each.content)
+        if self.options.tree:
+            contents = branch_content_from_directory(self.options.tree)
+            await self.store.import_first(contents)
+        branches = (await self.store.snapshot()).branches
+        self.adoption.take_all(
+            {name: (each.version, each.content) for name, each in branches.items()}
+        )
         self.jobs.runner.start()
 
     async def finish_background(self) -> None:
@@ -106,10 +117,34 @@
     incarnation = time.time_ns() // 1_000_000
     tree = CurrentTree()
     platform = platform_from_url(options.platform, clock)
-    member = make_solo(options.vm_id, options.data_centre, incarnation)
+    member = make_member(
+        options.vm_id,
+        options.data_centre,
+        incarnation,
+        host=options.host,
+        peer_port=options.peer_port,
+        advertise=options.advertise,
+        seeds=options.seeds,
+        address_map=options.address_map,
+        keys=cluster_keys_from_settings(
+            options.private_key_hex, options.public_key_hex, options.cluster_keys
+        ),
+        vm_list=None if platform.is_embedded else platform.vm_list,
+        is_endpoint=lambda listed_id: listed_id in tree.value.endpoints,
+        clock=clock,
+    )
     coordination = make_coordination(
-        options.vm_id, options.data_centre, member, member, clock, options.policy
+        options.vm_id,
+        options.data_centre,
+        member.transport,
+        member,
+        clock,
+        options.policy,
+        incarnation=incarnation,
+        on_endpoint_leaving=lambda endpoint: member.mark_leaving(endpoint, "engine"),
     )
+    member.on_leaving(lambda endpoint, _: coordination.mark_leaving(endpoint))
+    tree.on_change(lambda new: member.set_versions(new.versions))
     tree.on_change(coordination.configure)
     pool = ConnectionPool()
     adapters = {kind: make(pool) for kind, make in ENDPOINT_ADAPTERS.items()}
@@ -120,7 +155,7 @@
     claims = make_claims(
         platform.table, options.vm_id, incarnation, clock, committer=committer
     )
-    holders = HolderQueries(options.vm_id, member, member)
+    holders = HolderQueries(options.vm_id, member.transport, member)
     keyed = KeyedCalls(
         claims, platform.objects, dispatcher, holders, tree, adapters, clock
     )
--- a/src/pomelolane/settings/kinds.py
+++ b/src/pomelolane/settings/kinds.py
@@ -211,18 +211,27 @@
 
 @dataclass(frozen=True, slots=True)
 class HexKeys:
-    """Several CURVE keys."""
+    """The CURVE public keys of the VMs of a cluster, by VM id."""
 
-    type_name = "hex key,…"
+    type_name = "vm=hex key,…"
 
     @property
     def allowed(self) -> str:
         """Return the form."""
-        return "CURVE keys of 64 hex digits each, parted by commas"
+        return (
+            "vm=KEY pairs parted by commas, keys of 64 hex digits; "
+            "a KEY alone stands for every VM that is not named"
+        )
 
     def parse(self, text: str) -> tuple[str, ...]:
-        """Return the keys in lower case."""
-        return tuple(_checked(_KEY, item).lower() for item in _items(text))
+        """Return the checked pairs with the keys in lower case."""
+        parts = [item.rpartition("=") for item in _items(text)]
+        names = [_checked(_NAME, name) if name else "" for name, _, _ in parts]
+        if len(set(names)) != len(names):
+            raise ValueError(text)
+        keys = [_checked(_KEY, key).lower() for _, _, key in parts]
+        pairs = zip(names, keys, strict=True)
+        return tuple(f"{name}={key}" if name else key for name, key in pairs)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/settings/options.py
+++ b/src/pomelolane/settings/options.py
@@ -146,7 +146,7 @@
     )
     public_key_hex: str = _option(HexKey(), "CURVE public key of this VM.")
     cluster_keys: tuple[str, ...] = _option(
-        HexKeys(), "CURVE public keys of the VMs that may connect."
+        HexKeys(), "CURVE public keys of the VMs that may connect, by VM id."
     )
     log_level: str = _option(
         Choice(LOG_LEVELS), "Least severe level that is logged.", default="info"
