Let a relay begin for a caller that has already left

A transport whose connection is lost has no protocol any more, so that the direct sink failed on an attribute when the caller left before the first byte and the request went on for its key. A scenario shows it.

--- a/src/pomelolane/endpoints/direct.py
+++ b/src/pomelolane/endpoints/direct.py
@@ -24,13 +24,22 @@
 
 
 def direct_cycle(send: object) -> RequestResponseCycle | None:
-    """Return uvicorn's cycle behind an ASGI ``send`` if it can be driven so."""
+    """Return uvicorn's cycle behind an ASGI ``send`` if it can be driven so.
+
+    That holds for a caller that has left as well: its transport has no protocol
+    any more, and nothing is written to it.
+    """
     cycle = getattr(send, "__self__", None)
     if not isinstance(cycle, RequestResponseCycle):
         return None
-    if not isinstance(cycle.transport.get_protocol(), RelayHttpProtocol):
-        return None
-    return cycle
+    if cycle.disconnected or _listening_protocol(cycle) is not None:
+        return cycle
+    return None
+
+
+def _listening_protocol(cycle: RequestResponseCycle) -> RelayHttpProtocol | None:
+    protocol = cycle.transport.get_protocol()
+    return protocol if isinstance(protocol, RelayHttpProtocol) else None
 
 
 class DirectSink:
@@ -57,7 +66,7 @@
         self._stream = stream
         self._cycle = cycle
         self._write = cycle.transport.write
-        self._protocol: RelayHttpProtocol = cycle.transport.get_protocol()
+        self._protocol = _listening_protocol(cycle)
         self.takes_chunks = bool(cycle.chunked_encoding)
         self._meter = meter
         self._observer = observer
@@ -67,7 +76,7 @@
 
     async def run(self) -> None:
         """Pass on until the end; the stream is detached afterwards."""
-        self._protocol.listener = self
+        self._listen(self)
         try:
             if self._cycle.disconnected:
                 self.on_lost()
@@ -77,7 +86,7 @@
                 self._stream.attach(self)
             await self._ended
         finally:
-            self._protocol.listener = None
+            self._listen(None)
             self._stream.detach()
             self._meter_batch()
 
@@ -128,6 +137,10 @@
             self._stream.detach()
             self.end()
 
+    def _listen(self, listener: DirectSink | None) -> None:
+        if self._protocol is not None:
+            self._protocol.listener = listener
+
     def _meter_batch(self) -> None:
         pieces = self._unmetered
         if pieces:
--- a/src/pomelolane/endpoints/relay.py
+++ b/src/pomelolane/endpoints/relay.py
@@ -17,8 +17,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine, Sequence
 
-    from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
-
     from pomelolane.endpoints.stream import AnswerStream
 
     Header = tuple[bytes, bytes]
@@ -85,8 +83,7 @@
     """
     observer = RelayObserver(on_first, on_progress)
     meter = AnswerMeter(stream, copy_to)
-    cycle = direct_cycle(send)
-    passing = _pass_on(stream, send, cycle, meter, observer, headers)
+    passing = _pass_on(stream, send, meter, observer, headers)
     if receive_disconnected is None:
         caller_gone = await passing
     else:
@@ -121,7 +118,6 @@
 async def _pass_on(
     stream: AnswerStream,
     send: Send,
-    cycle: RequestResponseCycle | None,
     meter: AnswerMeter,
     observer: RelayObserver,
     headers: tuple[Header, ...],
@@ -139,7 +135,7 @@
     )
     meter.started = True
     observer.on_first()
-    caller_gone = await _pass_body(stream, send, cycle, meter, observer)
+    caller_gone = await _pass_body(stream, send, meter, observer)
     if meter.is_whole and not caller_gone:
         await send({"type": "http.response.body", "body": b"", "more_body": False})
     return caller_gone
@@ -155,10 +151,10 @@
 async def _pass_body(
     stream: AnswerStream,
     send: Send,
-    cycle: RequestResponseCycle | None,
     meter: AnswerMeter,
     observer: RelayObserver,
 ) -> bool:
+    cycle = direct_cycle(send)
     if cycle is not None:
         sink = DirectSink(stream, cycle, meter, observer)
         await sink.run()
--- a/tests/endpoints/direct.feature
+++ b/tests/endpoints/direct.feature
@@ -41,6 +41,17 @@
     Then the relay says that the caller has gone
     And the endpoint's connection is closed
 
+  Scenario Outline: a caller that leaves before the first byte
+    Given an engine that streams 0 events and the rest when told
+    When a caller of a <kind> server leaves before the first byte
+    And the engine is told to stream the rest
+    Then the relay says that the caller has gone, and is <verdict>
+
+    Examples:
+      | kind    | verdict   |
+      | copying | whole     |
+      | plain   | not whole |
+
   Scenario: a relay with a copy goes on without its caller
     Given an engine that streams 5 events and the rest when told
     When a caller of a copying server reads 5 events and leaves
--- a/tests/steps/endpoints_direct_steps.py
+++ b/tests/steps/endpoints_direct_steps.py
@@ -172,13 +172,16 @@
 
 @given("an engine that streams {count:d} events and the rest when told")
 def step_rest_when_told(context, count):
+    context.begun = asyncio.Event()
     context.told = asyncio.Event()
 
     async def handle(server, reader, writer):
         await server.read_request(reader)
-        writer.write(event_head() + chunk(event_bytes(count)))
+        first = chunk(event_bytes(count)) if count else b""
+        writer.write(event_head() + first)
+        context.begun.set()
         await context.told.wait()
-        writer.write(chunk(event_bytes(count)) + chunk(DONE) + chunk(b""))
+        writer.write(chunk(event_bytes(5)) + chunk(DONE) + chunk(b""))
 
     serve(context, handle)
 
@@ -191,14 +194,39 @@
         reader, writer = await context.relaying.connect()
         writer.write(REQUEST)
         await reader.readuntil(b'{"n":%d}\n\n' % (count - 1))
-        writer.transport.abort()
-        protocol = next(iter(context.relaying.server.server_state.connections))
-        while not protocol.cycle.disconnected:  # noqa: ASYNC110
-            await asyncio.sleep(0)
+        await abort_noticed(context, writer)
 
     context.run(asyncio.wait_for(leave(), 10))
 
 
+async def abort_noticed(context, writer):
+    """Reset the caller's connection and wait until the server knows."""
+    connections = context.relaying.server.server_state.connections
+    writer.transport.abort()
+    while connections:  # noqa: ASYNC110
+        await asyncio.sleep(0)
+
+
+@when("a caller of a {kind} server leaves before the first byte")
+def step_leave_early(context, kind):
+    context.relaying.copying = kind == "copying"
+
+    async def leave():
+        _, writer = await context.relaying.connect()
+        writer.write(REQUEST)
+        await context.begun.wait()
+        await abort_noticed(context, writer)
+
+    context.run(asyncio.wait_for(leave(), 10))
+
+
+@then("the relay says that the caller has gone, and is {verdict}")
+def step_gone_early(context, verdict):
+    (result,) = context.relaying.results
+    assert result.caller_gone
+    assert result.whole == (verdict == "whole"), result
+
+
 @when("the engine is told to stream the rest")
 def step_tell_rest(context):
     context.told.set()
