--- a/src/pomelolane/adoption.py
+++ b/src/pomelolane/adoption.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -31,16 +32,19 @@
     def __init__(self, current: CurrentTree, address_map: Mapping[str, str]) -> None:
         self._current = current
         self._address_map = address_map
+        self._pending: dict[str, tuple[int, bytes]] = {}
         self._contents: dict[str, bytes] = {}
         self._versions: dict[str, int] = {}
 
-    def take(self, branch: str, version: int, content: bytes) -> bool:
-        """Take a higher version of a branch.
+    def take_soon(self, branch: str, version: int, content: bytes) -> None:
+        """Take a branch together with all others of this turn of the loop."""
+        if not self._pending:
+            asyncio.get_running_loop().call_soon(self._take_pending)
+        self._pending[branch] = (version, content)
 
-        Returns:
-            Whether the tree in force holds it now.
-        """
-        return self.take_all({branch: (version, content)})
+    def _take_pending(self) -> None:
+        pending, self._pending = self._pending, {}
+        self.take_all(pending)
 
     def take_all(self, branches: Mapping[str, tuple[int, bytes]]) -> bool:
         """Take the higher versions among branches, compiled once.
--- a/src/pomelolane/parts.py
+++ b/src/pomelolane/parts.py
@@ -5,16 +5,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from dataclasses import dataclass
-from importlib.metadata import PackageNotFoundError, version
 from typing import TYPE_CHECKING
 
 import pomelolane.defaults  # noqa: F401  (registers the built-in plug-ins)
+from pomelolane import __version__
 from pomelolane.adoption import TreeAdoption
-from pomelolane.clock import MonotonicClock
+from pomelolane.background import BackgroundTasks
+from pomelolane.clock import MonotonicClock, WallClock
 from pomelolane.coordination import make_coordination
 from pomelolane.endpoints import ConnectionPool
+from pomelolane.exceptions import PlatformError
 from pomelolane.gateway import (
     Dispatcher,
     Gateway,
@@ -29,8 +32,14 @@
 from pomelolane.gateway.operations import Operations
 from pomelolane.jobs import make_jobs
 from pomelolane.membership import cluster_keys_from_settings, make_member
-from pomelolane.platform import GroupCommitter, make_claims, platform_from_url
+from pomelolane.platform import (
+    ClaimSweeper,
+    GroupCommitter,
+    make_claims,
+    platform_from_url,
+)
 from pomelolane.registry import ENDPOINT_ADAPTERS
+from pomelolane.settings.distribution import make_distribution
 from pomelolane.settings.store import SettingsStore
 from pomelolane.settings.tree import branch_content_from_directory
 from pomelolane.statusboard import build_report
@@ -45,14 +54,11 @@
     from pomelolane.jobs import Jobs
     from pomelolane.membership import Member
     from pomelolane.platform import Platform, TableClaims
+    from pomelolane.settings.distribution import Distribution
     from pomelolane.settings.options import ServeOptions
 
 
-def _version() -> str:
-    try:
-        return version("pomelolane")
-    except PackageNotFoundError:
-        return "0+source"
+IMPORT_RETRY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,16 +69,18 @@
     incarnation: int
     version: str
     tree: CurrentTree
-    adoption: TreeAdoption
     platform: Platform
     store: SettingsStore
     member: Member
+    distribution: Distribution
+    background: BackgroundTasks
     coordination: Coordination
     dispatcher: Dispatcher
     claims: TableClaims
     keyed: KeyedCalls
     gateway: Gateway
     jobs: Jobs
+    sweeper: ClaimSweeper
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
@@ -87,19 +95,31 @@
             mark_leaving=lambda endpoint: self.member.mark_leaving(
                 endpoint, "operator"
             ),
-            offer=self.adoption.take,
+            offer=self.distribution.offer,
         )
         Admin(self.store, self.gateway, self.tree, hooks).mount(app)
 
     async def start_background(self) -> None:
-        """Bring the settings in and begin the work that needs no caller."""
+        """Follow the settings and begin the work that needs no caller."""
+        await self.distribution.start()
         if self.options.tree:
-            contents = branch_content_from_directory(self.options.tree)
-            await self.store.import_first(contents)
-        branches = (await self.store.snapshot()).branches
-        self.adoption.take_all(
-            {name: (each.version, each.content) for name, each in branches.items()}
-        )
+            self.background.start("import", self._import_first())
+        self.background.start("jobs", self._run_jobs())
+        self.background.start("claims", self.sweeper.run())
+
+    async def _import_first(self) -> None:
+        """Store the declarations given at the start where there are none yet."""
+        contents = branch_content_from_directory(self.options.tree)
+        while True:
+            try:
+                await self.store.import_first(contents)
+            except PlatformError:
+                await asyncio.sleep(IMPORT_RETRY_S)
+            else:
+                return
+
+    async def _run_jobs(self) -> None:
+        await self.distribution.wait_synced()
         self.jobs.runner.start()
 
     async def finish_background(self) -> None:
@@ -109,6 +129,8 @@
 
     async def stop_background(self) -> None:
         """Stop the rest."""
+        await self.background.stop()
+        await self.distribution.stop()
 
 
 async def make_parts(options: ServeOptions) -> Parts:
@@ -116,6 +138,7 @@
     clock = MonotonicClock()
     incarnation = time.time_ns() // 1_000_000
     tree = CurrentTree()
+    adoption = TreeAdoption(tree, options.address_map)
     platform = platform_from_url(options.platform, clock)
     member = make_member(
         options.vm_id,
@@ -144,8 +167,10 @@
         on_endpoint_leaving=lambda endpoint: member.mark_leaving(endpoint, "engine"),
     )
     member.on_leaving(lambda endpoint, _: coordination.mark_leaving(endpoint))
-    tree.on_change(lambda new: member.set_versions(new.versions))
     tree.on_change(coordination.configure)
+    store = SettingsStore(platform.table)
+    distribution = make_distribution(platform.table, store, member, clock)
+    distribution.on_change(adoption.take_soon)
     pool = ConnectionPool()
     adapters = {kind: make(pool) for kind, make in ENDPOINT_ADAPTERS.items()}
     dispatcher = Dispatcher(
@@ -177,16 +202,18 @@
     return Parts(
         options=options,
         incarnation=incarnation,
-        version=_version(),
+        version=__version__,
         tree=tree,
-        adoption=TreeAdoption(tree, options.address_map),
         platform=platform,
-        store=SettingsStore(platform.table),
+        store=store,
         member=member,
+        distribution=distribution,
+        background=BackgroundTasks(),
         coordination=coordination,
         dispatcher=dispatcher,
         claims=claims,
         keyed=keyed,
         gateway=Gateway(tree, dispatcher, keyed, JobCalls(jobs.api), limits),
         jobs=jobs,
+        sweeper=ClaimSweeper(platform.table, WallClock()),
     )
