--- a/src/pomelolane/endpoints/direct.py
+++ b/src/pomelolane/endpoints/direct.py
@@ -20,6 +20,8 @@
 METERED_PIECES = 8
 """Pieces of an event stream that are counted, and told of, together."""
 
+_CHUNK_END = -2
+
 
 def direct_cycle(send: object) -> RequestResponseCycle | None:
     """Return uvicorn's cycle behind an ASGI ``send`` if it can be driven so."""
@@ -56,7 +58,7 @@
         self._cycle = cycle
         self._write = cycle.transport.write
         self._protocol: RelayHttpProtocol = cycle.transport.get_protocol()
-        self._is_chunked = bool(cycle.chunked_encoding)
+        self.takes_chunks = bool(cycle.chunked_encoding)
         self._meter = meter
         self._observer = observer
         self._unmetered: list[bytes] = []
@@ -69,20 +71,21 @@
         try:
             if self._cycle.disconnected:
                 self.on_lost()
-                return
-            if self._cycle.flow.write_paused:
+            elif self._cycle.flow.write_paused:
                 self.on_full()
-            self._stream.attach(self)
+            if not self._ended.done():
+                self._stream.attach(self)
             await self._ended
         finally:
             self._protocol.listener = None
             self._stream.detach()
+            self._meter_batch()
 
     # --- the endpoint's side ---
 
     def write(self, data: bytes) -> None:
         """Pass on a piece at once; event streams are metered in batches."""
-        if self._is_chunked:
+        if self.takes_chunks:
             self._write(b"%x\r\n%b\r\n" % (len(data), data))
         else:
             self._write_counted(data)
@@ -91,6 +94,14 @@
         if len(unmetered) >= self._batch_pieces:
             self._meter_batch()
 
+    def write_chunk(self, data: bytes, head_length: int) -> None:
+        """Pass on a chunk in its own framing."""
+        self._write(data)
+        unmetered = self._unmetered
+        unmetered.append(data[head_length:_CHUNK_END])
+        if len(unmetered) >= self._batch_pieces:
+            self._meter_batch()
+
     def end(self) -> None:
         """End with the stream."""
         self._meter_batch()
@@ -108,10 +119,14 @@
         self._stream.resume()
 
     def on_lost(self) -> None:
-        """End with the caller."""
+        """End with the caller, or go on for the copy alone."""
         self.caller_gone = True
-        self._stream.detach()
-        self.end()
+        self._write = _drop
+        if self._meter.copies:
+            self._stream.resume()
+        else:
+            self._stream.detach()
+            self.end()
 
     def _meter_batch(self) -> None:
         pieces = self._unmetered
@@ -126,3 +141,7 @@
             return
         cycle.expected_content_length -= len(data)
         self._write(data)
+
+
+def _drop(data: bytes) -> None:
+    del data
