--- a/bench/core_trial.py
+++ b/bench/core_trial.py
@@ -290,14 +290,13 @@
         return arrival.at_ms + arrival.handle.budget_ms
 
 
-def _without(name: str) -> Policy:
-    return Policy(
-        f"without_{name}", make_core_with(replace(CoreOptions(), **{name: False}))
-    )
+def _without(rules: str) -> Policy:
+    off = dict.fromkeys(rules.split("+"), False)
+    return Policy(f"without_{rules}", make_core_with(replace(CoreOptions(), **off)))
 
 
 def policies(names: Sequence[str]) -> list[Policy]:
-    """Return policies by name; ``without_RULE`` is ours with a rule off."""
+    """Return policies by name; ``without_A+B`` is ours with rules off."""
     found = []
     for name in names:
         if name.startswith("without_"):
