Measure decisions, keep speeds as attributes, probe on the tick only

Cause: a profile at 200 endpoints showed most time in the search for due probes and in speeds worked out anew on each use. The change: probes are looked for on the tick, speeds are attributes set when learnt, the latest start is worked out once a request.

--- a/bench/core_trial.py
+++ b/bench/core_trial.py
@@ -290,17 +290,26 @@
         return arrival.at_ms + arrival.handle.budget_ms
 
 
-def _without(rules: str) -> Policy:
-    off = dict.fromkeys(rules.split("+"), False)
-    return Policy(f"without_{rules}", make_core_with(replace(CoreOptions(), **off)))
+def _changed(name: str) -> Policy:
+    """Return ours with rules off or constants changed."""
+    prefix, _, changes = name.partition("_")
+    values: dict[str, object] = {}
+    for change in changes.split("+"):
+        key, _, value = change.partition("=")
+        values[key] = prefix == "with" if not value else float(value)
+    return Policy(name, make_core_with(replace(CoreOptions(), **values)))
 
 
 def policies(names: Sequence[str]) -> list[Policy]:
-    """Return policies by name; ``without_A+B`` is ours with rules off."""
+    """Return policies by name.
+
+    ``without_A+B`` is ours with rules off, ``with_A=1.5+B`` ours with a constant
+    changed and a rule on.
+    """
     found = []
     for name in names:
-        if name.startswith("without_"):
-            found.append(_without(name.removeprefix("without_")))
+        if name.startswith(("with_", "without_")):
+            found.append(_changed(name))
             continue
         cores = GATEWAYS if name == "gateway_queues" else 1
         found.append(Policy(name, lookup(PLACEMENT_POLICIES, name), cores))
--- a/src/pomelolane/scheduler/accounting.py
+++ b/src/pomelolane/scheduler/accounting.py
@@ -71,6 +71,10 @@
     Args:
         endpoint: Its declaration, the prior of its speeds.
         learn_speeds: Whether observation moves the speeds.
+
+    Attributes:
+        prefill_per_ms: Observed prompt speed.
+        decode_per_ms: Observed answer speed of one stream.
     """
 
     def __init__(self, endpoint: Endpoint, *, learn_speeds: bool = True) -> None:
@@ -89,16 +93,8 @@
         self._history_count: list[int] = []
         self._prefill = _speed(endpoint.prefill_tokens_per_s)
         self._decode = _speed(endpoint.decode_tokens_per_s)
-
-    @property
-    def prefill_per_ms(self) -> float:
-        """Observed prompt speed."""
-        return max(_MIN_SPEED_PER_MS, self._prefill.per_ms)
-
-    @property
-    def decode_per_ms(self) -> float:
-        """Observed answer speed of one stream."""
-        return max(_MIN_SPEED_PER_MS, self._decode.per_ms)
+        self.prefill_per_ms = self._prefill.per_ms
+        self.decode_per_ms = self._decode.per_ms
 
     @property
     def slots(self) -> int:
@@ -188,6 +184,7 @@
         self.last_first_token_ms = max(first_ms, self.last_first_token_ms)
         if self._learn_speeds and true_prefill > 0 and busy_ms > 0:
             self._prefill.add(true_prefill, busy_ms)
+            self.prefill_per_ms = max(_MIN_SPEED_PER_MS, self._prefill.per_ms)
         self._prefill_done(flight, now_ms)
         flight.expected_end_ms = now_ms + flight.decode_tokens / self.decode_per_ms
 
@@ -197,6 +194,7 @@
         self.kv_used_tokens += flight.kv_tokens - before
         if self._learn_speeds and event.elapsed_ms > 0:
             self._decode.add(event.tokens, event.elapsed_ms)
+            self.decode_per_ms = max(_MIN_SPEED_PER_MS, self._decode.per_ms)
 
     def _prefill_done(self, flight: Flight, now_ms: float) -> None:
         self.prefill_tokens_ahead -= flight.prefill_tokens
@@ -222,7 +220,7 @@
     """Own account of a plain service's worker.
 
     A call has one phase whose time does not depend on tokens; calls do not
-    wait for each other.
+    wait for each other. It has no prompt phase, and counts as one token.
     """
 
     def __init__(self, endpoint: Endpoint, *, learn_speeds: bool = True) -> None:
@@ -230,21 +228,13 @@
         self._calls = DecayingRate(
             1.0 / _PLAIN_SERVICE_PRIOR_MS, _SPEED_PRIOR_MS, _SPEED_HALF_LIFE_MS
         )
-
-    @property
-    def prefill_per_ms(self) -> float:
-        """Return infinity: there is no prompt phase."""
-        return math.inf
-
-    @property
-    def decode_per_ms(self) -> float:
-        """Return calls a millisecond: a call counts as one token."""
-        return self._calls.per_ms
+        self.prefill_per_ms = math.inf
+        self.decode_per_ms = self._calls.per_ms
 
     def service_ms(self, prefill_tokens: int, decode_tokens: int) -> float:
         """Predict the time of a call, whatever its size."""
         del prefill_tokens, decode_tokens
-        return 1.0 / self._calls.per_ms
+        return 1.0 / self.decode_per_ms
 
     def own_first_token_ms(self, prefill_tokens: int) -> float:
         """Predict the time to the answer."""
@@ -263,6 +253,7 @@
             self.last_first_token_ms = now_ms
             if self._learn_speeds:
                 self._calls.add(1.0, max(0.1, event.ttft_ms))
+                self.decode_per_ms = self._calls.per_ms
 
 
 def make_endpoint_state(
--- a/src/pomelolane/scheduler/admission.py
+++ b/src/pomelolane/scheduler/admission.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -90,8 +91,7 @@
         if refusal is not None:
             return Verdict(refusal)
         rank = waiting.handle.tier_rank
-        backlog = self._queue.backlog_ahead(waiting.handle, waiting.deadline_ms)
-        predicted_ms = self._fleet.summary(now_ms).drain_ms(backlog)
+        predicted_ms = self._predicted_wait_ms(waiting, now_ms)
         wait_ms = predicted_ms * self.drain.factor(rank)
         if self._too_late_after(waiting, wait_ms, now_ms):
             retry_ms = self._retry_after_ms(rank, now_ms)
@@ -106,8 +106,7 @@
         if not self._options.refuse_unreachable:
             return waiting.deadline_ms
         factor = self._options.safety_factor
-        middle_ms = self._best_service_ms(waiting, waiting.decode_tokens, now_ms)
-        long_ms = self._best_service_ms(waiting, waiting.long_decode_tokens, now_ms)
+        middle_ms, long_ms = self._best_service_ms(waiting, now_ms)
         needed = needed_ms(
             middle_ms * factor, long_ms * factor, waiting.handle.budget_ms
         )
@@ -136,7 +135,8 @@
             return Refusal(Outcome.NOT_RUN, Reason.NO_ENDPOINT, retry_ms)
         if handle.budget_ms <= 0:
             return Refusal(Outcome.NOT_RUN, Reason.DEADLINE_PASSED)
-        if now_ms > self.latest_start_ms(waiting, now_ms):
+        waiting.latest_start_ms = self.latest_start_ms(waiting, now_ms)
+        if now_ms > waiting.latest_start_ms:
             return Refusal(Outcome.NOT_RUN, Reason.DEADLINE_UNREACHABLE)
         return None
 
@@ -148,22 +148,35 @@
             return True
         return self._fleet.eligible(excluded)
 
-    def _best_service_ms(
-        self, waiting: Waiting, decode_tokens: int, now_ms: float
-    ) -> float:
+    def _best_service_ms(self, waiting: Waiting, now_ms: float) -> tuple[float, float]:
+        """Return the shortest times of a middling and a long answer."""
         handle = waiting.handle
+        middle = waiting.decode_tokens
+        long = waiting.long_decode_tokens
         prefill = handle.prefill_tokens
-        best_ms = self._fleet.summary(now_ms).best_service_ms(prefill, decode_tokens)
+        middle_ms = long_ms = math.inf
+        for account in self._fleet.summary(now_ms).fastest:
+            middle_ms = min(middle_ms, account.service_ms(prefill, middle))
+            long_ms = min(long_ms, account.service_ms(prefill, long))
+        if middle_ms == math.inf:
+            return 0.0, 0.0
         if not self._options.affinity or not handle.prefix_hashes:
-            return best_ms
+            return middle_ms, long_ms
         for endpoint_id in self._prefixes.holders(handle.prefix_hashes):
             worker = self._fleet.workers.get(endpoint_id)
             if worker is None or worker.account.leaving:
                 continue
             cached = self._prefixes.cached_tokens(endpoint_id, handle.prefix_hashes)
             rest = max(0, prefill - cached)
-            best_ms = min(best_ms, worker.account.service_ms(rest, decode_tokens))
-        return best_ms
+            middle_ms = min(middle_ms, worker.account.service_ms(rest, middle))
+            long_ms = min(long_ms, worker.account.service_ms(rest, long))
+        return middle_ms, long_ms
+
+    def _predicted_wait_ms(self, waiting: Waiting, now_ms: float) -> float:
+        if not len(self._queue):
+            return 0.0
+        backlog = self._queue.backlog_ahead(waiting.handle, waiting.deadline_ms)
+        return self._fleet.summary(now_ms).drain_ms(backlog)
 
     def _too_late_after(self, waiting: Waiting, wait_ms: float, now_ms: float) -> bool:
         """Tell whether the queue ahead rules the deadline out.
@@ -175,7 +188,8 @@
             return False
         if self._queue.lowest_rank() > waiting.handle.tier_rank:
             return False
-        return now_ms + wait_ms > self.latest_start_ms(waiting, now_ms)
+        slack_ms = waiting.latest_start_ms - now_ms
+        return wait_ms > slack_ms * self._options.predict_wait_margin
 
     def _make_place(
         self, waiting: Waiting, predicted_ms: float, now_ms: float
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -56,7 +56,7 @@
         self._admission = Admission(self._fleet, self._queue, self._prefixes, options)
         self._lengths = AnswerLengths(enabled=options.learn_lengths)
         self._limits = LimitBook()
-        self._reserve = Reserve()
+        self._reserve = Reserve(options)
         self._flights = FlightBook(
             FlightParts(
                 self._queue,
@@ -114,7 +114,7 @@
             rank = victim.handle.tier_rank
             refusal = self._admission.displacement(rank, now_ms)
             decisions.append(self._refuse(victim, refusal))
-        self._enqueue(waiting, now_ms)
+        self._enqueue(waiting)
         decisions.extend(self._dispatch(now_ms))
         return decisions
 
@@ -179,6 +179,8 @@
         self._flights.check(now_ms)
         decisions = self._expire(now_ms)
         decisions.extend(self._dispatch(now_ms))
+        if self._waiting:
+            decisions.extend(self._probe(now_ms))
         return decisions
 
     def placement_of(self, request_id: str) -> Placement | None:
@@ -202,10 +204,10 @@
         slack_ms = handle.budget_ms - hold_ms
         self._reserve.arrived(handle.tier_rank, hold_ms, slack_ms, now_ms)
 
-    def _enqueue(self, waiting: Waiting, now_ms: float) -> None:
+    def _enqueue(self, waiting: Waiting) -> None:
         self._waiting[waiting.handle.request_id] = waiting
         self._queue.push(waiting)
-        self._check_at(self._admission.latest_start_ms(waiting, now_ms), waiting)
+        self._check_at(waiting.latest_start_ms, waiting)
 
     def _check_at(self, time_ms: float, waiting: Waiting) -> None:
         heapq.heappush(self._checks, (time_ms, next(self._sequence), waiting))
@@ -245,8 +247,6 @@
             if decision is None:
                 break
             decisions.append(decision)
-        if self._waiting:
-            decisions.extend(self._probe(now_ms))
         return decisions
 
     def _next_grant(self, now_ms: float) -> Decision | None:
--- a/src/pomelolane/scheduler/fleet.py
+++ b/src/pomelolane/scheduler/fleet.py
@@ -67,11 +67,6 @@
     fastest: tuple[EndpointState, ...]
     by_speed: tuple[Worker, ...]
 
-    def best_service_ms(self, prefill_tokens: int, decode_tokens: int) -> float:
-        """Return the shortest predicted time, with nothing ahead."""
-        times = (a.service_ms(prefill_tokens, decode_tokens) for a in self.fastest)
-        return min(times, default=0.0)
-
     def middle_service_ms(self, prefill_tokens: int, decode_tokens: int) -> float:
         """Return the predicted time on the endpoint of middle speed."""
         if not self.by_speed:
@@ -149,7 +144,13 @@
             self._unhealthy.pop(worker.endpoint_id, None)
         else:
             self._unhealthy[worker.endpoint_id] = worker
-        self.refresh_all(now_ms)
+        ready_before = self._ready
+        self._ready = sum(1 for other in self.workers.values() if _is_ready(other))
+        self._summary = None
+        if 0 in (ready_before, self._ready):
+            self.refresh_all(now_ms)
+        else:
+            self.refresh(worker, now_ms)
 
     def refresh(self, worker: Worker, now_ms: float) -> None:
         """Work out anew whether a worker can take a grant."""
@@ -188,9 +189,9 @@
         return [
             worker
             for worker in self._unhealthy.values()
-            if not worker.account.leaving
+            if worker.health.probe_due(worker.account, now_ms)
+            and not worker.account.leaving
             and worker.account.free_slots(now_ms) > 0
-            and worker.health.probe_due(worker.account, now_ms)
         ]
 
     def ready_count(self) -> int:
@@ -204,6 +205,13 @@
             for endpoint_id, worker in self.workers.items()
         )
 
+    @property
+    def prefill_per_ms(self) -> float:
+        """Return the mean prompt speed of an endpoint when last summarised."""
+        if self._summary is None or not self._summary.room.endpoints:
+            return 0.0
+        return self._summary.prefill_per_ms / self._summary.room.endpoints
+
     def holds_memory(self, tokens: int) -> bool:
         """Tell whether any endpoint's KV cache is large enough at all."""
         return tokens <= self._largest_kv_tokens
--- a/src/pomelolane/scheduler/options.py
+++ b/src/pomelolane/scheduler/options.py
@@ -29,6 +29,16 @@
         prefill_lookahead_ms: Prefill work that an engine may have ahead and
             still take a grant.
         safety_factor: Margin on predicted service times against deadlines.
+        prefix_weight: Worth of not processing a prompt again, as a multiple of
+            the time that it would take.
+        predict_wait_margin: How many times the predicted wait must rule the
+            deadline out before a request is refused on arrival.
+        reserve_slots: Whether the reserve bounds slots.
+        reserve_prefill: Whether the reserve bounds engines busy with prompts.
+        reserve_window_ms: Time over which arrivals are counted as one burst.
+        reserve_memory_ms: Time after which a burst counts half.
+        reserve_limit: Largest share of slots kept.
+        reserve_above_usual: Multiple of the usual rate that is no burst.
         default_slot_share: Share of each endpoint's slots used at the start.
     """
 
@@ -38,10 +48,18 @@
     stragglers: bool = True
     refuse_unreachable: bool = True
     predict_wait: bool = True
-    wait_for_better: bool = True
+    wait_for_better: bool = False
     bound_prefill: bool = True
     learn_speeds: bool = True
     learn_lengths: bool = True
     prefill_lookahead_ms: float = 50.0
     safety_factor: float = 1.1
+    prefix_weight: float = 0.0
+    predict_wait_margin: float = 1.5
+    reserve_slots: bool = True
+    reserve_prefill: bool = True
+    reserve_window_ms: float = 1_000.0
+    reserve_memory_ms: float = 60_000.0
+    reserve_limit: float = 0.5
+    reserve_above_usual: float = 0.0
     default_slot_share: float = 1.0
--- a/src/pomelolane/scheduler/placement.py
+++ b/src/pomelolane/scheduler/placement.py
@@ -42,6 +42,8 @@
         first_token_ms: Predicted time to the first token, wait included.
         total_ms: Predicted time to the last token, wait included.
         long_ms: The same for an answer that few exceed in length.
+        score: What is compared between endpoints: the total, and the cost of
+            processing again what another endpoint has in its cache.
     """
 
     worker: Worker
@@ -52,6 +54,7 @@
     first_token_ms: float
     total_ms: float
     long_ms: float
+    score: float
 
 
 class Placer:
@@ -141,6 +144,7 @@
             first_ms,
             total_ms,
             long_ms,
+            total_ms + self._options.prefix_weight * self._prefill_cost_ms(prefill),
         )
 
     def in_time(self, waiting: Waiting, placement: Placement, now_ms: float) -> bool:
@@ -152,6 +156,11 @@
         )
         return now_ms + needed <= waiting.deadline_ms
 
+    def _prefill_cost_ms(self, prefill_tokens: int) -> float:
+        """Return the time of a prompt on an average endpoint."""
+        per_ms = self._fleet.prefill_per_ms
+        return prefill_tokens / per_ms if per_ms > 0 else 0.0
+
     def _holders(self, handle: Handle) -> list[Worker]:
         if not self._options.affinity or not handle.prefix_hashes:
             return []
@@ -176,7 +185,7 @@
             placement = self.predict(waiting, worker, 0.0, now_ms)
             if not self._usable(waiting, placement, now_ms):
                 continue
-            if best is None or placement.total_ms < best.total_ms:
+            if best is None or placement.score < best.score:
                 best = placement
         return best
 
@@ -215,7 +224,7 @@
                 continue
             wait_ms = worker.account.slot_wait_ms(now_ms)
             placement = self.predict(waiting, worker, wait_ms, now_ms)
-            if best is None or placement.total_ms < best.total_ms:
+            if best is None or placement.score < best.score:
                 best = placement
         return best
 
@@ -246,5 +255,5 @@
 
 
 def _worth_waiting(now: Placement, later: Placement) -> bool:
-    gain_ms = now.total_ms - later.total_ms
-    return gain_ms > max(_WAIT_GAIN_MS, _WAIT_GAIN_SHARE * now.total_ms)
+    gain_ms = now.score - later.score
+    return gain_ms > max(_WAIT_GAIN_MS, _WAIT_GAIN_SHARE * now.score)
--- a/src/pomelolane/scheduler/queue.py
+++ b/src/pomelolane/scheduler/queue.py
@@ -32,6 +32,7 @@
         decode_tokens: Expected answer length as learnt.
         long_decode_tokens: Answer length that few answers exceed.
         queued: Whether it still waits.
+        latest_start_ms: When it must begin to be in time, as last predicted.
         predicted_wait_ms: Plain prediction of its wait when it came.
     """
 
@@ -41,6 +42,7 @@
     decode_tokens: int
     long_decode_tokens: int
     queued: bool = True
+    latest_start_ms: float = 0.0
     predicted_wait_ms: float = 0.0
 
     @property
--- a/src/pomelolane/scheduler/reserve.py
+++ b/src/pomelolane/scheduler/reserve.py
@@ -9,14 +9,15 @@
 import math
 from bisect import bisect_left, bisect_right, insort
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from pomelolane.scheduler.estimate import DecayingCount
 
-_WINDOW_HALF_LIFE_MS = 1_000.0
-_PEAK_HALF_LIFE_MS = 60_000.0
+if TYPE_CHECKING:
+    from pomelolane.scheduler.options import CoreOptions
+
 _SLACK_SHARE = 0.5
 _MEAN_STEP = 0.05
-_MAX_SHARE = 0.5
 _MIN_SLOTS = 0.5
 
 
@@ -36,10 +37,22 @@
 class _TierDemand:
     """Recent arrivals of one tier and what they needed."""
 
-    __slots__ = ("_arrivals", "_peak", "_peak_at_ms", "hold_ms", "slack_ms")
-
-    def __init__(self) -> None:
-        self._arrivals = DecayingCount(_WINDOW_HALF_LIFE_MS)
+    __slots__ = (
+        "_above_usual",
+        "_arrivals",
+        "_memory_ms",
+        "_peak",
+        "_peak_at_ms",
+        "_usual",
+        "hold_ms",
+        "slack_ms",
+    )
+
+    def __init__(self, window_ms: float, memory_ms: float, above_usual: float) -> None:
+        self._arrivals = DecayingCount(window_ms)
+        self._usual = DecayingCount(memory_ms)
+        self._memory_ms = memory_ms
+        self._above_usual = above_usual
         self._peak = 0.0
         self._peak_at_ms = 0.0
         self.hold_ms = 0.0
@@ -47,6 +60,7 @@
 
     def arrived(self, hold_ms: float, slack_ms: float, now_ms: float) -> None:
         self._arrivals.add(1.0, now_ms)
+        self._usual.add(1.0, now_ms)
         rate = self._arrivals.rate_per_ms(now_ms)
         self._peak = max(rate, self.peak_per_ms(now_ms))
         self._peak_at_ms = now_ms
@@ -56,11 +70,12 @@
 
     def peak_per_ms(self, now_ms: float) -> float:
         age_ms = now_ms - self._peak_at_ms
-        return self._peak * 0.5 ** (age_ms / _PEAK_HALF_LIFE_MS)
+        return self._peak * 0.5 ** (age_ms / self._memory_ms)
 
     def slots(self, now_ms: float) -> float:
         """Return the slots that a burst like the recent ones would hold."""
-        return self.peak_per_ms(now_ms) * self.hold_ms
+        usual = self._usual.rate_per_ms(now_ms) * self._above_usual
+        return max(0.0, self.peak_per_ms(now_ms) - usual) * self.hold_ms
 
 
 class _Ends:
@@ -87,9 +102,14 @@
 
 
 class Reserve:
-    """Bounds how much long work of lower tiers may hold at one time."""
+    """Bounds how much long work of lower tiers may hold at one time.
 
-    def __init__(self) -> None:
+    Args:
+        options: Switches of the core.
+    """
+
+    def __init__(self, options: CoreOptions) -> None:
+        self._options = options
         self._tiers: dict[int, _TierDemand] = {}
         self._slot_ends = _Ends()
         self._prefill_ends = _Ends()
@@ -107,7 +127,11 @@
         """
         demand = self._tiers.get(rank)
         if demand is None:
-            demand = self._tiers[rank] = _TierDemand()
+            demand = self._tiers[rank] = _TierDemand(
+                self._options.reserve_window_ms,
+                self._options.reserve_memory_ms,
+                self._options.reserve_above_usual,
+            )
         demand.arrived(hold_ms, max(0.0, slack_ms), now_ms)
 
     def allows(
@@ -117,11 +141,12 @@
         wanted, patience_ms = self._wanted(rank, now_ms)
         if wanted < _MIN_SLOTS or hold_ms <= patience_ms:
             return True
-        share = min(_MAX_SHARE, wanted / max(1, room.slots))
+        share = min(self._options.reserve_limit, wanted / max(1, room.slots))
         until_ms = now_ms + patience_ms
-        if self._slot_ends.after(until_ms) >= _allowance(room.slots, share):
+        held = self._slot_ends.after(until_ms)
+        if self._options.reserve_slots and held >= _allowance(room.slots, share):
             return False
-        if prefill_ms <= patience_ms:
+        if prefill_ms <= patience_ms or not self._options.reserve_prefill:
             return True
         return self._prefill_ends.after(until_ms) < _allowance(room.endpoints, share)
 
