Test the decision core's rules and properties without sockets

Cause: every rule of the core needs a scenario, and what must always hold needs random runs. Found by them: with every endpoint straggling, a missed deadline was reported as no endpoint; mended.

--- a/src/pomelolane/scheduler/admission.py
+++ b/src/pomelolane/scheduler/admission.py
@@ -117,7 +117,7 @@
         reason = Reason.DEADLINE_UNREACHABLE
         if now_ms >= waiting.deadline_ms:
             reason = Reason.DEADLINE_PASSED
-        if self._fleet.ready_count() == 0:
+        if not self._fleet.summary(now_ms).by_speed:
             reason = Reason.NO_ENDPOINT
         rank = waiting.handle.tier_rank
         return Refusal(Outcome.NOT_RUN, reason, self._retry_after_ms(rank, now_ms))
@@ -209,7 +209,7 @@
 
     def _retry_after_ms(self, rank: int, now_ms: float) -> int:
         """Return when what waits at a tier and above should be gone."""
-        if self._fleet.ready_count() == 0:
+        if not self._fleet.summary(now_ms).by_speed:
             wait_ms = self._fleet.retry_ms(now_ms)
         else:
             backlog = self._queue.backlog(rank)
--- a/tests/scheduler/core.feature
+++ b/tests/scheduler/core.feature
@@ -53,3 +53,41 @@
       | id | tier | prefill | decode | budget_ms |
       | a  | 0    | 100     | 10     | 60000     |
     Then the core granted "a" on "slow"
+
+  Scenario: Engines are granted no more than their slots
+    When the core is given 10 requests of tier 0
+    Then the core has granted 4 requests
+
+  Scenario: Memory that is taken holds a large request back
+    When the core is given the requests
+      | id | tier | prefill | decode | budget_ms |
+      | a  | 0    | 60000   | 10     | 600000    |
+      | b  | 0    | 60000   | 10     | 600000    |
+      | c  | 0    | 60000   | 10     | 600000    |
+    And 30000 ms pass for the core
+    Then the core has not decided "c"
+
+  Scenario: A request larger than any endpoint's memory is refused at once
+    When the core is given the requests
+      | id | tier | prefill | decode | budget_ms |
+      | a  | 0    | 120000  | 10     | 600000    |
+    Then the core refused "a" as "no_endpoint"
+
+  Scenario: A report of somebody else's load takes slots
+    When the core hears from "fast" of 2 running and 0 waiting, 0 ms ago
+    And the core is given the requests
+      | id | tier | prefill | decode | budget_ms |
+      | a  | 0    | 100     | 10     | 60000     |
+    Then the core granted "a" on "slow"
+
+  Scenario: A report that is far behind takes none
+    When the core hears from "fast" of 2 running and 0 waiting, 9000 ms ago
+    And the core is given the requests
+      | id | tier | prefill | decode | budget_ms |
+      | a  | 0    | 100     | 10     | 60000     |
+    Then the core granted "a" on "fast"
+
+  Scenario: A data centre that is cut off uses its share of slots
+    When the core may use a share of 0.5 of the slots
+    And the core is given 10 requests of tier 0
+    Then the core has granted 2 requests
--- a/tests/steps/scheduler_steps.py
+++ b/tests/steps/scheduler_steps.py
@@ -1,130 +1,19 @@
 """Steps of the scheduler's features: a core, a clock moved by hand, no I/O."""
 
 from behave import given, then, when
-
-from pomelolane.clock import ManualClock
-from pomelolane.messages import Handle, RunningHandle, StreamEvent
-from pomelolane.model import (
-    Endpoint,
-    Service,
-    ServiceKind,
-    Team,
-    Tier,
-    Tree,
-    Work,
+from scheduler_driver import (
+    SERVICE,
+    CoreDriver,
+    endpoint_from_row,
+    make_handle,
 )
-from pomelolane.ports import Grant
-from pomelolane.scheduler import CoreOptions, make_core_with
-
-SERVICE = "model"
-
-
-class CoreDriver:
-    """A core with everything that it has decided so far."""
-
-    def __init__(self, endpoints, options=None, **tree):
-        self.clock = ManualClock(1_000.0)
-        self.options = options or CoreOptions()
-        self.core = make_core_with(self.options)(SERVICE)
-        self.endpoints = endpoints
-        self.tree = tree
-        self.decisions = {}
-        self.order = []
-        self.running = {}
-        self.handles = {}
-        self.take(self.core.configure(make_tree(endpoints, **tree), self.now))
-
-    @property
-    def now(self):
-        """The clock's reading."""
-        return self.clock.now_ms()
-
-    def take(self, decisions):
-        """Keep decisions."""
-        for decision in decisions:
-            self.decisions.setdefault(decision.request_id, []).append(decision.result)
-            self.order.append(decision.request_id)
-            if isinstance(decision.result, Grant):
-                self.running[decision.request_id] = decision.result.endpoint_id
-
-    def submit(self, handle):
-        """Hand in a request."""
-        self.handles[handle.request_id] = handle
-        self.take(self.core.submit(handle, self.now))
-
-    def event(self, request_id, **fields):
-        """Hand in a stream event."""
-        event = StreamEvent(request_id, self.running[request_id], **fields)
-        self.take(self.core.observe(event, self.now))
-        if event.finished or event.refused:
-            del self.running[request_id]
-
-    def end(self, request_id):
-        """Let a request end at a usual pace."""
-        tokens = self.handles[request_id].decode_tokens
-        self.event(request_id, ttft_ms=10.0)
-        self.event(request_id, tokens=tokens, elapsed_ms=tokens * 12.5)
-        self.event(request_id, finished=True)
-
-    def tick(self, by_ms, step_ms=50.0):
-        """Let time pass."""
-        until = self.now + by_ms
-        while self.now < until:
-            self.clock.advance(min(step_ms, until - self.now))
-            self.take(self.core.tick(self.now))
-
-    def result(self, request_id):
-        """Return a request's only decision."""
-        assert request_id in self.decisions, f"nothing decided on {request_id}"
-        assert len(self.decisions[request_id]) == 1
-        return self.decisions[request_id][0]
-
-
-def make_tree(endpoints, queue_limit=1000, organisations=(), teams=(), kind="engine"):
-    service = Service(
-        name=SERVICE,
-        team="team",
-        kind=ServiceKind(kind),
-        works={"work": Work("work", "top", 60_000)},
-        queue_limit=queue_limit,
-    )
-    return Tree(
-        tiers={f"t{rank}": Tier(f"t{rank}", rank) for rank in range(3)},
-        teams={t.name: t for t in teams} or {"team": Team("team")},
-        services={SERVICE: service},
-        endpoints={e.endpoint_id: e for e in endpoints},
-        organisations={o.name: o for o in organisations},
-    )
-
-
-def make_handle(row, **fields):
-    cells = dict(row.items()) if hasattr(row, "items") else dict(row)
-    return Handle(
-        request_id=cells["id"],
-        service=SERVICE,
-        work=cells.get("work", "work"),
-        tier_rank=int(cells.get("tier", 0)),
-        organisation=cells.get("organisation", "org"),
-        team=cells.get("team", "team"),
-        budget_ms=int(cells.get("budget_ms", 60_000)),
-        prefill_tokens=int(cells.get("prefill", 100)),
-        decode_tokens=int(cells.get("decode", 10)),
-        **fields,
-    )
-
-
-def endpoint_from_row(row):
-    cells = dict(row.items())
-    return Endpoint(
-        endpoint_id=cells["endpoint"],
-        service=SERVICE,
-        data_centre=cells.get("data_centre", ""),
-        address="",
-        slots=int(cells.get("slots", 2)),
-        kv_tokens=int(cells.get("kv_tokens", 100_000)),
-        prefill_tokens_per_s=float(cells.get("prefill_tokens_per_s", 4000)),
-        decode_tokens_per_s=float(cells.get("decode_tokens_per_s", 40)),
-    )
+
+from pomelolane.messages import RunningHandle
+from pomelolane.model import Endpoint, Limits, Organisation
+from pomelolane.outcomes import Outcome
+from pomelolane.ports import CacheEvent, Grant, LoadReport
+
+BLOCK_TOKENS = 256
 
 
 @given("a core with the endpoints")
@@ -156,7 +45,7 @@
 
 @when('the core is told to forget "{request_id}"')
 def step_forget(context, request_id):
-    context.core.take(context.core.core.withdraw(request_id, context.core.now))
+    context.core.forget(request_id)
 
 
 @when('the core hears that "{endpoint}" is leaving')
@@ -187,3 +76,184 @@
 @then('the core has not decided "{request_id}"')
 def step_undecided(context, request_id):
     assert request_id not in context.core.decisions, context.core.decisions
+
+
+@given("a core with a queue of {limit:d} and the endpoints")
+def step_core_queue(context, limit):
+    endpoints = [endpoint_from_row(row) for row in context.table]
+    context.core = CoreDriver(endpoints, queue_limit=limit)
+
+
+@given("a core whose organisation is limited to {limit:d} {what}")
+def step_core_limited(context, limit, what):
+    fields = {
+        "requests a second": "requests_per_s",
+        "tokens a second": "tokens_per_s",
+        "running requests": "concurrency",
+    }
+    limits = Limits(**{fields[what]: limit})
+    organisation = Organisation("org", "team", "", limits=limits)
+    endpoint = Endpoint("limited", SERVICE, "", "", slots=8)
+    context.core = CoreDriver([endpoint], organisations=[organisation])
+
+
+@when("the core is given {number:d} requests of tier {tier:d}")
+def step_many(context, number, tier):
+    for index in range(number):
+        row = {"id": f"many-{index}", "tier": tier, "decode": 400}
+        context.core.submit(make_handle(row))
+
+
+@when("{ms:d} ms pass for the core")
+def step_pass(context, ms):
+    context.core.tick(ms)
+
+
+@when('the core sees "{request_id}" end')
+def step_one_end(context, request_id):
+    context.core.end(request_id)
+
+
+@when('the core sees "{request_id}" refused by its endpoint')
+def step_cut_off(context, request_id):
+    context.core.cut_off(request_id)
+
+
+@when(
+    'the core hears from "{endpoint}" of {running:d} running and {waiting:d} waiting, '
+    "{age_ms:d} ms ago"
+)
+def step_report(context, endpoint, running, waiting, age_ms):
+    report = LoadReport(endpoint, running, waiting, 0, age_ms)
+    context.core.take(context.core.core.report_load(report, context.core.now))
+
+
+@when("the core may use a share of {share:f} of the slots")
+def step_share(context, share):
+    context.core.take(context.core.core.limit_slots(share, context.core.now))
+
+
+@given('the core has seen "{endpoint}" keep its pace')
+def step_pace(context, endpoint):
+    context.core.submit(make_handle({"id": "steady", "decode": 4000}))
+    assert context.core.running["steady"] == endpoint
+    context.core.event("steady", ttft_ms=20.0)
+    speed = {e.endpoint_id: e for e in context.core.endpoints}[endpoint]
+    for _ in range(40):
+        context.core.tick(100)
+        tokens = round(speed.decode_tokens_per_s / 10)
+        context.core.progress(endpoint, tokens, 100.0)
+
+
+@when(
+    '"{endpoint}" becomes {factor:d} times slower for {ms:d} ms under the core\'s eyes'
+)
+def step_slower(context, endpoint, factor, ms):
+    speed = {e.endpoint_id: e for e in context.core.endpoints}[endpoint]
+    context.slow = (endpoint, factor * 1000.0 / speed.decode_tokens_per_s)
+    step_stay_slow(context, ms)
+
+
+@when("the core sees its stragglers stay slow for {ms:d} ms")
+def step_stay_slow(context, ms):
+    _, gap_ms = context.slow
+    until = context.core.now + ms
+    while context.core.now < until:
+        context.core.tick(gap_ms)
+        if "steady" in context.core.running:
+            context.core.event("steady", tokens=1, elapsed_ms=gap_ms)
+
+
+@given('the core has sent a prompt of {blocks:d} blocks to "{endpoint}"')
+def step_sent(context, blocks, endpoint):
+    other = {e.endpoint_id for e in context.core.endpoints} - {endpoint}
+    context.core.submit(_prompt("first", blocks, 1, excluded=tuple(other)))
+    assert context.core.running["first"] == endpoint
+    context.core.end("first")
+
+
+@when("the core is given a prompt with {which} {blocks:d} blocks")
+def step_again(context, which, blocks):
+    first = 1 if which == "the same" else 1_000
+    context.core.submit(_prompt("again", blocks, first))
+
+
+@when('the core hears that "{endpoint}" has evicted the {blocks:d} blocks')
+def step_evicted(context, endpoint, blocks):
+    for number in range(blocks):
+        event = CacheEvent(endpoint, number + 1, False, number + 1)
+        context.core.core.report_cache(event, context.core.now)
+
+
+@when('the core hears words of "{endpoint}" with {gaps:d} gaps')
+def step_gaps(context, endpoint, gaps):
+    for number in range(gaps + 1):
+        event = CacheEvent(endpoint, 10 * number, True, 5_000 + number)
+        context.core.core.report_cache(event, context.core.now)
+
+
+@given("the core has served a burst of {number:d} checks")
+def step_burst(context, number):
+    for index in range(number):
+        row = {"id": f"check-{index}", "decode": 20, "prefill": 50, "budget_ms": 2000}
+        context.core.submit(make_handle(row))
+        context.core.tick(20)
+        if f"check-{index}" in context.core.running:
+            context.core.end(f"check-{index}")
+
+
+@when("the core is flooded with long work of tier {tier:d}")
+def step_long(context, tier):
+    for index in range(40):
+        row = {"id": f"long-{index}", "tier": tier, "decode": 800, "prefill": 1}
+        context.core.submit(make_handle({**row, "budget_ms": 600_000}))
+
+
+@then("the core runs {number:d} requests of tier {tier:d}")
+def step_runs(context, number, tier):
+    step_runs_between(context, number, number, tier)
+
+
+@then("the core runs from {low:d} to {high:d} requests of tier {tier:d}")
+def step_runs_between(context, low, high, tier):
+    handles = context.core.handles
+    running = sum(handles[i].tier_rank == tier for i in context.core.running)
+    assert low <= running <= high, running
+
+
+@then('the core granted "{request_id}" at once')
+def step_granted_at_once(context, request_id):
+    assert isinstance(context.core.result(request_id), Grant)
+
+
+@then("the core has granted {number:d} requests")
+def step_granted_number(context, number):
+    results = [r for found in context.core.decisions.values() for r in found]
+    assert sum(isinstance(r, Grant) for r in results) == number
+
+
+@then('the core refused "{request_id}" as "{reason}"')
+def step_refused(context, request_id, reason):
+    result = context.core.result(request_id)
+    assert not result, result
+    assert result.outcome is Outcome.NOT_RUN
+    assert result.reason == reason, result
+
+
+@then('the core\'s refusal of "{request_id}" says when to come back')
+def step_come_back(context, request_id):
+    assert context.core.result(request_id).retry_after_ms > 0
+
+
+@then(
+    'the core\'s refusal of "{request_id}" says to come back in {low:d} to {high:d} ms'
+)
+def step_come_back_in(context, request_id, low, high):
+    retry_ms = context.core.result(request_id).retry_after_ms
+    assert low <= retry_ms <= high, retry_ms
+
+
+def _prompt(request_id, blocks, first, **fields):
+    row = {"id": request_id, "prefill": blocks * BLOCK_TOKENS + 10, "decode": 5}
+    hashes = tuple(range(first, first + blocks))
+    return make_handle(row, prefix_hashes=hashes, **fields)
