Weigh a cached prefix by what its loss costs, and wait for its holder

Cause: by predicted time alone a fast engine without the prefix beat a slow one with it, so the same evidence was processed on every engine. The change: the score adds thirty times the prefill that would be done again, and a request with more than half of its time to spare waits for a busy holder.

--- a/src/pomelolane/scheduler/baselines.py
+++ b/src/pomelolane/scheduler/baselines.py
@@ -30,7 +30,8 @@
     affinity=False,
     stragglers=False,
     predict_wait=False,
-    wait_for_better=False,
+    wait_for_prefix=False,
+    prefix_weight=0.0,
     bound_prefill=False,
 )
 GATEWAY_QUEUES_OPTIONS = CoreOptions(
@@ -39,7 +40,8 @@
     affinity=False,
     stragglers=False,
     predict_wait=False,
-    wait_for_better=False,
+    wait_for_prefix=False,
+    prefix_weight=0.0,
     bound_prefill=False,
     default_slot_share=1.0 / _GATEWAYS,
 )
--- a/src/pomelolane/scheduler/fleet.py
+++ b/src/pomelolane/scheduler/fleet.py
@@ -156,7 +156,7 @@
         """Work out anew whether a worker can take a grant."""
         self._close(worker)
         account = worker.account
-        if not self._may_serve(worker) or account.free_slots(now_ms) <= 0:
+        if not self.may_serve(worker) or account.free_slots(now_ms) <= 0:
             return
         ahead_ms = account.prefill_ahead_ms(now_ms)
         lookahead_ms = self._options.prefill_lookahead_ms
@@ -194,6 +194,14 @@
             and worker.account.free_slots(now_ms) > 0
         ]
 
+    def may_serve(self, worker: Worker) -> bool:
+        """Tell whether a worker serves; stragglers do if nobody else can."""
+        if worker.account.leaving:
+            return False
+        if worker.health.state is State.HEALTHY:
+            return True
+        return self._ready == 0 and worker.health.state is State.STRAGGLING
+
     def ready_count(self) -> int:
         """Return how many endpoints are healthy and not leaving."""
         return self._ready
@@ -229,7 +237,7 @@
         return self._summary
 
     def _summarise(self) -> Summary:
-        ready = [w for w in self.workers.values() if self._may_serve(w)]
+        ready = [w for w in self.workers.values() if self.may_serve(w)]
         ready.sort(key=_typical_ms)
         accounts = [worker.account for worker in ready]
         return Summary(
@@ -257,14 +265,6 @@
         elif declared_again:
             worker.account.leaving = False
 
-    def _may_serve(self, worker: Worker) -> bool:
-        """Tell whether a worker serves; stragglers do if nobody else can."""
-        if worker.account.leaving:
-            return False
-        if worker.health.state is State.HEALTHY:
-            return True
-        return self._ready == 0 and worker.health.state is State.STRAGGLING
-
     def _close(self, worker: Worker) -> None:
         if worker.open_key is not None:
             del self._open[bisect_left(self._open, worker.open_key)]
--- a/src/pomelolane/scheduler/options.py
+++ b/src/pomelolane/scheduler/options.py
@@ -23,6 +23,8 @@
         predict_wait: Refuse at once what the queue ahead makes unreachable.
         wait_for_better: Let a request wait for a busy endpoint that would
             finish it sooner than any free one.
+        wait_for_prefix: Let a request wait for a busy endpoint that holds a
+            prefix of its prompt.
         bound_prefill: Keep prompts queued here while an engine's prefill is busy.
         learn_speeds: Use observed speeds; otherwise the declared ones.
         learn_lengths: Use observed answer lengths; otherwise the expected ones.
@@ -49,12 +51,13 @@
     refuse_unreachable: bool = True
     predict_wait: bool = True
     wait_for_better: bool = False
+    wait_for_prefix: bool = True
     bound_prefill: bool = True
     learn_speeds: bool = True
     learn_lengths: bool = True
     prefill_lookahead_ms: float = 50.0
     safety_factor: float = 1.1
-    prefix_weight: float = 0.0
+    prefix_weight: float = 30.0
     predict_wait_margin: float = 1.5
     reserve_slots: bool = True
     reserve_prefill: bool = True
--- a/src/pomelolane/scheduler/placement.py
+++ b/src/pomelolane/scheduler/placement.py
@@ -27,6 +27,7 @@
 _OTHER_DATA_CENTRE_MS = 4.0
 _WAIT_GAIN_SHARE = 0.3
 _WAIT_GAIN_MS = 100.0
+_WAIT_REMAINING_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,19 +91,15 @@
         handle = waiting.handle
         holders = self._holders(handle)
         best = self._best_open(waiting, holders, held, now_ms)
-        if not self._options.wait_for_better and best is not None:
-            return best
-        if len(held) >= _MAX_HELD:
+        if best is None or len(held) >= _MAX_HELD:
             return best
         later = self._best_busy(waiting, holders, held, now_ms)
-        if later is None:
+        if later is None or not _worth_waiting(best, later):
             return best
-        if best is not None and not _worth_waiting(best, later):
+        if not self._surely_in_time(waiting, later, now_ms):
             return best
-        if best is None or self.in_time(waiting, later, now_ms):
-            held.add(later.worker.endpoint_id)
-            return None
-        return best
+        held.add(later.worker.endpoint_id)
+        return None
 
     def hold_memory(self, waiting: Waiting, held: set[str]) -> None:
         """Keep an endpoint from lower tiers until a request's KV cache fits."""
@@ -156,6 +153,13 @@
         )
         return now_ms + needed <= waiting.deadline_ms
 
+    def _surely_in_time(
+        self, waiting: Waiting, placement: Placement, now_ms: float
+    ) -> bool:
+        """Tell whether a prediction leaves much of the time that is left."""
+        remaining_ms = waiting.deadline_ms - now_ms
+        return placement.long_ms <= _WAIT_REMAINING_SHARE * remaining_ms
+
     def _prefill_cost_ms(self, prefill_tokens: int) -> float:
         """Return the time of a prompt on an average endpoint."""
         per_ms = self._fleet.prefill_per_ms
@@ -169,8 +173,9 @@
         for endpoint_id in self._prefixes.holders(handle.prefix_hashes):
             if len(found) >= _MAX_HOLDERS:
                 break
-            if endpoint_id in workers:
-                found.append(workers[endpoint_id])
+            worker = workers.get(endpoint_id)
+            if worker is not None and self._fleet.may_serve(worker):
+                found.append(worker)
         return found
 
     def _best_open(
@@ -231,9 +236,10 @@
     def _busy_candidates(
         self, holders: list[Worker], now_ms: float
     ) -> Iterator[Worker]:
-        for worker in holders:
-            if worker.open_key is None and not worker.account.leaving:
-                yield worker
+        if self._options.wait_for_prefix:
+            yield from (worker for worker in holders if worker.open_key is None)
+        if not self._options.wait_for_better:
+            return
         looked = 0
         for worker in self._fleet.summary(now_ms).by_speed:
             if looked >= _MAX_BUSY:
