Pass over a gatherer that is cut off from the table; lost replies are no outage

Only a table that cannot be reached, or that hangs twice, counts as one now. A gatherer that cannot reach the table made the others refuse too; they now commit what it turned down themselves, and it alone refuses.

--- a/src/pomelolane/platform/committer.py
+++ b/src/pomelolane/platform/committer.py
@@ -34,7 +34,8 @@
 
 _SPACING_GROWTH = 2.0
 _SPACING_DECAY = 0.9
-_LOST_REPLIES_ALLOWED = 1
+_HANG_MS = 500.0
+_HANGS_ALLOWED = 1
 
 
 class Committer(Protocol):
@@ -119,7 +120,7 @@
     _least_spacing_ms: float = 0.0
     _last_start_ms: float = float("-inf")
     _failed_at_ms: float | None = None
-    _failures: int = 0
+    _hangs: int = 0
 
     def __post_init__(self) -> None:
         self._least_spacing_ms = self.spacing_ms
@@ -157,10 +158,12 @@
                 batch = self._take_batch()
                 if batch:
                     await self._commit(batch)
-        finally:
-            self._task = None
+        except (Exception, asyncio.CancelledError):
             self._fail(list(self._queue), PlatformUnavailableError("stopped"))
             self._queue.clear()
+            raise
+        finally:
+            self._task = None
 
     async def _wait_until_due(self) -> None:
         spaced_at_ms = self._last_start_ms + self.spacing_ms
@@ -204,10 +207,12 @@
             self._answer(batch, results)
 
     def _note_failure(self, error: PlatformError) -> None:
-        # One lost reply is no outage; a table that hangs loses several.
-        self._failures += 1
+        # A reply that is lost at once is no outage; a table that hangs is.
+        elapsed_ms = self.clock.now_ms() - self._last_start_ms
+        if elapsed_ms >= _HANG_MS:
+            self._hangs += 1
         unreachable = isinstance(error, PlatformUnavailableError)
-        if unreachable or self._failures > _LOST_REPLIES_ALLOWED:
+        if unreachable or self._hangs > _HANGS_ALLOWED:
             self._failed_at_ms = self.clock.now_ms()
 
     def _put_back(self, batch: list[PendingWrite], error: RateLimitedError) -> None:
@@ -228,7 +233,7 @@
         self, batch: list[PendingWrite], results: Sequence[WriteResult]
     ) -> None:
         self._failed_at_ms = None
-        self._failures = 0
+        self._hangs = 0
         self.spacing_ms = max(self._least_spacing_ms, self.spacing_ms * _SPACING_DECAY)
         elapsed_ms = self.clock.now_ms() - self._last_start_ms
         log_event(CLAIM_COMMITTED, claims=len(batch), elapsed_ms=elapsed_ms)
--- a/src/pomelolane/platform/gather.py
+++ b/src/pomelolane/platform/gather.py
@@ -158,6 +158,8 @@
 
     def _commit_directly(self, pendings: Sequence[PendingWrite]) -> None:
         for pending in pendings:
+            if pending.future.done():
+                continue
             pending.sent = True
             direct = self.core.submit(pending.write, lazy=pending.lazy)
             direct.future.add_done_callback(
@@ -166,13 +168,16 @@
 
     def _give_up(self, batch_id: int) -> None:
         batch = self._batches.pop(batch_id)
-        until_ms = self._clock.now_ms() + self._settings.distrust_ms
-        self._distrusted_until_ms[batch.gatherer] = until_ms
+        self._distrust(batch.gatherer)
         log_event(GATHERER_SILENT, gatherer=batch.gatherer, writes=len(batch.pendings))
         for pending in batch.pendings:
             if not pending.future.done():
                 pending.future.set_exception(CommitUnknownError("gatherer is silent"))
 
+    def _distrust(self, gatherer: str) -> None:
+        until_ms = self._clock.now_ms() + self._settings.distrust_ms
+        self._distrusted_until_ms[gatherer] = until_ms
+
     def _on_results(self, sender: str, message: ClaimResults) -> None:
         batch = self._batches.get(message.batch_id)
         if batch is None or batch.gatherer != sender:
@@ -181,8 +186,16 @@
             return
         del self._batches[message.batch_id]
         batch.timer.cancel()
+        turned_down: list[PendingWrite] = []
         for pending, result in zip(batch.pendings, message.results, strict=True):
-            _settle(pending, result)
+            if result.unavailable:
+                turned_down.append(pending)
+            else:
+                _settle(pending, result)
+        if turned_down:
+            # Perhaps only the gatherer is cut off from the table.
+            self._distrust(sender)
+            self._commit_directly(turned_down)
 
     # --- gathering
 
@@ -278,9 +291,7 @@
 def _settle(pending: PendingWrite, result: RelayedResult) -> None:
     if pending.future.done():
         return
-    if result.unavailable:
-        pending.future.set_exception(PlatformUnavailableError("the gatherer says so"))
-    elif result.unknown:
+    if result.unknown:
         pending.future.set_exception(CommitUnknownError("the gatherer says so"))
     else:
         pending.future.set_result(
