--- a/bench/engines.py
+++ b/bench/engines.py
@@ -50,6 +50,11 @@
         decode_s = max(0.0, answer_tokens - 1) / self.decode_tokens_per_s
         return prompt_tokens / self.prefill_tokens_per_s + decode_s
 
+    def crowded_s(self, prompt_tokens: float, answer_tokens: float) -> float:
+        """Return the time that a request takes in a full batch."""
+        decode_s = max(0.0, answer_tokens - 1) * self.full_step_s
+        return prompt_tokens / self.prefill_tokens_per_s + decode_s
+
     def requests_per_s(self, prompt_tokens: float, answer_tokens: float) -> float:
         """Return how many requests of one size it can answer for ever."""
         prefill_s = prompt_tokens / self.prefill_tokens_per_s
--- a/bench/inversions.py
+++ b/bench/inversions.py
@@ -2,7 +2,7 @@
 
 A refusal of a higher tier is an inversion when a request of a lower tier was
 dispatched afterwards, to an engine on which the refused one could still have
-made its deadline.
+made its deadline at the speed that a full batch has there.
 """
 
 from __future__ import annotations
@@ -81,8 +81,8 @@
     # A request that expired in the queue was passed over while it waited.
     waited = record.reason == _EXPIRED
     from_ms = record.sent_at_ms + (0.0 if waited else record.total_ms) + _IN_FLIGHT_MS
-    alone_s = speeds[item.endpoint_id].alone_s(
+    needed_s = speeds[item.endpoint_id].crowded_s(
         arrival.prompt_tokens, arrival.answer_tokens
     )
-    until_ms = record.sent_at_ms + arrival.deadline_ms - alone_s * 1000.0
+    until_ms = record.sent_at_ms + arrival.deadline_ms - needed_s * 1000.0
     return from_ms < item.at_ms <= until_ms
--- a/tests/bench/measure.feature
+++ b/tests/bench/measure.feature
@@ -16,6 +16,17 @@
     And a bench request of rank 2 that is dispatched after 3990 ms
     Then the bench counts 0 inversions
 
+  Scenario Outline: What counts is the speed of a full batch
+    Given a bench request of rank 0 that is refused for "deadline_unreachable" after 100 ms
+    And a bench request of rank 2 that is dispatched after <dispatched> ms
+    Then the bench counts <inversions> inversions
+
+    # 100 prompt tokens take 100 ms, four more answer tokens 436 ms.
+    Examples:
+      | dispatched | inversions |
+      | 3460       | 1          |
+      | 3470       | 0          |
+
   Scenario: One that waited in vain while a lower tier went on is an inversion
     Given a bench request of rank 0 that is refused for "deadline_passed" after 4000 ms
     And a bench request of rank 1 that is dispatched after 900 ms
