Compare books until the scheduler holds nothing; tighten the features

Cause: after a lost release a gateway took its first empty sync's answer as the end, so the slot was freed only when the follower counted as silent (5 s). The answer now says how many requests are held, and the slot is free within 3 s. Found by breaking rules one at a time: five breaks had gone unnoticed (old grants accepted, slot freed while it is registered again, books not compared, no fallback, full share alone); each has a scenario now.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -146,7 +146,7 @@
             return
         if link.is_current(sender, message.epoch):
             link.heard()
-            link.sync_answered(message.missing)
+            link.sync_answered(message.missing, message.held)
 
     def _rejected(self, sender: str, message: NotScheduler) -> None:
         link = self._links.get(message.service)
@@ -183,7 +183,7 @@
         # The same grant twice is harmless; another one means that the
         # scheduler has to learn where the request runs.
         if message.endpoint_id != ticket.endpoint_id:
-            link.sync_answered((ticket.request_id,))
+            link.sync_answered((ticket.request_id,), held=1)
 
     def _is_ruled_out(self, ticket: Ticket, endpoint_id: str) -> bool:
         return endpoint_id in self._leaving or endpoint_id in ticket.handle.excluded
--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -185,7 +185,9 @@
         missing += [name for name in message.running if name not in follower.entries]
         if message.whole:
             self._count_absences(follower, message)
-        self._send(gateway, SyncAck(message.epoch, self.service, tuple(missing)))
+        held = len(follower.entries)
+        answer = SyncAck(message.epoch, self.service, tuple(missing), held)
+        self._send(gateway, answer)
         if message.whole and not missing:
             follower.registered = True
         self._end_settling(self._clock.now_ms())
--- a/src/pomelolane/coordination/link.py
+++ b/src/pomelolane/coordination/link.py
@@ -188,14 +188,14 @@
             if ticket is not None:
                 ticket.admitted = True
 
-    def sync_answered(self, missing: Sequence[str]) -> None:
+    def sync_answered(self, missing: Sequence[str], held: int) -> None:
         """Register again what the scheduler does not know."""
         waiting = [self.waiting[name] for name in missing if name in self.waiting]
         running = [self.running[name] for name in missing if name in self.running]
         if waiting or running:
             self._submit(waiting, running)
             self._syncs = 0
-        elif not self.waiting and not self.running:
+        elif held == 0 and not self.waiting and not self.running:
             self._settled = True
 
     def rejected(self) -> None:
--- a/src/pomelolane/messages.py
+++ b/src/pomelolane/messages.py
@@ -211,11 +211,13 @@
         epoch: Copied from the sync.
         service: The service.
         missing: Requests that the scheduler does not know and needs again.
+        held: Number of the gateway's requests that the scheduler knows.
     """
 
     epoch: int
     service: str
     missing: tuple[str, ...] = ()
+    held: int = 0
 
 
 class Unfollow(Message, frozen=True):
--- a/tests/coordination/client.feature
+++ b/tests/coordination/client.feature
@@ -80,7 +80,7 @@
     And the coordinated clock moves by 200 ms
     And the network is whole again
     Then all coordinated requests run exactly once
-    And no scheduler holds anything in the end
+    And no scheduler holds anything after 3000 ms
 
   Scenario: A grant for an endpoint known to be leaving is not used
     Given all coordinated endpoints but "b/1" are leaving, as the gateways know
--- a/tests/coordination/role.feature
+++ b/tests/coordination/role.feature
@@ -78,9 +78,11 @@
     Given messages of kind "Granted" are kept back
     When "another" asks for 1 slots of tier 0
     And the role moves while the former scheduler lives on
+    And the kept messages of the former scheduler arrive
+    Then the last coordinated request has no slot yet
+    And the former scheduler got its slot back
     And the network is whole again
-    And the kept messages arrive
-    Then all coordinated requests run exactly once
+    And all coordinated requests run exactly once
     And no scheduler holds anything in the end
 
   Scenario: A VM that is not chosen says whom it follows
@@ -109,23 +111,39 @@
     And no scheduler holds anything in the end
 
   Scenario: Without any scheduler a gateway grants its share, and goes back
-    When "b-1" loses all others without its view knowing
-    And "b-1" asks for 4 slots of tier 0
-    And "b-1" has to go alone
+    When "a-1" loses all others without its view knowing
+    And "a-1" asks for 4 slots of tier 0
+    And "a-1" has to go alone
     Then all coordinated requests run exactly once
     And no coordinated endpoint ever ran more than its slots
     And the cut is healed
     And all coordinated VMs follow the same scheduler
     And no scheduler holds anything in the end
 
+  Scenario: A gateway that comes back keeps its slot all the time
+    Given all coordinated slots are taken for 5000 ms
+    When "a-1" asks for 6 slots of tier 0
+    And "b-1" loses all others without its view knowing
+    And the coordinated clock moves by 2500 ms
+    And the cut is healed
+    Then no coordinated endpoint ever ran more than its slots
+    And all coordinated VMs follow the same scheduler
+
+  Scenario: A VM that becomes scheduler for itself alone grants its share
+    Given all coordinated slots take 4000 ms
+    When the second choice loses all others without its view knowing
+    And the second choice asks for 8 slots of tier 0
+    And the coordinated clock moves by 3000 ms
+    Then the second choice runs just its share
+
   Scenario: Waiting and running requests go back with their gateway
     Given all coordinated slots take 4000 ms
-    When "b-1" loses all others without its view knowing
-    And "b-1" asks for 8 slots of tier 0
-    And "b-1" has to go alone
+    When "a-1" loses all others without its view knowing
+    And "a-1" asks for 8 slots of tier 0
+    And "a-1" has to go alone
     And the cut is healed
     And the coordinated clock moves by 1000 ms
-    Then the scheduler knows all requests of "b-1"
+    Then the scheduler knows all requests of "a-1"
     And all coordinated requests run exactly once
 
   Scenario: A new scheduler knows the running requests before it grants
--- a/tests/steps/coordination_fault_steps.py
+++ b/tests/steps/coordination_fault_steps.py
@@ -8,9 +8,12 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from pomelolane.coordination import rendezvous
+from pomelolane.messages import Withdraw
 from pomelolane.ports import Peer
 from tests.coordination.world import (
     World,
+    ask,
     in_flight,
     make_handle,
     world_of,
@@ -27,7 +30,48 @@
     context.run(world.settle())
 
 
+@when("the kept messages of the former scheduler arrive")
+def step_release_kept(context):
+    world = context.world
+    context.given_back = []
+    for vm in world.vms.values():
+        vm.transport.subscribe(
+            Withdraw, lambda _, message: context.given_back.extend(message.request_ids)
+        )
+    network = world.network
+    network.kept = [one for one in network.kept if one[0] == context.former]
+    network.release_kept()
+    context.run(world.run(20))
+
+
+@then("the former scheduler got its slot back")
+def step_given_back(context):
+    assert context.given_back == [context.request.handle.request_id]
+
+
+@when("the second choice loses all others without its view knowing")
+def step_isolate_second(context):
+    world = world_of(context)
+    others = [name for name in world.vms if name != world.scheduler()]
+    context.second = rendezvous("pool", others)
+    step_isolate(context, context.second)
+
+
+@when("the second choice asks for {count:d} slots of tier {tier:d}")
+def step_second_asks(context, count, tier):
+    for _ in range(count):
+        ask(context, context.second, tier=tier)
+
+
+@then("the second choice runs just its share")
+def step_share(context):
+    client = context.world.vms[context.second].coordination.client
+    assert client.links()["pool"].scheduler == context.second
+    assert context.world.most_used == dict.fromkeys(context.slots, 1)
+
+
 @when("the network is whole again")
+@then("the network is whole again")
 def step_whole(context):
     context.world.network.make_whole()
 
@@ -107,7 +151,7 @@
 @when("the role moves while the former scheduler lives on")
 def step_move(context):
     world = context.world
-    former = world.scheduler()
+    former = context.former = world.scheduler()
     world.peers[former] = replace(world.peers[former], draining=True)
     world.share_reachable_views()
     context.run(world.run(20))
@@ -134,7 +178,7 @@
     world = context.world
     client = world.vms[name].coordination.client
     link = client.links()["pool"]
-    context.run(world.run_until(lambda: link.is_alone or link.scheduler == name))
+    context.run(world.run_until(lambda: link.is_alone))
 
 
 @when("the cut is healed")
--- a/tests/steps/coordination_steps.py
+++ b/tests/steps/coordination_steps.py
@@ -186,10 +186,15 @@
 
 @then("no scheduler holds anything in the end")
 def step_nothing_left(context):
+    step_nothing_left_after(context, 12_000)
+
+
+@then("no scheduler holds anything after {for_ms:d} ms")
+def step_nothing_left_after(context, for_ms):
     world = context.world
     world_of(context).network.make_whole()
     context.run(world.run_until(lambda: not in_flight(world), 30_000))
-    context.run(world.run(12_000))
+    context.run(world.run(for_ms))
     world.check_nothing_is_left()
 
 
@@ -208,6 +213,12 @@
     assert not context.request.dispatches
 
 
+@then("the last coordinated request has no slot yet")
+def step_no_slot(context):
+    assert not context.request.dispatches, context.request
+    assert not context.request.ended
+
+
 @then('the last coordinated request ran at "{endpoint_ids}"')
 def step_ran_at(context, endpoint_ids):
     assert context.request.dispatches == endpoint_ids.replace("nowhere", "").split()
