--- a/src/pomelolane/parts.py
+++ b/src/pomelolane/parts.py
@@ -215,5 +215,5 @@
         keyed=keyed,
         gateway=Gateway(tree, dispatcher, keyed, JobCalls(jobs.api), limits),
         jobs=jobs,
-        sweeper=ClaimSweeper(platform.table, WallClock()),
+        sweeper=ClaimSweeper(platform.table, platform.objects, WallClock()),
     )
