--- a/src/pomelolane/gateway/sinks.py
+++ b/src/pomelolane/gateway/sinks.py
@@ -18,7 +18,7 @@
 
     from pomelolane.endpoints import AnswerStream, RelayResult
     from pomelolane.gateway.ending import FirstByte
-    from pomelolane.gateway.exchange import AsgiMessage, AsgiSend, Exchange
+    from pomelolane.gateway.exchange import Exchange
 
 MAX_KEPT_BYTES = 8 * 1024 * 1024
 
@@ -58,16 +58,15 @@
     ) -> SinkResult:
         """Relay the answer; see :class:`~pomelolane.gateway.ending.Sink`."""
         self.streams_events = _is_event_stream(stream)
-        send = self._send
         if self._tee is not None:
             self._tee.begin(stream)
-            send = _teeing(send, self._tee)
         result = await relay(
             stream,
-            send,
+            self._send,
             on_first=on_first,
             on_progress=on_progress,
             headers=self._headers,
+            copy_to=self._tee.add if self._tee is not None else None,
         )
         return _sink_result(result)
 
@@ -126,9 +125,10 @@
         self.answer.begin(stream)
         result = await relay(
             stream,
-            _teeing(_discard, self.answer),
+            _discard,
             on_first=on_first,
             on_progress=on_progress,
+            copy_to=self.answer.add,
         )
         return _sink_result(result)
 
@@ -182,14 +182,6 @@
         return replace(collected, begun=True)
 
 
-def _teeing(send: AsgiSend, answer: KeptAnswer) -> AsgiSend:
-    async def send_and_keep(message: AsgiMessage) -> None:
-        answer.add(message.get("body", b""))
-        await send(message)
-
-    return send_and_keep
-
-
 def _sink_result(result: RelayResult) -> SinkResult:
     return SinkResult(result.whole, result.started, result.chunks, result.cached_tokens)
 
