--- a/src/pomelolane/node.py
+++ b/src/pomelolane/node.py
@@ -83,13 +83,14 @@
         )
         parts.gateway.draining = True
         parts.member.set_draining()
+        handover = asyncio.create_task(parts.coordination.handover())
         await asyncio.sleep(DRAIN_GRACE_S)
         timeout_s = self._options.drain_timeout_ms / 1000
         try:
             async with asyncio.timeout(timeout_s):
                 await self._listener.stop()
                 await parts.finish_background()
-                await parts.coordination.handover()
+                await handover
         except TimeoutError:
             log_event(
                 events.TASK_FAILED,
