Refuse plain links beyond this machine without raising; fuzz the member

Cause: a gossiped address outside this machine raised from send(). Change: send() returns False and the refusal is logged; 400 well-formed messages with any content leave a member at work.

--- a/src/pomelolane/membership/keys.py
+++ b/src/pomelolane/membership/keys.py
@@ -103,18 +103,12 @@
     return z85.encode(key)
 
 
-def check_plain_address(flag: str, host: str) -> None:
-    """Refuse an address for talk in the clear unless it is a loopback one.
-
-    Raises:
-        SettingError: Keys are needed there.
-    """
+def is_loopback(host: str) -> bool:
+    """Tell whether an IP number never leaves this machine."""
     try:
-        loopback = ipaddress.ip_address(host).is_loopback
+        return ipaddress.ip_address(host).is_loopback
     except ValueError:
-        loopback = False
-    if not loopback:
-        raise SettingError(flag, host, "a loopback address unless keys are given")
+        return False
 
 
 class KeyAuthenticator(AsyncioAuthenticator):
--- a/src/pomelolane/membership/transport.py
+++ b/src/pomelolane/membership/transport.py
@@ -22,7 +22,7 @@
     UNLISTED_KEY,
     USER_ID_PROPERTY,
     KeyAuthenticator,
-    check_plain_address,
+    is_loopback,
 )
 from pomelolane.membership.links import VM_PROPERTY, Link
 from pomelolane.messages import decode_message, encode_message
@@ -38,6 +38,8 @@
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 MAX_READ_BATCH = 256
 RECEIVE_QUEUE = 10_000
+NOT_LOOPBACK = "no keys, and the address is none of this machine's"
+PLAIN_ALLOWED = "a loopback address unless keys are given"
 
 
 class ZmqTransport:
@@ -68,6 +70,7 @@
         self.addresses = addresses
         self.port = port
         self.rejected = 0
+        self.faults = 0
         self.last_rejection = ""
         self.bytes_received = 0
         self.frames_received = 0
@@ -112,8 +115,8 @@
         Raises:
             SettingError: The address is not allowed or in use.
         """
-        if self._keys is None:
-            check_plain_address("--host", self._host)
+        if self._keys is None and not is_loopback(self._host):
+            raise SettingError("--host", self._host, PLAIN_ALLOWED)
         self._context = zmq.Context()
         if self._keys is not None:
             self._authenticator = KeyAuthenticator(self._context, self._keys)
@@ -204,14 +207,13 @@
         return link
 
     def _open_link(self, vm_id: str, address: str) -> Link | None:
-        server_key = b""
-        if self._keys is None:
-            check_plain_address("--seeds", address.rpartition(":")[0])
-        else:
-            server_key = self._keys.key_of(vm_id)
-            if not server_key:
-                self._reject(vm_id, UNLISTED_KEY)
-                return None
+        server_key = self._keys.key_of(vm_id) if self._keys else b""
+        if self._keys is not None and not server_key:
+            self._reject(vm_id, UNLISTED_KEY)
+            return None
+        if self._keys is None and not is_loopback(address.rpartition(":")[0]):
+            self._reject(vm_id, NOT_LOOPBACK)
+            return None
         return Link(
             self._context,
             self.vm_id,
@@ -263,6 +265,7 @@
                 handler(sender, message)
             except Exception as error:
                 # A fault in one part must not stop the others' messages.
+                self.faults += 1
                 name = getattr(handler, "__qualname__", repr(handler))
                 log_event(TASK_FAILED, task=name, error=repr(error))
 
--- a/tests/membership/transport.feature
+++ b/tests/membership/transport.feature
@@ -28,6 +28,9 @@
 
   Scenario: Without keys only loopback addresses are used
     Then a transport in the clear refuses to listen on "0.0.0.0"
+    Given a transport pair in the clear
+    When transport "a" learns that "far" is at "192.0.2.1:7400"
+    Then transport "a" refuses to send to "far"
 
   Scenario: A VM started again is heard, its earlier start is refused
     Given a transport pair in the clear
@@ -64,6 +67,12 @@
     When transport "b" sends a key query to "a"
     Then transport "a" has got that query from "b"
 
+  Scenario: Well-formed nonsense leaves a member at work
+    Given a transport pair in the clear
+    And a member on the transport "a" of its own
+    When well-formed nonsense is sent to that member
+    Then that member has read it all and still sees itself
+
   Scenario: What waited too long for a connection is dropped
     Given a transport pair in the clear
     And transport "b" is down
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -10,11 +10,24 @@
 from pomelolane.membership import (
     AddressBook,
     ClusterKeys,
+    make_member,
     make_transport,
 )
 from pomelolane.membership.envelope import encode_envelope
 from pomelolane.membership.links import MAX_WAIT_MS, VM_PROPERTY
-from pomelolane.messages import KeyAnswer, KeyQuery, encode_message
+from pomelolane.messages import (
+    Digest,
+    DigestPulse,
+    DigestWanted,
+    EndpointLeaving,
+    Heartbeat,
+    HeartbeatWanted,
+    KeyAnswer,
+    KeyQuery,
+    MemberState,
+    Pulse,
+    encode_message,
+)
 from pomelolane.settings.kinds import Seed
 from tests.membership.waiting import eventually, stop_at_end
 
@@ -146,9 +159,17 @@
     context.run(eventually(lambda: wanted in queries, "the query arrives"))
 
 
+@when('transport "a" learns that "{vm_id}" is at "{address}"')
+def step_learns(context, vm_id, address):
+    context.recorders["a"].transport.addresses.learn(vm_id, address)
+
+
 @then('transport "a" refuses to send to "{to}"')
 def step_refuses(context, to):
-    assert not context.recorders["a"].transport.send(to, KeyQuery("one", "k"))
+    async def send():
+        return context.recorders["a"].transport.send(to, KeyQuery("one", "k"))
+
+    assert not context.run(send())
 
 
 @given("an address book with all three sources for one VM")
@@ -267,6 +288,65 @@
     assert transport.rejected >= count - taken - 1
 
 
+@given('a member on the transport "a" of its own')
+def step_member(context):
+    member = make_member("a", "dca", 1)
+    stop_at_end(context, member)
+    context.run(member.start())
+    context.recorders["a"] = context.member = member
+
+
+def nonsense():
+    """Return a strategy of membership messages with any content."""
+    number = st.integers(-(2**63), 2**63 - 1)
+    name = st.sampled_from(["", "a", "fuzzer", "x", "dca", "dcb", "127.0.0.1:1"])
+    names = st.lists(name, max_size=3).map(tuple)
+    numbers = st.dictionaries(name, number, max_size=3)
+    flag = st.booleans()
+    state = st.builds(MemberState, name, number, flag, flag, name)
+    states = st.lists(state, max_size=3).map(tuple)
+    heartbeat = (name, number, name, number, flag, flag, numbers, names, name)
+    return st.one_of(
+        st.builds(Heartbeat, *heartbeat, flag, numbers),
+        st.builds(Digest, name, number, states, numbers, names, numbers, flag),
+        st.builds(Pulse, number),
+        st.builds(DigestPulse, name, number),
+        st.builds(DigestWanted, name),
+        st.builds(HeartbeatWanted),
+        st.builds(EndpointLeaving, name, name),
+    )
+
+
+@when("well-formed nonsense is sent to that member")
+def step_nonsense(context):
+    messages = []
+
+    @hypothesis_settings(max_examples=400, database=None, derandomize=True)
+    @hypothesis_given(nonsense())
+    def collect(message):
+        messages.append(message)
+
+    collect()
+    frames = [
+        encode_envelope(1, number, [encode_message(message)])
+        for number, message in enumerate(messages, 1)
+    ]
+    context.nonsense_count = len(frames)
+    send_raw(context, frames, stated="fuzzer")
+
+
+@then("that member has read it all and still sees itself")
+def step_nonsense_read(context):
+    member = context.member
+    transport = member.transport
+    count = context.nonsense_count
+    all_read = lambda: transport.frames_received == count  # noqa: E731
+    context.run(eventually(all_read, "all frames read"))
+    assert transport.rejected == 0, transport.last_rejection
+    assert transport.faults == 0
+    assert "a" in member.view().peers
+
+
 @given('transport "b" is down')
 def step_down(context):
     context.run(context.recorders["b"].transport.stop())
