--- a/src/pomelolane/jobs/runner.py
+++ b/src/pomelolane/jobs/runner.py
@@ -29,6 +29,8 @@
     from pomelolane.jobs.store import JobStore
     from pomelolane.ports import Clock, Membership
 
+_HAND_OVER_MS = 2_000.0
+
 
 class JobRunner:
     """Runs jobs on this VM.
@@ -95,11 +97,12 @@
     async def drain(self, timeout_ms: float) -> None:
         """Stop before the process does: finish what runs, hand over the rest."""
         self._draining = True
+        hand_over_ms = min(timeout_ms, _HAND_OVER_MS)
         waiting = [run for run in self._runs.values() if not run.record.is_placed]
-        await _bounded(self._hand_over(waiting), timeout_ms)
+        await _bounded(self._hand_over(waiting), hand_over_ms)
         if self._tasks:
             await asyncio.wait(set(self._tasks), timeout=timeout_ms / 1000.0)
-        await _bounded(self._hand_over(list(self._runs.values())), timeout_ms)
+        await _bounded(self._hand_over(list(self._runs.values())), hand_over_ms)
         for loop in self._loops:
             loop.cancel()
 
