Refuse a higher tier only when a middling answer would be late too

Cause: a request refused because a long answer would not fit may have had a short one, and a lower tier could then take a slot that it could have used. The change: past the time for a long answer a request goes behind its organisation's others, and is refused when a middling answer would be late; the predicted wait refuses the lowest tier only.

--- a/src/pomelolane/scheduler/admission.py
+++ b/src/pomelolane/scheduler/admission.py
@@ -80,6 +80,7 @@
     ) -> None:
         self.drain = DrainRate()
         self.queue_limit = 1000
+        self.lowest_tier_rank = 0
         self._fleet = fleet
         self._queue = queue
         self._prefixes = prefixes
@@ -101,16 +102,22 @@
             return Verdict(predicted_wait_ms=predicted_ms)
         return self._make_place(waiting, predicted_ms, now_ms)
 
-    def latest_start_ms(self, waiting: Waiting, now_ms: float) -> float:
-        """Return until when a request can begin and still be in time."""
+    def predict_latest(self, waiting: Waiting, now_ms: float) -> None:
+        """Predict until when a request can begin and still be in time.
+
+        One time is for a middling answer: after it the request is refused. The
+        other, earlier one leaves time for a long answer.
+        """
+        waiting.latest_start_ms = waiting.deadline_ms
+        waiting.safe_start_ms = waiting.deadline_ms
         if not self._options.refuse_unreachable:
-            return waiting.deadline_ms
+            return
         factor = self._options.safety_factor
         middle_ms, long_ms = self._best_service_ms(waiting, now_ms)
-        needed = needed_ms(
+        waiting.latest_start_ms -= middle_ms * factor
+        waiting.safe_start_ms -= needed_ms(
             middle_ms * factor, long_ms * factor, waiting.handle.budget_ms
         )
-        return waiting.deadline_ms - needed
 
     def expired(self, waiting: Waiting, now_ms: float) -> Refusal:
         """Return the refusal of a request that cannot be in time any more."""
@@ -135,7 +142,7 @@
             return Refusal(Outcome.NOT_RUN, Reason.NO_ENDPOINT, retry_ms)
         if handle.budget_ms <= 0:
             return Refusal(Outcome.NOT_RUN, Reason.DEADLINE_PASSED)
-        waiting.latest_start_ms = self.latest_start_ms(waiting, now_ms)
+        self.predict_latest(waiting, now_ms)
         if now_ms > waiting.latest_start_ms:
             return Refusal(Outcome.NOT_RUN, Reason.DEADLINE_UNREACHABLE)
         return None
@@ -181,14 +188,14 @@
     def _too_late_after(self, waiting: Waiting, wait_ms: float, now_ms: float) -> bool:
         """Tell whether the queue ahead rules the deadline out.
 
-        While a lower tier waits, the prediction refuses nobody: the place of
-        the higher tier's request must not go to a lower one if it was wrong.
+        The prediction refuses work of the lowest tier only: if it was wrong,
+        the place of a higher tier's request would go to a lower one.
         """
         if not self._options.predict_wait or self._fleet.has_open():
             return False
-        if self._queue.lowest_rank() > waiting.handle.tier_rank:
+        if waiting.handle.tier_rank < self.lowest_tier_rank:
             return False
-        slack_ms = waiting.latest_start_ms - now_ms
+        slack_ms = waiting.safe_start_ms - now_ms
         return wait_ms > slack_ms * self._options.predict_wait_margin
 
     def _make_place(
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -78,6 +78,8 @@
         kind = service.kind if service else ServiceKind.ENGINE
         if service:
             self._admission.queue_limit = service.queue_limit
+        ranks = (tier.rank for tier in tree.tiers.values())
+        self._admission.lowest_tier_rank = max(ranks, default=0)
         own = [e for e in tree.endpoints.values() if e.service == self._service]
         known = set(self._fleet.workers)
         self._fleet.configure(own, kind, now_ms)
@@ -207,7 +209,7 @@
     def _enqueue(self, waiting: Waiting) -> None:
         self._waiting[waiting.handle.request_id] = waiting
         self._queue.push(waiting)
-        self._check_at(waiting.latest_start_ms, waiting)
+        self._check_at(waiting.safe_start_ms, waiting)
 
     def _check_at(self, time_ms: float, waiting: Waiting) -> None:
         heapq.heappush(self._checks, (time_ms, next(self._sequence), waiting))
@@ -228,9 +230,9 @@
             waiting = heapq.heappop(self._checks)[2]
             if not waiting.queued:
                 continue
-            latest_ms = self._admission.latest_start_ms(waiting, now_ms)
-            if latest_ms >= now_ms:
-                self._check_at(latest_ms, waiting)
+            self._admission.predict_latest(waiting, now_ms)
+            if waiting.latest_start_ms >= now_ms:
+                self._defer_or_wait(waiting, now_ms)
                 continue
             refusal = self._admission.expired(waiting, now_ms)
             if self._flights.is_parked(waiting.handle):
@@ -238,6 +240,14 @@
             decisions.append(self._refuse(waiting, refusal))
         return decisions
 
+    def _defer_or_wait(self, waiting: Waiting, now_ms: float) -> None:
+        """Look again when a long answer, or else any, would be late."""
+        if waiting.safe_start_ms >= now_ms:
+            self._check_at(waiting.safe_start_ms, waiting)
+            return
+        self._queue.defer(waiting)
+        self._check_at(waiting.latest_start_ms, waiting)
+
     def _dispatch(self, now_ms: float) -> list[Decision]:
         """Grant slots until nothing more can go."""
         decisions: list[Decision] = []
--- a/src/pomelolane/scheduler/options.py
+++ b/src/pomelolane/scheduler/options.py
@@ -40,7 +40,6 @@
         reserve_window_ms: Time over which arrivals are counted as one burst.
         reserve_memory_ms: Time after which a burst counts half.
         reserve_limit: Largest share of slots kept.
-        reserve_above_usual: Multiple of the usual rate that is no burst.
         default_slot_share: Share of each endpoint's slots used at the start.
     """
 
@@ -64,5 +63,4 @@
     reserve_window_ms: float = 1_000.0
     reserve_memory_ms: float = 60_000.0
     reserve_limit: float = 0.5
-    reserve_above_usual: float = 0.0
     default_slot_share: float = 1.0
--- a/src/pomelolane/scheduler/queue.py
+++ b/src/pomelolane/scheduler/queue.py
@@ -19,6 +19,7 @@
 
 _MAX_TRIES_PER_ORGANISATION = 2
 _SMALLEST_WEIGHT = 1e-3
+_DEFERRED_MS = 1e12
 
 
 @dataclass(slots=True, eq=False)
@@ -33,6 +34,9 @@
         long_decode_tokens: Answer length that few answers exceed.
         queued: Whether it still waits.
         latest_start_ms: When it must begin to be in time, as last predicted.
+        safe_start_ms: When it must begin to be in time with a long answer.
+        deferred: Whether it goes after all others because a long answer would
+            be late.
         predicted_wait_ms: Plain prediction of its wait when it came.
     """
 
@@ -43,8 +47,15 @@
     long_decode_tokens: int
     queued: bool = True
     latest_start_ms: float = 0.0
+    safe_start_ms: float = 0.0
+    deferred: bool = False
     predicted_wait_ms: float = 0.0
 
+    @property
+    def order_ms(self) -> float:
+        """Its place inside its organisation."""
+        return self.deadline_ms + (_DEFERRED_MS if self.deferred else 0.0)
+
     @property
     def cost_tokens(self) -> int:
         """Tokens charged against the organisation's share."""
@@ -94,7 +105,7 @@
     def head(self) -> Waiting | None:
         """Return the request with the nearest deadline."""
         heap = self.by_deadline
-        while heap and not heap[0][2].queued:
+        while heap and not _stands(heap[0]):
             heapq.heappop(heap)
         return heap[0][2] if heap else None
 
@@ -153,7 +164,7 @@
         handle = waiting.handle
         tier = self._tier(handle.tier_rank)
         organisation = self._organisation(tier, handle)
-        entry = (waiting.deadline_ms, next(self._sequence), waiting)
+        entry = (waiting.order_ms, next(self._sequence), waiting)
         heapq.heappush(organisation.by_deadline, entry)
         organisation.by_arrival[handle.request_id] = waiting
         tier.by_arrival[handle.request_id] = waiting
@@ -174,10 +185,9 @@
         organisation = self._organisation(tier, handle)
         del organisation.by_arrival[handle.request_id]
         del tier.by_arrival[handle.request_id]
-        for counts in (tier, organisation):
-            counts.prefill_tokens -= handle.prefill_tokens
-            counts.decode_tokens -= waiting.decode_tokens
         self._length -= 1
+        if not waiting.deferred:
+            _uncount(waiting, tier, organisation)
 
     def take(self, waiting: Waiting) -> None:
         """Take a request out for a grant and charge its organisation."""
@@ -192,6 +202,17 @@
         organisation.charge(waiting.cost_tokens)
         team.charge(waiting.cost_tokens)
 
+    def defer(self, waiting: Waiting) -> None:
+        """Let a request go after all others of its organisation."""
+        if waiting.deferred or not waiting.queued:
+            return
+        tier = self._tiers[waiting.handle.tier_rank]
+        organisation = self._organisation(tier, waiting.handle)
+        _uncount(waiting, tier, organisation)
+        waiting.deferred = True
+        entry = (waiting.order_ms, next(self._sequence), waiting)
+        heapq.heappush(organisation.by_deadline, entry)
+
     def correct(self, handle: Handle, tokens: float) -> None:
         """Add to (or give back) what an organisation was charged."""
         tier = self._tier(handle.tier_rank)
@@ -361,6 +382,11 @@
         return organisation
 
 
+def _stands(entry: tuple[float, int, Waiting]) -> bool:
+    """Tell whether a heap entry is its request's current one."""
+    return entry[2].queued and entry[0] == entry[2].order_ms
+
+
 def _tries(organisation: _Organisation) -> Iterator[Waiting]:
     """Yield the first requests by deadline, and then the one that came last.
 
@@ -384,6 +410,13 @@
             heapq.heappush(organisation.by_deadline, entry)
 
 
+def _uncount(waiting: Waiting, tier: _Tier, organisation: _Organisation) -> None:
+    """Take a request's tokens out of what waits."""
+    for counts in (tier, organisation):
+        counts.prefill_tokens -= waiting.handle.prefill_tokens
+        counts.decode_tokens -= waiting.decode_tokens
+
+
 def _positive(weight: float) -> float:
     return weight if weight > 0 else _SMALLEST_WEIGHT
 
--- a/src/pomelolane/scheduler/reserve.py
+++ b/src/pomelolane/scheduler/reserve.py
@@ -38,21 +38,17 @@
     """Recent arrivals of one tier and what they needed."""
 
     __slots__ = (
-        "_above_usual",
         "_arrivals",
         "_memory_ms",
         "_peak",
         "_peak_at_ms",
-        "_usual",
         "hold_ms",
         "slack_ms",
     )
 
-    def __init__(self, window_ms: float, memory_ms: float, above_usual: float) -> None:
+    def __init__(self, window_ms: float, memory_ms: float) -> None:
         self._arrivals = DecayingCount(window_ms)
-        self._usual = DecayingCount(memory_ms)
         self._memory_ms = memory_ms
-        self._above_usual = above_usual
         self._peak = 0.0
         self._peak_at_ms = 0.0
         self.hold_ms = 0.0
@@ -60,7 +56,6 @@
 
     def arrived(self, hold_ms: float, slack_ms: float, now_ms: float) -> None:
         self._arrivals.add(1.0, now_ms)
-        self._usual.add(1.0, now_ms)
         rate = self._arrivals.rate_per_ms(now_ms)
         self._peak = max(rate, self.peak_per_ms(now_ms))
         self._peak_at_ms = now_ms
@@ -74,8 +69,7 @@
 
     def slots(self, now_ms: float) -> float:
         """Return the slots that a burst like the recent ones would hold."""
-        usual = self._usual.rate_per_ms(now_ms) * self._above_usual
-        return max(0.0, self.peak_per_ms(now_ms) - usual) * self.hold_ms
+        return self.peak_per_ms(now_ms) * self.hold_ms
 
 
 class _Ends:
@@ -128,9 +122,7 @@
         demand = self._tiers.get(rank)
         if demand is None:
             demand = self._tiers[rank] = _TierDemand(
-                self._options.reserve_window_ms,
-                self._options.reserve_memory_ms,
-                self._options.reserve_above_usual,
+                self._options.reserve_window_ms, self._options.reserve_memory_ms
             )
         demand.arrived(hold_ms, max(0.0, slack_ms), now_ms)
 
