--- a/src/pomelolane/scheduler/admission.py
+++ b/src/pomelolane/scheduler/admission.py
@@ -17,7 +17,8 @@
     from pomelolane.scheduler.affinity import PrefixIndex
     from pomelolane.scheduler.fleet import Fleet
     from pomelolane.scheduler.options import CoreOptions
-    from pomelolane.scheduler.queue import FairQueue, Waiting
+    from pomelolane.scheduler.queue import FairQueue
+    from pomelolane.scheduler.waiting import Waiting
 
 _MIN_RETRY_MS = 100
 _MAX_RETRY_MS = 60_000
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -24,8 +24,9 @@
 from pomelolane.scheduler.limits import LimitBook
 from pomelolane.scheduler.options import CoreOptions
 from pomelolane.scheduler.placement import Placer
-from pomelolane.scheduler.queue import FairQueue, Waiting
+from pomelolane.scheduler.queue import FairQueue
 from pomelolane.scheduler.reserve import Reserve
+from pomelolane.scheduler.waiting import Waiting
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/src/pomelolane/scheduler/fleet.py
+++ b/src/pomelolane/scheduler/fleet.py
@@ -23,7 +23,7 @@
 
     from pomelolane.model import Endpoint
     from pomelolane.scheduler.options import CoreOptions
-    from pomelolane.scheduler.queue import Backlog
+    from pomelolane.scheduler.waiting import Backlog
 
 _TYPICAL_PREFILL_TOKENS = 512
 _TYPICAL_DECODE_TOKENS = 64
--- a/src/pomelolane/scheduler/flights.py
+++ b/src/pomelolane/scheduler/flights.py
@@ -21,8 +21,9 @@
     from pomelolane.scheduler.limits import LimitBook
     from pomelolane.scheduler.options import CoreOptions
     from pomelolane.scheduler.placement import Placement
-    from pomelolane.scheduler.queue import FairQueue, Waiting
+    from pomelolane.scheduler.queue import FairQueue
     from pomelolane.scheduler.reserve import Reserve
+    from pomelolane.scheduler.waiting import Waiting
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/scheduler/placement.py
+++ b/src/pomelolane/scheduler/placement.py
@@ -18,7 +18,7 @@
     from pomelolane.scheduler.affinity import PrefixIndex
     from pomelolane.scheduler.fleet import Fleet, Worker
     from pomelolane.scheduler.options import CoreOptions
-    from pomelolane.scheduler.queue import Waiting
+    from pomelolane.scheduler.waiting import Waiting
 
 _MAX_OPEN = 8
 _MAX_HOLDERS = 8
