--- /dev/null
+++ b/src/pomelolane/coordination/decisions.py
@@ -0,0 +1,54 @@
+"""Log lines of a scheduler's decisions, with the figures that decided them.
+
+Every grant and refusal leaves one line.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.events import PLACED, REFUSED
+from pomelolane.logs import log_event
+
+if TYPE_CHECKING:
+    from pomelolane.coordination.book import Entry
+    from pomelolane.outcomes import Refusal
+    from pomelolane.ports import Grant, SchedulingCore
+    from pomelolane.scheduler import Placement
+
+
+def log_grant(entry: Entry, grant: Grant, core: SchedulingCore, now_ms: float) -> None:
+    """Write the line of a grant, with the prediction where the core tells it."""
+    placement = _placement_of(core, grant.request_id)
+    first_token_ms = grant.expected_ttft_ms
+    log_event(
+        PLACED,
+        request=grant.request_id,
+        service=entry.handle.service,
+        endpoint=grant.endpoint_id,
+        tier=entry.handle.tier_rank,
+        waited_ms=now_ms - entry.arrived_ms,
+        queue_ms=placement.ahead_ms if placement else "",
+        prefill_ms=first_token_ms - placement.ahead_ms if placement else "",
+        cached_tokens=placement.cached_tokens if placement else "",
+        score=first_token_ms,
+    )
+
+
+def log_refusal(entry: Entry, refusal: Refusal, queued: int) -> None:
+    """Write the line of a refusal."""
+    log_event(
+        REFUSED,
+        request=entry.request_id,
+        service=entry.handle.service,
+        tier=entry.handle.tier_rank,
+        reason=refusal.reason,
+        queued=queued,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
+def _placement_of(core: SchedulingCore, request_id: str) -> Placement | None:
+    """Return the figures of a grant, if this kind of core has any."""
+    read = getattr(core, "placement_of", None)
+    return read(request_id) if read is not None else None
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -188,6 +188,15 @@
     "An inter-VM message was malformed, replayed or not authentic.",
 )
 
+VM_WOKE = _define(
+    406,
+    "vm_woke",
+    "warning",
+    "paused_ms",
+    "This process did not run for a while; its view counts as stale until it is heard "
+    "again.",
+)
+
 # 5xx: platform, claims, leases
 PLATFORM_DOWN = _define(501, "platform_down", "warning", "error", "A call failed.")
 PLATFORM_UP = _define(502, "platform_up", "info", "down_ms", "Calls succeed again.")
@@ -205,6 +214,23 @@
     505, "lease_taken", "info", "lease fencing", "This VM holds the lease."
 )
 LEASE_LOST = _define(506, "lease_lost", "warning", "lease fencing", "It holds no more.")
+CLAIM_RELEASED = _define(
+    507,
+    "claim_released",
+    "info",
+    "key",
+    "A claim that was given up before dispatch is free again.",
+)
+ROWS_SWEPT = _define(
+    508, "rows_swept", "debug", "prefix rows", "Rows past their retention were deleted."
+)
+GATHERER_SILENT = _define(
+    509,
+    "gatherer_silent",
+    "info",
+    "gatherer writes",
+    "A peer that gathers commits did not answer; this VM reads back and commits.",
+)
 
 # 6xx: jobs
 JOB_ACCEPTED = _define(
@@ -221,6 +247,30 @@
     "A dead runner's stream is resumed where it stood.",
 )
 JOB_FINISHED = _define(604, "job_finished", "info", "job state", "The job has ended.")
+JOB_QUEUED_AGAIN = _define(
+    605,
+    "job_queued_again",
+    "info",
+    "job reason",
+    "The job was not run here and waits for any VM.",
+)
+JOB_LOST = _define(
+    606, "job_lost", "warning", "job", "Another VM runs the job now; this one stops."
+)
+JOB_TAKEN_OVER = _define(
+    607,
+    "job_taken_over",
+    "warning",
+    "job runner placed",
+    "The job's runner is gone; this VM goes on with it.",
+)
+JOB_UNSAVED = _define(
+    608,
+    "job_unsaved",
+    "warning",
+    "job error",
+    "The platform does not take the job's end; it is kept in memory and repeated.",
+)
 
 # 7xx: settings
 SETTINGS_APPLIED = _define(
@@ -234,6 +284,22 @@
     "A branch did not pass the checks and was left as it was.",
 )
 
+SETTINGS_ACCEPTED = _define(
+    703,
+    "settings_accepted",
+    "info",
+    "branch version",
+    "An operator's change is committed.",
+)
+SETTINGS_REFUSED = _define(
+    704,
+    "settings_refused",
+    "info",
+    "branch reason",
+    "An operator's change was refused; nothing of it is stored, unless the "
+    "platform's answer stayed unknown.",
+)
+
 # 8xx: endpoints
 ENDPOINT_LEAVING = _define(
     801, "endpoint_leaving", "info", "endpoint source", "It gets no further grant."
--- a/src/pomelolane/exceptions.py
+++ b/src/pomelolane/exceptions.py
@@ -43,6 +43,66 @@
         self.allowed = allowed
 
 
+class InvalidTreeError(PomelolaneError):
+    """The settings tree is wrong in one or more places.
+
+    Attributes:
+        problems: Every problem found, in order of file and line.
+    """
+
+    def __init__(self, problems: tuple[DeclarationError, ...]) -> None:
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+class UnknownOperatorError(PomelolaneError):
+    """The operator's key is missing or belongs to no team."""
+
+
+class ForbiddenBranchError(PomelolaneError):
+    """The operator's key is known but does not open this branch.
+
+    Attributes:
+        branch: The branch.
+    """
+
+    def __init__(self, branch: str) -> None:
+        super().__init__(f"this operator's key does not open branch {branch}")
+        self.branch = branch
+
+
+class VmUnreachableError(PomelolaneError):
+    """A VM did not answer a client command.
+
+    Attributes:
+        url: Where it was looked for.
+    """
+
+    def __init__(self, url: str, cause: str) -> None:
+        super().__init__(f"no answer from {url}: {cause}")
+        self.url = url
+
+
+class VmRefusedError(PomelolaneError):
+    """A VM answered a client command with a problem.
+
+    Attributes:
+        status: HTTP status.
+        reason: Machine-readable cause, empty where the answer gave none.
+        outcome: What is known about whether the request ran.
+        details: What is wrong, one line each.
+    """
+
+    def __init__(
+        self, status: int, reason: str, outcome: str, details: tuple[str, ...]
+    ) -> None:
+        super().__init__("\n".join(details) or f"HTTP status {status}")
+        self.status = status
+        self.reason = reason
+        self.outcome = outcome
+        self.details = details
+
+
 class RegistryError(PomelolaneError):
     """A plug-in name is unknown or registered twice."""
 
@@ -122,3 +182,7 @@
         self.status = status
         self.reason = reason
         self.detail = detail
+
+
+class JobLostError(PomelolaneError):
+    """This runner does not, or not certainly, hold the job any more."""
--- a/src/pomelolane/messages.py
+++ b/src/pomelolane/messages.py
@@ -34,6 +34,8 @@
         data_centre: The gateway's data centre.
         excluded: Endpoints that already failed this request.
         attempt: 0 for the first dispatch.
+        admitted: Whether a scheduler has counted it against limits already; it
+            is registered again then and not counted twice.
     """
 
     request_id: str
@@ -49,6 +51,7 @@
     data_centre: str = ""
     excluded: tuple[str, ...] = ()
     attempt: int = 0
+    admitted: bool = False
 
 
 class RunningHandle(msgspec.Struct, frozen=True, array_like=True):
@@ -100,10 +103,13 @@
     Attributes:
         epoch: Copied from the submit.
         service: The service.
+        scheduler: VM that the answering one follows itself, empty if it does
+            not know the service (yet).
     """
 
     epoch: int
     service: str
+    scheduler: str = ""
 
 
 class Granted(Message, frozen=True):
@@ -178,6 +184,54 @@
     request_ids: tuple[str, ...]
 
 
+class Sync(Message, frozen=True):
+    """Gateway to scheduler: what it holds of a service; also the sign of life.
+
+    Lost submits, grants and releases are found by it.
+
+    Attributes:
+        epoch: The gateway's number for its current choice of scheduler.
+        service: The service.
+        whole: Whether the lists are there; without them it is a sign of life.
+        waiting: Requests that still wait for a slot.
+        running: Dispatched requests.
+    """
+
+    epoch: int
+    service: str
+    whole: bool = True
+    waiting: tuple[str, ...] = ()
+    running: tuple[str, ...] = ()
+
+
+class SyncAck(Message, frozen=True):
+    """Scheduler to gateway: the answer to a sync.
+
+    Attributes:
+        epoch: Copied from the sync.
+        service: The service.
+        missing: Requests that the scheduler does not know and needs again.
+        held: Number of the gateway's requests that the scheduler knows.
+    """
+
+    epoch: int
+    service: str
+    missing: tuple[str, ...] = ()
+    held: int = 0
+
+
+class Unfollow(Message, frozen=True):
+    """Gateway to its earlier scheduler: it follows another one now.
+
+    Attributes:
+        epoch: The number that the earlier choice had.
+        service: The service.
+    """
+
+    epoch: int
+    service: str
+
+
 class Heartbeat(Message, frozen=True):
     """A member's sign of life inside its data centre.
 
@@ -189,7 +243,11 @@
         ready: Whether it takes callers.
         draining: Whether it is stopping.
         versions: Settings version by branch.
-        leaving: Endpoints that the sender knows to be leaving.
+        leaving: Endpoints that the sender itself found to be leaving.
+        address: ``ip:port`` at which others reach the sender.
+        stopped: Whether this is the sender's last message.
+        remote: Hash of the digest of each other data centre that the sender
+            hears of directly; empty unless it is a delegate.
     """
 
     vm_id: str
@@ -200,6 +258,23 @@
     draining: bool
     versions: dict[str, int]
     leaving: tuple[str, ...] = ()
+    address: str = ""
+    stopped: bool = False
+    remote: dict[str, int] = {}
+
+
+class Pulse(Message, frozen=True):
+    """A heartbeat whose content is that of the last full one.
+
+    Attributes:
+        state_hash: Hash of that content.
+    """
+
+    state_hash: int
+
+
+class HeartbeatWanted(Message, frozen=True):
+    """Answer to a pulse whose content the receiver does not have."""
 
 
 class MemberState(msgspec.Struct, frozen=True, array_like=True):
@@ -222,6 +297,7 @@
         versions: Highest settings version by branch.
         leaving: Endpoints known to be leaving.
         capacity: Free slots by service.
+        reply: Whether it answers another digest, and so wants no answer.
     """
 
     data_centre: str
@@ -230,6 +306,25 @@
     versions: dict[str, int]
     leaving: tuple[str, ...] = ()
     capacity: dict[str, int] = {}
+    reply: bool = False
+
+
+class DigestPulse(Message, frozen=True):
+    """A digest whose content is that of the last full one.
+
+    Attributes:
+        data_centre: The summarised data centre.
+        digest_hash: Hash of that content.
+    """
+
+    data_centre: str
+    digest_hash: int
+
+
+class DigestWanted(Message, frozen=True):
+    """Ask a VM for the digest that it has of a data centre."""
+
+    data_centre: str
 
 
 class BranchWanted(Message, frozen=True):
@@ -289,6 +384,57 @@
     outcome: str = ""
 
 
+class RelayedWrite(msgspec.Struct, frozen=True, array_like=True):
+    """One conditional write on its way to the VM that commits it.
+
+    Attributes:
+        key: Row key.
+        value: New value.
+        if_version: Version the row must have, 0 for absent, None for any.
+    """
+
+    key: str
+    value: bytes
+    if_version: int | None
+
+
+class RelayedResult(msgspec.Struct, frozen=True, array_like=True):
+    """What became of a relayed write.
+
+    Attributes:
+        applied: Whether its condition held.
+        version: The row's version afterwards.
+        unavailable: Whether it was certainly not applied.
+        unknown: Whether the reply to its commit was lost.
+    """
+
+    applied: bool = False
+    version: int = 0
+    unavailable: bool = False
+    unknown: bool = False
+
+
+class ClaimBatch(Message, frozen=True):
+    """A VM to the one that gathers writes of its data centre: commit these.
+
+    Attributes:
+        batch_id: The sender's number for the batch.
+        lazy: Whether they may wait for company.
+        writes: The writes, each on its own condition.
+    """
+
+    batch_id: int
+    lazy: bool
+    writes: tuple[RelayedWrite, ...]
+
+
+class ClaimResults(Message, frozen=True):
+    """The answer to a batch, in the order of its writes."""
+
+    batch_id: int
+    results: tuple[RelayedResult, ...]
+
+
 AnyMessage = (
     Submit
     | SubmitAck
@@ -297,13 +443,22 @@
     | Refused
     | Progress
     | Withdraw
+    | Sync
+    | SyncAck
+    | Unfollow
     | Heartbeat
+    | Pulse
+    | HeartbeatWanted
     | Digest
+    | DigestPulse
+    | DigestWanted
     | BranchWanted
     | BranchContent
     | EndpointLeaving
     | KeyQuery
     | KeyAnswer
+    | ClaimBatch
+    | ClaimResults
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -331,11 +486,16 @@
     "AnyMessage",
     "BranchContent",
     "BranchWanted",
+    "ClaimBatch",
+    "ClaimResults",
     "Digest",
+    "DigestPulse",
+    "DigestWanted",
     "EndpointLeaving",
     "Granted",
     "Handle",
     "Heartbeat",
+    "HeartbeatWanted",
     "KeyAnswer",
     "KeyQuery",
     "MemberState",
@@ -343,11 +503,17 @@
     "NotScheduler",
     "Outcome",
     "Progress",
+    "Pulse",
     "Refused",
+    "RelayedResult",
+    "RelayedWrite",
     "RunningHandle",
     "StreamEvent",
     "Submit",
     "SubmitAck",
+    "Sync",
+    "SyncAck",
+    "Unfollow",
     "Withdraw",
     "decode_message",
     "encode_message",
--- /dev/null
+++ b/tests/steps/coordination_steps.py
@@ -0,0 +1,366 @@
+"""Steps of the coordination features: asking, and what must hold."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from pomelolane.coordination import rendezvous
+from pomelolane.messages import NotScheduler, Submit
+from pomelolane.outcomes import Outcome, Refusal
+from tests.coordination.world import (
+    ask,
+    in_flight,
+    live,
+    make_handle,
+    scheduler_desk,
+    world_of,
+)
+
+DEFAULT_SLOTS = {"a/1": 2, "b/1": 2, "c/1": 2}
+
+
+# --- the region -------------------------------------------------------------
+
+
+@given('a coordinated region of VMs "{names}"')
+def step_region(context, names):
+    context.names = names.split()
+    context.slots = DEFAULT_SLOTS if names != "a-1" else {"a/1": 2}
+    context.policy = "pomelolane"
+    context.world = None
+
+
+@given('a coordinated region under policy "{policy}" of VMs "{names}"')
+def step_region_policy(context, policy, names):
+    step_region(context, names)
+    context.policy = policy
+
+
+@given('coordinated endpoints "{pairs}"')
+def step_endpoints(context, pairs):
+    parts = (pair.split("=") for pair in pairs.split())
+    context.slots = {name: int(count) for name, count in parts}
+
+
+@given("all coordinated slots are taken")
+def step_taken(context):
+    step_taken_for(context, 200)
+
+
+@given("all coordinated slots are taken for {for_ms:d} ms")
+def step_taken_for(context, for_ms):
+    world = world_of(context)
+    world.run_ms = for_ms
+    names = list(world.vms)
+    for number in range(sum(context.slots.values())):
+        ask(context, names[number % len(names)], tier=1)
+    context.run(world.run(20))
+    world.run_ms = 100
+    context.fillers = set(world.requests)
+    assert len(world.order) == len(context.fillers)
+
+
+@given("all coordinated slots take {for_ms:d} ms")
+def step_take(context, for_ms):
+    world_of(context).run_ms = for_ms
+
+
+@given('no message of kind "{kind}" arrives')
+def step_dropped(context, kind):
+    world_of(context).network.dropped_kinds = {kind}
+
+
+@given('messages of kind "{kind}" are kept back')
+def step_kept(context, kind):
+    world_of(context).network.kept_kinds = {kind}
+
+
+@given(
+    "a network that loses {loss:d} %, doubles {doubled:d} % "
+    "and delays by up to {delay:d} ms"
+)
+def step_faulty(context, loss, doubled, delay):
+    network = world_of(context).network
+    network.loss = loss / 100
+    network.duplication = doubled / 100
+    network.most_delay_ms = delay
+
+
+@given('all coordinated endpoints but "{one}" are leaving, as the gateways know')
+def step_leaving(context, one):
+    world = world_of(context)
+    scheduler = world.scheduler()
+    for name, vm in world.vms.items():
+        for endpoint_id in context.slots:
+            if endpoint_id != one and name != scheduler:
+                vm.coordination.mark_leaving(endpoint_id)
+
+
+# --- asking -----------------------------------------------------------------
+
+
+@when('"{who}" asks for {count:d} slots of tier {tier:d}')
+def step_ask(context, who, count, tier):
+    world = world_of(context)
+    others = [name for name in world.vms if name != world.scheduler()]
+    names = {"each": list(world.vms), "others": others, "another": others[:1]}
+    context.asker = (others or [who])[0]
+    for name in names.get(who, [who]):
+        for _ in range(count):
+            ask(context, name, tier=tier)
+
+
+@when('"{name}" asks for a slot with {budget_ms:d} ms left')
+def step_ask_budget(context, name, budget_ms):
+    ask(context, name, budget_ms=budget_ms)
+
+
+@when('"{name}" asks twice with one request id')
+def step_ask_twice(context, name):
+    first = ask(context, name)
+
+    async def again():
+        client = context.world.vms[name].coordination.client
+        context.request = replace(first, result=await client.acquire(first.handle))
+
+    context.run(again())
+
+
+@when('"{name}" asks for a slot of an unknown service')
+def step_ask_unknown(context, name):
+    ask(context, name, service="nothing")
+
+
+@when('the scheduler refuses a request of "{name}" with {ms:d} ms to wait')
+def step_scheduler_refuses(context, name, ms):
+    world = world_of(context)
+    request = ask(context, name)
+    world.vms[name].coordination.client.tick()
+    core = scheduler_desk(world).core
+    core.queue[request.handle.request_id] = (request.handle, 0.0)
+    context.run(world.run(100))
+    assert request.result.retry_after_ms == ms
+
+
+@when("the last coordinated request is cancelled")
+def step_cancel(context):
+    async def cancel():
+        context.request.task.cancel()
+        await context.world.settle()
+
+    context.run(cancel())
+    context.request.ended = True
+
+
+# --- what holds -------------------------------------------------------------
+
+
+@then("{count:d} coordinated requests have a slot before the clock moves")
+def step_at_once(context, count):
+    assert len(context.world.order) == count, context.world.order
+
+
+@then("all coordinated requests run exactly once")
+def step_once(context):
+    world = context.world
+    context.run(world.run_until(lambda: not in_flight(world), 30_000))
+    for request in world.requests.values():
+        cancelled = request.task.cancelled()
+        assert cancelled or len(request.dispatches) == 1, request
+
+
+@then("no coordinated endpoint ever ran more than its slots")
+def step_not_crowded(context):
+    for endpoint_id, most in context.world.most_used.items():
+        assert most <= context.slots[endpoint_id], context.world.most_used
+
+
+@then("every request of tier {high:d} ran before those of tier {low:d}")
+def step_order(context, high, low):
+    world = context.world
+    tiers = [world.requests[name].handle.tier_rank for name in world.order]
+    last_high = max(at for at, tier in enumerate(tiers) if tier == high)
+    first_low = min(at for at, tier in enumerate(tiers) if tier == low)
+    assert last_high < first_low, tiers
+
+
+@then("no scheduler holds anything in the end")
+def step_nothing_left(context):
+    step_nothing_left_after(context, 12_000)
+
+
+@then("no scheduler holds anything after {for_ms:d} ms")
+def step_nothing_left_after(context, for_ms):
+    world = context.world
+    world_of(context).network.make_whole()
+    context.run(world.run_until(lambda: not in_flight(world), 30_000))
+    context.run(world.run(for_ms))
+    world.check_nothing_is_left()
+
+
+@then('the last coordinated request was refused as "{reason}"')
+def step_refused(context, reason):
+    result = context.request.result
+    assert isinstance(result, Refusal), result
+    assert result.reason == reason, result
+
+
+@then("the refusal says that it did not run and when to come back")
+def step_not_run(context):
+    result = context.request.result
+    assert result.outcome == Outcome.NOT_RUN
+    assert result.retry_after_ms > 0
+    assert not context.request.dispatches
+
+
+@then("the last coordinated request has no slot yet")
+def step_no_slot(context):
+    assert not context.request.dispatches, context.request
+    assert not context.request.ended
+
+
+@then('the last coordinated request ran at "{endpoint_ids}"')
+def step_ran_at(context, endpoint_ids):
+    assert context.request.dispatches == endpoint_ids.replace("nowhere", "").split()
+
+
+@then("the scheduler has no waiting request")
+def step_no_waiting(context):
+    context.run(context.world.settle())
+    desk = scheduler_desk(context.world)
+    assert not desk.book.waiting(), desk.book.waiting()
+    assert not desk.core.queue
+
+
+@then("the scheduler heard a budget that had shrunk")
+def step_shrunk(context):
+    waits = context.world.requests[context.request.handle.request_id].handle
+    assert context.heard_budgets, "no submit was seen"
+    assert all(budget < waits.budget_ms for budget in context.heard_budgets)
+
+
+@when("the network is whole again and submits are noted")
+def step_noted(context):
+    world_of(context).network.make_whole()
+    context.heard_budgets = []
+    for vm in context.world.vms.values():
+        vm.transport.subscribe(
+            Submit,
+            lambda _, message: context.heard_budgets.extend(
+                handle.budget_ms for handle in message.waiting
+            ),
+        )
+
+
+@then("all coordinated VMs follow the same scheduler")
+def step_same(context):
+    world = world_of(context)
+    context.run(world.run(100))
+    followed = {
+        world.vms[name].coordination.client.links()["pool"].scheduler
+        for name in live(world)
+    }
+    assert len(followed) == 1, followed
+    assert followed <= set(world.vms), followed
+
+
+@then("just that VM holds the coordinated role")
+def step_one_role(context):
+    world = context.world
+    holders = [n for n, v in world.vms.items() if v.coordination.role.desk("pool")]
+    assert holders == [world.scheduler()], holders
+
+
+@then("its handover ends")
+def step_handover(context):
+    context.run(context.world.run_until(context.handover.done))
+
+
+@then("another coordinated VM holds the role")
+def step_other_role(context):
+    assert context.world.scheduler() != context.drained
+    assert scheduler_desk(context.world) is not None
+
+
+@then("the scheduler still holds the slot of its request")
+def step_still_held(context):
+    entry = scheduler_desk(context.world).book.entries
+    assert context.request.handle.request_id in entry
+    assert (
+        context.request.handle.request_id in scheduler_desk(context.world).core.granted
+    )
+
+
+@when("a VM that is not the scheduler gets a submit")
+def step_wrong_submit(context):
+    world = world_of(context)
+    name, asker, *_ = [vm for vm in world.vms if vm != world.scheduler()]
+    context.answers = []
+    world.vms[asker].transport.subscribe(
+        NotScheduler, lambda sender, message: context.answers.append((sender, message))
+    )
+    submit = Submit(epoch=1, waiting=(make_handle(world),))
+    world.vms[asker].transport.send(name, submit)
+    context.run(world.settle())
+    context.asked = name
+
+
+@then("it answers that it is not the scheduler and names the one it follows")
+def step_wrong_answer(context):
+    expected = NotScheduler(1, "pool", context.world.scheduler())
+    assert context.answers == [(context.asked, expected)], context.answers
+
+
+@then("each side grants only its own endpoints")
+def step_scope(context):
+    world = context.world
+    desks = {name: vm.coordination.role.desk("pool") for name, vm in world.vms.items()}
+    held = {
+        name: set(desk.core.slots) - desk.core.out
+        for name, desk in desks.items()
+        if desk
+    }
+    assert len(held) == 2, held
+    for name, endpoints in held.items():
+        expected = {"a/1"} if name[0] == "a" else {"b/1", "c/1"}
+        assert endpoints == expected, held
+
+
+@then('the scheduler knows all requests of "{name}"')
+def step_known(context, name):
+    world = context.world
+    known = scheduler_desk(world).book.entries
+    open_ids = [r.handle.request_id for r in in_flight(world)]
+    assert len(open_ids) == 8
+    assert set(open_ids) <= set(known), known
+    assert any(entry.endpoint_id for entry in known.values())
+
+
+@then("no message went between coordinated VMs")
+def step_no_message(context):
+    assert context.world.network.sent == 0
+
+
+@then(
+    "the status of the scheduler shows {waiting:d} waiting and {running:d} running "
+    "requests"
+)
+def step_status(context, waiting, running):
+    world = context.world
+    status = world.vms[world.scheduler()].coordination.status()
+    assert status.roles == ("pool",)
+    assert status.links[0].scheduler == world.scheduler()
+    desk = status.desks[0]
+    assert desk.waiting_by_tier == {1: waiting}, desk
+    assert sum(desk.running_by_endpoint.values()) == running, desk
+
+
+@then("of 200 services only those of a lost VM move among {count:d} VMs")
+def step_rendezvous(context, count):
+    vms = [f"vm-{number}" for number in range(count)]
+    services = [f"service-{number}" for number in range(200)]
+    before = {name: rendezvous(name, vms) for name in services}
+    after = {name: rendezvous(name, vms[1:]) for name in services}
+    assert set(before.values()) == set(vms)
+    for name in services:
+        assert after[name] == before[name] or before[name] == vms[0]
