--- a/src/pomelolane/scheduler/accounting.py
+++ b/src/pomelolane/scheduler/accounting.py
@@ -43,6 +43,8 @@
         cached_tokens: Prompt tokens expected in the cache.
         decoded_tokens: Answer tokens seen so far.
         started: Whether the first token was seen.
+        prefill_ms: Time that its prompt took, or -1 while that is not to be
+            learnt from.
         probe: Whether it tries out an endpoint that is under suspicion.
     """
 
@@ -56,6 +58,7 @@
     cached_tokens: int = 0
     decoded_tokens: int = 0
     started: bool = False
+    prefill_ms: float = -1.0
     probe: bool = False
 
     @property
@@ -147,6 +150,8 @@
             self._first_token(flight, event, now_ms)
         if event.tokens > 0:
             self._tokens(flight, event)
+        if flight.prefill_ms > 0 and _is_prefill_known(flight, event):
+            self._learn_prefill(flight, event)
 
     def remove(self, flight: Flight, now_ms: float) -> None:
         """Free what a flight held."""
@@ -175,19 +180,22 @@
 
     def _first_token(self, flight: Flight, event: StreamEvent, now_ms: float) -> None:
         flight.started = True
-        true_prefill = flight.prefill_tokens
-        if event.cached_tokens >= 0:
-            true_prefill = flight.handle.prefill_tokens - event.cached_tokens
         first_ms = flight.granted_ms + event.ttft_ms
         begun_ms = max(flight.granted_ms, self.last_first_token_ms)
-        busy_ms = first_ms - begun_ms - 1.0 / self.decode_per_ms
+        flight.prefill_ms = first_ms - begun_ms - 1.0 / self.decode_per_ms
         self.last_first_token_ms = max(first_ms, self.last_first_token_ms)
-        if self._learn_speeds and true_prefill > 0 and busy_ms > 0:
-            self._prefill.add(true_prefill, busy_ms)
-            self.prefill_per_ms = max(_MIN_SPEED_PER_MS, self._prefill.per_ms)
         self._prefill_done(flight, now_ms)
         flight.expected_end_ms = now_ms + flight.decode_tokens / self.decode_per_ms
 
+    def _learn_prefill(self, flight: Flight, event: StreamEvent) -> None:
+        tokens = flight.prefill_tokens
+        if event.cached_tokens >= 0:
+            tokens = flight.handle.prefill_tokens - event.cached_tokens
+        if self._learn_speeds and tokens > 0:
+            self._prefill.add(tokens, flight.prefill_ms)
+            self.prefill_per_ms = max(_MIN_SPEED_PER_MS, self._prefill.per_ms)
+        flight.prefill_ms = -1.0
+
     def _tokens(self, flight: Flight, event: StreamEvent) -> None:
         before = flight.kv_tokens
         flight.decoded_tokens += event.tokens
@@ -265,6 +273,17 @@
     return EndpointState(endpoint, learn_speeds=learn_speeds)
 
 
+def _is_prefill_known(flight: Flight, event: StreamEvent) -> bool:
+    """Tell whether it is known how much of a prompt was processed.
+
+    Engines tell how much was cached with the first token or at the end; until
+    then a prompt with whole blocks says little about their speed.
+    """
+    if event.cached_tokens >= 0 or event.finished:
+        return True
+    return not flight.handle.prefix_hashes
+
+
 def _speed(tokens_per_s: float) -> DecayingRate:
     per_ms = max(_MIN_SPEED_PER_MS, tokens_per_s / 1000.0)
     return DecayingRate(per_ms, _SPEED_PRIOR_MS, _SPEED_HALF_LIFE_MS)
--- a/src/pomelolane/scheduler/flights.py
+++ b/src/pomelolane/scheduler/flights.py
@@ -101,7 +101,12 @@
         worker.account.observe(flight, event, now_ms)
         self._judge(worker, flight, event, now_ms)
         if flight.started and not was_started:
-            self._first_token(worker, flight, event)
+            end_ms = flight.expected_end_ms
+            self._parts.reserve.started(event.request_id, end_ms)
+        if event.cached_tokens >= 0 and flight.cached_tokens > 0:
+            self._parts.prefixes.answered(
+                worker.endpoint_id, flight.cached_tokens, event.cached_tokens
+            )
         if event.finished or event.refused:
             self._finish(flight, event, now_ms)
         else:
@@ -191,14 +196,6 @@
         if worker.health.state is not before:
             self._parts.fleet.health_changed(worker, now_ms)
 
-    def _first_token(self, worker: Worker, flight: Flight, event: StreamEvent) -> None:
-        request_id = flight.handle.request_id
-        self._parts.reserve.started(request_id, flight.expected_end_ms)
-        if event.cached_tokens >= 0 and flight.cached_tokens > 0:
-            self._parts.prefixes.answered(
-                worker.endpoint_id, flight.cached_tokens, event.cached_tokens
-            )
-
     def _finish(self, flight: Flight, event: StreamEvent, now_ms: float) -> None:
         handle = flight.handle
         self.end(handle.request_id, now_ms)
