--- a/bench/core_trace.py
+++ b/bench/core_trace.py
@@ -204,6 +204,14 @@
     return 1000.0 * (prefill / BASE_PREFILL_PER_S + batch * decode / BASE_DECODE_PER_S)
 
 
+def crowded_ms(arrival: Arrival, endpoint: Endpoint) -> float:
+    """Return what a request needs on an engine with a full batch."""
+    batch = 1.0 + 0.03 * (endpoint.slots - 1)
+    prefill_s = arrival.handle.prefill_tokens / endpoint.prefill_tokens_per_s
+    decode_s = batch * arrival.output_tokens / endpoint.decode_tokens_per_s
+    return 1000.0 * (prefill_s + decode_s)
+
+
 def rate_per_s(kind: Kind, share: float) -> float:
     """Return the arrivals of a kind that take a share of all slots."""
     return share * sum(SPEEDS) * SLOTS * 1000.0 / slot_ms(kind)
--- a/bench/core_trial.py
+++ b/bench/core_trial.py
@@ -12,7 +12,14 @@
 from typing import TYPE_CHECKING
 
 from bench.core_model import BLOCK_TOKENS, EngineModel, Stream
-from bench.core_trace import GATEWAYS, SCENARIOS, SERVICE, make_endpoints, make_tree
+from bench.core_trace import (
+    GATEWAYS,
+    SCENARIOS,
+    SERVICE,
+    crowded_ms,
+    make_endpoints,
+    make_tree,
+)
 from pomelolane.messages import StreamEvent
 from pomelolane.outcomes import Outcome
 from pomelolane.ports import Grant, LoadReport
@@ -23,6 +30,7 @@
     from collections.abc import Callable, Sequence
 
     from bench.core_trace import Arrival, Scenario
+    from pomelolane.model import Endpoint
     from pomelolane.ports import Decision, SchedulingCore
 
 STEP_MS = 20.0
@@ -112,7 +120,7 @@
         self._pending: dict[str, Arrival] = {}
         self._streams: dict[str, tuple[Stream, EngineModel]] = {}
         self._arrivals: dict[str, Arrival] = {}
-        self._grants: list[tuple[float, int]] = []
+        self._given_up: list[Arrival] = []
         self._reports: deque[tuple[float, LoadReport]] = deque()
         self._seen_blocks: set[int] = set()
         self._next_report_ms = 0.0
@@ -166,29 +174,38 @@
             if isinstance(decision.result, Grant):
                 self._dispatch(arrival, decision.result, now_ms)
             else:
-                self._refused(arrival, now_ms)
+                self._refused(arrival)
 
     def _dispatch(self, arrival: Arrival, grant: Grant, now_ms: float) -> None:
         handle = arrival.handle
-        self._grants.append((now_ms, handle.tier_rank))
         if handle.request_id in self._streams:
             raise AssertionError("granted twice")
         engine = self._engines[grant.endpoint_id]
+        self._count_inversions(handle.tier_rank, engine.endpoint, now_ms)
         stream = Stream(handle, arrival.output_tokens, now_ms)
         stream.last_ms = now_ms
         self._streams[handle.request_id] = (stream, engine)
         self._arrivals[handle.request_id] = arrival
         engine.send(stream)
 
-    def _refused(self, arrival: Arrival, now_ms: float) -> None:
+    def _refused(self, arrival: Arrival) -> None:
         rank = arrival.handle.tier_rank
         self._result.refused[rank] = self._result.refused.get(rank, 0) + 1
-        for at_ms, granted_rank in reversed(self._grants):
-            if at_ms <= arrival.at_ms:
-                break
-            if granted_rank > rank and at_ms <= now_ms:
+        self._given_up.append(arrival)
+
+    def _count_inversions(self, rank: int, endpoint: Endpoint, now_ms: float) -> None:
+        """Count refused requests of higher tiers that could have had a slot."""
+        left = []
+        for arrival in self._given_up:
+            if now_ms > self._due_ms(arrival):
+                continue
+            needed_ms = crowded_ms(arrival, endpoint)
+            in_time = now_ms + needed_ms <= self._due_ms(arrival)
+            if in_time and arrival.handle.tier_rank < rank:
                 self._result.inversions += 1
-                break
+            else:
+                left.append(arrival)
+        self._given_up = left
 
     def _report_streams(self, now_ms: float) -> None:
         for request_id in list(self._streams):
