--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -24,8 +24,9 @@
 from pomelolane.scheduler.limits import LimitBook
 from pomelolane.scheduler.options import CoreOptions
 from pomelolane.scheduler.placement import Placer
-from pomelolane.scheduler.queue import FairQueue, Waiting
+from pomelolane.scheduler.queue import FairQueue
 from pomelolane.scheduler.reserve import Reserve
+from pomelolane.scheduler.waiting import Waiting
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -78,6 +79,8 @@
         kind = service.kind if service else ServiceKind.ENGINE
         if service:
             self._admission.queue_limit = service.queue_limit
+        ranks = (tier.rank for tier in tree.tiers.values())
+        self._admission.lowest_tier_rank = max(ranks, default=0)
         own = [e for e in tree.endpoints.values() if e.service == self._service]
         known = set(self._fleet.workers)
         self._fleet.configure(own, kind, now_ms)
@@ -193,7 +196,12 @@
         )
         deadline_ms = now_ms + handle.budget_ms
         return Waiting(
-            handle, now_ms, deadline_ms, length.middle_tokens, length.long_tokens
+            handle,
+            now_ms,
+            deadline_ms,
+            length.short_tokens,
+            length.middle_tokens,
+            length.long_tokens,
         )
 
     def _note_arrival(self, waiting: Waiting, now_ms: float) -> None:
@@ -207,7 +215,7 @@
     def _enqueue(self, waiting: Waiting) -> None:
         self._waiting[waiting.handle.request_id] = waiting
         self._queue.push(waiting)
-        self._check_at(waiting.latest_start_ms, waiting)
+        self._check_at(waiting.safe_start_ms, waiting)
 
     def _check_at(self, time_ms: float, waiting: Waiting) -> None:
         heapq.heappush(self._checks, (time_ms, next(self._sequence), waiting))
@@ -228,9 +236,9 @@
             waiting = heapq.heappop(self._checks)[2]
             if not waiting.queued:
                 continue
-            latest_ms = self._admission.latest_start_ms(waiting, now_ms)
-            if latest_ms >= now_ms:
-                self._check_at(latest_ms, waiting)
+            self._admission.predict_latest(waiting, now_ms)
+            if waiting.last_start_ms >= now_ms:
+                self._defer_or_wait(waiting, now_ms)
                 continue
             refusal = self._admission.expired(waiting, now_ms)
             if self._flights.is_parked(waiting.handle):
@@ -238,6 +246,14 @@
             decisions.append(self._refuse(waiting, refusal))
         return decisions
 
+    def _defer_or_wait(self, waiting: Waiting, now_ms: float) -> None:
+        """Look again when a long answer, or else any, would be late."""
+        if waiting.safe_start_ms >= now_ms:
+            self._check_at(waiting.safe_start_ms, waiting)
+            return
+        self._queue.defer(waiting)
+        self._check_at(waiting.last_start_ms, waiting)
+
     def _dispatch(self, now_ms: float) -> list[Decision]:
         """Grant slots until nothing more can go."""
         decisions: list[Decision] = []
