--- a/src/pomelolane/endpoints/relay.py
+++ b/src/pomelolane/endpoints/relay.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pomelolane.endpoints.direct import DirectSink, direct_cycle
+from pomelolane.endpoints.direct import DirectSink, direct_cycle, has_left
 from pomelolane.endpoints.meter import AnswerMeter, RelayObserver
 
 if TYPE_CHECKING:
@@ -85,8 +85,7 @@
     """
     observer = RelayObserver(on_first, on_progress)
     meter = AnswerMeter(stream, copy_to)
-    cycle = direct_cycle(send)
-    passing = _pass_on(stream, send, cycle, meter, observer, headers)
+    passing = _pass_on(stream, send, meter, observer, headers)
     if receive_disconnected is None:
         caller_gone = await passing
     else:
@@ -121,7 +120,6 @@
 async def _pass_on(
     stream: AnswerStream,
     send: Send,
-    cycle: RequestResponseCycle | None,
     meter: AnswerMeter,
     observer: RelayObserver,
     headers: tuple[Header, ...],
@@ -130,14 +128,16 @@
     await stream.wait()
     if stream.is_broken_unread:
         return False
-    await send(
-        {
-            "type": "http.response.start",
-            "status": stream.status,
-            "headers": [*_caller_headers(stream), *headers],
-        }
-    )
-    meter.started = True
+    cycle = direct_cycle(send)
+    if cycle is None or not has_left(cycle):
+        await send(
+            {
+                "type": "http.response.start",
+                "status": stream.status,
+                "headers": [*_caller_headers(stream), *headers],
+            }
+        )
+        meter.started = True
     observer.on_first()
     caller_gone = await _pass_body(stream, send, cycle, meter, observer)
     if meter.is_whole and not caller_gone:
