--- a/bench/relay_vm.py
+++ b/bench/relay_vm.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -13,9 +14,7 @@
 import uvicorn
 from blacksheep.client import ClientSession
 
-from pomelolane.endpoints import make_engine_adapter, relay
-from pomelolane.endpoints.asgi import CallerChannel, RelayingApp
-from pomelolane.endpoints.caller_protocol import RelayHttpProtocol
+from pomelolane.endpoints import RelayHttpProtocol, make_engine_adapter, relay
 from pomelolane.model import Endpoint
 from pomelolane.ports import UpstreamRequest
 
@@ -25,6 +24,8 @@
     from pomelolane.endpoints import AnswerStream
 
 _PATH = "/v1/chat/completions"
+_GC_THRESHOLDS = (10_000, 50, 100)
+_SEND_KEY = "bench.send"
 _EVENTS = b"text/event-stream"
 
 
@@ -74,10 +75,9 @@
 
     async def relayed(self, request: blacksheep.Request) -> blacksheep.Response:
         """The adapter and the relay."""
-        channel: CallerChannel = request.scope[CallerChannel.SCOPE_KEY]
         stream = await self._dispatch(request)
-        channel.watch()
-        await relay(stream, channel.take(), channel.gone)
+        send = request.scope.pop(_SEND_KEY)
+        await relay(stream, send)
         return blacksheep.Response(200)
 
     def _session(self, make: Callable[[], Any]) -> Any:
@@ -102,7 +102,25 @@
 MODES = ("blacksheep_client", "aiohttp_client", "streamed", "thin", "fast")
 
 
-def _make_app(address: str, mode: str) -> RelayingApp:
+def _with_raw_send(app: blacksheep.Application) -> Any:
+    """Let handlers take the server's ``send`` and answer by it."""
+
+    async def serve(scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] != "http":
+            await app(scope, receive, send)
+            return
+        scope[_SEND_KEY] = send
+
+        async def send_unless_taken(message: Any) -> None:
+            if _SEND_KEY in scope:
+                await send(message)
+
+        await app(scope, receive, send_unless_taken)
+
+    return serve
+
+
+def _make_app(address: str, mode: str) -> Any:
     vm = _Vm(address)
     app = blacksheep.Application()
     handler = vm.relayed if mode in ("thin", "fast") else getattr(vm, mode)
@@ -111,7 +129,7 @@
         return await handler(request)
 
     app.router.add_post(_PATH, handle)
-    return RelayingApp(app)
+    return _with_raw_send(app)
 
 
 def main() -> None:
@@ -130,6 +148,9 @@
         log_level="warning",
         access_log=False,
     )
+    # As the product does, so that the collector's pauses do not blur figures.
+    gc.set_threshold(*_GC_THRESHOLDS)
+    gc.freeze()
     uvicorn.Server(config).run()
 
 
--- a/src/pomelolane/platform/__init__.py
+++ b/src/pomelolane/platform/__init__.py
@@ -24,7 +24,13 @@
     EmbeddedVmList,
     EmbeddedWeightStore,
 )
+from pomelolane.platform.gather import (
+    GatheringCommitter,
+    GatherSettings,
+    make_gathering_committer,
+)
 from pomelolane.platform.health import PlatformHealth
+from pomelolane.platform.keeper import ModelKeeper
 from pomelolane.platform.leases import Lease, Leases, make_leases
 from pomelolane.platform.orders import (
     Demand,
@@ -45,9 +51,12 @@
     "EmbeddedTable",
     "EmbeddedVmList",
     "EmbeddedWeightStore",
+    "GatherSettings",
+    "GatheringCommitter",
     "GroupCommitter",
     "Lease",
     "Leases",
+    "ModelKeeper",
     "ModelOrders",
     "OrderResult",
     "PacedPulls",
@@ -61,6 +70,7 @@
     "job_reservation",
     "make_claims",
     "make_embedded_platform",
+    "make_gathering_committer",
     "make_leases",
     "make_model_orders",
     "platform_from_url",
--- a/src/pomelolane/scheduler/fleet.py
+++ b/src/pomelolane/scheduler/fleet.py
@@ -67,11 +67,6 @@
     fastest: tuple[EndpointState, ...]
     by_speed: tuple[Worker, ...]
 
-    def best_service_ms(self, prefill_tokens: int, decode_tokens: int) -> float:
-        """Return the shortest predicted time, with nothing ahead."""
-        times = (a.service_ms(prefill_tokens, decode_tokens) for a in self.fastest)
-        return min(times, default=0.0)
-
     def middle_service_ms(self, prefill_tokens: int, decode_tokens: int) -> float:
         """Return the predicted time on the endpoint of middle speed."""
         if not self.by_speed:
@@ -149,13 +144,19 @@
             self._unhealthy.pop(worker.endpoint_id, None)
         else:
             self._unhealthy[worker.endpoint_id] = worker
-        self.refresh_all(now_ms)
+        ready_before = self._ready
+        self._ready = sum(1 for other in self.workers.values() if _is_ready(other))
+        self._summary = None
+        if 0 in (ready_before, self._ready):
+            self.refresh_all(now_ms)
+        else:
+            self.refresh(worker, now_ms)
 
     def refresh(self, worker: Worker, now_ms: float) -> None:
         """Work out anew whether a worker can take a grant."""
         self._close(worker)
         account = worker.account
-        if not self._may_serve(worker) or account.free_slots(now_ms) <= 0:
+        if not self.may_serve(worker) or account.free_slots(now_ms) <= 0:
             return
         ahead_ms = account.prefill_ahead_ms(now_ms)
         lookahead_ms = self._options.prefill_lookahead_ms
@@ -188,11 +189,19 @@
         return [
             worker
             for worker in self._unhealthy.values()
-            if not worker.account.leaving
+            if worker.health.probe_due(worker.account, now_ms)
+            and not worker.account.leaving
             and worker.account.free_slots(now_ms) > 0
-            and worker.health.probe_due(worker.account, now_ms)
         ]
 
+    def may_serve(self, worker: Worker) -> bool:
+        """Tell whether a worker serves; stragglers do if nobody else can."""
+        if worker.account.leaving:
+            return False
+        if worker.health.state is State.HEALTHY:
+            return True
+        return self._ready == 0 and worker.health.state is State.STRAGGLING
+
     def ready_count(self) -> int:
         """Return how many endpoints are healthy and not leaving."""
         return self._ready
@@ -204,6 +213,13 @@
             for endpoint_id, worker in self.workers.items()
         )
 
+    @property
+    def prefill_per_ms(self) -> float:
+        """Return the mean prompt speed of an endpoint when last summarised."""
+        if self._summary is None or not self._summary.room.endpoints:
+            return 0.0
+        return self._summary.prefill_per_ms / self._summary.room.endpoints
+
     def holds_memory(self, tokens: int) -> bool:
         """Tell whether any endpoint's KV cache is large enough at all."""
         return tokens <= self._largest_kv_tokens
@@ -221,7 +237,7 @@
         return self._summary
 
     def _summarise(self) -> Summary:
-        ready = [w for w in self.workers.values() if self._may_serve(w)]
+        ready = [w for w in self.workers.values() if self.may_serve(w)]
         ready.sort(key=_typical_ms)
         accounts = [worker.account for worker in ready]
         return Summary(
@@ -249,14 +265,6 @@
         elif declared_again:
             worker.account.leaving = False
 
-    def _may_serve(self, worker: Worker) -> bool:
-        """Tell whether a worker serves; stragglers do if nobody else can."""
-        if worker.account.leaving:
-            return False
-        if worker.health.state is State.HEALTHY:
-            return True
-        return self._ready == 0 and worker.health.state is State.STRAGGLING
-
     def _close(self, worker: Worker) -> None:
         if worker.open_key is not None:
             del self._open[bisect_left(self._open, worker.open_key)]
