--- a/bench/bound.py
+++ b/bench/bound.py
@@ -23,7 +23,9 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from collections import defaultdict
+from dataclasses import dataclass, replace
+from statistics import mean
 from typing import TYPE_CHECKING
 
 import numpy as np
@@ -53,6 +55,26 @@
     factor: float
 
 
+def of_mean_sizes(arrivals: Sequence[Arrival]) -> list[Arrival]:
+    """Return the trace with each request of a work as long as their mean.
+
+    What a planner reaches on it tells what is lost by not knowing lengths; it
+    is no bound for the real trace.
+    """
+    works: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in arrivals:
+        works[arrival.work].append(arrival)
+    found = []
+    for same in works.values():
+        prompt = mean(item.prompt_tokens - item.reusable_tokens for item in same)
+        answer = mean(item.answer_tokens for item in same)
+        found += [
+            replace(item, prompt_tokens=prompt, answer_tokens=answer, prefix_tokens=0)
+            for item in same
+        ]
+    return found
+
+
 @dataclass(frozen=True, slots=True)
 class _Task:
     first: int
