--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -165,6 +165,15 @@
         self._local.tick()
         self._note_handover()
 
+    def schedules(self, service: str) -> bool:
+        """Tell whether this VM is the scheduler of a service."""
+        return self.role.desk(service) is not None
+
+    def waiting(self, service: str) -> int:
+        """Return how many requests wait at this VM's desk of a service."""
+        desk = self.role.desk(service)
+        return sum(1 for _ in desk.book.waiting()) if desk is not None else 0
+
     def status(self) -> CoordinationStatus:
         """Return what operators may want to see."""
         links = self.client.links()
--- a/src/pomelolane/parts.py
+++ b/src/pomelolane/parts.py
@@ -1,64 +1,39 @@
-"""Makes the parts of one VM from its settings and ties them together.
+"""Everything that one VM consists of, and what runs beside the requests.
 
-Nothing here decides anything; it is the one place that knows every part.
+:mod:`pomelolane.assembly` makes the parts; nothing here decides anything.
 """
 
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import pomelolane.defaults  # noqa: F401  (registers the built-in plug-ins)
-from pomelolane import __version__
-from pomelolane.adoption import TreeAdoption
-from pomelolane.background import BackgroundTasks
-from pomelolane.clock import MonotonicClock, WallClock
-from pomelolane.coordination import make_coordination
-from pomelolane.endpoints import ConnectionPool
 from pomelolane.exceptions import PlatformError
-from pomelolane.gateway import (
-    Dispatcher,
-    Gateway,
-    GatewayLimits,
-    HolderQueries,
-    KeyedCalls,
-    RetryBudget,
-)
 from pomelolane.gateway.admin import Admin, AdminHooks
-from pomelolane.gateway.deferred import JobCalls
-from pomelolane.gateway.jobwork import JobWork
 from pomelolane.gateway.operations import Operations
-from pomelolane.jobs import make_jobs
-from pomelolane.membership import cluster_keys_from_settings, make_member
-from pomelolane.platform import (
-    ClaimSweeper,
-    GroupCommitter,
-    make_claims,
-    platform_from_url,
-)
-from pomelolane.registry import ENDPOINT_ADAPTERS
-from pomelolane.settings.distribution import make_distribution
-from pomelolane.settings.store import SettingsStore
 from pomelolane.settings.tree import branch_content_from_directory
 from pomelolane.statusboard import build_report
-from pomelolane.tree import CurrentTree
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from blacksheep import Application
 
+    from pomelolane.background import BackgroundTasks
     from pomelolane.coordination import Coordination
+    from pomelolane.gateway import Dispatcher, Gateway, KeyedCalls
     from pomelolane.jobs import Jobs
     from pomelolane.membership import Member
-    from pomelolane.platform import Platform, TableClaims
+    from pomelolane.platform import ClaimSweeper, ModelKeeper, Platform, TableClaims
+    from pomelolane.platform.orders import HttpOrderSender
     from pomelolane.settings.distribution import Distribution
     from pomelolane.settings.options import ServeOptions
-
+    from pomelolane.settings.store import SettingsStore
+    from pomelolane.tree import CurrentTree
 
 IMPORT_RETRY_S = 1.0
+FLUSH_TIMEOUT_MS = 10_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +56,8 @@
     gateway: Gateway
     jobs: Jobs
     sweeper: ClaimSweeper
+    keeper: ModelKeeper
+    order_sender: HttpOrderSender
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
@@ -106,6 +83,7 @@
             self.background.start("import", self._import_first())
         self.background.start("jobs", self._run_jobs())
         self.background.start("claims", self.sweeper.run())
+        self.background.start("models", self.keeper.run())
 
     async def _import_first(self) -> None:
         """Store the declarations given at the start where there are none yet."""
@@ -126,94 +104,10 @@
         """Finish what was accepted."""
         await self.jobs.runner.drain(self.options.drain_timeout_ms)
         await self.keyed.drain()
+        await self.claims.flush(FLUSH_TIMEOUT_MS)
 
     async def stop_background(self) -> None:
         """Stop the rest."""
         await self.background.stop()
         await self.distribution.stop()
-
-
-async def make_parts(options: ServeOptions) -> Parts:
-    """Make the parts of one VM."""
-    clock = MonotonicClock()
-    incarnation = time.time_ns() // 1_000_000
-    tree = CurrentTree()
-    adoption = TreeAdoption(tree, options.address_map)
-    platform = platform_from_url(options.platform, clock)
-    member = make_member(
-        options.vm_id,
-        options.data_centre,
-        incarnation,
-        host=options.host,
-        peer_port=options.peer_port,
-        advertise=options.advertise,
-        seeds=options.seeds,
-        address_map=options.address_map,
-        keys=cluster_keys_from_settings(
-            options.private_key_hex, options.public_key_hex, options.cluster_keys
-        ),
-        vm_list=None if platform.is_embedded else platform.vm_list,
-        is_endpoint=lambda listed_id: listed_id in tree.value.endpoints,
-        clock=clock,
-    )
-    coordination = make_coordination(
-        options.vm_id,
-        options.data_centre,
-        member.transport,
-        member,
-        clock,
-        options.policy,
-        incarnation=incarnation,
-        on_endpoint_leaving=lambda endpoint: member.mark_leaving(endpoint, "engine"),
-    )
-    member.on_leaving(lambda endpoint, _: coordination.mark_leaving(endpoint))
-    tree.on_change(coordination.configure)
-    store = SettingsStore(platform.table)
-    distribution = make_distribution(platform.table, store, member, clock)
-    distribution.on_change(adoption.take_soon)
-    pool = ConnectionPool()
-    adapters = {kind: make(pool) for kind, make in ENDPOINT_ADAPTERS.items()}
-    dispatcher = Dispatcher(
-        tree, coordination.client, adapters, RetryBudget(), clock, options.data_centre
-    )
-    committer = GroupCommitter(platform.table, clock)
-    claims = make_claims(
-        platform.table, options.vm_id, incarnation, clock, committer=committer
-    )
-    holders = HolderQueries(options.vm_id, member.transport, member)
-    keyed = KeyedCalls(
-        claims, platform.objects, dispatcher, holders, tree, adapters, clock
-    )
-    work = JobWork(dispatcher, platform.objects, tree, adapters)
-    jobs = make_jobs(
-        platform.table,
-        platform.objects,
-        committer,
-        claims,
-        work,
-        member,
-        vm_id=options.vm_id,
-        incarnation=incarnation,
-        region=options.region,
-        data_centre=options.data_centre,
-        clock=clock,
-    )
-    limits = GatewayLimits(options.max_body_bytes, options.body_timeout_ms)
-    return Parts(
-        options=options,
-        incarnation=incarnation,
-        version=__version__,
-        tree=tree,
-        platform=platform,
-        store=store,
-        member=member,
-        distribution=distribution,
-        background=BackgroundTasks(),
-        coordination=coordination,
-        dispatcher=dispatcher,
-        claims=claims,
-        keyed=keyed,
-        gateway=Gateway(tree, dispatcher, keyed, JobCalls(jobs.api), limits),
-        jobs=jobs,
-        sweeper=ClaimSweeper(platform.table, platform.objects, WallClock()),
-    )
+        await self.order_sender.aclose()
--- a/src/pomelolane/server.py
+++ b/src/pomelolane/server.py
@@ -14,8 +14,8 @@
 import uvloop
 from absl import logging
 
+from pomelolane.assembly import make_parts
 from pomelolane.node import Node
-from pomelolane.parts import make_parts
 
 if TYPE_CHECKING:
     from pomelolane.settings.options import ServeOptions
@@ -42,7 +42,7 @@
 
 
 async def _serve(options: ServeOptions) -> None:
-    parts = await make_parts(options)
+    parts = make_parts(options)
     node = Node(options, parts)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
