--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -13,6 +13,7 @@
 from pomelolane.coordination.epochs import Epochs
 from pomelolane.coordination.fallback import LocalDesks
 from pomelolane.coordination.options import LOCAL, Timings
+from pomelolane.coordination.pace import PaceWatch
 from pomelolane.coordination.reports import PollerOptions, ReportPoller
 from pomelolane.coordination.role import ROLE_MESSAGES, SchedulerRole
 from pomelolane.coordination.scope import reachable_data_centres, scoped_tree
@@ -76,6 +77,7 @@
         self._leaving: set[str] = set()
         self._tasks: list[asyncio.Task] = []
         self._handed_over = asyncio.Event()
+        self._pace = PaceWatch(clock)
         self._chooser = Chooser(vm_id, membership, clock)
         # The role hears of a change first, so that a gateway which follows
         # its own VM finds the desk there.
@@ -164,6 +166,7 @@
         self.role.tick()
         self._local.tick()
         self._note_handover()
+        self._pace.look(self._polled_desks())
 
     def schedules(self, service: str) -> bool:
         """Tell whether this VM is the scheduler of a service."""
--- /dev/null
+++ b/src/pomelolane/coordination/pace.py
@@ -0,0 +1,59 @@
+"""Logs when an endpoint turns slow or recovers, as its scheduler judges it.
+
+Decision cores are pure and log nothing; their figures are compared now and then.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.events import ENDPOINT_RECOVERED, ENDPOINT_STRAGGLING
+from pomelolane.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from pomelolane.coordination.desk import Desk
+    from pomelolane.ports import Clock
+
+PERIOD_MS = 500.0
+
+
+class PaceWatch:
+    """Compares the endpoints' states between two looks.
+
+    Args:
+        clock: Time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._next_ms = 0.0
+        self._straggling: set[str] = set()
+
+    def look(self, desks: Iterable[Desk]) -> None:
+        """Log what changed since the last look, a few times a second at most."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_ms:
+            return
+        self._next_ms = now_ms + PERIOD_MS
+        for desk in desks:
+            read = getattr(desk.core, "status", None)
+            if callable(read):
+                self._compare(read())
+
+    def _compare(self, figures: dict) -> None:
+        for endpoint_id, figure in figures.items():
+            was = endpoint_id in self._straggling
+            if figure.straggling and not was:
+                self._straggling.add(endpoint_id)
+                log_event(
+                    ENDPOINT_STRAGGLING,
+                    endpoint=endpoint_id,
+                    slowdown=figure.slowdown,
+                )
+            elif was and not figure.straggling:
+                self._straggling.discard(endpoint_id)
+                log_event(
+                    ENDPOINT_RECOVERED, endpoint=endpoint_id, slowdown=figure.slowdown
+                )
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -19,6 +19,7 @@
 from pomelolane.scheduler.admission import Admission
 from pomelolane.scheduler.affinity import PrefixIndex
 from pomelolane.scheduler.estimate import AnswerLengths
+from pomelolane.scheduler.figures import figures_of_worker
 from pomelolane.scheduler.fleet import Fleet
 from pomelolane.scheduler.flights import FlightBook, FlightParts
 from pomelolane.scheduler.limits import LimitBook
@@ -35,6 +36,7 @@
     from pomelolane.model import Tree
     from pomelolane.outcomes import Refusal
     from pomelolane.ports import CacheEvent, LoadReport, SchedulingCore
+    from pomelolane.scheduler.figures import EndpointFigures
     from pomelolane.scheduler.fleet import Worker
     from pomelolane.scheduler.placement import Placement
 
@@ -186,6 +188,13 @@
             decisions.extend(self._probe(now_ms))
         return decisions
 
+    def status(self) -> dict[str, EndpointFigures]:
+        """Return the figures of the endpoints, for operators."""
+        return {
+            endpoint_id: figures_of_worker(worker)
+            for endpoint_id, worker in self._fleet.workers.items()
+        }
+
     def placement_of(self, request_id: str) -> Placement | None:
         """Return the prediction behind a running request's grant, for logs."""
         return self._flights.placement_of(request_id)
