--- a/tests/steps/scheduler_driver.py
+++ b/tests/steps/scheduler_driver.py
@@ -4,6 +4,7 @@
 from pomelolane.messages import Handle, StreamEvent
 from pomelolane.model import Endpoint, Service, ServiceKind, Team, Tier, Tree, Work
 from pomelolane.ports import Grant
+from pomelolane.registry import PLACEMENT_POLICIES, lookup
 from pomelolane.scheduler import CoreOptions, make_core_with
 
 SERVICE = "model"
@@ -12,10 +13,13 @@
 class CoreDriver:
     """A core with everything that it has decided so far."""
 
-    def __init__(self, endpoints, options=None, **tree):
+    def __init__(self, endpoints, options=None, policy="", **tree):
         self.clock = ManualClock(1_000.0)
         self.options = options or CoreOptions()
-        self.core = make_core_with(self.options)(SERVICE)
+        make = make_core_with(self.options)
+        if policy:
+            make = lookup(PLACEMENT_POLICIES, policy)
+        self.core = make(SERVICE)
         self.endpoints = endpoints
         self.tree = tree
         self.decisions = {}
@@ -87,11 +91,17 @@
         return self.decisions[request_id][0]
 
 
-def make_tree(endpoints, queue_limit=1000, organisations=(), teams=()):
+def make_tree(
+    endpoints,
+    queue_limit=1000,
+    organisations=(),
+    teams=(),
+    kind=ServiceKind.ENGINE,
+):
     service = Service(
         name=SERVICE,
         team="team",
-        kind=ServiceKind.ENGINE,
+        kind=kind,
         works={"work": Work("work", "top", 60_000)},
         queue_limit=queue_limit,
     )
@@ -120,6 +130,14 @@
     )
 
 
+def alike_endpoints(number, slots):
+    """Return endpoints that differ by name only."""
+    return [
+        Endpoint(f"p{index}", SERVICE, "", "", slots=slots, kv_tokens=100_000)
+        for index in range(number)
+    ]
+
+
 def endpoint_from_row(row):
     cells = dict(row.items())
     return Endpoint(
--- a/tests/steps/scheduler_steps.py
+++ b/tests/steps/scheduler_steps.py
@@ -4,12 +4,13 @@
 from scheduler_driver import (
     SERVICE,
     CoreDriver,
+    alike_endpoints,
     endpoint_from_row,
     make_handle,
 )
 
 from pomelolane.messages import RunningHandle
-from pomelolane.model import Endpoint, Limits, Organisation
+from pomelolane.model import Endpoint, Limits, Organisation, ServiceKind
 from pomelolane.outcomes import Outcome
 from pomelolane.ports import CacheEvent, Grant, LoadReport
 
@@ -253,6 +254,41 @@
     assert low <= retry_ms <= high, retry_ms
 
 
+@given('a core of the policy "{policy}" with {number:d} endpoints of {slots:d} slot')
+@given('a core of the policy "{policy}" with {number:d} endpoints of {slots:d} slots')
+def step_policy(context, policy, number, slots):
+    context.core = CoreDriver(alike_endpoints(number, slots), policy=policy)
+
+
+@given("a core of a plain service with {number:d} endpoints of {slots:d} slots")
+def step_plain(context, number, slots):
+    endpoints = alike_endpoints(number, slots)
+    context.core = CoreDriver(endpoints, kind=ServiceKind.PLAIN)
+
+
+@given(
+    'the core has seen calls take {fast:d} ms on "{one}" and {slow:d} ms on "{other}"'
+)
+def step_calls(context, fast, one, slow, other):
+    driver = context.core
+    times = {one: fast, other: slow}
+    for index in range(16):
+        excluded = (other,) if index % 2 else (one,)
+        request_id = f"call-{index}"
+        driver.submit(make_handle({"id": request_id}, excluded=excluded))
+        where = driver.running[request_id]
+        driver.tick(times[where])
+        driver.event(request_id, ttft_ms=float(times[where]))
+        driver.event(request_id, finished=True)
+
+
+@then("the core granted {number:d} requests on each endpoint")
+def step_each(context, number):
+    granted = list(context.core.running.values())
+    for endpoint in context.core.endpoints:
+        assert granted.count(endpoint.endpoint_id) == number, granted
+
+
 def _prompt(request_id, blocks, first, **fields):
     row = {"id": request_id, "prefill": blocks * BLOCK_TOKENS + 10, "decode": 5}
     hashes = tuple(range(first, first + blocks))
