--- a/bench/relay.py
+++ b/bench/relay.py
@@ -31,6 +31,8 @@
 
 _START_TIMEOUT_S = 20.0
 _MICRO = 1e6
+_RAMP_S = 2.0
+"""Time in which the long answers begin, and as much for their end."""
 
 PUMP = "pump"
 PRODUCT = "serve"
@@ -75,6 +77,11 @@
         """CPU time of the target process for each event of long answers."""
         return self.tokens_cpu_s * _MICRO / max(1, self.tokens.events)
 
+    @property
+    def steady_us_per_token(self) -> float:
+        """The same while no request begins or ends."""
+        return self.tokens.steady_cpu_s * _MICRO / max(1, self.tokens.steady_events)
+
     @property
     def callers_us_per_token(self) -> float:
         """CPU time of the callers' process for each event of long answers."""
@@ -135,7 +142,7 @@
     process: psutil.Process, address: str, load: Load
 ) -> tuple[LoadResult, float]:
     before = _cpu_s(process)
-    result = uvloop.run(run_load(address, load))
+    result = uvloop.run(run_load(address, load, lambda: _cpu_s(process)))
     return result, _cpu_s(process) - before
 
 
@@ -170,6 +177,7 @@
 def _print(measured: Measured) -> None:
     print(
         f"{measured.name:18} us_per_token={measured.us_per_token:6.1f}"
+        f" steady_us={measured.steady_us_per_token:6.1f}"
         f" us_per_request={measured.us_per_request:7.1f}"
         f" ttft_p50_ms={measured.ttft_ms(0.5):6.2f}"
         f" ttft_p99_ms={measured.ttft_ms(0.99):6.2f}"
@@ -182,9 +190,15 @@
 
 def _run(options: argparse.Namespace) -> list[Measured]:
     loads = _Loads(
-        warm_up=Load(100, 8, 1.0, _HEADERS),
-        tokens=Load(options.streams, options.output_tokens, 1.0, _HEADERS),
-        arrivals=Load(options.requests_per_s, 8, options.seconds, _HEADERS),
+        warm_up=Load(100, 8, 1.0, headers=_HEADERS),
+        tokens=Load(
+            options.streams,
+            options.output_tokens,
+            1.0,
+            steady_s=options.output_tokens / options.tokens_per_s - _RAMP_S,
+            headers=_HEADERS,
+        ),
+        arrivals=Load(options.requests_per_s, 8, options.seconds, headers=_HEADERS),
     )
     speed = ("--tokens-per-s", str(options.tokens_per_s))
     measured = []
@@ -200,6 +214,7 @@
 def _print_summary(direct: Measured, relayed: Measured) -> None:
     print(
         f"relay_us_per_token={relayed.us_per_token:.1f}"
+        f" relay_steady_us={relayed.steady_us_per_token:.1f}"
         f" direct_us={direct.callers_us_per_token:.1f}"
         f" added_ttft_p50_ms={relayed.ttft_ms(0.5) - direct.ttft_ms(0.5):.2f}"
         f" p99_ms={relayed.ttft_ms(0.99) - direct.ttft_ms(0.99):.2f}"
