--- a/tests/steps/endpoints_direct_steps.py
+++ b/tests/steps/endpoints_direct_steps.py
@@ -9,7 +9,7 @@
 import uvloop
 from behave import given, then, when
 from endpoints_server import chunk, event_bytes, event_head
-from endpoints_steps import DONE, serve
+from endpoints_world import DONE, serve
 from hypothesis import given as fuzz_given
 from hypothesis import settings
 from hypothesis import strategies as st
--- a/tests/steps/endpoints_steps.py
+++ b/tests/steps/endpoints_steps.py
@@ -1,45 +1,30 @@
-"""Steps of the features under tests/endpoints."""
+"""Steps of the features on calls to endpoints under tests/endpoints."""
 
 import asyncio
 
 from behave import given, register_type, then, when
-from endpoints_server import (
-    RawServer,
-    answering,
-    chunk,
-    event_bytes,
-    event_head,
-    head,
-    resetting,
-    silent_after,
+from endpoints_server import head
+from endpoints_world import (
+    ENDPOINTS,
+    HELLO_ANSWER,
+    STREAM_ENDS,
+    engine_streaming,
+    read_all,
+    request,
+    serve,
 )
 from hypothesis import given as fuzz_given
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from pomelolane.clock import ManualClock
-from pomelolane.endpoints import (
-    ConnectionPool,
-    HttpConnection,
-    SseCounter,
-    make_engine_adapter,
-    make_plain_adapter,
-    relay,
-    usage_from_json,
-)
 from pomelolane.exceptions import (
     EndpointBrokenError,
     EndpointError,
     EndpointRefusedError,
     StreamGoneError,
 )
-from pomelolane.model import Endpoint
-from pomelolane.ports import UpstreamRequest
 from pomelolane.registry import ENDPOINT_ADAPTERS
 
-HELLO = b"hello world"
-HELLO_ANSWER = head(content_length=len(HELLO)) + HELLO
-DONE = b"data: [DONE]\n\n"
 FAILURES = {
     "refused": EndpointRefusedError,
     "broken": EndpointBrokenError,
@@ -47,103 +32,35 @@
 }
 
 
-def serve(context, handler):
-    """Start a raw server and make the adapters for it."""
-    context.clock = ManualClock()
-    context.pool = ConnectionPool(clock=context.clock)
-    context.engine = make_engine_adapter(context.pool)
-    context.plain = make_plain_adapter(context.pool)
-    context.errors = []
-    context.server = context.run(RawServer(handler).start())
-    context.endpoint = Endpoint("e1", "s", "dc", context.server.address)
-
-
-def request(method="POST", body=b"{}", headers=()):
-    return UpstreamRequest("r1", "k1", method, "/v1/x?y=1", headers, body)
-
-
-async def read_all(context, sent):
-    """Dispatch and read; keep stream, body and error."""
-    context.body = b""
-    try:
-        context.stream = await context.engine.dispatch(context.endpoint, sent)
-        async for data in context.stream.chunks():
-            context.body += data
-    except EndpointError as error:
-        context.errors.append(error)
-
-
-# --- scripted endpoints ---
-
+def _register_choice(name, texts):
+    def parse(text):
+        return text
 
-@given('an endpoint that answers with a length and the body "hello world"')
-def step_length(context):
-    serve(context, answering(HELLO_ANSWER))
+    parse.pattern = "|".join(texts)
+    register_type(**{name: parse})
 
 
-@given('an endpoint that answers with chunks and the body "hello world"')
-def step_chunks(context):
-    pieces = (chunk(b"hello "), b"5\r\nwo", b"rld\r\n0\r", b"\n\r\n")
-    serve(context, answering(head(transfer_encoding="chunked"), *pieces))
+_register_choice("Endpoint", ENDPOINTS)
+_register_choice("StreamEnd", STREAM_ENDS)
 
 
-@given('an endpoint that answers with an interim head and the body "hello world"')
-def step_interim(context):
-    serve(context, answering(head(100), HELLO_ANSWER))
+@given("an endpoint that {kind:Endpoint}")
+@given("an engine that {kind:Endpoint}")
+def step_endpoint(context, kind):
+    serve(context, ENDPOINTS[kind])
 
 
-@given('an endpoint that answers with only a close and the body "hello world"')
-def step_close_delimited(context):
-    serve(context, answering(head() + HELLO, close=True))
+@given("an engine that streams {count:d} events and {end:StreamEnd}")
+def step_engine(context, count, end):
+    serve(context, engine_streaming(count, end))
 
 
 @given("an endpoint that does not listen")
 def step_not_listening(context):
-    serve(context, answering())
+    serve(context, ENDPOINTS["answers 404"])
     context.server.stop()
 
 
-FAULTS = {
-    "closes before it answers": answering(close=True),
-    "closes within the head": answering(b"HTTP/1.1 200 OK\r\nA: b", close=True),
-    "closes within a length": answering(HELLO_ANSWER[:-1], close=True),
-    "closes within the chunks": answering(
-        head(transfer_encoding="chunked"), chunk(HELLO), close=True
-    ),
-    "resets within the chunks": resetting(
-        head(transfer_encoding="chunked"), chunk(HELLO)
-    ),
-    "answers what is not HTTP": answering(b"SSH-2.0-OpenSSH\r\n\r\n"),
-    "answers with an endless head": answering(
-        b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 40000
-    ),
-    "switches protocols": answering(head(101, upgrade="x", connection="upgrade")),
-    "answers 204": answering(head(204)),
-    "answers 304 with a length": answering(head(304, content_length=500)),
-    "answers in an unknown coding": answering(head(transfer_encoding="gzip, chunked")),
-    "answers with an unknown status": answering(head(999, content_length=0)),
-    "answers 404": answering(head(404, content_length=0)),
-    "closes after each answer without saying so": answering(HELLO_ANSWER, close=True),
-    "sends bytes after the end of its answer": answering(HELLO_ANSWER + b"surplus"),
-    "answers HEAD with the length of a body it does not send": answering(
-        head(content_length=500)
-    ),
-}
-
-
-def _parse_fault(text):
-    return FAULTS[text]
-
-
-_parse_fault.pattern = "|".join(FAULTS)
-register_type(Fault=_parse_fault)
-
-
-@given("an endpoint that {fault:Fault}")
-def step_fault(context, fault):
-    serve(context, fault)
-
-
 @given("an endpoint that echoes the body")
 def step_echo(context):
     async def echo(server, reader, writer):
@@ -185,45 +102,6 @@
     serve(context, handle)
 
 
-@given("an engine that streams {count:d} events and its end")
-def step_events(context, count):
-    pieces = [chunk(event_bytes(count)), chunk(DONE), chunk(b"")]
-    serve(context, answering(event_head(), *pieces))
-
-
-@given("an engine that streams {count:d} events and closes")
-def step_events_close(context, count):
-    serve(context, answering(event_head() + chunk(event_bytes(count)), close=True))
-
-
-@given("an engine that streams {count:d} events and ends well without its marker")
-def step_events_no_marker(context, count):
-    pieces = chunk(event_bytes(count)) + chunk(b"")
-    serve(context, answering(event_head() + pieces))
-
-
-@given("an engine that streams {count:d} events and falls silent")
-def step_events_silent(context, count):
-    serve(context, silent_after(event_head() + chunk(event_bytes(count))))
-
-
-@given("an engine that breaks after its head")
-def step_break_after_head(context):
-    serve(context, answering(event_head(), close=True))
-
-
-@given("an engine that answers JSON with {count:d} cached tokens")
-def step_json(context, count):
-    body = usage_json(count)
-    content = head(content_type="application/json", content_length=len(body))
-    serve(context, answering(content + body))
-
-
-def usage_json(count):
-    details = b'"prompt_tokens_details":{"cached_tokens":%d}' % count
-    return b'{"choices":[],"usage":{"prompt_tokens":20,' + details + b"}}"
-
-
 # --- dispatch ---
 
 
@@ -468,256 +346,3 @@
             assert context.stream.ended
 
     check()
-
-
-# --- events ---
-
-
-@given("an event stream of {count:d} events and its end")
-def step_event_stream(context, count):
-    context.events = event_bytes(count) + DONE
-
-
-@then("cutting the event stream anywhere counts {count:d} events and sees its end")
-def step_cut_anywhere(context, count):
-    data = context.events
-    for size in range(1, len(data) + 1):
-        counter = SseCounter()
-        for start in range(0, len(data), size):
-            counter.feed(data[start : start + size])
-        assert (counter.events, counter.is_done) == (count, True), size
-
-
-@given('the event bytes "{text}"')
-def step_event_bytes(context, text):
-    context.events = text.replace("\\r", "\r").replace("\\n", "\n").encode()
-
-
-@then("the event counter says {count:d} events and {end}")
-def step_counter(context, count, end):
-    counter = SseCounter()
-    counter.feed(context.events)
-    assert (counter.events, counter.is_done) == (count, end == "end")
-
-
-@then("the usage of a JSON answer with {count:d} cached tokens is read")
-def step_usage(context, count):
-    del context
-    usage = usage_from_json(usage_json(count))
-    assert usage.prompt_tokens_details.cached_tokens == count
-
-
-@then("the usage of junk is empty")
-def step_usage_junk(context):
-    del context
-    for junk in (b"", b"[]", b"{", b'{"usage":7}', b'{"usage":null}', b"\xff"):
-        assert usage_from_json(junk).prompt_tokens == -1, junk
-
-
-# --- relay ---
-
-
-class Caller:
-    """An ASGI ``send`` that keeps what it is given."""
-
-    def __init__(self):
-        self.messages = []
-
-    async def send(self, message):
-        """Keep a message."""
-        self.messages.append(message)
-
-    @property
-    def body(self):
-        """All body bytes so far."""
-        return b"".join(message.get("body", b"") for message in self.messages)
-
-    @property
-    def is_closed(self):
-        """Whether the answer was closed as whole."""
-        return self.messages[-1].get("more_body") is False
-
-
-def start_relay(context):
-    context.caller = Caller()
-    context.gone = asyncio.Event()
-    context.firsts = []
-    context.progress = []
-    context.progressed = asyncio.Event()
-
-    def on_progress(chunks):
-        context.progress.append(chunks)
-        context.progressed.set()
-
-    async def run():
-        stream = await context.engine.dispatch(context.endpoint, request())
-        return await relay(
-            stream,
-            context.caller.send,
-            context.gone,
-            on_first=lambda: context.firsts.append(1),
-            on_progress=on_progress,
-        )
-
-    return context.loop.create_task(run())
-
-
-@when("the endpoint's answer is relayed")
-def step_relay(context):
-    context.result = context.run(start_relay(context))
-
-
-@when("the caller leaves while the endpoint's answer is relayed")
-def step_leave(context):
-    async def leave(task):
-        await context.progressed.wait()
-        context.gone.set()
-        return await task
-
-    context.result = context.run(leave(start_relay(context)))
-
-
-@then("the relay passed on every byte and closed the answer")
-def step_relayed(context):
-    assert context.result.whole, context.result
-    assert context.caller.is_closed
-    assert len(context.caller.body) == context.result.bytes > 0
-
-
-@then("the relay counted {chunks:d} chunks and {cached:d} cached tokens")
-def step_relay_counted(context, chunks, cached):
-    assert context.result.chunks == chunks, context.result
-    assert context.result.cached_tokens == cached, context.result
-
-
-@then("the relay opened nothing and says broken")
-def step_unopened(context):
-    assert context.caller.messages == []
-    assert context.result.broken and not context.result.started
-
-
-@then("the relay left the answer open and says broken")
-def step_left_open(context):
-    assert context.result.broken and context.result.started, context.result
-    assert not context.result.whole
-    assert not context.caller.is_closed
-    assert context.result.chunks == 5, context.result
-
-
-@then("the relay says that the caller has gone")
-def step_gone(context):
-    assert context.result.caller_gone, context.result
-    assert not context.result.whole and not context.result.broken
-
-
-@then("the relay told the first byte once and the progress up to {chunks:d} chunks")
-def step_told(context, chunks):
-    assert context.firsts == [1]
-    assert context.progress[-1] == chunks, context.progress
-
-
-# --- chunks that pass undecoded ---
-
-
-class ChunkSink:
-    """Keeps what it is given, in either form."""
-
-    takes_chunks = True
-
-    def __init__(self):
-        self.body = b""
-        self.raw_chunks = 0
-        self.ended = 0
-
-    def write(self, data):
-        """Take decoded bytes."""
-        self.body += data
-
-    def write_chunk(self, data, head_length):
-        """Take a whole chunk."""
-        size = int(data[:head_length], 16)
-        assert data == chunk(data[head_length : head_length + size])
-        self.body += data[head_length:-2]
-        self.raw_chunks += 1
-
-    def end(self):
-        """Note the end."""
-        self.ended += 1
-
-
-class NoTransport:
-    """A transport that takes everything and does nothing."""
-
-    def writelines(self, parts):
-        """Take bytes."""
-
-    def is_closing(self):
-        """Tell that it is open."""
-        return False
-
-    def get_write_buffer_size(self):
-        """Tell that nothing waits."""
-        return 0
-
-    def abort(self):
-        """Do nothing."""
-
-
-async def feed_cut(segments):
-    """Feed a connection with an answer's segments; return sink and stream."""
-    connection = HttpConnection(None, lambda _: None, lambda _: None)
-    connection.connection_made(NoTransport())
-    answer = asyncio.ensure_future(connection.exchange("POST", ()))
-    await asyncio.sleep(0)
-    connection.data_received(event_head())
-    stream = await answer
-    sink = ChunkSink()
-    stream.attach(sink)
-    for segment in segments:
-        connection.data_received(segment)
-    return sink, stream
-
-
-def cut_segments(pieces, cuts):
-    """Cut each chunk where told: 0 leaves it whole, n cuts off n bytes."""
-    rest = b""
-    segments = []
-    for piece, cut in zip(pieces, cuts, strict=True):
-        data = rest + chunk(piece)
-        rest = b""
-        if cut:
-            data, rest = data[:-cut], data[-cut:]
-        if data:
-            segments.append(data)
-    return [*segments, rest + chunk(b"")]
-
-
-@then("however a fuzzer cuts a chunked answer, a sink of chunks gets its body")
-def step_chunk_sink(context):
-    piece = st.binary(min_size=1, max_size=40) | st.sampled_from([b"\r\n", b"5\r\nab"])
-    seen = set()
-
-    @settings(max_examples=300, deadline=None, database=None)
-    @fuzz_given(st.lists(st.tuples(piece, st.integers(0, 9)), min_size=1, max_size=9))
-    def check(parts):
-        pieces, cuts = zip(*parts, strict=True)
-        sink, stream = context.run(feed_cut(cut_segments(pieces, cuts)))
-        assert sink.body == b"".join(pieces), (sink.body, parts)
-        assert stream.complete and sink.ended == 1
-        seen.add(sink.raw_chunks > 0)
-
-    check()
-    assert seen == {True, False}
-
-
-@then("a chunk whose cut-off head and first bytes look like one passes unharmed")
-def step_disguised(context):
-    first = b"data: a\n\n"
-    disguised = b"X\r\n" + b"y" * 14
-    whole = chunk(disguised)
-    # The second segment alone reads like a chunk of one byte.
-    segments = [chunk(first) + whole[:1], whole[1:7], whole[7:] + chunk(b"")]
-    assert segments[1] == chunk(b"X")
-    sink, stream = context.run(feed_cut(segments))
-    assert sink.body == first + disguised, sink.body
-    assert stream.complete
