--- a/bench/relay.py
+++ b/bench/relay.py
@@ -34,6 +34,11 @@
 _RAMP_S = 2.0
 """Time in which the long answers begin, and as much for their end."""
 
+_BEAT = "beat"
+_STANDIN = "standin"
+_STANDIN_SLOWDOWN = 0.03
+"""Share by which the stand-in's step grows with each stream of its batch."""
+
 PUMP = "pump"
 PRODUCT = "serve"
 _HEADERS = ((b"authorization", b"Bearer " + KEY.encode()),)
@@ -200,9 +205,8 @@
         ),
         arrivals=Load(options.requests_per_s, 8, options.seconds, headers=_HEADERS),
     )
-    speed = ("--tokens-per-s", str(options.tokens_per_s))
     measured = []
-    with _process("bench.relay_engine", *speed) as (engine, endpoint):
+    with _process(*_source_command(options)) as (engine, endpoint):
         measured.append(_measure("direct", engine, endpoint, loads))
         _print(measured[-1])
         for mode in options.modes.split(","):
@@ -211,6 +215,23 @@
     return measured
 
 
+def _source_command(options: argparse.Namespace) -> tuple[str, ...]:
+    if options.source == _BEAT:
+        return ("bench.relay_engine", f"--tokens-per-s={options.tokens_per_s}")
+    # The stand-in slows each stream of a full batch; all together keep the pace.
+    slowdown = 1.0 + _STANDIN_SLOWDOWN * (options.streams - 1)
+    return (
+        "standins.engine",
+        f"--control-port={_free_port()}",
+        "--endpoint-id=engine-1",
+        "--model=bench",
+        "--slots=2000",
+        "--kv-tokens=100000000",
+        "--prefill-tokens-per-s=1000000",
+        f"--decode-tokens-per-s={options.tokens_per_s * slowdown}",
+    )
+
+
 def _print_summary(direct: Measured, relayed: Measured) -> None:
     print(
         f"relay_us_per_token={relayed.us_per_token:.1f}"
@@ -227,6 +248,12 @@
     parser.add_argument(
         "--modes", default="pump,fast,serve", help=",".join((PUMP, *MODES, PRODUCT))
     )
+    parser.add_argument(
+        "--source",
+        choices=(_BEAT, _STANDIN),
+        default=_BEAT,
+        help="a bare token source, or the model engine stand-in",
+    )
     parser.add_argument("--requests-per-s", type=float, default=200.0)
     parser.add_argument("--streams", type=float, default=200.0)
     parser.add_argument("--output-tokens", type=int, default=355)
