--- a/bench/caller.py
+++ b/bench/caller.py
@@ -74,6 +74,14 @@
         """Answer tokens received."""
         return self.text.count(" ")
 
+    def brief(self) -> str:
+        """Return what matters of it in one line."""
+        return (
+            f"{self.request_id} {self.status} {self.outcome}/{self.reason} "
+            f"whole={self.whole} tokens={self.tokens} after {self.total_ms:.0f} ms "
+            f"{self.error}"
+        )
+
 
 class Caller:
     """Sends calls over one pool of connections.
