Make the drain's grace period a checked option

Cause: for how long a stopping VM still takes new calls depends on how fast the balancer in front of it notices /readyz, which only its operators know; it was a constant of 1.5 s.

An unused constant goes.

Ruled out: waiting until no new call has come for a while, since a caller that holds a connection open would then delay the stop.

Conclusion: tests/settings/options.feature checks default and bounds; the commands' process test stops with no grace as before it would wait for one.

--- a/src/pomelolane/node.py
+++ b/src/pomelolane/node.py
@@ -20,11 +20,6 @@
     from pomelolane.parts import Parts
     from pomelolane.settings.options import ServeOptions
 
-DRAIN_GRACE_S = 1.5
-"""How long a draining VM still takes callers that the balancer sends."""
-
-FLUSH_TIMEOUT_MS = 10_000
-
 
 class Node:
     """A running VM.
@@ -84,7 +79,7 @@
         parts.gateway.draining = True
         parts.member.set_draining()
         handover = asyncio.create_task(parts.coordination.handover())
-        await asyncio.sleep(DRAIN_GRACE_S)
+        await asyncio.sleep(self._options.drain_grace_ms / 1000)
         timeout_s = self._options.drain_timeout_ms / 1000
         try:
             async with asyncio.timeout(timeout_s):
--- a/src/pomelolane/settings/options.py
+++ b/src/pomelolane/settings/options.py
@@ -169,6 +169,13 @@
         default="30000",
         unit="ms",
     )
+    drain_grace_ms: int = _option(
+        Integer(0, 600_000, "milliseconds"),
+        "How long a stopping VM still takes new calls; keep it above the time "
+        "in which the balancer notices /readyz.",
+        default="5000",
+        unit="ms",
+    )
     drain_timeout_ms: int = _option(
         Integer(1000, 86_400_000, "milliseconds"),
         "Longest graceful stop; keep it above the longest deadline.",
--- a/tests/settings/options.feature
+++ b/tests/settings/options.feature
@@ -6,6 +6,7 @@
     When the settings options are read
     Then the settings option "port" is "8080"
     And the settings option "platform" is "embedded"
+    And the settings option "drain_grace_ms" is "5000"
 
   Scenario: A flag goes before its variable
     Given settings flags "vm_id=v1 region=r data_centre=d port=9001"
@@ -44,6 +45,8 @@
       | platform=127.0.0.1:1        | --platform          | 'embedded' or an http(s)        |
       | platform=http://example:1   | --platform          | IP number                       |
       | body_timeout_ms=5s          | --body-timeout-ms   | milliseconds from 100           |
+      | drain_grace_ms=1.5          | --drain-grace-ms    | milliseconds from 0             |
+      | drain_grace_ms=900000       | --drain-grace-ms    | milliseconds from 0 to 600000   |
       | max_body_bytes=1            | --max-body-bytes    | bytes from 1024                 |
       | policy=random               | --policy            | one of pomelolane, round_robin  |
       | log_level=loud              | --log-level         | one of debug                    |
--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -110,6 +110,7 @@
         *(sys.executable, "-m", "pomelolane", "serve", "--vm-id", "vm1"),
         *("--region", "here", "--data-centre", "d", "--port", "0"),
         *("--peer-port", "0", "--tree", str(context.directory)),
+        *("--drain-grace-ms", "0"),
     )
     log = context.directory / "vm.log"
     context.vm_process = ManagedProcess("vm1", command, log, os.environ)
