Charge no request again that an earlier scheduler has charged

Cause: a gateway that changes its scheduler registers its waiting handles again with `admitted` set, but `LimitBook.admit` looked at `attempt` only, so the successor charged them a second time and refused some as over the rate; `give_back` in turn returned to the new book what it never took. Ruled out: the flag itself is carried (`Ticket.handle_at` sets it after the acknowledgement). Change: both look at `admitted`. Before: both new scenarios of limits.feature fail (the second also with only the guard of `give_back` taken out); after: 5 of 5 pass.

--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -88,9 +88,10 @@
     def admit(self, handle: Handle, tokens: int, now_ms: float) -> Refusal | None:
         """Charge a request's rates, or say when they allow it.
 
-        A request that was admitted before and is tried again pays nothing.
+        A request that was admitted before pays nothing: one that is tried again,
+        or one that an earlier scheduler has charged.
         """
-        if handle.attempt > 0:
+        if handle.attempt > 0 or handle.admitted:
             return None
         accounts = self._accounts(handle)
         for account in accounts:
@@ -111,7 +112,12 @@
                 account.tokens.take(tokens)
 
     def give_back(self, handle: Handle, tokens: int) -> None:
-        """Undo the charge of a request that was not run."""
+        """Undo the charge of a request that was not run.
+
+        What an earlier scheduler charged was never taken from this book.
+        """
+        if handle.admitted:
+            return
         for account in self._accounts(handle):
             if account.requests is not None:
                 account.requests.take(-1.0)
--- a/tests/scheduler/limits.feature
+++ b/tests/scheduler/limits.feature
@@ -35,3 +35,28 @@
     And the core has not decided "b"
     When the core sees "a" end
     Then the core granted "b" on "limited"
+
+  Scenario: What an earlier scheduler has charged pays nothing again
+    Given a core whose organisation is limited to 2 requests a second
+    When the core is given 3 requests that an earlier scheduler admitted
+    And the core is given the requests
+      | id    | tier |
+      | new-1 | 0    |
+      | new-2 | 0    |
+      | new-3 | 0    |
+    Then the core has refused 1 requests
+    And the core refused "new-3" as "request_limit"
+
+  Scenario: What an earlier scheduler has charged gives nothing back
+    Given a core whose organisation is limited to 2 requests a second
+    When the core is given 20 requests that an earlier scheduler admitted
+    And the core is given the requests
+      | id    | tier |
+      | new-1 | 0    |
+      | new-2 | 0    |
+    Then the core has not decided "old-19"
+    When the core is told to forget "old-19"
+    And the core is given the requests
+      | id    | tier |
+      | new-3 | 0    |
+    Then the core refused "new-3" as "request_limit"
--- a/tests/steps/scheduler_driver.py
+++ b/tests/steps/scheduler_driver.py
@@ -21,7 +21,12 @@
         self.decisions = {}
         self.running = {}
         self.handles = {}
-        self.take(self.core.configure(make_tree(endpoints, **tree), self.now))
+        self.configure(endpoints)
+
+    def configure(self, endpoints):
+        """Hand in a tree with some endpoints."""
+        tree = make_tree(endpoints, **self.tree)
+        self.take(self.core.configure(tree, self.now))
 
     @property
     def now(self):
--- a/tests/steps/scheduler_steps.py
+++ b/tests/steps/scheduler_steps.py
@@ -104,6 +104,23 @@
         context.core.submit(make_handle(row))
 
 
+@when("the core is given {number:d} requests that an earlier scheduler admitted")
+def step_admitted_before(context, number):
+    for index in range(number):
+        context.core.submit(make_handle({"id": f"old-{index}"}, admitted=True))
+
+
+@when('the endpoint "{endpoint}" is removed from the core\'s tree')
+def step_removed(context, endpoint):
+    rest = [e for e in context.core.endpoints if e.endpoint_id != endpoint]
+    context.core.configure(rest)
+
+
+@when("all endpoints are in the core's tree again")
+def step_declared_again(context):
+    context.core.configure(context.core.endpoints)
+
+
 @when("{ms:d} ms pass for the core")
 def step_pass(context, ms):
     context.core.tick(ms)
@@ -232,6 +249,12 @@
     assert sum(isinstance(r, Grant) for r in results) == number
 
 
+@then("the core has refused {number:d} requests")
+def step_refused_number(context, number):
+    results = [r for found in context.core.decisions.values() for r in found]
+    assert sum(not result for result in results) == number, results
+
+
 @then('the core refused "{request_id}" as "{reason}"')
 def step_refused(context, request_id, reason):
     result = context.core.result(request_id)
