Reopen a removed endpoint that is declared again while it is busy

Cause: `Fleet.configure` keeps a removed worker with flights and marks its account as leaving; `_adopt` reopens a known worker only when its old declaration said leaving, which the removed one's did not. An operator who removed and declared a busy endpoint again lost it until the process ended. Ruled out: idle endpoints (their worker is deleted and made anew). Change: the kept declaration is marked as leaving on removal, so a new declaration reopens it by the rule that was there.

--- a/src/pomelolane/scheduler/fleet.py
+++ b/src/pomelolane/scheduler/fleet.py
@@ -9,7 +9,7 @@
 import heapq
 import math
 from bisect import bisect_left, insort
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count, islice
 from typing import TYPE_CHECKING
 
@@ -113,7 +113,10 @@
         declared = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
         for endpoint_id in [i for i in self.workers if i not in declared]:
             worker = self.workers[endpoint_id]
-            worker.account.leaving = True
+            account = worker.account
+            account.leaving = True
+            # As if declared as leaving, so that a new declaration reopens it.
+            account.endpoint = replace(account.endpoint, leaving=True)
             if not worker.account.flights:
                 self._close(worker)
                 del self.workers[endpoint_id]
--- a/tests/scheduler/core.feature
+++ b/tests/scheduler/core.feature
@@ -91,3 +91,16 @@
     When the core may use a share of 0.5 of the slots
     And the core is given 10 requests of tier 0
     Then the core has granted 2 requests
+
+  Scenario: A busy endpoint that is removed and declared again gets grants again
+    When the core is given 1 requests of tier 0
+    And the endpoint "fast" is removed from the core's tree
+    And the core is given the requests
+      | id   | tier | prefill | decode | budget_ms |
+      | gone | 0    | 100     | 10     | 60000     |
+    And all endpoints are in the core's tree again
+    And the core is given the requests
+      | id   | tier | prefill | decode | budget_ms |
+      | back | 0    | 100     | 10     | 60000     |
+    Then the core granted "gone" on "slow"
+    And the core granted "back" on "fast"
