--- a/src/pomelolane/scheduler/flights.py
+++ b/src/pomelolane/scheduler/flights.py
@@ -21,8 +21,9 @@
     from pomelolane.scheduler.limits import LimitBook
     from pomelolane.scheduler.options import CoreOptions
     from pomelolane.scheduler.placement import Placement
-    from pomelolane.scheduler.queue import FairQueue, Waiting
+    from pomelolane.scheduler.queue import FairQueue
     from pomelolane.scheduler.reserve import Reserve
+    from pomelolane.scheduler.waiting import Waiting
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,10 +101,15 @@
         worker.account.observe(flight, event, now_ms)
         self._judge(worker, flight, event, now_ms)
         if flight.started and not was_started:
-            self._first_token(worker, flight, event)
+            end_ms = flight.expected_end_ms
+            self._parts.reserve.granted(event.request_id, end_ms)
+        if event.cached_tokens >= 0 and flight.cached_tokens > 0:
+            self._parts.prefixes.answered(
+                worker.endpoint_id, flight.cached_tokens, event.cached_tokens
+            )
         if event.finished or event.refused:
             self._finish(flight, event, now_ms)
-        else:
+        elif flight.started and not was_started:
             self._parts.fleet.refresh(worker, now_ms)
         return True
 
@@ -127,7 +133,7 @@
             account = worker.account
             if self._options.stragglers and account.flights:
                 self._check_health(worker, now_ms)
-            if worker.open_key is None:
+            if worker.open_key is None and account.has_foreign_load:
                 self._parts.fleet.refresh(worker, now_ms)
 
     def park_if_limited(self, handle: Handle) -> bool:
@@ -163,9 +169,7 @@
         worker.account.add(flight, now_ms)
         worker.health.granted(worker.account, now_ms)
         self._parts.limits.started(flight.handle)
-        self._parts.reserve.granted(
-            request_id, flight.expected_first_ms, flight.expected_end_ms
-        )
+        self._parts.reserve.granted(request_id, flight.expected_end_ms)
         if self._options.affinity and flight.handle.prefix_hashes:
             room = worker.account.endpoint.kv_tokens - worker.account.kv_used_tokens
             room += flight.handle.prefill_tokens
@@ -190,14 +194,6 @@
         if worker.health.state is not before:
             self._parts.fleet.health_changed(worker, now_ms)
 
-    def _first_token(self, worker: Worker, flight: Flight, event: StreamEvent) -> None:
-        request_id = flight.handle.request_id
-        self._parts.reserve.started(request_id, flight.expected_end_ms)
-        if event.cached_tokens >= 0 and flight.cached_tokens > 0:
-            self._parts.prefixes.answered(
-                worker.endpoint_id, flight.cached_tokens, event.cached_tokens
-            )
-
     def _finish(self, flight: Flight, event: StreamEvent, now_ms: float) -> None:
         handle = flight.handle
         self.end(handle.request_id, now_ms)
