Log without walking the stack; drop uvicorn's proxy-header middleware

Cause: of a gateway's 2.1 ms of CPU a request (profiled on a busy machine), a tenth went into absl's search for each line's file and line number.

--- a/src/pomelolane/gateway/listener.py
+++ b/src/pomelolane/gateway/listener.py
@@ -136,6 +136,7 @@
             access_log=False,
             log_config=None,
             log_level="critical",
+            proxy_headers=False,
             server_header=False,
             date_header=False,
             timeout_keep_alive=KEEP_ALIVE_S,
--- a/src/pomelolane/logs.py
+++ b/src/pomelolane/logs.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from absl import logging
+from absl.logging import converter
 
 if TYPE_CHECKING:
     from pomelolane.events import Event
@@ -20,6 +21,8 @@
 }
 
 _MAX_VALUE_LENGTH = 200
+_SOURCE = "pomelolane"
+_LOGGER = logging.get_absl_logger()
 
 
 def format_event(event: Event, values: dict[str, object]) -> str:
@@ -31,8 +34,20 @@
 def log_event(event: Event, **values: object) -> None:
     """Write one log line; only fields of the catalogue are written."""
     level = _LEVELS[event.level]
-    if logging.vlog_is_on(level) if level > 0 else True:
-        logging.log(level, "%s", format_event(event, values))
+    if level > logging.get_verbosity():
+        return
+    # absl would walk the stack of each call for its file and line, which costs
+    # more than the rest; an event's number says where it comes from.
+    record = _LOGGER.makeRecord(
+        _LOGGER.name,
+        converter.absl_to_standard(level),
+        _SOURCE,
+        event.number,
+        format_event(event, values),
+        (),
+        None,
+    )
+    _LOGGER.handle(record)
 
 
 def _printable(value: object) -> str:
