--- a/tests/bench/cluster.feature
+++ b/tests/bench/cluster.feature
@@ -24,3 +24,13 @@
   Scenario: A short demo ends without an error
     When "python -m bench.demo --seconds 2 --vms 1" is run
     Then its last line begins with "errors: 0 of"
+
+  Scenario Outline: Ctrl-C ends all that was started
+    Given "python -m <command>" is started and has its processes running
+    When it gets an interrupt from the terminal
+    Then it and all its processes are gone
+
+    Examples:
+      | command                                                                |
+      | bench.demo --seconds 60 --vms 1                                        |
+      | bench --scenario steady --vms 1 --policies pomelolane --side-by-side 1 |
--- a/tests/steps/bench_steps.py
+++ b/tests/steps/bench_steps.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import os
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -32,6 +33,7 @@
 
 PROMPT = "species code for gulf shrimp?"
 RUN_TIMEOUT_S = 120
+INTERRUPTED = 130
 LAUNCHER = """
 import asyncio, os, sys
 from pathlib import Path
@@ -536,8 +538,7 @@
     raise AssertionError("a cluster of nothing was started")
 
 
-@when('"python -m {command}" is run')
-def step_run_module(context, command):
+def _spawn_module(context, command):
     folder = Path(tempfile.mkdtemp())
     module, *arguments = command.split()
     if module == "bench":
@@ -546,7 +547,38 @@
     context.child = ManagedProcess(module, argv, folder / "log", child_environment())
     context.add_cleanup(context.child.kill)
     context.child.spawn()
+
+
+@when('"python -m {command}" is run')
+def step_run_module(context, command):
+    _spawn_module(context, command)
+    context.run(context.child.wait_exit(RUN_TIMEOUT_S))
+
+
+@given('"python -m {command}" is started and has its processes running')
+def step_start_module(context, command):
+    _spawn_module(context, command)
+    parent = psutil.Process(context.child.pid)
+
+    def vm_runs():
+        return any("serve" in each.cmdline() for each in parent.children(True))
+
+    context.run(wait_until(vm_runs, RUN_TIMEOUT_S, "no VM was started"))
+    context.descendants = parent.children(recursive=True)
+
+
+@when("it gets an interrupt from the terminal")
+def step_interrupt(context):
+    os.kill(context.child.pid, signal.SIGINT)
+
+
+@then("it and all its processes are gone")
+def step_all_gone(context):
     context.run(context.child.wait_exit(RUN_TIMEOUT_S))
+    assert context.child.exit_code == INTERRUPTED, context.child.log_tail()
+    psutil.wait_procs(context.descendants, timeout=10)
+    left = [each for each in context.descendants if each.is_running()]
+    assert not left, left
 
 
 @then('its last line begins with "{text}"')
