--- a/src/pomelolane/node.py
+++ b/src/pomelolane/node.py
@@ -20,6 +20,12 @@
     from pomelolane.parts import Parts
     from pomelolane.settings.options import ServeOptions
 
+HANDOVER_TIMEOUT_S = 3.0
+"""How long a VM that has finished its own requests waits for a successor.
+
+Where every VM drains there is none; those that still follow go on alone.
+"""
+
 
 class Node:
     """A running VM.
@@ -36,6 +42,7 @@
         self._listener = Listener(make_asgi(self._app), options.header_timeout_ms)
         self._stopping = asyncio.Event()
         self._became_ready = False
+        self._handover: asyncio.Task[None] | None = None
         parts.tree.on_change(lambda tree: self._note_ready())
 
     async def start(self) -> None:
@@ -78,14 +85,14 @@
         )
         parts.gateway.draining = True
         parts.member.set_draining()
-        handover = asyncio.create_task(parts.coordination.handover())
+        self._handover = asyncio.create_task(parts.coordination.handover())
         await asyncio.sleep(self._options.drain_grace_ms / 1000)
         timeout_s = self._options.drain_timeout_ms / 1000
         try:
             async with asyncio.timeout(timeout_s):
                 await self._listener.stop()
                 await parts.finish_background()
-                await handover
+                await asyncio.wait({self._handover}, timeout=HANDOVER_TIMEOUT_S)
         except TimeoutError:
             log_event(
                 events.TASK_FAILED,
@@ -95,6 +102,8 @@
 
     async def _stop(self) -> None:
         parts = self._parts
+        if self._handover is not None:
+            self._handover.cancel()
         await parts.coordination.stop()
         await parts.stop_background()
         await parts.member.stop()
