--- a/src/pomelolane/endpoints/direct.py
+++ b/src/pomelolane/endpoints/direct.py
@@ -20,15 +20,35 @@
 METERED_PIECES = 8
 """Pieces of an event stream that are counted, and told of, together."""
 
+_CHUNK_END = -2
+
 
 def direct_cycle(send: object) -> RequestResponseCycle | None:
-    """Return uvicorn's cycle behind an ASGI ``send`` if it can be driven so."""
+    """Return uvicorn's cycle behind an ASGI ``send`` if it can be driven so.
+
+    That holds for a caller that has left as well: its transport has no protocol
+    any more, and nothing is written to it.
+    """
     cycle = getattr(send, "__self__", None)
     if not isinstance(cycle, RequestResponseCycle):
         return None
-    if not isinstance(cycle.transport.get_protocol(), RelayHttpProtocol):
-        return None
-    return cycle
+    if has_left(cycle) or _listening_protocol(cycle) is not None:
+        return cycle
+    return None
+
+
+def has_left(cycle: RequestResponseCycle) -> bool:
+    """Tell whether the caller has left.
+
+    With requests sent early, uvicorn tells the last of them only, but the
+    transport knows.
+    """
+    return cycle.disconnected or cycle.transport.is_closing()
+
+
+def _listening_protocol(cycle: RequestResponseCycle) -> RelayHttpProtocol | None:
+    protocol = cycle.transport.get_protocol()
+    return protocol if isinstance(protocol, RelayHttpProtocol) else None
 
 
 class DirectSink:
@@ -55,8 +75,8 @@
         self._stream = stream
         self._cycle = cycle
         self._write = cycle.transport.write
-        self._protocol: RelayHttpProtocol = cycle.transport.get_protocol()
-        self._is_chunked = bool(cycle.chunked_encoding)
+        self._protocol = _listening_protocol(cycle)
+        self.takes_chunks = bool(cycle.chunked_encoding)
         self._meter = meter
         self._observer = observer
         self._unmetered: list[bytes] = []
@@ -65,24 +85,25 @@
 
     async def run(self) -> None:
         """Pass on until the end; the stream is detached afterwards."""
-        self._protocol.listener = self
+        self._listen(self)
         try:
-            if self._cycle.disconnected:
+            if has_left(self._cycle):
                 self.on_lost()
-                return
-            if self._cycle.flow.write_paused:
+            elif self._cycle.flow.write_paused:
                 self.on_full()
-            self._stream.attach(self)
+            if not self._ended.done():
+                self._stream.attach(self)
             await self._ended
         finally:
-            self._protocol.listener = None
+            self._listen(None)
             self._stream.detach()
+            self._meter_batch()
 
     # --- the endpoint's side ---
 
     def write(self, data: bytes) -> None:
         """Pass on a piece at once; event streams are metered in batches."""
-        if self._is_chunked:
+        if self.takes_chunks:
             self._write(b"%x\r\n%b\r\n" % (len(data), data))
         else:
             self._write_counted(data)
@@ -91,6 +112,14 @@
         if len(unmetered) >= self._batch_pieces:
             self._meter_batch()
 
+    def write_chunk(self, data: bytes, head_length: int) -> None:
+        """Pass on a chunk in its own framing."""
+        self._write(data)
+        unmetered = self._unmetered
+        unmetered.append(data[head_length:_CHUNK_END])
+        if len(unmetered) >= self._batch_pieces:
+            self._meter_batch()
+
     def end(self) -> None:
         """End with the stream."""
         self._meter_batch()
@@ -108,10 +137,18 @@
         self._stream.resume()
 
     def on_lost(self) -> None:
-        """End with the caller."""
+        """End with the caller, or go on for the copy alone."""
         self.caller_gone = True
-        self._stream.detach()
-        self.end()
+        self._write = _drop
+        if self._meter.copies:
+            self._stream.resume()
+        else:
+            self._stream.detach()
+            self.end()
+
+    def _listen(self, listener: DirectSink | None) -> None:
+        if self._protocol is not None:
+            self._protocol.listener = listener
 
     def _meter_batch(self) -> None:
         pieces = self._unmetered
@@ -126,3 +163,7 @@
             return
         cycle.expected_content_length -= len(data)
         self._write(data)
+
+
+def _drop(data: bytes) -> None:
+    del data
--- a/src/pomelolane/parts.py
+++ b/src/pomelolane/parts.py
@@ -1,56 +1,39 @@
-"""Makes the parts of one VM from its settings and ties them together.
+"""Everything that one VM consists of, and what runs beside the requests.
 
-Nothing here decides anything; it is the one place that knows every part.
+:mod:`pomelolane.assembly` makes the parts; nothing here decides anything.
 """
 
 from __future__ import annotations
 
-import time
+import asyncio
 from dataclasses import dataclass
-from importlib.metadata import PackageNotFoundError, version
 from typing import TYPE_CHECKING
 
-import pomelolane.defaults  # noqa: F401  (registers the built-in plug-ins)
-from pomelolane.adoption import TreeAdoption
-from pomelolane.clock import MonotonicClock
-from pomelolane.coordination import make_coordination
-from pomelolane.endpoints import ConnectionPool
-from pomelolane.gateway import (
-    Dispatcher,
-    Gateway,
-    GatewayLimits,
-    HolderQueries,
-    KeyedCalls,
-    RetryBudget,
-)
+from pomelolane.exceptions import PlatformError
 from pomelolane.gateway.admin import Admin, AdminHooks
-from pomelolane.gateway.deferred import JobCalls
-from pomelolane.gateway.jobwork import JobWork
 from pomelolane.gateway.operations import Operations
-from pomelolane.jobs import make_jobs
-from pomelolane.platform import GroupCommitter, make_claims, platform_from_url
-from pomelolane.registry import ENDPOINT_ADAPTERS
-from pomelolane.settings.store import SettingsStore
 from pomelolane.settings.tree import branch_content_from_directory
-from pomelolane.solo import make_solo
-from pomelolane.tree import CurrentTree
+from pomelolane.statusboard import build_report
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from blacksheep import Application
 
+    from pomelolane.background import BackgroundTasks
     from pomelolane.coordination import Coordination
+    from pomelolane.gateway import Dispatcher, Gateway, KeyedCalls
     from pomelolane.jobs import Jobs
-    from pomelolane.platform import Platform, TableClaims
+    from pomelolane.membership import Member
+    from pomelolane.platform import ClaimSweeper, ModelKeeper, Platform, TableClaims
+    from pomelolane.platform.orders import HttpOrderSender
+    from pomelolane.settings.distribution import Distribution
     from pomelolane.settings.options import ServeOptions
+    from pomelolane.settings.store import SettingsStore
+    from pomelolane.tree import CurrentTree
 
-
-def _version() -> str:
-    try:
-        return version("pomelolane")
-    except PackageNotFoundError:
-        return "0+source"
+IMPORT_RETRY_S = 1.0
+FLUSH_TIMEOUT_MS = 10_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,97 +44,70 @@
     incarnation: int
     version: str
     tree: CurrentTree
-    adoption: TreeAdoption
     platform: Platform
     store: SettingsStore
-    member: object
+    member: Member
+    distribution: Distribution
+    background: BackgroundTasks
     coordination: Coordination
     dispatcher: Dispatcher
     claims: TableClaims
     keyed: KeyedCalls
     gateway: Gateway
     jobs: Jobs
+    sweeper: ClaimSweeper
+    keeper: ModelKeeper
+    order_sender: HttpOrderSender
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return self.gateway.ready
 
     def mount(self, app: Application, stop_soon: Callable[[], None]) -> None:
         """Add all routes to the application."""
         self.gateway.mount(app)
-        Operations(self.gateway, lambda: self.gateway.ready, dict).mount(app)
+        Operations(self.gateway, self.is_ready, lambda: build_report(self)).mount(app)
         hooks = AdminHooks(
             stop_soon=stop_soon,
-            mark_leaving=self.coordination.mark_leaving,
-            offer=self.adoption.take,
+            mark_leaving=lambda endpoint: self.member.mark_leaving(
+                endpoint, "operator"
+            ),
+            offer=self.distribution.offer,
         )
         Admin(self.store, self.gateway, self.tree, hooks).mount(app)
 
     async def start_background(self) -> None:
-        """Bring the settings in and begin the work that needs no caller."""
+        """Follow the settings and begin the work that needs no caller."""
+        await self.distribution.start()
+        if self.options.tree:
+            self.background.start("import", self._import_first())
+        self.background.start("jobs", self._run_jobs())
+        self.background.start("claims", self.sweeper.run())
+        self.background.start("models", self.keeper.run())
+
+    async def _import_first(self) -> None:
+        """Store the declarations given at the start where there are none yet."""
         contents = branch_content_from_directory(self.options.tree)
-        await self.store.import_first(contents)
-        for each in (await self.store.snapshot()).branches.values():
-            self.adoption.take(each.branch, each.version, each.content)
+        while True:
+            try:
+                await self.store.import_first(contents)
+            except PlatformError:
+                await asyncio.sleep(IMPORT_RETRY_S)
+            else:
+                return
+
+    async def _run_jobs(self) -> None:
+        await self.distribution.wait_synced()
         self.jobs.runner.start()
 
     async def finish_background(self) -> None:
         """Finish what was accepted."""
         await self.jobs.runner.drain(self.options.drain_timeout_ms)
         await self.keyed.drain()
+        await self.claims.flush(FLUSH_TIMEOUT_MS)
 
     async def stop_background(self) -> None:
         """Stop the rest."""
-
-
-async def make_parts(options: ServeOptions) -> Parts:
-    """Make the parts of one VM."""
-    clock = MonotonicClock()
-    incarnation = time.time_ns() // 1_000_000
-    tree = CurrentTree()
-    platform = platform_from_url(options.platform, clock)
-    member = make_solo(options.vm_id, options.data_centre, incarnation)
-    coordination = make_coordination(
-        options.vm_id, options.data_centre, member, member, clock, options.policy
-    )
-    tree.on_change(coordination.configure)
-    pool = ConnectionPool()
-    adapters = {kind: make(pool) for kind, make in ENDPOINT_ADAPTERS.items()}
-    dispatcher = Dispatcher(
-        tree, coordination.client, adapters, RetryBudget(), clock, options.data_centre
-    )
-    committer = GroupCommitter(platform.table, clock)
-    claims = make_claims(
-        platform.table, options.vm_id, incarnation, clock, committer=committer
-    )
-    holders = HolderQueries(options.vm_id, member, member)
-    keyed = KeyedCalls(
-        claims, platform.objects, dispatcher, holders, tree, adapters, clock
-    )
-    work = JobWork(dispatcher, platform.objects, tree, adapters)
-    jobs = make_jobs(
-        platform.table,
-        platform.objects,
-        committer,
-        claims,
-        work,
-        member,
-        vm_id=options.vm_id,
-        incarnation=incarnation,
-        region=options.region,
-        data_centre=options.data_centre,
-        clock=clock,
-    )
-    limits = GatewayLimits(options.max_body_bytes, options.body_timeout_ms)
-    return Parts(
-        options=options,
-        incarnation=incarnation,
-        version=_version(),
-        tree=tree,
-        adoption=TreeAdoption(tree, options.address_map),
-        platform=platform,
-        store=SettingsStore(platform.table),
-        member=member,
-        coordination=coordination,
-        dispatcher=dispatcher,
-        claims=claims,
-        keyed=keyed,
-        gateway=Gateway(tree, dispatcher, keyed, JobCalls(jobs.api), limits),
-        jobs=jobs,
-    )
+        await self.background.stop()
+        await self.distribution.stop()
+        await self.order_sender.aclose()
--- a/src/pomelolane/scheduler/accounting.py
+++ b/src/pomelolane/scheduler/accounting.py
@@ -43,6 +43,8 @@
         cached_tokens: Prompt tokens expected in the cache.
         decoded_tokens: Answer tokens seen so far.
         started: Whether the first token was seen.
+        prefill_ms: Time that its prompt took, or -1 while that is not to be
+            learnt from.
         probe: Whether it tries out an endpoint that is under suspicion.
     """
 
@@ -56,6 +58,7 @@
     cached_tokens: int = 0
     decoded_tokens: int = 0
     started: bool = False
+    prefill_ms: float = -1.0
     probe: bool = False
 
     @property
@@ -71,6 +74,10 @@
     Args:
         endpoint: Its declaration, the prior of its speeds.
         learn_speeds: Whether observation moves the speeds.
+
+    Attributes:
+        prefill_per_ms: Observed prompt speed.
+        decode_per_ms: Observed answer speed of one stream.
     """
 
     def __init__(self, endpoint: Endpoint, *, learn_speeds: bool = True) -> None:
@@ -89,22 +96,19 @@
         self._history_count: list[int] = []
         self._prefill = _speed(endpoint.prefill_tokens_per_s)
         self._decode = _speed(endpoint.decode_tokens_per_s)
-
-    @property
-    def prefill_per_ms(self) -> float:
-        """Observed prompt speed."""
-        return max(_MIN_SPEED_PER_MS, self._prefill.per_ms)
-
-    @property
-    def decode_per_ms(self) -> float:
-        """Observed answer speed of one stream."""
-        return max(_MIN_SPEED_PER_MS, self._decode.per_ms)
+        self.prefill_per_ms = self._prefill.per_ms
+        self.decode_per_ms = self._decode.per_ms
 
     @property
     def slots(self) -> int:
         """Slots that may be used here, at least one."""
         return max(1, int(self.endpoint.slots * self.slot_share))
 
+    @property
+    def has_foreign_load(self) -> bool:
+        """Whether reports speak of load that is not ours."""
+        return self._foreign > 0
+
     def free_slots(self, now_ms: float) -> int:
         """Return slots neither used by own flights nor reported as used."""
         return self.slots - len(self.flights) - round(self._foreign_load(now_ms))
@@ -151,6 +155,8 @@
             self._first_token(flight, event, now_ms)
         if event.tokens > 0:
             self._tokens(flight, event)
+        if flight.prefill_ms > 0 and _is_prefill_known(flight, event):
+            self._learn_prefill(flight, event)
 
     def remove(self, flight: Flight, now_ms: float) -> None:
         """Free what a flight held."""
@@ -179,24 +185,29 @@
 
     def _first_token(self, flight: Flight, event: StreamEvent, now_ms: float) -> None:
         flight.started = True
-        true_prefill = flight.prefill_tokens
-        if event.cached_tokens >= 0:
-            true_prefill = flight.handle.prefill_tokens - event.cached_tokens
         first_ms = flight.granted_ms + event.ttft_ms
         begun_ms = max(flight.granted_ms, self.last_first_token_ms)
-        busy_ms = first_ms - begun_ms - 1.0 / self.decode_per_ms
+        flight.prefill_ms = first_ms - begun_ms - 1.0 / self.decode_per_ms
         self.last_first_token_ms = max(first_ms, self.last_first_token_ms)
-        if self._learn_speeds and true_prefill > 0 and busy_ms > 0:
-            self._prefill.add(true_prefill, busy_ms)
         self._prefill_done(flight, now_ms)
         flight.expected_end_ms = now_ms + flight.decode_tokens / self.decode_per_ms
 
+    def _learn_prefill(self, flight: Flight, event: StreamEvent) -> None:
+        tokens = flight.prefill_tokens
+        if event.cached_tokens >= 0:
+            tokens = flight.handle.prefill_tokens - event.cached_tokens
+        if self._learn_speeds and tokens > 0:
+            self._prefill.add(tokens, flight.prefill_ms)
+            self.prefill_per_ms = max(_MIN_SPEED_PER_MS, self._prefill.per_ms)
+        flight.prefill_ms = -1.0
+
     def _tokens(self, flight: Flight, event: StreamEvent) -> None:
         before = flight.kv_tokens
         flight.decoded_tokens += event.tokens
         self.kv_used_tokens += flight.kv_tokens - before
         if self._learn_speeds and event.elapsed_ms > 0:
             self._decode.add(event.tokens, event.elapsed_ms)
+            self.decode_per_ms = max(_MIN_SPEED_PER_MS, self._decode.per_ms)
 
     def _prefill_done(self, flight: Flight, now_ms: float) -> None:
         self.prefill_tokens_ahead -= flight.prefill_tokens
@@ -222,7 +233,7 @@
     """Own account of a plain service's worker.
 
     A call has one phase whose time does not depend on tokens; calls do not
-    wait for each other.
+    wait for each other. It has no prompt phase, and counts as one token.
     """
 
     def __init__(self, endpoint: Endpoint, *, learn_speeds: bool = True) -> None:
@@ -230,21 +241,13 @@
         self._calls = DecayingRate(
             1.0 / _PLAIN_SERVICE_PRIOR_MS, _SPEED_PRIOR_MS, _SPEED_HALF_LIFE_MS
         )
-
-    @property
-    def prefill_per_ms(self) -> float:
-        """Return infinity: there is no prompt phase."""
-        return math.inf
-
-    @property
-    def decode_per_ms(self) -> float:
-        """Return calls a millisecond: a call counts as one token."""
-        return self._calls.per_ms
+        self.prefill_per_ms = math.inf
+        self.decode_per_ms = self._calls.per_ms
 
     def service_ms(self, prefill_tokens: int, decode_tokens: int) -> float:
         """Predict the time of a call, whatever its size."""
         del prefill_tokens, decode_tokens
-        return 1.0 / self._calls.per_ms
+        return 1.0 / self.decode_per_ms
 
     def own_first_token_ms(self, prefill_tokens: int) -> float:
         """Predict the time to the answer."""
@@ -263,6 +266,7 @@
             self.last_first_token_ms = now_ms
             if self._learn_speeds:
                 self._calls.add(1.0, max(0.1, event.ttft_ms))
+                self.decode_per_ms = self._calls.per_ms
 
 
 def make_endpoint_state(
@@ -274,6 +278,17 @@
     return EndpointState(endpoint, learn_speeds=learn_speeds)
 
 
+def _is_prefill_known(flight: Flight, event: StreamEvent) -> bool:
+    """Tell whether it is known how much of a prompt was processed.
+
+    Engines tell how much was cached with the first token or at the end; until
+    then a prompt with whole blocks says little about their speed.
+    """
+    if event.cached_tokens >= 0 or event.finished:
+        return True
+    return not flight.handle.prefix_hashes
+
+
 def _speed(tokens_per_s: float) -> DecayingRate:
     per_ms = max(_MIN_SPEED_PER_MS, tokens_per_s / 1000.0)
     return DecayingRate(per_ms, _SPEED_PRIOR_MS, _SPEED_HALF_LIFE_MS)
--- a/src/pomelolane/scheduler/admission.py
+++ b/src/pomelolane/scheduler/admission.py
@@ -13,10 +13,12 @@
 from pomelolane.scheduler.estimate import needed_ms
 
 if TYPE_CHECKING:
+    from pomelolane.scheduler.accounting import EndpointState
     from pomelolane.scheduler.affinity import PrefixIndex
     from pomelolane.scheduler.fleet import Fleet
     from pomelolane.scheduler.options import CoreOptions
-    from pomelolane.scheduler.queue import FairQueue, Waiting
+    from pomelolane.scheduler.queue import FairQueue
+    from pomelolane.scheduler.waiting import Waiting
 
 _MIN_RETRY_MS = 100
 _MAX_RETRY_MS = 60_000
@@ -24,6 +26,7 @@
 _DRAIN_MIN = 0.3
 _DRAIN_MAX = 3.0
 _DRAIN_LEARN_MS = 200.0
+_LEARN_EVERY = 8
 
 
 class DrainRate:
@@ -79,6 +82,8 @@
     ) -> None:
         self.drain = DrainRate()
         self.queue_limit = 1000
+        self.lowest_tier_rank = 0
+        self._turn = 0
         self._fleet = fleet
         self._queue = queue
         self._prefixes = prefixes
@@ -90,8 +95,7 @@
         if refusal is not None:
             return Verdict(refusal)
         rank = waiting.handle.tier_rank
-        backlog = self._queue.backlog_ahead(waiting.handle, waiting.deadline_ms)
-        predicted_ms = self._fleet.summary(now_ms).drain_ms(backlog)
+        predicted_ms = self._predicted_wait_ms(waiting, now_ms)
         wait_ms = predicted_ms * self.drain.factor(rank)
         if self._too_late_after(waiting, wait_ms, now_ms):
             retry_ms = self._retry_after_ms(rank, now_ms)
@@ -101,24 +105,33 @@
             return Verdict(predicted_wait_ms=predicted_ms)
         return self._make_place(waiting, predicted_ms, now_ms)
 
-    def latest_start_ms(self, waiting: Waiting, now_ms: float) -> float:
-        """Return until when a request can begin and still be in time."""
+    def predict_latest(self, waiting: Waiting, now_ms: float) -> None:
+        """Predict until when a request can begin and still be in time.
+
+        A new request is refused when a middling answer would be late. One that
+        waits goes behind the others when a long answer would be late, and is
+        refused when even a short one would be: until then no lower tier may be
+        said to have taken its place.
+        """
+        waiting.last_start_ms = waiting.deadline_ms
+        waiting.middle_start_ms = waiting.deadline_ms
+        waiting.safe_start_ms = waiting.deadline_ms
         if not self._options.refuse_unreachable:
-            return waiting.deadline_ms
+            return
         factor = self._options.safety_factor
-        middle_ms = self._best_service_ms(waiting, waiting.decode_tokens, now_ms)
-        long_ms = self._best_service_ms(waiting, waiting.long_decode_tokens, now_ms)
-        needed = needed_ms(
+        short_ms, middle_ms, long_ms = self._best_service_ms(waiting, now_ms)
+        waiting.last_start_ms -= short_ms
+        waiting.middle_start_ms -= middle_ms * factor
+        waiting.safe_start_ms -= needed_ms(
             middle_ms * factor, long_ms * factor, waiting.handle.budget_ms
         )
-        return waiting.deadline_ms - needed
 
     def expired(self, waiting: Waiting, now_ms: float) -> Refusal:
         """Return the refusal of a request that cannot be in time any more."""
         reason = Reason.DEADLINE_UNREACHABLE
         if now_ms >= waiting.deadline_ms:
             reason = Reason.DEADLINE_PASSED
-        if self._fleet.ready_count() == 0:
+        if not self._fleet.summary(now_ms).by_speed:
             reason = Reason.NO_ENDPOINT
         rank = waiting.handle.tier_rank
         return Refusal(Outcome.NOT_RUN, reason, self._retry_after_ms(rank, now_ms))
@@ -136,7 +149,8 @@
             return Refusal(Outcome.NOT_RUN, Reason.NO_ENDPOINT, retry_ms)
         if handle.budget_ms <= 0:
             return Refusal(Outcome.NOT_RUN, Reason.DEADLINE_PASSED)
-        if now_ms > self.latest_start_ms(waiting, now_ms):
+        self.predict_latest(waiting, now_ms)
+        if now_ms > waiting.middle_start_ms:
             return Refusal(Outcome.NOT_RUN, Reason.DEADLINE_UNREACHABLE)
         return None
 
@@ -149,33 +163,64 @@
         return self._fleet.eligible(excluded)
 
     def _best_service_ms(
-        self, waiting: Waiting, decode_tokens: int, now_ms: float
-    ) -> float:
-        handle = waiting.handle
-        prefill = handle.prefill_tokens
-        best_ms = self._fleet.summary(now_ms).best_service_ms(prefill, decode_tokens)
-        if not self._options.affinity or not handle.prefix_hashes:
-            return best_ms
-        for endpoint_id in self._prefixes.holders(handle.prefix_hashes):
+        self, waiting: Waiting, now_ms: float
+    ) -> tuple[float, float, float]:
+        """Return the shortest times of a short, a middling and a long answer."""
+        prefill = waiting.handle.prefill_tokens
+        fastest = self._fleet.summary(now_ms).fastest
+        candidates = [(account, prefill) for account in fastest]
+        candidates += self._with_prefix(waiting)
+        if not candidates:
+            return 0.0, 0.0, 0.0
+        lengths = (
+            waiting.short_decode_tokens,
+            waiting.decode_tokens,
+            waiting.long_decode_tokens,
+        )
+        short_ms, middle_ms, long_ms = (
+            min(account.service_ms(rest, length) for account, rest in candidates)
+            for length in lengths
+        )
+        return short_ms, middle_ms, long_ms
+
+    def _with_prefix(self, waiting: Waiting) -> list[tuple[EndpointState, int]]:
+        """Return endpoints that hold a prefix, with what they need not skip."""
+        hashes = waiting.handle.prefix_hashes
+        if not self._options.affinity or not hashes:
+            return []
+        found = []
+        for endpoint_id in self._prefixes.holders(hashes):
             worker = self._fleet.workers.get(endpoint_id)
-            if worker is None or worker.account.leaving:
+            if worker is None or not self._fleet.may_serve(worker):
                 continue
-            cached = self._prefixes.cached_tokens(endpoint_id, handle.prefix_hashes)
-            rest = max(0, prefill - cached)
-            best_ms = min(best_ms, worker.account.service_ms(rest, decode_tokens))
-        return best_ms
+            cached = self._prefixes.cached_tokens(endpoint_id, hashes)
+            rest = max(0, waiting.handle.prefill_tokens - cached)
+            found.append((worker.account, rest))
+        return found
+
+    def _predicted_wait_ms(self, waiting: Waiting, now_ms: float) -> float:
+        """Predict a wait; of the higher tiers only now and then, to learn from."""
+        if not len(self._queue):
+            return 0.0
+        if waiting.handle.tier_rank < self.lowest_tier_rank:
+            self._turn = (self._turn + 1) % _LEARN_EVERY
+            if self._turn:
+                return 0.0
+        backlog = self._queue.backlog_ahead(waiting.handle, waiting.deadline_ms)
+        return self._fleet.summary(now_ms).drain_ms(backlog)
 
     def _too_late_after(self, waiting: Waiting, wait_ms: float, now_ms: float) -> bool:
         """Tell whether the queue ahead rules the deadline out.
 
-        While a lower tier waits, the prediction refuses nobody: the place of
-        the higher tier's request must not go to a lower one if it was wrong.
+        The prediction refuses work of the lowest tier only: if it was wrong,
+        the place of a higher tier's request would go to a lower one.
         """
         if not self._options.predict_wait or self._fleet.has_open():
             return False
-        if self._queue.lowest_rank() > waiting.handle.tier_rank:
+        if waiting.handle.tier_rank < self.lowest_tier_rank:
             return False
-        return now_ms + wait_ms > self.latest_start_ms(waiting, now_ms)
+        slack_ms = waiting.safe_start_ms - now_ms
+        return wait_ms > slack_ms * self._options.predict_wait_margin
 
     def _make_place(
         self, waiting: Waiting, predicted_ms: float, now_ms: float
@@ -195,7 +240,7 @@
 
     def _retry_after_ms(self, rank: int, now_ms: float) -> int:
         """Return when what waits at a tier and above should be gone."""
-        if self._fleet.ready_count() == 0:
+        if not self._fleet.summary(now_ms).by_speed:
             wait_ms = self._fleet.retry_ms(now_ms)
         else:
             backlog = self._queue.backlog(rank)
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -19,13 +19,15 @@
 from pomelolane.scheduler.admission import Admission
 from pomelolane.scheduler.affinity import PrefixIndex
 from pomelolane.scheduler.estimate import AnswerLengths
+from pomelolane.scheduler.figures import figures_of_worker
 from pomelolane.scheduler.fleet import Fleet
 from pomelolane.scheduler.flights import FlightBook, FlightParts
 from pomelolane.scheduler.limits import LimitBook
 from pomelolane.scheduler.options import CoreOptions
 from pomelolane.scheduler.placement import Placer
-from pomelolane.scheduler.queue import FairQueue, Waiting
+from pomelolane.scheduler.queue import FairQueue
 from pomelolane.scheduler.reserve import Reserve
+from pomelolane.scheduler.waiting import Waiting
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -34,6 +36,7 @@
     from pomelolane.model import Tree
     from pomelolane.outcomes import Refusal
     from pomelolane.ports import CacheEvent, LoadReport, SchedulingCore
+    from pomelolane.scheduler.figures import EndpointFigures
     from pomelolane.scheduler.fleet import Worker
     from pomelolane.scheduler.placement import Placement
 
@@ -56,7 +59,7 @@
         self._admission = Admission(self._fleet, self._queue, self._prefixes, options)
         self._lengths = AnswerLengths(enabled=options.learn_lengths)
         self._limits = LimitBook()
-        self._reserve = Reserve()
+        self._reserve = Reserve(options)
         self._flights = FlightBook(
             FlightParts(
                 self._queue,
@@ -78,6 +81,8 @@
         kind = service.kind if service else ServiceKind.ENGINE
         if service:
             self._admission.queue_limit = service.queue_limit
+        ranks = (tier.rank for tier in tree.tiers.values())
+        self._admission.lowest_tier_rank = max(ranks, default=0)
         own = [e for e in tree.endpoints.values() if e.service == self._service]
         known = set(self._fleet.workers)
         self._fleet.configure(own, kind, now_ms)
@@ -114,7 +119,7 @@
             rank = victim.handle.tier_rank
             refusal = self._admission.displacement(rank, now_ms)
             decisions.append(self._refuse(victim, refusal))
-        self._enqueue(waiting, now_ms)
+        self._enqueue(waiting)
         decisions.extend(self._dispatch(now_ms))
         return decisions
 
@@ -179,8 +184,17 @@
         self._flights.check(now_ms)
         decisions = self._expire(now_ms)
         decisions.extend(self._dispatch(now_ms))
+        if self._waiting:
+            decisions.extend(self._probe(now_ms))
         return decisions
 
+    def status(self) -> dict[str, EndpointFigures]:
+        """Return the figures of the endpoints, for operators."""
+        return {
+            endpoint_id: figures_of_worker(worker)
+            for endpoint_id, worker in self._fleet.workers.items()
+        }
+
     def placement_of(self, request_id: str) -> Placement | None:
         """Return the prediction behind a running request's grant, for logs."""
         return self._flights.placement_of(request_id)
@@ -191,7 +205,12 @@
         )
         deadline_ms = now_ms + handle.budget_ms
         return Waiting(
-            handle, now_ms, deadline_ms, length.middle_tokens, length.long_tokens
+            handle,
+            now_ms,
+            deadline_ms,
+            length.short_tokens,
+            length.middle_tokens,
+            length.long_tokens,
         )
 
     def _note_arrival(self, waiting: Waiting, now_ms: float) -> None:
@@ -202,10 +221,10 @@
         slack_ms = handle.budget_ms - hold_ms
         self._reserve.arrived(handle.tier_rank, hold_ms, slack_ms, now_ms)
 
-    def _enqueue(self, waiting: Waiting, now_ms: float) -> None:
+    def _enqueue(self, waiting: Waiting) -> None:
         self._waiting[waiting.handle.request_id] = waiting
         self._queue.push(waiting)
-        self._check_at(self._admission.latest_start_ms(waiting, now_ms), waiting)
+        self._check_at(waiting.safe_start_ms, waiting)
 
     def _check_at(self, time_ms: float, waiting: Waiting) -> None:
         heapq.heappush(self._checks, (time_ms, next(self._sequence), waiting))
@@ -226,9 +245,9 @@
             waiting = heapq.heappop(self._checks)[2]
             if not waiting.queued:
                 continue
-            latest_ms = self._admission.latest_start_ms(waiting, now_ms)
-            if latest_ms >= now_ms:
-                self._check_at(latest_ms, waiting)
+            self._admission.predict_latest(waiting, now_ms)
+            if waiting.last_start_ms >= now_ms:
+                self._defer_or_wait(waiting, now_ms)
                 continue
             refusal = self._admission.expired(waiting, now_ms)
             if self._flights.is_parked(waiting.handle):
@@ -236,6 +255,14 @@
             decisions.append(self._refuse(waiting, refusal))
         return decisions
 
+    def _defer_or_wait(self, waiting: Waiting, now_ms: float) -> None:
+        """Look again when a long answer, or else any, would be late."""
+        if waiting.safe_start_ms >= now_ms:
+            self._check_at(waiting.safe_start_ms, waiting)
+            return
+        self._queue.defer(waiting)
+        self._check_at(waiting.last_start_ms, waiting)
+
     def _dispatch(self, now_ms: float) -> list[Decision]:
         """Grant slots until nothing more can go."""
         decisions: list[Decision] = []
@@ -245,8 +272,6 @@
             if decision is None:
                 break
             decisions.append(decision)
-        if self._waiting:
-            decisions.extend(self._probe(now_ms))
         return decisions
 
     def _next_grant(self, now_ms: float) -> Decision | None:
@@ -276,12 +301,10 @@
             return True
         handle = waiting.handle
         summary = self._fleet.summary(now_ms)
-        prefill = handle.prefill_tokens
-        prefill_ms = summary.middle_service_ms(prefill, 0)
-        hold_ms = summary.middle_service_ms(prefill, waiting.decode_tokens)
-        return self._reserve.allows(
-            handle.tier_rank, prefill_ms, hold_ms, summary.room, now_ms
+        hold_ms = summary.middle_service_ms(
+            handle.prefill_tokens, waiting.decode_tokens
         )
+        return self._reserve.allows(handle.tier_rank, hold_ms, summary.slots, now_ms)
 
     def _probe(self, now_ms: float) -> list[Decision]:
         """Send one request, of the lowest tier, to each endpoint due a probe."""
--- a/src/pomelolane/scheduler/fleet.py
+++ b/src/pomelolane/scheduler/fleet.py
@@ -9,21 +9,20 @@
 import heapq
 import math
 from bisect import bisect_left, insort
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count, islice
 from typing import TYPE_CHECKING
 
 from pomelolane.model import ServiceKind
 from pomelolane.scheduler.accounting import EndpointState, make_endpoint_state
 from pomelolane.scheduler.health import EndpointHealth, State
-from pomelolane.scheduler.reserve import Room
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
     from pomelolane.model import Endpoint
     from pomelolane.scheduler.options import CoreOptions
-    from pomelolane.scheduler.queue import Backlog
+    from pomelolane.scheduler.waiting import Backlog
 
 _TYPICAL_PREFILL_TOKENS = 512
 _TYPICAL_DECODE_TOKENS = 64
@@ -54,24 +53,19 @@
     """Speeds of the ready endpoints together, a fraction of a second old.
 
     Attributes:
-        room: Their slots and number.
+        slots: Slots of all of them.
         prefill_per_ms: Prompt speed of all.
         decode_per_ms: Answer speed of all slots.
         fastest: Accounts that some request could be served fastest by.
         by_speed: Ready workers, fastest for a typical request first.
     """
 
-    room: Room
+    slots: int
     prefill_per_ms: float
     decode_per_ms: float
     fastest: tuple[EndpointState, ...]
     by_speed: tuple[Worker, ...]
 
-    def best_service_ms(self, prefill_tokens: int, decode_tokens: int) -> float:
-        """Return the shortest predicted time, with nothing ahead."""
-        times = (a.service_ms(prefill_tokens, decode_tokens) for a in self.fastest)
-        return min(times, default=0.0)
-
     def middle_service_ms(self, prefill_tokens: int, decode_tokens: int) -> float:
         """Return the predicted time on the endpoint of middle speed."""
         if not self.by_speed:
@@ -87,7 +81,7 @@
             int(backlog.prefill_tokens / backlog.requests),
             int(backlog.decode_tokens / backlog.requests),
         )
-        slots_ms = backlog.requests * mean_ms / max(1, self.room.slots)
+        slots_ms = backlog.requests * mean_ms / max(1, self.slots)
         return max(slots_ms, backlog.prefill_tokens / self.prefill_per_ms)
 
 
@@ -118,7 +112,10 @@
         declared = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
         for endpoint_id in [i for i in self.workers if i not in declared]:
             worker = self.workers[endpoint_id]
-            worker.account.leaving = True
+            account = worker.account
+            account.leaving = True
+            # As if declared as leaving, so that a new declaration reopens it.
+            account.endpoint = replace(account.endpoint, leaving=True)
             if not worker.account.flights:
                 self._close(worker)
                 del self.workers[endpoint_id]
@@ -149,13 +146,19 @@
             self._unhealthy.pop(worker.endpoint_id, None)
         else:
             self._unhealthy[worker.endpoint_id] = worker
-        self.refresh_all(now_ms)
+        ready_before = self._ready
+        self._ready = sum(1 for other in self.workers.values() if _is_ready(other))
+        self._summary = None
+        if 0 in (ready_before, self._ready):
+            self.refresh_all(now_ms)
+        else:
+            self.refresh(worker, now_ms)
 
     def refresh(self, worker: Worker, now_ms: float) -> None:
         """Work out anew whether a worker can take a grant."""
         self._close(worker)
         account = worker.account
-        if not self._may_serve(worker) or account.free_slots(now_ms) <= 0:
+        if not self.may_serve(worker) or account.free_slots(now_ms) <= 0:
             return
         ahead_ms = account.prefill_ahead_ms(now_ms)
         lookahead_ms = self._options.prefill_lookahead_ms
@@ -188,11 +191,19 @@
         return [
             worker
             for worker in self._unhealthy.values()
-            if not worker.account.leaving
+            if worker.health.probe_due(worker.account, now_ms)
+            and not worker.account.leaving
             and worker.account.free_slots(now_ms) > 0
-            and worker.health.probe_due(worker.account, now_ms)
         ]
 
+    def may_serve(self, worker: Worker) -> bool:
+        """Tell whether a worker serves; stragglers do if nobody else can."""
+        if worker.account.leaving:
+            return False
+        if worker.health.state is State.HEALTHY:
+            return True
+        return self._ready == 0 and worker.health.state is State.STRAGGLING
+
     def ready_count(self) -> int:
         """Return how many endpoints are healthy and not leaving."""
         return self._ready
@@ -204,6 +215,13 @@
             for endpoint_id, worker in self.workers.items()
         )
 
+    @property
+    def prefill_per_ms(self) -> float:
+        """Return the mean prompt speed of an endpoint when last summarised."""
+        if self._summary is None or not self._summary.by_speed:
+            return 0.0
+        return self._summary.prefill_per_ms / len(self._summary.by_speed)
+
     def holds_memory(self, tokens: int) -> bool:
         """Tell whether any endpoint's KV cache is large enough at all."""
         return tokens <= self._largest_kv_tokens
@@ -221,11 +239,11 @@
         return self._summary
 
     def _summarise(self) -> Summary:
-        ready = [w for w in self.workers.values() if self._may_serve(w)]
+        ready = [w for w in self.workers.values() if self.may_serve(w)]
         ready.sort(key=_typical_ms)
         accounts = [worker.account for worker in ready]
         return Summary(
-            room=Room(sum(a.slots for a in accounts), len(accounts)),
+            slots=sum(a.slots for a in accounts),
             prefill_per_ms=sum(a.prefill_per_ms for a in accounts),
             decode_per_ms=sum(a.decode_per_ms * a.slots for a in accounts),
             fastest=_fastest(accounts),
@@ -249,14 +267,6 @@
         elif declared_again:
             worker.account.leaving = False
 
-    def _may_serve(self, worker: Worker) -> bool:
-        """Tell whether a worker serves; stragglers do if nobody else can."""
-        if worker.account.leaving:
-            return False
-        if worker.health.state is State.HEALTHY:
-            return True
-        return self._ready == 0 and worker.health.state is State.STRAGGLING
-
     def _close(self, worker: Worker) -> None:
         if worker.open_key is not None:
             del self._open[bisect_left(self._open, worker.open_key)]
--- a/src/pomelolane/scheduler/reserve.py
+++ b/src/pomelolane/scheduler/reserve.py
@@ -1,45 +1,40 @@
 """Room kept for the next burst of higher tiers, in step with recent ones.
 
-Only work that would hold its slot, or an engine's prefill, longer than the higher
-tiers can wait is held back, and only while recent arrivals speak for a burst.
+Only work that would hold its slot longer than the higher tiers can wait is held
+back, and only while recent arrivals speak for a burst.
 """
 
 from __future__ import annotations
 
 import math
 from bisect import bisect_left, bisect_right, insort
-from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from pomelolane.scheduler.estimate import DecayingCount
 
-_WINDOW_HALF_LIFE_MS = 1_000.0
-_PEAK_HALF_LIFE_MS = 60_000.0
+if TYPE_CHECKING:
+    from pomelolane.scheduler.options import CoreOptions
+
 _SLACK_SHARE = 0.5
 _MEAN_STEP = 0.05
-_MAX_SHARE = 0.5
 _MIN_SLOTS = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class Room:
-    """What the ready endpoints have together.
-
-    Attributes:
-        slots: Slots of all of them.
-        endpoints: Their number.
-    """
-
-    slots: int
-    endpoints: int
-
-
 class _TierDemand:
     """Recent arrivals of one tier and what they needed."""
 
-    __slots__ = ("_arrivals", "_peak", "_peak_at_ms", "hold_ms", "slack_ms")
-
-    def __init__(self) -> None:
-        self._arrivals = DecayingCount(_WINDOW_HALF_LIFE_MS)
+    __slots__ = (
+        "_arrivals",
+        "_memory_ms",
+        "_peak",
+        "_peak_at_ms",
+        "hold_ms",
+        "slack_ms",
+    )
+
+    def __init__(self, window_ms: float, memory_ms: float) -> None:
+        self._arrivals = DecayingCount(window_ms)
+        self._memory_ms = memory_ms
         self._peak = 0.0
         self._peak_at_ms = 0.0
         self.hold_ms = 0.0
@@ -56,7 +51,7 @@
 
     def peak_per_ms(self, now_ms: float) -> float:
         age_ms = now_ms - self._peak_at_ms
-        return self._peak * 0.5 ** (age_ms / _PEAK_HALF_LIFE_MS)
+        return self._peak * 0.5 ** (age_ms / self._memory_ms)
 
     def slots(self, now_ms: float) -> float:
         """Return the slots that a burst like the recent ones would hold."""
@@ -87,12 +82,16 @@
 
 
 class Reserve:
-    """Bounds how much long work of lower tiers may hold at one time."""
+    """Bounds how much long work of lower tiers may hold at one time.
 
-    def __init__(self) -> None:
+    Args:
+        options: Switches of the core.
+    """
+
+    def __init__(self, options: CoreOptions) -> None:
+        self._options = options
         self._tiers: dict[int, _TierDemand] = {}
-        self._slot_ends = _Ends()
-        self._prefill_ends = _Ends()
+        self._ends = _Ends()
 
     def arrived(
         self, rank: int, hold_ms: float, slack_ms: float, now_ms: float
@@ -107,38 +106,29 @@
         """
         demand = self._tiers.get(rank)
         if demand is None:
-            demand = self._tiers[rank] = _TierDemand()
+            demand = self._tiers[rank] = _TierDemand(
+                self._options.reserve_window_ms, self._options.reserve_memory_ms
+            )
         demand.arrived(hold_ms, max(0.0, slack_ms), now_ms)
 
     def allows(
-        self, rank: int, prefill_ms: float, hold_ms: float, room: Room, now_ms: float
+        self, rank: int, hold_ms: float, total_slots: int, now_ms: float
     ) -> bool:
         """Tell whether work of a tier may take a slot for so long."""
         wanted, patience_ms = self._wanted(rank, now_ms)
         if wanted < _MIN_SLOTS or hold_ms <= patience_ms:
             return True
-        share = min(_MAX_SHARE, wanted / max(1, room.slots))
-        until_ms = now_ms + patience_ms
-        if self._slot_ends.after(until_ms) >= _allowance(room.slots, share):
-            return False
-        if prefill_ms <= patience_ms:
-            return True
-        return self._prefill_ends.after(until_ms) < _allowance(room.endpoints, share)
+        share = min(self._options.reserve_limit, wanted / max(1, total_slots))
+        held = self._ends.after(now_ms + patience_ms)
+        return held < _allowance(total_slots, share)
 
-    def granted(self, request_id: str, first_ms: float, end_ms: float) -> None:
+    def granted(self, request_id: str, end_ms: float) -> None:
         """Note that a slot is taken, and when it should be free again."""
-        self._prefill_ends.set(request_id, first_ms)
-        self._slot_ends.set(request_id, end_ms)
-
-    def started(self, request_id: str, end_ms: float) -> None:
-        """Note a first token."""
-        self._prefill_ends.discard(request_id)
-        self._slot_ends.set(request_id, end_ms)
+        self._ends.set(request_id, end_ms)
 
     def ended(self, request_id: str) -> None:
         """Note that a slot is free again."""
-        self._prefill_ends.discard(request_id)
-        self._slot_ends.discard(request_id)
+        self._ends.discard(request_id)
 
     def _wanted(self, rank: int, now_ms: float) -> tuple[float, float]:
         """Return slots wanted by higher tiers and how long they can wait."""
