Keep answers over an outage and tell repeats the truth about ended keys

Cause: three repeats were answered badly. (1) The object store away at the end of a keyed call: its answer was dropped at the first error, and a repeat waited for its whole deadline to hear "unknown". (2) A key that belongs to a job, or as a job to a direct call: "not run", though the same request may run. (3) A key that ended without a kept answer: a wait for the whole deadline. Ruled out: second runs in all three. Change: the answer is stored again and again for two minutes; (2) says unknown; (3) is answered at once from the claim's state. Conclusion: a repeat after an outage finds its answer.

--- a/src/pomelolane/gateway/deferred.py
+++ b/src/pomelolane/gateway/deferred.py
@@ -159,9 +159,9 @@
 
 def _held_by_direct_call() -> Refusal:
     return Refusal(
-        Outcome.NOT_RUN,
+        Outcome.UNKNOWN,
         Reason.CLAIM_HELD,
-        detail="the key belongs to a call that was answered directly",
+        detail="the key belongs to a call that is or was answered directly",
     )
 
 
--- a/src/pomelolane/gateway/keyed.py
+++ b/src/pomelolane/gateway/keyed.py
@@ -21,6 +21,8 @@
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.platform import claim_key, reserved_job
+from pomelolane.platform.backoff import Backoff
+from pomelolane.platform.claims import CLAIMED, DONE, RELEASED
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -40,10 +42,9 @@
     from pomelolane.tree import CurrentTree
 
 CLAIM_TIMEOUT_MS = 5000
+STORE_PATIENCE_MS = 120_000
 POLL_MS = 100
 STILL_RUNNING_RETRY_MS = 2000
-DONE = "done"
-RELEASED = "released"
 
 
 class KeyedCalls:
@@ -105,8 +106,9 @@
                 detail="the key was used for another request; this one did not run",
             )
         if reserved_job(record):
+            # The same request as a job: it may run, or may have.
             return Refusal(
-                Outcome.NOT_RUN,
+                Outcome.UNKNOWN,
                 Reason.CLAIM_HELD,
                 detail=f"the key belongs to job {reserved_job(record)}",
             )
@@ -147,20 +149,30 @@
         result: Delivered | Refusal | None,
     ) -> None:
         """Record the end of a held key, with its answer if there is one."""
-        try:
-            if isinstance(result, Delivered) and not kept.overflowed:
-                name = f"answers/{record.key}"
-                await self._objects.put(name, encode_answer(kept))
-                await self._claims.settle(record, DONE, name)
-            elif state.dispatched:
-                await self._claims.settle(record, state.outcome or DONE)
-            else:
-                await self._claims.settle(record, RELEASED)
-        except PlatformError:
-            # Without the kept answer the end itself is still worth recording.
+        if isinstance(result, Delivered) and not kept.overflowed:
+            name = await self._store_answer(record, kept)
+            await self._claims.settle(record, DONE, name)
+        elif state.dispatched:
             await self._claims.settle(record, state.outcome or DONE)
+        else:
+            await self._claims.settle(record, RELEASED)
         self._holders.release_later(key)
 
+    async def _store_answer(self, record: ClaimRecord, kept: KeptAnswer) -> str:
+        """Store an answer, also over an outage; the name is empty if in vain."""
+        name = f"answers/{record.key}"
+        data = encode_answer(kept)
+        give_up_ms = self._clock.now_ms() + STORE_PATIENCE_MS
+        backoff = Backoff()
+        while self._clock.now_ms() < give_up_ms:
+            try:
+                await self._objects.put(name, data)
+            except PlatformError:
+                await backoff.wait()
+            else:
+                return name
+        return ""
+
     async def drain(self) -> None:
         """Wait until the ends of all held keys are recorded."""
         while self._settling:
@@ -184,6 +196,8 @@
                 # Its holder states that it never dispatched: the key is free,
                 # and whoever claims it first now serves all others.
                 return await self.serve(call, sink, replay)
+            if record.state != CLAIMED:
+                return _ended(record)
             answer = await self._holders.ask(record)
             waited_ms = self._clock.now_ms() - begun_ms
             if answer is None or (not answer.known and waited_ms > CLAIM_TIMEOUT_MS):
@@ -271,8 +285,8 @@
         claim's timeout; until then it is asked again.
         """
         record = await self._reread(record)
-        if record.state in (Outcome.FAILED, Outcome.CUT_SHORT):
-            return Refusal(Outcome(record.state), Reason.ENDPOINT_BROKEN)
+        if record.state not in (CLAIMED, RELEASED):
+            return _ended(record)
         return Refusal(
             Outcome.UNKNOWN,
             Reason.HOLDER_GONE,
@@ -287,5 +301,20 @@
         return found or record
 
 
+def _ended(record: ClaimRecord) -> Refusal:
+    """Say how a request ended that left no answer behind."""
+    if record.state == DONE:
+        return Refusal(
+            Outcome.UNKNOWN,
+            Reason.CLAIM_HELD,
+            detail="the first request with this key ran; its answer was not kept",
+        )
+    return Refusal(
+        Outcome(record.state),
+        Reason.ENDPOINT_BROKEN,
+        detail="the first request with this key ended so",
+    )
+
+
 def _nothing(*args: object) -> None:
     del args
--- a/tests/gateway/keyed.feature
+++ b/tests/gateway/keyed.feature
@@ -74,3 +74,23 @@
     And the scheduler of gateway "a" refuses what waits
     Then both repeats have the same answer
     And the engine ran 1 request
+
+  Scenario: The object store is away when the answer is whole
+    Given the shared object store is down
+    When gateway "a" is called with key "k1"
+    And the shared object store is back
+    And gateway "b" is called with key "k1" after the answer was kept
+    Then both callers have the same answer
+    And the engine ran 1 request
+
+  Scenario: A key of a job is not said to have not run
+    Given key "k1" is claimed for a job
+    When gateway "b" is called with key "k1"
+    Then the last caller hears "unknown" because of "claim_held"
+    And the engine ran 0 requests
+
+  Scenario: An answer that was not kept is not waited for
+    Given key "k1" has ended without a kept answer
+    When gateway "b" is called with key "k1"
+    Then the last caller hears "unknown" because of "claim_held"
+    And the last caller was told that the answer was not kept
--- a/tests/steps/gateway_keyed_steps.py
+++ b/tests/steps/gateway_keyed_steps.py
@@ -19,8 +19,13 @@
 from pomelolane.messages import KeyQuery
 from pomelolane.model import Endpoint, Organisation, Service, ServiceKind, Tree, Work
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.platform import EmbeddedObjectStore, EmbeddedTable
-from pomelolane.platform.claims import make_claims
+from pomelolane.platform import (
+    EmbeddedObjectStore,
+    EmbeddedTable,
+    claim_key,
+    job_reservation,
+)
+from pomelolane.platform.claims import DONE, make_claims
 from pomelolane.ports import Grant, Peer, View
 from pomelolane.tree import CurrentTree
 
@@ -51,6 +56,17 @@
         return results
 
 
+class SwitchedObjects(EmbeddedObjectStore):
+    """An object store that can be down."""
+
+    down = False
+
+    async def put(self, name, data):
+        if self.down:
+            raise PlatformUnavailableError("down")
+        await super().put(name, data)
+
+
 class Wire:
     """Transport and membership of all gateways."""
 
@@ -187,7 +203,7 @@
     async def build():
         context.engine = OneEngine()
         context.shared_table = SwitchedTable()
-        context.objects = EmbeddedObjectStore()
+        context.objects = SwitchedObjects()
         context.wire = Wire()
         context.gateways = {name: TestGateway(context, name) for name in "ab"}
 
@@ -255,6 +271,42 @@
     context.shared_table.down = True
 
 
+@given("the shared object store is down")
+def step_objects_down(context):
+    context.objects.down = True
+
+
+@when("the shared object store is back")
+def step_objects_back(context):
+    context.objects.down = False
+
+
+@given('key "{key}" is claimed for a job')
+def step_job_key(context, key):
+    context.run(_claim(context, key, answer_object=job_reservation("j1")))
+
+
+@given('key "{key}" has ended without a kept answer')
+def step_ended_key(context, key):
+    async def claim_and_end():
+        record = await _claim(context, key)
+        await context.gateways["a"].claims.settle(record, DONE)
+
+    context.run(claim_and_end())
+
+
+async def _claim(context, key, **options):
+    hashed = claim_key("o", key)
+    claims = context.gateways["a"].claims
+    return await claims.claim(hashed, "d", timeout_ms=WAIT_S * 1000, **options)
+
+
+@then("the last caller was told that the answer was not kept")
+def step_not_kept(context):
+    result, _ = context.answers[-1]
+    assert "not kept" in result.detail, result
+
+
 @when('gateway "{name}" is called with key "{key}"')
 def step_call(context, name, key):
     _serve(context, name, _call(context, key))
