Take over the jobs of a VM that has started anew

Cause: the heartbeat row of a VM is shared by its starts. When a killed runner's VM came back and took jobs again, its new beats reset the silence measured for the old start, whose jobs waited for as long as the new one went on beating: 29 of the jobs of six killed and replaced VMs had not ended after 90 s of load. An engine keeps an ended stream for a while only, so that the answer was lost.

Ruled out: takeover in general (the same kill without a restart, and all five steps of a job with slow platform, ended whole); the scan's order and places (64 a VM).

Change: a beat or a peer of a higher incarnation tells that the old one is gone. A wrong verdict costs a needless resume, as before.

Figures: tests/jobs/runner.feature, new scenario: red before, green after.

Conclusion: takeover of a restarted VM's jobs needs no silence any more.

--- a/src/pomelolane/jobs/liveness.py
+++ b/src/pomelolane/jobs/liveness.py
@@ -157,4 +157,18 @@
         if not runner[0]:
             return True
         silence = self._silences[runner]
+        if self._is_replaced(runner, silence.beat):
+            return True
         return self._clock.now_ms() - silence.since_ms >= self._lapse_ms
+
+    def _is_replaced(self, runner: tuple[str, int], beat: Beat | None) -> bool:
+        """Tell whether the VM has started anew since.
+
+        The new start's beats say nothing of the old one, whose jobs would
+        otherwise wait for as long as the new one beats.
+        """
+        vm_id, incarnation = runner
+        if beat is not None and beat.incarnation > incarnation:
+            return True
+        peer = self._membership.view().peers.get(vm_id)
+        return peer is not None and peer.incarnation > incarnation
--- a/tests/jobs/runner.feature
+++ b/tests/jobs/runner.feature
@@ -42,6 +42,16 @@
     Then the job ends as "done" with its own answer
     And the engine has run the job 1 time
 
+  Scenario: The new start of a killed runner's VM does not keep its jobs from others
+    Given the job engine answers slowly
+    When a job is accepted on "a"
+    And the job's stream has begun
+    And job VM "a" is killed
+    And job VM "a" has started anew and goes on beating
+    And the job engine answers
+    Then the job ends as "done" with its own answer
+    And the engine has run the job 1 time
+
   Scenario: A runner killed before it dispatched leaves the job to others
     Given the job scheduler of "a" does not answer
     When a job is accepted on "a"
--- a/tests/steps/jobs_steps.py
+++ b/tests/steps/jobs_steps.py
@@ -10,10 +10,12 @@
 from hypothesis import given as hypothesis_given
 from hypothesis import strategies as st
 
+from pomelolane.clock import MonotonicClock
 from pomelolane.jobs import JobRecord, JobState
+from pomelolane.jobs.liveness import Heart
 from pomelolane.outcomes import Refusal
-from pomelolane.platform import job_reservation
-from pomelolane.ports import ClaimRecord
+from pomelolane.platform import GroupCommitter, job_reservation
+from pomelolane.ports import ClaimRecord, Peer
 from tests.faults import COMMIT_FAULTS, until
 from tests.jobs_world import DAY_MS, SETTINGS, World, answer_to, request
 
@@ -121,6 +123,21 @@
     _vm(context, vm_id).dispatcher.thaw.clear()
 
 
+@when('job VM "{vm_id}" has started anew and goes on beating')
+def step_started_anew(context, vm_id):
+    world = context.world
+    world.membership.peers[vm_id] = Peer(vm_id, 2, "dc", "")
+    committer = GroupCommitter(world.inner, MonotonicClock(), spacing_ms=1, lazy_ms=1)
+    heart = Heart(committer, "r", vm_id, 2, world.wall)
+
+    async def beat_on():
+        while True:
+            await heart.beat()
+            await asyncio.sleep(SETTINGS.beat_ms / 1000)
+
+    context.beating = context.loop.create_task(beat_on())
+
+
 @when('job VM "{vm_id}" is frozen')
 def step_frozen(context, vm_id):
     vm = _vm(context, vm_id)
