--- a/bench/balancer.py
+++ b/bench/balancer.py
@@ -104,6 +104,32 @@
             await asyncio.sleep(pause_s)
 
 
+class CallLoop:
+    """Callers of one place that call again and again.
+
+    Args:
+        call: Makes one call.
+        callers: Calls at one time.
+
+    Attributes:
+        records: What the calls got.
+    """
+
+    def __init__(self, call: Callable[[], Awaitable[CallRecord]], callers: int) -> None:
+        self._call = call
+        self.records: list[CallRecord] = []
+        self._tasks = [asyncio.create_task(self._repeat()) for _ in range(callers)]
+
+    async def close(self) -> None:
+        """End all callers at once."""
+        await _end(self._tasks)
+
+    async def _repeat(self) -> None:
+        while True:
+            self.records.append(await self._call())
+            await asyncio.sleep(_POLL_S)
+
+
 def balanced_caller(cluster: Cluster) -> tuple[Balancer, Crowd, Caller]:
     """Return a balancer over a cluster, callers behind it, and their pool."""
     balancer = Balancer(cluster.vms)
