--- a/tests/hostile_http.py
+++ b/tests/hostile_http.py
@@ -92,7 +92,7 @@
         phases=[Phase.generate],
         suppress_health_check=list(HealthCheck),
     )
-    @for_all(_requests(secret, key) | st.binary(min_size=1, max_size=400))
+    @for_all(_requests(secret, key))
     def collect(request):
         found.append(request)
 
@@ -116,21 +116,37 @@
     chat = st.fixed_dictionaries(
         {"model": st.just("modelo-bitacora"), "messages": st.lists(message)}
     )
-    document = tree | st.dictionaries(member, tree) | chat
+    said = st.fixed_dictionaries({"role": st.just("user"), "content": text})
+    good_chat = st.fixed_dictionaries(
+        {
+            "model": st.just("modelo-bitacora"),
+            "messages": st.lists(said, min_size=1, max_size=2),
+            "max_tokens": st.integers(-1, 8),
+            "stream": st.booleans(),
+        }
+    )
+    document = tree | st.dictionaries(member, tree) | chat | good_chat
     body = st.binary(max_size=200) | document.map(lambda d: json.dumps(d).encode())
-    authorization = st.sampled_from((f"Bearer {key}", f"Basic {secret}", secret, ""))
+    good = f"Bearer {key}"
+    authorization = st.sampled_from((good, good, good, f"Basic {secret}", secret, ""))
     header = st.tuples(st.sampled_from(_NAMES), st.sampled_from(_VALUES) | plain)
-    length = st.none() | st.sampled_from(("-1", "x", "5", "99999999999999999999"))
-    path = st.sampled_from(_PATHS) | plain.map(lambda value: "/" + value)
-    return st.builds(
+    # Most are good enough as HTTP to reach what lies behind the parser.
+    length = st.sampled_from((*(None,) * 16, "-1", "x", "5", "9" * 20))
+    printable = st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=20)
+    path = st.sampled_from(_PATHS) | printable.map(lambda value: "/" + value)
+    good_header = st.tuples(st.sampled_from(_NAMES[:7]), st.sampled_from(_VALUES))
+    headers = st.lists(good_header, max_size=3) | st.lists(header, max_size=4)
+    noise = st.binary(min_size=1, max_size=400)
+    built = st.builds(
         _encode,
         st.sampled_from(_METHODS),
         path.map(lambda value: f"{value}?token={secret}"),
-        st.lists(header, max_size=4),
+        headers,
         authorization,
         length,
         body,
     )
+    return st.one_of(built, built, built, built, noise)
 
 
 def _encode(method, path, headers, authorization, length, body) -> bytes:
