--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 	$(BIN)/python -m bench.chaos --seed $(SEED)
 
 binary: env
+	mkdir -p dist
 	$(BIN)/shiv --quiet --compressed --console-script pomelolane --output-file dist/pomelolane .
 
 docs: env
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -12,6 +12,7 @@
 from pomelolane import events
 from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
 from pomelolane.gateway.ending import Delivered
+from pomelolane.gateway.state import RequestState
 from pomelolane.gateway.watch import StreamWatch
 from pomelolane.logs import log_event
 from pomelolane.messages import Handle
@@ -34,54 +35,6 @@
 RETRY_AFTER_FAILURE_MS = 1000
 
 
-class RequestState:
-    """What the gateway knows of one request, for others who ask.
-
-    Attributes:
-        call: The checked request.
-        dispatched: Whether a byte may have gone to an endpoint.
-        endpoint_id: Where it runs or ran last.
-        stream_id: The engine's stream of the last attempt.
-        finished: Whether it has ended.
-        outcome: Empty while open or on success, else the outcome.
-        outlives_cancel: Whether the engine's stream is left running when this
-            VM gives the request up, because a successor may resume it.
-    """
-
-    __slots__ = (
-        "accepted_ms",
-        "attempt",
-        "begun",
-        "call",
-        "dispatched",
-        "endpoint_id",
-        "excluded",
-        "finished",
-        "outcome",
-        "outlives_cancel",
-        "stream_id",
-    )
-
-    def __init__(self, call: Call, accepted_ms: float) -> None:
-        self.call = call
-        self.accepted_ms = accepted_ms
-        self.attempt = 0
-        self.excluded: tuple[str, ...] = ()
-        self.dispatched = False
-        self.begun = False
-        self.endpoint_id = ""
-        self.stream_id = ""
-        self.finished = False
-        self.outcome = ""
-        self.outlives_cancel = False
-
-    def attempt_id(self) -> str:
-        """Return the id of the current attempt, also its stream id."""
-        if self.attempt == 0:
-            return self.call.request_id
-        return f"{self.call.request_id}.{self.attempt}"
-
-
 class Dispatcher:
     """Carries requests from acceptance to their end.
 
--- a/src/pomelolane/gateway/holders.py
+++ b/src/pomelolane/gateway/holders.py
@@ -12,7 +12,7 @@
 from pomelolane.messages import KeyAnswer, KeyQuery
 
 if TYPE_CHECKING:
-    from pomelolane.gateway.dispatch import RequestState
+    from pomelolane.gateway.state import RequestState
     from pomelolane.ports import ClaimRecord, Membership, Transport
 
 QUERY_TIMEOUT_MS = 400
--- a/src/pomelolane/gateway/keyed.py
+++ b/src/pomelolane/gateway/keyed.py
@@ -27,10 +27,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from pomelolane.gateway.dispatch import Dispatcher, RequestState
+    from pomelolane.gateway.dispatch import Dispatcher
     from pomelolane.gateway.ending import AnswerSink
     from pomelolane.gateway.holders import HolderQueries
     from pomelolane.gateway.intake import Call
+    from pomelolane.gateway.state import RequestState
     from pomelolane.messages import KeyAnswer
     from pomelolane.ports import (
         ClaimRecord,
