Prove own and whole answers; give endpoints keys of their organisation

Cause: the proof with strangers found that two organisations with one Idempotency-Key reached a plain service under one and the same key; a service that answers repeated keys from memory would have given one organisation the other's answer. Ruled out: the gateway's own claims, which are hashed with the organisation. Change: endpoints get the digest of organisation and key. bench.interleave runs streamed, joined, resumed, twin, same-key, cancelled, late, job and plain calls of all organisations at once and compares each answer with the only right one.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SCENARIO ?=
 SEED ?= 1
 
-.PHONY: all env demo test lint format bench bench-relay bench-decisions bench-capacity chaos binary docs clean
+.PHONY: all env demo test lint format bench bench-relay bench-decisions bench-capacity bench-interleave chaos binary docs clean
 
 all: lint test
 
@@ -41,6 +41,9 @@
 bench-capacity: env
 	$(BIN)/python -m bench.capacity
 
+bench-interleave: env
+	$(BIN)/python -m bench.interleave --seed $(SEED)
+
 chaos: env
 	$(BIN)/python -m bench.chaos --seed $(SEED)
 
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -16,6 +16,7 @@
 from pomelolane.logs import log_event
 from pomelolane.messages import Handle
 from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.platform import claim_key
 from pomelolane.ports import UpstreamRequest
 
 if TYPE_CHECKING:
@@ -391,9 +392,12 @@
 
 def _upstream(state: RequestState) -> UpstreamRequest:
     call = state.call
+    # Endpoints see no organisations: a service that answers a repeated key from
+    # its own memory must not take one organisation's key for another's.
+    key = claim_key(call.organisation.name, call.key) if call.key else ""
     return UpstreamRequest(
         request_id=state.stream_id,
-        key=call.key,
+        key=key,
         method=call.method,
         path=call.path,
         headers=call.headers,
