Never take an answer that its engine cancelled for a whole one

Cause: an engine closes a cancelled stream with finish_reason "cancelled" and the end marker, and the marker alone counted as whole. Ruled out: a lost resume (the stream was read to its end mark by the runner). Change: an event stream is whole if its end says so and its last events do not say cancelled; the tail that is kept for the end mark grows to 1 KiB to hold both. Before: the relay example was red (whole and closed); after: green.

Before: the new keyed scenario ended in that TypeError; after: both callers have the same answer and the engine ran once.

--- a/src/pomelolane/endpoints/meter.py
+++ b/src/pomelolane/endpoints/meter.py
@@ -78,14 +78,15 @@
         """Whether the framing, and an event stream's end marker, were seen.
 
         An event stream whose length only the close tells is vouched for by its
-        end marker alone.
+        end marker alone. One that the engine cancelled ends as well, but is
+        not whole.
         """
         stream = self._stream
         if not stream.ended or stream.error is not None:
             return False
         if self._counter is None:
             return stream.complete
-        return self._counter.is_done
+        return self._counter.is_done and not self._counter.is_cancelled
 
     @property
     def cached_tokens(self) -> int:
--- a/src/pomelolane/endpoints/sse.py
+++ b/src/pomelolane/endpoints/sse.py
@@ -12,7 +12,8 @@
 _FIELD = b"data:"
 _NEEDLE = b"\n" + _FIELD
 _BORDER = len(_NEEDLE) - 1
-_TAIL_BYTES = 64
+_TAIL_BYTES = 1024
+_CANCELLED = (b'"finish_reason":"cancelled"', b'"finish_reason": "cancelled"')
 
 
 class SseCounter:
@@ -42,6 +43,14 @@
         last = lines[-1]
         return last.startswith(_FIELD) and last[len(_FIELD) :].strip() == DONE_MARKER
 
+    @property
+    def is_cancelled(self) -> bool:
+        """Whether the last events say that the engine cancelled the answer.
+
+        Text inside a string has its quotes escaped and cannot look like it.
+        """
+        return any(mark in self._tail for mark in _CANCELLED)
+
     @property
     def events(self) -> int:
         """Events so far without the end marker."""
--- a/src/pomelolane/gateway/jobwork.py
+++ b/src/pomelolane/gateway/jobwork.py
@@ -123,5 +123,5 @@
     return msgspec.msgpack.decode(body, type=StoredCall).streamed
 
 
-def _nothing(*args: object) -> None:
-    del args
+def _nothing(*args: object, **named: object) -> None:
+    del args, named
--- a/src/pomelolane/gateway/keyed.py
+++ b/src/pomelolane/gateway/keyed.py
@@ -301,5 +301,5 @@
         return found or record
 
 
-def _nothing(*args: object) -> None:
-    del args
+def _nothing(*args: object, **named: object) -> None:
+    del args, named
--- a/tests/endpoints/relay.feature
+++ b/tests/endpoints/relay.feature
@@ -20,6 +20,7 @@
       | fault                          |
       | closes                         |
       | ends well without its marker   |
+      | cancels with the last of them   |
 
   Scenario: a caller that leaves early ends the relay
     Given an engine that streams 5 events and falls silent
--- a/tests/gateway/keyed.feature
+++ b/tests/gateway/keyed.feature
@@ -18,6 +18,14 @@
     Then both callers have the same answer
     And the engine ran 1 request
 
+  Scenario: An unstreamed call's key that is repeated while it runs runs once
+    Given the engine holds its answers back
+    And the keyed callers want no stream
+    When gateways "a" and "b" are called with key "k1" at once
+    And the engine lets its answers go
+    Then both callers have the same answer
+    And the engine ran 1 request
+
   Scenario: Ten callers at one gateway with one key run it once
     When gateway "a" is called ten times at once with key "k1"
     Then all ten callers have the same answer
--- a/tests/steps/endpoints_steps.py
+++ b/tests/steps/endpoints_steps.py
@@ -202,6 +202,14 @@
     serve(context, answering(event_head() + pieces))
 
 
+@given("an engine that streams {count:d} events and cancels with the last of them")
+def step_events_cancelled(context, count):
+    choice = b'{"index":0,"delta":{},"finish_reason":"cancelled"}'
+    last = b'data: {"choices":[' + choice + b'],"usage":{"prompt_tokens":20}}\n\n'
+    pieces = [chunk(event_bytes(count - 1)), chunk(last), chunk(DONE), chunk(b"")]
+    serve(context, answering(event_head(), *pieces))
+
+
 @given("an engine that streams {count:d} events and falls silent")
 def step_events_silent(context, count):
     serve(context, silent_after(event_head() + chunk(event_bytes(count))))
--- a/tests/steps/gateway_keyed_steps.py
+++ b/tests/steps/gateway_keyed_steps.py
@@ -15,7 +15,7 @@
 from pomelolane.gateway.intake import Call
 from pomelolane.gateway.keyed import KeyedCalls
 from pomelolane.gateway.retries import RetryBudget
-from pomelolane.gateway.sinks import CallerSink
+from pomelolane.gateway.sinks import CallerSink, JoiningSink
 from pomelolane.model import Endpoint, Organisation, Service, ServiceKind, Tree, Work
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.platform import EmbeddedObjectStore, EmbeddedTable
@@ -165,7 +165,11 @@
             sent.extend(answer_from_object(data).body)
 
         scope = {"method": "POST", "raw_path": b"", "query_string": b"", "headers": []}
-        sink = CallerSink(Exchange(scope, None, send), ())
+        exchange = Exchange(scope, None, send)
+        if call.streamed:
+            sink = CallerSink(exchange, ())
+        else:
+            sink = JoiningSink(exchange, (), call.service.name)
         result = await self.keyed.serve(call, sink, replay)
         return result, bytes(sent)
 
@@ -182,6 +186,7 @@
     context.run(build())
     context.answers = []
     context.number = 0
+    context.streamed = True
 
 
 def _call(context, key, organisation="o", digest="d"):
@@ -198,7 +203,7 @@
         idempotent=False,
         key=key,
         respond_async=False,
-        streamed=True,
+        streamed=context.streamed,
         method="POST",
         path="/",
         headers=(),
@@ -233,6 +238,11 @@
     context.engine.go.clear()
 
 
+@given("the keyed callers want no stream")
+def step_no_stream(context):
+    context.streamed = False
+
+
 @given('the scheduler of gateway "{name}" refuses everything')
 def step_refuse(context, name):
     context.gateways[name].scheduler.refuses = True
