--- a/tests/endpoints/relay.feature
+++ b/tests/endpoints/relay.feature
@@ -20,7 +20,11 @@
       | fault                          |
       | closes                         |
       | ends well without its marker   |
-      | cancels with the last of them   |
+
+  Scenario: an answer that its engine cancelled is left open
+    Given an engine that streams 4 events and a last one that says cancelled
+    When the endpoint's answer is relayed
+    Then the relay left the answer open and says broken
 
   Scenario: a caller that leaves early ends the relay
     Given an engine that streams 5 events and falls silent
--- a/tests/steps/endpoints_world.py
+++ b/tests/steps/endpoints_world.py
@@ -24,6 +24,10 @@
 HELLO = b"hello world"
 HELLO_ANSWER = head(content_length=len(HELLO)) + HELLO
 DONE = b"data: [DONE]\n\n"
+CANCELLED = (
+    b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"cancelled"}],'
+    b'"usage":{"prompt_tokens":20}}\n\n'
+)
 LAST = chunk(b"")
 CHUNKED = head(transfer_encoding="chunked")
 HELLO_PIECES = (chunk(b"hello "), b"5\r\nwo", b"rld\r\n0\r", b"\n\r\n")
@@ -74,6 +78,9 @@
     "its end": lambda begin: answering(begin, chunk(DONE), LAST),
     "closes": lambda begin: answering(begin, close=True),
     "ends well without its marker": lambda begin: answering(begin + LAST),
+    "a last one that says cancelled": lambda begin: answering(
+        begin, chunk(CANCELLED), chunk(DONE), LAST
+    ),
     "falls silent": silent_after,
 }
 
