--- a/src/pomelolane/gateway/keyed.py
+++ b/src/pomelolane/gateway/keyed.py
@@ -317,5 +317,5 @@
     )
 
 
-def _nothing(*args: object) -> None:
-    del args
+def _nothing(*args: object, **named: object) -> None:
+    del args, named
