Turn writes away at once while the platform is silent; prove the cut

Cause: where the links to the platform went quiet (no reset, no answer), every keyed call in the data centre that was cut off was refused only after 5,002 ms: each isolated claim was itself the trial that found the table still silent. Ruled out: the gatherer, and false words (all were truly not run). Change: a gate at the platform's client turns writes away, unsent, once nothing was answered for a second; a read in the background finds out a few times a second whether the platform is back. Conclusion: the cut-off scenario for quiet links was red and is green. What stays: the first refusals of a VM that has not yet noticed take up to 5 s.

--- a/src/pomelolane/platform/http.py
+++ b/src/pomelolane/platform/http.py
@@ -21,6 +21,7 @@
     PlatformUnavailableError,
     RateLimitedError,
 )
+from pomelolane.platform.gate import WriteGate
 from pomelolane.ports import ListedVm, Row, WriteResult
 from pomelolane.sentinels import NOT_FOUND
 
@@ -33,6 +34,7 @@
 
 DEFAULT_CONNECT_TIMEOUT_MS = 1000
 DEFAULT_CALL_TIMEOUT_MS = 3000
+_PROBED_KEY = "settings/counter"
 DEFAULT_RETRY_AFTER_MS = 100
 _CONNECTIONS = 32
 
@@ -124,6 +126,7 @@
             total=call_timeout_ms / 1000.0, connect=connect_timeout_ms / 1000.0
         )
         self._session: aiohttp.ClientSession | None = None
+        self._gate = WriteGate(health, self._probe)
 
     async def call(
         self,
@@ -140,6 +143,8 @@
             PlatformUnavailableError: Certainly had no effect.
             _UnansweredError: May have had an effect.
         """
+        if method != "GET" and self._gate.is_closed():
+            raise PlatformUnavailableError("the platform does not answer")
         try:
             answer = await self._exchange(method, path, query, body)
         except RateLimitedError:
@@ -153,10 +158,14 @@
 
     async def aclose(self) -> None:
         """Close the pool."""
+        await self._gate.aclose()
         if self._session is not None:
             await self._session.close()
             self._session = None
 
+    async def _probe(self) -> None:
+        await self.call("GET", "/v1/table/row", query={"key": _PROBED_KEY})
+
     async def _exchange(
         self,
         method: str,
--- a/tests/platform/http.feature
+++ b/tests/platform/http.feature
@@ -44,6 +44,14 @@
     And a platform row is read
     Then the platform counts as up
 
+  Scenario: Writes to a silent platform are turned away until it answers
+    Given a platform that never replies
+    When the platform has been silent for long
+    And 5 platform commits are sent
+    Then the platform turned them all away unsent
+    When the platform answers again
+    Then the platform is soon found to be up, and commits are sent again
+
   Scenario: A setting that names no platform is refused
     When the platform setting "carrier-pigeon" is opened
     Then the platform setting is refused
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -6,9 +6,15 @@
 
 from behave import given, then, when
 
-from pomelolane.exceptions import PlatformError, SettingError
+from pomelolane.exceptions import (
+    PlatformError,
+    PlatformUnavailableError,
+    SettingError,
+)
 from pomelolane.platform import EmbeddedTable, platform_from_url
+from pomelolane.platform.gate import CLOSED_AFTER_MS
 from pomelolane.ports import Write
+from tests.faults import until
 
 _REPLIES = {
     "answers 503": b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
@@ -26,6 +32,7 @@
 
     def __init__(self, behaviour: str) -> None:
         self.behaviour = behaviour
+        self.requests = 0
 
     async def start(self) -> str:
         """Listen and return the base URL."""
@@ -39,6 +46,7 @@
     async def _serve(self, reader, writer):
         try:
             while await reader.readuntil(b"\r\n\r\n"):
+                self.requests += 1
                 if self.behaviour == "never replies":
                     await reader.read()
                     break
@@ -84,6 +92,44 @@
     context.result = context.run(_outcome(context.platform.table.read("k")))
 
 
+@when("the platform has been silent for long")
+def step_silent(context):
+    async def be_silent():
+        health = context.platform.health
+        while health.down_ms < CLOSED_AFTER_MS:
+            await _outcome(context.platform.table.read("k"))
+
+    context.run(be_silent())
+
+
+@when("{count:d} platform commits are sent")
+def step_commits_sent(context, count):
+    async def send():
+        commits = [
+            context.platform.table.commit([Write("k", b"v", 0)]) for _ in range(count)
+        ]
+        return await asyncio.gather(*map(_outcome, commits))
+
+    context.requests_before = context.server.requests
+    context.results = context.run(send())
+
+
+@then("the platform turned them all away unsent")
+def step_turned_away(context):
+    assert context.server.requests == context.requests_before
+    for result in context.results:
+        assert type(result) is PlatformUnavailableError, result
+
+
+@then("the platform is soon found to be up, and commits are sent again")
+def step_found_up(context):
+    context.run(until(lambda: context.platform.health.is_up))
+    requests = context.server.requests
+    commit = context.platform.table.commit([Write("k", b"v", 0)])
+    context.run(_outcome(commit))
+    assert context.server.requests > requests
+
+
 @when("the platform answers again")
 def step_platform_back(context):
     context.server.behaviour = "answers 404"
