--- a/tests/hostile_http.py
+++ b/tests/hostile_http.py
@@ -18,8 +18,9 @@
 """Well beyond the server's own bounds on heads and bodies."""
 
 AT_ONE_TIME = 24
+_CHAT = "/v1/chat/completions"
 _PATHS = (
-    "/v1/chat/completions",
+    *(_CHAT,) * 12,
     "/services/registro-capturas/a/b",
     "/services/modelo-bitacora/x",
     "/services//",
@@ -32,7 +33,8 @@
     "/status",
     "/",
 )
-_METHODS = ("GET", "POST", "PUT", "DELETE", "HEAD", "PATCH", "OPTIONS", "BREW", "g e t")
+_ODD_METHODS = ("PUT", "DELETE", "HEAD", "PATCH", "OPTIONS", "BREW", "g e t")
+_METHODS = (*("POST",) * 16, "GET", "GET", *_ODD_METHODS)
 _NAMES = (
     "X-Work",
     "X-Deadline-Ms",
