--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -12,10 +12,12 @@
 from pomelolane import events
 from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
 from pomelolane.gateway.ending import Delivered
+from pomelolane.gateway.state import RequestState
 from pomelolane.gateway.watch import StreamWatch
 from pomelolane.logs import log_event
 from pomelolane.messages import Handle
 from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.platform import claim_key
 from pomelolane.ports import UpstreamRequest
 
 if TYPE_CHECKING:
@@ -34,54 +36,6 @@
 RETRY_AFTER_FAILURE_MS = 1000
 
 
-class RequestState:
-    """What the gateway knows of one request, for others who ask.
-
-    Attributes:
-        call: The checked request.
-        dispatched: Whether a byte may have gone to an endpoint.
-        endpoint_id: Where it runs or ran last.
-        stream_id: The engine's stream of the last attempt.
-        finished: Whether it has ended.
-        outcome: Empty while open or on success, else the outcome.
-        outlives_cancel: Whether the engine's stream is left running when this
-            VM gives the request up, because a successor may resume it.
-    """
-
-    __slots__ = (
-        "accepted_ms",
-        "attempt",
-        "begun",
-        "call",
-        "dispatched",
-        "endpoint_id",
-        "excluded",
-        "finished",
-        "outcome",
-        "outlives_cancel",
-        "stream_id",
-    )
-
-    def __init__(self, call: Call, accepted_ms: float) -> None:
-        self.call = call
-        self.accepted_ms = accepted_ms
-        self.attempt = 0
-        self.excluded: tuple[str, ...] = ()
-        self.dispatched = False
-        self.begun = False
-        self.endpoint_id = ""
-        self.stream_id = ""
-        self.finished = False
-        self.outcome = ""
-        self.outlives_cancel = False
-
-    def attempt_id(self) -> str:
-        """Return the id of the current attempt, also its stream id."""
-        if self.attempt == 0:
-            return self.call.request_id
-        return f"{self.call.request_id}.{self.attempt}"
-
-
 class Dispatcher:
     """Carries requests from acceptance to their end.
 
@@ -391,9 +345,12 @@
 
 def _upstream(state: RequestState) -> UpstreamRequest:
     call = state.call
+    # Endpoints see no organisations: a service that answers a repeated key from
+    # its own memory must not take one organisation's key for another's.
+    key = claim_key(call.organisation.name, call.key) if call.key else ""
     return UpstreamRequest(
         request_id=state.stream_id,
-        key=call.key,
+        key=key,
         method=call.method,
         path=call.path,
         headers=call.headers,
--- a/tests/steps/gateway_keyed_steps.py
+++ b/tests/steps/gateway_keyed_steps.py
@@ -16,10 +16,16 @@
 from pomelolane.gateway.keyed import KeyedCalls
 from pomelolane.gateway.retries import RetryBudget
 from pomelolane.gateway.sinks import CallerSink, JoiningSink
+from pomelolane.messages import KeyQuery
 from pomelolane.model import Endpoint, Organisation, Service, ServiceKind, Tree, Work
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.platform import EmbeddedObjectStore, EmbeddedTable
-from pomelolane.platform.claims import make_claims
+from pomelolane.platform import (
+    EmbeddedObjectStore,
+    EmbeddedTable,
+    claim_key,
+    job_reservation,
+)
+from pomelolane.platform.claims import DONE, make_claims
 from pomelolane.ports import Grant, Peer, View
 from pomelolane.tree import CurrentTree
 
@@ -31,6 +37,10 @@
 
     down = False
 
+    def __init__(self):
+        super().__init__()
+        self.held_reply = None
+
     async def read(self, key):
         if self.down:
             raise PlatformUnavailableError("down")
@@ -39,7 +49,22 @@
     async def commit(self, writes, *, atomic=True):
         if self.down:
             raise PlatformUnavailableError("down")
-        return await super().commit(writes, atomic=atomic)
+        results = await super().commit(writes, atomic=atomic)
+        gate, self.held_reply = self.held_reply, None
+        if gate is not None:
+            await gate.wait()
+        return results
+
+
+class SwitchedObjects(EmbeddedObjectStore):
+    """An object store that can be down."""
+
+    down = False
+
+    async def put(self, name, data):
+        if self.down:
+            raise PlatformUnavailableError("down")
+        await super().put(name, data)
 
 
 class Wire:
@@ -112,8 +137,11 @@
     """Grants the only endpoint, or refuses everything."""
 
     refuses = False
+    gate = None
 
     async def acquire(self, handle):
+        if self.gate is not None:
+            await self.gate.wait()
         if self.refuses:
             return Refusal(Outcome.NOT_RUN, Reason.QUEUE_FULL, 100)
         return Grant(handle.request_id, "e1", 1.0)
@@ -179,7 +207,7 @@
     async def build():
         context.engine = OneEngine()
         context.shared_table = SwitchedTable()
-        context.objects = EmbeddedObjectStore()
+        context.objects = SwitchedObjects()
         context.wire = Wire()
         context.gateways = {name: TestGateway(context, name) for name in "ab"}
 
@@ -253,6 +281,42 @@
     context.shared_table.down = True
 
 
+@given("the shared object store is down")
+def step_objects_down(context):
+    context.objects.down = True
+
+
+@when("the shared object store is back")
+def step_objects_back(context):
+    context.objects.down = False
+
+
+@given('key "{key}" is claimed for a job')
+def step_job_key(context, key):
+    context.run(_claim(context, key, answer_object=job_reservation("j1")))
+
+
+@given('key "{key}" has ended without a kept answer')
+def step_ended_key(context, key):
+    async def claim_and_end():
+        record = await _claim(context, key)
+        await context.gateways["a"].claims.settle(record, DONE)
+
+    context.run(claim_and_end())
+
+
+async def _claim(context, key, **options):
+    hashed = claim_key("o", key)
+    claims = context.gateways["a"].claims
+    return await claims.claim(hashed, "d", timeout_ms=WAIT_S * 1000, **options)
+
+
+@then("the last caller was told that the answer was not kept")
+def step_not_kept(context):
+    result, _ = context.answers[-1]
+    assert "not kept" in result.detail, result
+
+
 @when('gateway "{name}" is called with key "{key}"')
 def step_call(context, name, key):
     _serve(context, name, _call(context, key))
@@ -297,6 +361,89 @@
     context.run(begin())
 
 
+@given('the reply to gateway "a"\'s claim is held back')
+def step_hold_reply(context):
+    context.reply = context.shared_table.held_reply = asyncio.Event()
+
+
+@when('gateways "a" and "b" are called with key "{key}" and the reply comes late')
+def step_call_before_reply(context, key):
+    async def call_both():
+        tasks = [asyncio.create_task(context.gateways["a"].call(_call(context, key)))]
+
+        async def written():
+            return bool(await context.shared_table.scan("claims/"))
+
+        await _until(written)
+        asked = _count_queries(context)
+        tasks.append(
+            asyncio.create_task(context.gateways["b"].call(_call(context, key)))
+        )
+
+        async def b_asked():
+            return bool(asked)
+
+        await _until(b_asked)
+        context.reply.set()
+        context.answers += await asyncio.gather(*tasks)
+
+    context.run(call_both())
+
+
+@given('the scheduler of gateway "a" lets requests wait')
+def step_let_wait(context):
+    context.gateways["a"].scheduler.gate = asyncio.Event()
+
+
+@when('gateway "a" is called with key "{key}" and gateway "b" repeats it twice')
+def step_call_and_repeat(context, key):
+    async def begin():
+        first = asyncio.create_task(context.gateways["a"].call(_call(context, key)))
+
+        async def claimed():
+            return bool(context.gateways["a"].dispatcher.open_requests)
+
+        await _until(claimed)
+        asked = _count_queries(context)
+        repeats = [_call(context, key) for _ in range(2)]
+        context.repeats = [
+            asyncio.create_task(context.gateways["b"].call(call)) for call in repeats
+        ]
+
+        async def both_asked():
+            return len(asked) >= 2
+
+        await _until(both_asked)
+        context.first = first
+
+    context.run(begin())
+
+
+def _count_queries(context):
+    answer = context.wire.handlers["a", KeyQuery]
+    asked = []
+
+    def answer_and_note(sender, query):
+        asked.append(query)
+        answer(sender, query)
+
+    context.wire.handlers["a", KeyQuery] = answer_and_note
+    return asked
+
+
+@when('the scheduler of gateway "a" refuses what waits')
+def step_refuse_waiting(context):
+    scheduler = context.gateways["a"].scheduler
+    scheduler.refuses = True
+    scheduler.gate.set()
+    context.answers = context.run(asyncio.wait_for(_gather(context.repeats), WAIT_S))
+
+
+@then("both repeats have the same answer")
+def step_repeats_same(context):
+    assert len(_texts(context)) == 1, context.answers
+
+
 @when("the engine lets its answers go")
 def step_go(context):
     context.engine.go.set()
