Take an engine's 429 and 503 for a refusal, never for an answer

Ruled out: the retry for idempotent work, which did go on to other engines; calls that may not be repeated did not. Change: the engine adapter raises 'certainly not taken' for 429 and 503, so any work goes on to another engine and a key is released, and 'possibly taken' for any other server error. Plain services' statuses pass as before. Before: the four new examples were red; after: green.

--- a/src/pomelolane/endpoints/adapter.py
+++ b/src/pomelolane/endpoints/adapter.py
@@ -6,11 +6,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from pomelolane.endpoints.headers import request_head
 from pomelolane.endpoints.pool import ConnectionPool
-from pomelolane.exceptions import EndpointError, StreamGoneError
+from pomelolane.exceptions import (
+    EndpointBrokenError,
+    EndpointError,
+    EndpointRefusedError,
+    StreamGoneError,
+)
 from pomelolane.model import ServiceKind
 from pomelolane.ports import UpstreamRequest
 from pomelolane.registry import ENDPOINT_ADAPTERS, register
@@ -26,6 +32,8 @@
 
 _OK = 200
 _NOT_FOUND = 404
+_REFUSALS = (429, 503)
+_SERVER_ERRORS = range(500, 600)
 _EVENT_STREAM = b"text/event-stream"
 
 
@@ -84,11 +92,16 @@
     ) -> AnswerStream:
         """Send a request, once, and mark an answer that ends by ``[DONE]``.
 
+        An engine says 429 or 503 to what it does not take; another server
+        error leaves open whether it ran.
+
         Raises:
             EndpointRefusedError: Certainly not taken.
             EndpointBrokenError: Possibly taken.
         """
         stream = await super().dispatch(endpoint, request)
+        if stream.status in _REFUSALS or stream.status in _SERVER_ERRORS:
+            await _raise_for_status(endpoint, stream)
         content_type = stream.header(b"content-type").lower()
         stream.is_events = stream.status == _OK and content_type.startswith(
             _EVENT_STREAM
@@ -143,6 +156,15 @@
     return UpstreamRequest(stream_id, "", method, path, (), b"")
 
 
+async def _raise_for_status(endpoint: Endpoint, stream: AnswerStream) -> None:
+    detail = f"{endpoint.endpoint_id} answered {stream.status}"
+    with contextlib.suppress(EndpointError):
+        await _drain(stream)
+    if stream.status in _REFUSALS:
+        raise EndpointRefusedError(detail)
+    raise EndpointBrokenError(detail)
+
+
 async def _drain(stream: AnswerStream) -> None:
     async for _ in stream.chunks():
         pass
--- a/tests/endpoints/adapter.feature
+++ b/tests/endpoints/adapter.feature
@@ -15,6 +15,23 @@
     When the engine's stream "abc" is resumed from chunk 3
     Then the endpoint call fails as gone
 
+  Scenario Outline: an engine's own refusal is no answer
+    Given an endpoint that answers <status>
+    When the endpoint's answer is read
+    Then the endpoint call fails as <failure>
+
+    Examples:
+      | status | failure |
+      | 429    | refused |
+      | 503    | refused |
+      | 500    | broken  |
+      | 502    | broken  |
+
+  Scenario: a plain service's status passes
+    Given an endpoint that answers 503
+    When the plain service's answer is read
+    Then the plain service's status is 503
+
   Scenario: a plain service keeps no streams
     Given an endpoint that answers 404
     When the plain service's stream "abc" is resumed from chunk 3
--- a/tests/steps/endpoints_steps.py
+++ b/tests/steps/endpoints_steps.py
@@ -110,6 +110,17 @@
     context.run(read_all(context, request()))
 
 
+@when("the plain service's answer is read")
+def step_read_plain(context):
+    sent = context.plain.dispatch(context.endpoint, request())
+    context.stream = context.run(sent)
+
+
+@then("the plain service's status is {status:d}")
+def step_plain_status(context, status):
+    assert context.stream.status == status
+
+
 @when("the endpoint's answer is read {times:d} times")
 def step_read_times(context, times):
     for _ in range(times):
--- a/tests/steps/endpoints_world.py
+++ b/tests/steps/endpoints_world.py
@@ -64,7 +64,10 @@
     "answers 304 with a length": answering(head(304, content_length=500)),
     "answers in an unknown coding": answering(OTHER_CODING),
     "answers with an unknown status": answering(head(999, content_length=0)),
-    "answers 404": answering(head(404, content_length=0)),
+    **{
+        f"answers {status}": answering(head(status, content_length=0))
+        for status in (404, 429, 500, 502, 503)
+    },
     "closes after each answer without saying so": answering(HELLO_ANSWER, close=True),
     "sends bytes after the end of its answer": answering(HELLO_ANSWER + b"surplus"),
     "answers HEAD with the length of a body it does not send": answering(
