Send keyed work at most once though its kind may be repeated

Change: Call.repeatable and JobRecord.repeatable: idempotent and without a key. Before: the new dispatch example got 2 dispatches and the new job scenario 2 runs; after: 1 each, told as failed and unknown.

Chaos: a job that is done with something else than its answer is told as such instead of as not ended.

--- a/bench/caller.py
+++ b/bench/caller.py
@@ -312,7 +312,7 @@
     data = await response.read()
     record.received_bytes = len(data)
     if response.status < 300:
-        record.text = _answer_text(data)
+        record.text = answer_text(data)
         record.ttft_ms = _now_ms() - started_ms
         return
     _read_problem(data, record)
@@ -367,7 +367,8 @@
         record.reason = problem.get("reason", record.reason)
 
 
-def _answer_text(data: bytes) -> str:
+def answer_text(data: bytes) -> str:
+    """Return the text of a JSON answer, any other body as it is."""
     try:
         document = msgspec.json.decode(data)
         return document["choices"][0]["message"]["content"]
--- a/bench/chaos/load.py
+++ b/bench/chaos/load.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from bench.caller import Caller
+from bench.caller import Caller, answer_text
 from bench.chaos.plan import Manner
 from bench.chaos.records import FINAL_JOB_STATES, CallResult, JobEnd
 
@@ -131,24 +131,27 @@
                 if response.status != 200:
                     return False
                 found = await response.json(content_type=None)
-            state = found.get("state", "")
-            if state == "done":
-                job.answer = await self._read_answer(url, job, headers)
-            job.state = state
+            job.state = found.get("state", "")
             job.outcome = found.get("outcome") or ""
             job.reason = found.get("reason") or ""
+            if job.state == "done":
+                return await self._read_answer(url, job, headers)
         except _FAILURES:
             return False
         return job.state in FINAL_JOB_STATES
 
-    async def _read_answer(self, url: str, job: JobEnd, headers: dict[str, str]) -> str:
+    async def _read_answer(
+        self, url: str, job: JobEnd, headers: dict[str, str]
+    ) -> bool:
+        """Read the answer; false while the platform cannot give it."""
         async with self._session.get(
             f"{url}{job.location}/answer", headers=headers
         ) as response:
-            if response.status != 200:
-                raise aiohttp.ClientError(f"answer: {response.status}")
-            found = await response.json(content_type=None)
-        return found["choices"][0]["message"]["content"]
+            if response.status >= 500:
+                return False
+            text = await response.text()
+        job.answer = answer_text(text.encode())
+        return True
 
     async def _cancel(self, job: JobEnd, headers: dict[str, str]) -> None:
         url = self._any_url() + job.location
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -252,7 +252,7 @@
 
     def _retry_is_open(self, state: RequestState) -> bool:
         return (
-            state.call.idempotent
+            state.call.repeatable
             and not state.begun
             and state.attempt + 1 < MAX_ATTEMPTS
         )
@@ -261,12 +261,12 @@
         """Tell whether another attempt is allowed, and begin it.
 
         A refused connection never took the request, so any work may go on to
-        another endpoint; after a break only idempotent work may.
+        another endpoint; after a break only idempotent work without a key may.
         """
         if state.begun or state.attempt + 1 >= MAX_ATTEMPTS:
             return False
         refused = refusal.reason is Reason.ENDPOINT_REFUSED
-        broken = refusal.reason is Reason.ENDPOINT_BROKEN and state.call.idempotent
+        broken = refusal.reason is Reason.ENDPOINT_BROKEN and state.call.repeatable
         if not (refused or broken) or not self._budget.spend():
             return False
         log_event(
--- a/src/pomelolane/gateway/intake.py
+++ b/src/pomelolane/gateway/intake.py
@@ -118,6 +118,14 @@
     prefix_hashes: tuple[int, ...]
     digest: str
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may be sent again after it possibly ran.
+
+        A key asks for one run at most, whatever the work allows.
+        """
+        return self.idempotent and not self.key
+
 
 def call_from_chat(
     request_id: str,
--- a/src/pomelolane/jobs/execution.py
+++ b/src/pomelolane/jobs/execution.py
@@ -261,7 +261,7 @@
             refusal = result
         if self._cancel_wanted:
             return JobEnd(JobState.CANCELLED, refusal=refusal)
-        if self.record.idempotent and not self._is_overdue():
+        if self.record.repeatable and not self._is_overdue():
             await self._change_surely(changes.unplace(self._token))
             return refusal
         if refusal.outcome is Outcome.UNKNOWN:
--- a/src/pomelolane/jobs/record.py
+++ b/src/pomelolane/jobs/record.py
@@ -101,6 +101,11 @@
         """Whether nothing will change any more."""
         return self.state in FINAL_STATES
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may be sent again after it possibly ran."""
+        return self.idempotent and not self.key
+
     @property
     def is_placed(self) -> bool:
         """Whether a byte may have gone to an endpoint."""
--- a/tests/gateway/dispatch.feature
+++ b/tests/gateway/dispatch.feature
@@ -17,6 +17,8 @@
       | refuses the connection | non-idempotent | delivery  | 2    |
       | breaks before a byte   | non-idempotent | unknown   | 1    |
       | breaks before a byte   | idempotent     | delivery  | 2    |
+      | breaks before a byte   | keyed          | failed    | 1    |
+      | refuses the connection | keyed          | delivery  | 2    |
       | breaks after a byte    | idempotent     | cut_short | 1    |
       | breaks after a byte    | non-idempotent | cut_short | 1    |
 
--- a/tests/jobs/runner.feature
+++ b/tests/jobs/runner.feature
@@ -79,6 +79,16 @@
     Then the job ends as "done" with its own answer
     And the engine has run the job 2 times
 
+  Scenario: Idempotent work with a key is not run again
+    Given the job engine answers slowly
+    When an idempotent job with a key is accepted on "a"
+    And the job's stream has begun
+    And job VM "a" is killed
+    And the job engine forgets its streams
+    And the job engine answers
+    Then the job ends as "unknown" with outcome "unknown"
+    And the engine has run the job 1 time
+
   Scenario: An answer cut short is read again from the engine
     Given the job engine cuts the next 2 answers
     When a job is accepted on "a"
--- a/tests/steps/jobs_steps.py
+++ b/tests/steps/jobs_steps.py
@@ -190,6 +190,11 @@
     _accept(context, vm_id, request(_BODY, idempotent=True))
 
 
+@when('an idempotent job with a key is accepted on "{vm_id}"')
+def step_accept_idempotent_keyed(context, vm_id):
+    _accept(context, vm_id, request(_BODY, idempotent=True, key="k"))
+
+
 @when('a job is accepted on "{vm_id}" with a deadline of {deadline_ms:d} ms')
 def step_accept_deadline(context, vm_id, deadline_ms):
     _accept(context, vm_id, request(_BODY, deadline_ms=deadline_ms))
