--- a/src/pomelolane/statusboard.py
+++ b/src/pomelolane/statusboard.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING
 
+from pomelolane.model import ServiceKind
 from pomelolane.report import (
     EndpointReport,
     PeerReport,
@@ -86,8 +87,13 @@
     leaving = (
         endpoint.leaving or endpoint.endpoint_id in parts.member.leaving_endpoints()
     )
-    prefill = figures.prefill_tokens_per_s if figures else endpoint.prefill_tokens_per_s
-    decode = figures.decode_tokens_per_s if figures else endpoint.decode_tokens_per_s
+    service = parts.tree.value.services[endpoint.service]
+    declares_speed = service.kind is ServiceKind.ENGINE
+    prefill = endpoint.prefill_tokens_per_s if declares_speed else 0.0
+    decode = endpoint.decode_tokens_per_s if declares_speed else 0.0
+    if figures:
+        prefill = figures.prefill_tokens_per_s
+        decode = figures.decode_tokens_per_s
     return EndpointReport(
         id=endpoint.endpoint_id,
         service=endpoint.service,
@@ -113,7 +119,10 @@
 
 
 def _counters(parts: Parts) -> dict[str, float]:
+    transport = parts.member.transport
     return {
         "open_requests": float(len(parts.dispatcher.open_requests)),
         "running_jobs": float(parts.jobs.runner.running),
+        "bytes_sent_to_vms": float(transport.bytes_sent),
+        "frames_sent_to_vms": float(transport.frames_sent),
     }
