--- a/tests/proofs/own_answers.feature
+++ b/tests/proofs/own_answers.feature
@@ -15,6 +15,8 @@
     When an organisation's keyed check streams and its job runs
     And a stranger repeats the key and body of the check on another VM
     Then the stranger's check is a run of its own
+    When the owner uses its key for another check
+    Then that check is refused as not run, because the key is used
     When a stranger reads, reads the answer of and cancels the job
     Then the stranger hears that there is no such job
     And the job of its owner ends whole
--- a/tests/steps/proofs_own_steps.py
+++ b/tests/steps/proofs_own_steps.py
@@ -133,6 +133,21 @@
     assert ids == sorted([context.own.request_id, context.foreign.request_id]), ids
 
 
+@when("the owner uses its key for another check")
+def step_reuse(context):
+    async def reuse(proof):
+        prompt = proof.name("owner's other check")
+        return await proof.ask(context.vms[4], prompt, idempotency_key="key")
+
+    context.reused = context.run(reuse(context.proof))
+
+
+@then("that check is refused as not run, because the key is used")
+def step_key_used(context):
+    found = (context.reused.outcome, context.reused.reason)
+    assert found == ("not_run", "key_reused"), context.reused.brief()
+
+
 async def _call(context, method, path, key, **options):
     headers = {"Authorization": f"Bearer {key}", **options.pop("headers", {})}
     url = context.vms[2].url + path
@@ -273,3 +288,8 @@
 def step_unauthenticated(context):
     for status, _, text in context.refused:
         assert status == 401, (status, text)
+    broken = context.run(context.proof.broken_promises())
+    # The stranger's run of the same prompt is not a second one of the owner's.
+    broken = [text for text in broken if answer_tag(context.prompt) not in text]
+    broken = [text for text in broken if answer_tag(context.job_prompt) not in text]
+    assert not broken, broken
