Prove drafts, tags and filings at most once, with two faults at once

Change: a scenario on the other deployment: the gateway that holds keyed and unkeyed drafts, tags and filings is killed while they run and the table is down; repeats during and after the outage run nothing again. The cut now waits until each side follows a scheduler of its own before it is loaded.

--- a/tests/proofs/at_most_once.feature
+++ b/tests/proofs/at_most_once.feature
@@ -36,7 +36,7 @@
     Given a cluster under proof
     When keyed calls run and a data centre is cut off meanwhile
     And the keys are repeated on both sides of the cut
-    And both sides are given work that may run once
+    And both sides have a scheduler and are given work that may run once
     Then no key was answered in the data centre that is cut off
     When the cut heals and the keys are repeated there
     Then each of these keys was answered whole
@@ -52,3 +52,13 @@
     And the endpoints' replies to catch submissions are lost
     Then no catch submission is said to have not run
     And all that was promised under proof holds
+
+  Scenario: Drafts, tags and filings of the other deployment
+    Given a cluster of Cedarline under proof
+    When drafts, tags and filings are sent to a gateway with and without keys
+    And that gateway is killed while they run and the table is down
+    And the drafts, tags and filings are repeated while the table is down
+    Then the repeats while the table is down were refused
+    When the table of Cedarline is back and all of them are repeated
+    Then no draft, tag or filing that ran is said to have not run
+    And all that was promised under proof holds
--- a/tests/proofs_world.py
+++ b/tests/proofs_world.py
@@ -49,9 +49,9 @@
         self._numbers = itertools.count(1)
 
     @classmethod
-    async def start(cls, *, vms=2, edit=None):
-        """Start a cluster of the Comisión's deployment."""
-        cluster = await Cluster.start("comision", vms_per_data_centre=vms, edit=edit)
+    async def start(cls, deployment="comision", *, vms=2, edit=None):
+        """Start a cluster of a deployment."""
+        cluster = await Cluster.start(deployment, vms_per_data_centre=vms, edit=edit)
         return cls(cluster)
 
     async def stop(self):
@@ -63,12 +63,22 @@
         """Return a prompt, body or key that was never used before."""
         return f"{kind} {next(self._numbers)} of this proof"
 
-    async def ask(self, vm, prompt, *, work=CHECK, tokens=16, who=ORGANISATION, **call):
-        """Ask the model service through a VM."""
+    async def ask(
+        self,
+        vm,
+        prompt,
+        *,
+        service=MODEL,
+        work=CHECK,
+        tokens=16,
+        who=ORGANISATION,
+        **call,
+    ):
+        """Ask a service of model engines through a VM."""
         record = await self.caller.send(
             vm.url,
             self.cluster.organisation_key(who),
-            service=MODEL,
+            service=service,
             work=work,
             prompt=prompt,
             output_tokens=tokens,
@@ -79,12 +89,21 @@
         self.attempts.append(attempt)
         return record
 
-    async def submit(self, vm, body, *, work=SUBMISSION, who=ORGANISATION, **call):
-        """Call the plain service through a VM."""
+    async def submit(
+        self,
+        vm,
+        body,
+        *,
+        service=REGISTER,
+        work=SUBMISSION,
+        who=ORGANISATION,
+        **call,
+    ):
+        """Call a plain service through a VM."""
         record = await self.caller.send_plain(
             vm.url,
             self.cluster.organisation_key(who),
-            service=REGISTER,
+            service=service,
             path="catches",
             body=body.encode(),
             work=work,
@@ -122,10 +141,10 @@
 
         async def is_streaming():
             found = await asyncio.gather(
-                *(item.runs() for item in self.cluster.endpoints_of(MODEL))
+                *(item.runs() for item in self.cluster.endpoints)
             )
             return any(
-                run["tag"] == mark and run["generated"] > tokens
+                run.get("tag") == mark and run["generated"] > tokens
                 for runs in found
                 for run in runs
             )
--- a/tests/steps/proofs_once_steps.py
+++ b/tests/steps/proofs_once_steps.py
@@ -331,9 +331,10 @@
     context.run(repeat(context.proof))
 
 
-@when("both sides are given work that may run once")
+@when("both sides have a scheduler and are given work that may run once")
 def step_doubled(context):
     async def load(proof):
+        await until(lambda: _is_doubled(proof, context.lone), timeout_s=PATIENCE_S)
         tasks = []
         for vm in proof.cluster.vms:
             for _ in range(_CALLS):
@@ -345,6 +346,17 @@
     context.run(load(context.proof))
 
 
+async def _is_doubled(proof, lone):
+    """Tell whether each side follows a scheduler of its own."""
+    cluster = proof.cluster
+    alone = {vm.vm_id for vm in cluster.vms_in(lone)}
+    followed = set()
+    for vm in cluster.vms:
+        services = (await vm.status())["roles"]["services"]
+        followed.add((vm.vm_id in alone, services[MODEL] in alone))
+    return followed == {(True, True), (False, False)}
+
+
 @then("no key was answered in the data centre that is cut off")
 def step_none_answered(context):
     for record in context.lone_answers:
