Keep an operator's mark of a leaving endpoint in the platform's table

Cause: the mark lived in the VM that took it, and was passed on by messages only. And the mark would have ended 30 s after that VM's death.

Ruled out: the settings tree, whose changes are in force within 9 s, not 3; the platform's list, which the product only reads.

Change: the VM marks at once as before and writes leaving/<endpoint>, repeated until the table takes it; the delegates of each data centre read these rows each second (two reads a second a data centre). A row goes a minute after the endpoint has left the declarations.

Open: a mark is taken back by the declarations only.

--- a/src/pomelolane/assembly.py
+++ b/src/pomelolane/assembly.py
@@ -27,7 +27,11 @@
 from pomelolane.gateway.deferred import JobCalls
 from pomelolane.gateway.jobwork import JobWork
 from pomelolane.jobs import make_jobs
-from pomelolane.membership import cluster_keys_from_settings, make_member
+from pomelolane.membership import (
+    RecordedMarks,
+    cluster_keys_from_settings,
+    make_member,
+)
 from pomelolane.parts import Parts
 from pomelolane.platform import (
     ClaimSweeper,
@@ -103,6 +107,7 @@
         platform=ground.platform,
         store=store,
         member=ground.member,
+        marks=_make_marks(ground),
         distribution=distribution,
         background=BackgroundTasks(),
         coordination=coordination,
@@ -241,3 +246,12 @@
         coordination.waiting,
         coordination.schedules,
     )
+
+
+def _make_marks(ground: _Ground) -> RecordedMarks:
+    tree = ground.tree
+
+    def may_exist(endpoint_id: str) -> bool:
+        return not tree.ready or endpoint_id in tree.value.endpoints
+
+    return RecordedMarks(ground.platform.table, ground.member, may_exist, WallClock())
--- a/src/pomelolane/membership/__init__.py
+++ b/src/pomelolane/membership/__init__.py
@@ -8,6 +8,7 @@
 from pomelolane.membership.addresses import AddressBook
 from pomelolane.membership.keys import ClusterKeys, cluster_keys_from_settings
 from pomelolane.membership.member import Member, make_member
+from pomelolane.membership.recorded import RecordedMarks
 from pomelolane.membership.rendezvous import choose, choose_several
 from pomelolane.membership.transport import ZmqTransport, make_transport
 
@@ -15,6 +16,7 @@
     "AddressBook",
     "ClusterKeys",
     "Member",
+    "RecordedMarks",
     "ZmqTransport",
     "choose",
     "choose_several",
--- /dev/null
+++ b/src/pomelolane/membership/recorded.py
@@ -0,0 +1,130 @@
+"""Operators' marks of leaving endpoints, kept in the platform's table.
+
+They reach data centres that are cut off from the others, and outlive the VM
+that took the operator's word.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
+
+from pomelolane.exceptions import PlatformError
+from pomelolane.ports import Write
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from pomelolane.ports import Clock, Row, Table
+
+MARK_PREFIX = "leaving/"
+RECORD_SOURCE = "record"
+POLL_S = 1.0
+KEPT_UNDECLARED_MS = 60_000.0
+"""How long a mark of an endpoint that no VM knows any more is kept; longer
+than any VM can be behind in its settings."""
+
+
+class _Mark(msgspec.Struct, frozen=True):
+    vm_id: str
+    marked_wall_ms: float
+
+
+class MarkingMember(Protocol):
+    """What is needed of a member; see :class:`~pomelolane.membership.Member`."""
+
+    @property
+    def vm_id(self) -> str:
+        """This VM."""
+
+    @property
+    def is_delegate(self) -> bool:
+        """Whether this VM speaks for its data centre."""
+
+    def mark_leaving(self, endpoint_id: str, source: str) -> None:
+        """Mark an endpoint and tell everybody."""
+
+    def clear_leaving(self, endpoint_id: str) -> None:
+        """Take back a mark made here."""
+
+
+class RecordedMarks:
+    """Writes marks, and reads those of others as a delegate.
+
+    Args:
+        table: Where they are kept.
+        member: Takes what was read.
+        may_exist: Whether an endpoint is declared, as far as the settings are known.
+        wall: Time of day, for dropping marks of endpoints that are gone.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        member: MarkingMember,
+        may_exist: Callable[[str], bool],
+        wall: Clock,
+    ) -> None:
+        self._table = table
+        self._member = member
+        self._may_exist = may_exist
+        self._wall = wall
+        self._read: set[str] = set()
+
+    async def record(self, endpoint_id: str) -> None:
+        """Write an operator's mark, for as long as the platform does not take it."""
+        mark = _Mark(self._member.vm_id, self._wall.now_ms())
+        write = Write(MARK_PREFIX + endpoint_id, msgspec.json.encode(mark), None)
+        while True:
+            try:
+                await self._table.commit([write], atomic=True)
+            except PlatformError:
+                await asyncio.sleep(POLL_S)
+            else:
+                return
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            await self.read()
+            await asyncio.sleep(POLL_S)
+
+    async def read(self) -> None:
+        """Read once, as a delegate; another VM holds no mark of its own."""
+        if not self._member.is_delegate:
+            self._follow(set())
+            return
+        try:
+            rows = await self._table.scan(MARK_PREFIX)
+            self._follow({_endpoint_of(row) for row in rows})
+            await self._drop_undeclared(rows)
+        except PlatformError:
+            return
+
+    def _follow(self, recorded: set[str]) -> None:
+        for endpoint_id in sorted(recorded - self._read):
+            self._member.mark_leaving(endpoint_id, RECORD_SOURCE)
+        for endpoint_id in sorted(self._read - recorded):
+            self._member.clear_leaving(endpoint_id)
+        self._read = recorded
+
+    async def _drop_undeclared(self, rows: Sequence[Row]) -> None:
+        before_ms = self._wall.now_ms() - KEPT_UNDECLARED_MS
+        writes = [
+            Write(row.key, None, row.version)
+            for row in rows
+            if not self._may_exist(_endpoint_of(row))
+            and _marked_wall_ms(row) < before_ms
+        ]
+        if writes:
+            await self._table.commit(writes, atomic=False)
+
+
+def _endpoint_of(row: Row) -> str:
+    return row.key.removeprefix(MARK_PREFIX)
+
+
+def _marked_wall_ms(row: Row) -> float:
+    return msgspec.json.decode(row.value, type=_Mark).marked_wall_ms
--- a/src/pomelolane/parts.py
+++ b/src/pomelolane/parts.py
@@ -24,7 +24,7 @@
     from pomelolane.coordination import Coordination
     from pomelolane.gateway import Dispatcher, Gateway, KeyedCalls
     from pomelolane.jobs import Jobs
-    from pomelolane.membership import Member
+    from pomelolane.membership import Member, RecordedMarks
     from pomelolane.platform import ClaimSweeper, ModelKeeper, Platform, TableClaims
     from pomelolane.platform.orders import HttpOrderSender
     from pomelolane.settings.distribution import Distribution
@@ -47,6 +47,7 @@
     platform: Platform
     store: SettingsStore
     member: Member
+    marks: RecordedMarks
     distribution: Distribution
     background: BackgroundTasks
     coordination: Coordination
@@ -69,13 +70,16 @@
         Operations(self.gateway, self.is_ready, lambda: build_report(self)).mount(app)
         hooks = AdminHooks(
             stop_soon=stop_soon,
-            mark_leaving=lambda endpoint: self.member.mark_leaving(
-                endpoint, "operator"
-            ),
+            mark_leaving=self._mark_leaving,
             offer=self.distribution.offer,
         )
         Admin(self.store, self.gateway, self.tree, hooks).mount(app)
 
+    def _mark_leaving(self, endpoint_id: str) -> None:
+        """Take an operator's word that an endpoint is leaving."""
+        self.member.mark_leaving(endpoint_id, "operator")
+        self.background.start("mark", self.marks.record(endpoint_id))
+
     async def start_background(self) -> None:
         """Follow the settings and begin the work that needs no caller."""
         await self.distribution.start()
@@ -83,6 +87,7 @@
             self.background.start("import", self._import_first())
         self.background.start("jobs", self._run_jobs())
         self.background.start("claims", self.sweeper.run())
+        self.background.start("marks", self.marks.run())
         self.background.start("models", self.keeper.run())
 
     async def _import_first(self) -> None:
