Take an operator's word back with the endpoint's declaration

Cause: the VM that took the word held its mark for as long as it lived, so that a VM started later heard of it even after the endpoint was declared anew.

Ruled out: ending it after a time, since the endpoint may leave slowly.

Change: a VM drops the words it took whose endpoints are declared no more.

Figures: tests/membership/recorded.feature, last scenario: red without the call.

--- a/src/pomelolane/membership/recorded.py
+++ b/src/pomelolane/membership/recorded.py
@@ -71,10 +71,12 @@
         self._member = member
         self._may_exist = may_exist
         self._wall = wall
+        self._taken: set[str] = set()
         self._read: set[str] = set()
 
     async def record(self, endpoint_id: str) -> None:
         """Write an operator's mark, for as long as the platform does not take it."""
+        self._taken.add(endpoint_id)
         mark = _Mark(self._member.vm_id, self._wall.now_ms())
         write = Write(MARK_PREFIX + endpoint_id, msgspec.json.encode(mark), None)
         while True:
@@ -92,7 +94,8 @@
             await asyncio.sleep(POLL_S)
 
     async def read(self) -> None:
-        """Read once, as a delegate; another VM holds no mark of its own."""
+        """Read once, as a delegate; other VMs only hold the words taken here."""
+        self._drop_taken()
         if not self._member.is_delegate:
             self._follow(set())
             return
@@ -110,6 +113,13 @@
             self._member.clear_leaving(endpoint_id)
         self._read = recorded
 
+    def _drop_taken(self) -> None:
+        """Take back the words taken here whose endpoints are gone."""
+        for endpoint_id in sorted(self._taken):
+            if not self._may_exist(endpoint_id):
+                self._taken.remove(endpoint_id)
+                self._member.clear_leaving(endpoint_id)
+
     async def _drop_undeclared(self, rows: Sequence[Row]) -> None:
         before_ms = self._wall.now_ms() - KEPT_UNDECLARED_MS
         writes = [
--- a/tests/membership/recorded.feature
+++ b/tests/membership/recorded.feature
@@ -24,3 +24,8 @@
     Then recorded marks make delegate "b" mark "e1"
     When recorded marks are 61 s old
     Then recorded marks make delegate "b" clear "e1"
+
+  Scenario: The VM that took the word takes it back with the declaration
+    When VM "a" records that "e1" is leaving
+    And the recorded marks' endpoint "e1" is declared no more
+    Then recorded marks make "a" take the word for "e1" back
--- a/tests/steps/membership_recorded_steps.py
+++ b/tests/steps/membership_recorded_steps.py
@@ -21,7 +21,7 @@
         self.marked.add(endpoint_id)
 
     def clear_leaving(self, endpoint_id):
-        self.marked.remove(endpoint_id)
+        self.marked.discard(endpoint_id)
 
 
 @given('recorded marks of VM "{one}" and VM "{other}" in one table')
@@ -52,12 +52,14 @@
 
 
 @given('the recorded marks\' endpoint "{endpoint_id}" is not declared')
+@when('the recorded marks\' endpoint "{endpoint_id}" is declared no more')
 def step_undeclared(context, endpoint_id):
     context.undeclared.add(endpoint_id)
 
 
 @when('VM "{vm_id}" records that "{endpoint_id}" is leaving')
 def step_record(context, vm_id, endpoint_id):
+    context.members[vm_id].marked.add(endpoint_id)
     context.run(context.marks[vm_id].record(endpoint_id))
 
 
@@ -83,3 +85,10 @@
 def step_none(context, vm_id):
     context.run(context.marks[vm_id].read())
     assert not context.members[vm_id].marked
+
+
+@then('recorded marks make "{vm_id}" take the word for "{endpoint_id}" back')
+def step_taken_back(context, vm_id, endpoint_id):
+    context.members[vm_id].is_delegate = False
+    assert endpoint_id in context.members[vm_id].marked
+    step_none(context, vm_id)
