Heed an endpoint that says in its answers that it leaves

Change: the dispatcher reads the header of each answer and marks the endpoint, as an engine's report does; all VMs hear of it at once. Before: the new dispatch scenario was red; after: green.

Chaos: the 3 s of a plain service count from its first answer that says so.

--- a/bench/chaos/checks/operation.py
+++ b/bench/chaos/checks/operation.py
@@ -49,8 +49,13 @@
 
 
 def _marked_at_ms(record: FaultRecord, evidence: Evidence) -> float:
-    """Return when the mark could be read: the list needs the platform."""
+    """Return when the mark could be read.
+
+    The list needs the platform; a plain service says it in its next answer.
+    """
     marked_ms = record.began_at_ms
+    if record.fault.kind is FaultKind.LEAVING_SAID:
+        return _first_answer_ms(record, evidence)
     if record.fault.kind is not FaultKind.LEAVING_LISTED:
         return marked_ms
     marked_ms += evidence.list_lag_ms
@@ -61,6 +66,17 @@
     return marked_ms
 
 
+def _first_answer_ms(record: FaultRecord, evidence: Evidence) -> float:
+    """Return when a leaving endpoint first answered; engines are asked for it."""
+    later = [
+        run.arrived_at_ms
+        for run in evidence.runs
+        if run.endpoint_id == record.target and run.arrived_at_ms > record.began_at_ms
+    ]
+    is_plain = record.target in evidence.plain_endpoints
+    return min(later, default=record.began_at_ms) if is_plain else record.began_at_ms
+
+
 def _was_cut_by(record: FaultRecord, result: CallResult) -> bool:
     if result.vm_id != record.target or result.planned.leaves_after_ms:
         return False
--- a/bench/chaos/records.py
+++ b/bench/chaos/records.py
@@ -153,6 +153,7 @@
         healed_at_ms: When all faults were over.
         table_writes: Commits to the table during the load.
         list_lag_ms: Age of the platform's list.
+        plain_endpoints: Endpoints that are asked for nothing but their work.
     """
 
     results: list[CallResult] = field(default_factory=list)
@@ -169,6 +170,7 @@
     healed_at_ms: float = 0.0
     table_writes: int = 0
     list_lag_ms: float = 0.0
+    plain_endpoints: set[str] = field(default_factory=set)
 
     def runs_by_mark(self) -> dict[str, list[EndpointRun]]:
         """Return all runs by what they are recognised by."""
--- a/bench/chaos/run.py
+++ b/bench/chaos/run.py
@@ -37,6 +37,7 @@
 _SLOTS = {"engine": 4}
 _LIST_LAG_MS = 500.0
 _PLATFORM_BRANCH = "platform"
+_PLAIN_KIND = "plain"
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +104,11 @@
         self._cluster = cluster
         self._plan = plan
         self._evidence = Evidence(list_lag_ms=_LIST_LAG_MS)
+        self._evidence.plain_endpoints = {
+            item.endpoint_id
+            for item in cluster.endpoints
+            if item.plan.kind == _PLAIN_KIND
+        }
         self._balancer = Balancer(cluster.vms)
         self._load = Load(cluster, self._balancer, self._evidence)
         self._actors = Actors(cluster, self._balancer, self._evidence)
--- a/src/pomelolane/assembly.py
+++ b/src/pomelolane/assembly.py
@@ -88,6 +88,7 @@
         RetryBudget(),
         ground.clock,
         options.data_centre,
+        on_leaving=lambda endpoint: ground.member.mark_leaving(endpoint, "answer"),
     )
     committer = _make_committer(ground)
     claims = _make_claims(ground, committer)
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -35,6 +35,13 @@
 MAX_ATTEMPTS = 4
 RETRY_AFTER_FAILURE_MS = 1000
 
+_STATE_HEADER = b"x-endpoint-state"
+_LEAVING = b"leaving"
+
+
+def _ignore(*_: object) -> None:
+    pass
+
 
 class Dispatcher:
     """Carries requests from acceptance to their end.
@@ -46,6 +53,7 @@
         budget: Budget of repeated attempts.
         clock: The process's clock.
         data_centre: This VM's data centre.
+        on_leaving: Told of an endpoint whose answer says that it leaves.
     """
 
     def __init__(
@@ -56,6 +64,7 @@
         budget: RetryBudget,
         clock: Clock,
         data_centre: str,
+        on_leaving: Callable[[str], object] = _ignore,
     ) -> None:
         self._tree = tree
         self._client = client
@@ -63,6 +72,7 @@
         self._budget = budget
         self._clock = clock
         self._data_centre = data_centre
+        self._on_leaving = on_leaving
         self._background: set[asyncio.Task[None]] = set()
         self.open_requests: dict[str, RequestState] = {}
 
@@ -203,6 +213,8 @@
         stream: object,
         watch: StreamWatch,
     ) -> SinkResult:
+        if stream.header(_STATE_HEADER) == _LEAVING:
+            self._on_leaving(state.endpoint_id)
         if stream.status >= 500 and self._retry_is_open(state):
             raise EndpointBrokenError(f"the endpoint answered {stream.status}")
 
--- a/tests/gateway/dispatch.feature
+++ b/tests/gateway/dispatch.feature
@@ -34,6 +34,12 @@
     When the dispatcher runs idempotent work
     Then the dispatcher ends with failed
 
+  Scenario: An endpoint says in an answer that it leaves
+    Given the dispatcher's first endpoint says that it leaves
+    When the dispatcher runs non-idempotent work
+    Then the dispatcher ends with delivery
+    And the dispatcher tells that "e1" leaves
+
   Scenario: Slots are freed exactly once
     Given the dispatcher's first endpoint breaks before a byte
     When the dispatcher runs idempotent work
