--- a/bench/chaos/plan.py
+++ b/bench/chaos/plan.py
@@ -109,7 +109,7 @@
 
 
 def draw_calls(
-    seed: int, seconds: float, deployment: Deployment, vms: int
+    seed: int, seconds: float, deployment: Deployment, vms: int, rate: float = 1.0
 ) -> list[PlannedCall]:
     """Draw all calls of a run in the order of their times.
 
@@ -118,8 +118,10 @@
         seconds: Length of the load.
         deployment: What can be called.
         vms: Number of VMs behind the balancer.
+        rate: Factor on the number of calls a second.
     """
-    drawing = _Drawing(random.Random(f"calls-{seed}"), seed, seconds, deployment, vms)
+    source = random.Random(f"calls-{seed}")
+    drawing = _Drawing(source, seed, seconds, deployment, vms, rate)
     calls = sorted(drawing.draw(), key=lambda call: call.at_s)
     return [replace(call, number=number) for number, call in enumerate(calls)]
 
@@ -132,6 +134,7 @@
         seconds: float,
         deployment: Deployment,
         vms: int,
+        rate: float,
     ) -> None:
         self._random = source
         self._seed = seed
@@ -140,6 +143,7 @@
         self._tiers = deployment.tiers()
         self._organisations = deployment.organisations()
         self._vms = vms
+        self._rate = rate
         self._groups = 0
 
     def draw(self) -> Iterator[PlannedCall]:
@@ -162,6 +166,7 @@
     ) -> Iterator[PlannedCall]:
         engine = service["kind"] == "engine"
         per_s = _ENGINE_PER_S[work["tier"]] if engine else _PLAIN_PER_S
+        per_s *= self._rate
         at_s = self._random.expovariate(per_s)
         while at_s < self._seconds:
             yield from self._draw_group(service, work, at_s)
--- a/bench/chaos/run.py
+++ b/bench/chaos/run.py
@@ -59,8 +59,14 @@
     calls: Sequence[PlannedCall]
 
 
-def draw_plan(seed: int, seconds: float) -> Plan:
-    """Draw faults and calls; seeds take the deployments in turn."""
+def draw_plan(seed: int, seconds: float, rate: float = 1.0) -> Plan:
+    """Draw faults and calls; seeds take the deployments in turn.
+
+    Args:
+        seed: The run's seed.
+        seconds: Length of the load.
+        rate: Factor on the number of calls a second; faults stay the same.
+    """
     deployment = read_deployment(DEPLOYMENTS[seed % len(DEPLOYMENTS)])
     targets = _targets(deployment)
     return Plan(
@@ -68,7 +74,7 @@
         seconds,
         deployment,
         draw_schedule(seed, seconds, targets),
-        draw_calls(seed, seconds, deployment, len(targets.vms)),
+        draw_calls(seed, seconds, deployment, len(targets.vms), rate),
     )
 
 
