--- a/bench/core_trace.py
+++ b/bench/core_trace.py
@@ -57,6 +57,10 @@
 QUESTION = Kind("question", 1, (200, 1_500), (40, 160), 12_000)
 SUMMARY = Kind("summary", 2, (3_000, 16_000), (200, 700), 90_000)
 KINDS = (CHECK, QUESTION, SUMMARY)
+SMALL_CHECK = Kind("small-check", 0, (40, 200), (3, 12), 4_000)
+SMALL_QUESTION = Kind("small-question", 1, (60, 600), (6, 40), 10_000)
+PACKET = Kind("packet", 2, (600, 6_000), (12, 80), 15_000)
+PACKET_KINDS = (SMALL_CHECK, SMALL_QUESTION, PACKET)
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +98,7 @@
     report_age_ms: float = 2_000.0
     weights: dict[str, float] = field(default_factory=dict)
     declared_alike: bool = False
+    endpoints: tuple[Endpoint, ...] = ()
 
 
 class Trace:
@@ -151,19 +156,35 @@
             team="team",
             budget_ms=kind.deadline_ms,
             prefill_tokens=prefill,
-            decode_tokens=(kind.decode[0] + kind.decode[1]) // 2,
+            decode_tokens=_declared_tokens(kind),
             prefix_hashes=hashes,
         )
         output = _log_uniform(draw, kind.decode)
+        if kind in PACKET_KINDS:
+            output = _log_normal(draw, kind.decode)
         gateway = draw.randrange(GATEWAYS)
         self._arrivals.append(Arrival(at_ms, handle, output, gateway))
 
 
+def _declared_tokens(kind: Kind) -> int:
+    """Return what a handle says: callers bound the length of packets' answers."""
+    if kind in PACKET_KINDS:
+        return kind.decode[1]
+    return (kind.decode[0] + kind.decode[1]) // 2
+
+
 def _log_uniform(draw: random.Random, bounds: tuple[int, int]) -> int:
     low, high = bounds
     return int(low * (high / low) ** draw.random())
 
 
+def _log_normal(draw: random.Random, bounds: tuple[int, int]) -> int:
+    """Draw around the geometric mean; few reach the bounds."""
+    low, high = bounds
+    middle = (low * high) ** 0.5
+    return int(min(high, max(low, middle * draw.lognormvariate(0.0, 0.4))))
+
+
 def alike(endpoint: Endpoint) -> Endpoint:
     """Return an endpoint declared with the speeds of the fastest."""
     return replace(
@@ -190,11 +211,32 @@
     ]
 
 
-def make_tree(weights: dict[str, float], declared_alike: bool = False) -> Tree:
+def make_packet_endpoints() -> tuple[Endpoint, ...]:
+    """Return engines as the bench's slowed down ones: prompts are dear."""
+    return tuple(
+        Endpoint(
+            endpoint_id=f"e{index}",
+            service=SERVICE,
+            data_centre="",
+            address="",
+            slots=12 if fast else 6,
+            kv_tokens=98_304 if fast else 32_768,
+            prefill_tokens_per_s=4_800.0 if fast else 1_600.0,
+            decode_tokens_per_s=16.0 if fast else 8.0,
+        )
+        for index, fast in enumerate((True, False, True, False, False))
+    )
+
+
+def make_tree(
+    weights: dict[str, float],
+    declared_alike: bool = False,
+    endpoints: Sequence[Endpoint] = (),
+) -> Tree:
     """Return the settings of the trials."""
     works = {k.name: Work(k.name, f"t{k.rank}", k.deadline_ms) for k in KINDS}
     service = Service(SERVICE, "team", ServiceKind.ENGINE, works, queue_limit=1000)
-    endpoints = make_endpoints()
+    endpoints = list(endpoints) or make_endpoints()
     if declared_alike:
         endpoints = [alike(endpoint) for endpoint in endpoints]
     return Tree(
@@ -313,6 +355,15 @@
     return Scenario(trace.build(), declared_alike=True)
 
 
+def packets(seed: int) -> Scenario:
+    """Return prompts of 1.5 times what the engines can process, due in 15 s."""
+    trace = Trace(seed)
+    trace.poisson(SMALL_CHECK, 15.0, 0.0, 60.0)
+    trace.poisson(SMALL_QUESTION, 8.0, 0.0, 60.0)
+    trace.poisson(PACKET, 10.0, 0.0, 60.0)
+    return Scenario(trace.build(), endpoints=make_packet_endpoints())
+
+
 SCENARIOS: dict[str, Callable[[int], Scenario]] = {
     "steady": steady,
     "landing": landing,
@@ -323,4 +374,5 @@
     "flood": flood,
     "lull": lull,
     "misdeclared": misdeclared,
+    "packets": packets,
 }
--- a/bench/core_trial.py
+++ b/bench/core_trial.py
@@ -115,7 +115,8 @@
     ) -> None:
         self._scenario = scenario
         self._cores = [make(SERVICE) for _ in range(cores)]
-        self._engines = {e.endpoint_id: EngineModel(e) for e in make_endpoints()}
+        endpoints = scenario.endpoints or make_endpoints()
+        self._engines = {e.endpoint_id: EngineModel(e) for e in endpoints}
         self._result = Result()
         self._pending: dict[str, Arrival] = {}
         self._streams: dict[str, tuple[Stream, EngineModel]] = {}
@@ -127,7 +128,11 @@
 
     def run(self) -> Result:
         """Run the scenario to its end."""
-        tree = make_tree(self._scenario.weights, self._scenario.declared_alike)
+        tree = make_tree(
+            self._scenario.weights,
+            self._scenario.declared_alike,
+            self._scenario.endpoints,
+        )
         for core in self._cores:
             core.configure(tree, 0.0)
         arrivals = deque(self._scenario.arrivals)
