Learn from cut answers and let the sure ones go first

Lengths were learnt from whole answers only, so that a plan which cuts the long ones never learnt that there are any; and requests without time for a long answer got a chance while others of their tier waited that had it (all grants with 2.5-5.5 s left were of this kind).

Change: lengths are quantiles of the latest 128 answers of a work and organisation; a cut one counts as those were on average that came further. The long quantile is 0.98 (was 0.95). A deferred request leaves the slot to any of its tier that isn't deferred (switch sure_first; off in the two baselines that reuse our core, which do get the new lengths).

--- a/src/pomelolane/scheduler/baselines.py
+++ b/src/pomelolane/scheduler/baselines.py
@@ -33,6 +33,7 @@
     wait_for_prefix=False,
     prefix_weight=0.0,
     bound_prefill=False,
+    sure_first=False,
 )
 GATEWAY_QUEUES_OPTIONS = CoreOptions(
     fair_shares=False,
@@ -43,6 +44,7 @@
     wait_for_prefix=False,
     prefix_weight=0.0,
     bound_prefill=False,
+    sure_first=False,
     default_slot_share=1.0 / _GATEWAYS,
 )
 
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -286,6 +286,8 @@
         return None
 
     def _try(self, waiting: Waiting, held: set[str], now_ms: float) -> Placement | None:
+        if waiting.deferred and self._is_behind(waiting):
+            return None
         if self._flights.park_if_limited(waiting.handle):
             return None
         if not self._room_for(waiting, now_ms):
@@ -295,6 +297,16 @@
             self._placer.hold_memory(waiting, held)
         return placement
 
+    def _is_behind(self, waiting: Waiting) -> bool:
+        """Tell whether a deferred request leaves its chance to others.
+
+        Its answer may be cut and its prefill lost, so any request of its tier
+        that has time for a long answer makes better use of the slot.
+        """
+        if not self._options.sure_first:
+            return False
+        return not self._queue.all_deferred(waiting.handle.tier_rank)
+
     def _room_for(self, waiting: Waiting, now_ms: float) -> bool:
         """Tell whether the reserve leaves room for a request."""
         if not self._options.reserve:
--- a/src/pomelolane/scheduler/estimate.py
+++ b/src/pomelolane/scheduler/estimate.py
@@ -6,9 +6,20 @@
 
 from __future__ import annotations
 
+import math
+from bisect import bisect_left, bisect_right, insort
+from collections import deque
 from dataclasses import dataclass
 
 _LN_2 = 0.6931471805599453
+_MAX_RATIO = 4.0
+_PRIOR_RATIO = 1.0
+_SHORT_QUANTILE = 0.1
+_MIDDLE_QUANTILE = 0.6
+_LONG_QUANTILE = 0.98
+_KEPT_ANSWERS = 128
+_CUT_FACTOR = 1.25
+_CHANCE_SHARE = 0.8
 
 
 class DecayingRate:
@@ -43,48 +54,6 @@
         return self._amount / self._ms if self._ms else 0.0
 
 
-class QuantileRatio:
-    """A quantile of actual over expected, tracked one sample at a time.
-
-    Args:
-        quantile: Which one, 0..1.
-        step: Relative size of a correction.
-    """
-
-    __slots__ = ("_quantile", "_step", "samples", "value")
-
-    def __init__(self, quantile: float, step: float) -> None:
-        self.value = 1.0
-        self.samples = 0
-        self._quantile = quantile
-        self._step = step
-
-    def add(self, ratio: float) -> None:
-        """Move the estimate towards a new sample."""
-        self.samples += 1
-        step = max(self._step, 0.5 / self.samples)
-        if ratio > self.value:
-            self.value *= 1.0 + step * self._quantile
-        else:
-            self.value *= 1.0 - step * (1.0 - self._quantile)
-        self.value = min(_MAX_RATIO, max(_MIN_RATIO, self.value))
-
-
-_MAX_RATIO = 4.0
-_MIN_RATIO = 0.02
-_SHORT_QUANTILE = 0.1
-_MIDDLE_QUANTILE = 0.6
-_LONG_QUANTILE = 0.95
-_LENGTH_STEP = 0.05
-_CHANCE_SHARE = 0.8
-
-
-@dataclass(frozen=True, slots=True)
-class _LengthKey:
-    work: str
-    organisation: str
-
-
 @dataclass(frozen=True, slots=True)
 class ExpectedLength:
     """Answer length to plan with.
@@ -101,14 +70,43 @@
 
 
 class _Ratios:
-    """Actual over expected length of one kind of answer."""
+    """Actual over expected lengths of the latest answers of one kind.
+
+    Of an answer that was cut, only what it had is known. It counts as long as
+    those answers were on average that came further, so that a plan which cuts
+    all long answers does not learn that there are none.
+    """
 
-    __slots__ = ("long", "middle", "short")
+    __slots__ = ("_latest", "_sorted", "long", "middle", "short")
 
     def __init__(self) -> None:
-        self.short = QuantileRatio(_SHORT_QUANTILE, _LENGTH_STEP)
-        self.middle = QuantileRatio(_MIDDLE_QUANTILE, _LENGTH_STEP)
-        self.long = QuantileRatio(_LONG_QUANTILE, _LENGTH_STEP)
+        self._latest = deque([_PRIOR_RATIO])
+        self._sorted = [_PRIOR_RATIO]
+        self.short = self.middle = self.long = _PRIOR_RATIO
+
+    def add(self, ratio: float, *, cut: bool) -> None:
+        """Take in an answer, whole or cut."""
+        ratio = min(_MAX_RATIO, ratio)
+        if cut:
+            ratio = self._whole(ratio)
+        self._latest.append(ratio)
+        insort(self._sorted, ratio)
+        if len(self._latest) > _KEPT_ANSWERS:
+            oldest = self._latest.popleft()
+            del self._sorted[bisect_left(self._sorted, oldest)]
+        self.short = self._quantile(_SHORT_QUANTILE)
+        self.middle = self._quantile(_MIDDLE_QUANTILE)
+        self.long = self._quantile(_LONG_QUANTILE)
+
+    def _whole(self, ratio: float) -> float:
+        """Return what a cut answer's length was, as far as can be told."""
+        longer = self._sorted[bisect_right(self._sorted, ratio) :]
+        if not longer:
+            return min(_MAX_RATIO, _CUT_FACTOR * ratio)
+        return sum(longer) / len(longer)
+
+    def _quantile(self, quantile: float) -> float:
+        return self._sorted[math.ceil(quantile * len(self._sorted)) - 1]
 
 
 class AnswerLengths:
@@ -120,33 +118,36 @@
 
     def __init__(self, *, enabled: bool = True) -> None:
         self._enabled = enabled
-        self._ratios: dict[_LengthKey, _Ratios] = {}
+        self._ratios: dict[tuple[str, str], _Ratios] = {}
 
     def expect(
         self, work: str, organisation: str, expected_tokens: int
     ) -> ExpectedLength:
         """Return the answer length to plan with."""
-        ratios = self._ratios.get(_LengthKey(work, organisation))
+        ratios = self._ratios.get((work, organisation))
         if ratios is None or not self._enabled:
             return ExpectedLength(expected_tokens, expected_tokens, expected_tokens)
-        middle = max(1, round(expected_tokens * ratios.middle.value))
-        long = max(middle, round(expected_tokens * ratios.long.value))
-        short = min(middle, max(1, round(expected_tokens * ratios.short.value)))
+        middle = max(1, round(expected_tokens * ratios.middle))
+        long = max(middle, round(expected_tokens * ratios.long))
+        short = min(middle, max(1, round(expected_tokens * ratios.short)))
         return ExpectedLength(short, middle, long)
 
     def learn(
-        self, work: str, organisation: str, expected_tokens: int, tokens: int
+        self,
+        work: str,
+        organisation: str,
+        expected_tokens: int,
+        tokens: int,
+        *,
+        cut: bool = False,
     ) -> None:
-        """Take in the length of a whole answer."""
+        """Take in the length of an answer, or as much as came of a cut one."""
         if expected_tokens <= 0 or tokens <= 0:
             return
-        key = _LengthKey(work, organisation)
-        ratios = self._ratios.get(key)
+        ratios = self._ratios.get((work, organisation))
         if ratios is None:
-            ratios = self._ratios[key] = _Ratios()
-        ratios.short.add(tokens / expected_tokens)
-        ratios.middle.add(tokens / expected_tokens)
-        ratios.long.add(tokens / expected_tokens)
+            ratios = self._ratios[work, organisation] = _Ratios()
+        ratios.add(tokens / expected_tokens, cut=cut)
 
 
 def needed_ms(middle_ms: float, long_ms: float, budget_ms: float) -> float:
--- a/src/pomelolane/scheduler/flights.py
+++ b/src/pomelolane/scheduler/flights.py
@@ -205,12 +205,13 @@
         if event.outcome or event.refused or flight.decoded_tokens > 0:
             self._parts.queue.correct(handle, used - charged)
             self._parts.limits.correct(handle, used - charged)
-        if not event.outcome and not event.refused:
+        if not event.refused:
             self._parts.lengths.learn(
                 handle.work,
                 handle.organisation,
                 handle.decode_tokens,
                 flight.decoded_tokens,
+                cut=bool(event.outcome),
             )
 
 
--- a/src/pomelolane/scheduler/options.py
+++ b/src/pomelolane/scheduler/options.py
@@ -27,6 +27,8 @@
             prefix of its prompt.
         bound_prefill: Keep prompts queued here while an engine's prefill is busy.
         learn_speeds: Use observed speeds; otherwise the declared ones.
+        sure_first: Give a slot to a request without time for a long answer only
+            where none that has it waits in its tier.
         learn_lengths: Use observed answer lengths; otherwise the expected ones.
         prefill_lookahead_ms: Prefill work that an engine may have ahead and
             still take a grant.
@@ -51,6 +53,7 @@
     wait_for_prefix: bool = True
     bound_prefill: bool = True
     learn_speeds: bool = True
+    sure_first: bool = True
     learn_lengths: bool = True
     prefill_lookahead_ms: float = 50.0
     safety_factor: float = 1.1
--- a/src/pomelolane/scheduler/queue.py
+++ b/src/pomelolane/scheduler/queue.py
@@ -70,6 +70,7 @@
     by_arrival: OrderedDict[str, Waiting] = field(default_factory=OrderedDict)
     prefill_tokens: int = 0
     decode_tokens: int = 0
+    deferred: int = 0
 
 
 class FairQueue:
@@ -132,7 +133,9 @@
         del organisation.by_arrival[handle.request_id]
         del tier.by_arrival[handle.request_id]
         self._length -= 1
-        if not waiting.deferred:
+        if waiting.deferred:
+            tier.deferred -= 1
+        else:
             _uncount(waiting, tier, organisation)
 
     def take(self, waiting: Waiting) -> None:
@@ -156,9 +159,15 @@
         organisation = self._organisation(tier, waiting.handle)
         _uncount(waiting, tier, organisation)
         waiting.deferred = True
+        tier.deferred += 1
         entry = (waiting.order_ms, next(self._sequence), waiting)
         heapq.heappush(organisation.by_deadline, entry)
 
+    def all_deferred(self, rank: int) -> bool:
+        """Tell whether every waiting request of a tier is deferred."""
+        tier = self._tiers[rank]
+        return tier.deferred == len(tier.by_arrival)
+
     def correct(self, handle: Handle, tokens: float) -> None:
         """Add to (or give back) what an organisation was charged."""
         tier = self._tier(handle.tier_rank)
