Let endpoints return that nobody marks as leaving any more

Cause: a core that was told of a leaving endpoint kept it out for good, also when membership had dropped the mark.

The new scenarios were red before: the core had no way back.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -97,6 +97,10 @@
         """Use no further grant for an endpoint."""
         self._leaving.add(endpoint_id)
 
+    def mark_returned(self, endpoint_id: str) -> None:
+        """Use grants for an endpoint again."""
+        self._leaving.discard(endpoint_id)
+
     def tick(self) -> None:
         """Check deadlines, and schedulers that are silent."""
         now_ms = self._context.clock.now_ms()
--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -128,6 +128,15 @@
         self.role.mark_leaving(endpoint_id)
         self._local.mark_leaving(endpoint_id)
 
+    def mark_returned(self, endpoint_id: str) -> None:
+        """Take back a mark: nobody says any more that an endpoint is leaving."""
+        if endpoint_id not in self._leaving:
+            return
+        self._leaving.discard(endpoint_id)
+        self.client.mark_returned(endpoint_id)
+        self.role.mark_returned(endpoint_id)
+        self._local.mark_returned(endpoint_id)
+
     # --- life -------------------------------------------------------------
 
     async def start(self) -> None:
--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -87,6 +87,12 @@
         self._leaving.add(endpoint_id)
         self._mark_leaving(endpoint_id)
 
+    def mark_returned(self, endpoint_id: str) -> None:
+        """Take back a mark; the tree's word stands."""
+        self._leaving.discard(endpoint_id)
+        now_ms = self._clock.now_ms()
+        self._carry_out(self.core.mark_returned(endpoint_id, now_ms))
+
     def settle(self, gateways: Iterable[str]) -> None:
         """Hold all grants until these gateways have registered, or a while."""
         self._awaited = frozenset(gateways)
--- a/src/pomelolane/coordination/fallback.py
+++ b/src/pomelolane/coordination/fallback.py
@@ -65,6 +65,12 @@
         for desk in list(self._desks.values()):
             desk.mark_leaving(endpoint_id)
 
+    def mark_returned(self, endpoint_id: str) -> None:
+        """Take back a mark."""
+        self._leaving.discard(endpoint_id)
+        for desk in list(self._desks.values()):
+            desk.mark_returned(endpoint_id)
+
     def tick(self) -> None:
         """Drive the desks."""
         for desk in list(self._desks.values()):
--- a/src/pomelolane/ports.py
+++ b/src/pomelolane/ports.py
@@ -297,6 +297,9 @@
     def mark_leaving(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
         """Grant nothing more to an endpoint."""
 
+    def mark_returned(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
+        """Take back a mark; an endpoint declared as leaving stays out."""
+
     def limit_slots(self, share: float, now_ms: float) -> Sequence[Decision]:
         """Use only a share (0..1] of each endpoint's slots (cut-off mode)."""
 
--- a/src/pomelolane/scheduler/baselines.py
+++ b/src/pomelolane/scheduler/baselines.py
@@ -116,6 +116,12 @@
         self._leaving.add(endpoint_id)
         return []
 
+    def mark_returned(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
+        """Take back a mark."""
+        del now_ms
+        self._leaving.discard(endpoint_id)
+        return []
+
     def limit_slots(self, share: float, now_ms: float) -> Sequence[Decision]:
         """Ignore the limit: slots are not counted."""
         del share, now_ms
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -174,6 +174,15 @@
         self._fleet.refresh_all(now_ms)
         return self._dispatch(now_ms)
 
+    def mark_returned(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
+        """Take back a mark; an endpoint declared as leaving stays out."""
+        worker = self._fleet.workers.get(endpoint_id)
+        if worker is None or worker.account.leaving == worker.declared_leaving:
+            return []
+        worker.account.leaving = worker.declared_leaving
+        self._fleet.refresh_all(now_ms)
+        return self._dispatch(now_ms)
+
     def limit_slots(self, share: float, now_ms: float) -> Sequence[Decision]:
         """Use only a share (0..1] of each endpoint's slots (cut-off mode)."""
         self._fleet.limit_slots(share, now_ms)
--- a/src/pomelolane/scheduler/fleet.py
+++ b/src/pomelolane/scheduler/fleet.py
@@ -47,6 +47,11 @@
         """Its id."""
         return self.account.endpoint.endpoint_id
 
+    @property
+    def declared_leaving(self) -> bool:
+        """Whether its declaration says that it is leaving."""
+        return self.account.endpoint.leaving
+
 
 @dataclass(frozen=True, slots=True)
 class Summary:
--- a/tests/coordination/client.feature
+++ b/tests/coordination/client.feature
@@ -88,6 +88,13 @@
     Then all coordinated requests run exactly once
     And the last coordinated request ran at "b/1"
 
+  Scenario: Grants for an endpoint that has returned are used again
+    Given a coordinated region of VMs "a-1"
+    And all coordinated endpoints are leaving, as all VMs know
+    And all coordinated endpoints have returned, as all VMs know
+    When "a-1" asks for 3 slots of tier 0
+    Then 2 coordinated requests have a slot before the clock moves
+
   Scenario: A request id in use is not queued again
     Given all coordinated slots are taken for 5000 ms
     When "b-1" asks twice with one request id
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -62,6 +62,10 @@
         self.leaving.add(endpoint_id)
         return []
 
+    def mark_returned(self, endpoint_id, now_ms):
+        self.leaving.discard(endpoint_id)
+        return self._decide(now_ms)
+
     def limit_slots(self, share, now_ms):
         self.share = share
         return self._decide(now_ms)
--- a/tests/scheduler/core.feature
+++ b/tests/scheduler/core.feature
@@ -47,6 +47,29 @@
       | a  | 0    | 100     | 10     | 60000     |
     Then the core granted "a" on "slow"
 
+  Scenario: An endpoint that has returned gets grants again
+    When the core hears that "fast" is leaving
+    And the core hears that "fast" has returned
+    And the core is given the requests
+      | id | tier | prefill | decode | budget_ms |
+      | a  | 0    | 100     | 10     | 60000     |
+    Then the core granted "a" on "fast"
+
+  Scenario: An endpoint that returns takes what waits
+    When the core hears that "fast" is leaving
+    And the core is given 3 requests of tier 0
+    Then the core has granted 2 requests
+    When the core hears that "fast" has returned
+    Then the core has granted 3 requests
+
+  Scenario: An endpoint declared as leaving does not return by itself
+    When the endpoint "fast" is declared as leaving
+    And the core hears that "fast" has returned
+    And the core is given the requests
+      | id | tier | prefill | decode | budget_ms |
+      | a  | 0    | 100     | 10     | 60000     |
+    Then the core granted "a" on "slow"
+
   Scenario: A request dispatched under an earlier scheduler holds its slot
     When the core hears that 2 requests run on "fast" already
     And the core is given the requests
--- a/tests/steps/coordination_steps.py
+++ b/tests/steps/coordination_steps.py
@@ -96,6 +96,20 @@
                 vm.coordination.mark_leaving(endpoint_id)
 
 
+@given("all coordinated endpoints are leaving, as all VMs know")
+def step_all_leaving(context):
+    for vm in world_of(context).vms.values():
+        for endpoint_id in context.slots:
+            vm.coordination.mark_leaving(endpoint_id)
+
+
+@given("all coordinated endpoints have returned, as all VMs know")
+def step_all_returned(context):
+    for vm in world_of(context).vms.values():
+        for endpoint_id in context.slots:
+            vm.coordination.mark_returned(endpoint_id)
+
+
 # --- asking -----------------------------------------------------------------
 
 
--- a/tests/steps/scheduler_steps.py
+++ b/tests/steps/scheduler_steps.py
@@ -1,5 +1,7 @@
 """Steps of the scheduler's features: a core, a clock moved by hand, no I/O."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 from scheduler_driver import (
     SERVICE,
@@ -54,6 +56,19 @@
     context.core.take(context.core.core.mark_leaving(endpoint, context.core.now))
 
 
+@when('the core hears that "{endpoint}" has returned')
+def step_returned(context, endpoint):
+    context.core.take(context.core.core.mark_returned(endpoint, context.core.now))
+
+
+@when('the endpoint "{endpoint}" is declared as leaving')
+def step_declared_leaving(context, endpoint):
+    endpoints = [
+        replace(e, leaving=e.endpoint_id == endpoint) for e in context.core.endpoints
+    ]
+    context.core.configure(endpoints)
+
+
 @when('the core hears that {number:d} requests run on "{endpoint}" already')
 def step_running(context, number, endpoint):
     for index in range(number):
