--- a/src/pomelolane/scheduler/baselines.py
+++ b/src/pomelolane/scheduler/baselines.py
@@ -33,6 +33,7 @@
     wait_for_prefix=False,
     prefix_weight=0.0,
     bound_prefill=False,
+    sure_first=False,
 )
 GATEWAY_QUEUES_OPTIONS = CoreOptions(
     fair_shares=False,
@@ -43,6 +44,7 @@
     wait_for_prefix=False,
     prefix_weight=0.0,
     bound_prefill=False,
+    sure_first=False,
     default_slot_share=1.0 / _GATEWAYS,
 )
 
@@ -114,6 +116,12 @@
         self._leaving.add(endpoint_id)
         return []
 
+    def mark_returned(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
+        """Take back a mark."""
+        del now_ms
+        self._leaving.discard(endpoint_id)
+        return []
+
     def limit_slots(self, share: float, now_ms: float) -> Sequence[Decision]:
         """Ignore the limit: slots are not counted."""
         del share, now_ms
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -174,6 +174,15 @@
         self._fleet.refresh_all(now_ms)
         return self._dispatch(now_ms)
 
+    def mark_returned(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
+        """Take back a mark; an endpoint declared as leaving stays out."""
+        worker = self._fleet.workers.get(endpoint_id)
+        if worker is None or worker.account.leaving == worker.declared_leaving:
+            return []
+        worker.account.leaving = worker.declared_leaving
+        self._fleet.refresh_all(now_ms)
+        return self._dispatch(now_ms)
+
     def limit_slots(self, share: float, now_ms: float) -> Sequence[Decision]:
         """Use only a share (0..1] of each endpoint's slots (cut-off mode)."""
         self._fleet.limit_slots(share, now_ms)
@@ -286,6 +295,8 @@
         return None
 
     def _try(self, waiting: Waiting, held: set[str], now_ms: float) -> Placement | None:
+        if waiting.deferred and self._is_behind(waiting):
+            return None
         if self._flights.park_if_limited(waiting.handle):
             return None
         if not self._room_for(waiting, now_ms):
@@ -295,6 +306,16 @@
             self._placer.hold_memory(waiting, held)
         return placement
 
+    def _is_behind(self, waiting: Waiting) -> bool:
+        """Tell whether a deferred request leaves its chance to others.
+
+        Its answer may be cut and its prefill lost, so any request of its tier
+        that has time for a long answer makes better use of the slot.
+        """
+        if not self._options.sure_first:
+            return False
+        return not self._queue.all_deferred(waiting.handle.tier_rank)
+
     def _room_for(self, waiting: Waiting, now_ms: float) -> bool:
         """Tell whether the reserve leaves room for a request."""
         if not self._options.reserve:
