--- a/bench/chaos/run.py
+++ b/bench/chaos/run.py
@@ -37,6 +37,7 @@
 _SLOTS = {"engine": 4}
 _LIST_LAG_MS = 500.0
 _PLATFORM_BRANCH = "platform"
+_PLAIN_KIND = "plain"
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,8 +59,14 @@
     calls: Sequence[PlannedCall]
 
 
-def draw_plan(seed: int, seconds: float) -> Plan:
-    """Draw faults and calls; seeds take the deployments in turn."""
+def draw_plan(seed: int, seconds: float, rate: float = 1.0) -> Plan:
+    """Draw faults and calls; seeds take the deployments in turn.
+
+    Args:
+        seed: The run's seed.
+        seconds: Length of the load.
+        rate: Factor on the number of calls a second; faults stay the same.
+    """
     deployment = read_deployment(DEPLOYMENTS[seed % len(DEPLOYMENTS)])
     targets = _targets(deployment)
     return Plan(
@@ -67,7 +74,7 @@
         seconds,
         deployment,
         draw_schedule(seed, seconds, targets),
-        draw_calls(seed, seconds, deployment, len(targets.vms)),
+        draw_calls(seed, seconds, deployment, len(targets.vms), rate),
     )
 
 
@@ -103,6 +110,11 @@
         self._cluster = cluster
         self._plan = plan
         self._evidence = Evidence(list_lag_ms=_LIST_LAG_MS)
+        self._evidence.plain_endpoints = {
+            item.endpoint_id
+            for item in cluster.endpoints
+            if item.plan.kind == _PLAIN_KIND
+        }
         self._balancer = Balancer(cluster.vms)
         self._load = Load(cluster, self._balancer, self._evidence)
         self._actors = Actors(cluster, self._balancer, self._evidence)
