Wait for the kept answer where the way to a running one breaks

Cause: a repeat attached to the running answer over its own connection to the endpoint; where that broke before the first byte it was told "cut short", though nothing of its answer had begun and the holder's went on. Ruled out: an answer that had begun, which can't be taken back. Change: without a begun answer the repeat asks the holder again.

--- a/src/pomelolane/gateway/keyed.py
+++ b/src/pomelolane/gateway/keyed.py
@@ -257,6 +257,8 @@
             result = await sink.take(stream, _nothing, _nothing)
         finally:
             await stream.aclose()
+        if not result.whole and not result.begun:
+            return None
         if not result.whole:
             return Refusal(Outcome.CUT_SHORT, Reason.ENDPOINT_BROKEN)
         return Delivered(stream.status, endpoint.endpoint_id, -1.0, result.chunks)
--- a/tests/gateway/keyed.feature
+++ b/tests/gateway/keyed.feature
@@ -102,3 +102,11 @@
     When gateway "b" is called with key "k1"
     Then the last caller hears "unknown" because of "claim_held"
     And the last caller was told that the answer was not kept
+
+  Scenario: A repeat whose way to the running answer breaks waits for the kept one
+    Given the engine holds its answers back
+    And the engine breaks off whoever resumes before the first byte
+    When gateways "a" and "b" are called with key "k1" at once
+    And the engine has broken a resumed answer off and lets its answers go
+    Then both callers have the same answer
+    And the engine ran 1 request
--- a/tests/steps/gateway_keyed_steps.py
+++ b/tests/steps/gateway_keyed_steps.py
@@ -6,7 +6,7 @@
 
 from pomelolane.clock import MonotonicClock
 from pomelolane.endpoints import AnswerStream
-from pomelolane.exceptions import PlatformUnavailableError
+from pomelolane.exceptions import EndpointBrokenError, PlatformUnavailableError
 from pomelolane.gateway.answers import answer_from_object
 from pomelolane.gateway.dispatch import Dispatcher
 from pomelolane.gateway.ending import Delivered
@@ -111,6 +111,8 @@
         self.runs = []
         self.go = asyncio.Event()
         self.go.set()
+        self.breaks_resumed = False
+        self.broken = asyncio.Event()
 
     def _stream(self, stream_id):
         stream = AnswerStream(_Connection(), 200, [(b"content-type", b"text/x")])
@@ -127,7 +129,12 @@
         return self._stream(request.request_id)
 
     async def resume(self, endpoint, stream_id, from_chunk):
-        return self._stream(stream_id)
+        if not self.breaks_resumed:
+            return self._stream(stream_id)
+        self.broken.set()
+        stream = AnswerStream(_Connection(), 200, [(b"content-type", b"text/x")])
+        stream.finish(complete=False, error=EndpointBrokenError("cut"))
+        return stream
 
     async def cancel(self, endpoint, stream_id):
         pass
@@ -444,6 +451,17 @@
     assert len(_texts(context)) == 1, context.answers
 
 
+@given("the engine breaks off whoever resumes before the first byte")
+def step_break_resumed(context):
+    context.engine.breaks_resumed = True
+
+
+@when("the engine has broken a resumed answer off and lets its answers go")
+def step_go_after_break(context):
+    context.run(asyncio.wait_for(context.engine.broken.wait(), WAIT_S))
+    step_go(context)
+
+
 @when("the engine lets its answers go")
 def step_go(context):
     context.engine.go.set()
