--- a/bench/interleave.py
+++ b/bench/interleave.py
@@ -338,13 +338,47 @@
 }
 
 
-async def interleave(streams: int, seed: int, concurrency: int) -> InterleaveReport:
+class GatewayKills:
+    """Kills gateways at even distances through a run and starts them again.
+
+    Args:
+        cluster: Whose VMs die, one after the other.
+        streams: Logical requests of the run.
+        kills: How many die.
+    """
+
+    def __init__(self, cluster: Cluster, streams: int, kills: int) -> None:
+        self._vms = cluster.vms
+        self._ended = 0
+        self._at = {
+            streams * (number + 1) // (kills + 1): number for number in range(kills)
+        }
+
+    def note_end(self) -> None:
+        """Count a logical request that has ended."""
+        self._ended += 1
+        number = self._at.get(self._ended)
+        if number is not None:
+            victim = self._vms[number % len(self._vms)]
+            victim.kill()
+            victim.spawn()
+
+
+async def interleave(
+    streams: int, seed: int, concurrency: int, kills: int
+) -> InterleaveReport:
     """Start a cluster, run once and stop it."""
     cluster = await Cluster.start("comision", vms_per_data_centre=2, edit=speed_up)
     async with cluster:
         run = Interleaving(cluster, seed, concurrency)
+        killing = GatewayKills(cluster, streams, kills)
         with tqdm(total=streams, file=sys.stderr, unit="stream") as bar:
-            return await run.run(streams, bar.update)
+
+            def on_end() -> None:
+                bar.update()
+                killing.note_end()
+
+            return await run.run(streams, on_end)
 
 
 def main() -> int:
@@ -353,8 +387,11 @@
     parser.add_argument("--streams", type=int, default=_DEFAULT_STREAMS)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--concurrency", type=int, default=_DEFAULT_CONCURRENCY)
+    parser.add_argument("--kills", type=int, default=0)
     flags = parser.parse_args()
-    report = uvloop.run(interleave(flags.streams, flags.seed, flags.concurrency))
+    report = uvloop.run(
+        interleave(flags.streams, flags.seed, flags.concurrency, flags.kills)
+    )
     for broken in [*report.broken[:20], *report.unserved[:20]]:
         print(broken)
     print(report.line())
--- a/tests/steps/proofs_own_steps.py
+++ b/tests/steps/proofs_own_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from bench.caller import answer_tag, expected_text
-from bench.interleave import Interleaving, Manner, speed_up
+from bench.interleave import GatewayKills, Interleaving, Manner, speed_up
 from tests.proofs_world import (
     MODEL,
     ORGANISATION,
@@ -37,16 +37,8 @@
 def step_interleave(context, count):
     async def interleave(cluster):
         run = Interleaving(cluster, _SEED, _CONCURRENCY)
-        ended = []
-        context.victim = cluster.vms[3]
-
-        def on_end():
-            ended.append(None)
-            if len(ended) == count // 2:
-                context.victim.kill()
-                context.victim.spawn()
-
-        context.report = await run.run(count, on_end)
+        killing = GatewayKills(cluster, count, kills=1)
+        context.report = await run.run(count, killing.note_end)
 
     context.run(interleave(context.proof.cluster))
     print(context.report.line())
