Send nothing once the deadline has passed while a grant or a row was awaited

Cause: a gateway that was paused past a request's deadline still sent it when it woke with a grant in hand: with an idle connection the bytes left before the timeout of 0 ms could act. The caller then heard "unknown" or "failed", and the prefill was wasted. Ruled out: a second run; the dispatch was the first one. Change: the time left is looked at again right before the dispatch is noted; the answer is "not run", truthfully, and the slot goes back. Figures: the new scenario was red before (delivered 24 h late), green after.

--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -164,6 +164,10 @@
         state.stream_id = state.attempt_id()
         if on_placed is not None:
             await on_placed(state.endpoint_id, state.stream_id)
+        if self._budget_ms(state) <= 0:
+            # A pause of this process, or a slow table, has used up the time.
+            watch.finish(outcome=Outcome.NOT_RUN)
+            return self._late(state)
         dispatched_before = state.dispatched
         state.dispatched = True
         watch.dispatched()
--- a/tests/gateway/dispatch.feature
+++ b/tests/gateway/dispatch.feature
@@ -61,3 +61,10 @@
     Given every endpoint of the dispatcher breaks before a byte
     When the dispatcher runs 60 idempotent requests
     Then fewer than 20 dispatches were repeats
+
+  Scenario: A gateway that was paused past the deadline sends nothing
+    Given the dispatcher is paused past the deadline while it waits for a grant
+    When the dispatcher runs non-idempotent work
+    Then the dispatcher ends with not_run
+    And the endpoints got 0 dispatches
+    And the dispatcher has given its slot back
--- a/tests/steps/gateway_dispatch_steps.py
+++ b/tests/steps/gateway_dispatch_steps.py
@@ -20,6 +20,15 @@
 REFUSAL = Refusal(Outcome.NOT_RUN, Reason.QUEUE_FULL, 500)
 
 
+class SkippingClock(MonotonicClock):
+    """A clock that a pause can move on."""
+
+    skipped_ms = 0.0
+
+    def now_ms(self):
+        return super().now_ms() + self.skipped_ms
+
+
 class ScriptedScheduler:
     """Grants endpoints in turn; refuses once ``grants_left`` is used up."""
 
@@ -27,11 +36,13 @@
         self.granted = []
         self.finished = []
         self.grants_left = 1000
+        self.while_waiting = lambda: None
 
     async def acquire(self, handle):
         if self.grants_left == 0:
             return REFUSAL
         self.grants_left -= 1
+        self.while_waiting()
         endpoint = "e2" if handle.excluded else "e1"
         self.granted.append(handle.request_id)
         return Grant(handle.request_id, endpoint, 1.0)
@@ -102,17 +113,31 @@
     context.scheduler = ScriptedScheduler()
     context.adapter = ScriptedAdapter()
     context.leaving = []
+    context.clock = SkippingClock()
     context.dispatcher = Dispatcher(
         tree,
         context.scheduler,
         {"engine": context.adapter},
         RetryBudget(),
-        MonotonicClock(),
+        context.clock,
         "dc",
         on_leaving=lambda endpoint: context.leaving.append(endpoint),
     )
 
 
+@given("the dispatcher is paused past the deadline while it waits for a grant")
+def step_paused(context):
+    def pause():
+        context.clock.skipped_ms = 24 * 3600 * 1000
+
+    context.scheduler.while_waiting = pause
+
+
+@then("the dispatcher has given its slot back")
+def step_slot_back(context):
+    assert context.scheduler.finished == context.scheduler.granted
+
+
 @given("the dispatcher's first endpoint {failure}")
 def step_failure(context, failure):
     context.adapter.behaviours["e1"] = failure
