--- a/bench/measure.py
+++ b/bench/measure.py
@@ -134,7 +134,7 @@
         goodput = useful / max(1, len(run.calls))
         whole = [call for call in run.calls if call.record.whole]
         busiest = max(run.cpu, key=run.cpu.get, default="")
-        dispatches = _dispatches(run)
+        dispatches = find_dispatches(run)
         return PolicyFigures(
             policy=run.policy,
             tiers=[self._tier(name, run) for name in self._ranks],
@@ -203,7 +203,7 @@
     raise KeyError(arrival.work)
 
 
-def _dispatches(run: PolicyRun) -> dict[int, list[tuple[str, float]]]:
+def find_dispatches(run: PolicyRun) -> dict[int, list[tuple[str, float]]]:
     """Return endpoint and Unix time of each dispatch by arrival number."""
     numbers = {call.record.tag: call.arrival.number for call in run.calls}
     found: dict[int, list[tuple[str, float]]] = defaultdict(list)
