Rank VMs by one rendezvous hash

Cause: the choice of schedulers, the gatherers of commits and the order of VMs for a job each hashed a key and a VM by code of their own, beside the module in membership that does just this.

Ruled out: leaving the jobs' order with its own hash. It put the VM before the job, for no reason.

Change: all of them take weight and choose from membership. Schedulers and gatherers are chosen as before, bit for bit. The hash by which VMs rank for a job now begins with the job, so the order among equals is another one, drawn just as evenly; who runs a job is decided by compare-and-set as before.

--- a/src/pomelolane/coordination/__init__.py
+++ b/src/pomelolane/coordination/__init__.py
@@ -4,7 +4,7 @@
 rendezvous hashing, hold soft state and are replaced at any moment.
 """
 
-from pomelolane.coordination.chooser import Chooser, rendezvous
+from pomelolane.coordination.chooser import Chooser
 from pomelolane.coordination.client import GatewayClient
 from pomelolane.coordination.coordination import (
     SHARED_POLICIES,
@@ -30,6 +30,5 @@
     "Timings",
     "make_coordination",
     "reachable_data_centres",
-    "rendezvous",
     "scoped_tree",
 ]
--- a/src/pomelolane/coordination/chooser.py
+++ b/src/pomelolane/coordination/chooser.py
@@ -8,10 +8,10 @@
 
 from typing import TYPE_CHECKING
 
-from xxhash import xxh3_64_intdigest
+from pomelolane.membership import choose
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
     from typing import Any
 
     from pomelolane.ports import Clock, Membership, View
@@ -19,19 +19,6 @@
 _HINT_MS = 2000.0
 
 
-def rendezvous(service: str, vm_ids: Iterable[str]) -> str:
-    """Return the VM with the highest hash for a service.
-
-    Raises:
-        ValueError: There is no VM to choose from.
-    """
-    return max(vm_ids, key=lambda vm_id: (_weight(service, vm_id), vm_id))
-
-
-def _weight(service: str, vm_id: str) -> int:
-    return xxh3_64_intdigest(f"{service}\0{vm_id}".encode())
-
-
 class Chooser:
     """Chooses schedulers for one VM, for its gateway and its role alike.
 
@@ -148,7 +135,7 @@
         peers = self.view().peers
         live = [vm for vm in peers if not self.is_suspected(vm)]
         able = [vm for vm in live if self._is_able(service, vm)]
-        return rendezvous(service, able or live or [self._vm_id])
+        return choose(service, able or live or [self._vm_id])
 
     def _is_able(self, service: str, vm_id: str) -> bool:
         if vm_id == self._vm_id and self.is_stopping:
--- a/src/pomelolane/jobs/order.py
+++ b/src/pomelolane/jobs/order.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING
 
-import xxhash
+from pomelolane.membership import weight
 
 if TYPE_CHECKING:
     from pomelolane.ports import View
@@ -23,13 +23,9 @@
     def place(peer_id: str) -> tuple[bool, bool, int]:
         peer = view.peers[peer_id]
         elsewhere = peer.data_centre != data_centre
-        return peer.draining, elsewhere, _score(peer_id, job_id)
+        return peer.draining, elsewhere, weight(job_id, peer_id)
 
     if vm_id not in view.peers:
         return len(view.peers)
     own = place(vm_id)
     return sum(place(peer_id) < own for peer_id in view.peers)
-
-
-def _score(vm_id: str, job_id: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{vm_id}\0{job_id}".encode())
--- a/src/pomelolane/membership/__init__.py
+++ b/src/pomelolane/membership/__init__.py
@@ -9,7 +9,7 @@
 from pomelolane.membership.keys import ClusterKeys, cluster_keys_from_settings
 from pomelolane.membership.member import Member, make_member
 from pomelolane.membership.recorded import RecordedMarks
-from pomelolane.membership.rendezvous import choose, choose_several
+from pomelolane.membership.rendezvous import choose, choose_several, weight
 from pomelolane.membership.transport import ZmqTransport, make_transport
 
 __all__ = [
@@ -23,4 +23,5 @@
     "cluster_keys_from_settings",
     "make_member",
     "make_transport",
+    "weight",
 ]
--- a/src/pomelolane/membership/rendezvous.py
+++ b/src/pomelolane/membership/rendezvous.py
@@ -19,15 +19,15 @@
 
 def choose(key: str, candidates: Iterable[str]) -> str | Missing:
     """Return the candidate with the highest hash for a key."""
-    chosen = choose_several(key, candidates, 1)
-    return chosen[0] if chosen else NO_PEER
+    return max(candidates, key=lambda name: (weight(key, name), name), default=NO_PEER)
 
 
 def choose_several(key: str, candidates: Iterable[str], count: int) -> tuple[str, ...]:
     """Return up to ``count`` candidates, highest hash first."""
-    ranked = sorted(candidates, key=lambda name: (_weight(key, name), name))
+    ranked = sorted(candidates, key=lambda name: (weight(key, name), name))
     return tuple(reversed(ranked[-count:]))
 
 
-def _weight(key: str, name: str) -> int:
+def weight(key: str, name: str) -> int:
+    """Return the hash by which a candidate ranks for a key."""
     return xxh3_64_intdigest(f"{key}\0{name}".encode())
--- a/src/pomelolane/platform/gather.py
+++ b/src/pomelolane/platform/gather.py
@@ -20,6 +20,7 @@
     PlatformUnavailableError,
 )
 from pomelolane.logs import log_event
+from pomelolane.membership import weight
 from pomelolane.messages import (
     ClaimBatch,
     ClaimResults,
@@ -269,7 +270,7 @@
 
 
 def _place(peer: Peer) -> tuple[int, str]:
-    return _hash(f"gather\0{peer.vm_id}"), peer.vm_id
+    return weight("gather", peer.vm_id), peer.vm_id
 
 
 def _hash(text: str) -> int:
--- a/tests/steps/coordination_fault_steps.py
+++ b/tests/steps/coordination_fault_steps.py
@@ -8,7 +8,7 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
-from pomelolane.coordination import rendezvous
+from pomelolane.membership import choose
 from pomelolane.messages import Withdraw
 from pomelolane.ports import Peer
 from tests.coordination.world import (
@@ -53,7 +53,7 @@
 def step_isolate_second(context):
     world = world_of(context)
     others = [name for name in world.vms if name != world.scheduler()]
-    context.second = rendezvous("pool", others)
+    context.second = choose("pool", others)
     step_isolate(context, context.second)
 
 
--- a/tests/steps/coordination_steps.py
+++ b/tests/steps/coordination_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from pomelolane.coordination import rendezvous
+from pomelolane.membership import choose
 from pomelolane.messages import NotScheduler, Submit
 from pomelolane.outcomes import Outcome, Refusal
 from tests.coordination.world import (
@@ -370,11 +370,11 @@
 
 
 @then("of 200 services only those of a lost VM move among {count:d} VMs")
-def step_rendezvous(context, count):
+def step_choose(context, count):
     vms = [f"vm-{number}" for number in range(count)]
     services = [f"service-{number}" for number in range(200)]
-    before = {name: rendezvous(name, vms) for name in services}
-    after = {name: rendezvous(name, vms[1:]) for name in services}
+    before = {name: choose(name, vms) for name in services}
+    after = {name: choose(name, vms[1:]) for name in services}
     assert set(before.values()) == set(vms)
     for name in services:
         assert after[name] == before[name] or before[name] == vms[0]
