Let a restarted scheduler wait for the gateways that it comes to see

Cause: a VM that starts takes the role while it sees only itself, so its wait for registrations ends with its own gateway; when the others come into its view the desk is there already and does not wait again. Until they registered it granted from an empty book: a request of the lowest tier at its own gateway went past the higher ones that waited elsewhere, on slots that were in use. Seen in a trial of the tier proof as a summary dispatched in the moment in which the killed scheduler was back. Ruled out: the wait itself (it holds all grants until the known gateways have registered); waiting also while no other VM is in sight, as that would break that a single VM grants without any wait. Still open: the 5 to 50 ms in which a restarted VM sees nobody (measured over three restarts).

--- a/src/pomelolane/coordination/role.py
+++ b/src/pomelolane/coordination/role.py
@@ -71,6 +71,7 @@
         self._lingering_since_ms: dict[str, float] = {}
         self._cores: dict[str, SchedulingCore] = {}
         self._gateways: dict[str, Peer] = {}
+        self._seen: frozenset[str] = frozenset()
         self._data_centres: frozenset[str] = frozenset()
         self._leaving: set[str] = set()
         self.on_doubt: Callable[[str], None] = _ignore
@@ -137,6 +138,7 @@
         """Compare the roles with the view."""
         self._rescope()
         self._drop_lost_gateways()
+        self._await_joined()
         for service in self._tree.services:
             is_chosen = self._chooser.scheduler(service) == self._vm_id
             if is_chosen and self.desk(service) is None:
@@ -195,6 +197,20 @@
             self._desks[service] = self._make_desk(service)
         self._desks[service].settle(self._chooser.gateways())
 
+    def _await_joined(self) -> None:
+        """Settle again where those that join may hold what nobody has told.
+
+        A VM that has just started takes the role before it sees the others;
+        what its own gateway holds must not go past what waits with theirs.
+        """
+        gateways = self._chooser.gateways()
+        joined = gateways - self._seen
+        self._seen = gateways
+        for service in self._tree.services if joined else ():
+            desk = self.desk(service)
+            if desk is not None and desk.followers() <= {self._vm_id}:
+                desk.settle(gateways)
+
     def _make_desk(self, service: str) -> Desk:
         core = self._cores.get(service)
         if core is None:
--- a/tests/coordination/role.feature
+++ b/tests/coordination/role.feature
@@ -189,3 +189,12 @@
     And "a-1" asks for 2 slots of tier 0
     Then all coordinated requests run exactly once
     And another coordinated VM holds the role
+
+  Scenario: A scheduler that restarts lets no lower tier past what waits elsewhere
+    Given all coordinated slots are taken for 3000 ms
+    When "others" asks for 2 slots of tier 0
+    And the scheduler restarts and is asked for 1 slots of tier 2 when it sees the others
+    And the views tell it
+    Then all coordinated requests run exactly once
+    And every request of tier 0 ran before those of tier 2
+    And no coordinated endpoint ever ran more than its slots
--- a/tests/steps/coordination_fault_steps.py
+++ b/tests/steps/coordination_fault_steps.py
@@ -274,3 +274,19 @@
         asyncio.run(_live_through(actions, seed, loss, delay_ms))
 
     live()
+
+
+@when(
+    "the scheduler restarts and is asked for {count:d} slots of tier {tier:d} when "
+    "it sees the others"
+)
+def step_restart_asked(context, count, tier):
+    world = context.world
+    name = world.scheduler()
+    context.run(world.restart(name))
+    context.run(world.run(50))
+    # It sees them before they see its new start and register with it.
+    world.vms[name].membership.set(dict(world.peers))
+    for _ in range(count):
+        ask(context, name, tier=tier)
+    context.run(world.run(50))
