Ask engines in rounds that wait for no slow one

Cause: a round of load reports ended with its slowest engine. One that is frozen costs a timeout of 1 s for its load and 1 s for its cache events, and the next round began 1 s later: another engine's own word that it is leaving could be heard more than 3 s after it was said.

Ruled out: a shorter timeout alone, which makes slow reports of busy engines count as none.

Change: a round begins each period; an engine that still owes an answer is left out of it.

Conclusion: one engine's silence does not age the others' reports.

--- a/src/pomelolane/coordination/reports.py
+++ b/src/pomelolane/coordination/reports.py
@@ -85,17 +85,21 @@
         self._options = options
         self._sequences: dict[str, int] = {}
         self._places = asyncio.Semaphore(_CALLS_AT_ONCE)
+        self._asked: set[tuple[int, str]] = set()
 
     async def run(self) -> None:
-        """Ask in rounds until cancelled."""
+        """Ask in rounds until cancelled; no round waits for a slow engine."""
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            asyncio.TaskGroup() as rounds,
+        ):
             while True:
-                await self.poll(session)
+                rounds.create_task(self.poll(session))
                 await asyncio.sleep(self._options.period_ms / 1000)
 
     async def poll(self, session: aiohttp.ClientSession) -> None:
-        """Ask every engine once."""
+        """Ask every engine once, but those that still owe an earlier answer."""
         calls = [
             self._poll_engine(session, desk, endpoint)
             for desk in list(self._desks())
@@ -106,14 +110,26 @@
     async def _poll_engine(
         self, session: aiohttp.ClientSession, desk: Desk, endpoint: Endpoint
     ) -> None:
-        async with self._places:
-            load = await self._get(session, endpoint, "/load")
-            if load is not None:
-                self._take_load(desk, endpoint, load)
-            after = self._sequences.get(endpoint.endpoint_id, 0)
-            events = await self._get(session, endpoint, f"/cache/events?after={after}")
-            if events is not None:
-                self._take_events(desk, endpoint, events)
+        asked = (id(desk), endpoint.endpoint_id)
+        if asked in self._asked:
+            return
+        self._asked.add(asked)
+        try:
+            async with self._places:
+                await self._ask(session, desk, endpoint)
+        finally:
+            self._asked.discard(asked)
+
+    async def _ask(
+        self, session: aiohttp.ClientSession, desk: Desk, endpoint: Endpoint
+    ) -> None:
+        load = await self._get(session, endpoint, "/load")
+        if load is not None:
+            self._take_load(desk, endpoint, load)
+        after = self._sequences.get(endpoint.endpoint_id, 0)
+        events = await self._get(session, endpoint, f"/cache/events?after={after}")
+        if events is not None:
+            self._take_events(desk, endpoint, events)
 
     async def _get(
         self, session: aiohttp.ClientSession, endpoint: Endpoint, path: str
--- a/tests/coordination/role.feature
+++ b/tests/coordination/role.feature
@@ -165,6 +165,11 @@
     Then the core got the load report and the cache events
     And the engine counts as leaving and membership was told
 
+  Scenario: A frozen engine does not delay the reports of the others
+    Given an engine that reports its load beside one that is frozen
+    When the scheduler polls its engines in rounds until 3 reports came
+    Then the frozen engine was asked once meanwhile
+
   Scenario: Broken reports change nothing
     Given an engine that answers reports with garbage
     When the scheduler polls its engines
--- a/tests/steps/coordination_report_steps.py
+++ b/tests/steps/coordination_report_steps.py
@@ -7,12 +7,15 @@
 from aiohttp import web
 from behave import given, then, when
 
+from pomelolane.clock import MonotonicClock
+from pomelolane.coordination.reports import PollerOptions, ReportPoller
 from tests.coordination.fakes import FakeCore
 from tests.coordination.world import (
     World,
     make_tree,
     scheduler_desk,
 )
+from tests.faults import until
 
 # --- reports ----------------------------------------------------------------
 
@@ -31,8 +34,10 @@
         self.events.append(event)
 
 
-async def _serve(started, load, events):
+async def _serve(started, load, events, gate=None):
     async def answer_load(request):
+        if gate is not None:
+            await gate.wait()
         return web.Response(body=load, content_type="application/json")
 
     async def answer_events(request):
@@ -52,11 +57,16 @@
         await runner.cleanup()
 
 
-def _engine(context, load, events):
+def _start_engine(context, load, events, gate=None):
     # The task ends with the scenario, which cancels what is left on its loop.
     started = context.loop.create_future()
-    context.engine = context.loop.create_task(_serve(started, load, events))
-    port = context.run(started)
+    task = context.loop.create_task(_serve(started, load, events, gate))
+    context.engines = [*getattr(context, "engines", ()), task]
+    return context.run(started)
+
+
+def _engine(context, load, events):
+    port = _start_engine(context, load, events)
     world = World(["a-1"], {"a/1": 2}, core=_ReportingCore)
     endpoint = replace(world.tree.endpoints["a/1"], address=f"127.0.0.1:{port}")
     world.tree = replace(make_tree({}), endpoints={"a/1": endpoint})
@@ -79,6 +89,56 @@
     _engine(context, b'{"running":"many"}', b"[")
 
 
+@given("an engine that reports its load beside one that is frozen")
+def step_frozen_engine(context):
+    gate = _CountingGate()
+    load = b'{"running":3,"waiting":1,"age_ms":0.0,"state":"ready"}'
+    events = b'{"events":[]}'
+    ports = {
+        "a/1": _start_engine(context, load, events),
+        "a/2": _start_engine(context, load, events, gate),
+    }
+    context.gate = gate
+    context.world = World(["a-1"], {"a/1": 2, "a/2": 2}, core=_ReportingCore)
+    declared = context.world.tree.endpoints
+    endpoints = {
+        name: replace(declared[name], address=f"127.0.0.1:{port}")
+        for name, port in ports.items()
+    }
+    context.world.tree = replace(make_tree({}), endpoints=endpoints)
+    context.run(context.world.configure())
+
+
+class _CountingGate:
+    """Never opens; counts who waits."""
+
+    def __init__(self):
+        self.waits = 0
+
+    async def wait(self):
+        self.waits += 1
+        await asyncio.Event().wait()
+
+
+@when("the scheduler polls its engines in rounds until {count:d} reports came")
+def step_rounds(context, count):
+    desk = scheduler_desk(context.world)
+    options = PollerOptions(lambda each: each.address, lambda each: None, 10.0)
+    poller = ReportPoller(lambda: [desk], MonotonicClock(), options)
+
+    async def poll():
+        polling = asyncio.create_task(poller.run())
+        await until(lambda: len(desk.core.reports) >= count)
+        polling.cancel()
+
+    context.run(poll())
+
+
+@then("the frozen engine was asked once meanwhile")
+def step_asked_once(context):
+    assert context.gate.waits == 1, context.gate.waits
+
+
 @when("the scheduler polls its engines")
 def step_poll(context):
     coordination = context.world.vms["a-1"].coordination
