Use no grant that may be from before a pause of this process

Cause: a gateway that was frozen finds in its sockets, in this order, a grant for an endpoint and the word that the endpoint is leaving. It sent on the first before it read the second: 2 calls arrived 4519 ms after the platform's list had said so. A scheduler that wakes grants to its own gateway on old knowledge too.

Ruled out: a new epoch for the gateway's requests, which the own scheduler would answer at once with what it knew before; the member's stale spell, which begins at its next tick, after the grant was read.

Change: the gateway's client notices that it has not run for 1 s, gives grants back for 1 s and then asks again. Two heartbeats bring the marks in that time.

Figures: tests/coordination/client.feature, new scenario: red before, green after.

Conclusion: a pause of more than 1 s costs a gateway 1 s of grants.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -32,6 +32,10 @@
     from pomelolane.messages import Handle, StreamEvent
     from pomelolane.model import Tree
 
+_PAUSE_MS = 1000.0
+_DOUBT_MS = 1000.0
+"""Longer than two heartbeats take to bring the marks that were missed."""
+
 CLIENT_MESSAGES = (SubmitAck, SyncAck, NotScheduler, Granted, Refused)
 """Kinds of messages that a gateway takes from schedulers."""
 
@@ -50,6 +54,9 @@
         self._leaving: set[str] = set()
         self._retry_after_ms: dict[str, int] = {}
         self._pinged_ms = context.clock.now_ms()
+        self._ran_ms = self._pinged_ms
+        self._doubt_until_ms = self._pinged_ms
+        self._doubted: set[str] = set()
         context.chooser.on_change(self._rechoose)
 
     # --- the port ---------------------------------------------------------
@@ -104,6 +111,9 @@
     def tick(self) -> None:
         """Check deadlines, and schedulers that are silent."""
         now_ms = self._context.clock.now_ms()
+        self._notice_pause(now_ms)
+        if now_ms >= self._doubt_until_ms:
+            self._end_doubt()
         self._ping_suspects(now_ms)
         for link in list(self._links.values()):
             late = [t for t in link.waiting.values() if t.deadline_ms <= now_ms]
@@ -125,6 +135,7 @@
 
     def receive(self, sender: str, message: Message) -> None:
         """Take a message of a scheduler."""
+        self._notice_pause(self._context.clock.now_ms())
         self._context.chooser.heard(sender)
         match message:
             case Granted():
@@ -173,6 +184,9 @@
         link.heard()
         if ticket.endpoint_id:
             self._granted_again(link, ticket, message)
+        elif self._context.clock.now_ms() < self._doubt_until_ms:
+            self._give_back(sender, message)
+            self._doubted.add(ticket.request_id)
         elif self._is_ruled_out(ticket, message.endpoint_id):
             self._give_back(sender, message)
             self._look_elsewhere(link, ticket, message.endpoint_id)
@@ -189,6 +203,25 @@
         if message.endpoint_id != ticket.endpoint_id:
             link.sync_answered((ticket.request_id,), held=1)
 
+    def _notice_pause(self, now_ms: float) -> None:
+        """Doubt all grants for a while after this process has not run.
+
+        They may be older than a word on a leaving endpoint that waits in the
+        same sockets, or come from a scheduler here that has not heard it yet.
+        """
+        if now_ms - self._ran_ms > _PAUSE_MS:
+            self._doubt_until_ms = now_ms + _DOUBT_MS
+        self._ran_ms = now_ms
+
+    def _end_doubt(self) -> None:
+        """Ask anew for what was granted in doubt."""
+        for request_id in self._doubted:
+            ticket = self._tickets.get(request_id)
+            link = self._links.get(ticket.handle.service) if ticket else None
+            if link is not None and request_id in link.waiting:
+                link.submit_again(ticket)
+        self._doubted.clear()
+
     def _is_ruled_out(self, ticket: Ticket, endpoint_id: str) -> bool:
         return endpoint_id in self._leaving or endpoint_id in ticket.handle.excluded
 
--- a/tests/coordination/client.feature
+++ b/tests/coordination/client.feature
@@ -88,6 +88,13 @@
     Then all coordinated requests run exactly once
     And the last coordinated request ran at "b/1"
 
+  Scenario: A gateway that has not run for long uses no grant from before
+    Given all coordinated slots are taken for 500 ms
+    When "another" asks for 1 slots of tier 0
+    And the asking gateway freezes for 1500 ms
+    Then the asking gateway has a grant in its hands and uses it not
+    And all coordinated requests run exactly once
+
   Scenario: Grants for an endpoint that has returned are used again
     Given a coordinated region of VMs "a-1"
     And all coordinated endpoints are leaving, as all VMs know
--- a/tests/steps/coordination_fault_steps.py
+++ b/tests/steps/coordination_fault_steps.py
@@ -16,6 +16,7 @@
     ask,
     in_flight,
     make_handle,
+    scheduler_desk,
     world_of,
 )
 
@@ -112,6 +113,24 @@
     context.run(context.world.run(50))
 
 
+@when("the asking gateway freezes for {for_ms:d} ms")
+def step_freeze_asker(context, for_ms):
+    world = context.world
+    context.last = list(world.requests.values())[-1]
+    vm = world.vms[context.last.gateway]
+    vm.frozen = True
+    context.run(world.run(for_ms))
+    context.granted = scheduler_desk(world).core.granted.copy()
+    vm.frozen = False
+    context.run(world.settle())
+
+
+@then("the asking gateway has a grant in its hands and uses it not")
+def step_grant_unused(context):
+    assert context.last.handle.request_id in context.granted, context.granted
+    assert not context.last.dispatches, context.last
+
+
 @when("the scheduler freezes for {for_ms:d} ms")
 def step_freeze(context, for_ms):
     world = context.world
