--- a/bench/chaos/plan.py
+++ b/bench/chaos/plan.py
@@ -32,9 +32,9 @@
 _CANCEL_SHARE = 0.1
 _CANCEL_AFTER_S = (0.2, 2.0)
 _STREAM_SHARE = 0.75
-_BURST_CALLS = 70
+_BURST_CALLS = (70, 600)
+_BURST_WEIGHT = {"background": 0.15}
 _BURST_S = 1.0
-_BACKGROUND = "background"
 
 
 class Manner(StrEnum):
@@ -155,9 +155,10 @@
         for service, work in works:
             yield from self._draw_work(service, work)
         engine_works = [each for each in works if each[0]["kind"] == "engine"]
+        weights = [_BURST_WEIGHT.get(work["tier"], 1.0) for _, work in engine_works]
         begin_s = self._random.uniform(2.0, self._seconds - _BURST_S)
-        for _ in range(_BURST_CALLS):
-            service, work = self._random.choice(engine_works)
+        for _ in range(self._random.choice(_BURST_CALLS)):
+            service, work = self._random.choices(engine_works, weights)[0]
             at_s = begin_s + self._random.uniform(0.0, _BURST_S)
             yield from self._draw_group(service, work, at_s)
 
