--- a/tests/steps/coordination_fault_steps.py
+++ b/tests/steps/coordination_fault_steps.py
@@ -8,7 +8,7 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
-from pomelolane.coordination import rendezvous
+from pomelolane.membership import choose
 from pomelolane.messages import Withdraw
 from pomelolane.ports import Peer
 from tests.coordination.world import (
@@ -53,7 +53,7 @@
 def step_isolate_second(context):
     world = world_of(context)
     others = [name for name in world.vms if name != world.scheduler()]
-    context.second = rendezvous("pool", others)
+    context.second = choose("pool", others)
     step_isolate(context, context.second)
 
 
@@ -274,3 +274,19 @@
         asyncio.run(_live_through(actions, seed, loss, delay_ms))
 
     live()
+
+
+@when(
+    "the scheduler restarts and is asked for {count:d} slots of tier {tier:d} when "
+    "it sees the others"
+)
+def step_restart_asked(context, count, tier):
+    world = context.world
+    name = world.scheduler()
+    context.run(world.restart(name))
+    context.run(world.run(50))
+    # It sees them before they see its new start and register with it.
+    world.vms[name].membership.set(dict(world.peers))
+    for _ in range(count):
+        ask(context, name, tier=tier)
+    context.run(world.run(50))
