Expect long answers before any was seen, and give chances with room to spare

Change: until answers were seen a long one is twice the declared length; an organisation of which fewer than 64 answers were seen is taken to be like all of its work; a deferred request gets its chance with a margin of 1.5 (chance_factor, 1.1 in the baselines as it was); probes no longer take deferred requests.

--- a/bench/core_trace.py
+++ b/bench/core_trace.py
@@ -167,9 +167,9 @@
 
 
 def _declared_tokens(kind: Kind) -> int:
-    """Return what a handle says: callers bound the length of packets' answers."""
+    """Return what a handle says, the median for packets and their company."""
     if kind in PACKET_KINDS:
-        return kind.decode[1]
+        return round((kind.decode[0] * kind.decode[1]) ** 0.5)
     return (kind.decode[0] + kind.decode[1]) // 2
 
 
--- a/src/pomelolane/scheduler/baselines.py
+++ b/src/pomelolane/scheduler/baselines.py
@@ -34,6 +34,7 @@
     prefix_weight=0.0,
     bound_prefill=False,
     sure_first=False,
+    chance_factor=1.1,
 )
 GATEWAY_QUEUES_OPTIONS = CoreOptions(
     fair_shares=False,
@@ -45,6 +46,7 @@
     prefix_weight=0.0,
     bound_prefill=False,
     sure_first=False,
+    chance_factor=1.1,
     default_slot_share=1.0 / _GATEWAYS,
 )
 
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -350,6 +350,8 @@
     def _may_probe(self, waiting: Waiting, worker: Worker, now_ms: float) -> bool:
         if worker.endpoint_id in waiting.handle.excluded:
             return False
+        if waiting.deferred and self._options.sure_first:
+            return False
         if self._flights.park_if_limited(waiting.handle):
             return False
         if not worker.account.kv_fits(waiting.cost_tokens):
--- a/src/pomelolane/scheduler/estimate.py
+++ b/src/pomelolane/scheduler/estimate.py
@@ -13,11 +13,13 @@
 
 _LN_2 = 0.6931471805599453
 _MAX_RATIO = 4.0
-_PRIOR_RATIO = 1.0
+# Declared lengths are middling ones; some answers are far longer.
+_PRIOR_RATIOS = (1.0, 1.0, 2.0)
 _SHORT_QUANTILE = 0.1
 _MIDDLE_QUANTILE = 0.6
 _LONG_QUANTILE = 0.98
 _KEPT_ANSWERS = 128
+_ENOUGH_ANSWERS = 64
 _CUT_FACTOR = 1.25
 _CHANCE_SHARE = 0.8
 
@@ -80,9 +82,14 @@
     __slots__ = ("_latest", "_sorted", "long", "middle", "short")
 
     def __init__(self) -> None:
-        self._latest = deque([_PRIOR_RATIO])
-        self._sorted = [_PRIOR_RATIO]
-        self.short = self.middle = self.long = _PRIOR_RATIO
+        self._latest = deque(_PRIOR_RATIOS)
+        self._sorted = list(_PRIOR_RATIOS)
+        self._summarise()
+
+    @property
+    def mature(self) -> bool:
+        """Whether there are enough answers to go by."""
+        return len(self._latest) >= _ENOUGH_ANSWERS
 
     def add(self, ratio: float, *, cut: bool) -> None:
         """Take in an answer, whole or cut."""
@@ -94,6 +101,9 @@
         if len(self._latest) > _KEPT_ANSWERS:
             oldest = self._latest.popleft()
             del self._sorted[bisect_left(self._sorted, oldest)]
+        self._summarise()
+
+    def _summarise(self) -> None:
         self.short = self._quantile(_SHORT_QUANTILE)
         self.middle = self._quantile(_MIDDLE_QUANTILE)
         self.long = self._quantile(_LONG_QUANTILE)
@@ -109,9 +119,14 @@
         return self._sorted[math.ceil(quantile * len(self._sorted)) - 1]
 
 
+_UNKNOWN = _Ratios()
+
+
 class AnswerLengths:
     """Answer lengths of one service, by work and organisation.
 
+    An organisation of which little was seen is taken to be like the others.
+
     Args:
         enabled: Whether to learn; otherwise the expected length stands.
     """
@@ -119,14 +134,17 @@
     def __init__(self, *, enabled: bool = True) -> None:
         self._enabled = enabled
         self._ratios: dict[tuple[str, str], _Ratios] = {}
+        self._of_all: dict[str, _Ratios] = {}
 
     def expect(
         self, work: str, organisation: str, expected_tokens: int
     ) -> ExpectedLength:
         """Return the answer length to plan with."""
-        ratios = self._ratios.get((work, organisation))
-        if ratios is None or not self._enabled:
+        if not self._enabled:
             return ExpectedLength(expected_tokens, expected_tokens, expected_tokens)
+        ratios = self._ratios.get((work, organisation), _UNKNOWN)
+        if not ratios.mature:
+            ratios = self._of_all.get(work, _UNKNOWN)
         middle = max(1, round(expected_tokens * ratios.middle))
         long = max(middle, round(expected_tokens * ratios.long))
         short = min(middle, max(1, round(expected_tokens * ratios.short)))
@@ -144,10 +162,13 @@
         """Take in the length of an answer, or as much as came of a cut one."""
         if expected_tokens <= 0 or tokens <= 0:
             return
+        ratio = tokens / expected_tokens
         ratios = self._ratios.get((work, organisation))
         if ratios is None:
             ratios = self._ratios[work, organisation] = _Ratios()
-        ratios.add(tokens / expected_tokens, cut=cut)
+        if not ratios.mature:
+            self._of_all.setdefault(work, _Ratios()).add(ratio, cut=cut)
+        ratios.add(ratio, cut=cut)
 
 
 def needed_ms(middle_ms: float, long_ms: float, budget_ms: float) -> float:
--- a/src/pomelolane/scheduler/options.py
+++ b/src/pomelolane/scheduler/options.py
@@ -33,6 +33,7 @@
         prefill_lookahead_ms: Prefill work that an engine may have ahead and
             still take a grant.
         safety_factor: Margin on predicted service times against deadlines.
+        chance_factor: The same for requests without time for a long answer.
         prefix_weight: Worth of not processing a prompt again, as a multiple of
             the time that it would take.
         predict_wait_margin: How many times the predicted wait must rule the
@@ -57,6 +58,7 @@
     learn_lengths: bool = True
     prefill_lookahead_ms: float = 50.0
     safety_factor: float = 1.1
+    chance_factor: float = 1.5
     prefix_weight: float = 30.0
     predict_wait_margin: float = 2.0
     reserve_window_ms: float = 1_000.0
--- a/src/pomelolane/scheduler/placement.py
+++ b/src/pomelolane/scheduler/placement.py
@@ -148,13 +148,15 @@
         """Tell whether a prediction meets the request's deadline.
 
         A deferred request has no time for a long answer any more; it gets its
-        chance where a middling one would be in time.
+        chance where a middling one would be in time with room to spare.
         """
+        if waiting.deferred:
+            factor = self._options.chance_factor
+            return now_ms + placement.total_ms * factor <= waiting.deadline_ms
         factor = self._options.safety_factor
         needed = placement.total_ms * factor
-        if not waiting.deferred:
-            long_ms = placement.long_ms * factor
-            needed = needed_ms(needed, long_ms, waiting.handle.budget_ms)
+        long_ms = placement.long_ms * factor
+        needed = needed_ms(needed, long_ms, waiting.handle.budget_ms)
         return now_ms + needed <= waiting.deadline_ms
 
     def _surely_in_time(
--- a/src/pomelolane/scheduler/queue.py
+++ b/src/pomelolane/scheduler/queue.py
@@ -165,8 +165,7 @@
 
     def all_deferred(self, rank: int) -> bool:
         """Tell whether every waiting request of a tier is deferred."""
-        tier = self._tiers[rank]
-        return tier.deferred == len(tier.by_arrival)
+        return self._tiers[rank].deferred == len(self._tiers[rank].by_arrival)
 
     def correct(self, handle: Handle, tokens: float) -> None:
         """Add to (or give back) what an organisation was charged."""
@@ -273,8 +272,7 @@
         while tier.heap:
             virtual_time, sequence, team = tier.heap[0]
             if virtual_time != team.virtual_time:
-                entry = (team.virtual_time, sequence, team)
-                heapq.heapreplace(tier.heap, entry)
+                heapq.heapreplace(tier.heap, (team.virtual_time, sequence, team))
                 continue
             organisation = self._pop_first_of_team(team)
             if organisation is not None:
@@ -312,8 +310,7 @@
         heapq.heappush(team.heap, entry)
         if not team.listed:
             team.listed = True
-            team_entry = (team.virtual_time, next(self._sequence), team)
-            heapq.heappush(tier.heap, team_entry)
+            heapq.heappush(tier.heap, (team.virtual_time, next(self._sequence), team))
 
     def _tier(self, rank: int) -> _Tier:
         tier = self._tiers.get(rank)
