Part the messages by subject, one module each

Ruled out: moving the wire functions into the package's __init__, which would have held code beside the re-exports.

Change: a package with one module for what schedulers, members, settings and claims say, and one that encodes and decodes. The package gives the same names as before but for Outcome, which nobody took from there.

--- /dev/null
+++ b/src/pomelolane/messages/__init__.py
@@ -0,0 +1,83 @@
+"""Messages between VMs, encoded as MessagePack by msgspec.
+
+Each is a tagged struct; ages and budgets travel as durations because clocks
+of two VMs are never compared.
+"""
+
+from pomelolane.messages.base import (
+    Message,
+)
+from pomelolane.messages.claims import (
+    ClaimBatch,
+    ClaimResults,
+    KeyAnswer,
+    KeyQuery,
+    RelayedResult,
+    RelayedWrite,
+)
+from pomelolane.messages.declarations import (
+    BranchContent,
+    BranchWanted,
+    EndpointLeaving,
+)
+from pomelolane.messages.membership import (
+    Digest,
+    DigestPulse,
+    DigestWanted,
+    Heartbeat,
+    HeartbeatWanted,
+    MemberState,
+    Pulse,
+)
+from pomelolane.messages.scheduling import (
+    Granted,
+    Handle,
+    NotScheduler,
+    Progress,
+    Refused,
+    RunningHandle,
+    StreamEvent,
+    Submit,
+    SubmitAck,
+    Sync,
+    SyncAck,
+    Unfollow,
+    Withdraw,
+)
+from pomelolane.messages.wire import AnyMessage, decode_message, encode_message
+
+__all__ = [
+    "AnyMessage",
+    "BranchContent",
+    "BranchWanted",
+    "ClaimBatch",
+    "ClaimResults",
+    "Digest",
+    "DigestPulse",
+    "DigestWanted",
+    "EndpointLeaving",
+    "Granted",
+    "Handle",
+    "Heartbeat",
+    "HeartbeatWanted",
+    "KeyAnswer",
+    "KeyQuery",
+    "MemberState",
+    "Message",
+    "NotScheduler",
+    "Progress",
+    "Pulse",
+    "Refused",
+    "RelayedResult",
+    "RelayedWrite",
+    "RunningHandle",
+    "StreamEvent",
+    "Submit",
+    "SubmitAck",
+    "Sync",
+    "SyncAck",
+    "Unfollow",
+    "Withdraw",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/src/pomelolane/messages/wire.py
@@ -0,0 +1,95 @@
+"""Messages as bytes: MessagePack by msgspec.
+
+What is no message of ours is refused with a type.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from pomelolane.exceptions import TransportError
+from pomelolane.messages.claims import (
+    ClaimBatch,
+    ClaimResults,
+    KeyAnswer,
+    KeyQuery,
+)
+from pomelolane.messages.declarations import (
+    BranchContent,
+    BranchWanted,
+    EndpointLeaving,
+)
+from pomelolane.messages.membership import (
+    Digest,
+    DigestPulse,
+    DigestWanted,
+    Heartbeat,
+    HeartbeatWanted,
+    Pulse,
+)
+from pomelolane.messages.scheduling import (
+    Granted,
+    NotScheduler,
+    Progress,
+    Refused,
+    Submit,
+    SubmitAck,
+    Sync,
+    SyncAck,
+    Unfollow,
+    Withdraw,
+)
+
+if TYPE_CHECKING:
+    from pomelolane.messages.base import Message
+
+AnyMessage = (
+    Submit
+    | SubmitAck
+    | NotScheduler
+    | Granted
+    | Refused
+    | Progress
+    | Withdraw
+    | Sync
+    | SyncAck
+    | Unfollow
+    | Heartbeat
+    | Pulse
+    | HeartbeatWanted
+    | Digest
+    | DigestPulse
+    | DigestWanted
+    | BranchWanted
+    | BranchContent
+    | EndpointLeaving
+    | KeyQuery
+    | KeyAnswer
+    | ClaimBatch
+    | ClaimResults
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode_message(message: Message) -> bytes:
+    """Encode a message for the wire."""
+    return _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> AnyMessage:
+    """Decode and check a message.
+
+    Raises:
+        TransportError: The bytes are no message of ours.
+    """
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError, RecursionError) as error:
+        raise TransportError(f"undecodable message: {error}") from error
+
+
+__all__ = ["AnyMessage", "decode_message", "encode_message"]
