Keep the desks of a VM in one class

Cause: the scheduler role and the gateway's own fallback each kept a mapping of desks, the endpoints marked as leaving, and the same loops over both.

Ruled out: a common base class of the two; they take different messages and end their desks for different reasons.

Change: Desks makes, marks, configures and drives desks; the role and the fallback hold one each.

--- /dev/null
+++ b/src/pomelolane/coordination/desks.py
@@ -0,0 +1,112 @@
+"""The desks of one VM by service, driven and marked together.
+
+The scheduler role holds such a set for what it is chosen for, and the gateway
+holds another for when no scheduler can be heard.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.coordination.desk import Desk
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from pomelolane.coordination.options import Timings
+    from pomelolane.messages import Message
+    from pomelolane.model import Tree
+    from pomelolane.ports import Clock, SchedulingCore
+
+
+class Desks:
+    """A set of desks that share endpoints marked as leaving.
+
+    Args:
+        make_core: Makes the core of a service.
+        send: Sends a message to a gateway.
+        clock: Time.
+        timings: Bounds.
+        share_of: Share of each endpoint's slots for a set of followers.
+    """
+
+    def __init__(
+        self,
+        make_core: Callable[[str], SchedulingCore],
+        send: Callable[[str, Message], None],
+        clock: Clock,
+        timings: Timings,
+        share_of: Callable[[frozenset[str]], float],
+    ) -> None:
+        self._make_core = make_core
+        self._send = send
+        self._clock = clock
+        self._timings = timings
+        self._share_of = share_of
+        self._desks: dict[str, Desk] = {}
+        self._leaving: set[str] = set()
+
+    def by_service(self) -> dict[str, Desk]:
+        """Return the desks by service."""
+        return self._desks
+
+    def all(self) -> list[Desk]:
+        """Return the desks as they are now, safe against changes meanwhile."""
+        return list(self._desks.values())
+
+    def get(self, service: str) -> Desk | None:
+        """Return the desk of a service, if there is one."""
+        return self._desks.get(service)
+
+    def open(self, service: str, tree: Tree) -> Desk:
+        """Return the desk of a service, made under a tree if there is none."""
+        desk = self._desks.get(service)
+        if desk is None:
+            desk = Desk(
+                service,
+                self._make_core(service),
+                self._send,
+                self._clock,
+                self._timings,
+                self._share_of,
+            )
+            self._desks[service] = desk
+            for endpoint_id in self._leaving:
+                desk.mark_leaving(endpoint_id)
+            desk.configure(tree)
+        return desk
+
+    def close(self, service: str) -> None:
+        """End the desk of a service, if there is one."""
+        desk = self._desks.pop(service, None)
+        if desk is not None:
+            desk.close()
+
+    def configure(self, tree: Tree) -> None:
+        """Let all desks adopt a settings tree."""
+        for desk in self.all():
+            desk.configure(tree)
+
+    def mark_leaving(self, endpoint_id: str) -> None:
+        """Grant nothing more to an endpoint."""
+        self._leaving.add(endpoint_id)
+        for desk in self.all():
+            desk.mark_leaving(endpoint_id)
+
+    def mark_returned(self, endpoint_id: str) -> None:
+        """Take back a mark."""
+        self._leaving.discard(endpoint_id)
+        for desk in self.all():
+            desk.mark_returned(endpoint_id)
+
+    def forget_marks_but_of(self, endpoint_ids: Iterable[str]) -> None:
+        """Drop the marks of endpoints that are declared no more."""
+        self._leaving &= set(endpoint_ids)
+
+    def tick(self) -> None:
+        """Drive the desks."""
+        for desk in self.all():
+            desk.tick()
+
+
+__all__ = ["Desks"]
--- a/src/pomelolane/coordination/fallback.py
+++ b/src/pomelolane/coordination/fallback.py
@@ -10,13 +10,14 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from pomelolane.coordination.desk import Desk
+from pomelolane.coordination.desks import Desks
 from pomelolane.messages import Unfollow
 from pomelolane.model import Tree
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pomelolane.coordination.desk import Desk
     from pomelolane.coordination.options import Timings
     from pomelolane.messages import Message
     from pomelolane.ports import Clock, SchedulingCore
@@ -43,76 +44,47 @@
     ) -> None:
         self._vm_id = vm_id
         self._reply = reply
-        self._clock = clock
-        self._make_core = make_core
-        # The own gateway needs no sign of life.
-        self._timings = replace(timings, follower_silence_ms=math.inf)
         self._tree = Tree()
         self._share = 1.0
-        self._leaving: set[str] = set()
-        self._desks: dict[str, Desk] = {}
+        # The own gateway needs no sign of life.
+        patient = replace(timings, follower_silence_ms=math.inf)
+        self._desks = Desks(
+            make_core, self._send, clock, patient, lambda followers: self._share
+        )
 
     def configure(self, tree: Tree, share: float) -> None:
         """Adopt a tree, cut down to what may be granted, and the own share."""
         self._tree = tree
         self._share = share
-        for desk in list(self._desks.values()):
-            desk.configure(self._tree)
+        self._desks.configure(tree)
 
     def mark_leaving(self, endpoint_id: str) -> None:
         """Grant nothing more to an endpoint."""
-        self._leaving.add(endpoint_id)
-        for desk in list(self._desks.values()):
-            desk.mark_leaving(endpoint_id)
+        self._desks.mark_leaving(endpoint_id)
 
     def mark_returned(self, endpoint_id: str) -> None:
         """Take back a mark."""
-        self._leaving.discard(endpoint_id)
-        for desk in list(self._desks.values()):
-            desk.mark_returned(endpoint_id)
+        self._desks.mark_returned(endpoint_id)
 
     def tick(self) -> None:
         """Drive the desks."""
-        for desk in list(self._desks.values()):
-            desk.tick()
+        self._desks.tick()
 
     def desks(self) -> dict[str, Desk]:
         """Return the desks by service."""
-        return self._desks
+        return self._desks.by_service()
 
     def receive(self, service: str, message: Message) -> bool:
         """Take a message of the gateway; without a service it is for all."""
         if isinstance(message, Unfollow):
-            self._close(service)
+            self._desks.close(service)
         elif service:
-            self._desk(service).receive(self._vm_id, message)
+            self._desks.open(service, self._tree).receive(self._vm_id, message)
         else:
-            for desk in list(self._desks.values()):
+            for desk in self._desks.all():
                 desk.receive(self._vm_id, message)
         return True
 
-    def _desk(self, service: str) -> Desk:
-        desk = self._desks.get(service)
-        if desk is None:
-            desk = Desk(
-                service,
-                self._make_core(service),
-                self._send,
-                self._clock,
-                self._timings,
-                lambda followers: self._share,
-            )
-            self._desks[service] = desk
-            for endpoint_id in self._leaving:
-                desk.mark_leaving(endpoint_id)
-            desk.configure(self._tree)
-        return desk
-
-    def _close(self, service: str) -> None:
-        desk = self._desks.pop(service, None)
-        if desk is not None:
-            desk.close()
-
     def _send(self, gateway: str, message: Message) -> None:
         del gateway
         self._reply(message)
--- a/src/pomelolane/coordination/role.py
+++ b/src/pomelolane/coordination/role.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.coordination import epochs
-from pomelolane.coordination.desk import Desk
+from pomelolane.coordination.desks import Desks
 from pomelolane.coordination.scope import reachable_data_centres, scoped_tree
 from pomelolane.events import SCHEDULER_ROLE
 from pomelolane.logs import log_event
@@ -29,6 +29,7 @@
     from collections.abc import Callable
 
     from pomelolane.coordination.chooser import Chooser
+    from pomelolane.coordination.desk import Desk
     from pomelolane.coordination.options import Timings
     from pomelolane.ports import Clock, Peer, SchedulingCore, Transport
 
@@ -67,12 +68,13 @@
         self._make_core = make_core
         self._timings = timings
         self._tree = Tree()
-        self._desks: dict[str, Desk] = {}
+        self._desks = Desks(
+            self._core_of, transport.send, clock, timings, self._share_of
+        )
         self._lingering_since_ms: dict[str, float] = {}
         self._cores: dict[str, SchedulingCore] = {}
         self._gateways: dict[str, Peer] = {}
         self._data_centres: frozenset[str] = frozenset()
-        self._leaving: set[str] = set()
         self.on_doubt: Callable[[str], None] = _ignore
         chooser.on_change(self.refresh)
 
@@ -81,28 +83,23 @@
     def configure(self, tree: Tree) -> None:
         """Adopt a settings tree."""
         self._tree = tree
-        self._leaving &= set(tree.endpoints)
-        for service in [name for name in self._desks if name not in tree.services]:
+        self._desks.forget_marks_but_of(tree.endpoints)
+        for service in [name for name in self.desks() if name not in tree.services]:
             self._close(service)
         self._data_centres = frozenset()
         self.refresh()
 
     def mark_leaving(self, endpoint_id: str) -> None:
         """Grant nothing more to an endpoint."""
-        self._leaving.add(endpoint_id)
-        for desk in list(self._desks.values()):
-            desk.mark_leaving(endpoint_id)
+        self._desks.mark_leaving(endpoint_id)
 
     def mark_returned(self, endpoint_id: str) -> None:
         """Take back a mark."""
-        self._leaving.discard(endpoint_id)
-        for desk in list(self._desks.values()):
-            desk.mark_returned(endpoint_id)
+        self._desks.mark_returned(endpoint_id)
 
     def tick(self) -> None:
         """Drive the desks, and end those that nobody follows any more."""
-        for desk in list(self._desks.values()):
-            desk.tick()
+        self._desks.tick()
         for service in list(self._lingering_since_ms):
             if not self._is_followed(service):
                 self._close(service)
@@ -126,12 +123,12 @@
 
     def desks(self) -> dict[str, Desk]:
         """Return all desks by service, those about to end included."""
-        return self._desks
+        return self._desks.by_service()
 
     def is_followed_by_others(self) -> bool:
         """Tell whether any other VM still follows this one."""
         own = frozenset({self._vm_id})
-        return any(desk.followers() - own for desk in self._desks.values())
+        return any(desk.followers() - own for desk in self._desks.all())
 
     def refresh(self) -> None:
         """Compare the roles with the view."""
@@ -157,7 +154,7 @@
             case Sync() | Unfollow():
                 self._pass_on(gateway, message, message.service)
             case Progress() | Withdraw():
-                for desk in list(self._desks.values()):
+                for desk in self._desks.all():
                     desk.receive(gateway, message)
 
     def _submitted(self, gateway: str, message: Submit) -> None:
@@ -191,34 +188,23 @@
     def _take(self, service: str) -> None:
         log_event(SCHEDULER_ROLE, service=service, held=True)
         self._lingering_since_ms.pop(service, None)
-        if service not in self._desks:
-            self._desks[service] = self._make_desk(service)
-        self._desks[service].settle(self._chooser.gateways())
+        desk = self._desks.open(service, self._scoped_tree())
+        desk.settle(self._chooser.gateways())
 
-    def _make_desk(self, service: str) -> Desk:
+    def _core_of(self, service: str) -> SchedulingCore:
+        """Return a service's core, the same one each time the role is taken."""
         core = self._cores.get(service)
         if core is None:
             core = self._make_core(service)
             self._cores[service] = core
-        desk = Desk(
-            service,
-            core,
-            self._transport.send,
-            self._clock,
-            self._timings,
-            self._share_of,
-        )
-        for endpoint_id in self._leaving:
-            desk.mark_leaving(endpoint_id)
-        desk.configure(self._scoped_tree())
-        return desk
+        return core
 
     def _leave(self, service: str) -> None:
         log_event(SCHEDULER_ROLE, service=service, held=False)
         self._lingering_since_ms[service] = self._clock.now_ms()
 
     def _is_followed(self, service: str) -> bool:
-        if not self._desks[service].followers():
+        if not self.desks()[service].followers():
             return False
         if self._chooser.is_stopping:
             return True
@@ -227,7 +213,7 @@
 
     def _close(self, service: str) -> None:
         self._lingering_since_ms.pop(service, None)
-        self._desks.pop(service).close()
+        self._desks.close(service)
 
     # --- the view ---------------------------------------------------------
 
@@ -240,15 +226,14 @@
         if data_centres == self._data_centres:
             return
         self._data_centres = data_centres
-        for desk in list(self._desks.values()):
-            desk.configure(self._scoped_tree())
+        self._desks.configure(self._scoped_tree())
 
     def _drop_lost_gateways(self) -> None:
         peers = dict(self._chooser.view().peers)
         for vm_id, before in self._gateways.items():
             now = peers.get(vm_id)
             if now is None or now.incarnation != before.incarnation:
-                for desk in list(self._desks.values()):
+                for desk in self._desks.all():
                     desk.drop_gateway(vm_id)
         self._gateways = peers
 
