Share the control port of endpoints between the stand-ins

Cause: the engine's and the plain service's control ports had the same routes, the same three readers and the same dying and coming back; their commands were the same but for two names.

Change: standins/control.py holds what both ports do and each keeps its own faults; run_endpoints runs either as a process. The service's control port moves out of its http module, as at the engine. Names on the wire are as before.

--- a/standins/engine/control.py
+++ b/standins/engine/control.py
@@ -1,6 +1,6 @@
-"""The engine's control port: faults for it and records of what it ran.
+"""The engine's control port: the faults that experiments give it.
 
-It stays open when the engine dies, so that its runs can still be counted.
+What it ran is read as at any endpoint; see :mod:`standins.control`.
 """
 
 from __future__ import annotations
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from standins.serving import json_response, make_app, read_json
+from standins.control import EndpointControl
+from standins.serving import json_response, read_json
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -32,23 +33,12 @@
     die_after_tokens: int | None = None
 
 
-class EngineControl:
+class EngineControl(EndpointControl):
     """Handlers of the control port."""
 
     def __init__(self, engine: Engine, server: Server) -> None:
+        super().__init__(engine, server)
         self._engine = engine
-        self._server = server
-
-    def make_app(self) -> web.Application:
-        """Make the application of the control port."""
-        return make_app(
-            {
-                "POST /control": self._control,
-                "GET /runs": self._runs,
-                "GET /counters": self._counters,
-                "POST /reset": self._reset,
-            }
-        )
 
     async def _control(self, request: web.Request) -> web.Response:
         body: FaultsBody = await read_json(request, FaultsBody)
@@ -57,19 +47,6 @@
         await self._set_life(body)
         return json_response(self._engine.faults)
 
-    async def _runs(self, request: web.Request) -> web.Response:
-        del request
-        return json_response(self._engine.runs())
-
-    async def _counters(self, request: web.Request) -> web.Response:
-        del request
-        return json_response(self._engine.counters())
-
-    async def _reset(self, request: web.Request) -> web.Response:
-        del request
-        self._engine.reset()
-        return json_response(self._engine.counters())
-
     def _set_reports(self, body: FaultsBody) -> None:
         if body.report_lag_ms is not None:
             self._engine.load.lag_ms = body.report_lag_ms
@@ -92,12 +69,7 @@
             faults.leaving = body.leaving
         if body.die_after_tokens is not None:
             faults.die_after_tokens = body.die_after_tokens
-        if body.die is True:
-            self._engine.die()
-            await self._server.until_closed()
-        elif body.die is False and faults.dead:
-            self._engine.revive()
-            await self._server.start()
+        await self._set_dead(body.die)
 
 
 __all__ = ["EngineControl"]
--- a/standins/engine/running.py
+++ b/standins/engine/running.py
@@ -34,6 +34,11 @@
     control: Server
     loader: WeightLoader
 
+    @property
+    def endpoint_id(self) -> str:
+        """The endpoint that it stands for."""
+        return self.engine.options.endpoint_id
+
     async def aclose(self) -> None:
         """Stop everything and close both ports."""
         self.loader.close()
--- a/standins/service/http.py
+++ b/standins/service/http.py
@@ -1,4 +1,4 @@
-"""The plain service's interface and its control port.
+"""The plain service's interface: it runs every call and records it.
 
 Any method on any path is a call; ``?chunks=N`` asks for the answer in N parts.
 """
@@ -18,28 +18,15 @@
 from standins.serving import (
     drop_connection,
     error_response,
-    json_response,
     make_app,
-    read_json,
 )
 
 if TYPE_CHECKING:
     from standins.service.worker import Worker
-    from standins.serving import Server
 
 MS_PER_S = 1000.0
 
 
-class FaultsBody(msgspec.Struct, forbid_unknown_fields=True):
-    """Faults to change; what is left out stays."""
-
-    frozen: bool | None = None
-    slowdown: float | None = None
-    refuse: bool | None = None
-    die: bool | None = None
-    leaving: bool | None = None
-
-
 class ServiceHttp:
     """Handler of all calls."""
 
@@ -92,55 +79,6 @@
         }
 
 
-class ServiceControl:
-    """Handlers of the control port."""
-
-    def __init__(self, worker: Worker, server: Server) -> None:
-        self._worker = worker
-        self._server = server
-
-    def make_app(self) -> web.Application:
-        """Make the application of the control port."""
-        return make_app(
-            {
-                "POST /control": self._control,
-                "GET /runs": self._runs,
-                "GET /counters": self._counters,
-                "POST /reset": self._reset,
-            }
-        )
-
-    async def _control(self, request: web.Request) -> web.Response:
-        body: FaultsBody = await read_json(request, FaultsBody)
-        worker = self._worker
-        if body.frozen is not None:
-            worker.freeze(body.frozen)
-        for name in ("slowdown", "refuse", "leaving"):
-            value = getattr(body, name)
-            if value is not None:
-                setattr(worker.faults, name, value)
-        if body.die is True:
-            worker.die()
-            await self._server.until_closed()
-        elif body.die is False and worker.faults.dead:
-            worker.revive()
-            await self._server.start()
-        return json_response(worker.faults)
-
-    async def _runs(self, request: web.Request) -> web.Response:
-        del request
-        return json_response(self._worker.calls())
-
-    async def _counters(self, request: web.Request) -> web.Response:
-        del request
-        return json_response(self._worker.counters())
-
-    async def _reset(self, request: web.Request) -> web.Response:
-        del request
-        self._worker.reset()
-        return json_response(self._worker.counters())
-
-
 async def _answer_in_parts(
     request: web.Request, answer: bytes, parts: int, headers: dict[str, str]
 ) -> web.StreamResponse:
@@ -154,4 +92,4 @@
     return response
 
 
-__all__ = ["ServiceControl", "ServiceHttp"]
+__all__ = ["ServiceHttp"]
--- a/standins/service/running.py
+++ b/standins/service/running.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from standins.service.http import ServiceControl, ServiceHttp
+from standins.service.control import ServiceControl
+from standins.service.http import ServiceHttp
 from standins.service.worker import Worker
 from standins.serving import Server, make_server
 
@@ -30,6 +31,11 @@
     server: Server
     control: Server
 
+    @property
+    def endpoint_id(self) -> str:
+        """The endpoint that it stands for."""
+        return self.worker.options.endpoint_id
+
     async def aclose(self) -> None:
         """Stop everything and close both ports."""
         self.worker.die()
--- a/standins/service/worker.py
+++ b/standins/service/worker.py
@@ -158,7 +158,7 @@
         self.freeze(False)
         self.faults = Faults()
 
-    def calls(self) -> list[Call]:
+    def runs(self) -> list[Call]:
         """Return every call received whole, oldest first."""
         return self._calls
 
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import signal
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 import msgspec
 import uvloop
@@ -17,7 +17,7 @@
 from standins.listening import ReservedPort, reserve_port
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Coroutine, Mapping
+    from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping
 
     AppFactory = Callable[[], web.Application]
     Main = Callable[[asyncio.Event], Coroutine[Any, Any, None]]
@@ -112,6 +112,29 @@
         self._reserved.close()
 
 
+class EndpointStandin(Protocol):
+    """A running stand-in of an endpoint, with its two ports."""
+
+    @property
+    def server(self) -> Server:
+        """Its interface."""
+        ...
+
+    @property
+    def control(self) -> Server:
+        """Its control port."""
+        ...
+
+    @property
+    def endpoint_id(self) -> str:
+        """The endpoint that it stands for."""
+        ...
+
+    async def aclose(self) -> None:
+        """Stop everything and close both ports."""
+        ...
+
+
 def make_server(host: str, port: int, make_app: AppFactory) -> Server:
     """Make a server on a port, 0 for any free one; it does not listen yet."""
     return Server(reserve_port(host, port), make_app)
@@ -134,6 +157,20 @@
     print(line, flush=True)
 
 
+def run_endpoints(starts: Iterable[Coroutine[Any, Any, EndpointStandin]]) -> None:
+    """Run stand-ins of endpoints until a signal; print a line for each."""
+
+    async def main(stop: asyncio.Event) -> None:
+        running = [await start for start in starts]
+        for standin in running:
+            print_ready(standin.server.port, standin.control.port, standin.endpoint_id)
+        await stop.wait()
+        for standin in running:
+            await standin.aclose()
+
+    run_until_stopped(main)
+
+
 def run_until_stopped(
     main: Main,
 ) -> None:
@@ -161,6 +198,7 @@
 
 
 __all__ = [
+    "EndpointStandin",
     "Server",
     "drop_connection",
     "error_response",
@@ -169,5 +207,6 @@
     "make_server",
     "print_ready",
     "read_json",
+    "run_endpoints",
     "run_until_stopped",
 ]
