Remove what nothing uses

Found by counting names over all sources; the event catalogue was checked the same way, and each of its events is logged somewhere. Left: names that an HTTP library or behave calls, and on_pause, idle_count and strangers_refused, which only tests read.

--- a/bench/chaos/plan.py
+++ b/bench/chaos/plan.py
@@ -34,7 +34,6 @@
 _STREAM_SHARE = 0.75
 _BURST_CALLS = 70
 _BURST_S = 1.0
-_BACKGROUND = "background"
 
 
 class Manner(StrEnum):
--- a/bench/vms.py
+++ b/bench/vms.py
@@ -110,9 +110,3 @@
         request = self._session.get(self.url + path, timeout=_PROBE_TIMEOUT)
         async with request as response:
             return await response.json(content_type=None)
-
-    async def get_text(self, path: str) -> str:
-        """Read a text document, such as ``/metrics``."""
-        request = self._session.get(self.url + path, timeout=_PROBE_TIMEOUT)
-        async with request as response:
-            return await response.text()
--- a/src/pomelolane/gateway/app.py
+++ b/src/pomelolane/gateway/app.py
@@ -44,7 +44,6 @@
 
     Handler = Callable[[Exchange], Awaitable[Response | None]]
 
-NOT_READY_RETRY_MS = 1000
 CALLER_GONE_STATUS = 499
 ALL_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
--- a/src/pomelolane/registry.py
+++ b/src/pomelolane/registry.py
@@ -22,9 +22,6 @@
 PLACEMENT_POLICIES: dict[str, Callable[..., Any]] = {}
 """Factories of placement policies by name."""
 
-ADMISSION_POLICIES: dict[str, Callable[..., Any]] = {}
-"""Factories of admission policies by name."""
-
 
 def register(registry: dict[str, _T], name: str) -> Callable[[_T], _T]:
     """Return a decorator that puts a factory into a registry.
--- a/src/pomelolane/sentinels.py
+++ b/src/pomelolane/sentinels.py
@@ -23,6 +23,5 @@
 
 
 NOT_FOUND = Missing("no such row or object")
-NOT_YET_KNOWN = Missing("nothing has been observed yet")
 NO_ENDPOINT = Missing("no endpoint of the service is ready")
 NO_PEER = Missing("the VM is not in the view")
--- a/standins/engine/cache.py
+++ b/standins/engine/cache.py
@@ -36,11 +36,6 @@
         """Memory held by requests; cached blocks that nobody uses are free."""
         return len(self._pins) * BLOCK_TOKENS + self._private_tokens
 
-    @property
-    def cached_blocks(self) -> int:
-        """Computed blocks, in use or idle."""
-        return len(self._ready)
-
     def fits(self, blocks: Sequence[int], private_tokens: int) -> bool:
         """Tell whether a request's memory can be had now."""
         new_blocks = sum(1 for block in blocks if block not in self._pins)
