Say of each module what it is for

Cause: some module docstrings had one sentence, some comments spoke in the first person, and two packages re-exported by aliases where all others list their names.

Change: second sentences, neutral words, an __all__ for settings, commands and the package itself. No code changes otherwise.

--- a/bench/capacity_cluster.py
+++ b/bench/capacity_cluster.py
@@ -1,4 +1,7 @@
-"""Measures VMs of a small cluster under growing load, over real sockets."""
+"""Measures VMs of a small cluster under growing load, over real sockets.
+
+The capacity page takes its figures for streams and requests from here.
+"""
 
 from __future__ import annotations
 
--- a/bench/fit.py
+++ b/bench/fit.py
@@ -1,4 +1,7 @@
-"""Straight lines through measured points, with the error of the slope."""
+"""Straight lines through measured points, with the error of the slope.
+
+Capacity figures are extrapolated along such lines.
+"""
 
 from __future__ import annotations
 
--- a/bench/plot.py
+++ b/bench/plot.py
@@ -1,4 +1,7 @@
-"""Draws an experiment: goodput, waste and latencies of all policies."""
+"""Draws an experiment: goodput, waste and latencies of all policies.
+
+One picture a scenario, beside its table.
+"""
 
 from __future__ import annotations
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -1,4 +1,7 @@
-"""What an experiment leaves behind: plain lines, a table and a JSON file."""
+"""What an experiment leaves behind: plain lines, a table and a JSON file.
+
+The figures of all policies stand side by side in each.
+"""
 
 from __future__ import annotations
 
--- a/src/pomelolane/__init__.py
+++ b/src/pomelolane/__init__.py
@@ -4,3 +4,5 @@
 """
 
 __version__ = "0.1.0"
+
+__all__ = ["__version__"]
--- a/src/pomelolane/commands/__init__.py
+++ b/src/pomelolane/commands/__init__.py
@@ -3,5 +3,7 @@
 :func:`main` runs it and turns every typed error into its exit code.
 """
 
-from pomelolane.commands.application import main as main
-from pomelolane.commands.exits import ExitCode as ExitCode
+from pomelolane.commands.application import main
+from pomelolane.commands.exits import ExitCode
+
+__all__ = ["ExitCode", "main"]
--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -149,7 +149,7 @@
     # --- messages ---------------------------------------------------------
 
     def receive(self, gateway: str, message: Message) -> None:
-        """Take a message of a gateway; others than ours are ignored."""
+        """Take a message of a gateway; kinds for other parts are ignored."""
         match message:
             case Submit():
                 self._submitted(gateway, message)
--- a/src/pomelolane/endpoints/caller_protocol.py
+++ b/src/pomelolane/endpoints/caller_protocol.py
@@ -1,4 +1,4 @@
-"""Uvicorn's protocol, with a listener for what befalls a caller's connection.
+"""Uvicorn's protocol, with a listener for events of a caller's connection.
 
 A relay that writes to the transport itself needs to hear of a full buffer and
 of a lost connection without a task that waits for them.
--- a/src/pomelolane/endpoints/connection.py
+++ b/src/pomelolane/endpoints/connection.py
@@ -210,7 +210,7 @@
     # --- the parser's events ---
 
     def _parser_events(self) -> SimpleNamespace:
-        """Return the callbacks; pieces of the body need no function of ours."""
+        """Return the callbacks; pieces of the body need none."""
         return SimpleNamespace(
             on_message_begin=self._on_message_begin,
             on_header=self._on_header,
--- a/src/pomelolane/jobs/__init__.py
+++ b/src/pomelolane/jobs/__init__.py
@@ -1,4 +1,7 @@
-"""Durable jobs: accepted work that outlives the VM that took it."""
+"""Durable jobs: accepted work that outlives the VM that took it.
+
+A caller hands work in and asks for its answer later, at any VM.
+"""
 
 from pomelolane.jobs.api import JobApi, JobRequest
 from pomelolane.jobs.assembly import Jobs, make_jobs
--- a/src/pomelolane/jobs/assembly.py
+++ b/src/pomelolane/jobs/assembly.py
@@ -1,4 +1,7 @@
-"""Puts the parts of one VM's job service together."""
+"""Puts the parts of one VM's job service together.
+
+The parts share one store, one group commit and one set of claims.
+"""
 
 from __future__ import annotations
 
--- a/src/pomelolane/jobs/retention.py
+++ b/src/pomelolane/jobs/retention.py
@@ -1,4 +1,7 @@
-"""Ended jobs: out of the scanned rows after a while, deleted in the end."""
+"""Ended jobs: out of the scanned rows after a while, deleted in the end.
+
+The scan for open jobs stays short however many have ended.
+"""
 
 from __future__ import annotations
 
--- a/src/pomelolane/jobs/settings.py
+++ b/src/pomelolane/jobs/settings.py
@@ -1,4 +1,7 @@
-"""Times and bounds of the job runner."""
+"""Times and bounds of the job runner.
+
+The defaults hold in production; tests shorten them.
+"""
 
 from __future__ import annotations
 
--- a/src/pomelolane/membership/contacts.py
+++ b/src/pomelolane/membership/contacts.py
@@ -34,7 +34,7 @@
     """VMs to try, each at most once a second; pure, time is passed in.
 
     A VM that never answered is tried ever less often, since the platform's
-    list also holds machines that are no VMs of ours.
+    list also holds machines that are no VMs of this system.
 
     Args:
         own_id: This VM, never a contact.
@@ -74,7 +74,7 @@
             data_centre: Where it stands.
             address: Its ``ip:port``.
             now_ms: Current time.
-            certain: Whether it is one of ours for sure.
+            certain: Whether it is a VM of this system for sure.
         """
         if vm_id == self._own_id or not address:
             return
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -1,6 +1,6 @@
 """Messages as bytes: MessagePack by msgspec.
 
-What is no message of ours is refused with a type.
+Bytes that are no known message are refused with a type.
 """
 
 from __future__ import annotations
@@ -84,7 +84,7 @@
     """Decode and check a message.
 
     Raises:
-        TransportError: The bytes are no message of ours.
+        TransportError: The bytes are no known message.
     """
     try:
         return _decoder.decode(data)
--- a/src/pomelolane/settings/__init__.py
+++ b/src/pomelolane/settings/__init__.py
@@ -3,20 +3,33 @@
 Options come from flags and environment; the tree lives in the platform's table.
 """
 
-from pomelolane.settings.kinds import EMBEDDED as EMBEDDED
-from pomelolane.settings.kinds import Seed as Seed
-from pomelolane.settings.options import OPTIONS as OPTIONS
-from pomelolane.settings.options import Option as Option
-from pomelolane.settings.options import ServeOptions as ServeOptions
+from pomelolane.settings.kinds import EMBEDDED, Seed
 from pomelolane.settings.options import (
-    options_from_environment as options_from_environment,
+    OPTIONS,
+    Option,
+    ServeOptions,
+    options_from_environment,
 )
-from pomelolane.settings.rows import BranchVersion as BranchVersion
-from pomelolane.settings.rows import Snapshot as Snapshot
-from pomelolane.settings.store import Change as Change
-from pomelolane.settings.store import SettingsStore as SettingsStore
+from pomelolane.settings.rows import BranchVersion, Snapshot
+from pomelolane.settings.store import Change, SettingsStore
 from pomelolane.settings.tree import (
-    branch_content_from_directory as branch_content_from_directory,
+    branch_content_from_directory,
+    tree_from_branches,
+    tree_from_directory,
 )
-from pomelolane.settings.tree import tree_from_branches as tree_from_branches
-from pomelolane.settings.tree import tree_from_directory as tree_from_directory
+
+__all__ = [
+    "EMBEDDED",
+    "OPTIONS",
+    "BranchVersion",
+    "Change",
+    "Option",
+    "Seed",
+    "ServeOptions",
+    "SettingsStore",
+    "Snapshot",
+    "branch_content_from_directory",
+    "options_from_environment",
+    "tree_from_branches",
+    "tree_from_directory",
+]
