--- a/src/pomelolane/coordination/role.py
+++ b/src/pomelolane/coordination/role.py
@@ -74,6 +74,7 @@
         self._lingering_since_ms: dict[str, float] = {}
         self._cores: dict[str, SchedulingCore] = {}
         self._gateways: dict[str, Peer] = {}
+        self._seen: frozenset[str] = frozenset()
         self._data_centres: frozenset[str] = frozenset()
         self.on_doubt: Callable[[str], None] = _ignore
         chooser.on_change(self.refresh)
@@ -134,6 +135,7 @@
         """Compare the roles with the view."""
         self._rescope()
         self._drop_lost_gateways()
+        self._await_joined()
         for service in self._tree.services:
             is_chosen = self._chooser.scheduler(service) == self._vm_id
             if is_chosen and self.desk(service) is None:
@@ -191,6 +193,20 @@
         desk = self._desks.open(service, self._scoped_tree())
         desk.settle(self._chooser.gateways())
 
+    def _await_joined(self) -> None:
+        """Settle again where those that join may hold what nobody has told.
+
+        A VM that has just started takes the role before it sees the others;
+        what its own gateway holds must not go past what waits with theirs.
+        """
+        gateways = self._chooser.gateways()
+        joined = gateways - self._seen
+        self._seen = gateways
+        for service in self._tree.services if joined else ():
+            desk = self.desk(service)
+            if desk is not None and desk.followers() <= {self._vm_id}:
+                desk.settle(gateways)
+
     def _core_of(self, service: str) -> SchedulingCore:
         """Return a service's core, the same one each time the role is taken."""
         core = self._cores.get(service)
--- a/tests/coordination/role.feature
+++ b/tests/coordination/role.feature
@@ -165,6 +165,11 @@
     Then the core got the load report and the cache events
     And the engine counts as leaving and membership was told
 
+  Scenario: A frozen engine does not delay the reports of the others
+    Given an engine that reports its load beside one that is frozen
+    When the scheduler polls its engines in rounds until 3 reports came
+    Then the frozen engine was asked once meanwhile
+
   Scenario: Broken reports change nothing
     Given an engine that answers reports with garbage
     When the scheduler polls its engines
@@ -189,3 +194,12 @@
     And "a-1" asks for 2 slots of tier 0
     Then all coordinated requests run exactly once
     And another coordinated VM holds the role
+
+  Scenario: A scheduler that restarts lets no lower tier past what waits elsewhere
+    Given all coordinated slots are taken for 3000 ms
+    When "others" asks for 2 slots of tier 0
+    And the scheduler restarts and is asked for 1 slots of tier 2 when it sees the others
+    And the views tell it
+    Then all coordinated requests run exactly once
+    And every request of tier 0 ran before those of tier 2
+    And no coordinated endpoint ever ran more than its slots
