--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -88,18 +88,7 @@
             vm_id, self._take_local_reply, clock, make_core, timings
         )
         self._chooser.on_change(self._rescope_local)
-        context = LinkContext(
-            vm_id=vm_id,
-            chooser=self._chooser,
-            epochs=Epochs(incarnation),
-            clock=clock,
-            timings=timings,
-            send=self._send,
-            defer=_defer,
-            share=self._share,
-            always_local=policy not in SHARED_POLICIES,
-        )
-        self.client = GatewayClient(context)
+        self.client = GatewayClient(self._link_context(clock, incarnation))
         self.role.on_doubt = self.client.probe
         self.poller = ReportPoller(
             self._polled_desks,
@@ -108,6 +97,19 @@
         )
         self._subscribe()
 
+    def _link_context(self, clock: Clock, incarnation: int) -> LinkContext:
+        return LinkContext(
+            vm_id=self._vm_id,
+            chooser=self._chooser,
+            epochs=Epochs(incarnation),
+            clock=clock,
+            timings=self._timings,
+            send=self._send,
+            defer=_defer,
+            share=self._share,
+            always_local=self._policy not in SHARED_POLICIES,
+        )
+
     # --- settings ---------------------------------------------------------
 
     def configure(self, tree: Tree) -> None:
--- a/src/pomelolane/gateway/intake.py
+++ b/src/pomelolane/gateway/intake.py
@@ -139,16 +139,10 @@
     Raises:
         BadRequestError: What is wrong, with its HTTP status.
     """
-    try:
-        chat = msgspec.json.decode(body, type=ChatRequest)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise _bad(f"the body is no chat request: {error}") from error
+    chat = _decode_chat(body)
     service = _find_service(tree, organisation, chat.model, ServiceKind.ENGINE)
     work = _find_work(service, exchange)
-    if not chat.messages:
-        raise _bad("messages is empty")
-    if chat.max_tokens is not None and not 0 < chat.max_tokens <= MAX_OUTPUT_TOKENS:
-        raise _bad(f"max_tokens must be 1 to {MAX_OUTPUT_TOKENS}")
+    _check_sizes(chat)
     prompt = "".join(_content(message) for message in chat.messages).encode()
     decode_tokens = work.output_tokens
     if chat.max_tokens is not None:
@@ -175,6 +169,20 @@
     )
 
 
+def _decode_chat(body: bytes) -> ChatRequest:
+    try:
+        return msgspec.json.decode(body, type=ChatRequest)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise _bad(f"the body is no chat request: {error}") from error
+
+
+def _check_sizes(chat: ChatRequest) -> None:
+    if not chat.messages:
+        raise _bad("messages is empty")
+    if chat.max_tokens is not None and not 0 < chat.max_tokens <= MAX_OUTPUT_TOKENS:
+        raise _bad(f"max_tokens must be 1 to {MAX_OUTPUT_TOKENS}")
+
+
 def call_from_plain(
     request_id: str,
     tree: Tree,
--- a/src/pomelolane/gateway/listener.py
+++ b/src/pomelolane/gateway/listener.py
@@ -33,80 +33,94 @@
 }
 
 
-def make_protocol(header_timeout_ms: int) -> type[RelayHttpProtocol]:
-    """Return a protocol class with the given bound on a head's time."""
-
-    class GuardedProtocol(RelayHttpProtocol):
-        """uvicorn's protocol with guards on the head of each request."""
+class GuardedProtocol(RelayHttpProtocol):
+    """uvicorn's protocol with guards on the head of each request.
 
-        def __init__(self, *args: Any, **kwargs: Any) -> None:
-            super().__init__(*args, **kwargs)
-            self._head_bytes = 0
-            self._in_head = False
-            self._head_timer: asyncio.TimerHandle | None = None
+    Attributes:
+        header_timeout_ms: Bound on a head's time; the server makes protocols
+            itself, so the bound belongs to the class.
+    """
 
-        def connection_made(self, transport: asyncio.Transport) -> None:
-            super().connection_made(transport)
+    header_timeout_ms: int
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._head_bytes = 0
+        self._in_head = False
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Wait for the first head, for a bounded time."""
+        super().connection_made(transport)
+        self._arm()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wait for no head any more."""
+        self._disarm()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Count the bytes of heads and refuse one that is too long."""
+        if self.parser is None or self.transport.is_closing():
+            return
+        if self._in_head or self._head_timer is not None:
+            self._head_bytes += len(data)
+        self._in_head = True
+        if self._head_timer is None and not self._body_expected():
             self._arm()
-
-        def connection_lost(self, exc: Exception | None) -> None:
-            self._disarm()
-            super().connection_lost(exc)
-
-        def data_received(self, data: bytes) -> None:
-            if self.parser is None or self.transport.is_closing():
-                return
-            if self._in_head or self._head_timer is not None:
-                self._head_bytes += len(data)
-            self._in_head = True
-            if self._head_timer is None and not self._body_expected():
-                self._arm()
-            super().data_received(data)
-            if self._head_timer and self._head_bytes > MAX_HEAD_BYTES:
-                self._refuse(431, f"the head is longer than {MAX_HEAD_BYTES} bytes")
-
-        def on_headers_complete(self) -> None:
-            self._disarm()
-            self._in_head = False
-            self._head_bytes = 0
-            super().on_headers_complete()
-
-        def on_message_complete(self) -> None:
-            super().on_message_complete()
-            self._in_head = False
-
-        def send_400_response(self, msg: str) -> None:
-            self._refuse(400, msg)
-
-        def _body_expected(self) -> bool:
-            return self.cycle is not None and self.cycle.more_body
-
-        def _arm(self) -> None:
-            delay_s = header_timeout_ms / 1000
-            self._head_timer = self.loop.call_later(delay_s, self._head_is_late)
-
-        def _disarm(self) -> None:
-            if self._head_timer is not None:
-                self._head_timer.cancel()
-                self._head_timer = None
-
-        def _head_is_late(self) -> None:
+        super().data_received(data)
+        if self._head_timer and self._head_bytes > MAX_HEAD_BYTES:
+            self._refuse(431, f"the head is longer than {MAX_HEAD_BYTES} bytes")
+
+    def on_headers_complete(self) -> None:
+        """Note that a head has come whole."""
+        self._disarm()
+        self._in_head = False
+        self._head_bytes = 0
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Note that the next bytes begin another head."""
+        super().on_message_complete()
+        self._in_head = False
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what the parser cannot read, as problem details."""
+        self._refuse(400, msg)
+
+    def _body_expected(self) -> bool:
+        return self.cycle is not None and self.cycle.more_body
+
+    def _arm(self) -> None:
+        delay_s = self.header_timeout_ms / 1000
+        self._head_timer = self.loop.call_later(delay_s, self._head_is_late)
+
+    def _disarm(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
             self._head_timer = None
-            if self._head_bytes == 0:
-                self.transport.close()
-                return
-            self._refuse(408, f"the head took over {header_timeout_ms} ms")
-
-        def _refuse(self, status: int, detail: str) -> None:
-            self._disarm()
-            if self.transport.is_closing():
-                return
-            busy = self.cycle is not None and not self.cycle.response_complete
-            if not busy:
-                self.transport.write(_raw_problem(status, detail))
+
+    def _head_is_late(self) -> None:
+        self._head_timer = None
+        if self._head_bytes == 0:
             self.transport.close()
+            return
+        self._refuse(408, f"the head took over {self.header_timeout_ms} ms")
+
+    def _refuse(self, status: int, detail: str) -> None:
+        self._disarm()
+        if self.transport.is_closing():
+            return
+        busy = self.cycle is not None and not self.cycle.response_complete
+        if not busy:
+            self.transport.write(_raw_problem(status, detail))
+        self.transport.close()
 
-    return GuardedProtocol
+
+def make_protocol(header_timeout_ms: int) -> type[GuardedProtocol]:
+    """Return a protocol class with the given bound on a head's time."""
+    bound = {"header_timeout_ms": header_timeout_ms}
+    return type("BoundProtocol", (GuardedProtocol,), bound)
 
 
 def _raw_problem(status: int, detail: str) -> bytes:
