--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -182,17 +182,7 @@
                     await stream.aclose()
         except EndpointRefusedError as error:
             state.dispatched = dispatched_before
-            state.excluded += (endpoint.endpoint_id,)
-            watch.finish(refused=True, outcome=Outcome.NOT_RUN)
-            return self._after_dispatch(
-                state,
-                Refusal(
-                    Outcome.NOT_RUN,
-                    Reason.ENDPOINT_REFUSED,
-                    RETRY_AFTER_FAILURE_MS,
-                    str(error),
-                ),
-            )
+            return self._refused(state, endpoint, watch, str(error))
         except EndpointBrokenError as error:
             return self._broken(state, endpoint, watch, str(error))
         except TimeoutError:
@@ -249,6 +239,17 @@
         )
         return Delivered(status, state.endpoint_id, watch.ttft_ms, result.chunks)
 
+    def _refused(
+        self, state: RequestState, endpoint: Endpoint, watch: StreamWatch, detail: str
+    ) -> Refusal:
+        """Judge an attempt that the endpoint has not taken."""
+        state.excluded += (endpoint.endpoint_id,)
+        watch.finish(refused=True, outcome=Outcome.NOT_RUN)
+        refusal = Refusal(
+            Outcome.NOT_RUN, Reason.ENDPOINT_REFUSED, RETRY_AFTER_FAILURE_MS, detail
+        )
+        return self._after_dispatch(state, refusal)
+
     def _broken(
         self, state: RequestState, endpoint: Endpoint, watch: StreamWatch, detail: str
     ) -> Refusal:
