Part the stand-ins' steps by stand-in

Cause: one module of 506 lines held the steps of four stand-ins and what they have in common.

Change: the platform's and the fault proxy's steps have modules of their own, and calls over the ports stand in tests/standins_world.py.

--- a/tests/steps/standins_steps.py
+++ b/tests/steps/standins_steps.py
@@ -1,7 +1,6 @@
-"""Steps for the stand-ins over sockets, started on the scenario's loop."""
+"""Steps for the stand-ins of endpoints over sockets, on the scenario's loop."""
 
 import asyncio
-import contextlib
 import json
 import sys
 import tempfile
@@ -13,56 +12,13 @@
 from standins.engine import EngineOptions, start_engine
 from standins.engine.prompts import BLOCK_BYTES, block_hashes
 from standins.platform import PlatformOptions, start_platform
-from standins.proxy import ProxyOptions, start_proxy
 from standins.service import ServiceOptions, start_service
+from tests.standins_world import call, control, keep, request, until_true
 
 ENGINE = EngineOptions(decode_tokens_per_s=2000.0, prefill_tokens_per_s=100_000.0)
-# Only ends a scenario that would hang; nothing is measured against it.
-GIVE_UP_S = 30
 PROMPT = "¿Qué especie es el código 042?"
 
 
-def _keep(context, standin):
-    """Close a stand-in at the scenario's end."""
-    context.add_cleanup(lambda: context.run(standin.aclose()))
-    return standin
-
-
-async def _call(method, port, path, **options):
-    """Return status and body of a call, 0 and nothing where it broke."""
-    url = f"http://127.0.0.1:{port}{path}"
-    try:
-        async with (
-            aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(GIVE_UP_S)) as session,
-            session.request(method, url, **options) as answer,
-        ):
-            return answer.status, await answer.read()
-    except aiohttp.ClientError:
-        return 0, b""
-
-
-def _request(context, method, path, **options):
-    """Call the stand-in under test and keep its status."""
-    call = _call(method, context.standin.server.port, path, **options)
-    context.status, context.body = context.run(call)
-    return context.body
-
-
-def _control(context, method, path, **options):
-    """Call the control port of the stand-in under test."""
-    call = _call(method, context.standin.control.port, path, **options)
-    status, body = context.run(call)
-    assert status == 200, body
-    return json.loads(body)
-
-
-async def _until(condition):
-    """Wait until a condition holds."""
-    async with asyncio.timeout(GIVE_UP_S):
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.001)
-
-
 @then("the stand-in status is {status:d}")
 def step_status(context, status):
     assert context.status == status, (context.status, context.body)
@@ -78,13 +34,13 @@
 
 @given("a stand-in engine")
 def step_engine(context):
-    context.standin = _keep(context, context.run(start_engine(ENGINE)))
+    context.standin = keep(context, context.run(start_engine(ENGINE)))
 
 
 @given("a stand-in engine that honours fencing")
 def step_fencing_engine(context):
     options = EngineOptions(honours_fencing=True)
-    context.standin = _keep(context, context.run(start_engine(options)))
+    context.standin = keep(context, context.run(start_engine(options)))
 
 
 def _chat(context, request_id, tokens, *, stream=True, prompt=PROMPT):
@@ -114,7 +70,7 @@
 @when('a stand-in answer of {tokens:d} tokens is streamed as "{request_id}"')
 def step_stream(context, tokens, request_id):
     options = _chat(context, request_id, tokens)
-    _read_events(context, _request(context, "POST", **options))
+    _read_events(context, request(context, "POST", **options))
 
 
 @when(
@@ -123,13 +79,13 @@
 )
 def step_stream_blocks(context, tokens, blocks, request_id):
     prompt = "x" * BLOCK_BYTES * blocks
-    _request(context, "POST", **_chat(context, request_id, tokens, prompt=prompt))
+    request(context, "POST", **_chat(context, request_id, tokens, prompt=prompt))
 
 
 @when('a stand-in answer of {tokens:d} tokens is read at once as "{request_id}"')
 def step_read_at_once(context, tokens, request_id):
     options = _chat(context, request_id, tokens, stream=False)
-    answer = json.loads(_request(context, "POST", **options))
+    answer = json.loads(request(context, "POST", **options))
     context.answer_text = answer["choices"][0]["message"]["content"]
     context.done = answer["choices"][0]["finish_reason"] == "stop"
 
@@ -156,8 +112,8 @@
 )
 def step_request_in_background(context, tokens, request_id):
     options = _chat(context, request_id, tokens)
-    call = _call("POST", context.standin.server.port, **options)
-    context.background = context.loop.create_task(call)
+    pending = call("POST", context.standin.server.port, **options)
+    context.background = context.loop.create_task(pending)
 
 
 @then("the stand-in answer arrives whole")
@@ -170,12 +126,12 @@
 @when('the stand-in stream "{stream_id}" is resumed from chunk {chunk:d}')
 def step_resume(context, stream_id, chunk):
     path = f"/v1/streams/{stream_id}?from={chunk}"
-    _read_events(context, _request(context, "GET", path))
+    _read_events(context, request(context, "GET", path))
 
 
 @when('the stand-in stream "{stream_id}" is cancelled')
 def step_cancel_stream(context, stream_id):
-    _request(context, "POST", f"/v1/streams/{stream_id}/cancel")
+    request(context, "POST", f"/v1/streams/{stream_id}/cancel")
 
 
 def _expected_text(context, numbers):
@@ -202,7 +158,7 @@
 
 
 def _runs(context, request_id):
-    runs = _control(context, "GET", "/runs")
+    runs = control(context, "GET", "/runs")
     return [run for run in runs if run["request_id"] == request_id]
 
 
@@ -226,18 +182,18 @@
 
 @then("the stand-in engine refuses connections")
 def step_engine_refuses(context):
-    _request(context, "GET", "/load")
+    request(context, "GET", "/load")
     assert context.status == 0
 
 
 @then('the stand-in load report says "{state}"')
 def step_load_state(context, state):
-    assert json.loads(_request(context, "GET", "/load"))["state"] == state
+    assert json.loads(request(context, "GET", "/load"))["state"] == state
 
 
 @then("the stand-in cache events name the blocks of the prompt")
 def step_events_name_blocks(context):
-    answer = json.loads(_request(context, "GET", "/cache/events?after=0"))
+    answer = json.loads(request(context, "GET", "/cache/events?after=0"))
     named = [event["prefix_hash"] for event in answer["events"]]
     assert named == list(block_hashes(context.prompt.encode())), answer
 
@@ -246,7 +202,7 @@
 @when('the stand-in order "{name}" with fencing {fencing:d} is given')
 def step_order(context, name, fencing):
     order = {"kind": "load_adapter", "name": name, "fencing": fencing}
-    _request(context, "POST", "/orders", json=order)
+    request(context, "POST", "/orders", json=order)
 
 
 @given(
@@ -254,24 +210,24 @@
 )
 def step_pulling_engine(context, size, per_s):
     limits = PlatformOptions(weight_bytes=size, weight_bytes_per_s=per_s)
-    platform = _keep(context, context.run(start_platform(limits)))
+    platform = keep(context, context.run(start_platform(limits)))
     url = f"http://127.0.0.1:{platform.server.port}"
     options = EngineOptions(model="m0", weights=url, load_ms=0.0)
-    context.standin = _keep(context, context.run(start_engine(options)))
+    context.standin = keep(context, context.run(start_engine(options)))
 
 
 @when('the stand-in models "{names}" are ordered one after the other')
 def step_order_models(context, names):
     for name in names.split():
         order = {"kind": "load_model", "name": name}
-        _request(context, "POST", "/orders", json=order)
+        request(context, "POST", "/orders", json=order)
         state = context.standin.engine.orders.state
-        context.run(_until(lambda state=state: not state.loading))
+        context.run(until_true(lambda state=state: not state.loading))
 
 
 @then('the stand-in engine has loaded "{loaded}" and failed "{failed}"')
 def step_loaded(context, loaded, failed):
-    state = json.loads(_request(context, "GET", "/orders/state"))
+    state = json.loads(request(context, "GET", "/orders/state"))
     assert state["models"] == ["m0", *loaded.split()], state
     assert state["failed"] == failed.split(), state
 
@@ -283,7 +239,7 @@
 @when("the stand-in {kind}'s control sets {faults}")
 def step_control(context, kind, faults):
     del kind
-    _control(context, "POST", "/control", data=faults)
+    control(context, "POST", "/control", data=faults)
 
 
 # --- a process with many engines --------------------------------------------
@@ -319,70 +275,14 @@
 @when('the stand-in engine "{name}" of the process dies')
 def step_one_dies(context, name):
     ports = context.ready[name]
-    call = _call("POST", ports["control_port"], "/control", json={"die": True})
-    assert context.run(call)[0] == 200
-    assert context.run(_call("GET", ports["port"], "/load"))[0] == 0
+    pending = call("POST", ports["control_port"], "/control", json={"die": True})
+    assert context.run(pending)[0] == 200
+    assert context.run(call("GET", ports["port"], "/load"))[0] == 0
 
 
 @then('the stand-in engine "{name}" of the process still answers')
 def step_other_answers(context, name):
-    assert context.run(_call("GET", context.ready[name]["port"], "/load"))[0] == 200
-
-
-# --- platform ---------------------------------------------------------------
-
-
-@given("a stand-in platform")
-def step_platform(context):
-    context.standin = _keep(context, context.run(start_platform(PlatformOptions())))
-
-
-def _commit(context, keys, *, atomic=True):
-    writes = [{"key": key, "value": "aGk=", "if_version": 0} for key in keys.split()]
-    body = {"atomic": atomic, "writes": writes}
-    _request(context, "POST", "/v1/table/commit", json=body)
-
-
-@given('stand-in row "{key}" is written if absent')
-@when('stand-in row "{key}" is written if absent')
-def step_write(context, key):
-    _commit(context, key)
-
-
-@when('stand-in rows "{keys}" are written if absent, atomic')
-def step_write_atomic(context, keys):
-    _commit(context, keys)
-
-
-@when('stand-in rows "{keys}" are written if absent, each alone')
-def step_write_alone(context, keys):
-    _commit(context, keys, atomic=False)
-
-
-@then('the stand-in row "{key}" has version {version:d}')
-def step_version(context, key, version):
-    row = json.loads(_request(context, "GET", f"/v1/table/row?key={key}"))
-    assert row == {"key": key, "version": version, "value": "aGk="}, row
-
-
-@then('the stand-in rows under "{prefix}" are "{keys}"')
-def step_rows(context, prefix, keys):
-    rows = _control(context, "GET", f"/rows?prefix={prefix}")["rows"]
-    assert [row["key"] for row in rows] == keys.split(), rows
-
-
-@when('the stand-in object "{name}" is put, read and deleted')
-def step_object(context, name):
-    context.statuses = []
-    for method in ("PUT", "GET", "DELETE", "GET"):
-        data = b"body" if method == "PUT" else None
-        _request(context, method, f"/v1/objects/{name}", data=data)
-        context.statuses.append(str(context.status))
-
-
-@then('the stand-in statuses are "{statuses}"')
-def step_statuses(context, statuses):
-    assert context.statuses == statuses.split(), context.statuses
+    assert context.run(call("GET", context.ready[name]["port"], "/load"))[0] == 200
 
 
 # --- plain service ----------------------------------------------------------
@@ -391,116 +291,18 @@
 @given("a stand-in service")
 def step_service(context):
     options = ServiceOptions(service_ms=1.0)
-    context.standin = _keep(context, context.run(start_service(options)))
+    context.standin = keep(context, context.run(start_service(options)))
 
 
 @when('the stand-in service is called with key "{key}" {times:d} times')
 def step_call_service(context, key, times):
     for _ in range(times):
         headers = {"Idempotency-Key": key}
-        _request(context, "PUT", "/catch/7?x=1", data=b"catch", headers=headers)
+        request(context, "PUT", "/catch/7?x=1", data=b"catch", headers=headers)
 
 
 @then('the stand-in service counted {times:d} runs of key "{key}"')
 def step_counted(context, times, key):
-    runs = [run for run in _control(context, "GET", "/runs") if run["key"] == key]
+    runs = [run for run in control(context, "GET", "/runs") if run["key"] == key]
     assert [run["ran"] for run in runs] == list(range(1, times + 1)), runs
     assert all(run["path"] == "/catch/7?x=1" for run in runs)
-
-
-# --- fault proxy ------------------------------------------------------------
-
-
-@given("a stand-in link to an echo server")
-def step_link(context):
-    context.received = 0
-    context.sent = context.echoed = b""
-    context.client = None
-
-    async def echo(reader, writer):
-        with contextlib.suppress(OSError):
-            while data := await reader.read(65536):
-                context.received += len(data)
-                writer.write(data)
-                await writer.drain()
-        writer.close()
-
-    async def start():
-        server = await asyncio.start_server(echo, "127.0.0.1", 0)
-        context.add_cleanup(server.close)
-        return server.sockets[0].getsockname()[1]
-
-    context.proxy = _keep(context, context.run(start_proxy(ProxyOptions())))
-    target = f"127.0.0.1:{context.run(start())}"
-    body = {"name": "l", "target": target}
-    call = _call("POST", context.proxy.control.port, "/links", json=body)
-    context.link_port = json.loads(context.run(call)[1])["listen_port"]
-
-
-@given("the stand-in link has {change}")
-@when("the stand-in link has {change}")
-def step_link_change(context, change):
-    call = _call("POST", context.proxy.control.port, "/links/l", data=change)
-    assert context.run(call)[0] == 200
-
-
-@given("a client is connected over the stand-in link")
-def step_connect(context):
-    connect = asyncio.open_connection("127.0.0.1", context.link_port)
-    context.client = context.run(connect)
-    context.add_cleanup(context.client[1].close)
-
-
-@when("{count:d} bytes are sent over the stand-in link")
-def step_send(context, count):
-    step_connect(context)
-    _send(context, bytes(i % 251 for i in range(count)))
-
-
-@when("{count:d} more bytes are sent over the stand-in link")
-def step_send_more(context, count):
-    _send(context, b"m" * count)
-
-
-def _send(context, data):
-    context.sent = data
-    context.client[1].write(data)
-
-
-def _read_echo(context):
-    echo = context.client[0].readexactly(len(context.sent))
-    return context.run(asyncio.wait_for(echo, GIVE_UP_S))
-
-
-@then("all of them come back over the stand-in link")
-@then("only the last {count:d} bytes come back over the stand-in link")
-def step_echoed(context, count=0):
-    del count
-    assert _read_echo(context) == context.sent
-
-
-@then("the stand-in client's connection is broken")
-def step_client_broken(context):
-    with contextlib.suppress(ConnectionResetError):
-        assert context.run(context.client[0].read(1)) == b""
-
-
-@then("the stand-in link refuses connections")
-def step_link_refuses(context):
-    try:
-        context.run(asyncio.open_connection("127.0.0.1", context.link_port))
-    except ConnectionRefusedError:
-        return
-    raise AssertionError
-
-
-@then("the stand-in echo server has received {count:d} bytes")
-def step_received(context, count):
-    call = _call("GET", context.proxy.control.port, "/links")
-    assert context.run(call)[0] == 200
-    assert context.received == count
-
-
-@then("the stand-in echo server receives {count:d} bytes")
-def step_receives(context, count):
-    context.run(_until(lambda: context.received == count))
