--- a/tests/steps/gateway_dispatch_steps.py
+++ b/tests/steps/gateway_dispatch_steps.py
@@ -9,12 +9,12 @@
 from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
 from pomelolane.gateway.dispatch import Dispatcher
 from pomelolane.gateway.ending import Delivered, SinkResult
-from pomelolane.gateway.intake import Call
 from pomelolane.gateway.retries import RetryBudget
-from pomelolane.model import Endpoint, Organisation, Service, ServiceKind, Tree, Work
+from pomelolane.model import Endpoint, Tree
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.ports import Grant
 from pomelolane.tree import CurrentTree
+from tests.gateway_calls import make_call
 
 _WHOLE = ("answers", "says that it leaves")
 REFUSAL = Refusal(Outcome.NOT_RUN, Reason.QUEUE_FULL, 500)
@@ -164,27 +164,10 @@
 
 
 def _call(kind, number=0):
-    work = Work("w", "top", 5000)
-    service = Service("chat", "t", ServiceKind.ENGINE, {"w": work})
-    return Call(
-        f"r{number}",
-        Organisation("o", "t", ""),
-        service,
-        work,
-        tier_rank=0,
-        deadline_ms=5000,
+    return make_call(
+        number,
         idempotent=kind != "non-idempotent",
         key="k" if kind == "keyed" else "",
-        respond_async=False,
-        streamed=True,
-        method="POST",
-        path="/",
-        headers=(),
-        body=b"{}",
-        prefill_tokens=1,
-        decode_tokens=1,
-        prefix_hashes=(),
-        digest="",
     )
 
 
--- a/tests/steps/gateway_keyed_steps.py
+++ b/tests/steps/gateway_keyed_steps.py
@@ -12,12 +12,11 @@
 from pomelolane.gateway.ending import Delivered
 from pomelolane.gateway.exchange import Exchange
 from pomelolane.gateway.holders import HolderQueries
-from pomelolane.gateway.intake import Call
 from pomelolane.gateway.keyed import KeyedCalls
 from pomelolane.gateway.retries import RetryBudget
 from pomelolane.gateway.sinks import CallerSink, JoiningSink
 from pomelolane.messages import KeyQuery
-from pomelolane.model import Endpoint, Organisation, Service, ServiceKind, Tree, Work
+from pomelolane.model import Endpoint, Service, ServiceKind, Tree
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.platform import (
     EmbeddedObjectStore,
@@ -28,6 +27,7 @@
 from pomelolane.platform.claims import DONE, make_claims
 from pomelolane.ports import Grant, Peer, View
 from pomelolane.tree import CurrentTree
+from tests.gateway_calls import make_call
 
 WAIT_S = 5
 
@@ -226,26 +226,11 @@
 
 def _call(context, key, organisation="o", digest="d"):
     context.number += 1
-    work = Work("w", "top", 5000)
-    service = Service("chat", "t", ServiceKind.ENGINE, {"w": work})
-    return Call(
-        f"r{context.number}",
-        Organisation(organisation, "t", ""),
-        service,
-        work,
-        tier_rank=0,
-        deadline_ms=WAIT_S * 1000,
-        idempotent=False,
+    return make_call(
+        context.number,
+        organisation=organisation,
         key=key,
-        respond_async=False,
         streamed=context.streamed,
-        method="POST",
-        path="/",
-        headers=(),
-        body=b"{}",
-        prefill_tokens=1,
-        decode_tokens=1,
-        prefix_hashes=(),
         digest=digest,
     )
 
