--- a/src/pomelolane/scheduler/estimate.py
+++ b/src/pomelolane/scheduler/estimate.py
@@ -15,9 +15,8 @@
 _MAX_RATIO = 4.0
 # Declared lengths are middling ones; some answers are far longer.
 _PRIOR_RATIOS = (1.0, 1.0, 2.0)
-_SHORT_QUANTILE = 0.1
-_MIDDLE_QUANTILE = 0.6
-_LONG_QUANTILE = 0.98
+# Of a short, a middling and a long answer.
+_QUANTILES = (0.1, 0.6, 0.98)
 _KEPT_ANSWERS = 128
 _ENOUGH_ANSWERS = 64
 _CUT_FACTOR = 1.25
@@ -79,18 +78,25 @@
     all long answers does not learn that there are none.
     """
 
-    __slots__ = ("_latest", "_sorted", "long", "middle", "short")
+    __slots__ = (
+        "_latest",
+        "_places",
+        "_size",
+        "_sorted",
+        "long",
+        "mature",
+        "middle",
+        "short",
+    )
 
     def __init__(self) -> None:
         self._latest = deque(_PRIOR_RATIOS)
         self._sorted = list(_PRIOR_RATIOS)
+        self._size = 0
+        self._places: tuple[int, ...] = ()
+        self.mature = False
         self._summarise()
 
-    @property
-    def mature(self) -> bool:
-        """Whether there are enough answers to go by."""
-        return len(self._latest) >= _ENOUGH_ANSWERS
-
     def add(self, ratio: float, *, cut: bool) -> None:
         """Take in an answer, whole or cut."""
         ratio = min(_MAX_RATIO, ratio)
@@ -104,9 +110,15 @@
         self._summarise()
 
     def _summarise(self) -> None:
-        self.short = self._quantile(_SHORT_QUANTILE)
-        self.middle = self._quantile(_MIDDLE_QUANTILE)
-        self.long = self._quantile(_LONG_QUANTILE)
+        size = len(self._sorted)
+        if size != self._size:
+            self._size = size
+            self._places = tuple(math.ceil(each * size) - 1 for each in _QUANTILES)
+            self.mature = size >= _ENOUGH_ANSWERS
+        short, middle, long = self._places
+        self.short = self._sorted[short]
+        self.middle = self._sorted[middle]
+        self.long = self._sorted[long]
 
     def _whole(self, ratio: float) -> float:
         """Return what a cut answer's length was, as far as can be told."""
@@ -115,9 +127,6 @@
             return min(_MAX_RATIO, _CUT_FACTOR * ratio)
         return sum(longer) / len(longer)
 
-    def _quantile(self, quantile: float) -> float:
-        return self._sorted[math.ceil(quantile * len(self._sorted)) - 1]
-
 
 _UNKNOWN = _Ratios()
 
