--- a/src/pomelolane/assembly.py
+++ b/src/pomelolane/assembly.py
@@ -85,15 +85,7 @@
     distribution.on_change(adoption.take_soon)
     pool = ConnectionPool()
     adapters = {kind: make(pool) for kind, make in ENDPOINT_ADAPTERS.items()}
-    dispatcher = Dispatcher(
-        ground.tree,
-        coordination.client,
-        adapters,
-        RetryBudget(),
-        ground.clock,
-        options.data_centre,
-        on_leaving=lambda endpoint: ground.member.mark_leaving(endpoint, "answer"),
-    )
+    dispatcher = _make_dispatcher(ground, coordination, adapters)
     committer = _make_committer(ground)
     claims = _make_claims(ground, committer)
     keyed = _make_keyed(ground, claims, dispatcher, adapters)
@@ -125,6 +117,22 @@
     )
 
 
+def _make_dispatcher(
+    ground: _Ground,
+    coordination: Coordination,
+    adapters: dict[str, EndpointAdapter],
+) -> Dispatcher:
+    return Dispatcher(
+        ground.tree,
+        coordination.client,
+        adapters,
+        RetryBudget(),
+        ground.clock,
+        ground.options.data_centre,
+        on_leaving=lambda endpoint: ground.member.mark_leaving(endpoint, "answer"),
+    )
+
+
 def _make_ground(options: ServeOptions) -> _Ground:
     clock = MonotonicClock()
     # Each start of a VM has a higher number than the one before; milliseconds
