--- a/src/pomelolane/jobs/assembly.py
+++ b/src/pomelolane/jobs/assembly.py
@@ -10,7 +10,7 @@
 
 from pomelolane.clock import MonotonicClock, WallClock
 from pomelolane.jobs.api import JobApi
-from pomelolane.jobs.liveness import Heart, RunnerWatch
+from pomelolane.jobs.liveness import HeartbeatWriter, RunnerWatch
 from pomelolane.jobs.runner import JobRunner
 from pomelolane.jobs.settings import JobSettings
 from pomelolane.jobs.store import JobStore
@@ -78,7 +78,7 @@
         dispatcher,
         membership,
         RunnerWatch(table, membership, clock, region, settings.lapse_ms),
-        Heart(committer, region, vm_id, incarnation, wall),
+        HeartbeatWriter(committer, region, vm_id, incarnation, wall),
         vm_id,
         incarnation,
         clock,
--- a/src/pomelolane/jobs/liveness.py
+++ b/src/pomelolane/jobs/liveness.py
@@ -42,7 +42,7 @@
     return msgspec.json.decode(row.value, type=Beat)
 
 
-class Heart:
+class HeartbeatWriter:
     """Writes this VM's heartbeat row.
 
     Args:
--- a/src/pomelolane/jobs/runner.py
+++ b/src/pomelolane/jobs/runner.py
@@ -24,7 +24,7 @@
 
     from pomelolane.jobs.changes import Change
     from pomelolane.jobs.dispatcher import JobDispatcher
-    from pomelolane.jobs.liveness import Heart, RunnerWatch
+    from pomelolane.jobs.liveness import HeartbeatWriter, RunnerWatch
     from pomelolane.jobs.settings import JobSettings
     from pomelolane.jobs.store import JobStore
     from pomelolane.ports import Clock, Membership
@@ -40,7 +40,7 @@
         dispatcher: Runs requests.
         membership: Who is alive.
         watch: Judges other runners.
-        heart: Writes this runner's heartbeat.
+        heartbeat: Writes this runner's heartbeat.
         vm_id: This VM.
         incarnation: This start of it.
         clock: Monotonic clock.
@@ -54,7 +54,7 @@
         dispatcher: JobDispatcher,
         membership: Membership,
         watch: RunnerWatch,
-        heart: Heart,
+        heartbeat: HeartbeatWriter,
         vm_id: str,
         incarnation: int,
         clock: Clock,
@@ -65,7 +65,7 @@
         self._dispatcher = dispatcher
         self._membership = membership
         self._watch = watch
-        self._heart = heart
+        self._heartbeat = heartbeat
         self._vm_id = vm_id
         self._incarnation = incarnation
         self._clock = clock
@@ -142,7 +142,7 @@
             PlatformError: Perhaps not written.
         """
         if self._runs:
-            await self._heart.beat()
+            await self._heartbeat.beat()
 
     async def scan(self) -> None:
         """Look once at all open jobs and do what is this VM's to do.
--- a/tests/steps/jobs_steps.py
+++ b/tests/steps/jobs_steps.py
@@ -12,7 +12,7 @@
 
 from pomelolane.clock import MonotonicClock
 from pomelolane.jobs import JobRecord, JobState
-from pomelolane.jobs.liveness import Heart
+from pomelolane.jobs.liveness import HeartbeatWriter
 from pomelolane.outcomes import Refusal
 from pomelolane.platform import GroupCommitter, job_reservation
 from pomelolane.ports import ClaimRecord, Peer
@@ -128,11 +128,11 @@
     world = context.world
     world.membership.peers[vm_id] = Peer(vm_id, 2, "dc", "")
     committer = GroupCommitter(world.inner, MonotonicClock(), spacing_ms=1, lazy_ms=1)
-    heart = Heart(committer, "r", vm_id, 2, world.wall)
+    heartbeat = HeartbeatWriter(committer, "r", vm_id, 2, world.wall)
 
     async def beat_on():
         while True:
-            await heart.beat()
+            await heartbeat.beat()
             await asyncio.sleep(SETTINGS.beat_ms / 1000)
 
     context.beating = context.loop.create_task(beat_on())
