--- /dev/null
+++ b/src/pomelolane/meeting.py
@@ -0,0 +1,37 @@
+"""Waits until a starting VM has met the others, before it takes callers.
+
+Alone in its own view it would schedule every service, past requests of higher
+tiers that wait at the scheduler it has not heard of yet.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pomelolane.ports import Membership
+
+LONGEST_MS = 1500.0
+"""How long to wait for somebody: as long as a silent VM counts as alive."""
+
+QUIET_MS = 300.0
+"""The view must stand still for so long once it holds somebody else."""
+
+_STEP_MS = 20.0
+
+
+async def meet_others(membership: Membership) -> None:
+    """Return when the view has settled, or holds nobody else for long."""
+    waited_ms = quiet_ms = 0.0
+    number = membership.view().number
+    while waited_ms < LONGEST_MS:
+        await asyncio.sleep(_STEP_MS / 1000)
+        waited_ms += _STEP_MS
+        quiet_ms += _STEP_MS
+        view = membership.view()
+        if view.number != number:
+            number = view.number
+            quiet_ms = 0.0
+        if len(view.peers) > 1 and quiet_ms >= QUIET_MS:
+            return
--- a/src/pomelolane/node.py
+++ b/src/pomelolane/node.py
@@ -15,6 +15,7 @@
 from pomelolane.gateway import make_asgi
 from pomelolane.gateway.listener import Listener
 from pomelolane.logs import log_event
+from pomelolane.meeting import meet_others
 
 if TYPE_CHECKING:
     from pomelolane.parts import Parts
@@ -50,6 +51,8 @@
         parts = self._parts
         sock = _listening_socket(self._options.host, self._options.port)
         await parts.member.start()
+        if self._options.seeds or not parts.platform.is_embedded:
+            await meet_others(parts.member)
         parts.mount(self._app, self.stop_soon)
         await self._app.start()
         await parts.coordination.start()
--- a/tests/node.feature
+++ b/tests/node.feature
@@ -6,3 +6,14 @@
     Given a cluster of one VM in each data centre with no open request
     When all its VMs are told to stop together
     Then each of its VMs exits with 0
+
+  Scenario Outline: A starting VM waits until it has met the others
+    Given a view of a starting VM that <behaves>
+    When the starting VM meets the others
+    Then it takes callers <when>
+
+    Examples:
+      | behaves                         | when                            |
+      | holds another VM from the start | before the longest wait         |
+      | gets the others one by one      | with all of them in its view    |
+      | never holds anybody else        | after the longest wait only     |
--- a/tests/steps/node_steps.py
+++ b/tests/steps/node_steps.py
@@ -1,8 +1,12 @@
 """Steps of node.feature."""
 
+import time
+
 from behave import given, then, when
 
 from bench.cluster import Cluster
+from pomelolane.meeting import LONGEST_MS, meet_others
+from pomelolane.ports import Peer, View
 
 EXIT_TIMEOUT_S = 30
 
@@ -25,3 +29,46 @@
         return [await vm.wait_exit(EXIT_TIMEOUT_S) for vm in context.cluster.vms]
 
     assert context.run(exits()) == [0, 0, 0]
+
+
+class GrowingView:
+    """A view that gets one VM more at each look, up to a size."""
+
+    def __init__(self, first, size):
+        self.count, self.size = first, size
+
+    def view(self):
+        self.count = min(self.size, self.count + 1)
+        return View(self.count, {f"vm{n}": Peer(f"vm{n}", 1, "", "") for n in self.ids})
+
+    @property
+    def ids(self):
+        return range(self.count)
+
+
+@given("a view of a starting VM that {behaves}")
+def step_view(context, behaves):
+    sizes = {"holds": (1, 2), "gets": (0, 6), "never": (0, 1)}
+    context.membership = GrowingView(*sizes[behaves.split()[0]])
+
+
+@when("the starting VM meets the others")
+def step_meet(context):
+    begun = time.monotonic()
+    context.run(meet_others(context.membership))
+    context.waited_ms = (time.monotonic() - begun) * 1000
+
+
+@then("it takes callers before the longest wait")
+def step_early(context):
+    assert context.membership.count == 2
+
+
+@then("it takes callers with all of them in its view")
+def step_all(context):
+    assert context.membership.count == context.membership.size
+
+
+@then("it takes callers after the longest wait only")
+def step_late(context):
+    assert context.waited_ms >= LONGEST_MS
