Hold lower tiers longer while a new scheduler's gateways register

Cause: views differ for up to a second after a VM has died (silence is noticed within 1.6 s inside a data centre, 2 s between them). A new scheduler waited 300 ms for its gateways and then granted whatever it knew, so a summary could pass checks that waited at gateways which still followed the dead one. Ruled out: a longer wait for everybody, which would hold the highest tier back too. Now the highest tier waits 300 ms at most, the others up to 2 s or until all have registered. Red without the change: the desk's new scenario (the summary got the only slot).

--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -34,6 +34,7 @@
     from pomelolane.model import Endpoint, ServiceKind, Tree
     from pomelolane.ports import Clock, Decision, SchedulingCore
 
+TOP_RANK = 0
 _ABSENCES_UNTIL_GONE = 2
 
 
@@ -70,6 +71,7 @@
         self._leaving: set[str] = set()
         self._tree: Tree | None = None
         self._settle_by_ms: float | None = None
+        self._top_only = False
         self._awaited: frozenset[str] = frozenset()
 
     # --- what the role does with it ---------------------------------------
@@ -94,8 +96,14 @@
         self._carry_out(self.core.mark_returned(endpoint_id, now_ms))
 
     def settle(self, gateways: Iterable[str]) -> None:
-        """Hold all grants until these gateways have registered, or a while."""
+        """Hold all grants until these gateways have registered, or a while.
+
+        The highest tier is held for a short while only, the others longer:
+        views differ for a second after a VM has died, and a gateway that still
+        follows the dead one may have higher tiers waiting.
+        """
         self._awaited = frozenset(gateways)
+        self._top_only = False
         self._settle_by_ms = self._clock.now_ms() + self._timings.settle_ms
         for follower in self.book.followers.values():
             follower.registered = False
@@ -264,7 +272,7 @@
             entry = None
         if entry is None:
             entry = self._open(gateway, epoch, handle)
-            if not self.is_settling:
+            if self._may_queue(entry):
                 self._queue(entry)
             return
         entry.epoch = epoch
@@ -353,13 +361,25 @@
             return
         followers = self.book.followers
         registered = {name for name, one in followers.items() if one.registered}
-        if now_ms < self._settle_by_ms and not self._awaited <= registered:
+        if self._awaited <= registered:
+            self._settle_by_ms = None
+        elif now_ms < self._settle_by_ms:
             return
-        self._settle_by_ms = None
+        elif self._top_only:
+            self._settle_by_ms = None
+        else:
+            self._top_only = True
+            self._settle_by_ms = now_ms + self._timings.settle_lower_ms
         for entry in sorted(self.book.waiting(), key=lambda one: one.urgency):
-            if not entry.in_core and entry.request_id in self.book.entries:
+            known = entry.request_id in self.book.entries
+            if known and not entry.in_core and self._may_queue(entry):
                 self._queue(entry)
 
+    def _may_queue(self, entry: Entry) -> bool:
+        if self._settle_by_ms is None:
+            return True
+        return self._top_only and entry.handle.tier_rank == TOP_RANK
+
     # --- decisions --------------------------------------------------------
 
     def _carry_out(self, decisions: Sequence[Decision]) -> None:
--- a/src/pomelolane/coordination/options.py
+++ b/src/pomelolane/coordination/options.py
@@ -28,6 +28,7 @@
         progress_ms: Longest time for which token progress is gathered.
         fallback_ms: Without a scheduler for this long a gateway goes alone.
         settle_ms: Longest wait of a new scheduler for its gateways.
+        settle_lower_ms: How much longer it holds all but the highest tier.
         linger_ms: How long a former scheduler serves those that follow it.
         follower_silence_ms: A silent gateway is taken as gone after this.
         orphan_grace_ms: Least time for which a lost gateway's slot is held.
@@ -47,6 +48,7 @@
     progress_ms: float = 250.0
     fallback_ms: float = 1500.0
     settle_ms: float = 300.0
+    settle_lower_ms: float = 1700.0
     linger_ms: float = 2000.0
     follower_silence_ms: float = 5000.0
     orphan_grace_ms: float = 500.0
--- /dev/null
+++ b/tests/steps/coordination_desk_steps.py
@@ -0,0 +1,56 @@
+"""Steps of coordination/desk.feature."""
+
+from behave import given, then, when
+
+from pomelolane.clock import ManualClock
+from pomelolane.coordination.desk import Desk
+from pomelolane.coordination.options import Timings
+from pomelolane.messages import Granted, Handle, Submit, Sync
+from pomelolane.model import Endpoint, Service, ServiceKind, Tree, Work
+from pomelolane.scheduler import make_core
+
+TICK_MS = 50
+
+
+@given('a desk that settles for gateways "{one}" and "{two}" with {slots:d} free slot')
+def step_desk(context, one, two, slots):
+    context.clock = ManualClock(1000.0)
+    context.granted = []
+
+    def send(gateway, message):
+        if isinstance(message, Granted):
+            context.granted.append(gateway)
+
+    desk = Desk(
+        "chat", make_core("chat"), send, context.clock, Timings(), lambda _: 1.0
+    )
+    service = Service("chat", "t", ServiceKind.ENGINE, {"w": Work("w", "top", 9000)})
+    endpoint = Endpoint("e1", "chat", "dc", "", slots=slots, kv_tokens=100_000)
+    desk.configure(Tree(services={"chat": service}, endpoints={"e1": endpoint}))
+    desk.settle((one, two))
+    context.desk = desk
+
+
+@when('the desk is asked by "{gateway}" for tier {tier:d}')
+def step_ask(context, gateway, tier):
+    handle = Handle(f"r-{gateway}", "chat", "w", tier, "o", "t", 9000, 10, 10)
+    context.desk.receive(gateway, Submit(1, waiting=(handle,)))
+    context.desk.tick()
+
+
+@when("both gateways tell the desk all that they hold")
+def step_register(context):
+    context.desk.receive("a", Sync(1, "chat", waiting=("r-a",), whole=True))
+    context.desk.receive("b", Sync(1, "chat", whole=True))
+
+
+@when("the desk's clock moves on by {ms:d} ms")
+def step_advance(context, ms):
+    for _ in range(ms // TICK_MS):
+        context.clock.advance(TICK_MS)
+        context.desk.tick()
+
+
+@then('the desk has granted "{gateway}" only')
+def step_granted(context, gateway):
+    assert context.granted == [gateway], context.granted
