Let a woken scheduler settle anew, and its clock stand still with it

Now its desks read a clock without the pause, and after one they hold grants and refusals until their gateways have registered again. Red without the settling: the desk's scenario in clock.feature (the waiting request was displaced).

--- a/src/pomelolane/clock.py
+++ b/src/pomelolane/clock.py
@@ -6,6 +6,15 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pomelolane.ports import Clock
+
+LONGEST_GAP_MS = 1000.0
+"""Time between two readings above which a process counts as paused."""
 
 
 class MonotonicClock:
@@ -44,3 +53,39 @@
     def advance(self, by_ms: float) -> None:
         """Move forward by ``by_ms``."""
         self._now_ms += by_ms
+
+
+class SteadyClock:
+    """A clock that stands still while its process does.
+
+    Whoever judges others by their silence must not count the time in which it
+    could not listen. It has to be read often: a longer time between two readings
+    than ``longest_gap_ms`` counts as a pause of the process.
+
+    Args:
+        clock: The clock that goes on.
+        on_pause: Called at the first reading after a pause, before it returns.
+        longest_gap_ms: Longest time between two readings of a running process.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        on_pause: Callable[[], None],
+        longest_gap_ms: float = LONGEST_GAP_MS,
+    ) -> None:
+        self._clock = clock
+        self._on_pause = on_pause
+        self._longest_gap_ms = longest_gap_ms
+        self._last_ms = clock.now_ms()
+        self._paused_ms = 0.0
+
+    def now_ms(self) -> float:
+        """Return milliseconds of the time in which the process ran."""
+        now_ms = self._clock.now_ms()
+        gap_ms = now_ms - self._last_ms
+        self._last_ms = now_ms
+        if gap_ms > self._longest_gap_ms:
+            self._paused_ms += gap_ms
+            self._on_pause()
+        return now_ms - self._paused_ms
--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -8,6 +8,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from pomelolane.clock import SteadyClock
 from pomelolane.coordination.chooser import Chooser
 from pomelolane.coordination.client import CLIENT_MESSAGES, GatewayClient
 from pomelolane.coordination.epochs import Epochs
@@ -79,13 +80,15 @@
         self._handed_over = asyncio.Event()
         self._pace = PaceWatch(clock)
         self._chooser = Chooser(vm_id, membership, clock)
+        # What a scheduler believes of others ages only while it runs itself.
+        steady = SteadyClock(clock, self._settle_anew)
         # The role hears of a change first, so that a gateway which follows
         # its own VM finds the desk there.
         self.role = SchedulerRole(
-            vm_id, data_centre, self._chooser, transport, clock, make_core, timings
+            vm_id, data_centre, self._chooser, transport, steady, make_core, timings
         )
         self._local = LocalDesks(
-            vm_id, self._take_local_reply, clock, make_core, timings
+            vm_id, self._take_local_reply, steady, make_core, timings
         )
         self._chooser.on_change(self._rescope_local)
         self.client = GatewayClient(self._link_context(clock, incarnation))
@@ -97,6 +100,16 @@
         )
         self._subscribe()
 
+    def _settle_anew(self) -> None:
+        """Hold grants and refusals after a pause: the books are out of date.
+
+        Requests that came in meanwhile may have gone on elsewhere, and must not
+        push out those that still wait here.
+        """
+        gateways = self._chooser.gateways()
+        for desk in self.role.desks().values():
+            desk.settle(gateways)
+
     def _link_context(self, clock: Clock, incarnation: int) -> LinkContext:
         return LinkContext(
             vm_id=self._vm_id,
--- a/tests/steps/coordination_desk_steps.py
+++ b/tests/steps/coordination_desk_steps.py
@@ -5,7 +5,7 @@
 from pomelolane.clock import ManualClock
 from pomelolane.coordination.desk import Desk
 from pomelolane.coordination.options import Timings
-from pomelolane.messages import Granted, Handle, Submit, Sync
+from pomelolane.messages import Granted, Handle, Refused, Submit, Sync
 from pomelolane.model import Endpoint, Service, ServiceKind, Tree, Work
 from pomelolane.scheduler import make_core
 
@@ -16,15 +16,19 @@
 def step_desk(context, one, two, slots):
     context.clock = ManualClock(1000.0)
     context.granted = []
+    context.refused = []
 
     def send(gateway, message):
         if isinstance(message, Granted):
             context.granted.append(gateway)
+        elif isinstance(message, Refused):
+            context.refused.append(gateway)
 
     desk = Desk(
         "chat", make_core("chat"), send, context.clock, Timings(), lambda _: 1.0
     )
-    service = Service("chat", "t", ServiceKind.ENGINE, {"w": Work("w", "top", 9000)})
+    works = {"w": Work("w", "top", 9000)}
+    service = Service("chat", "t", ServiceKind.ENGINE, works, queue_limit=1)
     endpoint = Endpoint("e1", "chat", "dc", "", slots=slots, kv_tokens=100_000)
     desk.configure(Tree(services={"chat": service}, endpoints={"e1": endpoint}))
     desk.settle((one, two))
@@ -54,3 +58,26 @@
 @then('the desk has granted "{gateway}" only')
 def step_granted(context, gateway):
     assert context.granted == [gateway], context.granted
+
+
+@given(
+    "the desk's queue holds 1 request, its slot is taken and "
+    '"{gateway}" waits in tier {tier:d}'
+)
+def step_full(context, gateway, tier):
+    context.desk.receive("a", Sync(1, "chat", whole=True))
+    context.desk.receive("b", Sync(1, "chat", whole=True))
+    for request_id, rank in (("first", 0), ("second", tier)):
+        handle = Handle(request_id, "chat", "w", rank, "o", "t", 9000, 10, 10)
+        context.desk.receive(gateway, Submit(1, waiting=(handle,)))
+    assert context.granted == [gateway]
+
+
+@when("the desk settles anew")
+def step_settle(context):
+    context.desk.settle(("a", "b"))
+
+
+@then("the desk has refused nobody")
+def step_nobody(context):
+    assert context.refused == [], context.refused
