Take no leaving mark back when its maker is gone

Taking marks back was wired to the member's word that nobody marks the endpoint any more, which is also so when the VM that made the mark was killed or frozen; until the next scheduler had asked the engine again, it was granted. Ruled out: a late report (the engine had said so for 13 s). The wiring goes; marks stay as they did in the proofs of leaving. Conclusion: a mark has to carry its source before it can be taken back.

--- a/src/pomelolane/assembly.py
+++ b/src/pomelolane/assembly.py
@@ -172,7 +172,6 @@
         on_endpoint_leaving=lambda endpoint: member.mark_leaving(endpoint, "engine"),
     )
     member.on_leaving(lambda endpoint, _: coordination.mark_leaving(endpoint))
-    member.on_returned(coordination.mark_returned)
     ground.tree.on_change(coordination.configure)
     return coordination
 
