Tell a core of leaving marks with the tree, not after it

A data centre out of view is handed to the core as leaving; when it comes back the core opened its endpoints, granted what waited, and was told only then that one of them is marked. Now the desk declares marked endpoints as leaving in the tree that it hands over. Red before: the desk's new scenario, which granted the marked endpoint's slot.

--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from pomelolane.coordination.book import Book, Entry, Follower
@@ -79,11 +80,21 @@
     def configure(self, tree: Tree) -> None:
         """Adopt a settings tree, already cut down to what may be granted."""
         self._tree = tree
-        self._carry_out(self.core.configure(tree, self._clock.now_ms()))
-        for endpoint_id in self._leaving & set(tree.endpoints):
-            self._mark_leaving(endpoint_id)
+        marked = self._with_marks(tree)
+        self._carry_out(self.core.configure(marked, self._clock.now_ms()))
         self._update_share()
 
+    def _with_marks(self, tree: Tree) -> Tree:
+        """Return the tree with the marked endpoints declared as leaving.
+
+        A core that is told of the marks only after the tree would open them for
+        a moment whenever their data centre comes back, and grant at once.
+        """
+        endpoints = dict(tree.endpoints)
+        for endpoint_id in self._leaving & endpoints.keys():
+            endpoints[endpoint_id] = replace(endpoints[endpoint_id], leaving=True)
+        return replace(tree, endpoints=endpoints)
+
     def mark_leaving(self, endpoint_id: str) -> None:
         """Grant nothing more to an endpoint, whatever the tree says."""
         self._leaving.add(endpoint_id)
@@ -93,6 +104,8 @@
         """Take back a mark; the tree's word stands."""
         self._leaving.discard(endpoint_id)
         now_ms = self._clock.now_ms()
+        if self._tree is not None:
+            self.configure(self._tree)
         self._carry_out(self.core.mark_returned(endpoint_id, now_ms))
 
     def settle(self, gateways: Iterable[str]) -> None:
--- a/tests/coordination/desk.feature
+++ b/tests/coordination/desk.feature
@@ -25,3 +25,9 @@
     When the desk is asked by "a" for tier 2
     And both gateways tell the desk all that they hold
     Then the desk has granted "a" only
+
+  Scenario: An endpoint that leaves gets nothing when its data centre comes back
+    Given the desk has settled and its endpoint is marked as leaving
+    When the desk is asked by "a" for tier 0
+    And the endpoint's data centre is cut off from the desk and comes back
+    Then the desk has granted nobody else
--- a/tests/steps/coordination_desk_steps.py
+++ b/tests/steps/coordination_desk_steps.py
@@ -1,5 +1,7 @@
 """Steps of coordination/desk.feature."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from pomelolane.clock import ManualClock
@@ -30,7 +32,8 @@
     works = {"w": Work("w", "top", 9000)}
     service = Service("chat", "t", ServiceKind.ENGINE, works, queue_limit=1)
     endpoint = Endpoint("e1", "chat", "dc", "", slots=slots, kv_tokens=100_000)
-    desk.configure(Tree(services={"chat": service}, endpoints={"e1": endpoint}))
+    context.tree = Tree(services={"chat": service}, endpoints={"e1": endpoint})
+    desk.configure(context.tree)
     desk.settle((one, two))
     context.desk = desk
 
@@ -81,3 +84,32 @@
 @then("the desk has refused nobody")
 def step_nobody(context):
     assert context.refused == [], context.refused
+
+
+@given("the desk has settled and its endpoint is marked as leaving")
+def step_leaving(context):
+    context.desk.receive("a", Sync(1, "chat", whole=True))
+    context.desk.receive("b", Sync(1, "chat", whole=True))
+    # Another endpoint keeps the queue open; its only slot is taken.
+    other = replace(context.tree.endpoints["e1"], endpoint_id="e2")
+    endpoints = {**context.tree.endpoints, "e2": other}
+    context.tree = replace(context.tree, endpoints=endpoints)
+    context.desk.configure(context.tree)
+    context.desk.mark_leaving("e1")
+    handle = Handle("first", "chat", "w", 0, "o", "t", 9000, 10, 10)
+    context.desk.receive("b", Submit(1, waiting=(handle,)))
+    assert context.granted == ["b"]
+
+
+@when("the endpoint's data centre is cut off from the desk and comes back")
+def step_cut(context):
+    endpoint = context.tree.endpoints["e1"]
+    cut = {**context.tree.endpoints, "e1": replace(endpoint, leaving=True)}
+    context.desk.configure(replace(context.tree, endpoints=cut))
+    context.desk.configure(context.tree)
+    context.desk.tick()
+
+
+@then("the desk has granted nobody else")
+def step_granted_nobody(context):
+    assert context.granted == ["b"], context.granted
