Let every scheduler that hears an engine leave make the mark

With the first maker killed, a VM that started later never heard of it, became scheduler and granted until its own first report.

--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -76,6 +76,7 @@
         self._on_endpoint_leaving = on_endpoint_leaving
         self._tree = Tree()
         self._leaving: set[str] = set()
+        self._told_leaving: set[str] = set()
         self._tasks: list[asyncio.Task] = []
         self._handed_over = asyncio.Event()
         self._pace = PaceWatch(clock)
@@ -252,11 +253,17 @@
             self._handed_over.set()
 
     def _engine_leaves(self, endpoint_id: str) -> None:
-        if endpoint_id in self._leaving:
-            return
-        log_event(ENDPOINT_LEAVING, endpoint=endpoint_id, source="engine")
-        self.mark_leaving(endpoint_id)
-        self._on_endpoint_leaving(endpoint_id)
+        """Mark an engine that says so, once for each VM that hears it.
+
+        A mark is repeated by its makers only: whoever schedules the engine now
+        has to be one, or the mark would end with the VM that heard it first.
+        """
+        if endpoint_id not in self._leaving:
+            log_event(ENDPOINT_LEAVING, endpoint=endpoint_id, source="engine")
+            self.mark_leaving(endpoint_id)
+        if endpoint_id not in self._told_leaving:
+            self._told_leaving.add(endpoint_id)
+            self._on_endpoint_leaving(endpoint_id)
 
     async def _tick_forever(self) -> None:
         period_s = self._timings.client_tick_ms / 1000
