--- a/bench/claims.py
+++ b/bench/claims.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 
 from pomelolane.clock import MonotonicClock
-from pomelolane.platform import (
+from pomelolane.store import (
     GroupCommitter,
     make_claims,
     make_gathering_committer,
--- /dev/null
+++ b/deploy/start.py
@@ -0,0 +1,10 @@
+"""Starts the program from the sources, with its libraries on the path already."""
+
+import sys
+from pathlib import Path
+
+sys.path[0] = str(Path(__file__).resolve().parent.parent / "src")
+
+from pomelolane.__main__ import main  # noqa: E402
+
+sys.exit(main())
--- a/src/pomelolane/assembly.py
+++ b/src/pomelolane/assembly.py
@@ -33,7 +33,10 @@
     make_member,
 )
 from pomelolane.parts import Parts
-from pomelolane.platform import (
+from pomelolane.registry import ENDPOINT_ADAPTERS
+from pomelolane.settings.distribution import make_distribution
+from pomelolane.settings.store import SettingsStore
+from pomelolane.store import (
     ClaimSweeper,
     GroupCommitter,
     ModelKeeper,
@@ -44,10 +47,7 @@
     make_leases,
     platform_from_url,
 )
-from pomelolane.platform.orders import HttpOrderSender
-from pomelolane.registry import ENDPOINT_ADAPTERS
-from pomelolane.settings.distribution import make_distribution
-from pomelolane.settings.store import SettingsStore
+from pomelolane.store.orders import HttpOrderSender
 from pomelolane.tree import CurrentTree
 
 if TYPE_CHECKING:
@@ -56,9 +56,9 @@
     from pomelolane.coordination import Coordination
     from pomelolane.jobs import Jobs
     from pomelolane.membership import Member
-    from pomelolane.platform import Committer, Platform, TableClaims
     from pomelolane.ports import Clock, EndpointAdapter
     from pomelolane.settings.options import ServeOptions
+    from pomelolane.store import Committer, Platform, TableClaims
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/commands/application.py
+++ b/src/pomelolane/commands/application.py
@@ -38,6 +38,7 @@
     "drain": "drain:DrainCommand",
     "events": "events:EventsCommand",
     "options": "options:OptionsCommand",
+    "platform": "platform:PlatformCommand",
 }
 
 
--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -37,7 +37,7 @@
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock, Membership, SchedulingCore, Transport
 
-SHARED_POLICIES = frozenset({"pomelolane", "single_queue"})
+SHARED_POLICIES = frozenset({"pomelolane", "single_queue", "objective"})
 """Policies with one queue a service; the others decide at each gateway."""
 
 _SPLIT_POLICIES = frozenset({"gateway_queues"})
@@ -67,6 +67,7 @@
         make_core: Callable[[str], SchedulingCore],
         address_of: Callable[[Endpoint], str],
         on_endpoint_leaving: Callable[[str], None],
+        polls_engines: bool,
     ) -> None:
         self._vm_id = vm_id
         self._data_centre = data_centre
@@ -74,6 +75,7 @@
         self._policy = policy
         self._timings = timings
         self._on_endpoint_leaving = on_endpoint_leaving
+        self._polls_engines = polls_engines
         self._tree = Tree()
         self._leaving: set[str] = set()
         self._told_leaving: set[str] = set()
@@ -157,10 +159,9 @@
 
     async def start(self) -> None:
         """Begin to tick and to ask engines for reports."""
-        self._tasks = [
-            asyncio.create_task(self._tick_forever()),
-            asyncio.create_task(self.poller.run()),
-        ]
+        self._tasks = [asyncio.create_task(self._tick_forever())]
+        if self._polls_engines:
+            self._tasks.append(asyncio.create_task(self.poller.run()))
 
     async def stop(self) -> None:
         """Stop both."""
@@ -293,6 +294,7 @@
     make_core: Callable[[str], SchedulingCore] | None = None,
     address_of: Callable[[Endpoint], str] | None = None,
     on_endpoint_leaving: Callable[[str], None] | None = None,
+    polls_engines: bool = True,
 ) -> Coordination:
     """Return a VM's part in scheduling under a placement policy.
 
@@ -309,6 +311,7 @@
             factory of the policy.
         address_of: This VM's route to an endpoint; by default the declared.
         on_endpoint_leaving: Told when an engine says that it is leaving.
+        polls_engines: Whether engines are asked for load and cache events.
     """
     if incarnation is None:
         own = membership.view().peers.get(vm_id)
@@ -325,6 +328,7 @@
         make_core or lookup(PLACEMENT_POLICIES, policy),
         address_of or _declared_address,
         on_endpoint_leaving or _ignore,
+        polls_engines,
     )
 
 
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -59,6 +59,13 @@
     "vm open_requests",
     "A planned stop has begun; open requests are finished first.",
 )
+LINES_LOST = _define(
+    106,
+    "lines_lost",
+    "warning",
+    "lines",
+    "Log lines over the bound, or that nobody read, were counted and not written.",
+)
 VM_STOPPED = _define(104, "vm_stopped", "info", "vm", "The process ends.")
 TASK_FAILED = _define(
     105, "task_failed", "error", "task error", "A background task failed and restarts."
@@ -118,6 +125,58 @@
     208, "bad_input", "info", "reason status", "A malformed request was turned away."
 )
 
+FORWARD_ACCEPTED = _define(
+    211,
+    "forward_accepted",
+    "info",
+    "request grant route service organisation rank kind objective_ms limit_ms "
+    "prompt_tokens charge_tokens version",
+    "A routed request passed the checks under this configuration version.",
+)
+FORWARD_SENT = _define(
+    212,
+    "forward_sent",
+    "info",
+    "request grant endpoint send waited_ms expected_ms left_ms list_age_ms",
+    "The request leaves for the endpoint; from here it may have run.",
+)
+FORWARD_FINISHED = _define(
+    213,
+    "forward_finished",
+    "info",
+    "request endpoint status first_ms total_ms pieces bytes",
+    "The endpoint's whole answer went to the caller.",
+)
+FORWARD_REFUSED = _define(
+    214,
+    "forward_refused",
+    "info",
+    "request route service outcome reason status held_ms retry_after_ms sends endpoint "
+    "detail",
+    "The caller got the gateway's own final answer, or a visible break (status 0).",
+)
+FORWARD_FAILED = _define(
+    215,
+    "forward_failed",
+    "warning",
+    "request endpoint send reason may_have_run answer_begun detail",
+    "One send ended without a whole answer.",
+)
+FORWARD_RETRIED = _define(
+    216,
+    "forward_retried",
+    "info",
+    "request send reason budget",
+    "The request is offered to another endpoint.",
+)
+FORWARD_ABANDONED = _define(
+    217,
+    "forward_abandoned",
+    "info",
+    "request endpoint sends answer_begun held_ms",
+    "The caller left; its run is cancelled by closing the endpoint's connection.",
+)
+
 # 3xx: the scheduler
 PLACED = _define(
     301,
@@ -232,6 +291,21 @@
     "A peer that gathers commits did not answer; this VM reads back and commits.",
 )
 
+STORE_LOST = _define(
+    510,
+    "store_lost",
+    "warning",
+    "what error age_ms",
+    "A watch of the metadata store fails; what it brought last stays in force.",
+)
+STORE_REGAINED = _define(
+    511,
+    "store_regained",
+    "info",
+    "what down_ms version",
+    "A watch of the metadata store succeeds again.",
+)
+
 # 6xx: jobs
 JOB_ACCEPTED = _define(
     601, "job_accepted", "info", "job organisation service", "202 was answered."
@@ -300,6 +374,28 @@
     "platform's answer stayed unknown.",
 )
 
+CONFIGURATION_APPLIED = _define(
+    705,
+    "configuration_applied",
+    "info",
+    "version routes services organisations",
+    "A configuration of routed services is in force.",
+)
+CONFIGURATION_REJECTED = _define(
+    706,
+    "configuration_rejected",
+    "error",
+    "error version",
+    "A configuration could not be read; the one before stays in force.",
+)
+SETTINGS_FILE_READ = _define(
+    707,
+    "settings_file_read",
+    "info",
+    "vm data_centre role front peers",
+    "The settings file of the platform was read, at start or after a signal.",
+)
+
 # 8xx: endpoints
 ENDPOINT_LEAVING = _define(
     801, "endpoint_leaving", "info", "endpoint source", "It gets no further grant."
@@ -311,3 +407,13 @@
     "endpoint model fencing answer",
     "An engine was ordered to load a model.",
 )
+ENDPOINT_KNOWN = _define(
+    803,
+    "endpoint_known",
+    "info",
+    "endpoint service data_centre leaving version",
+    "The registry lists an endpoint, or lists it otherwise than before.",
+)
+ENDPOINT_GONE = _define(
+    804, "endpoint_gone", "info", "endpoint version", "The registry lists it no more."
+)
--- /dev/null
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -0,0 +1,431 @@
+"""The life of a forwarded request: check, wait for a slot, send, relay, end.
+
+Nothing else sends callers' requests to endpoints. What an endpoint may have
+begun is noted before the first byte leaves, and never taken back but by the
+endpoint's own word.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from pomelolane import events
+from pomelolane.exceptions import (
+    BadRequestError,
+    EndpointBrokenError,
+    EndpointRefusedError,
+)
+from pomelolane.forwarding import metrics
+from pomelolane.forwarding.call import CallState
+from pomelolane.forwarding.refusals import (
+    answer_refusal,
+    refusal_from_error,
+    truthful,
+)
+from pomelolane.forwarding.relay import Relay
+from pomelolane.gateway.watch import StreamWatch
+from pomelolane.logs import log_event
+from pomelolane.messages import Handle
+from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.ports.forwarding import Dispatch, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pomelolane.forwarding.budget import SharedRetryBudget
+    from pomelolane.forwarding.call import ForwardCall
+    from pomelolane.forwarding.endpoints import EndpointDirectory
+    from pomelolane.forwarding.intake import Intake
+    from pomelolane.forwarding.sender import Sender, Sent
+    from pomelolane.gateway.exchange import Exchange
+    from pomelolane.model import Endpoint
+    from pomelolane.ports import Clock, Grant, SchedulerClient
+
+MAX_TRIES = 6
+"""Grants that one request may ask for; refused connections cost no send."""
+
+RETRY_AFTER_MS = 300
+"""When to come back after an endpoint has refused: about a request's time."""
+
+_SERVER_ERROR = 500
+_DELIVERED = "delivered"
+
+
+class _Again(Exception):  # noqa: N818  (a signal, not an error)
+    """The request may be tried at another endpoint."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class Forwarder:
+    """Serves callers of routed services.
+
+    Args:
+        intake: Checks requests.
+        client: Where slots come from.
+        sender: Writes to endpoints.
+        directory: Endpoints as known here.
+        make_budget: Makes a service's budget of repeated sends.
+        clock: Time.
+        data_centre: Where this VM stands.
+    """
+
+    def __init__(
+        self,
+        intake: Intake,
+        client: SchedulerClient,
+        sender: Sender,
+        directory: EndpointDirectory,
+        make_budget: Callable[[], SharedRetryBudget],
+        clock: Clock,
+        data_centre: str,
+    ) -> None:
+        self._intake = intake
+        self._client = client
+        self._sender = sender
+        self._directory = directory
+        self._make_budget = make_budget
+        self._clock = clock
+        self._data_centre = data_centre
+        self._budgets: dict[str, SharedRetryBudget] = {}
+        self.open_calls: dict[str, CallState] = {}
+        self.draining = False
+        self._idle = asyncio.Event()
+
+    async def idle(self) -> None:
+        """Return when no request is open."""
+        while self.open_calls:
+            self._idle.clear()
+            await self._idle.wait()
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Serve one exchange to its end."""
+        task = asyncio.current_task()
+        try:
+            call = await self._intake.take(exchange)
+        except BadRequestError as error:
+            await self._turn_away(exchange, error)
+            return
+        exchange.watch_disconnect(task.cancel)
+        state = CallState(call, last_event_id=call.description.resume_after)
+        self.open_calls[call.local_id] = state
+        _log_accepted(call)
+        try:
+            await self._serve(state, exchange)
+        except asyncio.CancelledError:
+            if not exchange.gone:
+                raise
+            task.uncancel()
+            self._log_gone(state)
+        finally:
+            del self.open_calls[call.local_id]
+            self._idle.set()
+
+    async def _turn_away(self, exchange: Exchange, error: BadRequestError) -> None:
+        refusal = refusal_from_error(error)
+        log_event(events.BAD_INPUT, reason=refusal.reason, status=error.status)
+        metrics.count_end("", "", 0, refusal.outcome.value, refusal.reason.value)
+        await answer_refusal(exchange, refusal, "", closes=self.draining)
+
+    async def _serve(self, state: CallState, exchange: Exchange) -> None:
+        call = state.call
+        relay = Relay(exchange, state, closes=self.draining)
+        self._budget(call.service).earn()
+        try:
+            async with asyncio.timeout(max(0.0, self._left_ms(call)) / 1000):
+                refusal = await self._run(state, relay)
+        except TimeoutError:
+            refusal = self._timed_out(state)
+        if refusal is None:
+            metrics.count_end(call.route.name, call.service, call.rank, _DELIVERED)
+            return
+        await self._refuse(state, exchange, refusal)
+
+    async def _run(self, state: CallState, relay: Relay) -> Refusal | None:
+        """Try endpoints until one answers; return the refusal if none does."""
+        while True:
+            grant = await self._acquire(state)
+            if isinstance(grant, Refusal):
+                return truthful(state, grant)
+            state.tries += 1
+            watch = StreamWatch(self._client, grant, self._clock)
+            try:
+                await self._attempt(state, relay, grant, watch)
+            except _Again as again:
+                if not self._may_repeat(state):
+                    return truthful(state, again.refusal)
+                self._log_retry(state, again.refusal)
+                continue
+            finally:
+                watch.finish()
+            return None
+
+    async def _acquire(self, state: CallState) -> Grant | Refusal:
+        asked_ms = self._clock.now_ms()
+        grant = await self._client.acquire(self._handle(state))
+        metrics.observe_wait(state.call.service, self._clock.now_ms() - asked_ms)
+        return grant
+
+    async def _attempt(
+        self, state: CallState, relay: Relay, grant: Grant, watch: StreamWatch
+    ) -> None:
+        """Send to one endpoint and relay its answer.
+
+        Raises:
+            _Again: It gave no answer that the caller has seen the end of.
+        """
+        call = state.call
+        endpoint = self._directory.usable(grant.endpoint_id)
+        state.endpoint_id = grant.endpoint_id
+        if endpoint is None:
+            raise self._not_taken(state, watch, "the endpoint is leaving")
+        try:
+            connection = await self._sender.connect(endpoint)
+        except EndpointRefusedError as error:
+            raise self._not_taken(state, watch, str(error)) from error
+        left_ms = int(self._left_ms(call))
+        if left_ms <= 0:
+            raise TimeoutError
+        may_have_run, state.may_have_run = state.may_have_run, True
+        state.sends += 1
+        watch.dispatched()
+        self._log_sent(state, grant, left_ms)
+        dispatch = Dispatch(call.organisation, left_ms, state.last_event_id)
+        try:
+            sent = await self._sender.send(connection, call, endpoint, dispatch)
+        except EndpointRefusedError as error:
+            state.may_have_run = may_have_run
+            state.sends -= 1
+            raise self._not_taken(state, watch, str(error)) from error
+        except EndpointBrokenError as error:
+            raise self._broken(state, watch, str(error)) from error
+        if sent.verdict is Verdict.NOT_RUN:
+            state.may_have_run = may_have_run
+            await sent.stream.aclose()
+            raise self._not_taken(state, watch, "the endpoint did not run it")
+        await self._pass_on(state, relay, sent, watch, endpoint)
+
+    async def _pass_on(
+        self,
+        state: CallState,
+        relay: Relay,
+        sent: Sent,
+        watch: StreamWatch,
+        endpoint: Endpoint,
+    ) -> None:
+        stream = sent.stream
+        failed = stream.status >= _SERVER_ERROR
+        try:
+            if failed and self._can_repeat(state):
+                detail = f"the endpoint answered {stream.status}"
+                raise self._broken(state, watch, detail)
+            await stream.wait()
+            if not stream.is_broken_unread:
+                watch.first()
+                self._observe_first(state)
+            end = await relay.pass_on(stream, watch.progress)
+        finally:
+            await stream.aclose()
+        if not end.whole:
+            raise self._broken(state, watch, str(stream.error))
+        if failed:
+            watch.finish(outcome=Outcome.FAILED)
+        metrics.count_send(state.call.service, "answered")
+        log_event(
+            events.FORWARD_FINISHED,
+            request=state.call.log_id,
+            endpoint=endpoint.endpoint_id,
+            status=stream.status,
+            first_ms=watch.ttft_ms,
+            total_ms=self._clock.now_ms() - state.call.accepted_ms,
+            pieces=end.events,
+            bytes=end.bytes,
+        )
+
+    # --- what went wrong ----------------------------------------------------
+
+    def _not_taken(self, state: CallState, watch: StreamWatch, detail: str) -> _Again:
+        """Judge a send that the endpoint has certainly not begun."""
+        state.excluded += (state.endpoint_id,)
+        watch.finish(refused=True, outcome=Outcome.NOT_RUN)
+        return self._failed(state, Reason.ENDPOINT_REFUSED, detail)
+
+    def _broken(self, state: CallState, watch: StreamWatch, detail: str) -> _Again:
+        """Judge a send that the endpoint may have begun."""
+        state.excluded += (state.endpoint_id,)
+        watch.finish(outcome=Outcome.FAILED)
+        return self._failed(state, Reason.ENDPOINT_BROKEN, detail)
+
+    def _failed(self, state: CallState, reason: Reason, detail: str) -> _Again:
+        metrics.count_send(state.call.service, reason.value)
+        log_event(
+            events.FORWARD_FAILED,
+            request=state.call.log_id,
+            endpoint=state.endpoint_id,
+            send=state.sends,
+            reason=reason,
+            may_have_run=state.may_have_run,
+            answer_begun=state.answer_begun,
+            detail=detail,
+        )
+        return _Again(Refusal(Outcome.NOT_RUN, reason, RETRY_AFTER_MS, detail))
+
+    def _can_repeat(self, state: CallState) -> bool:
+        """Tell whether another endpoint may be asked, budget aside."""
+        call = state.call
+        if state.tries >= MAX_TRIES or state.sends >= call.route.attempts:
+            return False
+        if state.may_have_run and not call.route.is_repeatable:
+            return False
+        return not state.answer_begun or call.route.is_resumable
+
+    def _may_repeat(self, state: CallState) -> bool:
+        """Tell whether another endpoint may be asked, and pay for it."""
+        if not self._can_repeat(state):
+            return False
+        # A send that reached no endpoint costs nothing of the budget.
+        return state.sends == 0 or self._budget(state.call.service).spend()
+
+    def _timed_out(self, state: CallState) -> Refusal:
+        refusal = Refusal(
+            Outcome.NOT_RUN,
+            Reason.DEADLINE_PASSED,
+            RETRY_AFTER_MS,
+            "the time allowed has passed",
+        )
+        return truthful(state, refusal)
+
+    async def _refuse(
+        self, state: CallState, exchange: Exchange, refusal: Refusal
+    ) -> None:
+        call = state.call
+        held_ms = self._clock.now_ms() - call.accepted_ms
+        status = 0
+        if state.answer_begun:
+            # The head is out: only a visible break tells the truth now.
+            exchange.abort()
+        else:
+            status = await answer_refusal(
+                exchange, refusal, call.log_id, closes=self.draining
+            )
+        metrics.count_end(
+            call.route.name,
+            call.service,
+            call.rank,
+            refusal.outcome.value,
+            refusal.reason.value,
+        )
+        log_event(
+            events.FORWARD_REFUSED,
+            request=call.log_id,
+            route=call.route.name,
+            service=call.service,
+            outcome=refusal.outcome,
+            reason=refusal.reason,
+            status=status,
+            held_ms=held_ms,
+            retry_after_ms=refusal.retry_after_ms,
+            sends=state.sends,
+            endpoint=state.endpoint_id,
+            detail=refusal.detail,
+        )
+
+    # --- helpers --------------------------------------------------------------
+
+    def _left_ms(self, call: ForwardCall) -> float:
+        return call.limit_ms - (self._clock.now_ms() - call.accepted_ms)
+
+    def _budget(self, service: str) -> SharedRetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = self._make_budget()
+        return budget
+
+    def _handle(self, state: CallState) -> Handle:
+        call = state.call
+        described = call.description
+        hint = described.answer_hint_tokens or described.answer_limit_tokens
+        objective_ms = min(call.route.objective_ms or call.limit_ms, call.limit_ms)
+        return Handle(
+            request_id=f"{call.local_id}.{state.tries}",
+            service=call.service,
+            work=call.route.name,
+            tier_rank=call.rank,
+            organisation=call.organisation,
+            team="",
+            budget_ms=max(0, int(self._left_ms(call))),
+            prefill_tokens=described.prompt_tokens,
+            decode_tokens=hint,
+            data_centre=self._data_centre,
+            excluded=state.excluded,
+            attempt=state.tries,
+            objective_ms=objective_ms,
+            late_window_ms=call.limit_ms - objective_ms,
+            gap_ms=call.route.gap_ms,
+            charge_tokens=call.charge_tokens,
+        )
+
+    def _observe_first(self, state: CallState) -> None:
+        first_ms = self._clock.now_ms() - state.call.accepted_ms
+        metrics.observe_first(state.call.service, first_ms)
+
+    def _log_sent(self, state: CallState, grant: Grant, left_ms: int) -> None:
+        log_event(
+            events.FORWARD_SENT,
+            request=state.call.log_id,
+            grant=grant.request_id,
+            endpoint=grant.endpoint_id,
+            send=state.sends,
+            waited_ms=self._clock.now_ms() - state.call.accepted_ms,
+            expected_ms=grant.expected_ttft_ms,
+            left_ms=left_ms,
+            list_age_ms=self._directory.age_ms,
+        )
+
+    def _log_retry(self, state: CallState, refusal: Refusal) -> None:
+        log_event(
+            events.FORWARD_RETRIED,
+            request=state.call.log_id,
+            send=state.sends,
+            reason=refusal.reason,
+            budget=self._budget(state.call.service).balance,
+        )
+
+    def _log_gone(self, state: CallState) -> None:
+        call = state.call
+        metrics.count_end(
+            call.route.name,
+            call.service,
+            call.rank,
+            Outcome.UNKNOWN.value,
+            Reason.CALLER_GONE.value,
+        )
+        log_event(
+            events.FORWARD_ABANDONED,
+            request=call.log_id,
+            endpoint=state.endpoint_id,
+            sends=state.sends,
+            answer_begun=state.answer_begun,
+            held_ms=self._clock.now_ms() - call.accepted_ms,
+        )
+
+
+def _log_accepted(call: ForwardCall) -> None:
+    log_event(
+        events.FORWARD_ACCEPTED,
+        request=call.log_id,
+        grant=call.local_id,
+        route=call.route.name,
+        service=call.service,
+        organisation=call.organisation,
+        rank=call.rank,
+        kind=call.route.kind,
+        objective_ms=call.route.objective_ms,
+        limit_ms=call.limit_ms,
+        prompt_tokens=call.description.prompt_tokens,
+        charge_tokens=call.charge_tokens,
+        version=call.version,
+    )
--- /dev/null
+++ b/src/pomelolane/forwarding/intake.py
@@ -0,0 +1,108 @@
+"""Checks a caller's request: route, key, body."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING
+
+from pomelolane.exceptions import BadRequestError
+from pomelolane.forwarding.call import ForwardCall
+from pomelolane.forwarding.routes import RouteTable, service_from_route
+from pomelolane.outcomes import Reason
+
+if TYPE_CHECKING:
+    from pomelolane.forwarding.configuration import Configuration, Route
+    from pomelolane.gateway.exchange import Exchange
+    from pomelolane.ports import Clock
+    from pomelolane.ports.forwarding import CallDescription, Dialect
+
+DEFAULT_DEADLINE_MS = 30_000
+"""For callers that name no deadline on a route without a timeout."""
+
+BODY_TIMEOUT_MS = 10_000
+"""Longest time for a body; callers on slow links send megabytes in less."""
+
+
+class Intake:
+    """Turns exchanges into checked calls.
+
+    Args:
+        dialect: Reads the callers' heads.
+        clock: Time.
+    """
+
+    def __init__(self, dialect: Dialect, clock: Clock) -> None:
+        self._dialect = dialect
+        self._clock = clock
+        self._routes = RouteTable(())
+        self._configuration: Configuration | None = None
+
+    def adopt(self, configuration: Configuration) -> None:
+        """Check by another configuration from now on."""
+        self._routes = RouteTable(configuration.routes)
+        self._configuration = configuration
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a configuration is known."""
+        return self._configuration is not None
+
+    async def take(self, exchange: Exchange) -> ForwardCall:
+        """Check a request and read its body.
+
+        Raises:
+            BadRequestError: It cannot be served, with the status to answer.
+        """
+        accepted_ms = self._clock.now_ms()
+        configuration = self._configuration
+        if configuration is None:
+            raise BadRequestError(503, Reason.NOT_READY, "no configuration is known")
+        description = self._dialect.describe(exchange.headers)
+        route = self._find_route(exchange)
+        organisation = _authenticate(configuration, route, description)
+        limits = configuration.limits
+        body = await exchange.read_body(limits.max_body_bytes, BODY_TIMEOUT_MS)
+        limit_ms = description.deadline_ms or DEFAULT_DEADLINE_MS
+        if route.timeout_ms:
+            limit_ms = min(limit_ms, route.timeout_ms)
+        charge = description.prompt_tokens + description.answer_limit_tokens
+        rank = configuration.rank_by_organisation.get(organisation, route.rank)
+        return ForwardCall(
+            local_id=uuid.uuid4().hex,
+            description=description,
+            route=route,
+            service=service_from_route(route, description.request_id),
+            organisation=organisation,
+            rank=rank,
+            charge_tokens=charge or configuration.plain_tokens,
+            method=exchange.method,
+            target=_target(exchange),
+            headers=tuple(exchange.headers),
+            body=body,
+            accepted_ms=accepted_ms,
+            limit_ms=limit_ms,
+            version=configuration.version,
+        )
+
+    def _find_route(self, exchange: Exchange) -> Route:
+        host = exchange.header(b"host").decode("latin-1")
+        route = self._routes.find(host, exchange.path.decode("latin-1"))
+        if route is None:
+            raise BadRequestError(404, Reason.NOT_FOUND, "no route has this path")
+        return route
+
+
+def _authenticate(
+    configuration: Configuration, route: Route, description: CallDescription
+) -> str:
+    organisation = configuration.organisation_by_key.get(description.key, "")
+    needs_key = bool(configuration.organisations) and not route.is_public
+    if needs_key and not organisation:
+        raise BadRequestError(401, Reason.UNAUTHENTICATED, "the key is not known")
+    return organisation
+
+
+def _target(exchange: Exchange) -> bytes:
+    if exchange.query:
+        return exchange.path + b"?" + exchange.query
+    return exchange.path
--- /dev/null
+++ b/src/pomelolane/forwarding/metrics.py
@@ -0,0 +1,55 @@
+"""Counters and latency histograms of the forwarding gateway."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Histogram
+
+_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 5.0, 15.0)
+
+_ENDED = Counter(
+    "pomelolane_forwarded_total",
+    "Forwarded requests that ended, by route, service, rank, outcome and reason.",
+)
+_FIRST = Histogram(
+    "pomelolane_forwarded_first_byte_seconds",
+    "Time from a request's head to the first byte of its answer.",
+    buckets=_BUCKETS_S,
+)
+_HELD = Histogram(
+    "pomelolane_forwarded_wait_seconds",
+    "Time that a request waited for a slot.",
+    buckets=_BUCKETS_S,
+)
+_SENDS = Counter(
+    "pomelolane_forwarded_sends_total", "Sends to endpoints, by service and result."
+)
+
+
+def count_end(
+    route: str, service: str, rank: int, outcome: str, reason: str = ""
+) -> None:
+    """Count the end of a request."""
+    _ENDED.inc(
+        {
+            "route": route,
+            "service": service,
+            "rank": str(rank),
+            "outcome": outcome,
+            "reason": reason,
+        }
+    )
+
+
+def count_send(service: str, result: str) -> None:
+    """Count a send to an endpoint."""
+    _SENDS.inc({"service": service, "result": result})
+
+
+def observe_wait(service: str, wait_ms: float) -> None:
+    """Observe how long a request waited for a slot."""
+    _HELD.observe({"service": service}, wait_ms / 1000)
+
+
+def observe_first(service: str, first_ms: float) -> None:
+    """Observe when an answer began."""
+    _FIRST.observe({"service": service}, first_ms / 1000)
--- /dev/null
+++ b/src/pomelolane/forwarding/node.py
@@ -0,0 +1,244 @@
+"""One VM that forwards: listeners, member, scheduling, and its planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pomelolane import events
+from pomelolane.coordination import make_coordination
+from pomelolane.coordination.options import Timings
+from pomelolane.endpoints import ConnectionPool
+from pomelolane.forwarding.app import CallerApp, ProbeApp
+from pomelolane.forwarding.budget import SharedRetryBudget
+from pomelolane.forwarding.forwarder import Forwarder
+from pomelolane.forwarding.intake import Intake
+from pomelolane.forwarding.sender import Sender
+from pomelolane.forwarding.tree import tree_from_configuration
+from pomelolane.gateway.listener import Listener
+from pomelolane.logs import log_event
+from pomelolane.membership import make_member
+from pomelolane.node import listening_socket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pomelolane.forwarding.configuration import CurrentConfiguration
+    from pomelolane.forwarding.endpoints import EndpointDirectory
+    from pomelolane.membership import ClusterKeys
+    from pomelolane.ports import Clock, VmList
+    from pomelolane.ports.forwarding import Dialect
+
+POLICY = "objective"
+HEAD_TIMEOUT_MS = 3_000
+CONNECT_TIMEOUT_MS = 400
+"""Data centres are a millisecond apart; what takes longer is full or gone."""
+
+MAX_IDLE_MS = 4_000
+"""Idle connections are closed by endpoints after about 5 s and more."""
+
+BALANCER_NOTICE_MS = 2_500
+"""Two missed questions, one a second, take a VM out of the balancer."""
+
+EXIT_RESERVE_MS = 1_200
+"""Part of the time allowed for a stop that is kept to leave in order."""
+
+TIMINGS = Timings(
+    reply_ms=150.0,
+    waiting_sync_ms=300.0,
+    fallback_ms=500.0,
+    settle_ms=200.0,
+    settle_lower_ms=100.0,
+)
+"""Callers wait for tenths of a second: a silent scheduler is left sooner."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeOptions:
+    """What a forwarding VM is told of itself.
+
+    Attributes:
+        vm_id: Its id.
+        data_centre: Where it stands.
+        ip: Its address.
+        front: ``ip:port`` for callers.
+        probe: ``ip:port`` for the balancer and operators.
+        peer_port: Port for the other VMs.
+        grace_ms: Time allowed for a planned stop.
+        retry_ratio: Repeated sends allowed for each request, over all VMs.
+        retry_slack: Repeated sends allowed beside.
+    """
+
+    vm_id: str
+    data_centre: str
+    ip: str
+    front: str
+    probe: str
+    peer_port: int
+    grace_ms: int
+    retry_ratio: float
+    retry_slack: float
+
+
+class ForwardingNode:
+    """A running VM.
+
+    Args:
+        options: What it is told of itself.
+        incarnation: Number of this start, higher than any before.
+        current: The configuration in force.
+        directory: The endpoints.
+        dialect: Names of headers.
+        vm_list: Where other VMs are found.
+        keys: Keys that the VMs prove to each other.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        options: NodeOptions,
+        incarnation: int,
+        current: CurrentConfiguration,
+        directory: EndpointDirectory,
+        dialect: Dialect,
+        vm_list: VmList,
+        keys: ClusterKeys,
+        clock: Clock,
+    ) -> None:
+        self._options = options
+        self._current = current
+        self._directory = directory
+        self._clock = clock
+        self._pool = ConnectionPool(
+            connect_timeout_ms=CONNECT_TIMEOUT_MS, max_idle_ms=MAX_IDLE_MS
+        )
+        self.member = make_member(
+            options.vm_id,
+            options.data_centre,
+            incarnation,
+            host=options.ip,
+            peer_port=options.peer_port,
+            vm_list=vm_list,
+            keys=keys,
+            clock=clock,
+        )
+        self.coordination = make_coordination(
+            options.vm_id,
+            options.data_centre,
+            self.member.transport,
+            self.member,
+            clock,
+            POLICY,
+            timings=TIMINGS,
+            incarnation=incarnation,
+            polls_engines=False,
+        )
+        self._intake = Intake(dialect, clock)
+        self.forwarder = Forwarder(
+            self._intake,
+            self.coordination.client,
+            Sender(self._pool, dialect),
+            directory,
+            self._make_budget,
+            clock,
+            options.data_centre,
+        )
+        self._is_started = False
+        current.on_change(self._intake.adopt)
+        current.on_change(lambda _: self._configure())
+        directory.on_change(self._configure)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        serves = self._is_started and self._intake.is_ready
+        return serves and not self.forwarder.draining
+
+    async def start(self) -> None:
+        """Meet the others and begin to take part in scheduling."""
+        await self.member.start()
+        await self.coordination.start()
+        self._configure()
+
+    def take_callers(self) -> None:
+        """Say that callers may come."""
+        self._is_started = True
+        self.member.set_ready()
+        log_event(
+            events.VM_READY,
+            vm=self._options.vm_id,
+            branches=f"routes={self._current.version}",
+        )
+
+    def report(self) -> object:
+        """Return what operators may want to see."""
+        return {
+            "vm": self._options.vm_id,
+            "data_centre": self._options.data_centre,
+            "ready": self.is_ready,
+            "configuration_version": self._current.version,
+            "endpoints": self._directory.all,
+            "endpoints_age_ms": self._directory.age_ms,
+            "open_requests": len(self.forwarder.open_calls),
+            "peers": sorted(self.member.view().peers),
+            "scheduling": self.coordination.status(),
+        }
+
+    async def drain(self) -> None:
+        """Hand over the roles and finish what was accepted."""
+        self.forwarder.draining = True
+        self.member.set_draining()
+        log_event(
+            events.VM_DRAINING,
+            vm=self._options.vm_id,
+            open_requests=len(self.forwarder.open_calls),
+        )
+        handover = asyncio.create_task(self.coordination.handover())
+        await asyncio.sleep(BALANCER_NOTICE_MS / 1000)
+        left_ms = self._options.grace_ms - BALANCER_NOTICE_MS - EXIT_RESERVE_MS
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left_ms / 1000):
+                await self.forwarder.idle()
+        handover.cancel()
+
+    async def stop(self) -> None:
+        """Leave the others and close all connections."""
+        await self.coordination.stop()
+        await self.member.stop()
+        self._pool.close()
+        log_event(events.VM_STOPPED, vm=self._options.vm_id)
+
+    def _configure(self) -> None:
+        configuration = self._current.value
+        if configuration is None:
+            return
+        tree = tree_from_configuration(configuration, self._directory.all)
+        self.coordination.configure(tree)
+
+    def _make_budget(self) -> SharedRetryBudget:
+        return SharedRetryBudget(
+            self._options.retry_ratio,
+            self._options.retry_slack,
+            lambda: len(self.member.view().peers),
+        )
+
+
+async def listen_for_callers(node: ForwardingNode, address: str) -> Listener:
+    """Start the callers' listener."""
+    return await _listen(await CallerApp(node.forwarder).start(), address)
+
+
+async def listen_for_probes(
+    is_ready: Callable[[], bool], report: Callable[[], object], address: str
+) -> Listener:
+    """Start the listener for the balancer and operators."""
+    return await _listen(await ProbeApp(is_ready, report).start(), address)
+
+
+async def _listen(app: object, address: str) -> Listener:
+    host, _, port = address.rpartition(":")
+    listener = Listener(app, HEAD_TIMEOUT_MS)
+    await listener.start(listening_socket(host, int(port)))
+    return listener
--- /dev/null
+++ b/src/pomelolane/forwarding/refusals.py
@@ -0,0 +1,73 @@
+"""The gateway's own final answers: what is refused or failed, and why.
+
+Statuses that promise "not run" are given only to requests that no endpoint can
+have begun.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.gateway.problem import (
+    PROBLEM_TYPE,
+    encode_problem,
+    problem_from_refusal,
+)
+from pomelolane.outcomes import Outcome, Reason, Refusal
+
+if TYPE_CHECKING:
+    from pomelolane.exceptions import BadRequestError
+    from pomelolane.forwarding.call import CallState
+    from pomelolane.gateway.exchange import Exchange
+
+_LIMITS = (Reason.REQUEST_LIMIT, Reason.TOKEN_LIMIT, Reason.CONCURRENCY_LIMIT)
+NOT_READY_RETRY_MS = 500
+"""When to come back to a VM that knows no configuration yet."""
+
+
+def truthful(state: CallState, refusal: Refusal) -> Refusal:
+    """Return a refusal that is true of what happened to the request."""
+    if not state.may_have_run:
+        return refusal
+    outcome = Outcome.UNKNOWN
+    reason = refusal.reason
+    if reason is not Reason.DEADLINE_PASSED:
+        reason = Reason.ENDPOINT_BROKEN
+    return Refusal(outcome, reason, 0, refusal.detail)
+
+
+def refusal_from_error(error: BadRequestError) -> Refusal:
+    """Return the refusal of a request that was not accepted."""
+    reason = error.reason if isinstance(error.reason, Reason) else Reason.BAD_REQUEST
+    retry_ms = NOT_READY_RETRY_MS if reason is Reason.NOT_READY else 0
+    return Refusal(Outcome.NOT_RUN, reason, retry_ms, error.detail)
+
+
+def status_of(refusal: Refusal) -> int:
+    """Return the HTTP status that says neither more nor less than is known."""
+    if refusal.outcome is not Outcome.NOT_RUN:
+        return 504 if refusal.reason is Reason.DEADLINE_PASSED else 502
+    if refusal.reason in _LIMITS:
+        return 429
+    if refusal.reason in (Reason.ENDPOINT_BROKEN, Reason.ENDPOINT_ERROR):
+        return 503
+    return problem_from_refusal(refusal).status
+
+
+async def answer_refusal(
+    exchange: Exchange, refusal: Refusal, request_id: str, *, closes: bool
+) -> int:
+    """Answer a caller at once and return the status."""
+    status = status_of(refusal)
+    problem = problem_from_refusal(refusal, request_id)
+    headers = [(b"content-type", PROBLEM_TYPE)]
+    if refusal.retry_after_ms > 0 and refusal.outcome is Outcome.NOT_RUN:
+        # Callers of these routes read fractions of a second.
+        seconds = f"{refusal.retry_after_ms / 1000:.2f}"
+        headers.append((b"retry-after", seconds.encode()))
+    if status == 401:
+        headers.append((b"www-authenticate", b"Bearer"))
+    if closes:
+        headers.append((b"connection", b"close"))
+    await exchange.respond(status, headers, encode_problem(problem))
+    return status
--- /dev/null
+++ b/src/pomelolane/forwarding/sender.py
@@ -0,0 +1,96 @@
+"""Sends one request to one endpoint and judges the head of its answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
+from pomelolane.ports.forwarding import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pomelolane.endpoints import AnswerStream, ConnectionPool
+    from pomelolane.endpoints.connection import HttpConnection
+    from pomelolane.forwarding.call import ForwardCall
+    from pomelolane.model import Endpoint
+    from pomelolane.ports.forwarding import Dialect, Dispatch
+
+    Header = tuple[bytes, bytes]
+
+_BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+_FORBIDDEN = frozenset(b"\r\n\0")
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request that an endpoint has answered with a head.
+
+    Attributes:
+        stream: The answer.
+        verdict: What its head is worth.
+    """
+
+    stream: AnswerStream
+    verdict: Verdict
+
+
+class Sender:
+    """Writes requests to endpoints.
+
+    Args:
+        pool: Connections to endpoints.
+        dialect: Names of headers.
+    """
+
+    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
+        self._pool = pool
+        self._dialect = dialect
+
+    async def connect(self, endpoint: Endpoint) -> HttpConnection:
+        """Return a connection; the caller sends before it awaits anything else.
+
+        Raises:
+            EndpointRefusedError: None could be made.
+        """
+        return await self._pool.acquire(endpoint.address)
+
+    async def send(
+        self,
+        connection: HttpConnection,
+        call: ForwardCall,
+        endpoint: Endpoint,
+        dispatch: Dispatch,
+    ) -> Sent:
+        """Send a request and wait for the head of its answer.
+
+        Raises:
+            EndpointRefusedError: The connection was closed before the write.
+            EndpointBrokenError: It failed after the write.
+        """
+        headers = self._dialect.request_headers(call.headers, endpoint, dispatch)
+        parts = [_head(call, headers)]
+        if call.body:
+            parts.append(call.body)
+        stream = await connection.exchange(call.method, parts)
+        verdict = self._dialect.judge(
+            stream.status, stream.headers, call.description.request_id
+        )
+        if verdict in (Verdict.FOREIGN, Verdict.INVALID):
+            await stream.aclose()
+            connection.discard()
+            raise EndpointBrokenError(f"the answer's head is {verdict.value}")
+        return Sent(stream, verdict)
+
+
+def _head(call: ForwardCall, headers: Sequence[Header]) -> bytes:
+    lines = [call.method.encode("ascii") + b" " + call.target + b" HTTP/1.1"]
+    for name, value in headers:
+        if not _FORBIDDEN.isdisjoint(value):
+            raise EndpointRefusedError("a header holds a control byte")
+        lines.append(name + b": " + value)
+    if call.body or call.method in _BODY_METHODS:
+        lines.append(b"content-length: %d" % len(call.body))
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
--- /dev/null
+++ b/src/pomelolane/forwarding/tree.py
@@ -0,0 +1,35 @@
+"""The settings tree that schedulers see of a configuration and its endpoints."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.model import Team, Tier, Tree
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from pomelolane.forwarding.configuration import Configuration
+    from pomelolane.model import Endpoint
+
+_BRANCH = "routes"
+
+
+def tree_from_configuration(
+    configuration: Configuration, endpoints: Mapping[str, Endpoint]
+) -> Tree:
+    """Return the tree of a configuration and the endpoints known to serve it."""
+    ranks = {route.rank for route in configuration.routes}
+    ranks.update(configuration.rank_by_organisation.values())
+    return Tree(
+        tiers={str(rank): Tier(str(rank), rank) for rank in sorted(ranks)},
+        teams={"": Team("")},
+        services=configuration.services,
+        endpoints={
+            endpoint_id: endpoint
+            for endpoint_id, endpoint in endpoints.items()
+            if endpoint.service in configuration.services
+        },
+        organisations=configuration.organisations,
+        versions={_BRANCH: configuration.version},
+    )
--- a/src/pomelolane/gateway/deferred.py
+++ b/src/pomelolane/gateway/deferred.py
@@ -17,9 +17,9 @@
 from pomelolane.gateway.stored import encode_call
 from pomelolane.jobs import JobRecord, JobRequest, JobState
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.platform import claim_key
 from pomelolane.ports import ClaimRecord
 from pomelolane.sentinels import Missing
+from pomelolane.store import claim_key
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -17,8 +17,8 @@
 from pomelolane.logs import log_event
 from pomelolane.messages import Handle
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.platform import claim_key
 from pomelolane.ports import UpstreamRequest
+from pomelolane.store import claim_key
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
--- a/src/pomelolane/gateway/keyed.py
+++ b/src/pomelolane/gateway/keyed.py
@@ -20,9 +20,9 @@
 from pomelolane.gateway.sinks import KeptAnswer
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.platform import claim_key, reserved_job
-from pomelolane.platform.backoff import Backoff
-from pomelolane.platform.claims import CLAIMED, DONE, RELEASED
+from pomelolane.store import claim_key, reserved_job
+from pomelolane.store.backoff import Backoff
+from pomelolane.store.claims import CLAIMED, DONE, RELEASED
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
--- a/src/pomelolane/jobs/api.py
+++ b/src/pomelolane/jobs/api.py
@@ -16,15 +16,15 @@
 from pomelolane.jobs.record import JobRecord, JobState, StoredJob
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.platform import job_reservation, reserved_job
-from pomelolane.platform.backoff import Backoff
 from pomelolane.sentinels import NOT_FOUND, Missing
+from pomelolane.store import job_reservation, reserved_job
+from pomelolane.store.backoff import Backoff
 
 if TYPE_CHECKING:
     from pomelolane.jobs.runner import JobRunner
     from pomelolane.jobs.store import JobStore
-    from pomelolane.platform import TableClaims
     from pomelolane.ports import ClaimRecord, Clock
+    from pomelolane.store import TableClaims
 
 DEFAULT_RETRY_AFTER_MS = 1000
 DEFAULT_ACCEPT_TIMEOUT_MS = 5000.0
--- a/src/pomelolane/jobs/assembly.py
+++ b/src/pomelolane/jobs/assembly.py
@@ -17,8 +17,8 @@
 
 if TYPE_CHECKING:
     from pomelolane.jobs.dispatcher import JobDispatcher
-    from pomelolane.platform import Committer, TableClaims
     from pomelolane.ports import Clock, Membership, ObjectStore, Table
+    from pomelolane.store import Committer, TableClaims
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/jobs/execution.py
+++ b/src/pomelolane/jobs/execution.py
@@ -31,7 +31,7 @@
 from pomelolane.jobs.record import JobState
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.platform.backoff import Backoff
+from pomelolane.store.backoff import Backoff
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/src/pomelolane/jobs/liveness.py
+++ b/src/pomelolane/jobs/liveness.py
@@ -15,8 +15,8 @@
 
 if TYPE_CHECKING:
     from pomelolane.jobs.record import JobRecord
-    from pomelolane.platform import Committer
     from pomelolane.ports import Clock, Membership, Row, Table
+    from pomelolane.store import Committer
 
 BEAT_PREFIX = "jobs/beats"
 
--- a/src/pomelolane/jobs/store.py
+++ b/src/pomelolane/jobs/store.py
@@ -29,9 +29,9 @@
 
     from pomelolane.jobs.changes import Change
     from pomelolane.jobs.record import JobRecord
-    from pomelolane.platform import Committer
     from pomelolane.ports import ObjectStore, Row, Table
     from pomelolane.sentinels import Missing
+    from pomelolane.store import Committer
 
 SCAN_LIMIT = 1000
 _CHANGE_TRIES = 8
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -31,6 +31,12 @@
         attempt: 0 for the first dispatch.
         admitted: Whether a scheduler has counted it against limits already; it
             is registered again then and not counted twice.
+        objective_ms: Time from the caller's first byte within which the answer
+            should begin, 0 where there is no such aim.
+        late_window_ms: How long the deadline lies after the moment at which
+            the answer should begin.
+        gap_ms: Longest pause between two pieces of the answer, 0 for any.
+        charge_tokens: Tokens counted against the organisation's limit.
     """
 
     request_id: str
@@ -47,6 +53,10 @@
     excluded: tuple[str, ...] = ()
     attempt: int = 0
     admitted: bool = False
+    objective_ms: int = 0
+    late_window_ms: int = 0
+    gap_ms: int = 0
+    charge_tokens: int = 0
 
 
 class RunningHandle(msgspec.Struct, frozen=True, array_like=True):
--- a/src/pomelolane/model.py
+++ b/src/pomelolane/model.py
@@ -60,11 +60,14 @@
         requests_per_s: Admitted requests a second.
         tokens_per_s: Admitted prompt and answer tokens a second.
         concurrency: Requests running at one time.
+        burst_tokens: Tokens admitted at once after a pause; 0 stands for one
+            second's.
     """
 
     requests_per_s: float = 0.0
     tokens_per_s: float = 0.0
     concurrency: int = 0
+    burst_tokens: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +81,7 @@
         works: Kinds of work by name; the first is the default.
         model: Model that the engines must have loaded, empty for plain.
         queue_limit: Handles that may wait at one time.
+        kv_tokens: KV cache size of its engines where endpoints do not say.
     """
 
     name: str
@@ -86,6 +90,7 @@
     works: dict[str, Work]
     model: str = ""
     queue_limit: int = 1000
+    kv_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/node.py
+++ b/src/pomelolane/node.py
@@ -49,7 +49,7 @@
     async def start(self) -> None:
         """Listen, join the others and look for the settings."""
         parts = self._parts
-        sock = _listening_socket(self._options.host, self._options.port)
+        sock = listening_socket(self._options.host, self._options.port)
         await parts.member.start()
         if self._options.seeds or not parts.platform.is_embedded:
             await meet_others(parts.member)
@@ -122,7 +122,8 @@
         log_event(events.VM_READY, vm=self._options.vm_id, branches=branches)
 
 
-def _listening_socket(host: str, port: int) -> socket.socket:
+def listening_socket(host: str, port: int) -> socket.socket:
+    """Return a socket bound to an address, not yet listening."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, port))
--- a/src/pomelolane/parts.py
+++ b/src/pomelolane/parts.py
@@ -25,11 +25,11 @@
     from pomelolane.gateway import Dispatcher, Gateway, KeyedCalls
     from pomelolane.jobs import Jobs
     from pomelolane.membership import Member, RecordedMarks
-    from pomelolane.platform import ClaimSweeper, ModelKeeper, Platform, TableClaims
-    from pomelolane.platform.orders import HttpOrderSender
     from pomelolane.settings.distribution import Distribution
     from pomelolane.settings.options import ServeOptions
     from pomelolane.settings.store import SettingsStore
+    from pomelolane.store import ClaimSweeper, ModelKeeper, Platform, TableClaims
+    from pomelolane.store.orders import HttpOrderSender
     from pomelolane.tree import CurrentTree
 
 IMPORT_RETRY_S = 1.0
--- a/src/pomelolane/platform/__init__.py
+++ b/src/pomelolane/platform/__init__.py
@@ -1,78 +1,32 @@
-"""The platform's table, object store, VM list and weight store.
+"""The adapter for the users' platform; nothing outside knows its names.
 
-Also what the system builds on them: claims, leases and load orders.
+It reads the platform's settings file, watches its metadata store, decodes its
+documents into the project's types and writes the headers of its protocol.
 """
 
-from pomelolane.platform.claims import (
-    TableClaims,
-    claim_key,
-    decode_claim,
-    job_reservation,
-    make_claims,
-    reserved_job,
+from pomelolane.platform.dialect import PlatformDialect
+from pomelolane.platform.documents import configuration_from_json, endpoint_from_row
+from pomelolane.platform.errors import (
+    DocumentError,
+    HistoryLostError,
+    StoreUnavailableError,
 )
-from pomelolane.platform.committer import Committer, GroupCommitter
-from pomelolane.platform.connect import (
-    EMBEDDED,
-    Platform,
-    make_embedded_platform,
-    platform_from_url,
-)
-from pomelolane.platform.embedded import (
-    EmbeddedObjectStore,
-    EmbeddedTable,
-    EmbeddedVmList,
-    EmbeddedWeightStore,
-)
-from pomelolane.platform.gather import (
-    GatheringCommitter,
-    GatherSettings,
-    make_gathering_committer,
-)
-from pomelolane.platform.health import PlatformHealth
-from pomelolane.platform.keeper import ModelKeeper
-from pomelolane.platform.leases import Lease, Leases, make_leases
-from pomelolane.platform.orders import (
-    Demand,
-    ModelOrders,
-    OrderResult,
-    endpoint_to_load,
-    make_model_orders,
-)
-from pomelolane.platform.retention import ClaimSweeper
-from pomelolane.platform.weights import PacedPulls, WeightStore
+from pomelolane.platform.nodefile import NodeFile, node_file_from_path
+from pomelolane.platform.roster import VmRoster
+from pomelolane.platform.storeclient import StoreClient
+from pomelolane.platform.watches import ConfigurationWatch, EndpointWatch
 
 __all__ = [
-    "EMBEDDED",
-    "ClaimSweeper",
-    "Committer",
-    "Demand",
-    "EmbeddedObjectStore",
-    "EmbeddedTable",
-    "EmbeddedVmList",
-    "EmbeddedWeightStore",
-    "GatherSettings",
-    "GatheringCommitter",
-    "GroupCommitter",
-    "Lease",
-    "Leases",
-    "ModelKeeper",
-    "ModelOrders",
-    "OrderResult",
-    "PacedPulls",
-    "Platform",
-    "PlatformHealth",
-    "TableClaims",
-    "WeightStore",
-    "claim_key",
-    "decode_claim",
-    "endpoint_to_load",
-    "job_reservation",
-    "make_claims",
-    "make_embedded_platform",
-    "make_gathering_committer",
-    "make_leases",
-    "make_model_orders",
-    "platform_from_url",
-    "reserved_job",
+    "ConfigurationWatch",
+    "DocumentError",
+    "EndpointWatch",
+    "HistoryLostError",
+    "NodeFile",
+    "PlatformDialect",
+    "StoreClient",
+    "StoreUnavailableError",
+    "VmRoster",
+    "configuration_from_json",
+    "endpoint_from_row",
+    "node_file_from_path",
 ]
--- /dev/null
+++ b/src/pomelolane/platform/dialect.py
@@ -0,0 +1,118 @@
+"""The headers of the platform's protocol, read and written in one place."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.endpoints.headers import strip_hop_headers
+from pomelolane.exceptions import BadRequestError
+from pomelolane.outcomes import Reason
+from pomelolane.ports.forwarding import CallDescription, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pomelolane.model import Endpoint
+    from pomelolane.ports.forwarding import Dispatch
+
+    Header = tuple[bytes, bytes]
+
+_REQUEST_ID = b"request-id"
+_DEADLINE = b"deadline-ms"
+# "prompt tokens,most answer tokens", in spite of its name known before the run.
+_TOKENS = b"token-usage"
+_HINT = b"length-hint"
+_RESUME = b"last-event-id"
+_KEY = b"authorization"
+_BEARER = b"bearer "
+_EXPECTED = b"expect-instance"
+# The organisation's name.
+_ORGANISATION = b"tenant"
+# Proof that the answer is the endpoint's own.
+_SEAL = b"server-seal"
+_NOT_RUN = b"not-executed"
+_ENCODING = b"content-encoding"
+_MISDIRECTED = 421
+
+_SET_HERE = frozenset(
+    {
+        _DEADLINE,
+        _RESUME,
+        _KEY,
+        _EXPECTED,
+        _ORGANISATION,
+        b"expect-version",
+        b"hold",
+        b"pin-ms",
+        b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"content-length",
+        b"expect",
+    }
+)
+"""Headers of callers that are not passed on: the system's own, and framing."""
+
+
+class PlatformDialect:
+    """The :class:`~pomelolane.ports.forwarding.Dialect` of the platform."""
+
+    def describe(self, headers: Sequence[Header]) -> CallDescription:
+        """Read a caller's head.
+
+        Raises:
+            BadRequestError: A number cannot be read.
+        """
+        found = dict(headers)
+        prompt, _, limit = found.get(_TOKENS, b"").partition(b",")
+        key = found.get(_KEY, b"")
+        bearer = key[len(_BEARER) :] if key[: len(_BEARER)].lower() == _BEARER else b""
+        return CallDescription(
+            request_id=found.get(_REQUEST_ID, b"").decode("latin-1"),
+            deadline_ms=_number(_DEADLINE, found.get(_DEADLINE, b"")),
+            prompt_tokens=_number(_TOKENS, prompt),
+            answer_limit_tokens=_number(_TOKENS, limit),
+            answer_hint_tokens=_number(_HINT, found.get(_HINT, b"")),
+            key=bearer.strip().decode("latin-1"),
+            resume_after=found.get(_RESUME, b""),
+        )
+
+    def request_headers(
+        self, headers: Sequence[Header], endpoint: Endpoint, dispatch: Dispatch
+    ) -> list[Header]:
+        """Return an endpoint's headers: the caller's, but for our own."""
+        passed = [h for h in strip_hop_headers(headers) if h[0] not in _SET_HERE]
+        passed.append((_DEADLINE, b"%d" % dispatch.left_ms))
+        passed.append((_EXPECTED, endpoint.endpoint_id.encode("latin-1")))
+        if dispatch.organisation:
+            passed.append((_ORGANISATION, dispatch.organisation.encode("latin-1")))
+        if dispatch.resume_after:
+            passed.append((_RESUME, dispatch.resume_after))
+        return passed
+
+    def judge(self, status: int, headers: Sequence[Header], request_id: str) -> Verdict:
+        """Tell what an endpoint's head is worth."""
+        found = dict(headers)
+        if _NOT_RUN in found or status == _MISDIRECTED:
+            return Verdict.NOT_RUN
+        echoed = found.get(_REQUEST_ID)
+        if echoed is not None and echoed.decode("latin-1") != request_id:
+            return Verdict.FOREIGN
+        is_success = 200 <= status < 300
+        if is_success and (echoed is None or _SEAL not in found):
+            return Verdict.INVALID
+        if _ENCODING in found or status < 200 or 300 <= status < 400:
+            return Verdict.INVALID
+        return Verdict.ANSWER
+
+
+def _number(name: bytes, text: bytes) -> int:
+    text = text.strip()
+    if not text:
+        return 0
+    try:
+        return max(0, int(float(text)))
+    except (ValueError, OverflowError):
+        raise BadRequestError(
+            400, Reason.BAD_REQUEST, f"{name.decode()} is not a number"
+        ) from None
--- /dev/null
+++ b/src/pomelolane/platform/documents.py
@@ -0,0 +1,199 @@
+"""The platform's documents, decoded once into the project's types."""
+
+from __future__ import annotations
+
+import msgspec
+
+from pomelolane.forwarding.configuration import (
+    CallerLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    RouteTarget,
+)
+from pomelolane.model import (
+    Endpoint,
+    Limits,
+    Organisation,
+    Service,
+    ServiceKind,
+    Work,
+)
+from pomelolane.platform.errors import DocumentError
+
+TEAM = ""
+"""The platform has no teams; every organisation is in the unnamed one."""
+
+_TOKENS = "token_count"
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    prefix: str
+    kind: str = "idempotent"
+    timeout_ms: int = 0
+    # Time to the first event on streams, to the whole answer elsewhere.
+    target_latency_ms: int = 0
+    priority: int = 0
+    service: str = ""
+    split: tuple[_Split, ...] = ()
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    target_gap_ms: int = 0
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    # Only model engines have this part.
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    """What the project calls an organisation."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    # What the rate below counts: requests, or tokens.
+    unit: str = ""
+    plain_tokens: int = 0
+    # In tokens where the unit says so, in spite of its plain name.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: tuple[_Tenant, ...] = ()
+
+
+class _Server(msgspec.Struct):
+    """What the project calls an endpoint."""
+
+    service: str
+    address: str
+    zone: str
+    slots: int = 1
+    state: str = "ready"
+
+
+_configurations = msgspec.json.Decoder(_Configuration)
+_servers = msgspec.json.Decoder(_Server)
+
+
+def configuration_from_json(data: bytes) -> Configuration:
+    """Decode the operator's configuration.
+
+    Raises:
+        DocumentError: It cannot be read.
+    """
+    try:
+        document = _configurations.decode(data)
+        routes = tuple(_route(route) for route in document.routes)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise DocumentError(f"configuration: {error}") from error
+    tenants = document.tenants
+    limits = document.limits
+    return Configuration(
+        version=document.version,
+        routes=routes,
+        services={s.name: _service(s, routes) for s in document.services},
+        organisations={tenant.name: _organisation(tenant) for tenant in tenants},
+        organisation_by_key={key: t.name for t in tenants for key in t.api_keys},
+        rank_by_organisation={
+            tenant.name: tenant.priority
+            for tenant in tenants
+            if tenant.priority is not None
+        },
+        plain_tokens=max((tenant.plain_tokens for tenant in tenants), default=0),
+        limits=CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        ),
+    )
+
+
+def endpoint_from_row(
+    endpoint_id: str, data: bytes, services: dict[str, Service]
+) -> Endpoint:
+    """Decode a registered endpoint.
+
+    Raises:
+        DocumentError: It cannot be read.
+    """
+    try:
+        server = _servers.decode(data)
+    except msgspec.DecodeError as error:
+        raise DocumentError(f"endpoint {endpoint_id}: {error}") from error
+    service = services.get(server.service)
+    return Endpoint(
+        endpoint_id=endpoint_id,
+        service=server.service,
+        data_centre=server.zone,
+        address=server.address,
+        slots=max(1, server.slots),
+        kv_tokens=service.kv_tokens if service is not None else 0,
+        leaving=server.state != "ready",
+    )
+
+
+def _route(route: _Route) -> Route:
+    targets = tuple(RouteTarget(one.service, one.weight) for one in route.split)
+    if not targets:
+        targets = (RouteTarget(route.service),)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=RouteKind(route.kind),
+        targets=targets,
+        timeout_ms=route.timeout_ms,
+        objective_ms=route.target_latency_ms,
+        rank=route.priority,
+        attempts=max(1, route.attempts),
+        is_public=route.public,
+        is_resumable=route.resumable,
+        gap_ms=route.target_gap_ms,
+    )
+
+
+def _service(service: _Service, routes: tuple[Route, ...]) -> Service:
+    kind = ServiceKind.PLAIN if service.engine is None else ServiceKind.ENGINE
+    works = {
+        route.name: Work(route.name, str(route.rank), route.timeout_ms)
+        for route in routes
+        if any(target.service == service.name for target in route.targets)
+    }
+    kv_tokens = service.engine.kv_capacity_tokens if service.engine else 0
+    return Service(service.name, TEAM, kind, works, kv_tokens=kv_tokens)
+
+
+def _organisation(tenant: _Tenant) -> Organisation:
+    limits = Limits(requests_per_s=tenant.rate_per_s)
+    if tenant.unit == _TOKENS:
+        limits = Limits(tokens_per_s=tenant.rate_per_s, burst_tokens=tenant.burst)
+    return Organisation(tenant.name, TEAM, "", limits=limits)
--- /dev/null
+++ b/src/pomelolane/platform/host.py
@@ -0,0 +1,215 @@
+"""One VM on the users' platform, from its settings file to its planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+from pomelolane import __version__, events
+from pomelolane.background import BackgroundTasks
+from pomelolane.clock import MonotonicClock
+from pomelolane.forwarding import CurrentConfiguration, EndpointDirectory
+from pomelolane.forwarding.node import (
+    ForwardingNode,
+    NodeOptions,
+    listen_for_callers,
+    listen_for_probes,
+)
+from pomelolane.logs import log_event
+from pomelolane.meeting import meet_others
+from pomelolane.platform.dialect import PlatformDialect
+from pomelolane.platform.errors import DocumentError, StoreUnavailableError
+from pomelolane.platform.nodefile import NODE_FILE_VARIABLE, node_file_from_path
+from pomelolane.platform.roster import TABLE, VmRoster, shared_keys
+from pomelolane.platform.storeclient import StoreClient
+from pomelolane.platform.watches import ConfigurationWatch, EndpointWatch
+
+if TYPE_CHECKING:
+    from pomelolane.gateway.listener import Listener
+    from pomelolane.membership import ClusterKeys
+    from pomelolane.platform.nodefile import NodeFile
+
+METRICS_PORT = 9464
+"""Port of the metrics address in deploy/system.toml."""
+
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 1.0
+_ENTER_PAUSE_S = 0.5
+
+
+class PlatformHost:
+    """Runs a forwarding VM on the platform.
+
+    Args:
+        path: The settings file.
+
+    Raises:
+        DocumentError: The settings file cannot be read.
+    """
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._file = self._read_file()
+        self._clock = MonotonicClock()
+        self._store = StoreClient(self._file.store_address)
+        self._current = CurrentConfiguration()
+        self._directory = EndpointDirectory(self._clock)
+        self._background = BackgroundTasks()
+        self._stopping = asyncio.Event()
+        self._node: ForwardingNode | None = None
+        self._listeners: list[Listener] = []
+
+    def stop_soon(self) -> None:
+        """Begin the planned stop; a second call changes nothing."""
+        self._stopping.set()
+
+    def reload(self) -> None:
+        """Read the settings file again; what it says of a running VM stays."""
+        try:
+            self._read_file()
+        except DocumentError as error:
+            log_event(events.CONFIGURATION_REJECTED, error=error, version="file")
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        file = self._file
+        for address in (file.ready, f"{file.ip}:{METRICS_PORT}"):
+            self._listeners.append(
+                await listen_for_probes(self._is_ready, self._report, address)
+            )
+        starting = asyncio.create_task(self._start())
+        stopping = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait({starting, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        if starting.done():
+            starting.result()
+            await stopping
+        await self._stop(starting)
+
+    async def _start(self) -> None:
+        file = self._file
+        roster = VmRoster(self._store, self._clock)
+        watch = EndpointWatch(self._store, self._directory, self._current, self._clock)
+        incarnation, keys = await self._first_contact()
+        self._node = node = ForwardingNode(
+            _options(file),
+            incarnation,
+            self._current,
+            self._directory,
+            PlatformDialect(),
+            roster,
+            keys,
+            self._clock,
+        )
+        self._background.start("endpoints", watch.run())
+        self._background.start(
+            "configuration",
+            ConfigurationWatch(self._store, self._current, self._clock).run(),
+        )
+        self._background.start("roster", self._enter(roster))
+        await node.start()
+        self._listeners.insert(0, await listen_for_callers(node, file.front))
+        log_event(
+            events.VM_STARTED,
+            vm=file.vm_id,
+            data_centre=file.data_centre,
+            incarnation=incarnation,
+            address=file.front,
+            version=__version__,
+        )
+        await meet_others(node.member)
+        await self._directory.known()
+        await self._current.known()
+        node.take_callers()
+
+    async def _first_contact(self) -> tuple[int, ClusterKeys]:
+        """Return the number of this start, and the VMs' keys.
+
+        The number is the store's steady clock: the time of day may have jumped
+        since the start before.
+        """
+        pause_s = _FIRST_PAUSE_S
+        while True:
+            try:
+                now_ms = (await self._store.read(TABLE)).now_ms
+                return int(now_ms) + 1, await shared_keys(self._store)
+            except StoreUnavailableError as error:
+                log_event(events.STORE_LOST, what="start", error=error, age_ms=0)
+            await asyncio.sleep(pause_s)
+            pause_s = min(_LONGEST_PAUSE_S, 2 * pause_s)
+
+    async def _enter(self, roster: VmRoster) -> None:
+        file = self._file
+        while True:
+            try:
+                await roster.enter(
+                    file.vm_id, file.data_centre, f"{file.ip}:{file.peer_port}"
+                )
+                return
+            except StoreUnavailableError as error:
+                log_event(events.STORE_LOST, what="roster", error=error, age_ms=0)
+            await asyncio.sleep(_ENTER_PAUSE_S)
+
+    async def _stop(self, starting: asyncio.Task[None]) -> None:
+        starting.cancel()
+        if self._node is not None:
+            await self._node.drain()
+        for listener in self._listeners:
+            await listener.stop()
+        await self._background.stop()
+        if self._node is not None:
+            await self._node.stop()
+        await self._store.aclose()
+
+    def _is_ready(self) -> bool:
+        return self._node is not None and self._node.is_ready
+
+    def _report(self) -> object:
+        report = {"store_calls": self._store.calls}
+        return report if self._node is None else report | self._node.report()
+
+    def _read_file(self) -> NodeFile:
+        file = node_file_from_path(self._path)
+        log_event(
+            events.SETTINGS_FILE_READ,
+            vm=file.vm_id,
+            data_centre=file.data_centre,
+            role=file.role,
+            front=file.front,
+            peers=file.peer_port,
+        )
+        return file
+
+
+async def serve_on_platform() -> None:
+    """Run a VM by the settings file that the environment names.
+
+    Raises:
+        DocumentError: There is none, or it cannot be read.
+    """
+    path = os.environ.get(NODE_FILE_VARIABLE)
+    if not path:
+        raise DocumentError(f"{NODE_FILE_VARIABLE} is not set")
+    host = PlatformHost(path)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, host.stop_soon)
+    loop.add_signal_handler(signal.SIGHUP, host.reload)
+    sys.stdout.flush()
+    await host.run()
+
+
+def _options(file: NodeFile) -> NodeOptions:
+    return NodeOptions(
+        vm_id=file.vm_id,
+        data_centre=file.data_centre,
+        ip=file.ip,
+        front=file.front,
+        probe=file.ready,
+        peer_port=file.peer_port,
+        grace_ms=file.grace_ms,
+        retry_ratio=file.retry_ratio,
+        retry_slack=file.retry_slack,
+    )
--- /dev/null
+++ b/src/pomelolane/platform/nodefile.py
@@ -0,0 +1,112 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from pomelolane.platform.errors import DocumentError
+
+NODE_FILE_VARIABLE = "POMELOLANE_NODE_FILE"
+"""Environment variable that holds the file's path."""
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+
+
+class _Bounds(msgspec.Struct, rename="camel"):
+    drain_ms: int = 2_000
+    grace_s: float = 8.0
+    config_apply_ms: int = 2_000
+    retry_budget_ratio: float = 0.2
+    budget_slack: float = 50.0
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _File(msgspec.Struct, rename="camel"):
+    node: str
+    role: str
+    ip: str
+    # "zone" is what the project calls a data centre.
+    zone: str
+    region: str
+    listen: _Listen
+    port_range: tuple[int, int]
+    platform: _Store
+    # The other machines' control addresses; only their hosts are used, since
+    # the project's own ports are the same on all machines.
+    seeds: tuple[str, ...] = ()
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeFile:
+    """What a process learns of itself and its bounds.
+
+    Attributes:
+        vm_id: This VM.
+        role: Role that it was started for.
+        ip: Its address.
+        data_centre: Where it stands.
+        region: Region of the data centre.
+        front: ``ip:port`` for callers.
+        ready: ``ip:port`` for the balancer's readiness questions.
+        peer_port: First port that is free for the VMs' own protocol.
+        store_address: ``ip:port`` of the metadata store.
+        drain_ms: Time within which a leaving endpoint must get nothing more.
+        grace_ms: Time between the stop signal and the end by force.
+        apply_ms: Time within which a configuration must be in force.
+        retry_ratio: Repeated sends allowed for each request.
+        retry_slack: Repeated sends allowed beside, over all VMs.
+    """
+
+    vm_id: str
+    role: str
+    ip: str
+    data_centre: str
+    region: str
+    front: str
+    ready: str
+    peer_port: int
+    store_address: str
+    drain_ms: int
+    grace_ms: int
+    apply_ms: int
+    retry_ratio: float
+    retry_slack: float
+
+
+def node_file_from_path(path: str) -> NodeFile:
+    """Read the settings file.
+
+    Raises:
+        DocumentError: It is not there or cannot be read.
+    """
+    try:
+        file = msgspec.json.decode(Path(path).read_bytes(), type=_File)
+    except (OSError, msgspec.DecodeError) as error:
+        raise DocumentError(f"{path}: {error}") from error
+    bounds = file.bounds
+    return NodeFile(
+        vm_id=file.node,
+        role=file.role,
+        ip=file.ip,
+        data_centre=file.zone,
+        region=file.region,
+        front=file.listen.front,
+        ready=file.listen.ready,
+        peer_port=file.port_range[0],
+        store_address=file.platform.address,
+        drain_ms=bounds.drain_ms,
+        grace_ms=int(bounds.grace_s * 1000),
+        apply_ms=bounds.config_apply_ms,
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_slack=bounds.budget_slack,
+    )
--- /dev/null
+++ b/src/pomelolane/platform/storeclient.py
@@ -0,0 +1,231 @@
+"""The one client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import socket
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from pomelolane.platform.errors import HistoryLostError, StoreUnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+CALL_TIMEOUT_S = 1.5
+"""Bound on a call; the store answers in milliseconds unless it is in trouble."""
+
+_CONNECT_TIMEOUT_S = 0.5
+_UNACKED_MS = 3_000
+_PAGE_ROWS = 500
+_HISTORY_GONE = 410
+_CONFLICT = 412
+
+
+class _Row(msgspec.Struct):
+    key: str
+    # Counter value of the transaction that wrote the row, not a count of the
+    # row's own changes.
+    ver: int = 0
+    value: str = ""
+    # Set where the row was deleted.
+    tombstone: bool = False
+
+
+class _Rows(msgspec.Struct, rename="camel"):
+    rows: tuple[_Row, ...] = ()
+    has_more: bool = False
+    # Newest version of the whole store.
+    ver: int = 0
+    now_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row, or the mark that it was deleted.
+
+    Attributes:
+        key: Its key.
+        version: Version of the store at its last change.
+        value: Its bytes.
+        deleted: Whether it is no more.
+    """
+
+    key: str
+    version: int
+    value: bytes
+    deleted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Rows as of one moment.
+
+    Attributes:
+        rows: The rows.
+        version: Newest version of the store then.
+        now_ms: The store's steady clock then.
+    """
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    now_ms: float
+
+
+class StoreClient:
+    """Calls the store over HTTP.
+
+    Args:
+        address: ``ip:port`` of the store.
+
+    Attributes:
+        calls: Calls made so far.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        self._session: aiohttp.ClientSession | None = None
+        self.calls = 0
+
+    async def read(self, table: str) -> Snapshot:
+        """Read all rows of a table's unnamed part.
+
+        Raises:
+            StoreUnavailableError: No answer, or a refusal.
+        """
+        rows: list[StoredRow] = []
+        start = ""
+        while True:
+            query = {"table": table, "part": "", "limit": str(_PAGE_ROWS)}
+            if start:
+                query["from"] = start
+            page = await self._get("/rows-get", query, CALL_TIMEOUT_S)
+            rows.extend(_stored(row) for row in page.rows)
+            if not page.has_more or not page.rows:
+                return Snapshot(tuple(rows), page.ver, page.now_ms)
+            start = page.rows[-1].key + "\0"
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> Snapshot:
+        """Return the rows that changed after a version, waiting for the first.
+
+        Raises:
+            StoreUnavailableError: No answer, or a refusal.
+            HistoryLostError: The store no longer knows; read the table whole.
+        """
+        query = {"table": table, "after": str(after), "waitMs": str(wait_ms)}
+        page = await self._get("/rows-feed", query, CALL_TIMEOUT_S + wait_ms / 1000)
+        return Snapshot(tuple(_stored(r) for r in page.rows), page.ver, page.now_ms)
+
+    async def write(
+        self,
+        table: str,
+        values: Mapping[str, bytes],
+        deletes: Sequence[str] = (),
+        *,
+        only_new: bool = False,
+    ) -> bool:
+        """Write and delete rows of a table's unnamed part in one transaction.
+
+        Args:
+            table: The table.
+            values: Rows to write, by key.
+            deletes: Keys of rows to delete.
+            only_new: Write nothing if one of the rows to write is there.
+
+        Returns:
+            Whether the condition held.
+
+        Raises:
+            StoreUnavailableError: It may or may not have been done.
+        """
+        new = values if only_new else ()
+        body = {
+            "expected": [
+                {"table": table, "part": "", "key": key, "ver": 0} for key in new
+            ],
+            "writes": [
+                {
+                    "table": table,
+                    "part": "",
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                }
+                for key, value in values.items()
+            ],
+            "deletes": [{"table": table, "part": "", "key": key} for key in deletes],
+        }
+        try:
+            await self._call("POST", "/rows-tx", {}, CALL_TIMEOUT_S, body)
+        except StoreUnavailableError as error:
+            if error.status == _CONFLICT:
+                return False
+            raise
+        return True
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> _Rows:
+        data = await self._call("GET", path, query, timeout_s)
+        try:
+            return msgspec.json.decode(data, type=_Rows)
+        except msgspec.DecodeError as error:
+            raise StoreUnavailableError(f"{path}: {error}") from error
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        timeout_s: float,
+        body: object = None,
+    ) -> bytes:
+        self.calls += 1
+        session = self._open()
+        data = None if body is None else msgspec.json.encode(body)
+        headers = {} if body is None else {"Content-Type": "application/json"}
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                session.request(
+                    method, self._base + path, params=query, data=data, headers=headers
+                ) as response,
+            ):
+                answer = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise StoreUnavailableError(f"{path}: {error!r}") from error
+        if status == _HISTORY_GONE:
+            raise HistoryLostError(path)
+        if status != 200:
+            raise StoreUnavailableError(f"{path}: status {status}", status)
+        return answer
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0, socket_factory=_make_socket, keepalive_timeout=60
+            )
+            timeout = aiohttp.ClientTimeout(sock_connect=_CONNECT_TIMEOUT_S)
+            self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        return self._session
+
+
+def _make_socket(addr_info: tuple) -> socket.socket:
+    """Return a socket that notices a silent network within seconds."""
+    family, kind, protocol, _, _ = addr_info
+    sock = socket.socket(family, kind, protocol)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKED_MS)
+    return sock
+
+
+def _stored(row: _Row) -> StoredRow:
+    value = b"" if row.tombstone else base64.b64decode(row.value)
+    return StoredRow(row.key, row.ver, value, row.tombstone)
--- a/src/pomelolane/ports/claims.py
+++ b/src/pomelolane/ports/claims.py
@@ -1,6 +1,6 @@
 """Claims on idempotency keys.
 
-The table's implementation is in ``pomelolane.platform.claims``.
+The table's implementation is in ``pomelolane.store.claims``.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/src/pomelolane/ports/forwarding.py
@@ -0,0 +1,93 @@
+"""What the forwarding gateway asks of the protocol it is used with.
+
+A dialect knows the names of headers; everything else here is in the project's
+own terms.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pomelolane.model import Endpoint
+
+    Header = tuple[bytes, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class CallDescription:
+    """What a caller says of its request in the head.
+
+    Attributes:
+        request_id: The caller's id of this attempt, empty where it gave none.
+        deadline_ms: How long the caller waits, 0 where it does not say.
+        prompt_tokens: Length of the prompt, 0 for plain calls.
+        answer_limit_tokens: Most tokens that the answer may have.
+        answer_hint_tokens: The caller's estimate of them, 0 for none.
+        key: The caller's bearer key, empty where it gave none.
+        resume_after: Id of the last event that the caller has, empty for none.
+    """
+
+    request_id: str
+    deadline_ms: int
+    prompt_tokens: int = 0
+    answer_limit_tokens: int = 0
+    answer_hint_tokens: int = 0
+    key: str = ""
+    resume_after: bytes = b""
+
+    @property
+    def has_prompt(self) -> bool:
+        """Whether the request is described by tokens."""
+        return self.prompt_tokens > 0 or self.answer_limit_tokens > 0
+
+
+class Verdict(StrEnum):
+    """What an endpoint's head says of the request it is meant to answer."""
+
+    ANSWER = "answer"
+    """The endpoint's own answer, whatever its status."""
+    NOT_RUN = "not_run"
+    """The endpoint states that it has not run the request."""
+    FOREIGN = "foreign"
+    """The head belongs to another request."""
+    INVALID = "invalid"
+    """The head can't be the endpoint's own answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """What an endpoint is told beside the caller's own words.
+
+    Attributes:
+        organisation: The caller's organisation, empty on public routes.
+        left_ms: Time that is left.
+        resume_after: Id of the last event that the caller has, empty for none.
+    """
+
+    organisation: str
+    left_ms: int
+    resume_after: bytes = b""
+
+
+class Dialect(Protocol):
+    """Reads and writes the heads of requests and answers."""
+
+    def describe(self, headers: Sequence[Header]) -> CallDescription:
+        """Read a caller's head.
+
+        Raises:
+            BadRequestError: A header cannot be read.
+        """
+
+    def request_headers(
+        self, headers: Sequence[Header], endpoint: Endpoint, dispatch: Dispatch
+    ) -> list[Header]:
+        """Return the headers that an endpoint gets, without framing."""
+
+    def judge(self, status: int, headers: Sequence[Header], request_id: str) -> Verdict:
+        """Tell what an endpoint's head is worth."""
--- a/src/pomelolane/ports/platform.py
+++ b/src/pomelolane/ports/platform.py
@@ -1,6 +1,6 @@
 """The platform's table, object store and list of VMs.
 
-Implementations are in ``pomelolane.platform``.
+Implementations are in ``pomelolane.store``.
 """
 
 from __future__ import annotations
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -26,13 +26,14 @@
 
     Args:
         per_s: Rate, more than 0.
+        burst: Capacity, 0 for what the rate brings in a second.
     """
 
     __slots__ = ("_at_ms", "_capacity", "_level", "_per_ms")
 
-    def __init__(self, per_s: float) -> None:
+    def __init__(self, per_s: float, burst: float = 0.0) -> None:
         self._per_ms = per_s / 1000.0
-        self._capacity = max(1.0, self._per_ms * _BURST_MS)
+        self._capacity = max(1.0, burst or self._per_ms * _BURST_MS)
         self._level = self._capacity
         self._at_ms = 0.0
 
@@ -55,16 +56,17 @@
 class _Account:
     """One team's or organisation's use of its limits."""
 
-    __slots__ = ("limits", "requests", "running", "tokens")
+    __slots__ = ("limits", "requests", "running", "share", "tokens")
 
-    def __init__(self, limits: Limits) -> None:
+    def __init__(self, limits: Limits, share: float) -> None:
         self.running = 0
-        self.adopt(limits)
+        self.adopt(limits, share)
 
-    def adopt(self, limits: Limits) -> None:
+    def adopt(self, limits: Limits, share: float) -> None:
         self.limits = limits
-        self.requests = _bucket(limits.requests_per_s)
-        self.tokens = _bucket(limits.tokens_per_s)
+        self.share = share
+        self.requests = _bucket(limits.requests_per_s * share)
+        self.tokens = _bucket(limits.tokens_per_s * share, limits.burst_tokens * share)
 
     def full(self) -> bool:
         limit = self.limits.concurrency
@@ -78,14 +80,22 @@
         self._teams: dict[str, _Account] = {}
         self._organisations: dict[str, _Account] = {}
         self._found: dict[tuple[str, str], tuple[_Account, ...]] = {}
+        self._share = 1.0
+
+    def scale(self, share: float) -> None:
+        """Enforce a share of every rate, as one scheduler of several."""
+        self._share = share
+        for account in (*self._teams.values(), *self._organisations.values()):
+            if account.share != share:
+                account.adopt(account.limits, share)
 
     def configure(self, tree: Tree) -> None:
         """Adopt a tree's limits; unchanged accounts keep their levels."""
         self._found.clear()
         for name, team in tree.teams.items():
-            _adopt(self._teams, name, team.limits)
+            _adopt(self._teams, name, team.limits, self._share)
         for name, organisation in tree.organisations.items():
-            _adopt(self._organisations, name, organisation.limits)
+            _adopt(self._organisations, name, organisation.limits, self._share)
 
     def admit(self, handle: Handle, tokens: int, now_ms: float) -> Refusal | None:
         """Charge a request's rates, or say when they allow it.
@@ -151,16 +161,18 @@
         return accounts
 
 
-def _adopt(accounts: dict[str, _Account], name: str, limits: Limits) -> None:
+def _adopt(
+    accounts: dict[str, _Account], name: str, limits: Limits, share: float
+) -> None:
     account = accounts.get(name)
     if account is None:
-        accounts[name] = _Account(limits)
+        accounts[name] = _Account(limits, share)
     elif account.limits != limits:
-        account.adopt(limits)
+        account.adopt(limits, share)
 
 
-def _bucket(per_s: float) -> TokenBucket | None:
-    return TokenBucket(per_s) if per_s > 0 else None
+def _bucket(per_s: float, burst: float = 0.0) -> TokenBucket | None:
+    return TokenBucket(per_s, burst) if per_s > 0 else None
 
 
 def _over(account: _Account, tokens: int, now_ms: float) -> Refusal | None:
--- /dev/null
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -0,0 +1,378 @@
+"""The decision core of the objective policy; pure, time is passed in."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+from itertools import count
+from typing import TYPE_CHECKING
+
+from pomelolane.model import ServiceKind
+from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.ports import Decision, Grant
+from pomelolane.registry import PLACEMENT_POLICIES, register
+from pomelolane.scheduler.limits import LimitBook
+from pomelolane.scheduler.objective.options import ObjectiveOptions
+from pomelolane.scheduler.objective.worker import Worker, WorkerFigures
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pomelolane.messages import Handle, RunningHandle, StreamEvent
+    from pomelolane.model import Tree
+    from pomelolane.ports import CacheEvent, LoadReport, SchedulingCore
+
+_TRIES = 12
+"""Waiting requests looked at after the first one that finds no place."""
+
+_SERVICE_STEP = 0.05
+_FIRST_SERVICE_MS = 300.0
+
+
+@dataclass(slots=True, eq=False)
+class _Waiting:
+    """A request that waits; ``late`` once its objective is out of reach."""
+
+    handle: Handle
+    submitted_ms: float
+    deadline_ms: float
+    objective_at_ms: float
+    late: bool = False
+    queued: bool = True
+
+    @property
+    def key(self) -> tuple[int, float]:
+        return self.handle.tier_rank, self.objective_at_ms
+
+
+class ObjectiveCore:
+    """Grants slots of one service's endpoints.
+
+    Args:
+        service_name: The service.
+        options: Constants.
+    """
+
+    def __init__(self, service_name: str, options: ObjectiveOptions) -> None:
+        self._service = service_name
+        self._options = options
+        self._kind = ServiceKind.ENGINE
+        self._workers: dict[str, Worker] = {}
+        self._limits = LimitBook()
+        self._share = 1.0
+        self._waiting: dict[str, _Waiting] = {}
+        self._on_time: list[tuple[tuple[int, float], int, _Waiting]] = []
+        self._late: list[tuple[tuple[int, float], int, _Waiting]] = []
+        self._flights: dict[str, str] = {}
+        self._sequence = count()
+        self._service_ms = _FIRST_SERVICE_MS
+        self._now_ms = 0.0
+
+    # --- settings ---------------------------------------------------------
+
+    def configure(self, tree: Tree, now_ms: float) -> Sequence[Decision]:
+        """Adopt a settings tree (endpoints, limits)."""
+        service = tree.services.get(self._service)
+        if service is not None:
+            self._kind = service.kind
+        own = {
+            name: endpoint
+            for name, endpoint in tree.endpoints.items()
+            if endpoint.service == self._service
+        }
+        for name in [name for name in self._workers if name not in own]:
+            self._drop_worker(name)
+        for name, endpoint in own.items():
+            worker = self._workers.get(name)
+            if worker is None:
+                worker = Worker(endpoint, self._kind, self._options)
+                self._workers[name] = worker
+            worker.endpoint = endpoint
+            worker.leaving = endpoint.leaving
+        self._limits.configure(tree)
+        return self._dispatch(now_ms)
+
+    def _drop_worker(self, endpoint_id: str) -> None:
+        worker = self._workers.pop(endpoint_id)
+        for request_id in worker.flights:
+            self._flights.pop(request_id, None)
+
+    def mark_leaving(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
+        """Grant nothing more to an endpoint."""
+        worker = self._workers.get(endpoint_id)
+        if worker is not None:
+            worker.leaving = True
+        return self._dispatch(now_ms)
+
+    def mark_returned(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
+        """Take back a mark; an endpoint declared as leaving stays out."""
+        worker = self._workers.get(endpoint_id)
+        if worker is not None:
+            worker.leaving = worker.endpoint.leaving
+        return self._dispatch(now_ms)
+
+    def limit_slots(self, share: float, now_ms: float) -> Sequence[Decision]:
+        """Use only a share of slots and rates, as one scheduler of several."""
+        self._share = share
+        self._limits.scale(share)
+        return self._dispatch(now_ms)
+
+    # --- requests ---------------------------------------------------------
+
+    def submit(self, handle: Handle, now_ms: float) -> Sequence[Decision]:
+        """Queue a request; a request id already known is ignored."""
+        request_id = handle.request_id
+        if request_id in self._waiting or request_id in self._flights:
+            return []
+        refusal = self._limits.admit(handle, handle.charge_tokens, now_ms)
+        if refusal is not None:
+            return [Decision(request_id, refusal)]
+        waiting = _waiting_from_handle(handle, now_ms)
+        refusal = self._hopeless(waiting, now_ms)
+        if refusal is not None:
+            self._limits.give_back(handle, handle.charge_tokens)
+            return [Decision(request_id, refusal)]
+        self._waiting[request_id] = waiting
+        self._push(waiting)
+        return self._dispatch(now_ms)
+
+    def register_running(self, running: RunningHandle, now_ms: float) -> None:
+        """Account for a request dispatched under an earlier scheduler."""
+        handle = running.handle
+        worker = self._workers.get(running.endpoint_id)
+        if worker is None or handle.request_id in self._flights:
+            return
+        self._forget(handle.request_id)
+        flight = worker.begin(handle, now_ms)
+        flight.started = running.started
+        self._flights[handle.request_id] = running.endpoint_id
+
+    def withdraw(self, request_id: str, now_ms: float) -> Sequence[Decision]:
+        """Forget a waiting request, or free a granted one's slot."""
+        waiting = self._forget(request_id)
+        if waiting is not None:
+            self._limits.give_back(waiting.handle, waiting.handle.charge_tokens)
+        else:
+            self._end(request_id)
+        return self._dispatch(now_ms)
+
+    def observe(self, event: StreamEvent, now_ms: float) -> Sequence[Decision]:
+        """Learn from a stream; frees the slot when finished."""
+        worker = self._workers.get(event.endpoint_id)
+        flight = worker.flights.get(event.request_id) if worker else None
+        if worker is None or flight is None:
+            return []
+        flight.quiet_from_ms = now_ms
+        if event.ttft_ms >= 0 and not flight.started:
+            worker.saw_first(flight, event.ttft_ms)
+            worker.succeeded()
+        if not event.finished:
+            return []
+        self._end(event.request_id)
+        if event.refused:
+            worker.refused(now_ms)
+            self._limits.give_back(flight.handle, flight.handle.charge_tokens)
+        elif event.outcome:
+            worker.failed(now_ms)
+        else:
+            service_ms = now_ms - flight.granted_ms
+            self._service_ms += _SERVICE_STEP * (service_ms - self._service_ms)
+        return self._dispatch(now_ms)
+
+    def report_load(self, report: LoadReport, now_ms: float) -> Sequence[Decision]:
+        """Ignore the report: every request to the endpoints is known here."""
+        del report, now_ms
+        return []
+
+    def report_cache(self, event: CacheEvent, now_ms: float) -> None:
+        """Ignore the event."""
+
+    def tick(self, now_ms: float) -> Sequence[Decision]:
+        """Suspect silent endpoints, move late requests, expire deadlines."""
+        for worker in self._workers.values():
+            worker.check(now_ms)
+        decisions = self._age(now_ms)
+        decisions.extend(self._dispatch(now_ms))
+        return decisions
+
+    def status(self) -> dict[str, WorkerFigures]:
+        """Return the figures of the endpoints, for operators."""
+        return {
+            name: worker.figures(self._now_ms) for name, worker in self._workers.items()
+        }
+
+    # --- inside -----------------------------------------------------------
+
+    def _push(self, waiting: _Waiting) -> None:
+        heap = self._late if waiting.late else self._on_time
+        heapq.heappush(heap, (waiting.key, next(self._sequence), waiting))
+
+    def _forget(self, request_id: str) -> _Waiting | None:
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is not None:
+            waiting.queued = False
+        return waiting
+
+    def _end(self, request_id: str) -> None:
+        endpoint_id = self._flights.pop(request_id, "")
+        worker = self._workers.get(endpoint_id)
+        if worker is not None:
+            worker.flights.pop(request_id, None)
+
+    def _able(self, handle: Handle) -> list[Worker]:
+        return [
+            worker
+            for name, worker in self._workers.items()
+            if not worker.leaving and name not in handle.excluded
+        ]
+
+    def _hopeless(self, waiting: _Waiting, now_ms: float) -> Refusal | None:
+        """Refuse on arrival what could only be answered late."""
+        handle = waiting.handle
+        workers = self._able(handle)
+        if not workers:
+            return self._refusal(Reason.NO_ENDPOINT, self._options.min_retry_ms * 5)
+        if handle.objective_ms <= 0:
+            return None
+        held_ms = handle.objective_ms - (waiting.objective_at_ms - now_ms)
+        if held_ms > self._options.early_share * handle.objective_ms:
+            return None
+        if any(worker.has_place(self._share, now_ms) for worker in workers):
+            return None
+        wait_ms = self._wait_ms(waiting, workers)
+        left_ms = waiting.objective_at_ms - now_ms
+        if wait_ms <= self._options.refuse_share * left_ms:
+            return None
+        return self._refusal(Reason.DEADLINE_UNREACHABLE, wait_ms)
+
+    def _wait_ms(self, waiting: _Waiting, workers: list[Worker]) -> float:
+        """Predict the wait behind what goes first."""
+        key = waiting.key
+        ahead = sum(
+            1 for one in self._waiting.values() if not one.late and one.key <= key
+        )
+        slots = sum(worker.endpoint.slots for worker in workers)
+        return (ahead + 1) * self._service_ms / max(1.0, slots * self._share)
+
+    def _refusal(self, reason: Reason, retry_ms: float) -> Refusal:
+        options = self._options
+        bounded = min(options.max_retry_ms, max(options.min_retry_ms, int(retry_ms)))
+        return Refusal(Outcome.NOT_RUN, reason, bounded)
+
+    def _age(self, now_ms: float) -> list[Decision]:
+        """Move what is late behind the rest; refuse what is past its deadline."""
+        decisions = []
+        for waiting in list(self._waiting.values()):
+            if now_ms >= waiting.deadline_ms:
+                self._forget(waiting.handle.request_id)
+                self._limits.give_back(waiting.handle, waiting.handle.charge_tokens)
+                refusal = self._refusal(Reason.DEADLINE_PASSED, self._service_ms)
+                decisions.append(Decision(waiting.handle.request_id, refusal))
+            elif not waiting.late and now_ms >= waiting.objective_at_ms:
+                waiting.late = True
+                self._push(waiting)
+        return decisions
+
+    def _dispatch(self, now_ms: float) -> list[Decision]:
+        """Grant what can go now: first what can be on time, then what is late."""
+        self._now_ms = now_ms
+        if not self._waiting:
+            return []
+        decisions = self._drain(self._on_time, False, now_ms)
+        if self._late and self._has_room_for_late(now_ms):
+            decisions.extend(self._drain(self._late, True, now_ms))
+        return decisions
+
+    def _has_room_for_late(self, now_ms: float) -> bool:
+        if not self._on_time_waits():
+            return True
+        free = total = 0
+        for worker in self._workers.values():
+            total += worker.endpoint.slots
+            if worker.has_place(self._share, now_ms):
+                free += worker.endpoint.slots - len(worker.flights)
+        return free > self._options.late_free_share * total
+
+    def _on_time_waits(self) -> bool:
+        heap = self._on_time
+        while heap and (not heap[0][2].queued or heap[0][2].late):
+            heapq.heappop(heap)
+        return bool(heap)
+
+    def _drain(
+        self,
+        heap: list[tuple[tuple[int, float], int, _Waiting]],
+        late: bool,
+        now_ms: float,
+    ) -> list[Decision]:
+        decisions: list[Decision] = []
+        aside = []
+        while heap and len(aside) < _TRIES:
+            entry = heapq.heappop(heap)
+            waiting = entry[2]
+            if not waiting.queued or waiting.late is not late:
+                continue
+            open_workers = self._open(now_ms)
+            if not open_workers:
+                aside.append(entry)
+                break
+            worker = self._place(waiting, open_workers, now_ms)
+            if worker is None:
+                aside.append(entry)
+                continue
+            decisions.append(self._grant(waiting, worker, now_ms))
+        for entry in aside:
+            heapq.heappush(heap, entry)
+        return decisions
+
+    def _open(self, now_ms: float) -> list[Worker]:
+        share = self._share
+        return [w for w in self._workers.values() if w.has_place(share, now_ms)]
+
+    def _place(
+        self, waiting: _Waiting, workers: list[Worker], now_ms: float
+    ) -> Worker | None:
+        """Return where the first answer byte comes soonest, None to wait."""
+        handle = waiting.handle
+        best = None
+        best_ms = 0.0
+        for worker in workers:
+            if worker.endpoint.endpoint_id in handle.excluded:
+                continue
+            if not worker.fits(handle) or worker.stalls(handle):
+                continue
+            predicted_ms = worker.predict_ms(handle)
+            if best is None or predicted_ms < best_ms:
+                best, best_ms = worker, predicted_ms
+        if best is None or waiting.late:
+            return best
+        if now_ms + best_ms <= waiting.objective_at_ms:
+            return best
+        # Nobody could be on time any more: no use in waiting for another one.
+        alone_ms = min(
+            (w.options.first_token_ms * w.slowdown for w in self._workers.values()),
+            default=0.0,
+        )
+        hopeless = now_ms + alone_ms > waiting.objective_at_ms
+        return best if hopeless or len(workers) == len(self._workers) else None
+
+    def _grant(self, waiting: _Waiting, worker: Worker, now_ms: float) -> Decision:
+        handle = waiting.handle
+        self._forget(handle.request_id)
+        flight = worker.begin(handle, now_ms)
+        self._flights[handle.request_id] = worker.endpoint.endpoint_id
+        grant = Grant(
+            handle.request_id, worker.endpoint.endpoint_id, flight.expected_ms
+        )
+        return Decision(handle.request_id, grant)
+
+
+def _waiting_from_handle(handle: Handle, now_ms: float) -> _Waiting:
+    deadline_ms = now_ms + handle.budget_ms
+    return _Waiting(handle, now_ms, deadline_ms, deadline_ms - handle.late_window_ms)
+
+
+@register(PLACEMENT_POLICIES, "objective")
+def make_objective_core(service_name: str) -> SchedulingCore:
+    """Make the core of the objective policy."""
+    return ObjectiveCore(service_name, ObjectiveOptions())
--- /dev/null
+++ b/src/pomelolane/scheduler/objective/options.py
@@ -0,0 +1,62 @@
+"""Constants of the objective policy, each with its unit and its source."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectiveOptions:
+    """How the policy predicts, waits and suspects.
+
+    Attributes:
+        prefill_per_ms: Prompt tokens an engine of speed 1 reads in a
+            millisecond; the users' sheets say 55.
+        first_token_ms: Time to a first token beside the prompt's; the calm
+            days show 20 to 30 ms on the fastest engines.
+        token_ms: Time of one answer token of speed 1; a step takes 2.89 ms
+            and a little more for each running request (users' sheets).
+        plain_ms: Work time of a plain call of speed 1 (users' sheets).
+        prefill_chunk_tokens: Prompt tokens read between two tokens of the
+            streams that run beside (a common size of engines' chunks).
+        tokens_per_event: Answer tokens in one event of a stream; the sheets
+            say 6 and 10, the larger one is safe.
+        gap_share: Part of the allowed pause between events that a prompt may
+            take from the streams that run beside it.
+        speed_step: Weight of one observation in a learnt speed.
+        suspect_ms: Silence beyond the prediction after which an endpoint gets
+            nothing more; three predictions are added.
+        suspend_ms: Pause of an endpoint after failures, doubled each time.
+        suspend_limit_ms: Longest such pause; about the time after which the
+            registry drops a silent endpoint.
+        refused_pause_ms: Pause of an endpoint that refused as full.
+        late_free_share: Part of all slots kept free of late work.
+        refuse_share: Part of the objective that a predicted wait must exceed
+            for a refusal on arrival.
+        early_share: Part of the objective within which a refusal still costs
+            the caller nothing.
+        min_retry_ms: Shortest time to come back that is told.
+        max_retry_ms: Longest one; callers have seconds.
+        fail_step: Weight of one answer in the learnt share of failures.
+        fail_weight: How much a share of failures lengthens a prediction.
+    """
+
+    prefill_per_ms: float = 55.0
+    first_token_ms: float = 25.0
+    token_ms: float = 3.6
+    plain_ms: float = 45.0
+    prefill_chunk_tokens: int = 2048
+    tokens_per_event: int = 6
+    gap_share: float = 0.8
+    speed_step: float = 0.25
+    suspect_ms: float = 250.0
+    suspend_ms: float = 400.0
+    suspend_limit_ms: float = 3_600.0
+    refused_pause_ms: float = 60.0
+    late_free_share: float = 0.1
+    refuse_share: float = 1.0
+    early_share: float = 0.25
+    min_retry_ms: int = 100
+    max_retry_ms: int = 5_000
+    fail_step: float = 0.1
+    fail_weight: float = 6.0
--- /dev/null
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -0,0 +1,207 @@
+"""What the objective policy knows of one endpoint: load, speed and health."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from pomelolane.model import ServiceKind
+
+if TYPE_CHECKING:
+    from pomelolane.messages import Handle
+    from pomelolane.model import Endpoint
+    from pomelolane.scheduler.objective.options import ObjectiveOptions
+
+_SLOWEST = 12.0
+_FASTEST = 0.2
+_STRAGGLING_FACTOR = 3.0
+_PROBES_AT_ONCE = 1
+
+
+@dataclass(slots=True)
+class Flight:
+    """A request that was granted an endpoint.
+
+    Attributes:
+        handle: The request.
+        granted_ms: When.
+        nominal_ms: Time to the first answer byte at speed 1.
+        expected_ms: The same at the endpoint's learnt speed.
+        started: Whether the first answer byte was seen.
+        quiet_from_ms: Last sign of life.
+    """
+
+    handle: Handle
+    granted_ms: float
+    nominal_ms: float
+    expected_ms: float
+    started: bool = False
+    quiet_from_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class WorkerFigures:
+    """Figures of one endpoint for operators.
+
+    Attributes:
+        running: Requests granted and not ended.
+        slowdown: Learnt time against speed 1.
+        fail_share: Learnt share of failed answers.
+        straggling: Whether it is much slower than speed 1.
+        suspended: Whether it gets nothing at present.
+    """
+
+    running: int
+    slowdown: float
+    fail_share: float
+    straggling: bool
+    suspended: bool
+
+
+@dataclass(slots=True)
+class Worker:
+    """One endpoint.
+
+    Attributes:
+        endpoint: As declared.
+        kind: Kind of its service.
+        options: The policy's constants.
+        leaving: Whether it may get nothing more.
+        flights: Running requests by id.
+        slowdown: Learnt time against speed 1.
+        fail_share: Learnt share of failed answers.
+        suspended_until_ms: It gets nothing before.
+        probing: Whether it must prove itself with one request.
+        failures: Failures in a row.
+    """
+
+    endpoint: Endpoint
+    kind: ServiceKind
+    options: ObjectiveOptions
+    leaving: bool = False
+    flights: dict[str, Flight] = field(default_factory=dict)
+    slowdown: float = 1.0
+    fail_share: float = 0.0
+    suspended_until_ms: float = 0.0
+    probing: bool = False
+    failures: int = 0
+
+    def has_place(self, share: float, now_ms: float) -> bool:
+        """Tell whether one more request may go here now."""
+        if self.leaving or now_ms < self.suspended_until_ms:
+            return False
+        if self.probing:
+            return len(self.flights) < _PROBES_AT_ONCE
+        return len(self.flights) < max(1, int(self.endpoint.slots * share))
+
+    def fits(self, handle: Handle) -> bool:
+        """Tell whether the memory for prompt and answer is there."""
+        limit = self.endpoint.kv_tokens
+        if limit <= 0:
+            return True
+        used = sum(_memory_tokens(f.handle) for f in self.flights.values())
+        return used + _memory_tokens(handle) <= limit
+
+    def nominal_ms(self, handle: Handle) -> float:
+        """Return the time to a first answer byte at speed 1."""
+        options = self.options
+        if self.kind is ServiceKind.PLAIN:
+            return options.plain_ms
+        ahead = sum(
+            f.handle.prefill_tokens for f in self.flights.values() if not f.started
+        )
+        prompt_ms = (ahead + handle.prefill_tokens) / options.prefill_per_ms
+        return options.first_token_ms + prompt_ms
+
+    def predict_ms(self, handle: Handle) -> float:
+        """Return the time to a first answer byte at the learnt speed."""
+        ms = self.nominal_ms(handle) * self.slowdown
+        return ms * (1.0 + self.options.fail_weight * self.fail_share)
+
+    def stalls(self, handle: Handle) -> bool:
+        """Tell whether a prompt would hold up the streams that run beside it."""
+        limits = [f.handle.gap_ms for f in self.flights.values() if f.handle.gap_ms]
+        if not limits or not handle.prefill_tokens:
+            return False
+        options = self.options
+        chunks = -(-handle.prefill_tokens // options.prefill_chunk_tokens)
+        chunk_tokens = min(handle.prefill_tokens, options.prefill_chunk_tokens)
+        chunk_ms = chunk_tokens / options.prefill_per_ms
+        steps = min(chunks, options.tokens_per_event)
+        pause_ms = steps * chunk_ms + options.tokens_per_event * options.token_ms
+        return pause_ms * self.slowdown > options.gap_share * min(limits)
+
+    def begin(self, handle: Handle, now_ms: float) -> Flight:
+        """Count a granted request."""
+        flight = Flight(
+            handle,
+            now_ms,
+            self.nominal_ms(handle),
+            self.predict_ms(handle),
+            quiet_from_ms=now_ms,
+        )
+        self.flights[handle.request_id] = flight
+        return flight
+
+    def saw_first(self, flight: Flight, ttft_ms: float) -> None:
+        """Learn the speed from a first answer byte."""
+        flight.started = True
+        ratio = min(_SLOWEST, max(_FASTEST, ttft_ms / flight.nominal_ms))
+        step = self.options.speed_step
+        self.slowdown += step * (ratio - self.slowdown)
+
+    def succeeded(self) -> None:
+        """Count a good answer and end any suspicion."""
+        self.failures = 0
+        self.probing = False
+        self.suspended_until_ms = 0.0
+        self.fail_share *= 1.0 - self.options.fail_step
+
+    def failed(self, now_ms: float) -> None:
+        """Count a failed answer; two in a row pause the endpoint."""
+        step = self.options.fail_step
+        self.fail_share += step * (1.0 - self.fail_share)
+        self.failures += 1
+        if self.failures >= 2:
+            self.suspend(now_ms)
+
+    def refused(self, now_ms: float) -> None:
+        """Pause shortly: its slots were taken by others, or it is gone."""
+        self.failures += 1
+        pause_ms = self.options.refused_pause_ms * 2 ** min(self.failures - 1, 5)
+        self.suspended_until_ms = max(self.suspended_until_ms, now_ms + pause_ms)
+
+    def suspend(self, now_ms: float) -> None:
+        """Give nothing for a while, and then one request to prove itself."""
+        options = self.options
+        pause_ms = options.suspend_ms * 2 ** max(0, self.failures - 2)
+        until_ms = now_ms + min(options.suspend_limit_ms, pause_ms)
+        self.suspended_until_ms = max(self.suspended_until_ms, until_ms)
+        self.probing = True
+
+    def check(self, now_ms: float) -> bool:
+        """Suspect the endpoint if a request hears nothing; True when anew."""
+        if now_ms < self.suspended_until_ms:
+            return False
+        for flight in self.flights.values():
+            limit_ms = self.options.suspect_ms + 3 * flight.expected_ms
+            if not flight.started and now_ms - flight.quiet_from_ms > limit_ms:
+                flight.quiet_from_ms = now_ms
+                self.failures = max(2, self.failures + 1)
+                self.suspend(now_ms)
+                return True
+        return False
+
+    def figures(self, now_ms: float) -> WorkerFigures:
+        """Return the figures for operators."""
+        return WorkerFigures(
+            len(self.flights),
+            self.slowdown,
+            self.fail_share,
+            self.slowdown > _STRAGGLING_FACTOR,
+            now_ms < self.suspended_until_ms,
+        )
+
+
+def _memory_tokens(handle: Handle) -> int:
+    return handle.prefill_tokens + handle.decode_tokens
--- a/src/pomelolane/platform/claims.py
+++ b/src/pomelolane/store/claims.py
@@ -22,16 +22,16 @@
 )
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.platform.backoff import Backoff
-from pomelolane.platform.committer import GroupCommitter
 from pomelolane.ports import ClaimRecord, Write
+from pomelolane.store.backoff import Backoff
+from pomelolane.store.committer import GroupCommitter
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
-    from pomelolane.platform.committer import Committer, PendingWrite
     from pomelolane.ports import Clock, Row, Table
     from pomelolane.sentinels import Missing
+    from pomelolane.store.committer import Committer, PendingWrite
 
 CLAIMED = "claimed"
 RELEASED = "released"
--- a/src/pomelolane/platform/connect.py
+++ b/src/pomelolane/store/connect.py
@@ -11,14 +11,14 @@
 
 from pomelolane.clock import MonotonicClock
 from pomelolane.exceptions import SettingError
-from pomelolane.platform.embedded import (
+from pomelolane.store.embedded import (
     EmbeddedObjectStore,
     EmbeddedTable,
     EmbeddedVmList,
     EmbeddedWeightStore,
 )
-from pomelolane.platform.health import PlatformHealth
-from pomelolane.platform.http import (
+from pomelolane.store.health import PlatformHealth
+from pomelolane.store.http import (
     DEFAULT_CALL_TIMEOUT_MS,
     DEFAULT_CONNECT_TIMEOUT_MS,
     HttpObjectStore,
@@ -29,8 +29,8 @@
 )
 
 if TYPE_CHECKING:
-    from pomelolane.platform.weights import WeightStore
     from pomelolane.ports import Clock, ObjectStore, Table, VmList
+    from pomelolane.store.weights import WeightStore
 
 EMBEDDED = "embedded"
 
--- a/src/pomelolane/platform/gate.py
+++ b/src/pomelolane/store/gate.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from pomelolane.platform.health import PlatformHealth
+    from pomelolane.store.health import PlatformHealth
 
 CLOSED_AFTER_MS = 1000.0
 PROBE_MS = 250.0
--- a/src/pomelolane/platform/gather.py
+++ b/src/pomelolane/store/gather.py
@@ -27,8 +27,8 @@
     RelayedResult,
     RelayedWrite,
 )
-from pomelolane.platform.committer import GroupCommitter, PendingWrite
 from pomelolane.ports import Write, WriteResult
+from pomelolane.store.committer import GroupCommitter, PendingWrite
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/pomelolane/platform/http.py
+++ b/src/pomelolane/store/http.py
@@ -21,16 +21,16 @@
     PlatformUnavailableError,
     RateLimitedError,
 )
-from pomelolane.platform.gate import WriteGate
 from pomelolane.ports import ListedVm, Row, WriteResult
 from pomelolane.sentinels import NOT_FOUND
+from pomelolane.store.gate import WriteGate
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from pomelolane.platform.health import PlatformHealth
     from pomelolane.ports import Write
     from pomelolane.sentinels import Missing
+    from pomelolane.store.health import PlatformHealth
 
 DEFAULT_CONNECT_TIMEOUT_MS = 1000
 DEFAULT_CALL_TIMEOUT_MS = 3000
--- a/src/pomelolane/platform/keeper.py
+++ b/src/pomelolane/store/keeper.py
@@ -10,13 +10,13 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.exceptions import EndpointError, LeaseLostError, PlatformError
-from pomelolane.platform.orders import Demand, endpoint_to_load
+from pomelolane.store.orders import Demand, endpoint_to_load
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from pomelolane.model import Endpoint, Service, Tree
-    from pomelolane.platform.orders import EngineState, ModelOrders, OrderSender
+    from pomelolane.store.orders import EngineState, ModelOrders, OrderSender
 
 DEFAULT_KEEP_INTERVAL_MS = 5_000.0
 
--- a/src/pomelolane/platform/orders.py
+++ b/src/pomelolane/store/orders.py
@@ -26,8 +26,8 @@
     from collections.abc import Mapping
 
     from pomelolane.model import Endpoint, Service, Tree
-    from pomelolane.platform.leases import Lease, Leases
-    from pomelolane.platform.weights import PacedPulls
+    from pomelolane.store.leases import Lease, Leases
+    from pomelolane.store.weights import PacedPulls
 
 DEFAULT_ORDER_TIMEOUT_MS = 3000
 
--- a/src/pomelolane/platform/retention.py
+++ b/src/pomelolane/store/retention.py
@@ -11,8 +11,8 @@
 from pomelolane.events import ROWS_SWEPT
 from pomelolane.exceptions import PlatformError
 from pomelolane.logs import log_event
-from pomelolane.platform.claims import CLAIM_PREFIX, CLAIMED, decode_claim, reserved_job
 from pomelolane.ports import Write
+from pomelolane.store.claims import CLAIM_PREFIX, CLAIMED, decode_claim, reserved_job
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -13,7 +13,7 @@
 )
 
 if TYPE_CHECKING:
-    from pomelolane.platform import EmbeddedTable
+    from pomelolane.store import EmbeddedTable
 
 DOWN = "down"
 LOST_REPLY = "lost_reply"
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -10,7 +10,7 @@
 from pomelolane.jobs import JobRequest, JobSettings, make_jobs
 from pomelolane.jobs.record import decode_job
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.platform import (
+from pomelolane.store import (
     EmbeddedObjectStore,
     EmbeddedTable,
     GroupCommitter,
--- a/tests/settings/faults.py
+++ b/tests/settings/faults.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from pomelolane.exceptions import CommitUnknownError
-from pomelolane.platform import EmbeddedTable
+from pomelolane.store import EmbeddedTable
 from tests.faults import FaultyTable
 
 
--- a/tests/steps/claims_steps.py
+++ b/tests/steps/claims_steps.py
@@ -11,7 +11,7 @@
 
 from pomelolane.clock import ManualClock, MonotonicClock
 from pomelolane.outcomes import Outcome, Refusal
-from pomelolane.platform import (
+from pomelolane.store import (
     ClaimSweeper,
     EmbeddedObjectStore,
     EmbeddedTable,
--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -17,7 +17,7 @@
 from bench.processes import ManagedProcess, wait_until
 from pomelolane.commands.application import run_application
 from pomelolane.events import CATALOGUE
-from pomelolane.platform import EmbeddedTable
+from pomelolane.store import EmbeddedTable
 from pomelolane.report import (
     EndpointReport,
     PeerReport,
--- a/tests/steps/gateway_keyed_steps.py
+++ b/tests/steps/gateway_keyed_steps.py
@@ -18,13 +18,13 @@
 from pomelolane.messages import KeyQuery
 from pomelolane.model import Endpoint, Service, ServiceKind, Tree
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.platform import (
+from pomelolane.store import (
     EmbeddedObjectStore,
     EmbeddedTable,
     claim_key,
     job_reservation,
 )
-from pomelolane.platform.claims import DONE, make_claims
+from pomelolane.store.claims import DONE, make_claims
 from pomelolane.ports import Grant, Peer, View
 from pomelolane.tree import CurrentTree
 from tests.gateway_calls import make_call
--- a/tests/steps/gather_steps.py
+++ b/tests/steps/gather_steps.py
@@ -19,14 +19,14 @@
     encode_message,
 )
 from pomelolane.outcomes import Outcome, Refusal
-from pomelolane.platform import (
+from pomelolane.store import (
     EmbeddedTable,
     GatherSettings,
     GroupCommitter,
     make_claims,
     make_gathering_committer,
 )
-from pomelolane.platform.gather import gatherers_of
+from pomelolane.store.gather import gatherers_of
 from pomelolane.ports import Peer, View
 from tests.faults import COMMIT_FAULTS, FaultyTable
 
--- a/tests/steps/leases_steps.py
+++ b/tests/steps/leases_steps.py
@@ -15,9 +15,9 @@
     RateLimitedError,
 )
 from pomelolane.model import Endpoint, Service, ServiceKind, Tree
-from pomelolane.platform import EmbeddedTable, PacedPulls, make_leases
-from pomelolane.platform.leases import LeaseRow
-from pomelolane.platform.orders import (
+from pomelolane.store import EmbeddedTable, PacedPulls, make_leases
+from pomelolane.store.leases import LeaseRow
+from pomelolane.store.orders import (
     Demand,
     EngineState,
     ModelOrders,
--- a/tests/steps/membership_recorded_steps.py
+++ b/tests/steps/membership_recorded_steps.py
@@ -6,7 +6,7 @@
 
 from pomelolane.clock import ManualClock
 from pomelolane.membership import RecordedMarks
-from pomelolane.platform import EmbeddedTable
+from pomelolane.store import EmbeddedTable
 from tests.faults import DOWN, FaultyTable
 
 
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -11,8 +11,8 @@
     PlatformUnavailableError,
     SettingError,
 )
-from pomelolane.platform import EmbeddedTable, platform_from_url
-from pomelolane.platform.gate import CLOSED_AFTER_MS
+from pomelolane.store import EmbeddedTable, platform_from_url
+from pomelolane.store.gate import CLOSED_AFTER_MS
 from pomelolane.ports import Write
 from tests.faults import until
 
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -16,7 +16,7 @@
 from pomelolane.clock import MonotonicClock
 from pomelolane.model import Endpoint, Service, ServiceKind, Tree
 from pomelolane.outcomes import Refusal
-from pomelolane.platform import (
+from pomelolane.store import (
     EmbeddedTable,
     EmbeddedWeightStore,
     ModelKeeper,
@@ -27,7 +27,7 @@
     make_leases,
     platform_from_url,
 )
-from pomelolane.platform.orders import HttpOrderSender
+from pomelolane.store.orders import HttpOrderSender
 from pomelolane.ports import Write
 from tests.faults import until
 
--- a/tests/steps/settings_distribution_steps.py
+++ b/tests/steps/settings_distribution_steps.py
@@ -5,7 +5,7 @@
 from pomelolane.clock import ManualClock, MonotonicClock
 from pomelolane.exceptions import PlatformUnavailableError
 from pomelolane.messages import BranchContent, BranchWanted
-from pomelolane.platform.embedded import EmbeddedTable
+from pomelolane.store.embedded import EmbeddedTable
 from pomelolane.ports import Peer, View, Write
 from pomelolane.settings import SettingsStore, rows
 from pomelolane.settings.distribution import make_distribution
--- a/tests/steps/settings_platform_steps.py
+++ b/tests/steps/settings_platform_steps.py
@@ -14,7 +14,7 @@
 
 from bench.controls import ControlClient
 from bench.processes import ManagedProcess
-from pomelolane.platform import platform_from_url
+from pomelolane.store import platform_from_url
 from pomelolane.settings import SettingsStore
 from tests.settings.trees import make_operated_contents
 
