--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -388,6 +388,13 @@
     "error version",
     "A configuration could not be read; the one before stays in force.",
 )
+ORGANISATION_LIMIT = _define(
+    708,
+    "organisation_limit",
+    "info",
+    "organisation tokens_per_s burst_tokens requests_per_s version",
+    "A configuration sets or changes an organisation's limit.",
+)
 SETTINGS_FILE_READ = _define(
     707,
     "settings_file_read",
--- a/src/pomelolane/forwarding/budget.py
+++ b/src/pomelolane/forwarding/budget.py
@@ -2,7 +2,7 @@
 
 Each VM may spend a part of what its own requests earn and an equal share of
 the slack, so that all of them together stay within the whole budget. Nothing
-is saved over a restart: a VM that starts anew has nothing to spend at first.
+is saved over a restart: a VM that starts anew has one repeat to spend at first.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
         self._ratio = ratio * _EARNED_PART
         self._slack = slack * _SLACK_PART
         self._vm_count = vm_count
-        self._balance = 0.0
+        self._balance = 1.0
 
     @property
     def balance(self) -> float:
@@ -41,7 +41,7 @@
 
     def earn(self) -> None:
         """Count a request's first send."""
-        most = max(1.0, self._slack / max(1, self._vm_count()))
+        most = max(2.0, self._slack / max(1, self._vm_count()))
         self._balance = min(most, self._balance + self._ratio)
 
     def spend(self) -> bool:
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -53,11 +53,17 @@
 
 
 class _Again(Exception):  # noqa: N818  (a signal, not an error)
-    """The request may be tried at another endpoint."""
+    """The request may be tried at another endpoint.
+
+    Attributes:
+        refusal: What the caller hears if it is not.
+        is_paid: Whether the repeat is counted against the budget already.
+    """
 
     def __init__(self, refusal: Refusal) -> None:
         super().__init__(refusal.detail)
         self.refusal = refusal
+        self.is_paid = False
 
 
 class Forwarder:
@@ -155,7 +161,7 @@
             try:
                 await self._attempt(state, relay, grant, watch)
             except _Again as again:
-                if not self._may_repeat(state):
+                if not again.is_paid and not self._may_repeat(state):
                     return truthful(state, again.refusal)
                 self._log_retry(state, again.refusal)
                 continue
@@ -219,9 +225,11 @@
         stream = sent.stream
         failed = stream.status >= _SERVER_ERROR
         try:
-            if failed and self._can_repeat(state):
+            if failed and self._may_repeat(state):
                 detail = f"the endpoint answered {stream.status}"
-                raise self._broken(state, watch, detail)
+                again = self._broken(state, watch, detail)
+                again.is_paid = True
+                raise again
             await stream.wait()
             if not stream.is_broken_unread:
                 watch.first()
--- a/src/pomelolane/model.py
+++ b/src/pomelolane/model.py
@@ -62,12 +62,15 @@
         concurrency: Requests running at one time.
         burst_tokens: Tokens admitted at once after a pause; 0 stands for one
             second's.
+        window_ms: Where set, the rate and burst bound what any span of this
+            length may hold, instead of filling a bucket.
     """
 
     requests_per_s: float = 0.0
     tokens_per_s: float = 0.0
     concurrency: int = 0
     burst_tokens: float = 0.0
+    window_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/platform/documents.py
+++ b/src/pomelolane/platform/documents.py
@@ -103,9 +103,13 @@
 _servers = msgspec.json.Decoder(_Server)
 
 
-def configuration_from_json(data: bytes) -> Configuration:
+def configuration_from_json(data: bytes, window_ms: int) -> Configuration:
     """Decode the operator's configuration.
 
+    Args:
+        data: The document.
+        window_ms: Span in which an organisation's use is counted.
+
     Raises:
         DocumentError: It cannot be read.
     """
@@ -120,7 +124,9 @@
         version=document.version,
         routes=routes,
         services={s.name: _service(s, routes) for s in document.services},
-        organisations={tenant.name: _organisation(tenant) for tenant in tenants},
+        organisations={
+            tenant.name: _organisation(tenant, window_ms) for tenant in tenants
+        },
         organisation_by_key={key: t.name for t in tenants for key in t.api_keys},
         rank_by_organisation={
             tenant.name: tenant.priority
@@ -192,8 +198,12 @@
     return Service(service.name, TEAM, kind, works, kv_tokens=kv_tokens)
 
 
-def _organisation(tenant: _Tenant) -> Organisation:
+def _organisation(tenant: _Tenant, window_ms: int) -> Organisation:
     limits = Limits(requests_per_s=tenant.rate_per_s)
     if tenant.unit == _TOKENS:
-        limits = Limits(tokens_per_s=tenant.rate_per_s, burst_tokens=tenant.burst)
+        limits = Limits(
+            tokens_per_s=tenant.rate_per_s,
+            burst_tokens=tenant.burst,
+            window_ms=window_ms,
+        )
     return Organisation(tenant.name, TEAM, "", limits=limits)
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -106,7 +106,9 @@
         self._background.start("endpoints", watch.run())
         self._background.start(
             "configuration",
-            ConfigurationWatch(self._store, self._current, self._clock).run(),
+            ConfigurationWatch(
+                self._store, self._current, self._clock, file.limit_window_ms
+            ).run(),
         )
         self._background.start("roster", self._enter(roster))
         await node.start()
--- a/src/pomelolane/platform/nodefile.py
+++ b/src/pomelolane/platform/nodefile.py
@@ -24,6 +24,8 @@
     config_apply_ms: int = 2_000
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50.0
+    # "quota" is what the project calls an organisation's limit.
+    quota_window_s: float = 8.0
 
 
 class _Store(msgspec.Struct):
@@ -65,6 +67,7 @@
         apply_ms: Time within which a configuration must be in force.
         retry_ratio: Repeated sends allowed for each request.
         retry_slack: Repeated sends allowed beside, over all VMs.
+        limit_window_ms: Span in which an organisation's use is counted.
     """
 
     vm_id: str
@@ -81,6 +84,7 @@
     apply_ms: int
     retry_ratio: float
     retry_slack: float
+    limit_window_ms: int
 
 
 def node_file_from_path(path: str) -> NodeFile:
@@ -109,4 +113,5 @@
         apply_ms=bounds.config_apply_ms,
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.budget_slack,
+        limit_window_ms=int(bounds.quota_window_s * 1000),
     )
--- a/src/pomelolane/platform/watches.py
+++ b/src/pomelolane/platform/watches.py
@@ -21,7 +21,11 @@
 )
 
 if TYPE_CHECKING:
-    from pomelolane.forwarding import CurrentConfiguration, EndpointDirectory
+    from pomelolane.forwarding import (
+        Configuration,
+        CurrentConfiguration,
+        EndpointDirectory,
+    )
     from pomelolane.platform.storeclient import Snapshot, StoreClient
     from pomelolane.ports import Clock
 
@@ -93,12 +97,18 @@
         store: The store.
         current: Where configurations are put in force.
         clock: Time.
+        limit_window_ms: Span in which organisations' use is counted.
     """
 
     def __init__(
-        self, store: StoreClient, current: CurrentConfiguration, clock: Clock
+        self,
+        store: StoreClient,
+        current: CurrentConfiguration,
+        clock: Clock,
+        limit_window_ms: int,
     ) -> None:
         self._store = store
+        self._limit_window_ms = limit_window_ms
         self._current = current
         self._trouble = _Trouble("configuration", clock)
         self._after = -1
@@ -131,20 +141,17 @@
             if row.key != _CONFIGURATION_KEY or row.deleted:
                 continue
             try:
-                configuration = configuration_from_json(row.value)
+                configuration = configuration_from_json(
+                    row.value, self._limit_window_ms
+                )
             except DocumentError as error:
                 log_event(
                     events.CONFIGURATION_REJECTED, error=error, version=row.version
                 )
                 continue
+            before = self._current.value
             if self._current.adopt(configuration):
-                log_event(
-                    events.CONFIGURATION_APPLIED,
-                    version=configuration.version,
-                    routes=len(configuration.routes),
-                    services=len(configuration.services),
-                    organisations=len(configuration.organisations),
-                )
+                _log_applied(before, configuration)
 
 
 class EndpointWatch:
@@ -237,3 +244,26 @@
                 )
         if self.is_read:
             self._directory.replace(endpoints, self._version)
+
+
+def _log_applied(before: Configuration | None, now: Configuration) -> None:
+    log_event(
+        events.CONFIGURATION_APPLIED,
+        version=now.version,
+        routes=len(now.routes),
+        services=len(now.services),
+        organisations=len(now.organisations),
+    )
+    known = before.organisations if before is not None else {}
+    for name, organisation in now.organisations.items():
+        limits = organisation.limits
+        if name in known and known[name].limits == limits:
+            continue
+        log_event(
+            events.ORGANISATION_LIMIT,
+            organisation=name,
+            tokens_per_s=limits.tokens_per_s,
+            burst_tokens=limits.burst_tokens,
+            requests_per_s=limits.requests_per_s,
+            version=now.version,
+        )
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 from pomelolane.outcomes import Outcome, Reason, Refusal
@@ -16,6 +17,11 @@
 
 _BURST_MS = 1_000.0
 _MIN_RETRY_MS = 10
+_ASSUMED_SHARE = 0.7
+"""Part of a new window that counts as used: what two schedulers in turn may let
+pass together is then within a third of the bound."""
+
+_ASSUMED_PIECES = 16
 
 
 class TokenBucket:
@@ -53,21 +59,95 @@
         self._at_ms = now_ms
 
 
+class SlidingWindow:
+    """Bounds what any span of one length may hold.
+
+    A new window does not know what an earlier scheduler let pass. It counts a
+    part of the bound as used, spread evenly over the past, so that two
+    schedulers in turn stay near the bound together.
+
+    Args:
+        bound: Most that a span may hold.
+        window_ms: Length of the span.
+    """
+
+    __slots__ = ("_bound", "_passed", "_used", "_window_ms")
+
+    def __init__(self, bound: float, window_ms: float) -> None:
+        self._bound = bound
+        self._window_ms = window_ms
+        self._passed: deque[tuple[float, float]] = deque()
+        self._used = 0.0
+
+    @property
+    def bound(self) -> float:
+        """Most that a span may hold."""
+        return self._bound
+
+    def assume_used(self, now_ms: float) -> None:
+        """Count a part of the bound as used before now."""
+        amount = _ASSUMED_SHARE * self._bound / _ASSUMED_PIECES
+        for piece in range(_ASSUMED_PIECES, 0, -1):
+            at_ms = now_ms - self._window_ms * (piece - 0.5) / _ASSUMED_PIECES
+            self._passed.append((at_ms, amount))
+            self._used += amount
+
+    def adopt(self, bound: float) -> None:
+        """Go on under another bound with what has passed."""
+        self._bound = bound
+
+    def wait_ms(self, amount: float, now_ms: float) -> float:
+        """Return how long until an amount may pass, 0 for now."""
+        self._forget(now_ms)
+        over = self._used + min(amount, self._bound) - self._bound
+        if over <= 0:
+            return 0.0
+        for at_ms, passed in self._passed:
+            over -= passed
+            if over <= 0:
+                return max(1.0, at_ms + self._window_ms - now_ms)
+        return self._window_ms
+
+    def take(self, amount: float, now_ms: float) -> None:
+        """Let an amount pass; a negative one gives back."""
+        self._passed.append((now_ms, amount))
+        self._used += amount
+
+    def _forget(self, now_ms: float) -> None:
+        oldest_ms = now_ms - self._window_ms
+        while self._passed and self._passed[0][0] <= oldest_ms:
+            self._used -= self._passed.popleft()[1]
+
+
 class _Account:
     """One team's or organisation's use of its limits."""
 
-    __slots__ = ("limits", "requests", "running", "share", "tokens")
+    __slots__ = ("limits", "requests", "running", "share", "tokens", "window")
 
     def __init__(self, limits: Limits, share: float) -> None:
         self.running = 0
+        self.window: SlidingWindow | None = None
         self.adopt(limits, share)
 
     def adopt(self, limits: Limits, share: float) -> None:
         self.limits = limits
         self.share = share
+        if limits.window_ms > 0:
+            self._adopt_window(limits, share)
+            self.requests = self.tokens = None
+            return
         self.requests = _bucket(limits.requests_per_s * share)
         self.tokens = _bucket(limits.tokens_per_s * share, limits.burst_tokens * share)
 
+    def _adopt_window(self, limits: Limits, share: float) -> None:
+        bound = limits.tokens_per_s * limits.window_ms / 1000 + limits.burst_tokens
+        if limits.tokens_per_s <= 0:
+            self.window = None
+        elif self.window is None:
+            self.window = SlidingWindow(bound * share, limits.window_ms)
+        else:
+            self.window.adopt(bound * share)
+
     def full(self) -> bool:
         limit = self.limits.concurrency
         return 0 < limit <= self.running
@@ -89,6 +169,12 @@
             if account.share != share:
                 account.adopt(account.limits, share)
 
+    def assume_used(self, now_ms: float) -> None:
+        """Count a part of every window as used by an earlier scheduler."""
+        for account in (*self._teams.values(), *self._organisations.values()):
+            if account.window is not None:
+                account.window.assume_used(now_ms)
+
     def configure(self, tree: Tree) -> None:
         """Adopt a tree's limits; unchanged accounts keep their levels."""
         self._found.clear()
@@ -115,6 +201,8 @@
                 account.requests.take(1.0)
             if account.tokens is not None:
                 account.tokens.take(tokens)
+            if account.window is not None:
+                account.window.take(tokens, now_ms)
         return None
 
     def correct(self, handle: Handle, tokens: int) -> None:
@@ -123,7 +211,7 @@
             if account.tokens is not None:
                 account.tokens.take(tokens)
 
-    def give_back(self, handle: Handle, tokens: int) -> None:
+    def give_back(self, handle: Handle, tokens: int, now_ms: float = 0.0) -> None:
         """Undo the charge of a request that was not run.
 
         What an earlier scheduler charged was never taken from this book.
@@ -135,6 +223,8 @@
                 account.requests.take(-1.0)
             if account.tokens is not None:
                 account.tokens.take(-tokens)
+            if account.window is not None:
+                account.window.take(-tokens, now_ms)
 
     def at_concurrency(self, handle: Handle) -> bool:
         """Tell whether one of the request's concurrency limits is reached."""
@@ -176,6 +266,10 @@
 
 
 def _over(account: _Account, tokens: int, now_ms: float) -> Refusal | None:
+    if account.window is not None:
+        wait_ms = account.window.wait_ms(tokens, now_ms)
+        if wait_ms > 0:
+            return Refusal(Outcome.NOT_RUN, Reason.TOKEN_LIMIT, int(wait_ms) + 1)
     checks = (
         (account.requests, 1.0, Reason.REQUEST_LIMIT),
         (account.tokens, tokens, Reason.TOKEN_LIMIT),
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -25,6 +25,9 @@
 _TRIES = 12
 """Waiting requests looked at after the first one that finds no place."""
 
+_ABSENCE_MS = 500.0
+"""Time without a tick after which another VM may have scheduled meanwhile."""
+
 _SERVICE_STEP = 0.05
 _FIRST_SERVICE_MS = 300.0
 
@@ -67,6 +70,7 @@
         self._sequence = count()
         self._service_ms = _FIRST_SERVICE_MS
         self._now_ms = 0.0
+        self._ran_ms: float | None = None
 
     # --- settings ---------------------------------------------------------
 
@@ -90,6 +94,9 @@
             worker.endpoint = endpoint
             worker.leaving = endpoint.leaving
         self._limits.configure(tree)
+        if self._ran_ms is None or now_ms - self._ran_ms > _ABSENCE_MS:
+            self._limits.assume_used(now_ms)
+        self._ran_ms = now_ms
         return self._dispatch(now_ms)
 
     def _drop_worker(self, endpoint_id: str) -> None:
@@ -130,7 +137,7 @@
         waiting = _waiting_from_handle(handle, now_ms)
         refusal = self._hopeless(waiting, now_ms)
         if refusal is not None:
-            self._limits.give_back(handle, handle.charge_tokens)
+            self._give_back(handle, now_ms)
             return [Decision(request_id, refusal)]
         self._waiting[request_id] = waiting
         self._push(waiting)
@@ -151,7 +158,7 @@
         """Forget a waiting request, or free a granted one's slot."""
         waiting = self._forget(request_id)
         if waiting is not None:
-            self._limits.give_back(waiting.handle, waiting.handle.charge_tokens)
+            self._give_back(waiting.handle, now_ms)
         else:
             self._end(request_id)
         return self._dispatch(now_ms)
@@ -171,7 +178,7 @@
         self._end(event.request_id)
         if event.refused:
             worker.refused(now_ms)
-            self._limits.give_back(flight.handle, flight.handle.charge_tokens)
+            self._give_back(flight.handle, now_ms)
         elif event.outcome:
             worker.failed(now_ms)
         else:
@@ -189,6 +196,7 @@
 
     def tick(self, now_ms: float) -> Sequence[Decision]:
         """Suspect silent endpoints, move late requests, expire deadlines."""
+        self._ran_ms = now_ms
         for worker in self._workers.values():
             worker.check(now_ms)
         decisions = self._age(now_ms)
@@ -203,6 +211,9 @@
 
     # --- inside -----------------------------------------------------------
 
+    def _give_back(self, handle: Handle, now_ms: float) -> None:
+        self._limits.give_back(handle, handle.charge_tokens, now_ms)
+
     def _push(self, waiting: _Waiting) -> None:
         heap = self._late if waiting.late else self._on_time
         heapq.heappush(heap, (waiting.key, next(self._sequence), waiting))
@@ -265,7 +276,7 @@
         for waiting in list(self._waiting.values()):
             if now_ms >= waiting.deadline_ms:
                 self._forget(waiting.handle.request_id)
-                self._limits.give_back(waiting.handle, waiting.handle.charge_tokens)
+                self._give_back(waiting.handle, now_ms)
                 refusal = self._refusal(Reason.DEADLINE_PASSED, self._service_ms)
                 decisions.append(Decision(waiting.handle.request_id, refusal))
             elif not waiting.late and now_ms >= waiting.objective_at_ms:
