Take no request once the balancer has noticed a planned stop

Change: after 2.5 s the listener closes, idle connections end, and 4.8 s remain to finish. Ruled out: balancer questions still answered 200.

--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -99,13 +99,6 @@
         self._budgets: dict[str, SharedRetryBudget] = {}
         self.open_calls: dict[str, CallState] = {}
         self.draining = False
-        self._idle = asyncio.Event()
-
-    async def idle(self) -> None:
-        """Return when no request is open."""
-        while self.open_calls:
-            self._idle.clear()
-            await self._idle.wait()
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one exchange to its end."""
@@ -128,7 +121,6 @@
             self._log_gone(state)
         finally:
             del self.open_calls[call.local_id]
-            self._idle.set()
 
     async def _turn_away(self, exchange: Exchange, error: BadRequestError) -> None:
         refusal = refusal_from_error(error)
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -42,7 +41,7 @@
 BALANCER_NOTICE_MS = 2_500
 """Two missed questions, one a second, take a VM out of the balancer."""
 
-EXIT_RESERVE_MS = 1_200
+EXIT_RESERVE_MS = 700
 """Part of the time allowed for a stop that is kept to leave in order."""
 
 TIMINGS = Timings(
@@ -146,6 +145,7 @@
             options.data_centre,
         )
         self._is_started = False
+        self._handover: asyncio.Task[None] | None = None
         current.on_change(self._intake.adopt)
         current.on_change(lambda _: self._configure())
         directory.on_change(self._configure)
@@ -187,7 +187,11 @@
         }
 
     async def drain(self) -> None:
-        """Hand over the roles and finish what was accepted."""
+        """Hand over the roles while the balancer takes notice.
+
+        Requests that come meanwhile are served, since callers still trust this
+        VM; each answer ends its connection.
+        """
         self.forwarder.draining = True
         self.member.set_draining()
         log_event(
@@ -195,16 +199,26 @@
             vm=self._options.vm_id,
             open_requests=len(self.forwarder.open_calls),
         )
-        handover = asyncio.create_task(self.coordination.handover())
+        self._handover = asyncio.create_task(self.coordination.handover())
         await asyncio.sleep(BALANCER_NOTICE_MS / 1000)
+
+    async def finish(self, listener: Listener) -> None:
+        """Take no more requests, and finish what was accepted in time."""
         left_ms = self._options.grace_ms - BALANCER_NOTICE_MS - EXIT_RESERVE_MS
-        with contextlib.suppress(TimeoutError):
+        try:
             async with asyncio.timeout(left_ms / 1000):
-                await self.forwarder.idle()
-        handover.cancel()
+                await listener.stop()
+        except TimeoutError:
+            log_event(
+                events.TASK_FAILED,
+                task="drain",
+                error=f"{len(self.forwarder.open_calls)} requests are still open",
+            )
 
     async def stop(self) -> None:
         """Leave the others and close all connections."""
+        if self._handover is not None:
+            self._handover.cancel()
         await self.coordination.stop()
         await self.member.stop()
         self._pool.close()
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -60,7 +60,8 @@
         self._background = BackgroundTasks()
         self._stopping = asyncio.Event()
         self._node: ForwardingNode | None = None
-        self._listeners: list[Listener] = []
+        self._front: Listener | None = None
+        self._probes: list[Listener] = []
 
     def stop_soon(self) -> None:
         """Begin the planned stop; a second call changes nothing."""
@@ -77,7 +78,7 @@
         """Serve until stopped."""
         file = self._file
         for address in (file.ready, f"{file.ip}:{METRICS_PORT}"):
-            self._listeners.append(
+            self._probes.append(
                 await listen_for_probes(self._is_ready, self._report, address)
             )
         starting = asyncio.create_task(self._start())
@@ -112,7 +113,7 @@
         )
         self._background.start("roster", self._enter(roster))
         await node.start()
-        self._listeners.insert(0, await listen_for_callers(node, file.front))
+        self._front = await listen_for_callers(node, file.front)
         log_event(
             events.VM_STARTED,
             vm=file.vm_id,
@@ -158,7 +159,9 @@
         starting.cancel()
         if self._node is not None:
             await self._node.drain()
-        for listener in self._listeners:
+        if self._node is not None and self._front is not None:
+            await self._node.finish(self._front)
+        for listener in self._probes:
             await listener.stop()
         await self._background.stop()
         if self._node is not None:
