Refuse early by a forecast of slots; rank organisations before routes

Change: a forecast of when slots come free, from learnt paces and the callers' hints of length, refuses within a quarter of the objective what would be late; late requests wait a quarter of what is left. An organisation's rank goes before the route's (all had one rank before, so routes' ranks counted nothing).

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -130,7 +130,7 @@
     "forward_accepted",
     "info",
     "request grant route service organisation rank kind objective_ms limit_ms "
-    "prompt_tokens charge_tokens version",
+    "prompt_tokens hint_tokens charge_tokens version",
     "A routed request passed the checks under this configuration version.",
 )
 FORWARD_SENT = _define(
--- a/src/pomelolane/forwarding/configuration.py
+++ b/src/pomelolane/forwarding/configuration.py
@@ -13,6 +13,10 @@
     from pomelolane.model import Organisation, Service
 
 
+MOST_RANKS = 16
+"""Ranks of routes that can be told apart within one rank of organisations."""
+
+
 class RouteKind(StrEnum):
     """What may be repeated of a route's requests."""
 
@@ -101,7 +105,8 @@
         services: By name.
         organisations: By name.
         organisation_by_key: Organisation names by caller's key.
-        rank_by_organisation: Ranks that go before the routes'.
+        rank_by_organisation: Ranks that go before the routes'; among equal
+            ones the route's rank decides.
         plain_tokens: Tokens that a request counts which does not say.
         limits: Bounds on callers.
     """
@@ -115,6 +120,11 @@
     plain_tokens: int = 0
     limits: CallerLimits = field(default_factory=CallerLimits)
 
+    def rank(self, organisation: str, route: Route) -> int:
+        """Return one rank from an organisation's and its route's."""
+        first = self.rank_by_organisation.get(organisation, MOST_RANKS - 1)
+        return first * MOST_RANKS + min(route.rank, MOST_RANKS - 1)
+
 
 class CurrentConfiguration:
     """Holds the configuration in force, whose version never decreases."""
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -426,6 +426,7 @@
         objective_ms=call.route.objective_ms,
         limit_ms=call.limit_ms,
         prompt_tokens=call.description.prompt_tokens,
+        hint_tokens=call.description.answer_hint_tokens,
         charge_tokens=call.charge_tokens,
         version=call.version,
     )
--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -66,14 +66,13 @@
         if route.timeout_ms:
             limit_ms = min(limit_ms, route.timeout_ms)
         charge = description.prompt_tokens + description.answer_limit_tokens
-        rank = configuration.rank_by_organisation.get(organisation, route.rank)
         return ForwardCall(
             local_id=uuid.uuid4().hex,
             description=description,
             route=route,
             service=service_from_route(route, description.request_id),
             organisation=organisation,
-            rank=rank,
+            rank=configuration.rank(organisation, route),
             charge_tokens=charge or configuration.plain_tokens,
             method=exchange.method,
             target=_target(exchange),
--- a/src/pomelolane/forwarding/tree.py
+++ b/src/pomelolane/forwarding/tree.py
@@ -19,8 +19,12 @@
     configuration: Configuration, endpoints: Mapping[str, Endpoint]
 ) -> Tree:
     """Return the tree of a configuration and the endpoints known to serve it."""
-    ranks = {route.rank for route in configuration.routes}
-    ranks.update(configuration.rank_by_organisation.values())
+    organisations = [*configuration.organisations, ""]
+    ranks = {
+        configuration.rank(organisation, route)
+        for organisation in organisations
+        for route in configuration.routes
+    }
     return Tree(
         tiers={str(rank): Tier(str(rank), rank) for rank in sorted(ranks)},
         teams={"": Team("")},
--- a/src/pomelolane/platform/documents.py
+++ b/src/pomelolane/platform/documents.py
@@ -72,7 +72,8 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    # Goes before the routes' priorities.
+    priority: int = 0
     # What the rate below counts: requests, or tokens.
     unit: str = ""
     plain_tokens: int = 0
@@ -128,11 +129,7 @@
             tenant.name: _organisation(tenant, window_ms) for tenant in tenants
         },
         organisation_by_key={key: t.name for t in tenants for key in t.api_keys},
-        rank_by_organisation={
-            tenant.name: tenant.priority
-            for tenant in tenants
-            if tenant.priority is not None
-        },
+        rank_by_organisation={t.name: t.priority for t in tenants},
         plain_tokens=max((tenant.plain_tokens for tenant in tenants), default=0),
         limits=CallerLimits(
             limits.max_header_bytes,
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -12,6 +12,7 @@
 from pomelolane.ports import Decision, Grant
 from pomelolane.registry import PLACEMENT_POLICIES, register
 from pomelolane.scheduler.limits import LimitBook
+from pomelolane.scheduler.objective.forecast import forecast_of_workers
 from pomelolane.scheduler.objective.options import ObjectiveOptions
 from pomelolane.scheduler.objective.worker import Worker, WorkerFigures
 
@@ -43,6 +44,11 @@
     late: bool = False
     queued: bool = True
 
+    def given_up_at(self, late_share: float) -> float:
+        """Return until when it waits: a part of the time after its objective."""
+        late_ms = self.deadline_ms - self.objective_at_ms
+        return self.objective_at_ms + late_share * late_ms
+
     @property
     def key(self) -> tuple[int, float]:
         return self.handle.tier_rank, self.objective_at_ms
@@ -170,6 +176,8 @@
         if worker is None or flight is None:
             return []
         flight.quiet_from_ms = now_ms
+        if event.tokens > 0 and event.elapsed_ms > 0:
+            worker.saw_pieces(flight, event.tokens, event.elapsed_ms)
         if event.ttft_ms >= 0 and not flight.started:
             worker.saw_first(flight, event.ttft_ms)
             worker.succeeded()
@@ -199,7 +207,8 @@
         self._ran_ms = now_ms
         for worker in self._workers.values():
             worker.check(now_ms)
-        decisions = self._age(now_ms)
+        decisions = self._refuse_early(now_ms)
+        decisions.extend(self._age(now_ms))
         decisions.extend(self._dispatch(now_ms))
         return decisions
 
@@ -243,27 +252,66 @@
         workers = self._able(handle)
         if not workers:
             return self._refusal(Reason.NO_ENDPOINT, self._options.min_retry_ms * 5)
-        if handle.objective_ms <= 0:
-            return None
-        held_ms = handle.objective_ms - (waiting.objective_at_ms - now_ms)
-        if held_ms > self._options.early_share * handle.objective_ms:
+        if not self._may_refuse_early(waiting, now_ms):
             return None
         if any(worker.has_place(self._share, now_ms) for worker in workers):
             return None
-        wait_ms = self._wait_ms(waiting, workers)
+        forecast = forecast_of_workers(workers, self._share, now_ms)
+        ahead = [one for one in self._in_order() if one.key <= waiting.key]
+        for one in ahead:
+            forecast.use(self._duration_ms(one.handle, workers))
+        return self._judge(waiting, forecast.next_ms(), workers, now_ms)
+
+    def _judge(
+        self, waiting: _Waiting, start_ms: float, workers: list[Worker], now_ms: float
+    ) -> Refusal | None:
+        """Refuse a request whose predicted start is too late for its objective."""
+        first_ms = min(worker.predict_ms(waiting.handle) for worker in workers)
         left_ms = waiting.objective_at_ms - now_ms
-        if wait_ms <= self._options.refuse_share * left_ms:
+        late_ms = start_ms * self._options.wait_factor + first_ms - left_ms
+        if late_ms <= 0:
             return None
-        return self._refusal(Reason.DEADLINE_UNREACHABLE, wait_ms)
+        return self._refusal(Reason.DEADLINE_UNREACHABLE, late_ms)
+
+    def _may_refuse_early(self, waiting: _Waiting, now_ms: float) -> bool:
+        """Tell whether a refusal now still leaves the caller time elsewhere."""
+        objective_ms = waiting.handle.objective_ms
+        if objective_ms <= 0:
+            return False
+        held_ms = objective_ms - (waiting.objective_at_ms - now_ms)
+        return held_ms <= self._options.early_share * objective_ms
+
+    def _duration_ms(self, handle: Handle, workers: list[Worker]) -> float:
+        total = sum(worker.duration_ms(handle) for worker in workers)
+        return total / len(workers)
+
+    def _in_order(self) -> list[_Waiting]:
+        """Return what can still be on time, in the order of grants."""
+        on_time = [one for one in self._waiting.values() if not one.late]
+        return sorted(on_time, key=lambda one: one.key)
+
+    def _refuse_early(self, now_ms: float) -> list[Decision]:
+        """Refuse soon what turns out to wait too long; it may go elsewhere."""
+        workers = [w for w in self._workers.values() if not w.leaving]
+        if not self._waiting or not workers:
+            return []
+        forecast = forecast_of_workers(workers, self._share, now_ms)
+        decisions = []
+        for waiting in self._in_order():
+            refusal = None
+            if self._may_refuse_early(waiting, now_ms):
+                start_ms = forecast.next_ms()
+                refusal = self._judge(waiting, start_ms, workers, now_ms)
+            if refusal is None:
+                forecast.use(self._duration_ms(waiting.handle, workers))
+                continue
+            decisions.append(self._give_up(waiting, refusal, now_ms))
+        return decisions
 
-    def _wait_ms(self, waiting: _Waiting, workers: list[Worker]) -> float:
-        """Predict the wait behind what goes first."""
-        key = waiting.key
-        ahead = sum(
-            1 for one in self._waiting.values() if not one.late and one.key <= key
-        )
-        slots = sum(worker.endpoint.slots for worker in workers)
-        return (ahead + 1) * self._service_ms / max(1.0, slots * self._share)
+    def _give_up(self, waiting: _Waiting, refusal: Refusal, now_ms: float) -> Decision:
+        self._forget(waiting.handle.request_id)
+        self._give_back(waiting.handle, now_ms)
+        return Decision(waiting.handle.request_id, refusal)
 
     def _refusal(self, reason: Reason, retry_ms: float) -> Refusal:
         options = self._options
@@ -271,14 +319,12 @@
         return Refusal(Outcome.NOT_RUN, reason, bounded)
 
     def _age(self, now_ms: float) -> list[Decision]:
-        """Move what is late behind the rest; refuse what is past its deadline."""
+        """Move what is late behind the rest, and give up what waits in vain."""
         decisions = []
         for waiting in list(self._waiting.values()):
-            if now_ms >= waiting.deadline_ms:
-                self._forget(waiting.handle.request_id)
-                self._give_back(waiting.handle, now_ms)
+            if now_ms >= waiting.given_up_at(self._options.late_share):
                 refusal = self._refusal(Reason.DEADLINE_PASSED, self._service_ms)
-                decisions.append(Decision(waiting.handle.request_id, refusal))
+                decisions.append(self._give_up(waiting, refusal, now_ms))
             elif not waiting.late and now_ms >= waiting.objective_at_ms:
                 waiting.late = True
                 self._push(waiting)
--- a/src/pomelolane/scheduler/objective/options.py
+++ b/src/pomelolane/scheduler/objective/options.py
@@ -31,8 +31,9 @@
             registry drops a silent endpoint.
         refused_pause_ms: Pause of an endpoint that refused as full.
         late_free_share: Part of all slots kept free of late work.
-        refuse_share: Part of the objective that a predicted wait must exceed
-            for a refusal on arrival.
+        wait_factor: How much longer than predicted a wait is taken to be.
+        late_share: Part of the time between objective and deadline for which a
+            late request goes on waiting; callers give up before half of it.
         early_share: Part of the objective within which a refusal still costs
             the caller nothing.
         min_retry_ms: Shortest time to come back that is told.
@@ -54,7 +55,8 @@
     suspend_limit_ms: float = 3_600.0
     refused_pause_ms: float = 60.0
     late_free_share: float = 0.1
-    refuse_share: float = 1.0
+    wait_factor: float = 1.0
+    late_share: float = 0.25
     early_share: float = 0.25
     min_retry_ms: int = 100
     max_retry_ms: int = 5_000
--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -16,6 +16,9 @@
 _FASTEST = 0.2
 _STRAGGLING_FACTOR = 3.0
 _PROBES_AT_ONCE = 1
+_PACE_STEP = 0.1
+_LONGER_SHARE = 0.3
+"""Part of the expected length that an answer beyond it is taken to have left."""
 
 
 @dataclass(slots=True)
@@ -29,6 +32,7 @@
         expected_ms: The same at the endpoint's learnt speed.
         started: Whether the first answer byte was seen.
         quiet_from_ms: Last sign of life.
+        pieces: Pieces of the answer that were seen.
     """
 
     handle: Handle
@@ -37,6 +41,7 @@
     expected_ms: float
     started: bool = False
     quiet_from_ms: float = 0.0
+    pieces: int = 0
 
 
 @dataclass(slots=True)
@@ -73,6 +78,7 @@
         suspended_until_ms: It gets nothing before.
         probing: Whether it must prove itself with one request.
         failures: Failures in a row.
+        piece_ms: Learnt time between two pieces of an answer, 0 for unknown.
     """
 
     endpoint: Endpoint
@@ -85,6 +91,7 @@
     suspended_until_ms: float = 0.0
     probing: bool = False
     failures: int = 0
+    piece_ms: float = 0.0
 
     def has_place(self, share: float, now_ms: float) -> bool:
         """Tell whether one more request may go here now."""
@@ -118,6 +125,40 @@
         ms = self.nominal_ms(handle) * self.slowdown
         return ms * (1.0 + self.options.fail_weight * self.fail_share)
 
+    def duration_ms(self, handle: Handle) -> float:
+        """Return how long a request is expected to hold its slot."""
+        return self.predict_ms(handle) + self._answer_ms(handle)
+
+    def remaining_ms(self, flight: Flight, now_ms: float) -> float:
+        """Return how long a running request is expected to hold its slot."""
+        if not flight.started:
+            first_ms = flight.granted_ms + flight.expected_ms - now_ms
+            return max(1.0, first_ms) + self._answer_ms(flight.handle)
+        expected = self._expected_pieces(flight.handle)
+        left = max(_LONGER_SHARE * expected, expected - flight.pieces)
+        return max(1.0, left * self._piece_ms())
+
+    def saw_pieces(self, flight: Flight, pieces: int, elapsed_ms: float) -> None:
+        """Learn the pace of answers."""
+        flight.pieces += pieces
+        sample_ms = elapsed_ms / pieces
+        if not self.piece_ms:
+            self.piece_ms = sample_ms
+        self.piece_ms += _PACE_STEP * (sample_ms - self.piece_ms)
+
+    def _answer_ms(self, handle: Handle) -> float:
+        return self._expected_pieces(handle) * self._piece_ms()
+
+    def _expected_pieces(self, handle: Handle) -> float:
+        if self.kind is ServiceKind.PLAIN:
+            return 0.0
+        return handle.decode_tokens / self.options.tokens_per_event
+
+    def _piece_ms(self) -> float:
+        options = self.options
+        declared_ms = options.tokens_per_event * options.token_ms * self.slowdown
+        return self.piece_ms or declared_ms
+
     def stalls(self, handle: Handle) -> bool:
         """Tell whether a prompt would hold up the streams that run beside it."""
         limits = [f.handle.gap_ms for f in self.flights.values() if f.handle.gap_ms]
