--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -175,7 +175,7 @@
         flight = worker.flights.get(event.request_id) if worker else None
         if worker is None or flight is None:
             return []
-        flight.quiet_from_ms = now_ms
+        worker.heard(now_ms)
         if event.tokens > 0 and event.elapsed_ms > 0:
             worker.saw_pieces(flight, event.tokens, event.elapsed_ms)
         if event.ttft_ms >= 0 and not flight.started:
@@ -409,10 +409,7 @@
         if now_ms + best_ms <= waiting.objective_at_ms:
             return best
         # Nobody could be on time any more: no use in waiting for another one.
-        alone_ms = min(
-            (w.options.first_token_ms * w.slowdown for w in self._workers.values()),
-            default=0.0,
-        )
+        alone_ms = min(w.alone_ms(handle) for w in self._workers.values())
         hopeless = now_ms + alone_ms > waiting.objective_at_ms
         return best if hopeless or len(workers) == len(self._workers) else None
 
--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -16,6 +16,7 @@
 _FASTEST = 0.2
 _STRAGGLING_FACTOR = 3.0
 _PROBES_AT_ONCE = 1
+_SILENT_UNTIL_SUSPECT = 2
 _PACE_STEP = 0.1
 _LONGER_SHARE = 0.3
 """Part of the expected length that an answer beyond it is taken to have left."""
@@ -31,7 +32,6 @@
         nominal_ms: Time to the first answer byte at speed 1.
         expected_ms: The same at the endpoint's learnt speed.
         started: Whether the first answer byte was seen.
-        quiet_from_ms: Last sign of life.
         pieces: Pieces of the answer that were seen.
     """
 
@@ -40,7 +40,6 @@
     nominal_ms: float
     expected_ms: float
     started: bool = False
-    quiet_from_ms: float = 0.0
     pieces: int = 0
 
 
@@ -79,6 +78,7 @@
         probing: Whether it must prove itself with one request.
         failures: Failures in a row.
         piece_ms: Learnt time between two pieces of an answer, 0 for unknown.
+        heard_ms: Last sign of life.
     """
 
     endpoint: Endpoint
@@ -92,6 +92,7 @@
     probing: bool = False
     failures: int = 0
     piece_ms: float = 0.0
+    heard_ms: float = 0.0
 
     def has_place(self, share: float, now_ms: float, *, in_need: bool = False) -> bool:
         """Tell whether one more request may go here now.
@@ -118,14 +119,21 @@
         used = sum(_memory_tokens(f.handle) for f in self.flights.values())
         return used + _memory_tokens(handle) <= limit
 
+    def alone_ms(self, handle: Handle) -> float:
+        """Return the time to a first answer byte with nothing ahead."""
+        return self._nominal_ms(handle, 0) * self.slowdown
+
     def nominal_ms(self, handle: Handle) -> float:
         """Return the time to a first answer byte at speed 1."""
-        options = self.options
-        if self.kind is ServiceKind.PLAIN:
-            return options.plain_ms
         ahead = sum(
             f.handle.prefill_tokens for f in self.flights.values() if not f.started
         )
+        return self._nominal_ms(handle, ahead)
+
+    def _nominal_ms(self, handle: Handle, ahead: int) -> float:
+        options = self.options
+        if self.kind is ServiceKind.PLAIN:
+            return options.plain_ms
         prompt_ms = (ahead + handle.prefill_tokens) / options.prefill_per_ms
         return options.first_token_ms + prompt_ms
 
@@ -192,7 +200,6 @@
             now_ms,
             self.nominal_ms(handle),
             self.predict_ms(handle),
-            quiet_from_ms=now_ms,
         )
         self.flights[handle.request_id] = flight
         return flight
@@ -233,18 +240,30 @@
         self.suspended_until_ms = max(self.suspended_until_ms, until_ms)
         self.probing = True
 
+    def heard(self, now_ms: float) -> None:
+        """Note a sign of life."""
+        self.heard_ms = now_ms
+
     def check(self, now_ms: float) -> bool:
-        """Suspect the endpoint if a request hears nothing; True when anew."""
+        """Suspect the endpoint if nothing is heard; True when anew.
+
+        One silent request may just be a long one; of several at once some
+        would have begun to answer.
+        """
         if now_ms < self.suspended_until_ms:
             return False
-        for flight in self.flights.values():
-            limit_ms = self.options.suspect_ms + 3 * flight.expected_ms
-            if not flight.started and now_ms - flight.quiet_from_ms > limit_ms:
-                flight.quiet_from_ms = now_ms
-                self.failures = max(2, self.failures + 1)
-                self.suspend(now_ms)
-                return True
-        return False
+        silent = sum(1 for f in self.flights.values() if self._is_silent(f, now_ms))
+        if silent < _SILENT_UNTIL_SUSPECT:
+            return False
+        self.heard(now_ms)
+        self.failures = max(2, self.failures + 1)
+        self.suspend(now_ms)
+        return True
+
+    def _is_silent(self, flight: Flight, now_ms: float) -> bool:
+        since_ms = max(flight.granted_ms, self.heard_ms)
+        limit_ms = self.options.suspect_ms + 3 * flight.expected_ms
+        return not flight.started and now_ms - since_ms > limit_ms
 
     def figures(self, now_ms: float) -> WorkerFigures:
         """Return the figures for operators."""
