--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -93,7 +93,15 @@
             self._used += amount
 
     def adopt(self, bound: float) -> None:
-        """Go on under another bound with what has passed."""
+        """Go on under another bound.
+
+        What has passed under a larger one counts as the same part of the lower
+        one: else a lowered limit would refuse everything for a whole span.
+        """
+        if 0 < bound < self._bound:
+            part = bound / self._bound
+            self._passed = deque((at, amount * part) for at, amount in self._passed)
+            self._used *= part
         self._bound = bound
 
     def wait_ms(self, amount: float, now_ms: float) -> float:
