--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -130,7 +130,7 @@
 
     async def _serve(self, state: CallState, exchange: Exchange) -> None:
         call = state.call
-        relay = Relay(exchange, state, closes=self.draining)
+        relay = Relay(exchange, state, self._clock, closes=self.draining)
         self._budget(call.service).earn()
         try:
             async with asyncio.timeout(max(0.0, self._left_ms(call)) / 1000):
@@ -244,6 +244,7 @@
             first_ms=watch.ttft_ms,
             total_ms=self._clock.now_ms() - state.call.accepted_ms,
             pieces=end.events,
+            gap_ms=end.gap_ms,
             bytes=end.bytes,
         )
 
--- a/src/pomelolane/forwarding/relay.py
+++ b/src/pomelolane/forwarding/relay.py
@@ -11,6 +11,7 @@
     from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.call import CallState
     from pomelolane.gateway.exchange import Exchange
+    from pomelolane.ports import Clock
 
 _EVENT_END = b"\n\n"
 _EVENT_ID = b"id:"
@@ -25,11 +26,13 @@
         whole: Whether all of it came and was passed on.
         bytes: Body bytes passed on.
         events: Pieces passed on.
+        gap_ms: Longest pause between two pieces.
     """
 
     whole: bool
     bytes: int
     events: int
+    gap_ms: float
 
 
 class EventCutter:
@@ -67,10 +70,14 @@
     Args:
         exchange: The caller's exchange.
         state: The request.
+        clock: Time.
         closes: Whether the caller's connection ends with the answer.
     """
 
-    def __init__(self, exchange: Exchange, state: CallState, *, closes: bool) -> None:
+    def __init__(
+        self, exchange: Exchange, state: CallState, clock: Clock, *, closes: bool
+    ) -> None:
+        self._clock = clock
         self._exchange = exchange
         self._state = state
         self._closes = closes
@@ -87,6 +94,7 @@
         """
         cutter = EventCutter() if self._resumable else None
         size = pieces = 0
+        gap_ms = last_ms = 0.0
         while data := await stream.read_ready():
             if cutter is not None:
                 data = cutter.feed(data)
@@ -98,11 +106,14 @@
             size += len(data)
             pieces += 1
             on_piece(pieces)
+            now_ms = self._clock.now_ms()
+            gap_ms = max(gap_ms, now_ms - last_ms) if pieces > 1 else 0.0
+            last_ms = now_ms
         if stream.error is not None:
-            return RelayEnd(whole=False, bytes=size, events=pieces)
+            return RelayEnd(False, size, pieces, gap_ms)
         await self._begin(stream)
         await self._send_body(b"", more=False)
-        return RelayEnd(whole=True, bytes=size, events=pieces)
+        return RelayEnd(True, size, pieces, gap_ms)
 
     async def _begin(self, stream: AnswerStream) -> None:
         if self._state.answer_begun:
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -71,12 +71,13 @@
         window_ms: Length of the span.
     """
 
-    __slots__ = ("_bound", "_passed", "_used", "_window_ms")
+    __slots__ = ("_bound", "_passed", "_promised", "_used", "_window_ms")
 
     def __init__(self, bound: float, window_ms: float) -> None:
         self._bound = bound
         self._window_ms = window_ms
         self._passed: deque[tuple[float, float]] = deque()
+        self._promised: deque[tuple[float, float]] = deque()
         self._used = 0.0
 
     @property
@@ -105,16 +106,25 @@
         self._bound = bound
 
     def wait_ms(self, amount: float, now_ms: float) -> float:
-        """Return how long until an amount may pass, 0 for now."""
+        """Return how long until an amount may pass, 0 for now.
+
+        Those who are told to come back get room one after the other.
+        """
         self._forget(now_ms)
         over = self._used + min(amount, self._bound) - self._bound
         if over <= 0:
             return 0.0
+        while self._promised and self._promised[0][0] <= now_ms:
+            self._promised.popleft()
+        over += sum(promised for _, promised in self._promised)
+        wait_ms = self._window_ms
         for at_ms, passed in self._passed:
             over -= passed
             if over <= 0:
-                return max(1.0, at_ms + self._window_ms - now_ms)
-        return self._window_ms
+                wait_ms = max(1.0, at_ms + self._window_ms - now_ms)
+                break
+        self._promised.append((now_ms + wait_ms, amount))
+        return wait_ms
 
     def take(self, amount: float, now_ms: float) -> None:
         """Let an amount pass; a negative one gives back."""
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -400,6 +400,8 @@
                 continue
             if not worker.fits(handle) or worker.stalls(handle):
                 continue
+            if not self._ends_in_time(waiting, worker, now_ms):
+                continue
             score = worker.score_ms(handle)
             if best is None or score < best_score:
                 best, best_score = worker, score
@@ -413,6 +415,18 @@
         hopeless = now_ms + alone_ms > waiting.objective_at_ms
         return best if hopeless or len(workers) == len(self._workers) else None
 
+    def _ends_in_time(self, waiting: _Waiting, worker: Worker, now_ms: float) -> bool:
+        """Tell whether a longer answer than expected would still end in time.
+
+        Where none of the endpoints is so fast, it does not matter which.
+        """
+        handle = waiting.handle
+        left_ms = (waiting.deadline_ms - now_ms) / self._options.length_factor
+        if worker.duration_ms(handle) <= left_ms:
+            return True
+        others = self._workers.values()
+        return all(other.duration_ms(handle) > left_ms for other in others)
+
     def _grant(self, waiting: _Waiting, worker: Worker, now_ms: float) -> Decision:
         handle = waiting.handle
         self._forget(handle.request_id)
--- a/src/pomelolane/scheduler/objective/options.py
+++ b/src/pomelolane/scheduler/objective/options.py
@@ -36,6 +36,8 @@
             late request goes on waiting; callers give up before half of it.
         early_share: Part of the objective within which a refusal still costs
             the caller nothing.
+        length_factor: How much longer than hinted an answer may be and still
+            end in time; 9 in 10 are within it on the users' calm days.
         min_retry_ms: Shortest time to come back that is told.
         max_retry_ms: Longest one; callers have seconds.
         fail_step: Weight of one answer in the learnt share of failures.
@@ -58,6 +60,7 @@
     wait_factor: float = 1.0
     late_share: float = 0.25
     early_share: float = 0.25
+    length_factor: float = 2.0
     min_retry_ms: int = 100
     max_retry_ms: int = 5_000
     fail_step: float = 0.1
