Record organisations' use in the store; ask anew after an outage

Change: the scheduler writes what organisations used once a second, the next one reads it and guesses only where it can't; schedulers that see a part of the VMs let a part of the rates pass; as soon as endpoints are read again after an outage the configuration is asked anew; calls end after 1 s.

--- a/src/pomelolane/coordination/chooser.py
+++ b/src/pomelolane/coordination/chooser.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 from pomelolane.membership import choose
@@ -17,6 +18,8 @@
     from pomelolane.ports import Clock, Membership, View
 
 _HINT_MS = 2000.0
+_SEEN_MS = 15_000.0
+"""Time after which VMs that are missing from the view are taken as gone."""
 
 
 class Chooser:
@@ -37,6 +40,7 @@
         self._deaf_until: dict[str, float] = {}
         self._unable: dict[tuple[str, str], float] = {}
         self._chosen: dict[str, str] = {}
+        self._seen: deque[tuple[float, int]] = deque()
         self.is_stopping = False
         self._callbacks: list[Callable[[], None]] = []
         membership.on_change(self._view_changed)
@@ -67,6 +71,26 @@
         peers = self.view().peers.values()
         return frozenset(p.vm_id for p in peers if p.ready) | {self._vm_id}
 
+    def seen_share(self) -> float:
+        """Return the part of the lately seen VMs that are in the view now.
+
+        Those that are missing may be cut off, with a scheduler of their own.
+        """
+        return len(self.gateways()) / self.most_seen()
+
+    def most_seen(self) -> int:
+        """Return how many VMs were in the view at most, lately."""
+        self._note_seen()
+        return max(count for _, count in self._seen)
+
+    def _note_seen(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._seen.append((now_ms, len(self.gateways())))
+        while now_ms - self._seen[0][0] > _SEEN_MS:
+            self._seen.popleft()
+        if len(self._seen) > 2 and self._seen[-2][1] == self._seen[-1][1]:
+            self._seen[-2] = self._seen.pop()
+
     def is_suspected(self, vm_id: str) -> bool:
         """Tell whether a VM is passed over because of its silence."""
         return vm_id in self._suspected_until
--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -91,7 +91,12 @@
             vm_id, data_centre, self._chooser, transport, steady, make_core, timings
         )
         self._local = LocalDesks(
-            vm_id, self._take_local_reply, steady, make_core, timings
+            vm_id,
+            self._take_local_reply,
+            steady,
+            make_core,
+            timings,
+            lambda: 1.0 / self._chooser.most_seen(),
         )
         self._chooser.on_change(self._rescope_local)
         self.client = GatewayClient(self._link_context(clock, incarnation))
--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -34,6 +34,7 @@
     from pomelolane.coordination.options import Timings
     from pomelolane.model import Endpoint, ServiceKind, Tree
     from pomelolane.ports import Clock, Decision, SchedulingCore
+    from pomelolane.scheduler.limits import Use
 
 TOP_RANK = 0
 _ABSENCES_UNTIL_GONE = 2
@@ -50,6 +51,7 @@
         timings: Bounds.
         share_of: Returns the share of each endpoint's slots that may be
             granted to a set of followers.
+        rate_share: Returns the share of organisations' rates that may pass.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         clock: Clock,
         timings: Timings,
         share_of: Callable[[frozenset[str]], float],
+        rate_share: Callable[[], float],
     ) -> None:
+        self._rate_share = rate_share
         self.service = service
         self.core = core
         self.book = Book()
@@ -108,6 +112,21 @@
             self.configure(self._tree)
         self._carry_out(self.core.mark_returned(endpoint_id, now_ms))
 
+    def assume_used(self, part: float) -> None:
+        """Let a core that keeps limits guess what passed under others."""
+        assume = getattr(self.core, "assume_used", None)
+        if assume is not None:
+            assume(part, self._clock.now_ms())
+
+    def uses(self) -> Sequence[Use]:
+        """Return what organisations used, where the core keeps limits."""
+        read = getattr(self.core, "uses", None)
+        return read(self._clock.now_ms()) if read is not None else ()
+
+    def take_uses(self, uses: Sequence[Use]) -> None:
+        """Let the core count what an earlier scheduler has recorded."""
+        self.core.take_uses(uses, self._clock.now_ms())
+
     def settle(self, gateways: Iterable[str]) -> None:
         """Hold all grants until these gateways have registered, or a while.
 
@@ -358,6 +377,9 @@
         if share != self._share:
             self._share = share
             self._carry_out(self.core.limit_slots(share, self._clock.now_ms()))
+        limit_rates = getattr(self.core, "limit_rates", None)
+        if limit_rates is not None:
+            limit_rates(self._rate_share())
 
     def _drop_silent(self, now_ms: float) -> None:
         oldest_ms = now_ms - self._timings.follower_silence_ms
--- a/src/pomelolane/coordination/desks.py
+++ b/src/pomelolane/coordination/desks.py
@@ -28,6 +28,7 @@
         clock: Time.
         timings: Bounds.
         share_of: Share of each endpoint's slots for a set of followers.
+        rate_share: Share of organisations' rates.
     """
 
     def __init__(
@@ -37,7 +38,9 @@
         clock: Clock,
         timings: Timings,
         share_of: Callable[[frozenset[str]], float],
+        rate_share: Callable[[], float],
     ) -> None:
+        self._rate_share = rate_share
         self._make_core = make_core
         self._send = send
         self._clock = clock
@@ -69,6 +72,7 @@
                 self._clock,
                 self._timings,
                 self._share_of,
+                self._rate_share,
             )
             self._desks[service] = desk
             for endpoint_id in self._leaving:
--- a/src/pomelolane/coordination/fallback.py
+++ b/src/pomelolane/coordination/fallback.py
@@ -14,6 +14,10 @@
 from pomelolane.messages import Unfollow
 from pomelolane.model import Tree
 
+_ASSUMED_PART = 0.5
+"""Part of the own share of limits that is taken as used: the scheduler that was
+followed has counted this gateway's requests until now."""
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -32,6 +36,7 @@
         clock: Time.
         make_core: Makes the core of a service.
         timings: Bounds.
+        rate_share: Returns this VM's share of organisations' rates.
     """
 
     def __init__(
@@ -41,6 +46,7 @@
         clock: Clock,
         make_core: Callable[[str], SchedulingCore],
         timings: Timings,
+        rate_share: Callable[[], float],
     ) -> None:
         self._vm_id = vm_id
         self._reply = reply
@@ -49,7 +55,12 @@
         # The own gateway needs no sign of life.
         patient = replace(timings, follower_silence_ms=math.inf)
         self._desks = Desks(
-            make_core, self._send, clock, patient, lambda followers: self._share
+            make_core,
+            self._send,
+            clock,
+            patient,
+            lambda followers: self._share,
+            rate_share,
         )
 
     def configure(self, tree: Tree, share: float) -> None:
@@ -79,12 +90,19 @@
         if isinstance(message, Unfollow):
             self._desks.close(service)
         elif service:
-            self._desks.open(service, self._tree).receive(self._vm_id, message)
+            self._open(service).receive(self._vm_id, message)
         else:
             for desk in self._desks.all():
                 desk.receive(self._vm_id, message)
         return True
 
+    def _open(self, service: str) -> Desk:
+        desk = self._desks.get(service)
+        if desk is None:
+            desk = self._desks.open(service, self._tree)
+            desk.assume_used(_ASSUMED_PART)
+        return desk
+
     def _send(self, gateway: str, message: Message) -> None:
         del gateway
         self._reply(message)
--- a/src/pomelolane/coordination/role.py
+++ b/src/pomelolane/coordination/role.py
@@ -69,7 +69,12 @@
         self._timings = timings
         self._tree = Tree()
         self._desks = Desks(
-            self._core_of, transport.send, clock, timings, self._share_of
+            self._core_of,
+            transport.send,
+            clock,
+            timings,
+            self._share_of,
+            chooser.seen_share,
         )
         self._lingering_since_ms: dict[str, float] = {}
         self._cores: dict[str, SchedulingCore] = {}
@@ -77,6 +82,7 @@
         self._seen: frozenset[str] = frozenset()
         self._data_centres: frozenset[str] = frozenset()
         self.on_doubt: Callable[[str], None] = _ignore
+        self.on_taken: Callable[[str], None] = _ignore
         chooser.on_change(self.refresh)
 
     # --- the facade -------------------------------------------------------
@@ -191,7 +197,9 @@
         log_event(SCHEDULER_ROLE, service=service, held=True)
         self._lingering_since_ms.pop(service, None)
         desk = self._desks.open(service, self._scoped_tree())
+        desk.assume_used(1.0)
         desk.settle(self._chooser.gateways())
+        self.on_taken(service)
 
     def _await_joined(self) -> None:
         """Settle again where those that join may hold what nobody has told.
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -306,6 +306,21 @@
     "A watch of the metadata store succeeds again.",
 )
 
+LEDGER_LOADED = _define(
+    512,
+    "ledger_loaded",
+    "info",
+    "service tokens",
+    "A new scheduler counts what organisations used under the one before.",
+)
+LEDGER_FAILED = _define(
+    513,
+    "ledger_failed",
+    "warning",
+    "service error",
+    "The record of organisations' use was not written or read; a guess stands in.",
+)
+
 # 6xx: jobs
 JOB_ACCEPTED = _define(
     601, "job_accepted", "info", "job organisation service", "202 was answered."
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -14,6 +14,7 @@
 from pomelolane.forwarding.budget import SharedRetryBudget
 from pomelolane.forwarding.forwarder import Forwarder
 from pomelolane.forwarding.intake import Intake
+from pomelolane.forwarding.ledger import Ledger
 from pomelolane.forwarding.sender import Sender
 from pomelolane.forwarding.tree import tree_from_configuration
 from pomelolane.gateway.listener import Listener
@@ -26,6 +27,7 @@
 
     from pomelolane.forwarding.configuration import CurrentConfiguration
     from pomelolane.forwarding.endpoints import EndpointDirectory
+    from pomelolane.forwarding.ledger import UseRecord
     from pomelolane.membership import ClusterKeys
     from pomelolane.ports import Clock, VmList
     from pomelolane.ports.forwarding import Dialect
@@ -92,6 +94,7 @@
         dialect: Names of headers.
         vm_list: Where other VMs are found.
         keys: Keys that the VMs prove to each other.
+        record: Where organisations' use is kept.
         clock: Time.
     """
 
@@ -104,6 +107,7 @@
         dialect: Dialect,
         vm_list: VmList,
         keys: ClusterKeys,
+        record: UseRecord,
         clock: Clock,
     ) -> None:
         self._options = options
@@ -134,6 +138,7 @@
             incarnation=incarnation,
             polls_engines=False,
         )
+        self.ledger = Ledger(self.coordination, record)
         self._intake = Intake(dialect, clock)
         self.forwarder = Forwarder(
             self._intake,
@@ -199,6 +204,7 @@
             vm=self._options.vm_id,
             open_requests=len(self.forwarder.open_calls),
         )
+        await self.ledger.save()
         self._handover = asyncio.create_task(self.coordination.handover())
         await asyncio.sleep(BALANCER_NOTICE_MS / 1000)
 
--- a/src/pomelolane/model.py
+++ b/src/pomelolane/model.py
@@ -64,6 +64,8 @@
             second's.
         window_ms: Where set, the rate and burst bound what any span of this
             length may hold, instead of filling a bucket.
+        window_spare: Tokens that several schedulers may let pass beyond that
+            bound together.
     """
 
     requests_per_s: float = 0.0
@@ -71,6 +73,7 @@
     concurrency: int = 0
     burst_tokens: float = 0.0
     window_ms: int = 0
+    window_spare: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/platform/documents.py
+++ b/src/pomelolane/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import msgspec
 
 from pomelolane.forwarding.configuration import (
@@ -27,6 +29,26 @@
 _TOKENS = "token_count"
 
 
+_SPARE_SHARE = 0.8
+"""Part of the allowed overshoot that is used when schedulers change; the rest is
+for the other service's scheduler, which counts for itself."""
+
+
+@dataclass(frozen=True, slots=True)
+class LimitWindow:
+    """How organisations' use is counted.
+
+    Attributes:
+        length_ms: Span in which it is counted.
+        overshoot: Part of a limit that several VMs may exceed it by.
+        slack: Tokens that they may exceed it by beside.
+    """
+
+    length_ms: int = 8_000
+    overshoot: float = 0.0
+    slack: float = 0.0
+
+
 class _Split(msgspec.Struct):
     service: str
     weight: float = 1.0
@@ -104,12 +126,12 @@
 _servers = msgspec.json.Decoder(_Server)
 
 
-def configuration_from_json(data: bytes, window_ms: int) -> Configuration:
+def configuration_from_json(data: bytes, window: LimitWindow) -> Configuration:
     """Decode the operator's configuration.
 
     Args:
         data: The document.
-        window_ms: Span in which an organisation's use is counted.
+        window: How an organisation's use is counted.
 
     Raises:
         DocumentError: It cannot be read.
@@ -126,7 +148,7 @@
         routes=routes,
         services={s.name: _service(s, routes) for s in document.services},
         organisations={
-            tenant.name: _organisation(tenant, window_ms) for tenant in tenants
+            tenant.name: _organisation(tenant, window) for tenant in tenants
         },
         organisation_by_key={key: t.name for t in tenants for key in t.api_keys},
         rank_by_organisation={t.name: t.priority for t in tenants},
@@ -195,12 +217,14 @@
     return Service(service.name, TEAM, kind, works, kv_tokens=kv_tokens)
 
 
-def _organisation(tenant: _Tenant, window_ms: int) -> Organisation:
+def _organisation(tenant: _Tenant, window: LimitWindow) -> Organisation:
     limits = Limits(requests_per_s=tenant.rate_per_s)
     if tenant.unit == _TOKENS:
+        bound = tenant.rate_per_s * window.length_ms / 1000 + tenant.burst
         limits = Limits(
             tokens_per_s=tenant.rate_per_s,
             burst_tokens=tenant.burst,
-            window_ms=window_ms,
+            window_ms=window.length_ms,
+            window_spare=_SPARE_SHARE * (bound * window.overshoot + window.slack),
         )
     return Organisation(tenant.name, TEAM, "", limits=limits)
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -25,6 +25,7 @@
 from pomelolane.platform.nodefile import NODE_FILE_VARIABLE, node_file_from_path
 from pomelolane.platform.roster import TABLE, VmRoster, shared_keys
 from pomelolane.platform.storeclient import StoreClient
+from pomelolane.platform.userecord import StoreUseRecord
 from pomelolane.platform.watches import ConfigurationWatch, EndpointWatch
 
 if TYPE_CHECKING:
@@ -102,17 +103,18 @@
             PlatformDialect(),
             roster,
             keys,
+            StoreUseRecord(self._store),
             self._clock,
         )
         self._background.start("endpoints", watch.run())
-        self._background.start(
-            "configuration",
-            ConfigurationWatch(
-                self._store, self._current, self._clock, file.limit_window_ms
-            ).run(),
+        configuration = ConfigurationWatch(
+            self._store, self._current, self._clock, file.limit_window
         )
+        watch.on_regained(configuration.refresh)
+        self._background.start("configuration", configuration.run())
         self._background.start("roster", self._enter(roster))
         await node.start()
+        self._background.start("ledger", node.ledger.run())
         self._front = await listen_for_callers(node, file.front)
         log_event(
             events.VM_STARTED,
--- a/src/pomelolane/platform/nodefile.py
+++ b/src/pomelolane/platform/nodefile.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.errors import DocumentError
 
 NODE_FILE_VARIABLE = "POMELOLANE_NODE_FILE"
@@ -26,6 +27,8 @@
     budget_slack: float = 50.0
     # "quota" is what the project calls an organisation's limit.
     quota_window_s: float = 8.0
+    quota_overshoot: float = 0.0
+    quota_slack: float = 0.0
 
 
 class _Store(msgspec.Struct):
@@ -67,7 +70,7 @@
         apply_ms: Time within which a configuration must be in force.
         retry_ratio: Repeated sends allowed for each request.
         retry_slack: Repeated sends allowed beside, over all VMs.
-        limit_window_ms: Span in which an organisation's use is counted.
+        limit_window: How organisations' use is counted.
     """
 
     vm_id: str
@@ -84,7 +87,7 @@
     apply_ms: int
     retry_ratio: float
     retry_slack: float
-    limit_window_ms: int
+    limit_window: LimitWindow
 
 
 def node_file_from_path(path: str) -> NodeFile:
@@ -113,5 +116,9 @@
         apply_ms=bounds.config_apply_ms,
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.budget_slack,
-        limit_window_ms=int(bounds.quota_window_s * 1000),
+        limit_window=LimitWindow(
+            int(bounds.quota_window_s * 1000),
+            bounds.quota_overshoot,
+            bounds.quota_slack,
+        ),
     )
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -11,13 +11,15 @@
 import aiohttp
 import msgspec
 
+from pomelolane.clock import MonotonicClock
 from pomelolane.platform.errors import HistoryLostError, StoreUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-CALL_TIMEOUT_S = 1.5
-"""Bound on a call; the store answers in milliseconds unless it is in trouble."""
+CALL_TIMEOUT_S = 1.0
+"""Bound on a call; the store answers in milliseconds unless it is in trouble, and
+what it says after an outage must be known within 3 s of its return."""
 
 _CONNECT_TIMEOUT_S = 0.5
 _UNACKED_MS = 3_000
@@ -90,6 +92,12 @@
         self._base = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
+        self._clock = MonotonicClock()
+        self._ahead_ms = 0.0
+
+    def now_ms(self) -> float:
+        """Return the store's steady clock, as far as the last answer told it."""
+        return self._clock.now_ms() + self._ahead_ms
 
     async def read(self, table: str) -> Snapshot:
         """Read all rows of a table's unnamed part.
@@ -174,9 +182,11 @@
     async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> _Rows:
         data = await self._call("GET", path, query, timeout_s)
         try:
-            return msgspec.json.decode(data, type=_Rows)
+            rows = msgspec.json.decode(data, type=_Rows)
         except msgspec.DecodeError as error:
             raise StoreUnavailableError(f"{path}: {error}") from error
+        self._ahead_ms = rows.now_ms - self._clock.now_ms()
+        return rows
 
     async def _call(
         self,
--- a/src/pomelolane/platform/watches.py
+++ b/src/pomelolane/platform/watches.py
@@ -21,11 +21,14 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pomelolane.forwarding import (
         Configuration,
         CurrentConfiguration,
         EndpointDirectory,
     )
+    from pomelolane.platform.documents import LimitWindow
     from pomelolane.platform.storeclient import Snapshot, StoreClient
     from pomelolane.ports import Clock
 
@@ -45,7 +48,7 @@
 back within about two seconds of the store's return."""
 
 _FIRST_PAUSE_S = 0.1
-_LONGEST_PAUSE_S = 1.0
+_LONGEST_PAUSE_S = 0.5
 
 
 class _Trouble:
@@ -97,7 +100,7 @@
         store: The store.
         current: Where configurations are put in force.
         clock: Time.
-        limit_window_ms: Span in which organisations' use is counted.
+        limit_window: How organisations' use is counted.
     """
 
     def __init__(
@@ -105,19 +108,33 @@
         store: StoreClient,
         current: CurrentConfiguration,
         clock: Clock,
-        limit_window_ms: int,
+        limit_window: LimitWindow,
     ) -> None:
         self._store = store
-        self._limit_window_ms = limit_window_ms
+        self._limit_window = limit_window
         self._current = current
         self._trouble = _Trouble("configuration", clock)
         self._after = -1
+        self._poll: asyncio.Task[None] | None = None
+
+    def refresh(self) -> None:
+        """Ask anew: a call from before an outage may never be answered."""
+        self._after = -1
+        if self._poll is not None:
+            self._poll.cancel()
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
+            self._poll = asyncio.create_task(self._step())
             try:
-                await self._step()
+                await asyncio.wait({self._poll})
+            finally:
+                self._poll.cancel()
+            if self._poll.cancelled():
+                continue
+            try:
+                self._poll.result()
             except HistoryLostError:
                 self._after = -1
             except StoreUnavailableError as error:
@@ -141,9 +158,7 @@
             if row.key != _CONFIGURATION_KEY or row.deleted:
                 continue
             try:
-                configuration = configuration_from_json(
-                    row.value, self._limit_window_ms
-                )
+                configuration = configuration_from_json(row.value, self._limit_window)
             except DocumentError as error:
                 log_event(
                     events.CONFIGURATION_REJECTED, error=error, version=row.version
@@ -181,8 +196,13 @@
         self._grace_until_ms = 0.0
         self._after = -1
         self._version = 0
+        self._on_regained: list[Callable[[], None]] = []
         current.on_change(lambda _: self._publish())
 
+    def on_regained(self, callback: Callable[[], None]) -> None:
+        """Call back when the store answers again after an outage."""
+        self._on_regained.append(callback)
+
     @property
     def is_read(self) -> bool:
         """Whether the table was read at least once."""
@@ -209,6 +229,8 @@
             snapshot = await self._store.changes(_ENDPOINT_TABLE, self._after, 0)
         if self._trouble.succeeded(snapshot.version):
             self._grace_until_ms = self._clock.now_ms() + RETURN_GRACE_S * 1000
+            for callback in self._on_regained:
+                callback()
         self._after = max(self._after, snapshot.version)
         self._version = snapshot.version
         self._take(snapshot, whole=whole)
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -6,22 +6,27 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right, insort
 from collections import deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from pomelolane.outcomes import Outcome, Reason, Refusal
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from pomelolane.messages import Handle
     from pomelolane.model import Limits, Tree
 
 _BURST_MS = 1_000.0
 _MIN_RETRY_MS = 10
-_ASSUMED_SHARE = 0.7
-"""Part of a new window that counts as used: what two schedulers in turn may let
-pass together is then within a third of the bound."""
+_USE_STEP_MS = 250
+"""Uses are summed up by so much of their age for the record."""
 
-_ASSUMED_PIECES = 16
+_UNRECORDED_PART = 0.15
+"""Part of a guess that is kept beside a record, which is up to a second old in a
+span of several."""
 
 
 class TokenBucket:
@@ -59,41 +64,86 @@
         self._at_ms = now_ms
 
 
+@dataclass(frozen=True, slots=True)
+class Use:
+    """What an organisation used of its limit.
+
+    Attributes:
+        organisation: Who.
+        age_ms: How long ago.
+        tokens: How much.
+    """
+
+    organisation: str
+    age_ms: int
+    tokens: int
+
+
 class SlidingWindow:
     """Bounds what any span of one length may hold.
 
-    A new window does not know what an earlier scheduler let pass. It counts a
-    part of the bound as used, spread evenly over the past, so that two
-    schedulers in turn stay near the bound together.
+    A new window does not know what earlier schedulers let pass. Until those who
+    know have told, it counts so much as used that both together keep within
+    the bound and what is allowed beside it.
 
     Args:
         bound: Most that a span may hold.
         window_ms: Length of the span.
+        spare: What is allowed beside the bound, for counting apart.
     """
 
-    __slots__ = ("_bound", "_passed", "_promised", "_used", "_window_ms")
+    __slots__ = (
+        "_assumed",
+        "_assumed_until_ms",
+        "_bound",
+        "_passed",
+        "_promised",
+        "_spare",
+        "_used",
+        "_window_ms",
+    )
 
-    def __init__(self, bound: float, window_ms: float) -> None:
+    def __init__(self, bound: float, window_ms: float, spare: float) -> None:
         self._bound = bound
         self._window_ms = window_ms
-        self._passed: deque[tuple[float, float]] = deque()
+        self._spare = spare
+        self._passed: list[tuple[float, float]] = []
         self._promised: deque[tuple[float, float]] = deque()
         self._used = 0.0
+        self._assumed = 0.0
+        self._assumed_until_ms = 0.0
 
-    @property
-    def bound(self) -> float:
-        """Most that a span may hold."""
-        return self._bound
+    def assume_used(self, part: float, now_ms: float) -> None:
+        """Count what may have passed elsewhere as used just now.
 
-    def assume_used(self, now_ms: float) -> None:
-        """Count a part of the bound as used before now."""
-        amount = _ASSUMED_SHARE * self._bound / _ASSUMED_PIECES
-        for piece in range(_ASSUMED_PIECES, 0, -1):
-            at_ms = now_ms - self._window_ms * (piece - 0.5) / _ASSUMED_PIECES
-            self._passed.append((at_ms, amount))
-            self._used += amount
+        Args:
+            part: How much of it to count.
+            now_ms: The time.
+        """
+        self._assumed = part * max(0.0, self._bound - self._spare)
+        self._assumed_until_ms = now_ms + self._window_ms
 
-    def adopt(self, bound: float) -> None:
+    def restart(self) -> None:
+        """Forget everything but a part of the guess, for what was not recorded."""
+        self._passed.clear()
+        self._used = 0.0
+        self._assumed *= _UNRECORDED_PART
+
+    def uses(self, organisation: str, now_ms: float) -> list[Use]:
+        """Return what has passed, summed up by steps of its age."""
+        self._forget(now_ms)
+        sums: dict[int, float] = {}
+        for at_ms, amount in self._passed:
+            age_ms = int((now_ms - at_ms) // _USE_STEP_MS) * _USE_STEP_MS
+            sums[age_ms] = sums.get(age_ms, 0.0) + amount
+        return [Use(organisation, age, round(total)) for age, total in sums.items()]
+
+    def add_past(self, amount: float, at_ms: float) -> None:
+        """Count an amount that passed under an earlier scheduler."""
+        insort(self._passed, (at_ms, amount))
+        self._used += amount
+
+    def adopt(self, bound: float, spare: float) -> None:
         """Go on under another bound.
 
         What has passed under a larger one counts as the same part of the lower
@@ -101,9 +151,11 @@
         """
         if 0 < bound < self._bound:
             part = bound / self._bound
-            self._passed = deque((at, amount * part) for at, amount in self._passed)
+            self._passed = [(at_ms, amount * part) for at_ms, amount in self._passed]
             self._used *= part
+            self._assumed *= part
         self._bound = bound
+        self._spare = spare
 
     def wait_ms(self, amount: float, now_ms: float) -> float:
         """Return how long until an amount may pass, 0 for now.
@@ -111,7 +163,7 @@
         Those who are told to come back get room one after the other.
         """
         self._forget(now_ms)
-        over = self._used + min(amount, self._bound) - self._bound
+        over = self._used + self._assumed + min(amount, self._bound) - self._bound
         if over <= 0:
             return 0.0
         while self._promised and self._promised[0][0] <= now_ms:
@@ -132,9 +184,13 @@
         self._used += amount
 
     def _forget(self, now_ms: float) -> None:
+        if now_ms >= self._assumed_until_ms:
+            self._assumed = 0.0
         oldest_ms = now_ms - self._window_ms
-        while self._passed and self._passed[0][0] <= oldest_ms:
-            self._used -= self._passed.popleft()[1]
+        kept = bisect_right(self._passed, (oldest_ms, float("inf")))
+        if kept:
+            self._used -= sum(amount for _, amount in self._passed[:kept])
+            del self._passed[:kept]
 
 
 class _Account:
@@ -159,12 +215,13 @@
 
     def _adopt_window(self, limits: Limits, share: float) -> None:
         bound = limits.tokens_per_s * limits.window_ms / 1000 + limits.burst_tokens
+        spare = limits.window_spare * share
         if limits.tokens_per_s <= 0:
             self.window = None
         elif self.window is None:
-            self.window = SlidingWindow(bound * share, limits.window_ms)
+            self.window = SlidingWindow(bound * share, limits.window_ms, spare)
         else:
-            self.window.adopt(bound * share)
+            self.window.adopt(bound * share, spare)
 
     def full(self) -> bool:
         limit = self.limits.concurrency
@@ -187,11 +244,29 @@
             if account.share != share:
                 account.adopt(account.limits, share)
 
-    def assume_used(self, now_ms: float) -> None:
-        """Count a part of every window as used by an earlier scheduler."""
+    def assume_used(self, part: float, now_ms: float) -> None:
+        """Count windows as used by earlier schedulers, as far as that matters."""
         for account in (*self._teams.values(), *self._organisations.values()):
             if account.window is not None:
-                account.window.assume_used(now_ms)
+                account.window.assume_used(part, now_ms)
+
+    def uses(self, now_ms: float) -> list[Use]:
+        """Return what organisations used in the spans that still count."""
+        found = []
+        for name, account in self._organisations.items():
+            if account.window is not None:
+                found.extend(account.window.uses(name, now_ms))
+        return found
+
+    def take_uses(self, uses: Iterable[Use], now_ms: float) -> None:
+        """Count what an earlier scheduler has recorded, in place of a guess."""
+        for account in self._organisations.values():
+            if account.window is not None:
+                account.window.restart()
+        for use in uses:
+            account = self._organisations.get(use.organisation)
+            if account is not None and account.window is not None:
+                account.window.add_past(use.tokens, now_ms - use.age_ms)
 
     def configure(self, tree: Tree) -> None:
         """Adopt a tree's limits; unchanged accounts keep their levels."""
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -17,18 +17,16 @@
 from pomelolane.scheduler.objective.worker import Worker, WorkerFigures
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from pomelolane.messages import Handle, RunningHandle, StreamEvent
     from pomelolane.model import Tree
     from pomelolane.ports import CacheEvent, LoadReport, SchedulingCore
+    from pomelolane.scheduler.limits import Use
 
 _TRIES = 12
 """Waiting requests looked at after the first one that finds no place."""
 
-_ABSENCE_MS = 500.0
-"""Time without a tick after which another VM may have scheduled meanwhile."""
-
 _SERVICE_STEP = 0.05
 _FIRST_SERVICE_MS = 300.0
 
@@ -76,7 +74,6 @@
         self._sequence = count()
         self._service_ms = _FIRST_SERVICE_MS
         self._now_ms = 0.0
-        self._ran_ms: float | None = None
 
     # --- settings ---------------------------------------------------------
 
@@ -100,9 +97,6 @@
             worker.endpoint = endpoint
             worker.leaving = endpoint.leaving
         self._limits.configure(tree)
-        if self._ran_ms is None or now_ms - self._ran_ms > _ABSENCE_MS:
-            self._limits.assume_used(now_ms)
-        self._ran_ms = now_ms
         return self._dispatch(now_ms)
 
     def _drop_worker(self, endpoint_id: str) -> None:
@@ -125,11 +119,26 @@
         return self._dispatch(now_ms)
 
     def limit_slots(self, share: float, now_ms: float) -> Sequence[Decision]:
-        """Use only a share of slots and rates, as one scheduler of several."""
+        """Use only a share of slots, as one scheduler of several."""
         self._share = share
-        self._limits.scale(share)
         return self._dispatch(now_ms)
 
+    def limit_rates(self, share: float) -> None:
+        """Let only a share of organisations' rates pass."""
+        self._limits.scale(share)
+
+    def assume_used(self, part: float, now_ms: float) -> None:
+        """Guess that organisations used their limits under another scheduler."""
+        self._limits.assume_used(part, now_ms)
+
+    def uses(self, now_ms: float) -> list[Use]:
+        """Return what organisations used, for the record."""
+        return self._limits.uses(now_ms)
+
+    def take_uses(self, uses: Iterable[Use], now_ms: float) -> None:
+        """Count what an earlier scheduler has recorded."""
+        self._limits.take_uses(uses, now_ms)
+
     # --- requests ---------------------------------------------------------
 
     def submit(self, handle: Handle, now_ms: float) -> Sequence[Decision]:
@@ -204,7 +213,6 @@
 
     def tick(self, now_ms: float) -> Sequence[Decision]:
         """Suspect silent endpoints, move late requests, expire deadlines."""
-        self._ran_ms = now_ms
         for worker in self._workers.values():
             worker.check(now_ms)
         decisions = self._refuse_early(now_ms)
