Listen early, serve while stopping, leave silent endpoints sooner

Change: the callers' socket listens before the libraries load; a stopping VM takes what it can surely finish; a repeatable request goes elsewhere after three predictions or 0.4 of its objective; use is recorded four times a second where a limit is half used. A test of the demo depends on how the shell starts it no more.

--- a/src/pomelolane/commands/platform.py
+++ b/src/pomelolane/commands/platform.py
@@ -24,6 +24,9 @@
 
     def handle(self) -> int:
         """Serve until stopped; logs are JSON lines on the standard output."""
+        from pomelolane.platform.early import early_socket
+
+        sock = early_socket()
         import uvloop
         from absl import logging
 
@@ -33,5 +36,5 @@
         logging.set_verbosity(logging.INFO)
         write_json_lines(STDOUT)
         gc.set_threshold(*_GC_THRESHOLDS)
-        uvloop.run(serve_on_platform())
+        uvloop.run(serve_on_platform(sock))
         return ExitCode.OK
--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -123,6 +123,11 @@
         read = getattr(self.core, "uses", None)
         return read(self._clock.now_ms()) if read is not None else ()
 
+    def used_share(self) -> float:
+        """Return how far the most used limit is used, 0 to 1."""
+        read = getattr(self.core, "used_share", None)
+        return read(self._clock.now_ms()) if read is not None else 0.0
+
     def take_uses(self, uses: Sequence[Use]) -> None:
         """Let the core count what an earlier scheduler has recorded."""
         self.core.take_uses(uses, self._clock.now_ms())
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from pomelolane import events
@@ -31,7 +32,8 @@
 from pomelolane.ports.forwarding import Dispatch, Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
+    from typing import Any
 
     from pomelolane.forwarding.budget import SharedRetryBudget
     from pomelolane.forwarding.call import ForwardCall
@@ -48,7 +50,21 @@
 RETRY_AFTER_MS = 300
 """When to come back after an endpoint has refused: about a request's time."""
 
+PATIENCE_FACTOR = 3.0
+"""Times the predicted first byte that a repeatable request waits for it."""
+
+PATIENCE_SHARE = 0.4
+"""Part of the objective that it waits at least: what is left must be enough for
+another endpoint."""
+
 _SERVER_ERROR = 500
+STOPPING_TOKEN_MS = 15.0
+"""Time of an answer token that a stopping VM reckons with: slow endpoints take
+10 ms, and answers may be longer than hinted."""
+
+STOPPING_RETRY_MS = 50
+"""When to come back to a stopping VM's neighbours: at once."""
+
 _DELIVERED = "delivered"
 
 
@@ -66,6 +82,21 @@
         self.is_paid = False
 
 
+class _SilentError(EndpointBrokenError):
+    """An endpoint is given up because it has not begun to answer."""
+
+
+async def _first_byte(sending: Coroutine[Any, Any, Sent]) -> Sent:
+    """Return an answer whose first byte, or end, has come."""
+    sent = await sending
+    try:
+        await sent.stream.wait()
+    except asyncio.CancelledError:
+        await sent.stream.aclose()
+        raise
+    return sent
+
+
 class Forwarder:
     """Serves callers of routed services.
 
@@ -99,6 +130,37 @@
         self._budgets: dict[str, SharedRetryBudget] = {}
         self.open_calls: dict[str, CallState] = {}
         self.draining = False
+        self._stop_at_ms = math.inf
+        self._takes_more = True
+        self._ended = asyncio.Event()
+
+    def stop_by(self, at_ms: float) -> None:
+        """Take only what can be finished until then."""
+        self._stop_at_ms = at_ms
+
+    async def finish(self) -> None:
+        """Return when what was open is done; what comes meanwhile is short."""
+        before = set(self.open_calls)
+        while before & self.open_calls.keys():
+            await self._next_end()
+        self._takes_more = False
+        while self.open_calls:
+            await self._next_end()
+
+    async def _next_end(self) -> None:
+        self._ended.clear()
+        await self._ended.wait()
+
+    def _refuse_when_stopping(self, call: ForwardCall) -> Refusal | None:
+        if math.isinf(self._stop_at_ms):
+            return None
+        hint = call.description.answer_hint_tokens
+        need_ms = call.route.objective_ms + hint * STOPPING_TOKEN_MS
+        if self._takes_more and self._clock.now_ms() + need_ms < self._stop_at_ms:
+            return None
+        return Refusal(
+            Outcome.NOT_RUN, Reason.NOT_READY, STOPPING_RETRY_MS, "the VM is stopping"
+        )
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one exchange to its end."""
@@ -121,6 +183,7 @@
             self._log_gone(state)
         finally:
             del self.open_calls[call.local_id]
+            self._ended.set()
 
     async def _turn_away(self, exchange: Exchange, error: BadRequestError) -> None:
         refusal = refusal_from_error(error)
@@ -131,6 +194,10 @@
     async def _serve(self, state: CallState, exchange: Exchange) -> None:
         call = state.call
         relay = Relay(exchange, state, self._clock, closes=self.draining)
+        refusal = self._refuse_when_stopping(call)
+        if refusal is not None:
+            await self._refuse(state, exchange, refusal)
+            return
         self._budget(call.service).earn()
         try:
             async with asyncio.timeout(max(0.0, self._left_ms(call)) / 1000):
@@ -192,20 +259,46 @@
         watch.dispatched()
         self._log_sent(state, grant, left_ms)
         dispatch = Dispatch(call.organisation, left_ms, state.last_event_id)
+        sending = self._sender.send(connection, call, endpoint, dispatch)
         try:
-            sent = await self._sender.send(connection, call, endpoint, dispatch)
+            sent = await self._patiently(state, sending, grant)
         except EndpointRefusedError as error:
             state.may_have_run = may_have_run
             state.sends -= 1
             raise self._not_taken(state, watch, str(error)) from error
         except EndpointBrokenError as error:
-            raise self._broken(state, watch, str(error)) from error
+            again = self._broken(state, watch, str(error))
+            again.is_paid = isinstance(error, _SilentError)
+            raise again from error
         if sent.verdict is Verdict.NOT_RUN:
             state.may_have_run = may_have_run
             await sent.stream.aclose()
             raise self._not_taken(state, watch, "the endpoint did not run it")
         await self._pass_on(state, relay, sent, watch, endpoint)
 
+    async def _patiently(
+        self, state: CallState, sending: Coroutine[Any, Any, Sent], grant: Grant
+    ) -> Sent:
+        """Wait for a first byte, but not for long where another may answer.
+
+        Raises:
+            EndpointBrokenError: It does not come, and a repeat is paid for.
+        """
+        waiting = asyncio.ensure_future(_first_byte(sending))
+        patience_ms = max(
+            PATIENCE_FACTOR * grant.expected_ttft_ms,
+            PATIENCE_SHARE * state.call.route.objective_ms,
+        )
+        try:
+            if self._can_repeat(state) and state.call.route.objective_ms:
+                await asyncio.wait({waiting}, timeout=patience_ms / 1000)
+                if not waiting.done() and self._may_repeat(state):
+                    raise _SilentError(f"nothing within {patience_ms:.0f} ms")
+            return await waiting
+        finally:
+            if not waiting.done():
+                waiting.cancel()
+
     async def _pass_on(
         self,
         state: CallState,
--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import uuid
 from typing import TYPE_CHECKING
 
@@ -19,6 +21,10 @@
 DEFAULT_DEADLINE_MS = 30_000
 """For callers that name no deadline on a route without a timeout."""
 
+START_WAIT_MS = 800
+"""How long a request waits for the first configuration of a starting VM; callers
+leave a VM that has not read them after a second."""
+
 BODY_TIMEOUT_MS = 10_000
 """Longest time for a body; callers on slow links send megabytes in less."""
 
@@ -36,11 +42,13 @@
         self._clock = clock
         self._routes = RouteTable(())
         self._configuration: Configuration | None = None
+        self._known = asyncio.Event()
 
     def adopt(self, configuration: Configuration) -> None:
         """Check by another configuration from now on."""
         self._routes = RouteTable(configuration.routes)
         self._configuration = configuration
+        self._known.set()
 
     @property
     def is_ready(self) -> bool:
@@ -54,6 +62,9 @@
             BadRequestError: It cannot be served, with the status to answer.
         """
         accepted_ms = self._clock.now_ms()
+        if self._configuration is None:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._known.wait(), START_WAIT_MS / 1000)
         configuration = self._configuration
         if configuration is None:
             raise BadRequestError(503, Reason.NOT_READY, "no configuration is known")
--- a/src/pomelolane/forwarding/ledger.py
+++ b/src/pomelolane/forwarding/ledger.py
@@ -15,8 +15,14 @@
     from pomelolane.coordination import Coordination
     from pomelolane.scheduler.limits import Use
 
-PERIOD_S = 1.0
-"""Pace of the record; what passes meanwhile is guessed by the next scheduler."""
+TICK_S = 0.25
+"""Pace of the record where a limit is half used: what passes meanwhile is
+unknown to the next scheduler."""
+
+CALM_TICKS = 6
+"""Ticks between two records where no limit is half used."""
+
+_BUSY_SHARE = 0.5
 
 
 class UseRecord(Protocol):
@@ -54,17 +60,25 @@
 
     async def run(self) -> None:
         """Save until cancelled."""
+        ticks = 0
         while True:
-            await asyncio.sleep(PERIOD_S)
-            await self.save()
+            await asyncio.sleep(TICK_S)
+            ticks += 1
+            await self.save(only_busy=ticks % CALM_TICKS != 0)
+
+    async def save(self, *, only_busy: bool = False) -> None:
+        """Save the records of the services that this VM schedules.
 
-    async def save(self) -> None:
-        """Save the records of all services that this VM schedules."""
+        Args:
+            only_busy: Leave out services with no limit that is half used.
+        """
         role = self._coordination.role
         for service in list(role.desks()):
             desk = role.desk(service)
             if desk is None:
                 continue
+            if only_busy and desk.used_share() < _BUSY_SHARE:
+                continue
             uses = desk.uses()
             # An empty record says nothing new after another empty one.
             if not uses and not self._saved.get(service, False):
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -23,6 +23,7 @@
 from pomelolane.node import listening_socket
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
     from pomelolane.forwarding.configuration import CurrentConfiguration
@@ -209,10 +210,12 @@
         await asyncio.sleep(BALANCER_NOTICE_MS / 1000)
 
     async def finish(self, listener: Listener) -> None:
-        """Take no more requests, and finish what was accepted in time."""
+        """Finish what was accepted, in the time allowed."""
         left_ms = self._options.grace_ms - BALANCER_NOTICE_MS - EXIT_RESERVE_MS
+        self.forwarder.stop_by(self._clock.now_ms() + left_ms)
         try:
             async with asyncio.timeout(left_ms / 1000):
+                await self.forwarder.finish()
                 await listener.stop()
         except TimeoutError:
             log_event(
@@ -245,9 +248,17 @@
         )
 
 
-async def listen_for_callers(node: ForwardingNode, address: str) -> Listener:
-    """Start the callers' listener."""
-    return await _listen(await CallerApp(node.forwarder).start(), address)
+async def listen_for_callers(
+    node: ForwardingNode, address: str, sock: socket.socket | None = None
+) -> Listener:
+    """Start the callers' listener.
+
+    Args:
+        node: Serves them.
+        address: Where, as ``ip:port``.
+        sock: A socket that listens there already, if there is one.
+    """
+    return await _listen(await CallerApp(node.forwarder).start(), address, sock)
 
 
 async def listen_for_probes(
@@ -257,8 +268,10 @@
     return await _listen(await ProbeApp(is_ready, report).start(), address)
 
 
-async def _listen(app: object, address: str) -> Listener:
+async def _listen(
+    app: object, address: str, sock: socket.socket | None = None
+) -> Listener:
     host, _, port = address.rpartition(":")
     listener = Listener(app, HEAD_TIMEOUT_MS)
-    await listener.start(listening_socket(host, int(port)))
+    await listener.start(sock or listening_socket(host, int(port)))
     return listener
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -21,14 +21,17 @@
 from pomelolane.logs import log_event
 from pomelolane.meeting import meet_others
 from pomelolane.platform.dialect import PlatformDialect
+from pomelolane.platform.early import NODE_FILE_VARIABLE
 from pomelolane.platform.errors import DocumentError, StoreUnavailableError
-from pomelolane.platform.nodefile import NODE_FILE_VARIABLE, node_file_from_path
+from pomelolane.platform.nodefile import node_file_from_path
 from pomelolane.platform.roster import TABLE, VmRoster, shared_keys
 from pomelolane.platform.storeclient import StoreClient
 from pomelolane.platform.userecord import StoreUseRecord
 from pomelolane.platform.watches import ConfigurationWatch, EndpointWatch
 
 if TYPE_CHECKING:
+    import socket
+
     from pomelolane.gateway.listener import Listener
     from pomelolane.membership import ClusterKeys
     from pomelolane.platform.nodefile import NodeFile
@@ -46,13 +49,15 @@
 
     Args:
         path: The settings file.
+        sock: A socket that listens for callers already, if there is one.
 
     Raises:
         DocumentError: The settings file cannot be read.
     """
 
-    def __init__(self, path: str) -> None:
+    def __init__(self, path: str, sock: socket.socket | None) -> None:
         self._path = path
+        self._early = sock
         self._file = self._read_file()
         self._clock = MonotonicClock()
         self._store = StoreClient(self._file.store_address)
@@ -115,7 +120,8 @@
         self._background.start("roster", self._enter(roster))
         await node.start()
         self._background.start("ledger", node.ledger.run())
-        self._front = await listen_for_callers(node, file.front)
+        sock, self._early = self._early, None
+        self._front = await listen_for_callers(node, file.front, sock)
         log_event(
             events.VM_STARTED,
             vm=file.vm_id,
@@ -142,9 +148,16 @@
                 return int(now_ms) + 1, await shared_keys(self._store)
             except StoreUnavailableError as error:
                 log_event(events.STORE_LOST, what="start", error=error, age_ms=0)
+            self._refuse_early()
             await asyncio.sleep(pause_s)
             pause_s = min(_LONGEST_PAUSE_S, 2 * pause_s)
 
+    def _refuse_early(self) -> None:
+        """Listen no more: the start takes longer than callers would wait."""
+        if self._early is not None:
+            self._early.close()
+            self._early = None
+
     async def _enter(self, roster: VmRoster) -> None:
         file = self._file
         while True:
@@ -190,16 +203,19 @@
         return file
 
 
-async def serve_on_platform() -> None:
+async def serve_on_platform(sock: socket.socket | None) -> None:
     """Run a VM by the settings file that the environment names.
 
+    Args:
+        sock: A socket that listens for callers already, if there is one.
+
     Raises:
         DocumentError: There is none, or it cannot be read.
     """
     path = os.environ.get(NODE_FILE_VARIABLE)
     if not path:
         raise DocumentError(f"{NODE_FILE_VARIABLE} is not set")
-    host = PlatformHost(path)
+    host = PlatformHost(path, sock)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, host.stop_soon)
--- a/src/pomelolane/platform/nodefile.py
+++ b/src/pomelolane/platform/nodefile.py
@@ -10,9 +10,6 @@
 from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.errors import DocumentError
 
-NODE_FILE_VARIABLE = "POMELOLANE_NODE_FILE"
-"""Environment variable that holds the file's path."""
-
 
 class _Listen(msgspec.Struct):
     front: str
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -129,6 +129,11 @@
         self._used = 0.0
         self._assumed *= _UNRECORDED_PART
 
+    def used_share(self, now_ms: float) -> float:
+        """Return how far the bound is used."""
+        self._forget(now_ms)
+        return self._used / self._bound if self._bound > 0 else 1.0
+
     def uses(self, organisation: str, now_ms: float) -> list[Use]:
         """Return what has passed, summed up by steps of its age."""
         self._forget(now_ms)
@@ -258,6 +263,12 @@
                 found.extend(account.window.uses(name, now_ms))
         return found
 
+    def used_share(self, now_ms: float) -> float:
+        """Return how far the most used window is used, 0 to 1."""
+        accounts = self._organisations.values()
+        windows = [one.window for one in accounts if one.window is not None]
+        return max((window.used_share(now_ms) for window in windows), default=0.0)
+
     def take_uses(self, uses: Iterable[Use], now_ms: float) -> None:
         """Count what an earlier scheduler has recorded, in place of a guess."""
         for account in self._organisations.values():
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -135,6 +135,10 @@
         """Return what organisations used, for the record."""
         return self._limits.uses(now_ms)
 
+    def used_share(self, now_ms: float) -> float:
+        """Return how far the most used limit is used, 0 to 1."""
+        return self._limits.used_share(now_ms)
+
     def take_uses(self, uses: Iterable[Use], now_ms: float) -> None:
         """Count what an earlier scheduler has recorded."""
         self._limits.take_uses(uses, now_ms)
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -10,13 +10,13 @@
 from pomelolane.jobs import JobRequest, JobSettings, make_jobs
 from pomelolane.jobs.record import decode_job
 from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.ports import Peer, View
 from pomelolane.store import (
     EmbeddedObjectStore,
     EmbeddedTable,
     GroupCommitter,
     make_claims,
 )
-from pomelolane.ports import Peer, View
 from tests.faults import FaultyTable
 
 SETTINGS = JobSettings(
--- a/tests/steps/bench_cluster_steps.py
+++ b/tests/steps/bench_cluster_steps.py
@@ -194,6 +194,9 @@
 
 @given('"python -m {command}" is started and has its processes running')
 def step_start_module(context, command):
+    # A shell that starts the tests in its background lets its children ignore
+    # the interrupt; the handler set here is the default again in a child.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     _spawn_module(context, command)
     parent = psutil.Process(context.child.pid)
 
--- a/tests/steps/commands_steps.py
+++ b/tests/steps/commands_steps.py
@@ -17,7 +17,6 @@
 from bench.processes import ManagedProcess, wait_until
 from pomelolane.commands.application import run_application
 from pomelolane.events import CATALOGUE
-from pomelolane.store import EmbeddedTable
 from pomelolane.report import (
     EndpointReport,
     PeerReport,
@@ -26,6 +25,7 @@
     decode_report,
 )
 from pomelolane.settings import OPTIONS, branch_content_from_directory
+from pomelolane.store import EmbeddedTable
 from tests.commands.vm import FakeVm
 from tests.settings.trees import make_settings_directory
 
--- a/tests/steps/gateway_keyed_steps.py
+++ b/tests/steps/gateway_keyed_steps.py
@@ -18,6 +18,7 @@
 from pomelolane.messages import KeyQuery
 from pomelolane.model import Endpoint, Service, ServiceKind, Tree
 from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.ports import Grant, Peer, View
 from pomelolane.store import (
     EmbeddedObjectStore,
     EmbeddedTable,
@@ -25,7 +26,6 @@
     job_reservation,
 )
 from pomelolane.store.claims import DONE, make_claims
-from pomelolane.ports import Grant, Peer, View
 from pomelolane.tree import CurrentTree
 from tests.gateway_calls import make_call
 
--- a/tests/steps/gather_steps.py
+++ b/tests/steps/gather_steps.py
@@ -19,6 +19,7 @@
     encode_message,
 )
 from pomelolane.outcomes import Outcome, Refusal
+from pomelolane.ports import Peer, View
 from pomelolane.store import (
     EmbeddedTable,
     GatherSettings,
@@ -27,7 +28,6 @@
     make_gathering_committer,
 )
 from pomelolane.store.gather import gatherers_of
-from pomelolane.ports import Peer, View
 from tests.faults import COMMIT_FAULTS, FaultyTable
 
 _SETTINGS = GatherSettings(
--- a/tests/steps/jobs_steps.py
+++ b/tests/steps/jobs_steps.py
@@ -14,8 +14,8 @@
 from pomelolane.jobs import JobRecord, JobState
 from pomelolane.jobs.liveness import HeartbeatWriter
 from pomelolane.outcomes import Refusal
-from pomelolane.store import GroupCommitter, job_reservation
 from pomelolane.ports import ClaimRecord, Peer
+from pomelolane.store import GroupCommitter, job_reservation
 from tests.faults import COMMIT_FAULTS, until
 from tests.jobs_world import DAY_MS, SETTINGS, World, answer_to, request
 
--- a/tests/steps/leases_steps.py
+++ b/tests/steps/leases_steps.py
@@ -15,6 +15,7 @@
     RateLimitedError,
 )
 from pomelolane.model import Endpoint, Service, ServiceKind, Tree
+from pomelolane.ports import Write
 from pomelolane.store import EmbeddedTable, PacedPulls, make_leases
 from pomelolane.store.leases import LeaseRow
 from pomelolane.store.orders import (
@@ -23,7 +24,6 @@
     ModelOrders,
     endpoint_to_load,
 )
-from pomelolane.ports import Write
 from tests.faults import FaultyTable
 
 _NAME = "l"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -11,9 +11,9 @@
     PlatformUnavailableError,
     SettingError,
 )
+from pomelolane.ports import Write
 from pomelolane.store import EmbeddedTable, platform_from_url
 from pomelolane.store.gate import CLOSED_AFTER_MS
-from pomelolane.ports import Write
 from tests.faults import until
 
 _REPLIES = {
--- a/tests/steps/platform_wire_steps.py
+++ b/tests/steps/platform_wire_steps.py
@@ -16,6 +16,7 @@
 from pomelolane.clock import MonotonicClock
 from pomelolane.model import Endpoint, Service, ServiceKind, Tree
 from pomelolane.outcomes import Refusal
+from pomelolane.ports import Write
 from pomelolane.store import (
     EmbeddedTable,
     EmbeddedWeightStore,
@@ -28,7 +29,6 @@
     platform_from_url,
 )
 from pomelolane.store.orders import HttpOrderSender
-from pomelolane.ports import Write
 from tests.faults import until
 
 
--- a/tests/steps/settings_distribution_steps.py
+++ b/tests/steps/settings_distribution_steps.py
@@ -5,10 +5,10 @@
 from pomelolane.clock import ManualClock, MonotonicClock
 from pomelolane.exceptions import PlatformUnavailableError
 from pomelolane.messages import BranchContent, BranchWanted
-from pomelolane.store.embedded import EmbeddedTable
 from pomelolane.ports import Peer, View, Write
 from pomelolane.settings import SettingsStore, rows
 from pomelolane.settings.distribution import make_distribution
+from pomelolane.store.embedded import EmbeddedTable
 from tests.membership.region import Region
 from tests.membership.waiting import eventually, stop_at_end
 
--- a/tests/steps/settings_platform_steps.py
+++ b/tests/steps/settings_platform_steps.py
@@ -14,8 +14,8 @@
 
 from bench.controls import ControlClient
 from bench.processes import ManagedProcess
-from pomelolane.store import platform_from_url
 from pomelolane.settings import SettingsStore
+from pomelolane.store import platform_from_url
 from tests.settings.trees import make_operated_contents
 
 COMMAND = (
