Test the platform's VM against stand-ins of its protocol

They were written after the mends that they prove, so they were not seen red but for two: a head over the bound that came whole passed (now 431), and a refused long body was cut by a reset before its caller saw the 413 (now read first, within bounds).

--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -384,7 +384,7 @@
             self._carry_out(self.core.limit_slots(share, self._clock.now_ms()))
         limit_rates = getattr(self.core, "limit_rates", None)
         if limit_rates is not None:
-            limit_rates(self._rate_share())
+            limit_rates(self._rate_share(), self._clock.now_ms())
 
     def _drop_silent(self, now_ms: float) -> None:
         oldest_ms = now_ms - self._timings.follower_silence_ms
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -57,6 +57,12 @@
 """Part of the objective that it waits at least: what is left must be enough for
 another endpoint."""
 
+SKIPPED_BODY_BYTES = 1024 * 1024
+"""Most of a refused body that is read so that its caller sees the answer."""
+
+SKIPPED_BODY_MS = 200
+"""Longest time for that."""
+
 _SERVER_ERROR = 500
 STOPPING_TOKEN_MS = 15.0
 """Time of an answer token that a stopping VM reckons with: slow endpoints take
@@ -189,6 +195,7 @@
         refusal = refusal_from_error(error)
         log_event(events.BAD_INPUT, reason=refusal.reason, status=error.status)
         metrics.count_end("", "", 0, refusal.outcome.value, refusal.reason.value)
+        await exchange.skip_body(SKIPPED_BODY_BYTES, SKIPPED_BODY_MS)
         await answer_refusal(exchange, refusal, "", closes=self.draining)
 
     async def _serve(self, state: CallState, exchange: Exchange) -> None:
--- a/src/pomelolane/gateway/exchange.py
+++ b/src/pomelolane/gateway/exchange.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, Any
 
 from pomelolane.exceptions import BadRequestError
@@ -110,6 +111,23 @@
                 self.body_read = True
                 return parts[0] if len(parts) == 1 else b"".join(parts)
 
+    async def skip_body(self, max_bytes: int, timeout_ms: int) -> None:
+        """Read what is left of a body that is refused, within bounds.
+
+        A connection that is closed with unread bytes is reset, and the caller
+        may never see the answer.
+        """
+        if self.body_read or self.method in ("GET", "HEAD"):
+            return
+        size = 0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_ms / 1000):
+                while size <= max_bytes:
+                    message = await self._receive()
+                    size += len(message.get("body", b""))
+                    if not message.get("more_body", False):
+                        return
+
     def watch_disconnect(self, on_gone: Callable[[], object]) -> None:
         """Call ``on_gone()`` once if the caller goes before the answer ends."""
         self._watcher = asyncio.create_task(self._watch(on_gone))
--- a/src/pomelolane/gateway/listener.py
+++ b/src/pomelolane/gateway/listener.py
@@ -25,6 +25,7 @@
 
 MAX_HEAD_BYTES = 32 * 1024
 KEEP_ALIVE_S = 75
+_HEAD_END = b"\r\n\r\n"
 BACKLOG = 2048
 _STATUS_LINES = {
     400: b"HTTP/1.1 400 Bad Request\r\n",
@@ -64,13 +65,15 @@
         if self.parser is None or self.transport.is_closing():
             return
         if self._in_head or self._head_timer is not None:
-            self._head_bytes += len(data)
+            end = data.find(_HEAD_END)
+            self._head_bytes += len(data) if end < 0 else end
+            if self._head_bytes > MAX_HEAD_BYTES and not self._body_expected():
+                self._refuse(431, f"the head is longer than {MAX_HEAD_BYTES} bytes")
+                return
         self._in_head = True
         if self._head_timer is None and not self._body_expected():
             self._arm()
         super().data_received(data)
-        if self._head_timer and self._head_bytes > MAX_HEAD_BYTES:
-            self._refuse(431, f"the head is longer than {MAX_HEAD_BYTES} bytes")
 
     def on_headers_complete(self) -> None:
         """Note that a head has come whole."""
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -39,6 +39,9 @@
 METRICS_PORT = 9464
 """Port of the metrics address in deploy/system.toml."""
 
+METRICS_PORT_VARIABLE = "POMELOLANE_METRICS_PORT"
+"""Environment variable for another port of the metrics address, 0 for any."""
+
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 1.0
 _ENTER_PAUSE_S = 0.5
@@ -83,7 +86,8 @@
     async def run(self) -> None:
         """Serve until stopped."""
         file = self._file
-        for address in (file.ready, f"{file.ip}:{METRICS_PORT}"):
+        metrics_port = os.environ.get(METRICS_PORT_VARIABLE, str(METRICS_PORT))
+        for address in (file.ready, f"{file.ip}:{metrics_port}"):
             self._probes.append(
                 await listen_for_probes(self._is_ready, self._report, address)
             )
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -241,9 +241,27 @@
         self._organisations: dict[str, _Account] = {}
         self._found: dict[tuple[str, str], tuple[_Account, ...]] = {}
         self._share = 1.0
+        self._raised_ms: float | None = None
 
-    def scale(self, share: float) -> None:
-        """Enforce a share of every rate, as one scheduler of several."""
+    def _span_ms(self) -> int:
+        accounts = self._organisations.values()
+        return max((account.limits.window_ms for account in accounts), default=0)
+
+    def scale(self, share: float, now_ms: float) -> None:
+        """Enforce a share of every rate, as one scheduler of several.
+
+        A larger share waits for as long as uses count: what others let pass
+        until now is not known here.
+        """
+        if share <= self._share:
+            self._raised_ms = None
+        elif self._raised_ms is None:
+            self._raised_ms = now_ms
+        if share == self._share:
+            return
+        if self._raised_ms is not None and now_ms - self._raised_ms < self._span_ms():
+            return
+        self._raised_ms = None
         self._share = share
         for account in (*self._teams.values(), *self._organisations.values()):
             if account.share != share:
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -123,9 +123,9 @@
         self._share = share
         return self._dispatch(now_ms)
 
-    def limit_rates(self, share: float) -> None:
+    def limit_rates(self, share: float, now_ms: float) -> None:
         """Let only a share of organisations' rates pass."""
-        self._limits.scale(share)
+        self._limits.scale(share, now_ms)
 
     def assume_used(self, part: float, now_ms: float) -> None:
         """Guess that organisations used their limits under another scheduler."""
--- /dev/null
+++ b/standins/routed/endpoint.py
@@ -0,0 +1,250 @@
+"""An endpoint that speaks the platform's protocol: engine or plain service.
+
+It admits in arrival order, as many at a time as it has slots, and refuses beyond
+its queue. What it does wrong is set from outside.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class Fault(StrEnum):
+    """What an endpoint does wrong."""
+
+    NONE = "none"
+    ERROR = "error"
+    SILENT = "silent"
+    CRASH = "crash"
+    """The connection is reset when the request is in."""
+    TORN = "torn"
+    """The stream ends inside its third event."""
+    FOREIGN = "foreign"
+    """The answer bears another request's id."""
+    UNSEALED = "unsealed"
+    """The answer has no proof that it is the endpoint's own."""
+    EXTRA = "extra"
+    """A second answer follows."""
+    ENCODED = "encoded"
+    """The body claims an encoding."""
+
+
+@dataclass(slots=True)
+class EndpointOptions:
+    """How an endpoint works.
+
+    Attributes:
+        slots: Requests at a time.
+        queue: Requests that may wait beside.
+        work_ms: Time to the answer, or its first event.
+        events: Events of a stream, 0 for a plain service.
+        event_ms: Time between two events.
+    """
+
+    slots: int = 4
+    queue: int = 8
+    work_ms: float = 5.0
+    events: int = 0
+    event_ms: float = 2.0
+
+
+@dataclass(slots=True)
+class Seen:
+    """A request as it arrived.
+
+    Attributes:
+        line: Method, path and query, and protocol.
+        headers: By lower-case name.
+        body: The body.
+        ran: Whether it was begun.
+        cut: Whether its caller closed the connection first.
+    """
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+    ran: bool = False
+    cut: bool = False
+
+
+@dataclass(eq=False)
+class RoutedEndpoint:
+    """One endpoint.
+
+    Attributes:
+        endpoint_id: Its id of this start.
+        options: How it works.
+        fault: What it does wrong.
+        seen: All requests so far.
+    """
+
+    endpoint_id: str
+    options: EndpointOptions = field(default_factory=EndpointOptions)
+    fault: Fault = Fault.NONE
+    seen: list[Seen] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._running = asyncio.Semaphore(self.options.slots)
+        self._waiting = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, host: str = "127.0.0.1") -> str:
+        """Listen and return ``ip:port``."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def aclose(self) -> None:
+        """Stop to listen and drop all connections."""
+        self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            while await self._exchange(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _exchange(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        request = await _read(reader)
+        self.seen.append(request)
+        expected = request.headers.get("expect-instance", self.endpoint_id)
+        if expected != self.endpoint_id:
+            writer.write(_head(421, {"instance-id": self.endpoint_id}, 0))
+            return True
+        full = self._waiting >= self.options.queue and self._running.locked()
+        if full:
+            writer.write(_head(503, {"not-executed": "1"}, 0))
+            return True
+        self._waiting += 1
+        try:
+            await self._running.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            return await self._run(request, reader, writer)
+        finally:
+            self._running.release()
+
+    async def _run(
+        self,
+        request: Seen,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        request.ran = True
+        leaving = asyncio.ensure_future(reader.read(1))
+        answering = asyncio.ensure_future(self._answer(request, writer))
+        await asyncio.wait({leaving, answering}, return_when=asyncio.FIRST_COMPLETED)
+        if not answering.done():
+            request.cut = True
+            answering.cancel()
+        leaving.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await leaving
+        with contextlib.suppress(asyncio.CancelledError):
+            return await answering
+        return False
+
+    async def _answer(self, request: Seen, writer: asyncio.StreamWriter) -> bool:
+        fault = self.fault
+        if fault is Fault.SILENT:
+            await asyncio.sleep(60)
+        await asyncio.sleep(self.options.work_ms / 1000)
+        if fault is Fault.CRASH:
+            writer.transport.abort()
+            return False
+        headers = {"request-id": request.headers.get("request-id", "")}
+        headers["server-seal"] = f"seal-of-{self.endpoint_id}"
+        if fault is Fault.FOREIGN:
+            headers["request-id"] = "another"
+        if fault is Fault.UNSEALED:
+            del headers["server-seal"]
+        if fault is Fault.ENCODED:
+            headers["content-encoding"] = "gzip"
+        if fault is Fault.ERROR:
+            writer.write(_head(500, headers, 6) + b"broken")
+            return True
+        if self.options.events:
+            return await self._stream(request, headers, writer)
+        body = b"answer of " + self.endpoint_id.encode()
+        whole = _head(200, headers, len(body)) + body
+        writer.write(whole * 2 if fault is Fault.EXTRA else whole)
+        await writer.drain()
+        return True
+
+    async def _stream(
+        self, request: Seen, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> bool:
+        headers["content-type"] = "text/event-stream"
+        writer.write(_head(200, headers, None))
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.options.events + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if self.fault is Fault.TORN and number == 3:
+                writer.write(b"%x\r\n%b" % (len(event), event[:7]))
+                await writer.drain()
+                return False
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.options.event_ms / 1000)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+def registered(
+    endpoint: RoutedEndpoint,
+    service: str,
+    address: str,
+    data_centre: str,
+    state: str = "ready",
+) -> bytes:
+    """Return the row by which an endpoint registers."""
+    row = {
+        "service": service,
+        "address": address,
+        "zone": data_centre,
+        "version": "v1",
+        "slots": endpoint.options.slots,
+        "state": state,
+        "coldRemainingMs": 0,
+        "sequence": 1,
+    }
+    return json.dumps(row).encode()
+
+
+async def _read(reader: asyncio.StreamReader) -> Seen:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    line, *fields = head.strip().split("\r\n")
+    headers = {}
+    for one in fields:
+        name, _, value = one.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Seen(line, headers, body)
+
+
+def _head(status: int, headers: dict[str, str], length: int | None) -> bytes:
+    fields = dict(headers)
+    if length is None:
+        fields["transfer-encoding"] = "chunked"
+    else:
+        fields["content-length"] = str(length)
+    lines = [f"HTTP/1.1 {status} Status"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join([*lines, "", ""]).encode()
--- /dev/null
+++ b/standins/routed/store.py
@@ -0,0 +1,188 @@
+"""The metadata store: rows by table, part and key, one counter of versions.
+
+Trouble is set from outside: a mode of refusal, an age of the history, answers
+that are lost after the deed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import time
+from collections import Counter
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from aiohttp import web
+
+from standins.serving import drop_connection, json_response
+
+LONGEST_WAIT_S = 30.0
+OPERATORS_TABLES = ("op", "servers")
+
+
+class Trouble(StrEnum):
+    """What is wrong with the store."""
+
+    NONE = "none"
+    BUSY = "busy"
+    SILENT = "silent"
+    RESET = "reset"
+    LOST = "lost"
+    """Writes are done, and their answers are lost."""
+
+
+@dataclass(slots=True)
+class _Row:
+    value: str
+    version: int
+    deleted: bool = False
+
+
+class MetadataStore:
+    """The store's state and its HTTP calls.
+
+    Attributes:
+        trouble: What is wrong at present.
+        oldest: Version from which on the history is known.
+        calls: Calls by path.
+    """
+
+    def __init__(self) -> None:
+        self.trouble = Trouble.NONE
+        self.oldest = 0
+        self.calls: Counter[str] = Counter()
+        self._rows: dict[tuple[str, str, str], _Row] = {}
+        self._version = 0
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen and return ``ip:port``."""
+        app = web.Application(middlewares=[self._troubled])
+        app.router.add_post("/rows-tx", self._transact)
+        app.router.add_get("/rows-get", self._get)
+        app.router.add_get("/rows-feed", self._feed)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, host, port)
+        await site.start()
+        return f"{host}:{self._runner.addresses[0][1]}"
+
+    async def aclose(self) -> None:
+        """Stop to listen."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Write a row as the operator or an endpoint does; return its version."""
+        self._version += 1
+        encoded = base64.b64encode(value).decode()
+        self._rows[table, "", key] = _Row(encoded, self._version)
+        self._tell()
+        return self._version
+
+    def delete(self, table: str, key: str) -> None:
+        """Delete a row."""
+        self._version += 1
+        self._rows[table, "", key] = _Row("", self._version, deleted=True)
+        self._tell()
+
+    def value(self, table: str, key: str) -> bytes:
+        """Return a row's value, empty where there is none."""
+        row = self._rows.get((table, "", key))
+        return b"" if row is None else base64.b64decode(row.value)
+
+    def forget_history(self) -> None:
+        """Know no change before now."""
+        self.oldest = self._version
+
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    @web.middleware
+    async def _troubled(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        self.calls[request.path] += 1
+        match self.trouble:
+            case Trouble.BUSY:
+                return json_response({}, status=503)
+            case Trouble.SILENT:
+                await asyncio.sleep(LONGEST_WAIT_S)
+            case Trouble.RESET:
+                return drop_connection(request)
+        answer = await handler(request)
+        if self.trouble is Trouble.LOST and request.method == "POST":
+            return drop_connection(request)
+        return answer
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for expected in body["expected"]:
+            row = self._rows.get(_key(expected))
+            current = 0 if row is None or row.deleted else row.version
+            if current != expected["ver"]:
+                return json_response({"rows": []} | self._moment(), status=412)
+        entries = [*body["writes"], *body["deletes"]]
+        if any(entry["table"] in OPERATORS_TABLES for entry in entries):
+            return json_response({}, status=403)
+        self._version += 1
+        for entry in body["writes"]:
+            self._rows[_key(entry)] = _Row(entry["value"], self._version)
+        for entry in body["deletes"]:
+            self._rows[_key(entry)] = _Row("", self._version, deleted=True)
+        self._tell()
+        return json_response(self._moment())
+
+    async def _get(self, request: web.Request) -> web.Response:
+        query = request.query
+        limit = int(query.get("limit", 500))
+        found = [
+            self._told(key, row)
+            for key, row in sorted(self._rows.items())
+            if key[:2] == (query["table"], query["part"])
+            and key[2] >= query.get("from", "")
+            and not row.deleted
+        ]
+        more = {"hasMore": len(found) > limit}
+        return json_response({"rows": found[:limit]} | more | self._moment())
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        query = request.query
+        after = int(query["after"])
+        until_s = time.monotonic() + int(query.get("waitMs", 0)) / 1000
+        while True:
+            if after < self.oldest:
+                return json_response({}, status=410)
+            rows = self._rows.items()
+            changed = [
+                (row.version, self._told(key, row))
+                for key, row in rows
+                if key[0] == query["table"] and row.version > after
+            ]
+            left_s = until_s - time.monotonic()
+            if changed or left_s <= 0:
+                told = [row for _, row in sorted(changed, key=lambda one: one[0])]
+                return json_response({"rows": told} | self._moment())
+            try:
+                await asyncio.wait_for(self._changed.wait(), left_s)
+            except TimeoutError:
+                continue
+
+    def _moment(self) -> dict[str, int]:
+        return {"ver": self._version, "nowMs": int(time.monotonic() * 1000)}
+
+    def _told(self, key: tuple[str, str, str], row: _Row) -> dict[str, object]:
+        table, part, name = key
+        told: dict[str, object] = {"table": table, "part": part, "key": name}
+        told["ver"] = row.version
+        if row.deleted:
+            told["tombstone"] = True
+        else:
+            told["value"] = row.value
+        return told
+
+
+def _key(entry: dict[str, Any]) -> tuple[str, str, str]:
+    return entry["table"], entry["part"], entry["key"]
--- /dev/null
+++ b/tests/platform/watching.feature
@@ -0,0 +1,45 @@
+Feature: Watches of the metadata store
+  Configuration and endpoints follow the store, through its troubles.
+
+  Background:
+    Given a metadata store and its watches
+
+  Scenario: What the store says comes into force
+    Then the configuration in force is version 1
+    And the known endpoints are "p1"
+
+  Scenario: An older configuration does not come into force
+    When the store says version 5 and then version 3
+    Then the configuration in force is version 5
+
+  Scenario: A lost history is read anew
+    When the store forgets its history and says version 7
+    Then the configuration in force is version 7
+
+  Scenario: A document that cannot be read leaves the one before in force
+    When the store says something that is no configuration
+    And the store says version 8
+    Then the configuration in force is version 8
+
+  Scenario Outline: After an outage the news is in force within 3 s
+    When the store is "<trouble>" for 1200 ms and says version 9 meanwhile
+    Then the configuration in force is version 9 within 3000 ms
+    And the known endpoints are "p1"
+
+    Examples:
+      | trouble |
+      | busy    |
+      | silent  |
+      | reset   |
+
+  Scenario: An endpoint that lapsed in an outage may come back
+    When the store is "busy" for 1200 ms and drops "p1" meanwhile
+    Then the known endpoints are "p1"
+    And the endpoint "p1" is gone after 4000 ms
+
+  Scenario: Keys are the same for all VMs
+    Then two VMs that ask for the shared keys at once get the same ones
+
+  Scenario: A record of use comes back with its age
+    When 5000 tokens of "org" are recorded as used 300 ms ago
+    Then the record says 5000 tokens of "org" at least 300 ms ago
--- /dev/null
+++ b/tests/scheduler/objective.feature
@@ -0,0 +1,92 @@
+Feature: The objective policy
+  Requests wait by rank and by when their answer is due, and go where it begins
+  soonest; what could only be late is refused while that costs the caller nothing.
+
+  Scenario: The more urgent rank goes first
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 1     |
+    And every slot is taken
+    When the objective core is given
+      | id   | rank | objective_ms |
+      | low  | 2    | 9000         |
+      | high | 1    | 9000         |
+    And one running request ends on "one"
+    Then "high" is granted and "low" waits
+
+  Scenario: Among equals the one that is due first goes first
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 1     |
+    And every slot is taken
+    When the objective core is given
+      | id    | rank | objective_ms |
+      | later | 1    | 9000         |
+      | soon  | 1    | 8000         |
+    And one running request ends on "one"
+    Then "soon" is granted and "later" waits
+
+  Scenario: What would wait past its objective is refused on arrival
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 1     |
+    And every slot is taken
+    When the objective core is given
+      | id   | rank | objective_ms |
+      | late | 1    | 200          |
+    Then "late" is refused as "deadline_unreachable" with a time to come back
+
+  Scenario: A long answer does not go where it would end too late
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | fast     | 4     |
+      | slow     | 4     |
+    And "slow" has answered four times slower than "fast"
+    When "fast" has one more prompt to read and a long answer comes
+    Then the long answer is granted on "fast"
+
+  Scenario: One silent request does not make an endpoint suspect
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 4     |
+      | two      | 4     |
+    When 1 request on "one" hears nothing for 2000 ms
+    Then "one" is not suspended
+
+  Scenario: Several silent requests do
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 4     |
+      | two      | 4     |
+    When 2 requests on "one" hear nothing for 2000 ms
+    Then "one" is suspended
+
+  Scenario: Failing answers do not make an endpoint suspect
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 4     |
+    When 5 requests on "one" fail after their first byte
+    Then "one" is not suspended
+
+  Scenario: Where every endpoint is suspect the work still goes on
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 4     |
+    And "one" has broken 3 connections in a row
+    When the objective core is given
+      | id  | rank | objective_ms |
+      | new | 1    | 500          |
+    Then "new" is granted on "one"
+
+  Scenario: A request past its objective waits behind the others, and not for long
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 1     |
+    And every slot is taken
+    When the objective core is given
+      | id  | rank | objective_ms | budget_ms |
+      | old | 1    | 9000         | 10000     |
+    And 9100 ms pass for the objective core
+    Then "old" waits
+    When 300 ms pass for the objective core
+    Then "old" is refused as "deadline_passed" with a time to come back
--- /dev/null
+++ b/tests/scheduler/window.feature
@@ -0,0 +1,44 @@
+Feature: Limits counted in a sliding span
+  Any span of the given length holds no more than the rate and burst allow.
+
+  Scenario: A span holds no more than its bound
+    Given a window of 1000 tokens in 8000 ms
+    When 600 tokens pass at 0 ms
+    Then 500 tokens must wait 8000 ms at 0 ms
+    And 400 tokens may pass at 0 ms
+    And 500 tokens may pass at 8001 ms
+
+  Scenario: Those who are told to come back get room one after the other
+    Given a window of 1000 tokens in 8000 ms
+    When 500 tokens pass at 0 ms
+    And 500 tokens pass at 4000 ms
+    Then 500 tokens must wait 4000 ms at 4000 ms
+    And 500 tokens must wait 8000 ms at 4000 ms
+
+  Scenario: A lowered limit counts from its change on
+    Given a window of 1000 tokens in 8000 ms
+    When 1000 tokens pass at 0 ms
+    And the bound becomes 400
+    Then the window is used to 1.0 at 0 ms
+    When the bound becomes 800
+    Then 400 tokens may pass at 0 ms
+
+  Scenario: A new scheduler guesses until it has the record
+    Given a window of 1000 tokens in 8000 ms with 300 to spare
+    When it is guessed to be used at 0 ms
+    Then 300 tokens may pass at 0 ms
+    And 301 tokens must wait 8000 ms at 0 ms
+    When the record of 200 tokens at 0 ms is taken
+    Then 600 tokens may pass at 0 ms
+
+  Scenario: A larger share of the rates waits for as long as uses count
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 400   |
+    And the organisation "org" may use 1000 tokens in 8000 ms
+    When the core may let 0.5 of the rates pass
+    Then the core lets 500 tokens of "org" pass
+    When the core may let 1.0 of the rates pass
+    Then the core lets 0 tokens of "org" pass
+    When 8100 ms pass, with 1.0 of the rates
+    Then the core lets 1000 tokens of "org" pass
--- /dev/null
+++ b/tests/steps/objective_steps.py
@@ -0,0 +1,239 @@
+"""Steps of the objective policy and of limits in a sliding span."""
+
+from behave import given, then, when
+from scheduler_driver import CoreDriver, endpoint_from_row, make_handle
+
+from pomelolane.model import Limits, Organisation
+from pomelolane.outcomes import Refusal
+from pomelolane.ports import Grant
+from pomelolane.scheduler.limits import SlidingWindow, Use
+
+LONG_ANSWER_TOKENS = 3000
+
+
+def _handle(name, rank=1, objective_ms=10_000, budget_ms=60_000, **fields):
+    row = {"id": name, "tier": rank, "budget_ms": budget_ms, **fields}
+    late_ms = budget_ms - objective_ms
+    return make_handle(
+        row,
+        objective_ms=objective_ms,
+        late_window_ms=late_ms,
+        charge_tokens=fields.get("charge", 0),
+    )
+
+
+@given("an objective core with the endpoints")
+def step_core(context):
+    endpoints = [endpoint_from_row(row) for row in context.table]
+    context.core = CoreDriver(endpoints, policy="objective")
+
+
+@given("every slot is taken")
+def step_full(context):
+    total = sum(endpoint.slots for endpoint in context.core.endpoints)
+    for number in range(total):
+        context.core.submit(_handle(f"full{number}", decode=500))
+    assert len(context.core.running) == total
+
+
+@when("the objective core is given")
+def step_given(context):
+    for row in context.table:
+        cells = dict(row.items())
+        budget_ms = int(cells.get("budget_ms", 60_000))
+        handle = _handle(row["id"], row["rank"], int(row["objective_ms"]), budget_ms)
+        context.core.submit(handle)
+
+
+@when('one running request ends on "{endpoint}"')
+def step_ends(context, endpoint):
+    running = context.core.running.items()
+    context.core.end(next(name for name, where in running if where == endpoint))
+
+
+@when("{ms:d} ms pass for the objective core")
+def step_pass(context, ms):
+    context.core.tick(ms)
+
+
+@then('"{first}" is granted and "{second}" waits')
+def step_granted_waits(context, first, second):
+    assert isinstance(context.core.result(first), Grant)
+    assert second not in context.core.decisions
+
+
+@then('"{name}" waits')
+def step_waits(context, name):
+    assert name not in context.core.decisions
+
+
+@then('"{name}" is granted on "{endpoint}"')
+def step_granted(context, name, endpoint):
+    assert context.core.result(name).endpoint_id == endpoint
+
+
+@then('"{name}" is refused as "{reason}" with a time to come back')
+def step_refused(context, name, reason):
+    result = context.core.result(name)
+    assert isinstance(result, Refusal), result
+    assert result.reason.value == reason
+    assert result.retry_after_ms > 0
+
+
+def _run_on(context, endpoint, name, **fields):
+    """Submit until a request is granted on an endpoint; end the others."""
+    for number in range(50):
+        one = f"{name}.{number}"
+        context.core.submit(_handle(one, **fields))
+        if context.core.running.get(one) == endpoint:
+            return one
+    raise AssertionError(f"{endpoint} was never chosen")
+
+
+@given('"{slow}" has answered four times slower than "{fast}"')
+def step_slower(context, slow, fast):
+    for number in range(12):
+        for endpoint, ms in ((slow, 110.0), (fast, 27.0)):
+            one = _run_on(context, endpoint, f"warm{number}{endpoint}")
+            context.core.event(one, ttft_ms=ms)
+            context.core.event(one, tokens=10, elapsed_ms=ms * 10)
+            for name in list(context.core.running):
+                context.core.event(name, finished=True)
+
+
+@when('"{endpoint}" has one more prompt to read and a long answer comes')
+def step_long(context, endpoint):
+    _run_on(context, endpoint, "prompt", prefill=20_000)
+    handle = _handle("long", decode=LONG_ANSWER_TOKENS)
+    context.core.submit(handle)
+
+
+@then('the long answer is granted on "{endpoint}"')
+def step_long_granted(context, endpoint):
+    assert context.core.result("long").endpoint_id == endpoint
+
+
+@when('{count:d} request on "{endpoint}" hears nothing for {ms:d} ms')
+@when('{count:d} requests on "{endpoint}" hear nothing for {ms:d} ms')
+def step_silent(context, count, endpoint, ms):
+    kept = {_run_on(context, endpoint, f"silent{n}") for n in range(count)}
+    for name in set(context.core.running) - kept:
+        context.core.end(name)
+    context.suspended = False
+    for _ in range(ms // 50):
+        context.core.tick(50)
+        figures = context.core.core.status()[endpoint]
+        context.suspended = context.suspended or figures.suspended
+
+
+@when('{count:d} requests on "{endpoint}" fail after their first byte')
+def step_failing(context, count, endpoint):
+    for number in range(count):
+        one = _run_on(context, endpoint, f"failing{number}")
+        context.core.event(one, ttft_ms=20.0)
+        context.core.event(one, finished=True, outcome="failed")
+    context.suspended = context.core.core.status()[endpoint].suspended
+
+
+@given('"{endpoint}" has broken {count:d} connections in a row')
+def step_broken(context, endpoint, count):
+    for number in range(count):
+        one = _run_on(context, endpoint, f"broken{number}")
+        context.core.event(one, finished=True, outcome="failed")
+    assert context.core.core.status()[endpoint].suspended
+
+
+@then('"{endpoint}" is suspended')
+def step_suspended(context, endpoint):
+    assert context.suspended
+
+
+@then('"{endpoint}" is not suspended')
+def step_not_suspended(context, endpoint):
+    assert not context.suspended
+
+
+# --- the sliding span --------------------------------------------------------
+
+
+@given("a window of {bound:d} tokens in {ms:d} ms")
+def step_window(context, bound, ms):
+    context.window = SlidingWindow(bound, ms, 0.0)
+
+
+@given("a window of {bound:d} tokens in {ms:d} ms with {spare:d} to spare")
+def step_window_spare(context, bound, ms, spare):
+    context.window = SlidingWindow(bound, ms, spare)
+
+
+@when("{tokens:d} tokens pass at {ms:d} ms")
+def step_take(context, tokens, ms):
+    assert context.window.wait_ms(tokens, ms) == 0
+    context.window.take(tokens, ms)
+
+
+@when("the bound becomes {bound:d}")
+def step_bound(context, bound):
+    context.window.adopt(bound, 0.0)
+
+
+@when("it is guessed to be used at {ms:d} ms")
+def step_guess(context, ms):
+    context.window.assume_used(1.0, ms)
+
+
+@when("the record of {tokens:d} tokens at {ms:d} ms is taken")
+def step_record(context, tokens, ms):
+    context.window.restart()
+    context.window.add_past(tokens, ms)
+
+
+@then("{tokens:d} tokens must wait {wait_ms:d} ms at {ms:d} ms")
+def step_must_wait(context, tokens, wait_ms, ms):
+    assert context.window.wait_ms(tokens, ms) == wait_ms
+
+
+@then("{tokens:d} tokens may pass at {ms:d} ms")
+def step_may(context, tokens, ms):
+    assert context.window.wait_ms(tokens, ms) == 0
+
+
+@then("the window is used to {share:f} at {ms:d} ms")
+def step_used(context, share, ms):
+    assert abs(context.window.used_share(ms) - share) < 1e-6
+
+
+@given('the organisation "{name}" may use {tokens:d} tokens in {ms:d} ms')
+def step_organisation(context, name, tokens, ms):
+    limits = Limits(tokens_per_s=tokens / (ms / 1000), window_ms=ms)
+    context.core.tree = {"organisations": [Organisation(name, "", "", limits=limits)]}
+    context.core.configure(context.core.endpoints)
+    context.passed = 0
+
+
+@when("the core may let {share:f} of the rates pass")
+def step_share(context, share):
+    context.core.core.limit_rates(share, context.core.now)
+
+
+@when("{ms:d} ms pass, with {share:f} of the rates")
+def step_pass_share(context, ms, share):
+    for _ in range(ms // 50):
+        context.core.tick(50)
+        context.core.core.limit_rates(share, context.core.now)
+
+
+@then('the core lets {tokens:d} tokens of "{name}" pass')
+def step_lets(context, tokens, name):
+    step = 100
+    passed = 0
+    for number in range(30):
+        one = f"use{context.passed}.{number}"
+        handle = _handle(one, charge=step, organisation=name)
+        context.core.submit(handle)
+        if isinstance(context.core.result(one), Grant):
+            passed += step
+    context.passed += 1
+    assert passed == tokens, passed
+    uses = context.core.core.uses(context.core.now)
+    assert all(isinstance(use, Use) for use in uses)
--- /dev/null
+++ b/tests/steps/platform_watching_steps.py
@@ -0,0 +1,157 @@
+"""Steps of the watches of the metadata store, without a VM."""
+
+import asyncio
+
+from behave import given, then, when
+
+from bench.processes import wait_until
+from pomelolane.clock import MonotonicClock
+from pomelolane.forwarding import CurrentConfiguration, EndpointDirectory
+from pomelolane.platform.documents import LimitWindow
+from pomelolane.platform.roster import shared_keys
+from pomelolane.platform.storeclient import StoreClient
+from pomelolane.platform.userecord import StoreUseRecord
+from pomelolane.platform.watches import ConfigurationWatch, EndpointWatch
+from pomelolane.scheduler.limits import Use
+from standins.routed import MetadataStore, RoutedEndpoint
+from standins.routed.endpoint import registered
+from standins.routed.store import Trouble
+from tests.routed_world import DATA_CENTRE, configuration
+
+SOON_MS = 3000
+
+
+@given("a metadata store and its watches")
+def step_watches(context):
+    context.store = MetadataStore()
+    address = context.run(context.store.start())
+    context.add_cleanup(lambda: context.run(context.store.aclose()))
+    context.store.put("op", "config", configuration(1))
+    endpoint = RoutedEndpoint("p1")
+    row = registered(endpoint, "portal", "127.0.0.1:1", DATA_CENTRE)
+    context.store.put("servers", "p1", row)
+    context.client = StoreClient(address)
+    context.add_cleanup(lambda: context.run(context.client.aclose()))
+    clock = MonotonicClock()
+    context.current = CurrentConfiguration()
+    context.directory = EndpointDirectory(clock)
+    endpoints = EndpointWatch(context.client, context.directory, context.current, clock)
+    watch = ConfigurationWatch(context.client, context.current, clock, LimitWindow())
+    endpoints.on_regained(watch.refresh)
+    context.tasks = [
+        context.loop.create_task(endpoints.run()),
+        context.loop.create_task(watch.run()),
+    ]
+    context.add_cleanup(lambda: context.run(_end(context.tasks)))
+    context.run(asyncio.wait_for(context.directory.known(), 5))
+    context.run(asyncio.wait_for(context.current.known(), 5))
+
+
+async def _end(tasks):
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@when("the store says version {version:d}")
+def step_says(context, version):
+    context.store.put("op", "config", configuration(version))
+
+
+@when("the store says version {first:d} and then version {second:d}")
+def step_says_two(context, first, second):
+    async def play():
+        context.store.put("op", "config", configuration(first))
+        await asyncio.sleep(0.3)
+        context.store.put("op", "config", configuration(second))
+        await asyncio.sleep(0.3)
+
+    context.run(play())
+
+
+@when("the store says something that is no configuration")
+def step_says_nothing(context):
+    context.store.put("op", "config", b"{no")
+    context.run(asyncio.sleep(0.2))
+
+
+@when("the store forgets its history and says version {version:d}")
+def step_forgets(context, version):
+    context.store.put("op", "config", configuration(version))
+    context.store.forget_history()
+
+
+def _in_trouble(context, trouble, ms, deed):
+    async def play():
+        context.store.trouble = Trouble(trouble)
+        await asyncio.sleep(ms / 1000)
+        deed()
+        context.store.trouble = Trouble.NONE
+
+    context.run(play())
+
+
+@when('the store is "{trouble}" for {ms:d} ms and says version {version:d} meanwhile')
+def step_trouble(context, trouble, ms, version):
+    _in_trouble(
+        context,
+        trouble,
+        ms,
+        lambda: context.store.put("op", "config", configuration(version)),
+    )
+
+
+@when('the store is "{trouble}" for {ms:d} ms and drops "{name}" meanwhile')
+def step_trouble_drop(context, trouble, ms, name):
+    _in_trouble(context, trouble, ms, lambda: context.store.delete("servers", name))
+
+
+def _until(condition, within_ms):
+    return wait_until(condition, within_ms / 1000, "it did not come into force")
+
+
+@then("the configuration in force is version {version:d}")
+def step_version(context, version):
+    context.run(_until(lambda: context.current.version == version, SOON_MS))
+
+
+@then("the configuration in force is version {version:d} within {ms:d} ms")
+def step_version_within(context, version, ms):
+    context.run(_until(lambda: context.current.version == version, ms))
+
+
+@then('the known endpoints are "{names}"')
+def step_known(context, names):
+    context.run(asyncio.sleep(0.1))
+    assert set(context.directory.all) == set(names.split(", "))
+
+
+@then('the endpoint "{name}" is gone after {ms:d} ms')
+def step_gone(context, name, ms):
+    context.run(_until(lambda: name not in context.directory.all, ms))
+
+
+@then("two VMs that ask for the shared keys at once get the same ones")
+def step_keys(context):
+    async def both():
+        return await asyncio.gather(
+            shared_keys(context.client), shared_keys(context.client)
+        )
+
+    one, other = context.run(both())
+    assert one.private_key == other.private_key
+
+
+@when('{tokens:d} tokens of "{organisation}" are recorded as used {ms:d} ms ago')
+def step_record(context, tokens, organisation, ms):
+    record = StoreUseRecord(context.client)
+    context.run(context.client.read("op"))
+    context.run(record.save("pool", [Use(organisation, ms, tokens)]))
+
+
+@then('the record says {tokens:d} tokens of "{organisation}" at least {ms:d} ms ago')
+def step_recorded(context, tokens, organisation, ms):
+    (use,) = context.run(StoreUseRecord(context.client).load("pool"))
+    assert (use.organisation, use.tokens) == (organisation, tokens)
+    # The store's clock is told in whole milliseconds.
+    assert use.age_ms >= ms - 2
