Take callers only when a starting VM has met the others

Ruled out: an old record (all loaded the same one). Change: callers' requests wait, for 0.8 s at most, until the VM has met others.

--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -22,8 +22,8 @@
 """For callers that name no deadline on a route without a timeout."""
 
 START_WAIT_MS = 800
-"""How long a request waits for the first configuration of a starting VM; callers
-leave a VM that has not read them after a second."""
+"""How long a request waits for a starting VM; callers leave a VM that has not read
+them after a second."""
 
 BODY_TIMEOUT_MS = 10_000
 """Longest time for a body; callers on slow links send megabytes in less."""
@@ -42,13 +42,16 @@
         self._clock = clock
         self._routes = RouteTable(())
         self._configuration: Configuration | None = None
-        self._known = asyncio.Event()
+        self._opened = asyncio.Event()
 
     def adopt(self, configuration: Configuration) -> None:
         """Check by another configuration from now on."""
         self._routes = RouteTable(configuration.routes)
         self._configuration = configuration
-        self._known.set()
+
+    def open(self) -> None:
+        """Take requests from now on: the VM knows its settings and the others."""
+        self._opened.set()
 
     @property
     def is_ready(self) -> bool:
@@ -62,12 +65,12 @@
             BadRequestError: It cannot be served, with the status to answer.
         """
         accepted_ms = self._clock.now_ms()
-        if self._configuration is None:
+        if not self._opened.is_set():
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._known.wait(), START_WAIT_MS / 1000)
+                await asyncio.wait_for(self._opened.wait(), START_WAIT_MS / 1000)
         configuration = self._configuration
-        if configuration is None:
-            raise BadRequestError(503, Reason.NOT_READY, "no configuration is known")
+        if configuration is None or not self._opened.is_set():
+            raise BadRequestError(503, Reason.NOT_READY, "the VM is starting")
         description = self._dialect.describe(exchange.headers)
         route = self._find_route(exchange)
         organisation = _authenticate(configuration, route, description)
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -171,6 +171,7 @@
     def take_callers(self) -> None:
         """Say that callers may come."""
         self._is_started = True
+        self._intake.open()
         self.member.set_ready()
         log_event(
             events.VM_READY,
--- a/src/pomelolane/meeting.py
+++ b/src/pomelolane/meeting.py
@@ -21,8 +21,13 @@
 _STEP_MS = 20.0
 
 
-async def meet_others(membership: Membership) -> None:
-    """Return when the view has settled, or holds nobody else for long."""
+async def meet_others(membership: Membership, quiet_for_ms: float = QUIET_MS) -> None:
+    """Return when the view has settled, or holds nobody else for long.
+
+    Args:
+        membership: The view.
+        quiet_for_ms: How long it must stand still.
+    """
     waited_ms = quiet_ms = 0.0
     number = membership.view().number
     while waited_ms < LONGEST_MS:
@@ -33,5 +38,5 @@
         if view.number != number:
             number = view.number
             quiet_ms = 0.0
-        if len(view.peers) > 1 and quiet_ms >= QUIET_MS:
+        if len(view.peers) > 1 and quiet_ms >= quiet_for_ms:
             return
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -42,6 +42,10 @@
 METRICS_PORT_VARIABLE = "POMELOLANE_METRICS_PORT"
 """Environment variable for another port of the metrics address, 0 for any."""
 
+MEETING_QUIET_MS = 150.0
+"""How long the view of a starting VM must stand still: VMs that start together
+enter the roster within 0.1 s of each other, and callers wait."""
+
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 1.0
 _ENTER_PAUSE_S = 0.5
@@ -134,7 +138,7 @@
             address=file.front,
             version=__version__,
         )
-        await meet_others(node.member)
+        await meet_others(node.member, MEETING_QUIET_MS)
         await self._directory.known()
         await self._current.known()
         node.take_callers()
