--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -7,8 +7,6 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from pomelolane.model import ServiceKind
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.ports import Decision, Grant
@@ -285,18 +283,7 @@
         late_ms = start_ms * self._options.wait_factor + first_ms - left_ms
         if late_ms <= 0:
             return None
-        retry_ms = late_ms + self._spread_ms(waiting, now_ms)
-        return self._refusal(Reason.DEADLINE_UNREACHABLE, retry_ms)
-
-    def _spread_ms(self, waiting: _Waiting, now_ms: float) -> float:
-        """Return a part of the time left, another one for each request.
-
-        Callers that came together must not come back together.
-        """
-        options = self._options
-        point = xxhash.xxh3_64_intdigest(waiting.handle.request_id) % 1000 / 1000
-        part = options.spread_from + point * (options.spread_to - options.spread_from)
-        return part * (waiting.deadline_ms - now_ms)
+        return self._refusal(Reason.DEADLINE_UNREACHABLE, late_ms)
 
     def _may_refuse_early(self, waiting: _Waiting, now_ms: float) -> bool:
         """Tell whether a refusal now still leaves the caller time elsewhere."""
--- a/src/pomelolane/scheduler/objective/options.py
+++ b/src/pomelolane/scheduler/objective/options.py
@@ -38,9 +38,6 @@
             the caller nothing.
         length_factor: How much longer than hinted an answer may be and still
             end in time; 9 in 10 are within it on the users' calm days.
-        spread_from: Least part of the time left after which a refused caller is
-            told to come back, beside the predicted lateness.
-        spread_to: Most of it; callers follow up to a third.
         min_retry_ms: Shortest time to come back that is told.
         max_retry_ms: Longest one; callers have seconds.
         fail_step: Weight of one answer in the learnt share of failures.
@@ -64,8 +61,6 @@
     late_share: float = 0.25
     early_share: float = 0.25
     length_factor: float = 2.0
-    spread_from: float = 0.1
-    spread_to: float = 0.3
     min_retry_ms: int = 100
     max_retry_ms: int = 5_000
     fail_step: float = 0.1
