--- a/bench/claims.py
+++ b/bench/claims.py
@@ -15,13 +15,13 @@
 from dataclasses import dataclass, field
 
 from pomelolane.clock import MonotonicClock
+from pomelolane.ports import Peer, View
 from pomelolane.store import (
     GroupCommitter,
     make_claims,
     make_gathering_committer,
     platform_from_url,
 )
-from pomelolane.ports import Peer, View
 
 RATES = (5, 20, 50, 100, 200)
 CLAIM_TIMEOUT_MS = 5000
--- a/src/pomelolane/commands/application.py
+++ b/src/pomelolane/commands/application.py
@@ -39,6 +39,7 @@
     "events": "events:EventsCommand",
     "options": "options:OptionsCommand",
     "platform": "platform:PlatformCommand",
+    "trace": "trace:TraceCommand",
 }
 
 
--- a/src/pomelolane/meeting.py
+++ b/src/pomelolane/meeting.py
@@ -21,16 +21,21 @@
 _STEP_MS = 20.0
 
 
-async def meet_others(membership: Membership, quiet_for_ms: float = QUIET_MS) -> None:
+async def meet_others(
+    membership: Membership,
+    quiet_for_ms: float = QUIET_MS,
+    longest_ms: float = LONGEST_MS,
+) -> None:
     """Return when the view has settled, or holds nobody else for long.
 
     Args:
         membership: The view.
         quiet_for_ms: How long it must stand still.
+        longest_ms: How long to wait at most.
     """
     waited_ms = quiet_ms = 0.0
     number = membership.view().number
-    while waited_ms < LONGEST_MS:
+    while waited_ms < longest_ms:
         await asyncio.sleep(_STEP_MS / 1000)
         waited_ms += _STEP_MS
         quiet_ms += _STEP_MS
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -46,6 +46,10 @@
 """How long the view of a starting VM must stand still: VMs that start together
 enter the roster within 0.1 s of each other, and callers wait."""
 
+MEETING_MS = 600.0
+"""How long it waits at most: callers leave a VM that has not read them after a
+second, and 0.1 s goes by before."""
+
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 1.0
 _ENTER_PAUSE_S = 0.5
@@ -138,7 +142,7 @@
             address=file.front,
             version=__version__,
         )
-        await meet_others(node.member, MEETING_QUIET_MS)
+        await meet_others(node.member, MEETING_QUIET_MS, MEETING_MS)
         await self._directory.known()
         await self._current.known()
         node.take_callers()
