--- a/src/pomelolane/logs.py
+++ b/src/pomelolane/logs.py
@@ -61,9 +61,13 @@
             self.lost += 1
             return
         if self.lost:
-            lost, self.lost = self.lost, 0
-            self._put(_json_line(events.LINES_LOST, {"lines": lost}))
-        self._put(_json_line(event, values))
+            told = _json_line(events.LINES_LOST, {"lines": self.lost})
+            if not self._put(told):
+                self.lost += 1
+                return
+            self.lost = 0
+        if not self._put(_json_line(event, values)):
+            self.lost += 1
 
     def _has_room(self) -> bool:
         now_s = time.monotonic()
@@ -82,16 +86,16 @@
             self._put(rest)
         return not self._rest
 
-    def _put(self, line: bytes) -> None:
+    def _put(self, line: bytes) -> bool:
+        """Write a line, or the part that is taken; False where nothing is."""
         if self._rest:
-            self.lost += 1
-            return
+            return False
         try:
             written = os.write(self._descriptor, line)
         except BlockingIOError:
-            self.lost += 1
-            return
+            return False
         self._rest = line[written:]
+        return True
 
 
 _json_lines: JsonLines | None = None
