Let the retry budget's slack come anew; draw a split's service from bytes

Causes: (trace of the incident) a repeatable call that was reset was not sent again: a VM's slack was usable once and never came back; (a test, red) the hash of a split route's draw takes bytes, so each request to a split route failed.

--- a/src/pomelolane/forwarding/__init__.py
+++ b/src/pomelolane/forwarding/__init__.py
@@ -4,7 +4,7 @@
 scheduler; names of headers come from a dialect.
 """
 
-from pomelolane.forwarding.budget import SharedRetryBudget
+from pomelolane.forwarding.budget import RetryAllowance, SharedRetryBudget
 from pomelolane.forwarding.configuration import (
     CallerLimits,
     Configuration,
@@ -23,6 +23,7 @@
     "CurrentConfiguration",
     "EndpointDirectory",
     "Forwarder",
+    "RetryAllowance",
     "Route",
     "RouteKind",
     "RouteTable",
--- a/src/pomelolane/forwarding/ledger.py
+++ b/src/pomelolane/forwarding/ledger.py
@@ -19,7 +19,7 @@
 """Pace of the record where a limit is half used: what passes meanwhile is
 unknown to the next scheduler."""
 
-CALM_TICKS = 6
+CALM_TICKS = 12
 """Ticks between two records where no limit is half used."""
 
 _BUSY_SHARE = 0.5
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -11,7 +11,7 @@
 from pomelolane.coordination.options import Timings
 from pomelolane.endpoints import ConnectionPool
 from pomelolane.forwarding.app import CallerApp, ProbeApp
-from pomelolane.forwarding.budget import SharedRetryBudget
+from pomelolane.forwarding.budget import RetryAllowance, SharedRetryBudget
 from pomelolane.forwarding.forwarder import Forwarder
 from pomelolane.forwarding.intake import Intake
 from pomelolane.forwarding.ledger import Ledger
@@ -69,8 +69,7 @@
         probe: ``ip:port`` for the balancer and operators.
         peer_port: Port for the other VMs.
         grace_ms: Time allowed for a planned stop.
-        retry_ratio: Repeated sends allowed for each request, over all VMs.
-        retry_slack: Repeated sends allowed beside.
+        retries: Repeated sends allowed over all VMs.
     """
 
     vm_id: str
@@ -80,8 +79,7 @@
     probe: str
     peer_port: int
     grace_ms: int
-    retry_ratio: float
-    retry_slack: float
+    retries: RetryAllowance
 
 
 class ForwardingNode:
@@ -243,9 +241,9 @@
 
     def _make_budget(self) -> SharedRetryBudget:
         return SharedRetryBudget(
-            self._options.retry_ratio,
-            self._options.retry_slack,
+            self._options.retries,
             lambda: len(self.member.view().peers),
+            self._clock,
         )
 
 
--- a/src/pomelolane/forwarding/routes.py
+++ b/src/pomelolane/forwarding/routes.py
@@ -46,7 +46,7 @@
     if len(targets) == 1:
         return targets[0].service
     total = sum(target.weight for target in targets)
-    point = xxhash.xxh3_64_intdigest(request_id) / _HASH_RANGE * total
+    point = xxhash.xxh3_64_intdigest(request_id.encode()) / _HASH_RANGE * total
     for target in targets:
         point -= target.weight
         if point < 0:
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -245,6 +245,5 @@
         probe=file.ready,
         peer_port=file.peer_port,
         grace_ms=file.grace_ms,
-        retry_ratio=file.retry_ratio,
-        retry_slack=file.retry_slack,
+        retries=file.retries,
     )
--- a/src/pomelolane/platform/nodefile.py
+++ b/src/pomelolane/platform/nodefile.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pomelolane.forwarding import RetryAllowance
 from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.errors import DocumentError
 
@@ -22,6 +23,7 @@
     config_apply_ms: int = 2_000
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50.0
+    budget_window_s: float = 10.0
     # "quota" is what the project calls an organisation's limit.
     quota_window_s: float = 8.0
     quota_overshoot: float = 0.0
@@ -65,8 +67,7 @@
         drain_ms: Time within which a leaving endpoint must get nothing more.
         grace_ms: Time between the stop signal and the end by force.
         apply_ms: Time within which a configuration must be in force.
-        retry_ratio: Repeated sends allowed for each request.
-        retry_slack: Repeated sends allowed beside, over all VMs.
+        retries: Repeated sends allowed over all VMs.
         limit_window: How organisations' use is counted.
     """
 
@@ -82,8 +83,7 @@
     drain_ms: int
     grace_ms: int
     apply_ms: int
-    retry_ratio: float
-    retry_slack: float
+    retries: RetryAllowance
     limit_window: LimitWindow
 
 
@@ -111,8 +111,11 @@
         drain_ms=bounds.drain_ms,
         grace_ms=int(bounds.grace_s * 1000),
         apply_ms=bounds.config_apply_ms,
-        retry_ratio=bounds.retry_budget_ratio,
-        retry_slack=bounds.budget_slack,
+        retries=RetryAllowance(
+            bounds.retry_budget_ratio,
+            bounds.budget_slack,
+            bounds.budget_window_s * 1000,
+        ),
         limit_window=LimitWindow(
             int(bounds.quota_window_s * 1000),
             bounds.quota_overshoot,
--- /dev/null
+++ b/tests/steps/forwarding_steps.py
@@ -0,0 +1,96 @@
+"""Steps of routes and of the budget of repeated sends."""
+
+from behave import given, then, when
+
+from pomelolane.clock import ManualClock
+from pomelolane.forwarding import (
+    RetryAllowance,
+    Route,
+    RouteKind,
+    RouteTable,
+    RouteTarget,
+    SharedRetryBudget,
+)
+from pomelolane.forwarding.routes import service_from_route
+
+STEP_MS = 100
+
+
+@given("{count:d} VMs with retries of {ratio:f} and a slack of {slack:d} in {s:d} s")
+def step_vms(context, count, ratio, slack, s):
+    context.clock = ManualClock()
+    allowance = RetryAllowance(ratio, slack, s * 1000)
+    context.budgets = [
+        SharedRetryBudget(allowance, lambda: count, context.clock) for _ in range(count)
+    ]
+
+
+def _spend_all(context):
+    return sum(1 for budget in context.budgets for _ in range(1000) if budget.spend())
+
+
+@when("{s:d} s pass")
+def step_pass(context, s):
+    context.clock.advance(s * 1000)
+
+
+@when("every VM spends what it has and sends {count:d} requests")
+def step_earn(context, count):
+    _spend_all(context)
+    for budget in context.budgets:
+        for _ in range(count):
+            budget.earn()
+
+
+@then("all VMs together may repeat {count:d} times now")
+def step_may(context, count):
+    assert _spend_all(context) == count
+
+
+@then("all VMs together repeat {least:d} to {most:d} times in the next {s:d} s")
+def step_window(context, least, most, s):
+    spent = 0
+    for _ in range(s * 1000 // STEP_MS):
+        spent += _spend_all(context)
+        context.clock.advance(STEP_MS)
+    assert least <= spent <= most, spent
+
+
+_TARGETS = (RouteTarget("s"),)
+
+
+def _route(name, host="h", prefix="/", targets=_TARGETS):
+    return Route(name, host, prefix, RouteKind.IDEMPOTENT, tuple(targets))
+
+
+@given("the routes")
+def step_routes(context):
+    rows = [dict(row.items()) for row in context.table]
+    context.routes = RouteTable(_route(**row) for row in rows)
+
+
+@then('"{host}" and "{path}" lead to "{name}"')
+def step_lead(context, host, path, name):
+    assert context.routes.find(host, path).name == name
+
+
+@then('"{host}" and "{path}" lead nowhere')
+def step_nowhere(context, host, path):
+    assert context.routes.find(host, path) is None
+
+
+@given('a route split {one:d} to {other:d} between "{first}" and "{second}"')
+def step_split(context, one, other, first, second):
+    targets = [RouteTarget(first, one), RouteTarget(second, other)]
+    context.route = _route("split", targets=targets)
+
+
+@then('of {count:d} requests {least:d} to {most:d} go to "{service}"')
+def step_of(context, count, least, most, service):
+    drawn = [service_from_route(context.route, f"r{n}") for n in range(count)]
+    assert least <= drawn.count(service) <= most, drawn.count(service)
+
+
+@then("a request id goes to the same service each time")
+def step_same(context):
+    assert len({service_from_route(context.route, "r7") for _ in range(20)}) == 1
