--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -62,7 +62,7 @@
         clock: Clock,
         timings: Timings,
         share_of: Callable[[frozenset[str]], float],
-        rate_share: Callable[[], float],
+        rate_share: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self._rate_share = rate_share
         self.service = service
