--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SCENARIO ?=
 SEED ?= 1
 
-.PHONY: all env demo test lint format bench bench-relay bench-decisions bench-capacity bench-interleave chaos binary docs clean
+.PHONY: all env demo demo-platform test lint format bench bench-relay bench-decisions bench-capacity bench-interleave chaos binary docs clean
 
 all: lint test
 
@@ -18,6 +18,9 @@
 demo: env
 	$(BIN)/python -m bench.demo
 
+demo-platform: env
+	$(BIN)/python -m bench.demo_platform
+
 test: env
 	$(BIN)/python -m behave tests --no-capture --format progress
 
--- a/tests/bench/cluster.feature
+++ b/tests/bench/cluster.feature
@@ -25,6 +25,10 @@
     When "python -m bench.demo --seconds 2 --vms 1" is run
     Then its last line begins with "errors: 0 of"
 
+  Scenario: The demo of the users' platform answers everything
+    When "python -m bench.demo_platform --seconds 2" is run
+    Then its last line begins with "errors: 0 of"
+
   Scenario Outline: Ctrl-C ends all that was started
     Given "python -m <command>" is started and has its processes running
     When it gets an interrupt from the terminal
