--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -64,16 +64,18 @@
 """Longest time for that."""
 
 _SERVER_ERROR = 500
-STOPPING_TOKEN_MS = 15.0
-"""Time of an answer token that a stopping VM reckons with: slow endpoints take
-10 ms, and answers may be longer than hinted."""
-
 STOPPING_RETRY_MS = 50
 """When to come back to a stopping VM's neighbours: at once."""
 
 _DELIVERED = "delivered"
 
 
+STOPPING = Refusal(
+    Outcome.NOT_RUN, Reason.NOT_READY, STOPPING_RETRY_MS, "the VM is stopping"
+)
+"""What a stopping VM answers to what it may not be able to finish."""
+
+
 class _Again(Exception):  # noqa: N818  (a signal, not an error)
     """The request may be tried at another endpoint.
 
@@ -157,16 +159,11 @@
         self._ended.clear()
         await self._ended.wait()
 
-    def _refuse_when_stopping(self, call: ForwardCall) -> Refusal | None:
+    def may_take(self, limit_ms: float) -> bool:
+        """Tell whether a request that may last so long surely ends before a stop."""
         if math.isinf(self._stop_at_ms):
-            return None
-        hint = call.description.answer_hint_tokens
-        need_ms = call.route.objective_ms + hint * STOPPING_TOKEN_MS
-        if self._takes_more and self._clock.now_ms() + need_ms < self._stop_at_ms:
-            return None
-        return Refusal(
-            Outcome.NOT_RUN, Reason.NOT_READY, STOPPING_RETRY_MS, "the VM is stopping"
-        )
+            return True
+        return self._takes_more and self._clock.now_ms() + limit_ms < self._stop_at_ms
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one exchange to its end."""
@@ -201,9 +198,8 @@
     async def _serve(self, state: CallState, exchange: Exchange) -> None:
         call = state.call
         relay = Relay(exchange, state, self._clock, closes=self.draining)
-        refusal = self._refuse_when_stopping(call)
-        if refusal is not None:
-            await self._refuse(state, exchange, refusal)
+        if not self.may_take(call.limit_ms):
+            await self._refuse(state, exchange, STOPPING)
             return
         self._budget(call.service).earn()
         try:
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -1,9 +1,12 @@
 """Steps of routes and of the budget of repeated sends."""
 
+import math
+
 from behave import given, then, when
 
 from pomelolane.clock import ManualClock
 from pomelolane.forwarding import (
+    Forwarder,
     RetryAllowance,
     Route,
     RouteKind,
@@ -94,3 +97,17 @@
 @then("a request id goes to the same service each time")
 def step_same(context):
     assert len({service_from_route(context.route, "r7") for _ in range(20)}) == 1
+
+
+@given("a forwarder that stops in {ms:d} ms")
+def step_stopping(context, ms):
+    clock = ManualClock()
+    unused = None
+    context.forwarder = Forwarder(unused, unused, unused, unused, unused, clock, "")
+    assert context.forwarder.may_take(math.inf)
+    context.forwarder.stop_by(clock.now_ms() + ms)
+
+
+@then("a request of {ms:d} ms is {taken}")
+def step_taken(context, ms, taken):
+    assert context.forwarder.may_take(ms) is (taken == "taken")
