Try the VMs that the list names at once, not at the next beat

Ruled out: the store (roster read within 10 ms), imports (before vm_started). Change: the list's reader has the VM beat at once when it names newcomers. Test seen red without the change.

--- a/src/pomelolane/membership/contacts.py
+++ b/src/pomelolane/membership/contacts.py
@@ -66,8 +66,8 @@
         now_ms: float,
         *,
         certain: bool = True,
-    ) -> None:
-        """Remember a VM that somebody speaks of.
+    ) -> bool:
+        """Remember a VM that somebody speaks of; tell whether it is new here.
 
         Args:
             vm_id: The VM.
@@ -77,14 +77,16 @@
             certain: Whether it is a VM of this system for sure.
         """
         if vm_id == self._own_id or not address:
-            return
+            return False
         self._addresses.learn(vm_id, address)
         contact = self._contacts.get(vm_id)
+        is_new = contact is None
         if contact is None:
             contact = _Contact(data_centre, seed=False, certain=certain)
             self._contacts[vm_id] = contact
         contact.certain = contact.certain or certain
         contact.since_ms = now_ms
+        return is_new
 
     def heard(self, vm_id: str, now_ms: float) -> None:
         """Take note of a sign of life."""
--- a/src/pomelolane/membership/listing.py
+++ b/src/pomelolane/membership/listing.py
@@ -32,6 +32,7 @@
         departures: Where endpoints are marked.
         is_endpoint: Whether a listed id is that of an endpoint, as far as the
             settings are known.
+        on_new: Called when the list names VMs that nobody has spoken of yet.
     """
 
     def __init__(
@@ -41,12 +42,14 @@
         exchange: DigestExchange,
         departures: Departures,
         is_endpoint: Callable[[str], bool],
+        on_new: Callable[[], None],
     ) -> None:
         self._vm_list = vm_list
         self._context = context
         self._exchange = exchange
         self._departures = departures
         self._is_endpoint = is_endpoint
+        self._on_new = on_new
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -67,16 +70,19 @@
     def _take(self, entries: Sequence[ListedVm]) -> None:
         context = self._context
         now_ms = context.clock.now_ms()
+        any_new = False
         for entry in entries:
             if entry.leaving or self._is_endpoint(entry.vm_id):
                 continue
-            context.contacts.learn(
+            any_new |= context.contacts.learn(
                 entry.vm_id,
                 entry.data_centre,
                 entry.address,
                 now_ms,
                 certain=False,
             )
+        if any_new:
+            self._on_new()
         self._keep_marks(frozenset(entry.vm_id for entry in entries if entry.leaving))
 
     def _keep_marks(self, leaving: frozenset[str]) -> None:
--- a/src/pomelolane/membership/member.py
+++ b/src/pomelolane/membership/member.py
@@ -71,7 +71,12 @@
         self._departures = Departures(context, self._exchange)
         self._keeper = ViewKeeper(peer_from_heartbeat(self._local.own()))
         self._reader = vm_list and ListReader(
-            vm_list, context, self._exchange, self._departures, is_endpoint
+            vm_list,
+            context,
+            self._exchange,
+            self._departures,
+            is_endpoint,
+            self._greet_listed,
         )
         self._on_versions: list[Callable[[str, Mapping[str, int]], None]] = []
         self._on_pause: list[Callable[[float], None]] = []
@@ -248,6 +253,10 @@
         if not self.is_stale:
             self._exchange.beat(now_ms)
 
+    def _greet_listed(self) -> None:
+        """Try the VMs that the list names now, not at the next beat."""
+        self._beat(self._context.clock.now_ms())
+
     def _clean_up(self, now_ms: float) -> None:
         self._next_clean_up_ms = now_ms + CLEAN_UP_MS
         for vm_id in self._context.contacts.expire(now_ms):
--- a/tests/membership/member.feature
+++ b/tests/membership/member.feature
@@ -93,6 +93,13 @@
     When the platform's list marks endpoint "e1" as leaving
     Then every member knows that "e1" is leaving
 
+  Scenario: A VM that the list names is tried at once, and not again at each reading
+    Given members "a1" in "dca" that know nobody but the platform's list
+    When "a1" reads a list that names "a2" just after its beat
+    Then "a1" has tried "a2" without waiting for its next beat
+    When "a1" reads the same list once more
+    Then "a1" has sent nothing more
+
   Scenario: A VM in another VM's name changes nothing
     Given a region of 1 data centre with 2 members each
     And every member sees all running members
--- a/tests/steps/membership_member_steps.py
+++ b/tests/steps/membership_member_steps.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+from unittest import mock
 
 import zmq
 from behave import given, then, when
@@ -302,6 +303,38 @@
     context.vm_list.entries.append(ListedVm(endpoint, "dca", "127.0.0.1:9", True))
 
 
+async def read_list(context, vm_id):
+    """Let a member beat and read the list; no time passes between the two."""
+    member = context.region.members[vm_id]
+    member._beat(member._context.clock.now_ms())
+    context.tried = []
+    with mock.patch.object(
+        member.transport, "send", lambda other, message: context.tried.append(other)
+    ):
+        await member._reader._poll()
+
+
+@when('"{vm_id}" reads a list that names "{other}" just after its beat')
+def step_list_names(context, vm_id, other):
+    context.vm_list.entries.append(ListedVm(other, "dca", "127.0.0.1:9", False))
+    context.run(read_list(context, vm_id))
+
+
+@when('"{vm_id}" reads the same list once more')
+def step_list_again(context, vm_id):
+    context.run(read_list(context, vm_id))
+
+
+@then('"{vm_id}" has tried "{other}" without waiting for its next beat')
+def step_tried(context, vm_id, other):
+    assert context.tried == [other], context.tried
+
+
+@then('"{vm_id}" has sent nothing more')
+def step_sent_nothing(context, vm_id):
+    assert context.tried == [], context.tried
+
+
 @when('member "a1" sends a heartbeat in the name of "a2" that says stopped')
 def step_false_name(context):
     false = Heartbeat("a2", 99, "dca", 1, True, True, {}, stopped=True)
