Judge what stalls an engine's streams by all prompts of the allowed pause

Ruled out: decode speed (92 ms an event of 6 tokens), the relay (fast engines: 0%). Change: prompts not yet read, and those read within the allowed pause, count too; a first answer byte opens room, so it triggers a dispatch. Test seen red without the change.

--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -191,11 +191,13 @@
         worker.heard(now_ms)
         if event.tokens > 0 and event.elapsed_ms > 0:
             worker.saw_pieces(flight, event.tokens, event.elapsed_ms)
-        if event.ttft_ms >= 0 and not flight.started:
-            worker.saw_first(flight, event.ttft_ms)
+        begins = event.ttft_ms >= 0 and not flight.started
+        if begins:
+            worker.saw_first(flight, event.ttft_ms, now_ms)
             worker.succeeded()
         if not event.finished:
-            return []
+            # A prompt that has been read makes room for the next one.
+            return self._dispatch(now_ms) if begins else []
         self._end(event.request_id)
         if event.refused:
             worker.refused(now_ms)
@@ -410,7 +412,7 @@
         for worker in workers:
             if worker.endpoint.endpoint_id in handle.excluded:
                 continue
-            if not worker.fits(handle) or worker.stalls(handle):
+            if not worker.fits(handle) or worker.stalls(handle, now_ms):
                 continue
             if not self._ends_in_time(waiting, worker, now_ms):
                 continue
--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -79,6 +80,7 @@
         failures: Failures in a row.
         piece_ms: Learnt time between two pieces of an answer, 0 for unknown.
         heard_ms: Last sign of life.
+        read_prompts: When prompts were read of late, and their tokens.
     """
 
     endpoint: Endpoint
@@ -93,6 +95,7 @@
     failures: int = 0
     piece_ms: float = 0.0
     heard_ms: float = 0.0
+    read_prompts: deque[tuple[float, int]] = field(default_factory=deque)
 
     def has_place(self, share: float, now_ms: float, *, in_need: bool = False) -> bool:
         """Tell whether one more request may go here now.
@@ -125,10 +128,7 @@
 
     def nominal_ms(self, handle: Handle) -> float:
         """Return the time to a first answer byte at speed 1."""
-        ahead = sum(
-            f.handle.prefill_tokens for f in self.flights.values() if not f.started
-        )
-        return self._nominal_ms(handle, ahead)
+        return self._nominal_ms(handle, self._unread_tokens())
 
     def _nominal_ms(self, handle: Handle, ahead: int) -> float:
         options = self.options
@@ -137,6 +137,12 @@
         prompt_ms = (ahead + handle.prefill_tokens) / options.prefill_per_ms
         return options.first_token_ms + prompt_ms
 
+    def _lately_read_tokens(self, since_ms: float) -> int:
+        """Return the prompt tokens read since a time."""
+        while self.read_prompts and self.read_prompts[0][0] < since_ms:
+            self.read_prompts.popleft()
+        return sum(tokens for _, tokens in self.read_prompts)
+
     def predict_ms(self, handle: Handle) -> float:
         """Return the time to a first answer byte at the learnt speed."""
         return self.nominal_ms(handle) * self.slowdown
@@ -180,19 +186,31 @@
         declared_ms = options.tokens_per_event * options.token_ms * self.slowdown
         return self.piece_ms or declared_ms
 
-    def stalls(self, handle: Handle) -> bool:
-        """Tell whether a prompt would hold up the streams that run beside it."""
+    def stalls(self, handle: Handle, now_ms: float) -> bool:
+        """Tell whether a prompt would hold up the streams that run beside it.
+
+        Between two events of a stream the engine takes a step for each token, and
+        reads one chunk in each: of this prompt, of those that still wait, and of
+        those that were read since the event before.
+        """
         limits = [f.handle.gap_ms for f in self.flights.values() if f.handle.gap_ms]
         if not limits or not handle.prefill_tokens:
             return False
         options = self.options
-        chunks = -(-handle.prefill_tokens // options.prefill_chunk_tokens)
-        chunk_tokens = min(handle.prefill_tokens, options.prefill_chunk_tokens)
-        chunk_ms = chunk_tokens / options.prefill_per_ms
-        steps = min(chunks, options.tokens_per_event)
-        pause_ms = steps * chunk_ms + options.tokens_per_event * options.token_ms
+        steps = options.tokens_per_event
+        prompts = self._unread_tokens() + handle.prefill_tokens
+        prompts += self._lately_read_tokens(now_ms - min(limits))
+        read_tokens = min(prompts, steps * options.prefill_chunk_tokens)
+        pause_ms = read_tokens / options.prefill_per_ms + steps * options.token_ms
         return pause_ms * self.slowdown > options.gap_share * min(limits)
 
+    def _unread_tokens(self) -> int:
+        """Return the prompt tokens of requests that have not begun to answer."""
+        unread = (
+            f.handle.prefill_tokens for f in self.flights.values() if not f.started
+        )
+        return sum(unread)
+
     def begin(self, handle: Handle, now_ms: float) -> Flight:
         """Count a granted request."""
         flight = Flight(
@@ -204,9 +222,10 @@
         self.flights[handle.request_id] = flight
         return flight
 
-    def saw_first(self, flight: Flight, ttft_ms: float) -> None:
+    def saw_first(self, flight: Flight, ttft_ms: float, now_ms: float) -> None:
         """Learn the speed from a first answer byte."""
         flight.started = True
+        self.read_prompts.append((now_ms, flight.handle.prefill_tokens))
         ratio = min(_SLOWEST, max(_FASTEST, ttft_ms / flight.nominal_ms))
         step = self.options.speed_step
         self.slowdown += step * (ratio - self.slowdown)
--- a/tests/scheduler/objective.feature
+++ b/tests/scheduler/objective.feature
@@ -45,6 +45,18 @@
     When "fast" has one more prompt to read and a long answer comes
     Then the long answer is granted on "fast"
 
+  Scenario: A second prompt does not hold up the streams that the first one slows
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 4     |
+    And a stream runs on "one" that may pause for 200 ms
+    When prompts of 6000 tokens come as "first" and "second"
+    Then "first" is granted and "second" waits
+    When "first" begins to answer
+    Then "second" waits
+    When 250 ms pass for the objective core
+    Then "second" is granted on "one"
+
   Scenario: One silent request does not make an endpoint suspect
     Given an objective core with the endpoints
       | endpoint | slots |
--- a/tests/steps/objective_steps.py
+++ b/tests/steps/objective_steps.py
@@ -113,6 +113,31 @@
     assert context.core.result("long").endpoint_id == endpoint
 
 
+def _submit_stream(context, name, prompt_tokens, gap_ms):
+    row = {"id": name, "tier": 1, "budget_ms": 60_000, "prefill": prompt_tokens}
+    handle = make_handle(row, objective_ms=10_000, late_window_ms=50_000, gap_ms=gap_ms)
+    context.core.submit(handle)
+
+
+@given('a stream runs on "{endpoint}" that may pause for {gap_ms:d} ms')
+def step_stream(context, endpoint, gap_ms):
+    context.gap_ms = gap_ms
+    _submit_stream(context, "stream", 0, gap_ms)
+    assert context.core.running["stream"] == endpoint
+    context.core.event("stream", ttft_ms=25.0)
+
+
+@when('prompts of {tokens:d} tokens come as "{first}" and "{second}"')
+def step_prompts(context, tokens, first, second):
+    for name in (first, second):
+        _submit_stream(context, name, tokens, context.gap_ms)
+
+
+@when('"{name}" begins to answer')
+def step_begins(context, name):
+    context.core.event(name, ttft_ms=140.0)
+
+
 @when('{count:d} request on "{endpoint}" hears nothing for {ms:d} ms')
 @when('{count:d} requests on "{endpoint}" hear nothing for {ms:d} ms')
 def step_silent(context, count, endpoint, ms):
