Load no aiohttp, settings store or gateway on the users' platform

Cause: forwarding imported four modules of the gateway's package, whose facade loads claims, gathering, the settings store and aiohttp; the store client and the poller of engines' reports used aiohttp too. Importing platform.host took 0.64 s of this machine (importtime), 0.21 s of it aiohttp, 0.30 s pomelolane.store. Change: what all HTTP interfaces share is the package http/; StreamWatch goes to coordination/; Seed and checked_address to addresses.py; the store client calls over the endpoints' ConnectionPool; the poller is loaded where engines are asked.

--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -15,7 +15,6 @@
 from pomelolane.coordination.fallback import LocalDesks
 from pomelolane.coordination.options import LOCAL, Timings
 from pomelolane.coordination.pace import PaceWatch
-from pomelolane.coordination.reports import PollerOptions, ReportPoller
 from pomelolane.coordination.role import ROLE_MESSAGES, SchedulerRole
 from pomelolane.coordination.scope import reachable_data_centres, scoped_tree
 from pomelolane.coordination.status import (
@@ -33,6 +32,7 @@
     from collections.abc import Callable
 
     from pomelolane.coordination.desk import Desk
+    from pomelolane.coordination.reports import ReportPoller
     from pomelolane.messages import Message
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock, Membership, SchedulingCore, Transport
@@ -75,7 +75,6 @@
         self._policy = policy
         self._timings = timings
         self._on_endpoint_leaving = on_endpoint_leaving
-        self._polls_engines = polls_engines
         self._tree = Tree()
         self._leaving: set[str] = set()
         self._told_leaving: set[str] = set()
@@ -101,11 +100,7 @@
         self._chooser.on_change(self._rescope_local)
         self.client = GatewayClient(self._link_context(clock, incarnation))
         self.role.on_doubt = self.client.probe
-        self.poller = ReportPoller(
-            self._polled_desks,
-            clock,
-            PollerOptions(address_of, self._engine_leaves),
-        )
+        self.poller = self._make_poller(clock, address_of) if polls_engines else None
         self._subscribe()
 
     def _settle_anew(self) -> None:
@@ -160,12 +155,24 @@
         self.role.mark_returned(endpoint_id)
         self._local.mark_returned(endpoint_id)
 
+    def _make_poller(
+        self, clock: Clock, address_of: Callable[[Endpoint], str]
+    ) -> ReportPoller:
+        # Its HTTP client is dear to load where no engine is asked.
+        from pomelolane.coordination.reports import (
+            PollerOptions,
+            ReportPoller,
+        )
+
+        options = PollerOptions(address_of, self._engine_leaves)
+        return ReportPoller(self._polled_desks, clock, options)
+
     # --- life -------------------------------------------------------------
 
     async def start(self) -> None:
         """Begin to tick and to ask engines for reports."""
         self._tasks = [asyncio.create_task(self._tick_forever())]
-        if self._polls_engines:
+        if self.poller is not None:
             self._tasks.append(asyncio.create_task(self.poller.run()))
 
     async def stop(self) -> None:
--- a/src/pomelolane/forwarding/app.py
+++ b/src/pomelolane/forwarding/app.py
@@ -4,17 +4,21 @@
 
 from typing import TYPE_CHECKING
 
-from blacksheep import Application, Content, Request, Response, Router
+from blacksheep import Application, Request, Response, Router
 
-from pomelolane.gateway import metrics
-from pomelolane.gateway.app import function_from_method, json_response, make_asgi
-from pomelolane.gateway.exchange import SCOPE_KEY
+from pomelolane.http.exchange import SCOPE_KEY
+from pomelolane.http.responses import (
+    function_from_method,
+    json_response,
+    make_asgi,
+    metrics_response,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from pomelolane.forwarding.forwarder import Forwarder
-    from pomelolane.gateway.exchange import ExchangeMiddleware
+    from pomelolane.http.exchange import ExchangeMiddleware
 
 
 class CallerApp:
@@ -70,10 +74,7 @@
         return json_response(200 if ready else 503, {"ready": ready})
 
     async def _metrics(self, request: Request) -> Response:
-        accept = request.get_first_header(b"accept") or b""
-        content, headers = metrics.render_metrics(accept)
-        media_type = headers.get("Content-Type", "text/plain").encode()
-        return Response(200, content=Content(media_type, content))
+        return metrics_response(request)
 
     async def _status(self, request: Request) -> Response:
         del request
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from pomelolane import events
+from pomelolane.coordination.watch import StreamWatch
 from pomelolane.exceptions import (
     BadRequestError,
     EndpointBrokenError,
@@ -25,7 +26,6 @@
     truthful,
 )
 from pomelolane.forwarding.relay import Relay
-from pomelolane.gateway.watch import StreamWatch
 from pomelolane.logs import log_event
 from pomelolane.messages import Handle
 from pomelolane.outcomes import Outcome, Reason, Refusal
@@ -40,7 +40,7 @@
     from pomelolane.forwarding.endpoints import EndpointDirectory
     from pomelolane.forwarding.intake import Intake
     from pomelolane.forwarding.sender import Sender, Sent
-    from pomelolane.gateway.exchange import Exchange
+    from pomelolane.http.exchange import Exchange
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock, Grant, SchedulerClient
 
--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from pomelolane.forwarding.configuration import Configuration, Route
-    from pomelolane.gateway.exchange import Exchange
+    from pomelolane.http.exchange import Exchange
     from pomelolane.ports import Clock
     from pomelolane.ports.forwarding import CallDescription, Dialect
 
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -18,7 +18,7 @@
 from pomelolane.forwarding.ledger import Ledger
 from pomelolane.forwarding.sender import Sender
 from pomelolane.forwarding.tree import tree_from_configuration
-from pomelolane.gateway.listener import Listener
+from pomelolane.http.listener import Listener
 from pomelolane.logs import log_event
 from pomelolane.membership import make_member
 from pomelolane.node import listening_socket
--- a/src/pomelolane/forwarding/refusals.py
+++ b/src/pomelolane/forwarding/refusals.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from pomelolane.gateway.problem import (
+from pomelolane.http.problem import (
     PROBLEM_TYPE,
     encode_problem,
     problem_from_refusal,
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from pomelolane.exceptions import BadRequestError
     from pomelolane.forwarding.call import CallState
-    from pomelolane.gateway.exchange import Exchange
+    from pomelolane.http.exchange import Exchange
 
 _LIMITS = (Reason.REQUEST_LIMIT, Reason.TOKEN_LIMIT, Reason.CONCURRENCY_LIMIT)
 NOT_READY_RETRY_MS = 500
--- a/src/pomelolane/forwarding/relay.py
+++ b/src/pomelolane/forwarding/relay.py
@@ -10,7 +10,7 @@
 
     from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.call import CallState
-    from pomelolane.gateway.exchange import Exchange
+    from pomelolane.http.exchange import Exchange
     from pomelolane.ports import Clock
 
 _EVENT_END = b"\n\n"
--- a/src/pomelolane/gateway/__init__.py
+++ b/src/pomelolane/gateway/__init__.py
@@ -3,7 +3,7 @@
 Only the gateway that holds a caller's request ever sends it to an endpoint.
 """
 
-from pomelolane.gateway.app import Gateway, GatewayLimits, make_asgi
+from pomelolane.gateway.app import Gateway, GatewayLimits
 from pomelolane.gateway.dispatch import Dispatcher
 from pomelolane.gateway.ending import Delivered
 from pomelolane.gateway.holders import HolderQueries
@@ -20,5 +20,4 @@
     "KeyedCalls",
     "RequestState",
     "RetryBudget",
-    "make_asgi",
 ]
--- a/src/pomelolane/gateway/admin.py
+++ b/src/pomelolane/gateway/admin.py
@@ -13,8 +13,9 @@
 
 from pomelolane import events
 from pomelolane.exceptions import BadRequestError
-from pomelolane.gateway.app import answer_with_problems, json_response
-from pomelolane.gateway.exchange import SCOPE_KEY, Exchange
+from pomelolane.gateway.app import answer_with_problems
+from pomelolane.http.exchange import SCOPE_KEY, Exchange
+from pomelolane.http.responses import json_response
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Reason
 from pomelolane.settings.admin import (
--- a/src/pomelolane/gateway/app.py
+++ b/src/pomelolane/gateway/app.py
@@ -10,24 +10,24 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application, Request, Response
 
 from pomelolane import events
 from pomelolane.exceptions import BadRequestError
 from pomelolane.gateway import metrics
 from pomelolane.gateway.answers import answer_from_object
 from pomelolane.gateway.ending import Delivered
-from pomelolane.gateway.exchange import SCOPE_KEY, Exchange, ExchangeMiddleware
 from pomelolane.gateway.identity import KeyRing
 from pomelolane.gateway.intake import call_from_chat, call_from_plain
-from pomelolane.gateway.problem import (
+from pomelolane.gateway.sinks import CallerSink, JoiningSink
+from pomelolane.http.exchange import SCOPE_KEY, Exchange
+from pomelolane.http.problem import (
     encode_problem,
     problem_from_refusal,
     problem_response,
     refusal_from_bad_request,
 )
-from pomelolane.gateway.sinks import CallerSink, JoiningSink
+from pomelolane.http.responses import function_from_method
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
 
@@ -261,29 +261,5 @@
     return response if response is not None else Response(200)
 
 
-def function_from_method(
-    method: Callable[[Request], Awaitable[Response]],
-) -> Callable[[Request], Awaitable[Response]]:
-    """Return a plain function: blacksheep marks handlers, and can't mark methods."""
-
-    async def handle(request: Request) -> Response:
-        return await method(request)
-
-    return handle
-
-
-def make_asgi(app: Application) -> ExchangeMiddleware:
-    """Wrap the application for the HTTP server."""
-    return ExchangeMiddleware(app)
-
-
-def json_response(
-    status: int, value: object, headers: list[tuple[bytes, bytes]] | None = None
-) -> Response:
-    """Return a JSON answer."""
-    content = Content(b"application/json", msgspec.json.encode(value))
-    return Response(status, headers or [], content)
-
-
 def _new_id() -> str:
     return uuid.uuid4().hex
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -10,10 +10,10 @@
 from typing import TYPE_CHECKING
 
 from pomelolane import events
+from pomelolane.coordination.watch import StreamWatch
 from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
 from pomelolane.gateway.ending import Delivered
 from pomelolane.gateway.state import RequestState
-from pomelolane.gateway.watch import StreamWatch
 from pomelolane.logs import log_event
 from pomelolane.messages import Handle
 from pomelolane.outcomes import Outcome, Reason, Refusal
--- a/src/pomelolane/gateway/intake.py
+++ b/src/pomelolane/gateway/intake.py
@@ -17,7 +17,7 @@
 from pomelolane.outcomes import Reason
 
 if TYPE_CHECKING:
-    from pomelolane.gateway.exchange import Exchange
+    from pomelolane.http.exchange import Exchange
     from pomelolane.model import Organisation, Service, Tree, Work
 
 MAX_DEADLINE_MS = 24 * 3600 * 1000
--- a/src/pomelolane/gateway/metrics.py
+++ b/src/pomelolane/gateway/metrics.py
@@ -7,8 +7,7 @@
 
 from typing import TYPE_CHECKING
 
-from aioprometheus import REGISTRY, Counter, Gauge, Histogram
-from aioprometheus.renderer import render
+from aioprometheus import Counter, Gauge, Histogram
 
 from pomelolane.gateway.ending import Delivered
 
@@ -47,9 +46,3 @@
 def set_open_requests(count: int) -> None:
     """Publish the number of open requests."""
     _OPEN.set({}, count)
-
-
-def render_metrics(accept: bytes) -> tuple[bytes, dict[str, str]]:
-    """Return the metrics page and its headers for an ``Accept`` header."""
-    content, headers = render(REGISTRY, [accept.decode("latin-1")])
-    return content, headers
--- a/src/pomelolane/gateway/operations.py
+++ b/src/pomelolane/gateway/operations.py
@@ -10,8 +10,11 @@
 
 from blacksheep import Application, Content, Request, Response
 
-from pomelolane.gateway import metrics
-from pomelolane.gateway.app import function_from_method, json_response
+from pomelolane.http.responses import (
+    function_from_method,
+    json_response,
+    metrics_response,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -61,10 +64,7 @@
         return json_response(status, {"ready": ready, "draining": draining})
 
     async def _metrics(self, request: Request) -> Response:
-        accept = request.get_first_header(b"accept") or b""
-        content, headers = metrics.render_metrics(accept)
-        media_type = headers.get("Content-Type", "text/plain").encode()
-        return Response(200, content=Content(media_type, content))
+        return metrics_response(request)
 
     async def _status(self, request: Request) -> Response:
         del request
--- a/src/pomelolane/gateway/sinks.py
+++ b/src/pomelolane/gateway/sinks.py
@@ -18,7 +18,7 @@
 
     from pomelolane.endpoints import AnswerStream, RelayResult
     from pomelolane.gateway.ending import FirstByte
-    from pomelolane.gateway.exchange import Exchange
+    from pomelolane.http.exchange import Exchange
 
 MAX_KEPT_BYTES = 8 * 1024 * 1024
 
--- a/src/pomelolane/gateway/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -12,7 +12,7 @@
 import uvicorn
 
 from pomelolane.endpoints.caller_protocol import RelayHttpProtocol
-from pomelolane.gateway.problem import (
+from pomelolane.http.problem import (
     encode_problem,
     problem_from_refusal,
     problem_headers,
--- a/src/pomelolane/membership/addresses.py
+++ b/src/pomelolane/membership/addresses.py
@@ -7,12 +7,12 @@
 
 from typing import TYPE_CHECKING
 
-from pomelolane.settings.kinds import checked_address
+from pomelolane.addresses import checked_address
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from pomelolane.settings.kinds import Seed
+    from pomelolane.addresses import Seed
 
 
 class AddressBook:
--- a/src/pomelolane/membership/contacts.py
+++ b/src/pomelolane/membership/contacts.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from pomelolane.addresses import Seed
     from pomelolane.membership.addresses import AddressBook
-    from pomelolane.settings.kinds import Seed
 
 PROBE_MS = 1000.0
 PROBE_MAX_MS = 30_000.0
--- a/src/pomelolane/membership/member.py
+++ b/src/pomelolane/membership/member.py
@@ -27,11 +27,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
 
+    from pomelolane.addresses import Seed
     from pomelolane.membership.keys import ClusterKeys
     from pomelolane.membership.transport import ZmqTransport
     from pomelolane.messages import Digest, Heartbeat, Message
     from pomelolane.ports import Clock, View, VmList
-    from pomelolane.settings.kinds import Seed
 
 TICK_S = 0.1
 ALIGN_MS = 100.0
--- a/src/pomelolane/membership/transport.py
+++ b/src/pomelolane/membership/transport.py
@@ -30,10 +30,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
 
+    from pomelolane.addresses import Seed
     from pomelolane.membership.keys import ClusterKeys
     from pomelolane.messages import Message
     from pomelolane.ports import Clock
-    from pomelolane.settings.kinds import Seed
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 MAX_READ_BATCH = 256
--- a/src/pomelolane/node.py
+++ b/src/pomelolane/node.py
@@ -12,8 +12,7 @@
 from blacksheep import Application
 
 from pomelolane import events
-from pomelolane.gateway import make_asgi
-from pomelolane.gateway.listener import Listener
+from pomelolane.http import Listener, make_asgi
 from pomelolane.logs import log_event
 from pomelolane.meeting import meet_others
 
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     import socket
 
-    from pomelolane.gateway.listener import Listener
+    from pomelolane.http.listener import Listener
     from pomelolane.membership import ClusterKeys
     from pomelolane.platform.nodefile import NodeFile
 
@@ -193,7 +193,7 @@
         await self._background.stop()
         if self._node is not None:
             await self._node.stop()
-        await self._store.aclose()
+        self._store.close()
 
     def _is_ready(self) -> bool:
         return self._node is not None and self._node.is_ready
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import base64
-import socket
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from urllib.parse import urlencode
 
-import aiohttp
 import msgspec
 
 from pomelolane.clock import MonotonicClock
+from pomelolane.endpoints import ConnectionPool
+from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
 from pomelolane.platform.errors import HistoryLostError, StoreUnavailableError
 
 if TYPE_CHECKING:
@@ -21,8 +22,13 @@
 """Bound on a call; the store answers in milliseconds unless it is in trouble, and
 what it says after an outage must be known within 3 s of its return."""
 
-_CONNECT_TIMEOUT_S = 0.5
-_UNACKED_MS = 3_000
+CONNECT_TIMEOUT_MS = 500
+"""Bound on connecting: half of a call's."""
+
+MAX_IDLE_MS = 60_000
+"""Idle connections are kept for as long as the store does; before one is used
+again, a look at its socket tells whether the store has closed it."""
+
 _PAGE_ROWS = 500
 _HISTORY_GONE = 410
 _CONFLICT = 412
@@ -89,8 +95,10 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._base = f"http://{address}"
-        self._session: aiohttp.ClientSession | None = None
+        self._address = address
+        self._pool = ConnectionPool(
+            connect_timeout_ms=CONNECT_TIMEOUT_MS, max_idle_ms=MAX_IDLE_MS
+        )
         self.calls = 0
         self._clock = MonotonicClock()
         self._ahead_ms = 0.0
@@ -174,10 +182,9 @@
             raise
         return True
 
-    async def aclose(self) -> None:
+    def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        self._pool.close()
 
     async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> _Rows:
         data = await self._call("GET", path, query, timeout_s)
@@ -197,19 +204,12 @@
         body: object = None,
     ) -> bytes:
         self.calls += 1
-        session = self._open()
-        data = None if body is None else msgspec.json.encode(body)
-        headers = {} if body is None else {"Content-Type": "application/json"}
+        data = b"" if body is None else msgspec.json.encode(body)
+        head = self._head(method, path, query, len(data))
         try:
-            async with (
-                asyncio.timeout(timeout_s),
-                session.request(
-                    method, self._base + path, params=query, data=data, headers=headers
-                ) as response,
-            ):
-                answer = await response.read()
-                status = response.status
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            async with asyncio.timeout(timeout_s):
+                status, answer = await self._exchange(method, [head, data])
+        except (EndpointRefusedError, EndpointBrokenError, TimeoutError) as error:
             raise StoreUnavailableError(f"{path}: {error!r}") from error
         if status == _HISTORY_GONE:
             raise HistoryLostError(path)
@@ -217,23 +217,22 @@
             raise StoreUnavailableError(f"{path}: status {status}", status)
         return answer
 
-    def _open(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0, socket_factory=_make_socket, keepalive_timeout=60
-            )
-            timeout = aiohttp.ClientTimeout(sock_connect=_CONNECT_TIMEOUT_S)
-            self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
-        return self._session
-
-
-def _make_socket(addr_info: tuple) -> socket.socket:
-    """Return a socket that notices a silent network within seconds."""
-    family, kind, protocol, _, _ = addr_info
-    sock = socket.socket(family, kind, protocol)
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKED_MS)
-    return sock
+    async def _exchange(self, method: str, request: list[bytes]) -> tuple[int, bytes]:
+        connection = await self._pool.acquire(self._address)
+        stream = await connection.exchange(method, request)
+        try:
+            answer = b"".join([piece async for piece in stream.chunks()])
+        finally:
+            # A call that ran out of time must not leave its answer to the next.
+            await stream.aclose()
+        return stream.status, answer
+
+    def _head(self, method: str, path: str, query: dict[str, str], size: int) -> bytes:
+        target = f"{path}?{urlencode(query)}" if query else path
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self._address}"]
+        if size:
+            lines += ["Content-Type: application/json", f"Content-Length: {size}"]
+        return "\r\n".join([*lines, "", ""]).encode("ascii")
 
 
 def _stored(row: _Row) -> StoredRow:
--- a/src/pomelolane/settings/__init__.py
+++ b/src/pomelolane/settings/__init__.py
@@ -3,7 +3,8 @@
 Options come from flags and environment; the tree lives in the platform's table.
 """
 
-from pomelolane.settings.kinds import EMBEDDED, Seed
+from pomelolane.addresses import Seed
+from pomelolane.settings.kinds import EMBEDDED
 from pomelolane.settings.options import (
     OPTIONS,
     Option,
--- a/src/pomelolane/settings/kinds.py
+++ b/src/pomelolane/settings/kinds.py
@@ -11,10 +11,11 @@
 from typing import Protocol
 from urllib.parse import urlsplit
 
+from pomelolane.addresses import Seed, checked_address
+
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _DIGITS = re.compile(r"[0-9]{1,18}")
 _KEY = re.compile(r"[0-9a-fA-F]{64}")
-_MAX_PORT = 65535
 
 EMBEDDED = "embedded"
 """Value of ``--platform`` that keeps table and objects in memory."""
@@ -37,21 +38,6 @@
         """
 
 
-@dataclass(frozen=True, slots=True)
-class Seed:
-    """A VM that is known from the start.
-
-    Attributes:
-        vm_id: The VM.
-        data_centre: Where it stands.
-        address: ``ip:port`` at which this VM reaches it.
-    """
-
-    vm_id: str
-    data_centre: str
-    address: str
-
-
 @dataclass(frozen=True, slots=True)
 class Integer:
     """A whole number within a range.
@@ -275,21 +261,6 @@
         return text
 
 
-def checked_address(text: str) -> str:
-    """Return an ``ip:port`` text that is well formed.
-
-    Raises:
-        ValueError: It is not.
-    """
-    host, separator, port = text.rpartition(":")
-    if not separator or not port.isdecimal() or not port.isascii():
-        raise ValueError(text)
-    if not 1 <= int(port) <= _MAX_PORT:
-        raise ValueError(text)
-    ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    return text
-
-
 def _items(text: str) -> list[str]:
     return [item.strip() for item in text.split(",") if item.strip()]
 
--- a/src/pomelolane/settings/schema.py
+++ b/src/pomelolane/settings/schema.py
@@ -8,8 +8,8 @@
 import re
 from typing import TYPE_CHECKING
 
+from pomelolane.addresses import checked_address
 from pomelolane.model import ServiceKind
-from pomelolane.settings.kinds import checked_address
 from pomelolane.settings.rules import Flag, Key, ListOf, MappingOf, Number, Text
 
 if TYPE_CHECKING:
--- a/tests/membership/lone_member.py
+++ b/tests/membership/lone_member.py
@@ -8,8 +8,8 @@
 import asyncio
 import sys
 
+from pomelolane.addresses import Seed
 from pomelolane.membership import make_member
-from pomelolane.settings.kinds import Seed
 
 
 async def main(vm_id, data_centre, seed_id, seed_address):
--- a/tests/membership/region.py
+++ b/tests/membership/region.py
@@ -9,8 +9,8 @@
 import asyncio
 
 from bench.ports import PortBlock
+from pomelolane.addresses import Seed
 from pomelolane.membership import make_member
-from pomelolane.settings.kinds import Seed
 from standins.listening import reserve_port
 from standins.proxy.links import Link, LinkMode
 
--- a/tests/steps/gateway_intake_steps.py
+++ b/tests/steps/gateway_intake_steps.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 
 from pomelolane.exceptions import BadRequestError
-from pomelolane.gateway.exchange import Exchange
 from pomelolane.gateway.intake import call_from_chat, call_from_plain
 from pomelolane.gateway.prefix import hash_prefix
+from pomelolane.http.exchange import Exchange
 from pomelolane.model import Organisation, Service, ServiceKind, Tier, Tree, Work
 
 BODY = '{"model":"%s","messages":[{"role":"user","content":"%s"}]%s}'
--- a/tests/steps/gateway_keyed_steps.py
+++ b/tests/steps/gateway_keyed_steps.py
@@ -10,11 +10,11 @@
 from pomelolane.gateway.answers import answer_from_object
 from pomelolane.gateway.dispatch import Dispatcher
 from pomelolane.gateway.ending import Delivered
-from pomelolane.gateway.exchange import Exchange
 from pomelolane.gateway.holders import HolderQueries
 from pomelolane.gateway.keyed import KeyedCalls
 from pomelolane.gateway.retries import RetryBudget
 from pomelolane.gateway.sinks import CallerSink, JoiningSink
+from pomelolane.http.exchange import Exchange
 from pomelolane.messages import KeyQuery
 from pomelolane.model import Endpoint, Service, ServiceKind, Tree
 from pomelolane.outcomes import Outcome, Reason, Refusal
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -6,6 +6,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from pomelolane.addresses import Seed
 from pomelolane.exceptions import SettingError
 from pomelolane.membership import (
     AddressBook,
@@ -28,7 +29,6 @@
     Pulse,
     encode_message,
 )
-from pomelolane.settings.kinds import Seed
 from tests.membership.waiting import eventually, stop_at_end
 
 
--- a/tests/steps/membership_tables_steps.py
+++ b/tests/steps/membership_tables_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from pomelolane.addresses import Seed
 from pomelolane.clock import ManualClock
 from pomelolane.membership import AddressBook, choose, make_member
 from pomelolane.membership.contacts import Contacts
@@ -11,7 +12,6 @@
 from pomelolane.membership.heartbeat import HeartbeatTable
 from pomelolane.membership.leaving import LeavingMarks
 from pomelolane.messages import Digest, Heartbeat, MemberState
-from pomelolane.settings.kinds import Seed
 from tests.membership.waiting import stop_at_end
 
 
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -31,7 +31,7 @@
     row = registered(endpoint, "portal", "127.0.0.1:1", DATA_CENTRE)
     context.store.put("servers", "p1", row)
     context.client = StoreClient(address)
-    context.add_cleanup(lambda: context.run(context.client.aclose()))
+    context.add_cleanup(lambda: context.client.close())
     clock = MonotonicClock()
     context.current = CurrentConfiguration()
     context.directory = EndpointDirectory(clock)
