--- a/src/pomelolane/platform/early.py
+++ b/src/pomelolane/platform/early.py
@@ -18,11 +18,27 @@
 """Connections that may wait: more than come to a VM in a second."""
 
 
-def early_socket() -> socket.socket | None:
-    """Return a listening socket, or None where the settings name no address.
+_listening: list[socket.socket] = []
+
+
+def listen_early() -> None:
+    """Listen for callers now; nothing where the settings name no address.
 
     What is wrong with the settings file is told when it is read in full.
     """
+    sock = _socket_from_settings()
+    if sock is not None:
+        _listening.append(sock)
+
+
+def early_socket() -> socket.socket | None:
+    """Return the socket that listens already, made now if there is none."""
+    if not _listening:
+        listen_early()
+    return _listening.pop() if _listening else None
+
+
+def _socket_from_settings() -> socket.socket | None:
     path = os.environ.get(NODE_FILE_VARIABLE, "")
     try:
         address = json.loads(Path(path).read_bytes())["listen"]["front"]
--- /dev/null
+++ b/tests/steps/platform_early_steps.py
@@ -0,0 +1,88 @@
+"""Steps of tests/platform/early.feature."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from behave import given, then, when
+
+from bench.ports import PortBlock
+from pomelolane.platform import early
+
+HOST = "127.0.0.1"
+CHILD = """
+import socket, sys
+from pomelolane.platform.early import early_socket, listen_early
+listen_early()
+sock = early_socket()
+with socket.create_connection(sock.getsockname(), timeout=5):
+    print("accepted", *sorted(sys.modules))
+"""
+
+
+def write_file(context, listen):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = Path(folder.name) / "node.json"
+    path.write_text(json.dumps({"listen": listen}))
+    context.variables = {early.NODE_FILE_VARIABLE: str(path)}
+
+
+@given("a settings file that names an address for callers")
+def step_file(context):
+    block = PortBlock()
+    context.add_cleanup(block.close)
+    context.port = block.take()
+    write_file(context, {"front": f"{HOST}:{context.port}"})
+
+
+@given("a settings file that names no address")
+def step_no_address(context):
+    write_file(context, {})
+
+
+@when("a new process listens early by that file")
+def step_new_process(context):
+    command = [sys.executable, "-c", CHILD]
+    variables = os.environ | context.variables
+    run = subprocess.run(
+        command, env=variables, capture_output=True, text=True, timeout=30, check=True
+    )
+    context.words = run.stdout.split()
+
+
+@when("this process listens early by that file")
+def step_this_process(context):
+    patch = mock.patch.dict(os.environ, context.variables)
+    patch.start()
+    context.add_cleanup(patch.stop)
+    early.listen_early()
+
+
+@then("it accepts connections at that address")
+def step_accepts(context):
+    assert context.words[0] == "accepted", context.words
+
+
+@then('it has loaded none of "{names}"')
+def step_loaded_none(context, names):
+    assert not set(names.split(", ")) & set(context.words)
+
+
+@then("the program is handed the socket that listens at that address")
+def step_handed(context):
+    sock = early.early_socket()
+    context.add_cleanup(sock.close)
+    assert sock.getsockname() == (HOST, context.port)
+    with socket.create_connection((HOST, context.port), timeout=5):
+        pass
+
+
+@then("the program is handed no socket")
+def step_none(context):
+    assert early.early_socket() is None
