--- a/bench/member_process.py
+++ b/bench/member_process.py
@@ -13,9 +13,9 @@
 import psutil
 import uvloop
 
+from pomelolane.addresses import Seed  # noqa: TC001 - msgspec reads it
 from pomelolane.membership import ClusterKeys, make_member
 from pomelolane.membership.keys import SHARED_NAME
-from pomelolane.settings.kinds import Seed  # noqa: TC001 - msgspec reads it
 
 _SAMPLE_S = 1.0
 _MIB = 1024 * 1024
--- a/bench/members.py
+++ b/bench/members.py
@@ -23,7 +23,7 @@
 from bench.member_process import Keys, MemberPlan, Sample
 from bench.ports import PortBlock
 from bench.processes import BenchError, ManagedProcess, kill_all, wait_until
-from pomelolane.settings.kinds import Seed
+from pomelolane.addresses import Seed
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
