Charge limits once for each time that a request may run

Ruled out: several schedulers (all grants came from one), the record of use, a changed limit (22.4 s). Also found by reading: a withdrawn repeat gave back what it had not paid; a request whose gateway was dropped and came back to the same scheduler paid nothing; what was given back left the span later than its charge did. Change: a send that has certainly not run counts as no attempt; nothing is given back for repeats; what was withdrawn here is charged anew; give-backs carry the charge's time. Five scenarios, seen red first but the one of the endpoint's refusal at the core, which was right there already.

--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -460,7 +460,8 @@
             decode_tokens=hint,
             data_centre=self._data_centre,
             excluded=state.excluded,
-            attempt=state.tries,
+            # What no endpoint has begun is charged to the limit like a new one.
+            attempt=state.sends,
             objective_ms=objective_ms,
             late_window_ms=call.limit_ms - objective_ms,
             gap_ms=call.route.gap_ms,
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -183,9 +183,13 @@
         return wait_ms
 
     def take(self, amount: float, now_ms: float) -> None:
-        """Let an amount pass; a negative one gives back."""
+        """Let an amount pass."""
         self._passed.append((now_ms, amount))
 
+    def give_back(self, amount: float, taken_ms: float) -> None:
+        """Undo an amount that was let pass at a time; both leave the span together."""
+        insort(self._passed, (taken_ms, -amount))
+
     def _used(self) -> float:
         own = sum(amount for _, amount in self._passed)
         return own + sum(amount for _, amount in self._past)
@@ -315,7 +319,7 @@
         A request that was admitted before pays nothing: one that is tried again,
         or one that an earlier scheduler has charged.
         """
-        if handle.attempt > 0 or handle.admitted:
+        if _is_charged(handle):
             return None
         accounts = self._accounts(handle)
         for account in accounts:
@@ -337,12 +341,18 @@
             if account.tokens is not None:
                 account.tokens.take(tokens)
 
-    def give_back(self, handle: Handle, tokens: int, now_ms: float = 0.0) -> None:
+    def give_back(self, handle: Handle, tokens: int, taken_ms: float = 0.0) -> None:
         """Undo the charge of a request that was not run.
 
-        What an earlier scheduler charged was never taken from this book.
+        What an earlier scheduler charged, or an earlier attempt that may have run,
+        was never taken from this book for this handle.
+
+        Args:
+            handle: The request.
+            tokens: What it was charged.
+            taken_ms: When it was charged.
         """
-        if handle.admitted:
+        if _is_charged(handle):
             return
         for account in self._accounts(handle):
             if account.requests is not None:
@@ -350,7 +360,7 @@
             if account.tokens is not None:
                 account.tokens.take(-tokens)
             if account.window is not None:
-                account.window.take(-tokens, now_ms)
+                account.window.give_back(tokens, taken_ms)
 
     def at_concurrency(self, handle: Handle) -> bool:
         """Tell whether one of the request's concurrency limits is reached."""
@@ -377,6 +387,11 @@
         return accounts
 
 
+def _is_charged(handle: Handle) -> bool:
+    """Tell whether somebody else has charged the request already."""
+    return handle.attempt > 0 or handle.admitted
+
+
 def _adopt(
     accounts: dict[str, _Account], name: str, limits: Limits, share: float
 ) -> None:
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -7,6 +7,8 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from pomelolane.model import ServiceKind
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.ports import Decision, Grant
@@ -28,6 +30,9 @@
 _TRIES = 12
 """Waiting requests looked at after the first one that finds no place."""
 
+_WITHDRAWN_MS = 15_000.0
+"""How long a withdrawn request is remembered: as long as callers wait at most."""
+
 _SERVICE_STEP = 0.05
 _FIRST_SERVICE_MS = 300.0
 
@@ -74,6 +79,7 @@
         self._on_time: list[tuple[tuple[int, float], int, _Waiting]] = []
         self._late: list[tuple[tuple[int, float], int, _Waiting]] = []
         self._flights: dict[str, str] = {}
+        self._withdrawn: dict[str, float] = {}
         self._sequence = count()
         self._service_ms = _FIRST_SERVICE_MS
         self._now_ms = 0.0
@@ -153,6 +159,9 @@
         request_id = handle.request_id
         if request_id in self._waiting or request_id in self._flights:
             return []
+        if handle.admitted and self._withdrawn.pop(request_id, None) is not None:
+            # Its gateway was lost and came back; the charge was given back here.
+            handle = msgspec.structs.replace(handle, admitted=False)
         refusal = self._limits.admit(handle, handle.charge_tokens, now_ms)
         if refusal is not None:
             return [Decision(request_id, refusal)]
@@ -160,7 +169,7 @@
         waiting.wait_factor = self._sizes.wait_factor(handle)
         refusal = self._hopeless(waiting, now_ms)
         if refusal is not None:
-            self._give_back(handle, now_ms)
+            self._give_back(waiting)
             return [Decision(request_id, refusal)]
         self._waiting[request_id] = waiting
         self._push(waiting)
@@ -181,7 +190,8 @@
         """Forget a waiting request, or free a granted one's slot."""
         waiting = self._forget(request_id)
         if waiting is not None:
-            self._give_back(waiting.handle, now_ms)
+            self._give_back(waiting)
+            self._withdrawn[request_id] = now_ms
         else:
             self._end(request_id)
         return self._dispatch(now_ms)
@@ -205,7 +215,9 @@
         self._end(event.request_id)
         if event.refused:
             worker.refused(now_ms)
-            self._give_back(flight.handle, now_ms)
+            self._limits.give_back(
+                flight.handle, flight.handle.charge_tokens, flight.charged_ms
+            )
         elif event.outcome:
             worker.failed(now_ms)
         else:
@@ -225,6 +237,7 @@
         """Suspect silent endpoints, move late requests, expire deadlines."""
         for worker in self._workers.values():
             worker.check(now_ms)
+        self._forget_withdrawn(now_ms)
         decisions = self._refuse_early(now_ms)
         decisions.extend(self._age(now_ms))
         decisions.extend(self._dispatch(now_ms))
@@ -238,8 +251,17 @@
 
     # --- inside -----------------------------------------------------------
 
-    def _give_back(self, handle: Handle, now_ms: float) -> None:
-        self._limits.give_back(handle, handle.charge_tokens, now_ms)
+    def _give_back(self, waiting: _Waiting) -> None:
+        handle = waiting.handle
+        self._limits.give_back(handle, handle.charge_tokens, waiting.submitted_ms)
+
+    def _forget_withdrawn(self, now_ms: float) -> None:
+        oldest_ms = now_ms - _WITHDRAWN_MS
+        while self._withdrawn:
+            request_id, at_ms = next(iter(self._withdrawn.items()))
+            if at_ms >= oldest_ms:
+                return
+            del self._withdrawn[request_id]
 
     def _push(self, waiting: _Waiting) -> None:
         heap = self._late if waiting.late else self._on_time
@@ -323,12 +345,12 @@
             if refusal is None:
                 forecast.use(self._duration_ms(waiting.handle, workers))
                 continue
-            decisions.append(self._give_up(waiting, refusal, now_ms))
+            decisions.append(self._give_up(waiting, refusal))
         return decisions
 
-    def _give_up(self, waiting: _Waiting, refusal: Refusal, now_ms: float) -> Decision:
+    def _give_up(self, waiting: _Waiting, refusal: Refusal) -> Decision:
         self._forget(waiting.handle.request_id)
-        self._give_back(waiting.handle, now_ms)
+        self._give_back(waiting)
         return Decision(waiting.handle.request_id, refusal)
 
     def _refusal(self, reason: Reason, retry_ms: float) -> Refusal:
@@ -342,7 +364,7 @@
         for waiting in list(self._waiting.values()):
             if now_ms >= waiting.given_up_at(self._options.late_share):
                 refusal = self._refusal(Reason.DEADLINE_PASSED, self._service_ms)
-                decisions.append(self._give_up(waiting, refusal, now_ms))
+                decisions.append(self._give_up(waiting, refusal))
             elif not waiting.late and now_ms >= waiting.objective_at_ms:
                 waiting.late = True
                 self._push(waiting)
@@ -449,6 +471,7 @@
         handle = waiting.handle
         self._forget(handle.request_id)
         flight = worker.begin(handle, now_ms)
+        flight.charged_ms = waiting.submitted_ms
         self._flights[handle.request_id] = worker.endpoint.endpoint_id
         grant = Grant(
             handle.request_id, worker.endpoint.endpoint_id, flight.expected_ms
--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -34,6 +34,7 @@
         expected_ms: The same at the endpoint's learnt speed.
         started: Whether the first answer byte was seen.
         pieces: Pieces of the answer that were seen.
+        charged_ms: When it was charged to its organisation's limit.
     """
 
     handle: Handle
@@ -42,6 +43,7 @@
     expected_ms: float
     started: bool = False
     pieces: int = 0
+    charged_ms: float = 0.0
 
 
 @dataclass(slots=True)
--- a/tests/scheduler/objective.feature
+++ b/tests/scheduler/objective.feature
@@ -73,6 +73,37 @@
     When 250 ms pass for the objective core
     Then "second" is granted on "one"
 
+  Scenario: What an endpoint refused as not run is charged again when it is tried again
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 40    |
+    And the organisation "o" may use 1000 tokens in 8000 ms
+    When a request of 600 tokens of "o" is refused by its endpoint and tried again as new
+    Then the core lets 400 tokens of "o" pass
+
+  Scenario: A repeat that was charged before gives nothing back when it is withdrawn
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 1     |
+    And the organisation "o" may use 1000 tokens in 8000 ms
+    When a request of 600 tokens of "o" breaks and its repeat is withdrawn while it waits
+    Then "o" has used 600 tokens
+
+  Scenario: A request whose gateway was lost and came back is charged once
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 1     |
+    And the organisation "o" may use 1000 tokens in 8000 ms
+    When a request of 600 tokens of "o" waits, is withdrawn and comes back as admitted
+    Then "o" has used 600 tokens
+
+  Scenario: What is given back leaves the span with the charge that it undoes
+    Given a window of 1000 tokens in 8000 ms
+    When 900 tokens pass at 0 ms
+    And 900 tokens of 0 ms are given back at 3000 ms
+    And 1000 tokens pass at 4000 ms
+    Then 100 tokens must wait 3500 ms at 8500 ms
+
   Scenario: One silent request does not make an endpoint suspect
     Given an objective core with the endpoints
       | endpoint | slots |
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -14,7 +14,9 @@
     RouteTarget,
     SharedRetryBudget,
 )
+from pomelolane.forwarding.call import CallState, ForwardCall
 from pomelolane.forwarding.routes import service_from_route
+from pomelolane.ports.forwarding import CallDescription
 
 STEP_MS = 100
 
@@ -99,6 +101,54 @@
     assert len({service_from_route(context.route, "r7") for _ in range(20)}) == 1
 
 
+def _call():
+    description = CallDescription("r", 0, 0, 0)
+    return ForwardCall(
+        local_id="local",
+        description=description,
+        route=_route("r"),
+        service="s",
+        organisation="o",
+        rank=0,
+        charge_tokens=10,
+        method="GET",
+        target=b"/",
+        headers=(),
+        body=b"",
+        accepted_ms=0.0,
+        limit_ms=1000,
+        version=1,
+    )
+
+
+@given("a request whose send {ended}")
+def step_send_ended(context, ended):
+    unused = None
+    clock = ManualClock()
+    context.forwarder = Forwarder(unused, unused, unused, unused, unused, clock, "")
+    context.state = CallState(_call())
+    context.before = context.forwarder._handle(context.state)
+    context.state.tries = 1
+    if "may have run" in ended:
+        context.state.sends = 1
+        context.state.may_have_run = True
+
+
+@when("it asks for a slot again")
+def step_asks_again(context):
+    context.handle = context.forwarder._handle(context.state)
+
+
+@then("it asks as attempt {attempt:d}")
+def step_attempt(context, attempt):
+    assert context.handle.attempt == attempt
+
+
+@then("under an id of its own")
+def step_own_id(context):
+    assert context.handle.request_id != context.before.request_id
+
+
 @given("a forwarder that stops in {ms:d} ms")
 def step_stopping(context, ms):
     clock = ManualClock()
--- a/tests/steps/objective_steps.py
+++ b/tests/steps/objective_steps.py
@@ -1,5 +1,6 @@
 """Steps of the objective policy and of limits in a sliding span."""
 
+import msgspec
 from behave import given, then, when
 from scheduler_driver import CoreDriver, endpoint_from_row, make_handle
 
@@ -319,6 +320,66 @@
     context.passed = 0
 
 
+def _charged(name, tokens, attempt=0):
+    row = {"id": name, "tier": 1, "organisation": "o"}
+    return make_handle(
+        row,
+        objective_ms=10_000,
+        late_window_ms=50_000,
+        charge_tokens=tokens,
+        attempt=attempt,
+    )
+
+
+@when(
+    'a request of {tokens:d} tokens of "o" is refused by its endpoint '
+    "and tried again as new"
+)
+def step_refused_and_tried(context, tokens):
+    context.core.submit(_charged("r.0", tokens))
+    context.core.cut_off("r.0")
+    context.core.tick(5_000)
+    context.core.submit(_charged("r.1", tokens))
+    assert isinstance(context.core.result("r.1"), Grant)
+
+
+@when(
+    'a request of {tokens:d} tokens of "o" breaks '
+    "and its repeat is withdrawn while it waits"
+)
+def step_repeat_withdrawn(context, tokens):
+    context.core.submit(_charged("r.0", tokens))
+    context.core.event("r.0", finished=True, outcome="failed")
+    context.core.submit(_charged("other", 0))
+    context.core.submit(_charged("r.1", tokens, attempt=1))
+    assert "r.1" not in context.core.decisions
+    context.core.forget("r.1")
+
+
+@when(
+    'a request of {tokens:d} tokens of "o" waits, is withdrawn '
+    "and comes back as admitted"
+)
+def step_back_admitted(context, tokens):
+    context.core.submit(_charged("other", 0))
+    waiting = _charged("r.0", tokens)
+    context.core.submit(waiting)
+    context.core.forget("r.0")
+    context.core.submit(msgspec.structs.replace(waiting, admitted=True))
+
+
+@then('"o" has used {tokens:d} tokens')
+def step_has_used(context, tokens):
+    uses = context.core.core.uses(context.core.now)
+    assert sum(use.tokens for use in uses) == tokens, uses
+
+
+@when("{tokens:d} tokens of {then_ms:d} ms are given back at {ms:d} ms")
+def step_given_back(context, tokens, then_ms, ms):
+    assert context.window.wait_ms(1, ms) >= 0
+    context.window.give_back(tokens, then_ms)
+
+
 @when("the core may let {share:f} of the rates pass")
 def step_share(context, share):
     context.core.core.limit_rates(share, context.core.now)
