--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -45,7 +45,7 @@
     submitted_ms: float
     deadline_ms: float
     objective_at_ms: float
-    yields: bool = False
+    wait_factor: float = 1.0
     late: bool = False
     queued: bool = True
 
@@ -166,13 +166,11 @@
         if refusal is not None:
             return [Decision(request_id, refusal)]
         waiting = _waiting_from_handle(handle, now_ms)
-        waiting.yields = self._sizes.yields(handle)
+        waiting.wait_factor = self._sizes.wait_factor(handle)
         refusal = self._hopeless(waiting, now_ms)
         if refusal is not None:
-            self._note(waiting, refused=True)
             self._give_back(waiting)
             return [Decision(request_id, refusal)]
-        self._note(waiting, refused=False)
         self._waiting[request_id] = waiting
         self._push(waiting)
         return self._dispatch(now_ms)
@@ -296,9 +294,6 @@
             return self._refusal(Reason.NO_ENDPOINT, self._options.min_retry_ms * 5)
         if not self._may_refuse_early(waiting, now_ms):
             return None
-        if waiting.yields and self._sizes.is_pressed(handle.tier_rank):
-            retry_ms = self._options.yield_retry_ms
-            return self._refusal(Reason.DEADLINE_UNREACHABLE, retry_ms)
         if self._open(now_ms):
             return None
         forecast = forecast_of_workers(workers, self._share, now_ms)
@@ -307,17 +302,13 @@
             forecast.use(self._duration_ms(one.handle, workers))
         return self._judge(waiting, forecast.next_ms(), workers, now_ms)
 
-    def _note(self, waiting: _Waiting, *, refused: bool) -> None:
-        if not waiting.yields:
-            self._sizes.note(waiting.handle.tier_rank, refused=refused)
-
     def _judge(
         self, waiting: _Waiting, start_ms: float, workers: list[Worker], now_ms: float
     ) -> Refusal | None:
         """Refuse a request whose predicted start is too late for its objective."""
         first_ms = min(worker.predict_ms(waiting.handle) for worker in workers)
         left_ms = waiting.objective_at_ms - now_ms
-        late_ms = start_ms * self._options.wait_factor + first_ms - left_ms
+        late_ms = start_ms * waiting.wait_factor + first_ms - left_ms
         if late_ms <= 0:
             return None
         return self._refusal(Reason.DEADLINE_UNREACHABLE, late_ms)
@@ -354,7 +345,6 @@
             if refusal is None:
                 forecast.use(self._duration_ms(waiting.handle, workers))
                 continue
-            self._note(waiting, refused=True)
             decisions.append(self._give_up(waiting, refusal))
         return decisions
 
--- a/src/pomelolane/scheduler/objective/options.py
+++ b/src/pomelolane/scheduler/objective/options.py
@@ -41,13 +41,8 @@
         long_factor: Times the mean slot time of its work from which on an answer
             counts as long; on the users' sheets (lognormal, sigma 1.5) those are
             15 in 100 and take more than half of all slot time.
+        long_wait_factor: The wait factor of those long answers that yield.
         work_step: Weight of one request in the mean slot time of its work.
-        yield_pressure: Share of early refusals in a rank from which on its long
-            answers yield.
-        pressure_step: Weight of one request in that share: half of it is from
-            the last 14 requests, a fraction of a second under load.
-        yield_retry_ms: When an answer that yielded may come back: bursts last
-            seconds, and callers wait a third of their time at most.
         min_retry_ms: Shortest time to come back that is told.
         max_retry_ms: Longest one; callers have seconds.
         fail_step: Weight of one answer in the learnt share of failures.
@@ -72,10 +67,8 @@
     early_share: float = 0.25
     length_factor: float = 2.0
     long_factor: float = 1.5
+    long_wait_factor: float = 4.0
     work_step: float = 0.02
-    yield_pressure: float = 0.1
-    pressure_step: float = 0.05
-    yield_retry_ms: int = 1_500
     min_retry_ms: int = 100
     max_retry_ms: int = 5_000
     fail_step: float = 0.1
--- a/src/pomelolane/scheduler/objective/sizes.py
+++ b/src/pomelolane/scheduler/objective/sizes.py
@@ -17,7 +17,7 @@
 
 
 class Sizes:
-    """Learns how long the slots of each work are held, and who is refused.
+    """Learns how long the slots of each work are held.
 
     Args:
         options: The policy's constants.
@@ -26,25 +26,16 @@
     def __init__(self, options: ObjectiveOptions) -> None:
         self._options = options
         self._mean_ms: dict[str, float] = {}
-        self._pressure: dict[int, float] = {}
 
-    def yields(self, handle: Handle) -> bool:
-        """Learn from a request; tell whether it yields while others are refused."""
+    def wait_factor(self, handle: Handle) -> float:
+        """Learn from a request; return how much longer its wait is taken to be."""
         options = self._options
         own_ms = self._nominal_ms(handle)
         mean_ms = self._mean_ms.get(handle.work, own_ms)
         self._mean_ms[handle.work] = mean_ms + options.work_step * (own_ms - mean_ms)
-        return own_ms > options.long_factor * mean_ms and _may_yield(handle)
-
-    def is_pressed(self, rank: int) -> bool:
-        """Tell whether so many of a rank are refused that long answers yield."""
-        return self._pressure.get(rank, 0.0) > self._options.yield_pressure
-
-    def note(self, rank: int, *, refused: bool) -> None:
-        """Count a request of a rank that does not yield."""
-        before = self._pressure.get(rank, 0.0)
-        step = self._options.pressure_step
-        self._pressure[rank] = before + step * (float(refused) - before)
+        if own_ms <= options.long_factor * mean_ms or not _may_yield(handle):
+            return options.wait_factor
+        return options.long_wait_factor
 
     def _nominal_ms(self, handle: Handle) -> float:
         options = self._options
--- a/tests/scheduler/objective.feature
+++ b/tests/scheduler/objective.feature
@@ -42,20 +42,15 @@
     Then none of 100 answer tokens yields
     And between 3 and 13 of 400 answer tokens yield, the same ones both times
 
-  Scenario Outline: While others of its rank are refused, a long answer that yields is
+  Scenario: Where requests wait, a long answer that yields is refused sooner
     Given an objective core with the endpoints
       | endpoint | slots |
       | one      | 1     |
     And 100 requests of 100 answer tokens have been served
-    And <count> requests of rank <rank> were refused as hopeless
-    When a long answer of rank 1 that may yield comes
-    Then it is <answer>
-
-    Examples:
-      | count | rank | answer  |
-      | 0     | 1    | granted |
-      | 20    | 1    | refused |
-      | 20    | 2    | granted |
+    And a request of 200 answer tokens runs
+    When requests of 100 and of 400 answer tokens ask for a first byte in 1500 ms
+    Then the one of 100 answer tokens waits
+    And the one of 400 answer tokens is refused, with a time to come back
 
   Scenario: A long answer does not go where it would end too late
     Given an objective core with the endpoints
--- a/tests/steps/objective_steps.py
+++ b/tests/steps/objective_steps.py
@@ -192,23 +192,24 @@
     """Return the id of a request that yields if its answer is long."""
     sizes = Sizes(ObjectiveOptions())
     for number in range(100):
-        sizes.yields(_sized(f"usual{number}", 100))
+        sizes.wait_factor(_sized(f"usual{number}", 100))
     names = (f"long{number}" for number in range(100))
-    return next(n for n in names if sizes.yields(_sized(n, 400)))
+    return next(n for n in names if sizes.wait_factor(_sized(n, 400)) > 1)
 
 
 @given("the sizes of {count:d} requests of {tokens:d} answer tokens are learnt")
 def step_sizes(context, count, tokens):
     context.sizes = Sizes(ObjectiveOptions())
     for number in range(count):
-        context.sizes.yields(_sized(f"usual{number}", tokens))
+        context.sizes.wait_factor(_sized(f"usual{number}", tokens))
 
 
 @when("{count:d} requests of {one:d} and {more:d} of {two:d} answer tokens come, twice")
 def step_judged(context, count, one, more, two):
     def yielding(tokens, number):
         names = [f"{tokens}/{n}" for n in range(number)]
-        return {n for n in names if context.sizes.yields(_sized(n, tokens))}
+        judged = {n: context.sizes.wait_factor(_sized(n, tokens)) for n in names}
+        return {name for name, factor in judged.items() if factor > 1}
 
     context.yielding = {one: yielding(one, count), two: yielding(two, more)}
     context.again = yielding(two, more)
@@ -236,26 +237,29 @@
         context.core.end(f"served{number}")
 
 
-@given("{count:d} requests of rank {rank:d} were refused as hopeless")
-def step_hopeless(context, count, rank):
-    context.core.submit(_sized("running", 200))
-    for number in range(count):
-        one = f"hopeless{rank}.{number}"
-        context.core.submit(_handle(one, rank=rank, objective_ms=10))
-        step_refused(context, one, "deadline_unreachable")
-    context.core.end("running")
+@given("a request of {tokens:d} answer tokens runs")
+def step_runs(context, tokens):
+    context.core.submit(_sized("running", tokens))
+    assert "running" in context.core.running
 
 
-@when("a long answer of rank 1 that may yield comes")
-def step_long_comes(context):
+@when(
+    "requests of {one:d} and of {two:d} answer tokens ask for a first byte in {ms:d} ms"
+)
+def step_both_ask(context, one, two, ms):
     context.long = _long_that_yields()
-    context.core.submit(_sized(context.long, 400))
+    context.core.submit(_sized(context.long, two, ms))
+    context.core.submit(_sized("usual", one, ms))
+
+
+@then("the one of 100 answer tokens waits")
+def step_usual_waits(context):
+    assert "usual" not in context.core.decisions
 
 
-@then("it is {answer}")
-def step_is(context, answer):
-    result = context.core.result(context.long)
-    assert isinstance(result, Grant if answer == "granted" else Refusal), result
+@then("the one of 400 answer tokens is refused, with a time to come back")
+def step_long_refused(context):
+    step_refused(context, context.long, "deadline_unreachable")
 
 
 # --- the sliding span --------------------------------------------------------
