--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -16,7 +16,6 @@
 from pomelolane.scheduler.limits import LimitBook
 from pomelolane.scheduler.objective.forecast import forecast_of_workers
 from pomelolane.scheduler.objective.options import ObjectiveOptions
-from pomelolane.scheduler.objective.sizes import Sizes
 from pomelolane.scheduler.objective.worker import Worker, WorkerFigures
 
 if TYPE_CHECKING:
@@ -45,7 +44,6 @@
     submitted_ms: float
     deadline_ms: float
     objective_at_ms: float
-    wait_factor: float = 1.0
     late: bool = False
     queued: bool = True
 
@@ -73,7 +71,6 @@
         self._kind = ServiceKind.ENGINE
         self._workers: dict[str, Worker] = {}
         self._limits = LimitBook()
-        self._sizes = Sizes(options)
         self._share = 1.0
         self._waiting: dict[str, _Waiting] = {}
         self._on_time: list[tuple[tuple[int, float], int, _Waiting]] = []
@@ -166,7 +163,6 @@
         if refusal is not None:
             return [Decision(request_id, refusal)]
         waiting = _waiting_from_handle(handle, now_ms)
-        waiting.wait_factor = self._sizes.wait_factor(handle)
         refusal = self._hopeless(waiting, now_ms)
         if refusal is not None:
             self._give_back(waiting)
@@ -308,7 +304,7 @@
         """Refuse a request whose predicted start is too late for its objective."""
         first_ms = min(worker.predict_ms(waiting.handle) for worker in workers)
         left_ms = waiting.objective_at_ms - now_ms
-        late_ms = start_ms * waiting.wait_factor + first_ms - left_ms
+        late_ms = start_ms * self._options.wait_factor + first_ms - left_ms
         if late_ms <= 0:
             return None
         return self._refusal(Reason.DEADLINE_UNREACHABLE, late_ms)
--- a/src/pomelolane/scheduler/objective/options.py
+++ b/src/pomelolane/scheduler/objective/options.py
@@ -38,11 +38,6 @@
             the caller nothing.
         length_factor: How much longer than hinted an answer may be and still
             end in time; 9 in 10 are within it on the users' calm days.
-        long_factor: Times the mean slot time of its work from which on an answer
-            counts as long; on the users' sheets (lognormal, sigma 1.5) those are
-            15 in 100 and take more than half of all slot time.
-        long_wait_factor: The wait factor of those long answers that yield.
-        work_step: Weight of one request in the mean slot time of its work.
         min_retry_ms: Shortest time to come back that is told.
         max_retry_ms: Longest one; callers have seconds.
         fail_step: Weight of one answer in the learnt share of failures.
@@ -66,9 +61,6 @@
     late_share: float = 0.25
     early_share: float = 0.25
     length_factor: float = 2.0
-    long_factor: float = 1.5
-    long_wait_factor: float = 4.0
-    work_step: float = 0.02
     min_retry_ms: int = 100
     max_retry_ms: int = 5_000
     fail_step: float = 0.1
