Let one VM of each data centre read the endpoints for the others

Ways weighed: slower reads (the drain bound of 2 s leaves no room); the changes with the heartbeats (couples membership to the platform). Chosen: the first ready VM of a data centre passes on what has changed in substance; who hears nothing for 1.3 s, misses a version or has lost the store reads itself. Endpoints are decoded only when they change. The scenario of a gap was seen red with the check taken out.

--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -56,9 +56,18 @@
         """Note that the source still says the same."""
         self._confirmed_ms = self._clock.now_ms()
 
-    def replace(self, endpoints: dict[str, Endpoint], version: int) -> None:
-        """Adopt a list; followers hear of it only if it differs."""
-        self.confirm()
+    def replace(
+        self, endpoints: dict[str, Endpoint], version: int, *, confirms: bool = True
+    ) -> None:
+        """Adopt a list; followers hear of it only if it differs.
+
+        Args:
+            endpoints: The list.
+            version: Its version, for the log.
+            confirms: Whether the source has just said so.
+        """
+        if confirms:
+            self.confirm()
         self._known.set()
         before = self._endpoints
         if endpoints == before:
--- a/src/pomelolane/messages/__init__.py
+++ b/src/pomelolane/messages/__init__.py
@@ -19,6 +19,8 @@
     BranchContent,
     BranchWanted,
     EndpointLeaving,
+    RecordChange,
+    WatchedChanges,
 )
 from pomelolane.messages.membership import (
     Digest,
@@ -67,6 +69,7 @@
     "NotScheduler",
     "Progress",
     "Pulse",
+    "RecordChange",
     "Refused",
     "RelayedResult",
     "RelayedWrite",
@@ -77,6 +80,7 @@
     "Sync",
     "SyncAck",
     "Unfollow",
+    "WatchedChanges",
     "Withdraw",
     "decode_message",
     "encode_message",
--- a/src/pomelolane/messages/declarations.py
+++ b/src/pomelolane/messages/declarations.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from pomelolane.messages.base import Message
 
 
@@ -41,3 +43,33 @@
     "BranchWanted",
     "EndpointLeaving",
 ]
+
+
+class RecordChange(msgspec.Struct, frozen=True, array_like=True):
+    """A record of a watched source that has changed.
+
+    Attributes:
+        key: Its key.
+        value: Its bytes as the source has them, empty where it was deleted.
+        deleted: Whether it is no more.
+    """
+
+    key: str
+    value: bytes
+    deleted: bool = False
+
+
+class WatchedChanges(Message, frozen=True):
+    """What one VM read of a watched source, for the others of its data centre.
+
+    Attributes:
+        source: Name of the source.
+        after: Version behind which the changes begin.
+        version: Version up to which they reach.
+        changes: Records that have changed in substance.
+    """
+
+    source: str
+    after: int
+    version: int
+    changes: tuple[RecordChange, ...] = ()
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -20,6 +20,7 @@
     BranchContent,
     BranchWanted,
     EndpointLeaving,
+    WatchedChanges,
 )
 from pomelolane.messages.membership import (
     Digest,
@@ -46,7 +47,8 @@
     from pomelolane.messages.base import Message
 
 AnyMessage = (
-    Submit
+    WatchedChanges
+    | Submit
     | SubmitAck
     | NotScheduler
     | Granted
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -123,6 +123,8 @@
             StoreUseRecord(self._store, file.vm_id, incarnation),
             self._clock,
         )
+        member = node.member
+        watch.share(file.vm_id, file.data_centre, member, member.transport)
         self._background.start("endpoints", watch.run())
         configuration = ConfigurationWatch(
             self._store, self._current, self._clock, file.limit_window
--- a/src/pomelolane/platform/roster.py
+++ b/src/pomelolane/platform/roster.py
@@ -24,7 +24,7 @@
 TABLE = "vms"
 _KEY_TABLE = "keys"
 _KEY_ROW = "shared"
-FIRST_READS = 6
+FIRST_READS = 3
 """Reads in a row after the start, while the others' rows come in."""
 
 PERIOD_MS = 10_000.0
--- /dev/null
+++ b/src/pomelolane/platform/sharing.py
@@ -0,0 +1,73 @@
+"""One VM of each data centre reads a table for the others and passes changes on.
+
+Nobody depends on it: who hears nothing for a while reads the table itself.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.messages import RecordChange, WatchedChanges
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from pomelolane.platform.storeclient import StoredRow
+    from pomelolane.ports import Membership, Peer, Transport
+
+
+class SharedReads:
+    """This VM's part in the reads of one table.
+
+    Args:
+        table: The table.
+        vm_id: This VM.
+        data_centre: Where it stands.
+        membership: Who is alive.
+        transport: Way to the others.
+        take: Called with what another VM has read.
+    """
+
+    def __init__(
+        self,
+        table: str,
+        vm_id: str,
+        data_centre: str,
+        membership: Membership,
+        transport: Transport,
+        take: Callable[[WatchedChanges], None],
+    ) -> None:
+        self._table = table
+        self._vm_id = vm_id
+        self._data_centre = data_centre
+        self._membership = membership
+        self._transport = transport
+        self._take = take
+        transport.subscribe(WatchedChanges, self._heard)
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this VM reads for the others of its data centre."""
+        able = [peer.vm_id for peer in self._peers() if _may_read(peer)]
+        return self._vm_id == min(able, default=self._vm_id)
+
+    def pass_on(self, after: int, version: int, rows: Iterable[StoredRow]) -> None:
+        """Tell the others of the data centre what was read."""
+        changes = tuple(RecordChange(r.key, r.value, r.deleted) for r in rows)
+        message = WatchedChanges(self._table, after, version, changes)
+        for peer in self._peers():
+            if peer.vm_id != self._vm_id:
+                self._transport.send(peer.vm_id, message)
+
+    def _peers(self) -> list[Peer]:
+        peers = self._membership.view().peers.values()
+        return [peer for peer in peers if peer.data_centre == self._data_centre]
+
+    def _heard(self, sender: str, message: WatchedChanges) -> None:
+        del sender
+        if message.source == self._table:
+            self._take(message)
+
+
+def _may_read(peer: Peer) -> bool:
+    return peer.ready and not peer.draining
--- a/src/pomelolane/platform/watches.py
+++ b/src/pomelolane/platform/watches.py
@@ -19,18 +19,22 @@
     HistoryLostError,
     StoreUnavailableError,
 )
+from pomelolane.platform.sharing import SharedReads
+from pomelolane.platform.storeclient import StoredRow
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from pomelolane.forwarding import (
         Configuration,
         CurrentConfiguration,
         EndpointDirectory,
     )
+    from pomelolane.messages import WatchedChanges
+    from pomelolane.model import Endpoint
     from pomelolane.platform.documents import LimitWindow
     from pomelolane.platform.storeclient import Snapshot, StoreClient
-    from pomelolane.ports import Clock
+    from pomelolane.ports import Clock, Membership, Transport
 
 _CONFIGURATION_TABLE = "op"
 _CONFIGURATION_KEY = "config"
@@ -43,6 +47,10 @@
 """Pace of reads of endpoints: half of the time in which a leaving one must get
 nothing more (2 s at the tightest)."""
 
+SHARED_AGE_MS = 1_300
+"""Age from which on a VM reads the endpoints itself: the longest pause of the one
+that reads for it, and 0.2 s; with a read still well within the 2 s above."""
+
 RETURN_GRACE_S = 2.5
 """How long a row may be missing after an outage: the registry's entries are
 back within about two seconds of the store's return."""
@@ -192,12 +200,14 @@
         self._clock = clock
         self._trouble = _Trouble("endpoints", clock)
         self._values: dict[str, bytes] = {}
+        self._endpoints: dict[str, Endpoint] = {}
+        self._shared: SharedReads | None = None
         self._missing_since_ms: dict[str, float] = {}
         self._grace_until_ms = 0.0
         self._after = -1
         self._version = 0
         self._on_regained: list[Callable[[], None]] = []
-        current.on_change(lambda _: self._publish())
+        current.on_change(lambda _: self._decode_all())
 
     def on_regained(self, callback: Callable[[], None]) -> None:
         """Call back when the store answers again after an outage."""
@@ -208,9 +218,22 @@
         """Whether the table was read at least once."""
         return self._after >= 0
 
+    def share(
+        self, vm_id: str, data_centre: str, membership: Membership, transport: Transport
+    ) -> None:
+        """Read for the other VMs of the data centre, or let one of them do so."""
+        take = self._take_shared
+        self._shared = SharedReads(
+            _ENDPOINT_TABLE, vm_id, data_centre, membership, transport, take
+        )
+
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
+            fresh_s = self._fresh_s()
+            if fresh_s > 0:
+                await asyncio.sleep(fresh_s)
+                continue
             pause_s = ENDPOINT_PERIOD_S * random.uniform(0.9, 1.1)
             try:
                 await self._step()
@@ -221,51 +244,97 @@
                 pause_s = self._trouble.failed(error)
             await asyncio.sleep(pause_s)
 
+    def _fresh_s(self) -> float:
+        """Return for how long what another VM has read is young enough."""
+        shared = self._shared
+        if shared is None or not self.is_read or self._trouble.is_lost:
+            return 0.0
+        if shared.is_reader:
+            return 0.0
+        return (SHARED_AGE_MS - self._directory.age_ms) / 1000
+
+    def _take_shared(self, news: WatchedChanges) -> None:
+        """Take what another VM has read, unless something is missing before it."""
+        is_next = self.is_read and news.after <= self._after <= news.version
+        # After an outage the own read decides what has lapsed and what may return.
+        if not is_next or self._trouble.is_lost:
+            return
+        rows = tuple(
+            StoredRow(one.key, news.version, one.value, one.deleted)
+            for one in news.changes
+        )
+        self._after = self._version = news.version
+        self._take(rows, whole=False)
+        self._publish()
+
     async def _step(self) -> None:
-        whole = self._after < 0
+        after = self._after
+        whole = after < 0
         if whole:
             snapshot = await self._store.read(_ENDPOINT_TABLE)
         else:
-            snapshot = await self._store.changes(_ENDPOINT_TABLE, self._after, 0)
+            snapshot = await self._store.changes(_ENDPOINT_TABLE, after, 0)
         if self._trouble.succeeded(snapshot.version):
             self._grace_until_ms = self._clock.now_ms() + RETURN_GRACE_S * 1000
             for callback in self._on_regained:
                 callback()
         self._after = max(self._after, snapshot.version)
         self._version = snapshot.version
-        self._take(snapshot, whole=whole)
+        changed = self._take(snapshot.rows, whole=whole)
         self._publish()
+        if self._shared is not None and not whole and self._shared.is_reader:
+            self._shared.pass_on(after, self._after, changed)
 
-    def _take(self, snapshot: Snapshot, *, whole: bool) -> None:
+    def _take(self, rows: Sequence[StoredRow], *, whole: bool) -> list[StoredRow]:
+        """Adopt rows; return those that changed in more than their heartbeat."""
         now_ms = self._clock.now_ms()
-        gone = {row.key for row in snapshot.rows if row.deleted}
-        present = {row.key: row.value for row in snapshot.rows if not row.deleted}
+        gone = {row.key for row in rows if row.deleted}
+        present = [row for row in rows if not row.deleted]
         if whole:
-            gone |= self._values.keys() - present.keys()
-        self._values.update(present)
-        for key in present:
-            self._missing_since_ms.pop(key, None)
+            gone |= self._values.keys() - {row.key for row in present}
+        changed = [row for row in rows if row.deleted]
+        for row in present:
+            self._missing_since_ms.pop(row.key, None)
+            before = self._endpoints.get(row.key)
+            self._values[row.key] = row.value
+            self._decode(row.key)
+            if self._endpoints.get(row.key) != before:
+                changed.append(row)
         for key in gone & self._values.keys():
             self._missing_since_ms.setdefault(key, now_ms)
-        # A row that lapsed while the store was away may come back soon.
-        if now_ms >= self._grace_until_ms:
-            for key in self._missing_since_ms:
-                self._values.pop(key, None)
-            self._missing_since_ms.clear()
-
-    def _publish(self) -> None:
+        self._drop_missing(now_ms)
+        return changed
+
+    def _drop_missing(self, now_ms: float) -> None:
+        """Forget missing rows; one that lapsed in an outage may come back soon."""
+        if now_ms < self._grace_until_ms:
+            return
+        for key in self._missing_since_ms:
+            self._values.pop(key, None)
+            self._endpoints.pop(key, None)
+        self._missing_since_ms.clear()
+
+    def _decode(self, key: str) -> None:
         configuration = self._current.value
         services = configuration.services if configuration is not None else {}
-        endpoints = {}
-        for key, value in self._values.items():
-            try:
-                endpoints[key] = endpoint_from_row(key, value, services)
-            except DocumentError as error:
-                log_event(
-                    events.CONFIGURATION_REJECTED, error=error, version=self._version
-                )
+        try:
+            endpoint = endpoint_from_row(key, self._values[key], services)
+        except DocumentError as error:
+            self._endpoints.pop(key, None)
+            log_event(events.CONFIGURATION_REJECTED, error=error, version=self._version)
+        else:
+            self._endpoints[key] = endpoint
+
+    def _decode_all(self) -> None:
+        """Read all rows anew: the configuration names the services."""
+        for key in self._values:
+            self._decode(key)
+        self._publish(confirms=False)
+
+    def _publish(self, *, confirms: bool = True) -> None:
         if self.is_read:
-            self._directory.replace(endpoints, self._version)
+            endpoints = dict(self._endpoints)
+            self._directory.replace(endpoints, self._version, confirms=confirms)
 
 
 def _log_applied(before: Configuration | None, now: Configuration) -> None:
--- /dev/null
+++ b/tests/steps/platform_sharing_steps.py
@@ -0,0 +1,139 @@
+"""Steps of tests/platform/sharing.feature: watches over a network in memory."""
+
+import asyncio
+from dataclasses import replace
+
+from behave import given, then, when
+
+from bench.processes import wait_until
+from pomelolane.clock import MonotonicClock
+from pomelolane.forwarding import CurrentConfiguration, EndpointDirectory
+from pomelolane.messages import RecordChange, WatchedChanges
+from pomelolane.platform.documents import LimitWindow, configuration_from_json
+from pomelolane.platform.storeclient import StoreClient
+from pomelolane.platform.watches import EndpointWatch
+from pomelolane.ports import Peer, View
+from standins.routed import MetadataStore, RoutedEndpoint
+from standins.routed.endpoint import registered
+from tests.routed_world import DATA_CENTRE, configuration
+
+
+class Network:
+    """Carries messages between VMs, and says who is alive."""
+
+    def __init__(self, names):
+        self.loses = False
+        self.handlers = {name: [] for name in names}
+        self.peers = {n: Peer(n, 1, DATA_CENTRE, "") for n in names}
+
+    def view(self):
+        return View(1, dict(self.peers))
+
+
+class Port:
+    """One VM's transport."""
+
+    def __init__(self, network, name):
+        self.network, self.name = network, name
+
+    def subscribe(self, kind, handler):
+        self.network.handlers[self.name].append(handler)
+
+    def send(self, vm_id, message):
+        if self.network.loses:
+            return False
+        for handler in self.network.handlers[vm_id]:
+            asyncio.get_running_loop().call_soon(handler, self.name, message)
+        return True
+
+
+class Vm:
+    """A VM's watch of the endpoints."""
+
+    def __init__(self, name, address, network):
+        clock = MonotonicClock()
+        self.client = StoreClient(address)
+        self.current = CurrentConfiguration()
+        self.current.adopt(configuration_from_json(configuration(1), LimitWindow()))
+        self.directory = EndpointDirectory(clock)
+        self.watch = EndpointWatch(self.client, self.directory, self.current, clock)
+        self.watch.share(name, DATA_CENTRE, network, Port(network, name))
+
+    def leaving(self):
+        return {n for n, one in self.directory.all.items() if one.leaving}
+
+
+def put(context, name, state):
+    endpoint = RoutedEndpoint(name)
+    row = registered(endpoint, "portal", "127.0.0.1:1", DATA_CENTRE, state)
+    context.store.put("servers", name, row)
+
+
+@given('a metadata store and the VMs "a" and "b" of one data centre that watch it')
+def step_vms(context):
+    context.store = MetadataStore()
+    address = context.run(context.store.start())
+    context.add_cleanup(lambda: context.run(context.store.aclose()))
+    put(context, "p1", "ready")
+    context.network = Network("ab")
+    context.vms = {name: Vm(name, address, context.network) for name in "ab"}
+    tasks = [context.loop.create_task(vm.watch.run()) for vm in context.vms.values()]
+    context.add_cleanup(lambda: context.run(end(context.vms.values(), tasks)))
+    for vm in context.vms.values():
+        context.run(asyncio.wait_for(vm.directory.known(), 5))
+
+
+async def end(vms, tasks):
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    for vm in vms:
+        vm.client.close()
+
+
+@when('endpoint "{name}" is said to be draining')
+def step_draining(context, name):
+    put(context, name, "draining")
+
+
+@when("messages between the VMs are lost")
+def step_lost(context):
+    context.network.loses = True
+
+
+@when('"{name}" is draining')
+def step_vm_draining(context, name):
+    peers = context.network.peers
+    peers[name] = replace(peers[name], draining=True)
+    # What it read last stays young for a while on the others.
+    context.run(asyncio.sleep(1.5))
+
+
+@when('"{name}" hears of changes that begin behind what it has read')
+def step_gap(context, name):
+    change = RecordChange("p1", b"", deleted=True)
+    beyond = 10_000_000
+    message = WatchedChanges("servers", beyond, beyond + 1, (change,))
+    context.vms[name].watch._take_shared(message)
+
+
+@then('every VM knows within {ms:d} ms that "{name}" is leaving')
+def step_all_know(context, ms, name):
+    def known():
+        return all(name in vm.leaving() for vm in context.vms.values())
+
+    context.run(wait_until(known, ms / 1000, "not all know"))
+
+
+@then('in the next {ms:d} ms "{one}" makes no call and "{other}" makes at least {n:d}')
+def step_calls(context, ms, one, other, n):
+    before = {name: vm.client.calls for name, vm in context.vms.items()}
+    context.run(asyncio.sleep(ms / 1000))
+    made = {name: vm.client.calls - before[name] for name, vm in context.vms.items()}
+    assert made[one] == 0, made
+    assert made[other] >= n, made
+
+
+@then('"{name}" has taken none of them')
+def step_none_taken(context, name):
+    assert "p1" in context.vms[name].directory.all
