Let a resumable stream that falls silent in the middle go on elsewhere

Ruled out: the retry budget (not asked), the endpoints (alive behind the cut). Change: after 2.5 times the route's pause of silence in the middle, and if the budget allows, the connection is closed and the stream goes on behind its last whole event. Test seen red without the change. A silent stream of a route without a declared pause, or one that may not be resumed, is waited for as before.

--- a/src/pomelolane/endpoints/stream.py
+++ b/src/pomelolane/endpoints/stream.py
@@ -141,6 +141,10 @@
 
     async def aclose(self) -> None:
         """Close the connection unless the answer has ended."""
+        self.cut()
+
+    def cut(self) -> None:
+        """Close the connection at once unless the answer has ended."""
         if not self.ended:
             self._connection.close()
 
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -26,6 +26,7 @@
     truthful,
 )
 from pomelolane.forwarding.relay import Relay
+from pomelolane.forwarding.stall import StallWatch
 from pomelolane.logs import log_event
 from pomelolane.messages import Handle
 from pomelolane.outcomes import Outcome, Reason, Refusal
@@ -35,6 +36,7 @@
     from collections.abc import Callable, Coroutine
     from typing import Any
 
+    from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.budget import SharedRetryBudget
     from pomelolane.forwarding.call import ForwardCall
     from pomelolane.forwarding.endpoints import EndpointDirectory
@@ -57,6 +59,11 @@
 """Part of the objective that it waits at least: what is left must be enough for
 another endpoint."""
 
+STALL_FACTOR = 2.5
+"""Times the pause that still counts as on time after which a stream is left: slow
+engines pause 1.7 times as long beside long prompts (Cedarline, scale-1), and callers
+leave after eight times."""
+
 SKIPPED_BODY_BYTES = 1024 * 1024
 """Most of a refused body that is read so that its caller sees the answer."""
 
@@ -312,6 +319,7 @@
     ) -> None:
         stream = sent.stream
         failed = stream.status >= _SERVER_ERROR
+        stall = self._stall_watch(state, stream)
         try:
             if failed and self._may_repeat(state):
                 # It has answered: its service fails, the endpoint is there.
@@ -324,11 +332,13 @@
             if not stream.is_broken_unread:
                 watch.first()
                 self._observe_first(state)
-            end = await relay.pass_on(stream, watch.progress)
+            end = await relay.pass_on(stream, watch.progress, stall)
         finally:
+            if stall is not None:
+                stall.stop()
             await stream.aclose()
         if not end.whole:
-            raise self._broken(state, watch, str(stream.error))
+            raise self._cut_short(state, watch, stream, stall)
         if failed:
             watch.finish(outcome=Outcome.FAILED)
         metrics.count_send(state.call.service, "answered")
@@ -344,6 +354,34 @@
             bytes=end.bytes,
         )
 
+    def _stall_watch(self, state: CallState, stream: AnswerStream) -> StallWatch | None:
+        """Return what watches a stream that may be resumed, None for others."""
+        route = state.call.route
+        if not route.is_resumable or not route.gap_ms:
+            return None
+
+        def leave() -> bool:
+            if not self._may_repeat(state):
+                return False
+            stream.cut()
+            return True
+
+        return StallWatch(STALL_FACTOR * route.gap_ms, leave, self._clock)
+
+    def _cut_short(
+        self,
+        state: CallState,
+        watch: StreamWatch,
+        stream: AnswerStream,
+        stall: StallWatch | None,
+    ) -> _Again:
+        """Judge an answer that has ended before it was whole."""
+        if stall is None or not stall.has_left:
+            return self._broken(state, watch, str(stream.error))
+        again = self._broken(state, watch, "the stream fell silent")
+        again.is_paid = True
+        return again
+
     # --- what went wrong ----------------------------------------------------
 
     def _not_taken(self, state: CallState, watch: StreamWatch, detail: str) -> _Again:
--- a/src/pomelolane/forwarding/relay.py
+++ b/src/pomelolane/forwarding/relay.py
@@ -10,6 +10,7 @@
 
     from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.call import CallState
+    from pomelolane.forwarding.stall import StallWatch
     from pomelolane.http.exchange import Exchange
     from pomelolane.ports import Clock
 
@@ -35,6 +36,16 @@
     gap_ms: float
 
 
+async def _read(stream: AnswerStream, stall: StallWatch | None) -> bytes:
+    """Return the bytes that are ready, nothing at the end."""
+    if stall is None:
+        return await stream.read_ready()
+    stall.begin_read()
+    data = await stream.read_ready()
+    stall.end_read()
+    return data
+
+
 class EventCutter:
     """Cuts a stream of events behind its last whole one.
 
@@ -84,18 +95,22 @@
         self._resumable = state.call.route.is_resumable
 
     async def pass_on(
-        self, stream: AnswerStream, on_piece: Callable[[int], None]
+        self,
+        stream: AnswerStream,
+        on_piece: Callable[[int], None],
+        stall: StallWatch | None = None,
     ) -> RelayEnd:
         """Pass an answer on; the head goes out with the first bytes.
 
         Args:
             stream: The endpoint's answer.
             on_piece: Called with the number of pieces so far.
+            stall: Watches for silence, where the answer may go on elsewhere.
         """
         cutter = EventCutter() if self._resumable else None
         size = pieces = 0
         gap_ms = last_ms = 0.0
-        while data := await stream.read_ready():
+        while data := await _read(stream, stall):
             if cutter is not None:
                 data = cutter.feed(data)
                 if not data:
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -23,6 +23,8 @@
     """The connection is reset when the request is in."""
     TORN = "torn"
     """The stream ends inside its third event."""
+    MUTE = "mute"
+    """The stream says nothing more after its second event."""
     FOREIGN = "foreign"
     """The answer bears another request's id."""
     UNSEALED = "unsealed"
@@ -200,6 +202,8 @@
                 writer.write(b"%x\r\n%b" % (len(event), event[:7]))
                 await writer.drain()
                 return False
+            if self.fault is Fault.MUTE and number == 3:
+                await asyncio.sleep(60)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.options.event_ms / 1000)
--- a/tests/platform/serving.feature
+++ b/tests/platform/serving.feature
@@ -73,6 +73,13 @@
     Then the answer is 200 and holds the events 1 to 5 once each
     And the answer is whole
 
+  Scenario: A stream that falls silent goes on elsewhere if it may be resumed
+    Given the endpoint "e1" does "mute"
+    And another endpoint "e2" of "pool"
+    When callers send "POST /help/a" until "e1" has run one
+    Then the answer is 200 and holds the events 1 to 5 once each
+    And the answer is whole
+
   Scenario Outline: A call that may be repeated is served elsewhere
     Given the endpoint "p1" does "<fault>"
     When callers send "GET /plain/a" until "p1" has run one
--- a/tests/routed_world.py
+++ b/tests/routed_world.py
@@ -23,7 +23,15 @@
             _route("plain", "/plain/", "idempotent", "portal", attempts=2),
             _route("file", "/plain/file/", "non_idempotent", "portal"),
             _route("chat", "/chat/", "streaming", "pool", targetGapMs=400),
-            _route("help", "/help/", "streaming", "pool", resumable=True, attempts=2),
+            _route(
+                "help",
+                "/help/",
+                "streaming",
+                "pool",
+                resumable=True,
+                attempts=2,
+                targetGapMs=400,
+            ),
         ],
         "services": [
             {"name": "portal", "healthPath": "/healthz"},
