--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -59,6 +59,10 @@
 """Part of the objective that it waits at least: what is left must be enough for
 another endpoint."""
 
+RESUME_MS = 150
+"""Time within which a broken stream should go on: less than the objective of any new
+request on the users' sheets, so that it is due first in its rank."""
+
 STALL_FACTOR = 2.5
 """Times the pause that still counts as on time after which a stream is left: slow
 engines pause 1.7 times as long beside long prompts (Cedarline, scale-1), and callers
@@ -486,6 +490,13 @@
         described = call.description
         hint = described.answer_hint_tokens or described.answer_limit_tokens
         objective_ms = min(call.route.objective_ms or call.limit_ms, call.limit_ms)
+        left_ms = max(0, int(self._left_ms(call)))
+        late_window_ms = call.limit_ms - objective_ms
+        if state.answer_begun:
+            # Its caller holds a part of it: it goes before new ones of its rank, and
+            # is not refused early.
+            objective_ms = 0
+            late_window_ms = max(0, left_ms - RESUME_MS)
         return Handle(
             request_id=f"{call.local_id}.{state.tries}",
             service=call.service,
@@ -493,7 +504,7 @@
             tier_rank=call.rank,
             organisation=call.organisation,
             team="",
-            budget_ms=max(0, int(self._left_ms(call))),
+            budget_ms=left_ms,
             prefill_tokens=described.prompt_tokens,
             decode_tokens=hint,
             data_centre=self._data_centre,
@@ -501,7 +512,7 @@
             # What no endpoint has begun is charged to the limit like a new one.
             attempt=state.sends,
             objective_ms=objective_ms,
-            late_window_ms=call.limit_ms - objective_ms,
+            late_window_ms=late_window_ms,
             gap_ms=call.route.gap_ms,
             charge_tokens=call.charge_tokens,
         )
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -149,6 +149,21 @@
     assert context.handle.request_id != context.before.request_id
 
 
+@given("its answer has begun")
+def step_begun(context):
+    context.state.answer_begun = True
+
+
+@then("it is due within {ms:d} ms")
+def step_due(context, ms):
+    assert 0 < context.handle.budget_ms - context.handle.late_window_ms <= ms
+
+
+@then("it may not be refused early")
+def step_not_early(context):
+    assert context.handle.objective_ms == 0
+
+
 @given("a forwarder that stops in {ms:d} ms")
 def step_stopping(context, ms):
     clock = ManualClock()
