--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -18,8 +18,9 @@
     EndpointBrokenError,
     EndpointRefusedError,
 )
-from pomelolane.forwarding import metrics
+from pomelolane.forwarding import journal, metrics
 from pomelolane.forwarding.call import CallState
+from pomelolane.forwarding.handles import handle_from_state
 from pomelolane.forwarding.refusals import (
     answer_refusal,
     refusal_from_error,
@@ -28,7 +29,6 @@
 from pomelolane.forwarding.relay import Relay
 from pomelolane.forwarding.stall import StallWatch
 from pomelolane.logs import log_event
-from pomelolane.messages import Handle
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.ports.forwarding import Dispatch, Verdict
 
@@ -59,10 +59,6 @@
 """Part of the objective that it waits at least: what is left must be enough for
 another endpoint."""
 
-RESUME_MS = 150
-"""Time within which a broken stream should go on: less than the objective of any new
-request on the users' sheets, so that it is due first in its rank."""
-
 STALL_FACTOR = 2.5
 """Times the pause that still counts as on time after which a stream is left: slow
 engines pause 1.7 times as long beside long prompts (Cedarline, scale-1), and callers
@@ -187,14 +183,14 @@
         exchange.watch_disconnect(task.cancel)
         state = CallState(call, last_event_id=call.description.resume_after)
         self.open_calls[call.local_id] = state
-        _log_accepted(call)
+        journal.accepted(call)
         try:
             await self._serve(state, exchange)
         except asyncio.CancelledError:
             if not exchange.gone:
                 raise
             task.uncancel()
-            self._log_gone(state)
+            journal.abandoned(state, self._clock.now_ms())
         finally:
             del self.open_calls[call.local_id]
             self._ended.set()
@@ -236,7 +232,8 @@
             except _Again as again:
                 if not again.is_paid and not self._may_repeat(state):
                     return truthful(state, again.refusal)
-                self._log_retry(state, again.refusal)
+                balance = self._budget(state.call.service).balance
+                journal.retried(state, again.refusal, balance)
                 continue
             finally:
                 watch.finish()
@@ -244,7 +241,8 @@
 
     async def _acquire(self, state: CallState) -> Grant | Refusal:
         asked_ms = self._clock.now_ms()
-        grant = await self._client.acquire(self._handle(state))
+        handle = handle_from_state(state, self._data_centre, asked_ms)
+        grant = await self._client.acquire(handle)
         metrics.observe_wait(state.call.service, self._clock.now_ms() - asked_ms)
         return grant
 
@@ -271,7 +269,9 @@
         may_have_run, state.may_have_run = state.may_have_run, True
         state.sends += 1
         watch.dispatched()
-        self._log_sent(state, grant, left_ms)
+        journal.sent(
+            state, grant, left_ms, self._clock.now_ms(), self._directory.age_ms
+        )
         dispatch = Dispatch(call.organisation, left_ms, state.last_event_id)
         sending = self._sender.send(connection, call, endpoint, dispatch)
         try:
@@ -345,17 +345,13 @@
             raise self._cut_short(state, watch, stream, stall)
         if failed:
             watch.finish(outcome=Outcome.FAILED)
-        metrics.count_send(state.call.service, "answered")
-        log_event(
-            events.FORWARD_FINISHED,
-            request=state.call.log_id,
-            endpoint=endpoint.endpoint_id,
-            status=stream.status,
-            first_ms=watch.ttft_ms,
-            total_ms=self._clock.now_ms() - state.call.accepted_ms,
-            pieces=end.events,
-            gap_ms=end.gap_ms,
-            bytes=end.bytes,
+        journal.finished(
+            state.call,
+            endpoint,
+            stream.status,
+            watch.ttft_ms,
+            end,
+            self._clock.now_ms(),
         )
 
     def _stall_watch(self, state: CallState, stream: AnswerStream) -> StallWatch | None:
@@ -401,17 +397,7 @@
         return self._failed(state, Reason.ENDPOINT_BROKEN, detail)
 
     def _failed(self, state: CallState, reason: Reason, detail: str) -> _Again:
-        metrics.count_send(state.call.service, reason.value)
-        log_event(
-            events.FORWARD_FAILED,
-            request=state.call.log_id,
-            endpoint=state.endpoint_id,
-            send=state.sends,
-            reason=reason,
-            may_have_run=state.may_have_run,
-            answer_begun=state.answer_begun,
-            detail=detail,
-        )
+        journal.failed(state, reason, detail)
         return _Again(Refusal(Outcome.NOT_RUN, reason, RETRY_AFTER_MS, detail))
 
     def _can_repeat(self, state: CallState) -> bool:
@@ -442,42 +428,21 @@
     async def _refuse(
         self, state: CallState, exchange: Exchange, refusal: Refusal
     ) -> None:
-        call = state.call
-        held_ms = self._clock.now_ms() - call.accepted_ms
+        held_ms = self._clock.now_ms() - state.call.accepted_ms
         status = 0
         if state.answer_begun:
             # The head is out: only a visible break tells the truth now.
             exchange.abort()
         else:
             status = await answer_refusal(
-                exchange, refusal, call.log_id, closes=self.draining
+                exchange, refusal, state.call.log_id, closes=self.draining
             )
-        metrics.count_end(
-            call.route.name,
-            call.service,
-            call.rank,
-            refusal.outcome.value,
-            refusal.reason.value,
-        )
-        log_event(
-            events.FORWARD_REFUSED,
-            request=call.log_id,
-            route=call.route.name,
-            service=call.service,
-            outcome=refusal.outcome,
-            reason=refusal.reason,
-            status=status,
-            held_ms=held_ms,
-            retry_after_ms=refusal.retry_after_ms,
-            sends=state.sends,
-            endpoint=state.endpoint_id,
-            detail=refusal.detail,
-        )
+        journal.refused(state, refusal, status, held_ms)
 
     # --- helpers --------------------------------------------------------------
 
     def _left_ms(self, call: ForwardCall) -> float:
-        return call.limit_ms - (self._clock.now_ms() - call.accepted_ms)
+        return call.left_ms(self._clock.now_ms())
 
     def _budget(self, service: str) -> SharedRetryBudget:
         budget = self._budgets.get(service)
@@ -485,97 +450,6 @@
             budget = self._budgets[service] = self._make_budget()
         return budget
 
-    def _handle(self, state: CallState) -> Handle:
-        call = state.call
-        described = call.description
-        hint = described.answer_hint_tokens or described.answer_limit_tokens
-        objective_ms = min(call.route.objective_ms or call.limit_ms, call.limit_ms)
-        left_ms = max(0, int(self._left_ms(call)))
-        late_window_ms = call.limit_ms - objective_ms
-        if state.answer_begun:
-            # Its caller holds a part of it: it goes before new ones of its rank, and
-            # is not refused early.
-            objective_ms = 0
-            late_window_ms = max(0, left_ms - RESUME_MS)
-        return Handle(
-            request_id=f"{call.local_id}.{state.tries}",
-            service=call.service,
-            work=call.route.name,
-            tier_rank=call.rank,
-            organisation=call.organisation,
-            team="",
-            budget_ms=left_ms,
-            prefill_tokens=described.prompt_tokens,
-            decode_tokens=hint,
-            data_centre=self._data_centre,
-            excluded=state.excluded,
-            # What no endpoint has begun is charged to the limit like a new one.
-            attempt=state.sends,
-            objective_ms=objective_ms,
-            late_window_ms=late_window_ms,
-            gap_ms=call.route.gap_ms,
-            charge_tokens=call.charge_tokens,
-        )
-
     def _observe_first(self, state: CallState) -> None:
         first_ms = self._clock.now_ms() - state.call.accepted_ms
         metrics.observe_first(state.call.service, first_ms)
-
-    def _log_sent(self, state: CallState, grant: Grant, left_ms: int) -> None:
-        log_event(
-            events.FORWARD_SENT,
-            request=state.call.log_id,
-            grant=grant.request_id,
-            endpoint=grant.endpoint_id,
-            send=state.sends,
-            waited_ms=self._clock.now_ms() - state.call.accepted_ms,
-            expected_ms=grant.expected_ttft_ms,
-            left_ms=left_ms,
-            list_age_ms=self._directory.age_ms,
-        )
-
-    def _log_retry(self, state: CallState, refusal: Refusal) -> None:
-        log_event(
-            events.FORWARD_RETRIED,
-            request=state.call.log_id,
-            send=state.sends,
-            reason=refusal.reason,
-            budget=self._budget(state.call.service).balance,
-        )
-
-    def _log_gone(self, state: CallState) -> None:
-        call = state.call
-        metrics.count_end(
-            call.route.name,
-            call.service,
-            call.rank,
-            Outcome.UNKNOWN.value,
-            Reason.CALLER_GONE.value,
-        )
-        log_event(
-            events.FORWARD_ABANDONED,
-            request=call.log_id,
-            endpoint=state.endpoint_id,
-            sends=state.sends,
-            answer_begun=state.answer_begun,
-            held_ms=self._clock.now_ms() - call.accepted_ms,
-        )
-
-
-def _log_accepted(call: ForwardCall) -> None:
-    log_event(
-        events.FORWARD_ACCEPTED,
-        request=call.log_id,
-        grant=call.local_id,
-        route=call.route.name,
-        service=call.service,
-        organisation=call.organisation,
-        rank=call.rank,
-        kind=call.route.kind,
-        objective_ms=call.route.objective_ms,
-        limit_ms=call.limit_ms,
-        prompt_tokens=call.description.prompt_tokens,
-        hint_tokens=call.description.answer_hint_tokens,
-        charge_tokens=call.charge_tokens,
-        version=call.version,
-    )
--- /dev/null
+++ b/src/pomelolane/forwarding/handles.py
@@ -0,0 +1,53 @@
+"""What a forwarded request tells the scheduler of itself when it asks for a slot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane.messages import Handle
+
+if TYPE_CHECKING:
+    from pomelolane.forwarding.call import CallState
+
+RESUME_MS = 150
+"""Time within which a broken stream should go on: less than the objective of any new
+request on the users' sheets, so that it is due first in its rank."""
+
+
+def handle_from_state(state: CallState, data_centre: str, now_ms: float) -> Handle:
+    """Return the handle of a request as it stands now.
+
+    Args:
+        state: The request.
+        data_centre: Where its gateway stands.
+        now_ms: The time.
+    """
+    call = state.call
+    described = call.description
+    left_ms = max(0, int(call.left_ms(now_ms)))
+    objective_ms = min(call.route.objective_ms or call.limit_ms, call.limit_ms)
+    late_window_ms = call.limit_ms - objective_ms
+    if state.answer_begun:
+        # Its caller holds a part of it: it goes before new ones of its rank, and is
+        # not refused early.
+        objective_ms = 0
+        late_window_ms = max(0, left_ms - RESUME_MS)
+    return Handle(
+        request_id=f"{call.local_id}.{state.tries}",
+        service=call.service,
+        work=call.route.name,
+        tier_rank=call.rank,
+        organisation=call.organisation,
+        team="",
+        budget_ms=left_ms,
+        prefill_tokens=described.prompt_tokens,
+        decode_tokens=described.answer_hint_tokens or described.answer_limit_tokens,
+        data_centre=data_centre,
+        excluded=state.excluded,
+        # What no endpoint has begun is charged to the limit like a new one.
+        attempt=state.sends,
+        objective_ms=objective_ms,
+        late_window_ms=late_window_ms,
+        gap_ms=call.route.gap_ms,
+        charge_tokens=call.charge_tokens,
+    )
--- /dev/null
+++ b/src/pomelolane/forwarding/journal.py
@@ -0,0 +1,141 @@
+"""Log lines and counters of a forwarded request's life, one function for each step."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane import events
+from pomelolane.forwarding import metrics
+from pomelolane.logs import log_event
+from pomelolane.outcomes import Outcome, Reason
+
+if TYPE_CHECKING:
+    from pomelolane.forwarding.call import CallState, ForwardCall
+    from pomelolane.forwarding.relay import RelayEnd
+    from pomelolane.model import Endpoint
+    from pomelolane.outcomes import Refusal
+    from pomelolane.ports import Grant
+
+
+def accepted(call: ForwardCall) -> None:
+    """Tell that a request has passed the checks, and by what it was judged."""
+    log_event(
+        events.FORWARD_ACCEPTED,
+        request=call.log_id,
+        grant=call.local_id,
+        route=call.route.name,
+        service=call.service,
+        organisation=call.organisation,
+        rank=call.rank,
+        kind=call.route.kind,
+        objective_ms=call.route.objective_ms,
+        limit_ms=call.limit_ms,
+        prompt_tokens=call.description.prompt_tokens,
+        hint_tokens=call.description.answer_hint_tokens,
+        charge_tokens=call.charge_tokens,
+        version=call.version,
+    )
+
+
+def sent(
+    state: CallState, grant: Grant, left_ms: int, now_ms: float, list_age_ms: float
+) -> None:
+    """Tell that a request leaves for an endpoint."""
+    log_event(
+        events.FORWARD_SENT,
+        request=state.call.log_id,
+        grant=grant.request_id,
+        endpoint=grant.endpoint_id,
+        send=state.sends,
+        waited_ms=now_ms - state.call.accepted_ms,
+        expected_ms=grant.expected_ttft_ms,
+        left_ms=left_ms,
+        list_age_ms=list_age_ms,
+    )
+
+
+def finished(
+    call: ForwardCall,
+    endpoint: Endpoint,
+    status: int,
+    first_ms: float,
+    end: RelayEnd,
+    now_ms: float,
+) -> None:
+    """Tell that a whole answer went to the caller."""
+    metrics.count_send(call.service, "answered")
+    log_event(
+        events.FORWARD_FINISHED,
+        request=call.log_id,
+        endpoint=endpoint.endpoint_id,
+        status=status,
+        first_ms=first_ms,
+        total_ms=now_ms - call.accepted_ms,
+        pieces=end.events,
+        gap_ms=end.gap_ms,
+        bytes=end.bytes,
+    )
+
+
+def failed(state: CallState, reason: Reason, detail: str) -> None:
+    """Tell that one send ended without a whole answer."""
+    metrics.count_send(state.call.service, reason.value)
+    log_event(
+        events.FORWARD_FAILED,
+        request=state.call.log_id,
+        endpoint=state.endpoint_id,
+        send=state.sends,
+        reason=reason,
+        may_have_run=state.may_have_run,
+        answer_begun=state.answer_begun,
+        detail=detail,
+    )
+
+
+def retried(state: CallState, refusal: Refusal, balance: float) -> None:
+    """Tell that a request is offered to another endpoint."""
+    log_event(
+        events.FORWARD_RETRIED,
+        request=state.call.log_id,
+        send=state.sends,
+        reason=refusal.reason,
+        budget=balance,
+    )
+
+
+def refused(state: CallState, refusal: Refusal, status: int, held_ms: float) -> None:
+    """Tell that the caller got the gateway's own final answer, or a break."""
+    call = state.call
+    _count_end(call, refusal.outcome.value, refusal.reason.value)
+    log_event(
+        events.FORWARD_REFUSED,
+        request=call.log_id,
+        route=call.route.name,
+        service=call.service,
+        outcome=refusal.outcome,
+        reason=refusal.reason,
+        status=status,
+        held_ms=held_ms,
+        retry_after_ms=refusal.retry_after_ms,
+        sends=state.sends,
+        endpoint=state.endpoint_id,
+        detail=refusal.detail,
+    )
+
+
+def abandoned(state: CallState, now_ms: float) -> None:
+    """Tell that the caller has left, and its run is cancelled."""
+    call = state.call
+    _count_end(call, Outcome.UNKNOWN.value, Reason.CALLER_GONE.value)
+    log_event(
+        events.FORWARD_ABANDONED,
+        request=call.log_id,
+        endpoint=state.endpoint_id,
+        sends=state.sends,
+        answer_begun=state.answer_begun,
+        held_ms=now_ms - call.accepted_ms,
+    )
+
+
+def _count_end(call: ForwardCall, outcome: str, reason: str) -> None:
+    metrics.count_end(call.route.name, call.service, call.rank, outcome, reason)
--- a/src/pomelolane/forwarding/metrics.py
+++ b/src/pomelolane/forwarding/metrics.py
@@ -23,6 +23,13 @@
 _SENDS = Counter(
     "pomelolane_forwarded_sends_total", "Sends to endpoints, by service and result."
 )
+_STORE_CALLS = Counter(
+    "pomelolane_store_calls_total",
+    "Calls to the metadata store, by call and status; 0 where no answer came.",
+)
+_STORE_BYTES = Counter(
+    "pomelolane_store_bytes_total", "Body bytes to and from the metadata store."
+)
 
 
 def count_end(
@@ -53,3 +60,10 @@
 def observe_first(service: str, first_ms: float) -> None:
     """Observe when an answer began."""
     _FIRST.observe({"service": service}, first_ms / 1000)
+
+
+def count_store_call(call: str, status: int, sent: int, received: int) -> None:
+    """Count a call to the metadata store and its body bytes."""
+    _STORE_CALLS.inc({"call": call, "status": str(status)})
+    _STORE_BYTES.add({"direction": "sent"}, sent)
+    _STORE_BYTES.add({"direction": "received"}, received)
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -13,6 +13,7 @@
 from pomelolane.clock import MonotonicClock
 from pomelolane.endpoints import ConnectionPool
 from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
+from pomelolane.forwarding.metrics import count_store_call
 from pomelolane.platform.errors import HistoryLostError, StoreUnavailableError
 
 if TYPE_CHECKING:
@@ -210,7 +211,9 @@
             async with asyncio.timeout(timeout_s):
                 status, answer = await self._exchange(method, [head, data])
         except (EndpointRefusedError, EndpointBrokenError, TimeoutError) as error:
+            count_store_call(path, 0, len(data), 0)
             raise StoreUnavailableError(f"{path}: {error!r}") from error
+        count_store_call(path, status, len(data), len(answer))
         if status == _HISTORY_GONE:
             raise HistoryLostError(path)
         if status != 200:
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -15,6 +15,7 @@
     SharedRetryBudget,
 )
 from pomelolane.forwarding.call import CallState, ForwardCall
+from pomelolane.forwarding.handles import handle_from_state
 from pomelolane.forwarding.routes import service_from_route
 from pomelolane.ports.forwarding import CallDescription
 
@@ -123,11 +124,8 @@
 
 @given("a request whose send {ended}")
 def step_send_ended(context, ended):
-    unused = None
-    clock = ManualClock()
-    context.forwarder = Forwarder(unused, unused, unused, unused, unused, clock, "")
     context.state = CallState(_call())
-    context.before = context.forwarder._handle(context.state)
+    context.before = handle_from_state(context.state, "", 0.0)
     context.state.tries = 1
     if "may have run" in ended:
         context.state.sends = 1
@@ -136,7 +134,7 @@
 
 @when("it asks for a slot again")
 def step_asks_again(context):
-    context.handle = context.forwarder._handle(context.state)
+    context.handle = handle_from_state(context.state, "", 0.0)
 
 
 @then("it asks as attempt {attempt:d}")
