--- a/bench/chaos/checks/tiers.py
+++ b/bench/chaos/checks/tiers.py
@@ -17,6 +17,7 @@
 
 _HEALING_MS = 3000.0
 _CUTS = (FaultKind.CUT,)
+_FREEZES = (FaultKind.VM_FREEZE, FaultKind.SCHEDULER_FREEZE)
 
 
 def check_tiers(evidence: Evidence, engines: Sequence[EngineSpeed]) -> Iterator[Breach]:
@@ -37,6 +38,8 @@
             for run in runs.get(other.planned.mark, ()):
                 if run.endpoint_id not in known or _was_cut_off(refused, run, evidence):
                     continue
+                if _was_frozen(refused, run, evidence):
+                    continue
                 if _inverts(refused, other, run, engines):
                     yield Breach(
                         "tier_order",
@@ -76,3 +79,17 @@
         and refused.record.sent_at_ms <= record.ended_at_ms + _HEALING_MS
         for record in evidence.faults
     )
+
+
+def _was_frozen(refused: CallResult, run: EndpointRun, evidence: Evidence) -> bool:
+    """Tell whether the refused one's own gateway stood still when that run arrived.
+
+    Only that gateway may send the call, so nobody could have sent it then; what was
+    sent before and after the freeze counts.
+    """
+    return any(
+        record.fault.kind in _FREEZES
+        and record.target == refused.vm_id
+        and record.began_at_ms <= run.arrived_at_ms <= record.ended_at_ms
+        for record in evidence.faults
+    )
--- a/tests/steps/bench_chaos_steps.py
+++ b/tests/steps/bench_chaos_steps.py
@@ -127,6 +127,12 @@
     return Evidence([_refused(), lower], [_run(low.mark, 800.0, "low")])
 
 
+def _frozen(vm_id, began_at_ms):
+    evidence = _outlasted()
+    evidence.faults = [_fault(FaultKind.VM_FREEZE, vm_id, began_at_ms)]
+    return evidence
+
+
 def _late_run():
     leaving = _fault(FaultKind.LEAVING_SAID, ENDPOINT, 0.0)
     return Evidence([_result()], [_run(at_ms=3500.0)], [leaving])
@@ -171,6 +177,15 @@
     ),
     "a job that was told not_run and ran": lambda: _job("failed", "not_run"),
     "a refused call that a lower tier outlasted": _outlasted,
+    "a call that a lower tier passed while its gateway was frozen": lambda: _frozen(
+        VM, 700.0
+    ),
+    "a call that a lower tier passed before its gateway froze": lambda: _frozen(
+        VM, 850.0
+    ),
+    "a call that a lower tier passed while another was frozen": lambda: _frozen(
+        "sala-tampico-vm2", 700.0
+    ),
     "a run 3.5 s after its endpoint began to leave": _late_run,
     "a VM whose settings went back": lambda: _samples(3, 2),
     "two operators who replaced the same version": _two_winners,
