--- a/tests/docs/catalogue.feature
+++ b/tests/docs/catalogue.feature
@@ -8,3 +8,6 @@
 
   Scenario: The documents name only commands and files that exist
     Then each relative link in the documents leads to a file
+
+  Scenario: Every metric is told of on the pages for operators
+    Then each metric of the code is named on a page, and each one named exists
--- a/tests/steps/docs_steps.py
+++ b/tests/steps/docs_steps.py
@@ -11,6 +11,8 @@
 from pomelolane.events import CATALOGUE
 
 ROOT = Path(__file__).parents[2]
+METRIC = re.compile(r"pomelolane_[a-z_]+")
+MADE_METRIC = re.compile(r'"(pomelolane_[a-z_]+)"')
 LINK = re.compile(r"\]\((?!https?:|#)([^)#]+)")
 
 
@@ -44,3 +46,12 @@
         if not (page.parent / target).exists()
     ]
     assert not broken, broken
+
+
+@then("each metric of the code is named on a page, and each one named exists")
+def step_metrics(context):
+    sources = (ROOT / "src" / "pomelolane").rglob("*.py")
+    pages = (ROOT / "docs").glob("OPERAT*.md")
+    made = {name for path in sources for name in MADE_METRIC.findall(path.read_text())}
+    named = {name for page in pages for name in METRIC.findall(page.read_text())}
+    assert made == named, made ^ named
