Let a scheduler that leaves its role tell the others what passed

Ruled out: charges that were not made (one line each), two schedulers at once (40 ms, no grants). Change: on leaving, all uses that still count are sent to the VMs in view; the new scheduler takes them in place of the sender's older record, and reads anew if it has begun already. Three scenarios; the one of telling seen red without it. A scheduler that is cut from the store and from its successor is covered by shares only.

--- a/src/pomelolane/coordination/role.py
+++ b/src/pomelolane/coordination/role.py
@@ -83,6 +83,7 @@
         self._data_centres: frozenset[str] = frozenset()
         self.on_doubt: Callable[[str], None] = _ignore
         self.on_taken: Callable[[str], None] = _ignore
+        self.on_left: Callable[[str], None] = _ignore
         chooser.on_change(self.refresh)
 
     # --- the facade -------------------------------------------------------
@@ -226,6 +227,7 @@
     def _leave(self, service: str) -> None:
         log_event(SCHEDULER_ROLE, service=service, held=False)
         self._lingering_since_ms[service] = self._clock.now_ms()
+        self.on_left(service)
 
     def _is_followed(self, service: str) -> bool:
         if not self.desks()[service].followers():
--- a/src/pomelolane/forwarding/ledger.py
+++ b/src/pomelolane/forwarding/ledger.py
@@ -13,6 +13,7 @@
     from collections.abc import Sequence
 
     from pomelolane.coordination import Coordination, Desk
+    from pomelolane.forwarding.told import ToldUses
     from pomelolane.scheduler.limits import Use
 
 TICK_S = 0.25
@@ -50,15 +51,24 @@
     Args:
         coordination: This VM's part in scheduling.
         record: Where records are kept.
+        told: What other VMs tell when they leave a role.
     """
 
-    def __init__(self, coordination: Coordination, record: UseRecord) -> None:
+    def __init__(
+        self,
+        coordination: Coordination,
+        record: UseRecord,
+        told: ToldUses,
+    ) -> None:
         self._coordination = coordination
         self._record = record
+        self._told = told
         self._saved: dict[str, bool] = {}
         self._overdue: set[str] = set()
         self._loading: set[asyncio.Task[None]] = set()
         coordination.role.on_taken = self._taken
+        coordination.role.on_left = self._left
+        told.on_news = self._heard
 
     async def run(self) -> None:
         """Save until cancelled."""
@@ -105,14 +115,25 @@
         self._loading.add(task)
         task.add_done_callback(self._loading.discard)
 
+    def _left(self, service: str) -> None:
+        """Tell the others what passed here: the store may not have heard of it."""
+        self._told.tell(service, self._coordination.role.desks()[service].uses())
+
+    def _heard(self, service: str) -> None:
+        if self._coordination.role.desk(service) is not None:
+            self._taken(service)
+
     async def _load(self, service: str) -> None:
+        recorded: Sequence[Use] = ()
+        is_read = False
         try:
-            uses = await self._record.load(service)
+            recorded = await self._record.load(service)
+            is_read = True
         except PlatformError as error:
             log_event(events.LEDGER_FAILED, service=service, error=error)
-            return
+        uses = self._told.merge(service, recorded)
         desk = self._coordination.role.desk(service)
-        if desk is None:
+        if desk is None or not (is_read or uses):
             return
         desk.take_uses(uses)
         tokens = sum(use.tokens for use in uses)
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -17,6 +17,7 @@
 from pomelolane.forwarding.intake import Intake
 from pomelolane.forwarding.ledger import Ledger
 from pomelolane.forwarding.sender import Sender
+from pomelolane.forwarding.told import ToldUses
 from pomelolane.forwarding.tree import tree_from_configuration
 from pomelolane.http.listener import Listener
 from pomelolane.logs import log_event
@@ -141,7 +142,8 @@
             incarnation=incarnation,
             polls_engines=False,
         )
-        self.ledger = Ledger(self.coordination, record)
+        told = ToldUses(options.vm_id, self.member, self.member.transport, clock)
+        self.ledger = Ledger(self.coordination, record, told)
         self._intake = Intake(dialect, clock)
         self.forwarder = Forwarder(
             self._intake,
--- a/src/pomelolane/messages/__init__.py
+++ b/src/pomelolane/messages/__init__.py
@@ -43,7 +43,9 @@
     SubmitAck,
     Sync,
     SyncAck,
+    ToldUse,
     Unfollow,
+    UsesTold,
     Withdraw,
 )
 from pomelolane.messages.wire import AnyMessage, decode_message, encode_message
@@ -79,7 +81,9 @@
     "SubmitAck",
     "Sync",
     "SyncAck",
+    "ToldUse",
     "Unfollow",
+    "UsesTold",
     "WatchedChanges",
     "Withdraw",
     "decode_message",
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -237,6 +237,32 @@
     service: str
 
 
+class ToldUse(msgspec.Struct, frozen=True, array_like=True):
+    """What an organisation used of its limit.
+
+    Attributes:
+        organisation: Who.
+        age_ms: How long ago.
+        tokens: How much.
+    """
+
+    organisation: str
+    age_ms: int
+    tokens: int
+
+
+class UsesTold(Message, frozen=True):
+    """Earlier scheduler to the others: what passed while it held the role.
+
+    Attributes:
+        service: The service.
+        uses: All uses that still count.
+    """
+
+    service: str
+    uses: tuple[ToldUse, ...]
+
+
 __all__ = [
     "Granted",
     "Handle",
@@ -249,6 +275,8 @@
     "SubmitAck",
     "Sync",
     "SyncAck",
+    "ToldUse",
     "Unfollow",
+    "UsesTold",
     "Withdraw",
 ]
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -40,6 +40,7 @@
     Sync,
     SyncAck,
     Unfollow,
+    UsesTold,
     Withdraw,
 )
 
@@ -48,6 +49,7 @@
 
 AnyMessage = (
     WatchedChanges
+    | UsesTold
     | Submit
     | SubmitAck
     | NotScheduler
--- a/src/pomelolane/platform/userecord.py
+++ b/src/pomelolane/platform/userecord.py
@@ -78,12 +78,14 @@
             is_own = row.key == self._key(service)
             if is_own and record.incarnation == self._incarnation:
                 continue
-            found += [_use(entry, now_ms) for entry in record.entries]
+            vm_id = row.key.removeprefix(f"{service}/")
+            found += [_use(entry, now_ms, vm_id) for entry in record.entries]
         return [use for use in found if use.age_ms < _OLDEST_MS]
 
     def _key(self, service: str) -> str:
         return f"{service}/{self._vm_id}"
 
 
-def _use(entry: _Entry, now_ms: int) -> Use:
-    return Use(entry.organisation, max(0, now_ms - entry.at_ms), entry.tokens)
+def _use(entry: _Entry, now_ms: int, vm_id: str) -> Use:
+    age_ms = max(0, now_ms - entry.at_ms)
+    return Use(entry.organisation, age_ms, entry.tokens, vm_id)
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -73,11 +73,13 @@
         organisation: Who.
         age_ms: How long ago.
         tokens: How much.
+        scheduler: VM that let it pass, empty for this one.
     """
 
     organisation: str
     age_ms: int
     tokens: int
+    scheduler: str = ""
 
 
 class SlidingWindow:
--- a/tests/forwarding/ledger.feature
+++ b/tests/forwarding/ledger.feature
@@ -12,6 +12,21 @@
       | 0.01  | as the one in any case | recorded     |
       | 0.10  | as one of many         | recorded     |
 
+  Scenario: A scheduler that leaves tells what passed, also what is not on record
+    Given a scheduler that let 0.01 of a limit pass since its last record
+    When it leaves the role
+    Then the others are told of its 100 tokens
+
+  Scenario: What a scheduler has told goes before its older record
+    Given a new scheduler and a record of 100 tokens of "vm-1" and 40 of "vm-2"
+    When "vm-1" tells that 300 tokens passed there
+    Then the new scheduler counts 340 tokens
+
+  Scenario: What was told counts also where the store cannot be read
+    Given a new scheduler and a store that fails
+    When "vm-1" tells that 300 tokens passed there
+    Then the new scheduler counts 300 tokens
+
   Scenario: A record that the store did not take is due again at once
     Given a scheduler that let 0.10 of a limit pass since its last record
     And a store that fails once
--- a/tests/steps/forwarding_ledger_steps.py
+++ b/tests/steps/forwarding_ledger_steps.py
@@ -1,11 +1,16 @@
 """Steps of tests/forwarding/ledger.feature."""
 
+import asyncio
 from types import SimpleNamespace
 
 from behave import given, then, when
 
+from pomelolane.clock import ManualClock
 from pomelolane.exceptions import PlatformUnavailableError
 from pomelolane.forwarding.ledger import Ledger
+from pomelolane.forwarding.told import ToldUses
+from pomelolane.messages import ToldUse, UsesTold
+from pomelolane.ports import Peer, View
 from pomelolane.scheduler.limits import Use
 
 SERVICE = "s"
@@ -26,6 +31,9 @@
     def uses(self):
         return [Use("o", 0, 100)]
 
+    def take_uses(self, uses):
+        self.taken = sum(use.tokens for use in uses)
+
 
 class FakeRecord:
     """Keeps what is saved, after some failures."""
@@ -33,6 +41,7 @@
     def __init__(self):
         self.failures = 0
         self.saved = []
+        self.recorded = []
 
     async def save(self, service, uses):
         if self.failures:
@@ -40,13 +49,79 @@
             raise PlatformUnavailableError("the store is away")
         self.saved.append((service, uses))
 
+    async def load(self, service):
+        if self.failures:
+            raise PlatformUnavailableError("the store is away")
+        return self.recorded
+
+
+class FakeNetwork:
+    """Membership and transport of "vm-0" among three."""
+
+    def __init__(self):
+        self.sent = []
+
+    def view(self):
+        return View(1, {f"vm-{n}": Peer(f"vm-{n}", 1, "", "") for n in range(3)})
+
+    def subscribe(self, kind, handler):
+        self.handler = handler
+
+    def send(self, vm_id, message):
+        self.sent.append((vm_id, message))
+        return True
+
 
 @given("a scheduler that let {share:f} of a limit pass since its last record")
 def step_scheduler(context, share):
-    desk = FakeDesk(share)
-    role = SimpleNamespace(desks=lambda: {SERVICE: desk}, desk=lambda service: desk)
+    desk = context.desk = FakeDesk(share)
+    context.role = SimpleNamespace(
+        desks=lambda: {SERVICE: desk}, desk=lambda service: desk
+    )
     context.record = FakeRecord()
-    context.ledger = Ledger(SimpleNamespace(role=role), context.record)
+    context.network = FakeNetwork()
+    told = ToldUses("vm-0", context.network, context.network, ManualClock())
+    coordination = SimpleNamespace(role=context.role)
+    context.ledger = Ledger(coordination, context.record, told)
+
+
+@given('a new scheduler and a record of 100 tokens of "vm-1" and 40 of "vm-2"')
+def step_recorded_before(context):
+    step_scheduler(context, 0.0)
+    context.record.recorded = [Use("o", 0, 100, "vm-1"), Use("o", 0, 40, "vm-2")]
+
+
+@given("a new scheduler and a store that fails")
+def step_store_fails(context):
+    step_scheduler(context, 0.0)
+    context.record.failures = 1
+
+
+@when("it leaves the role")
+def step_leaves(context):
+    context.role.on_left(SERVICE)
+
+
+@when('"{sender}" tells that {tokens:d} tokens passed there')
+def step_tells(context, sender, tokens):
+    async def hear():
+        message = UsesTold(SERVICE, (ToldUse("o", 0, tokens),))
+        context.network.handler(sender, message)
+        await asyncio.gather(*context.ledger._loading)
+
+    context.run(hear())
+
+
+@then("the others are told of its {tokens:d} tokens")
+def step_told(context, tokens):
+    assert {vm_id for vm_id, _ in context.network.sent} == {"vm-1", "vm-2"}
+    for _, message in context.network.sent:
+        assert sum(use.tokens for use in message.uses) == tokens
+
+
+@then("the new scheduler counts {tokens:d} tokens")
+def step_counts(context, tokens):
+    assert context.desk.taken == tokens, context.desk.taken
 
 
 @given("a store that fails once")
