Let a VM that follows another one's reads notice what it has missed

Found by reading the change as a newcomer: a row that went and came back unchanged was not passed on, so a VM that had seen it go alone would never have known the endpoint again. Change: what returns is passed on, and every message bears a hash of the endpoints and their leaving; who comes to another one reads the table whole. Scenario seen red without it.

--- a/src/pomelolane/messages/declarations.py
+++ b/src/pomelolane/messages/declarations.py
@@ -67,9 +67,12 @@
         after: Version behind which the changes begin.
         version: Version up to which they reach.
         changes: Records that have changed in substance.
+        state_hash: Hash of all that the sender knows of the source then; who comes to
+            another one has missed something.
     """
 
     source: str
     after: int
     version: int
     changes: tuple[RecordChange, ...] = ()
+    state_hash: int = 0
--- a/src/pomelolane/platform/sharing.py
+++ b/src/pomelolane/platform/sharing.py
@@ -51,10 +51,12 @@
         able = [peer.vm_id for peer in self._peers() if _may_read(peer)]
         return self._vm_id == min(able, default=self._vm_id)
 
-    def pass_on(self, after: int, version: int, rows: Iterable[StoredRow]) -> None:
+    def pass_on(
+        self, after: int, version: int, rows: Iterable[StoredRow], state_hash: int
+    ) -> None:
         """Tell the others of the data centre what was read."""
         changes = tuple(RecordChange(r.key, r.value, r.deleted) for r in rows)
-        message = WatchedChanges(self._table, after, version, changes)
+        message = WatchedChanges(self._table, after, version, changes, state_hash)
         for peer in self._peers():
             if peer.vm_id != self._vm_id:
                 self._transport.send(peer.vm_id, message)
--- a/src/pomelolane/platform/watches.py
+++ b/src/pomelolane/platform/watches.py
@@ -11,6 +11,9 @@
 import random
 from typing import TYPE_CHECKING
 
+import msgspec
+import xxhash
+
 from pomelolane import events
 from pomelolane.logs import log_event
 from pomelolane.platform.documents import configuration_from_json, endpoint_from_row
@@ -265,8 +268,16 @@
         )
         self._after = self._version = news.version
         self._take(rows, whole=False)
+        if self._state_hash() != news.state_hash:
+            # Something was missed, such as a row that went and came back unchanged.
+            self._after = -1
+            return
         self._publish()
 
+    def _state_hash(self) -> int:
+        states = sorted((key, one.leaving) for key, one in self._endpoints.items())
+        return xxhash.xxh32_intdigest(msgspec.msgpack.encode(states))
+
     async def _step(self) -> None:
         after = self._after
         whole = after < 0
@@ -283,7 +294,7 @@
         changed = self._take(snapshot.rows, whole=whole)
         self._publish()
         if self._shared is not None and not whole and self._shared.is_reader:
-            self._shared.pass_on(after, self._after, changed)
+            self._shared.pass_on(after, self._after, changed, self._state_hash())
 
     def _take(self, rows: Sequence[StoredRow], *, whole: bool) -> list[StoredRow]:
         """Adopt rows; return those that changed in more than their heartbeat."""
@@ -294,8 +305,8 @@
             gone |= self._values.keys() - {row.key for row in present}
         changed = [row for row in rows if row.deleted]
         for row in present:
-            self._missing_since_ms.pop(row.key, None)
-            before = self._endpoints.get(row.key)
+            was_missing = self._missing_since_ms.pop(row.key, None) is not None
+            before = None if was_missing else self._endpoints.get(row.key)
             self._values[row.key] = row.value
             self._decode(row.key)
             if self._endpoints.get(row.key) != before:
--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -18,6 +18,10 @@
     When "a" is draining
     Then in the next 2500 ms "a" makes no call and "b" makes at least 2
 
+  Scenario: A VM that has lost an endpoint which the reader still has reads the table anew
+    When "b" alone takes "p1" for gone
+    Then every VM knows "p1" within 2500 ms
+
   Scenario: Changes behind a gap are not taken
     When "b" hears of changes that begin behind what it has read
     Then "b" has taken none of them
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -10,7 +10,7 @@
 from pomelolane.forwarding import CurrentConfiguration, EndpointDirectory
 from pomelolane.messages import RecordChange, WatchedChanges
 from pomelolane.platform.documents import LimitWindow, configuration_from_json
-from pomelolane.platform.storeclient import StoreClient
+from pomelolane.platform.storeclient import StoreClient, StoredRow
 from pomelolane.platform.watches import EndpointWatch
 from pomelolane.ports import Peer, View
 from standins.routed import MetadataStore, RoutedEndpoint
@@ -117,6 +117,22 @@
     context.vms[name].watch._take_shared(message)
 
 
+@when('"{name}" alone takes "{endpoint}" for gone')
+def step_alone_gone(context, name, endpoint):
+    watch = context.vms[name].watch
+    watch._take((StoredRow(endpoint, 1, b"", deleted=True),), whole=False)
+    watch._publish()
+    assert endpoint not in context.vms[name].directory.all
+
+
+@then('every VM knows "{name}" within {ms:d} ms')
+def step_all_have(context, name, ms):
+    def known():
+        return all(name in vm.directory.all for vm in context.vms.values())
+
+    context.run(wait_until(known, ms / 1000, "not all know it"))
+
+
 @then('every VM knows within {ms:d} ms that "{name}" is leaving')
 def step_all_know(context, ms, name):
     def known():
