Bound what is remembered of read prompts

Found by reading the change as a newcomer: where no pause is declared, or in a plain service, nothing ever pruned the list, one entry a request.

--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -19,6 +19,9 @@
 _PROBES_AT_ONCE = 1
 _SILENT_UNTIL_SUSPECT = 2
 _PACE_STEP = 0.1
+_READ_PROMPTS = 64
+"""Prompts that are remembered as read of late: more than an engine reads in a pause."""
+
 _LONGER_SHARE = 0.3
 """Part of the expected length that an answer beyond it is taken to have left."""
 
@@ -97,7 +100,9 @@
     failures: int = 0
     piece_ms: float = 0.0
     heard_ms: float = 0.0
-    read_prompts: deque[tuple[float, int]] = field(default_factory=deque)
+    read_prompts: deque[tuple[float, int]] = field(
+        default_factory=lambda: deque(maxlen=_READ_PROMPTS)
+    )
 
     def has_place(self, share: float, now_ms: float, *, in_need: bool = False) -> bool:
         """Tell whether one more request may go here now.
--- a/tests/scheduler/objective.feature
+++ b/tests/scheduler/objective.feature
@@ -88,6 +88,13 @@
     And 1000 tokens pass at 4000 ms
     Then 100 tokens must wait 3500 ms at 8500 ms
 
+  Scenario: What is remembered of read prompts is bounded
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 4     |
+    When 500 requests of 100 prompt tokens are served
+    Then at most 64 read prompts are remembered
+
   Scenario: One silent request does not make an endpoint suspect
     Given an objective core with the endpoints
       | endpoint | slots |
--- a/tests/steps/objective_steps.py
+++ b/tests/steps/objective_steps.py
@@ -134,6 +134,21 @@
         _submit_stream(context, name, tokens, context.gap_ms)
 
 
+@when("{count:d} requests of {tokens:d} prompt tokens are served")
+def step_prompts_served(context, count, tokens):
+    for number in range(count):
+        name = f"read{number}"
+        _submit_stream(context, name, tokens, 0)
+        context.core.event(name, ttft_ms=20.0)
+        context.core.event(name, finished=True)
+
+
+@then("at most {most:d} read prompts are remembered")
+def step_prompts_bounded(context, most):
+    (worker,) = context.core.core._workers.values()
+    assert 0 < len(worker.read_prompts) <= most
+
+
 @when('"{name}" begins to answer')
 def step_begins(context, name):
     context.core.event(name, ttft_ms=140.0)
