--- /dev/null
+++ b/tests/scheduler/load/plain_overload.feature
@@ -0,0 +1,22 @@
+Feature: A plain service that is asked for more than it can answer
+  Seen: for as long as more was asked of a plain service than it could answer, half to
+  two thirds of its answers were late, by about the time of one call, although hundreds
+  of requests a second were refused because they could only be late.
+  How it came about: requests wait by the time at which they are due. One that had just
+  become too late was due first, so it was sent before those that could still be on
+  time, and these became too late in turn.
+  What proved it: the load below, without a network, and the order of grants in the log.
+
+  Pattern: 4 endpoints of 6 slots take 80 ms for each call and are asked for 350 to 480
+  calls a second for four seconds, or for 220 by two endpoints for twelve seconds. Of
+  what they answer then, nine in ten answers can be on time; the bounds leave room for
+  arrivals in clumps.
+
+  Scenario: What a full plain service answers is on time
+    When a plain service with 6 slots an endpoint that takes 80 ms is played
+      | endpoints | factor | seconds |
+      | 4         | 2.2    | 4       |
+      | 4         | 3.0    | 4       |
+      | 2         | 1.4    | 12      |
+    Then each time at least 0.7 of its answers to "quoted" are on time
+    And each time at least 0.9 of its answers to "checked" are on time
--- /dev/null
+++ b/tests/steps/scheduler_load_plain_steps.py
@@ -0,0 +1,54 @@
+"""Steps of tests/scheduler/load: a plain service that is full, without a network."""
+
+from behave import then, when
+
+from bench.lab.plain import PlainKind, PlainLoad, play_plain_load, share_on_time
+from pomelolane.scheduler.objective import make_objective_core
+
+BURST_FROM_MS = 2_000.0
+CALM_MS = 4_000.0
+
+KINDS = (
+    PlainKind("checked", rank=0, per_s=30, objective_ms=385, limit_ms=4_200),
+    PlainKind("quoted", rank=2, per_s=120, objective_ms=384, limit_ms=4_186),
+    # It names no time within which an answer is due.
+    PlainKind("untimed", rank=3, per_s=12, objective_ms=950, limit_ms=950),
+)
+
+
+@when(
+    "a plain service with {slots:d} slots an endpoint that takes {work_ms:d} ms"
+    " is played"
+)
+def step_play(context, slots, work_ms):
+    context.bursts = [_burst(row, slots, work_ms) for row in context.table]
+
+
+def _burst(row, slots, work_ms):
+    """Return the calls that came in a burst, with what became of them."""
+    until_ms = BURST_FROM_MS + float(row["seconds"]) * 1000
+    burst = (BURST_FROM_MS, until_ms, float(row["factor"]))
+    endpoints = int(row["endpoints"])
+    length_ms = until_ms + CALM_MS
+    load = PlainLoad(endpoints, slots, work_ms, KINDS, (burst,), length_ms)
+    calls = play_plain_load(load, make_objective_core).calls
+    return [call for call in calls if BURST_FROM_MS <= call.at_ms < until_ms]
+
+
+def _each(context, kind):
+    return [[c for c in calls if c.kind.name == kind] for calls in context.bursts]
+
+
+@then('each time at least {share:f} of its answers to "{kind}" are on time')
+def step_on_time(context, share, kind):
+    shares = [share_on_time(calls) for calls in _each(context, kind)]
+    assert min(shares) >= share, shares
+
+
+@then('each time at most {share:f} of the callers of "{kind}" leave')
+def step_leave(context, share, kind):
+    shares = [
+        sum(call.state == "left" for call in calls) / len(calls)
+        for calls in _each(context, kind)
+    ]
+    assert max(shares) <= share, shares
