--- a/tests/scheduler/load/plain_overload.feature
+++ b/tests/scheduler/load/plain_overload.feature
@@ -11,6 +11,11 @@
   calls a second for four seconds, or for 220 by two endpoints for twelve seconds. Of
   what they answer then, 96 in 100 answers and more can be on time (four seeds).
 
+  Seen: callers of the least urgent routes waited until their time was over and left
+  without an answer, nine in ten of them. How it came about: a wait was predicted from
+  what waited at that moment, and the more urgent requests still to come went first. A
+  request without an objective was kept until the very moment at which its caller left.
+
   Scenario: What a full plain service answers is on time
     When a plain service with 6 slots an endpoint that takes 80 ms is played
       | endpoints | factor | seconds |
@@ -20,11 +25,6 @@
     Then each time at least 0.9 of its answers to "quoted" are on time
     And each time at least 0.9 of its answers to "checked" are on time
 
-  Seen: callers of the least urgent routes waited until their time was over and left
-  without an answer, nine in ten of them. How it came about: a wait was predicted from
-  what waited at that moment, and the more urgent requests still to come went first. A
-  request without an objective was kept until the very moment at which its caller left.
-
   Scenario: Callers that would wait in vain are told soon
     When a plain service with 6 slots an endpoint that takes 80 ms is played
       | endpoints | factor | seconds |
