Count what waited for a slot from its grant on

Cause: an organisation's tokens were counted when its request arrived, and ran when it was granted a slot, up to seconds later in an overload; what waited together ran in a span in which it was not counted any more. Seen red: 600 tokens that waited 4 s and were granted left room for 1,000 of 1,000 4.1 s later, now 400.

Sums of spans are kept instead of being made anew for each request (an organisation that floods has thousands of uses in a span).

--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -158,6 +158,26 @@
                 account.window.take(tokens, now_ms)
         return None
 
+    def granted(
+        self, handle: Handle, tokens: int, taken_ms: float, now_ms: float
+    ) -> None:
+        """Count a request that has waited for a slot from now on.
+
+        It runs now; counted from its arrival, those that wait together in a burst
+        run in a later span than they are counted in.
+
+        Args:
+            handle: The request.
+            tokens: What it was charged.
+            taken_ms: When it was charged.
+            now_ms: The time.
+        """
+        if _is_charged(handle) or taken_ms == now_ms:
+            return
+        for account in self._accounts(handle):
+            if account.window is not None:
+                account.window.move(tokens, taken_ms, now_ms)
+
     def correct(self, handle: Handle, tokens: int) -> None:
         """Charge tokens beyond the expected ones, or give some back."""
         for account in self._accounts(handle):
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -357,7 +357,8 @@
         handle = waiting.handle
         self._waiting.remove(handle.request_id)
         flight = self._fleet.begin(worker, handle, now_ms)
-        flight.charged_ms = waiting.submitted_ms
+        flight.charged_ms = now_ms
+        self._limits.granted(handle, handle.charge_tokens, waiting.submitted_ms, now_ms)
         self._flights[handle.request_id] = worker.endpoint.endpoint_id
         slot_ms = worker.duration_ms(handle)
         self._admission.granted(handle.tier_rank, slot_ms, now_ms)
--- a/src/pomelolane/scheduler/spans.py
+++ b/src/pomelolane/scheduler/spans.py
@@ -90,6 +90,7 @@
         "_promised",
         "_spare",
         "_unrecorded",
+        "_used",
         "_window_ms",
     )
 
@@ -103,6 +104,7 @@
         self._assumed = 0.0
         self._assumed_until_ms = 0.0
         self._unrecorded = 0.0
+        self._used = 0.0
 
     def assume_used(self, part: float, now_ms: float) -> None:
         """Count what may have passed elsewhere as used just now.
@@ -116,6 +118,7 @@
 
     def restart(self) -> None:
         """Forget what others let pass, but a part of the guess: some is unrecorded."""
+        self._used -= _sum(self._past)
         self._past.clear()
         self._assumed *= _UNRECORDED_PART
 
@@ -142,7 +145,7 @@
 
     def add_past(self, amount: float, at_ms: float) -> None:
         """Count an amount that passed under an earlier scheduler."""
-        insort(self._past, (at_ms, amount))
+        self._add(self._past, at_ms, amount)
 
     def adopt(self, bound: float, spare: float) -> None:
         """Go on under another bound.
@@ -154,6 +157,7 @@
             part = bound / self._bound
             self._passed = _scaled(self._passed, part)
             self._past = _scaled(self._past, part)
+            self._used *= part
             self._assumed *= part
         self._bound = bound
         self._spare = spare
@@ -164,7 +168,7 @@
         Those who are told to come back get room one after the other.
         """
         self._forget(now_ms)
-        over = self._used() + self._assumed + min(amount, self._bound) - self._bound
+        over = self._used + self._assumed + min(amount, self._bound) - self._bound
         if over <= 0:
             return 0.0
         while self._promised and self._promised[0][0] <= now_ms:
@@ -181,23 +185,39 @@
 
     def take(self, amount: float, now_ms: float) -> None:
         """Let an amount pass."""
-        self._passed.append((now_ms, amount))
+        self._add(self._passed, now_ms, amount)
         self._unrecorded += amount
 
     def give_back(self, amount: float, taken_ms: float) -> None:
         """Undo an amount that was let pass at a time; both leave the span together."""
-        insort(self._passed, (taken_ms, -amount))
+        self._add(self._passed, taken_ms, -amount)
 
-    def _used(self) -> float:
-        own = sum(amount for _, amount in self._passed)
-        return own + sum(amount for _, amount in self._past)
+    def move(self, amount: float, taken_ms: float, now_ms: float) -> None:
+        """Count an amount that was let pass at a time as let pass now."""
+        self.give_back(amount, taken_ms)
+        self._add(self._passed, now_ms, amount)
+
+    def _add(
+        self, uses: list[tuple[float, float]], at_ms: float, tokens: float
+    ) -> None:
+        insort(uses, (at_ms, tokens))
+        self._used += tokens
 
     def _forget(self, now_ms: float) -> None:
         if now_ms >= self._assumed_until_ms:
             self._assumed = 0.0
         oldest_ms = now_ms - self._window_ms
         for uses in (self._passed, self._past):
-            del uses[: bisect_right(uses, (oldest_ms, float("inf")))]
+            old = bisect_right(uses, (oldest_ms, float("inf")))
+            self._used -= _sum(uses[:old])
+            del uses[:old]
+        if not self._passed and not self._past:
+            # No rounding is carried on.
+            self._used = 0.0
+
+
+def _sum(uses: list[tuple[float, float]]) -> float:
+    return sum(amount for _, amount in uses)
 
 
 def _scaled(uses: list[tuple[float, float]], part: float) -> list[tuple[float, float]]:
--- a/tests/scheduler/window.feature
+++ b/tests/scheduler/window.feature
@@ -56,3 +56,14 @@
     Given a window of 1000 tokens in 8000 ms with 400 to spare
     When 100 tokens pass at 0 ms
     Then 0.25 of the allowance is unrecorded
+
+  Scenario: What waited for a slot counts from when it was granted one
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 40    |
+    And the organisation "o" may use 1000 tokens in 8000 ms
+    When a request of 600 tokens of "o" waits 4000 ms for its slot
+    And 4100 ms pass, with 1.0 of the rates
+    Then the core lets 400 tokens of "o" pass
+    When 4000 ms pass, with 1.0 of the rates
+    Then the core lets 600 tokens of "o" pass
--- a/tests/steps/objective_steps.py
+++ b/tests/steps/objective_steps.py
@@ -309,6 +309,20 @@
     context.core.submit(msgspec.structs.replace(waiting, admitted=True))
 
 
+@when('a request of {tokens:d} tokens of "o" waits {ms:d} ms for its slot')
+def step_waits_for_slot(context, tokens, ms):
+    slots = sum(endpoint.slots for endpoint in context.core.endpoints)
+    others = [f"other{number}" for number in range(slots)]
+    for name in others:
+        context.core.submit(_charged(name, 0))
+    context.core.submit(_charged("r.0", tokens))
+    context.core.tick(ms)
+    assert "r.0" not in context.core.decisions
+    for name in others:
+        context.core.end(name)
+    assert isinstance(context.core.result("r.0"), Grant)
+
+
 @then('"o" has used {tokens:d} tokens')
 def step_has_used(context, tokens):
     uses = context.core.core.uses(context.core.now)
