Tick four times less often where nothing waits for it

Change: 100 ms between ticks of a VM that holds no desk and no waiting request; the role's ticks go by the clock. The scenario was seen red at 25 ms.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -127,6 +127,11 @@
         if link is not None and not link.is_alone:
             link.sync()
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether anything here waits for a scheduler's word."""
+        return any(link.waiting or link.is_alone for link in self._links.values())
+
     def links(self) -> dict[str, Link]:
         """Return the links by service."""
         return self._links
--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -74,6 +74,7 @@
         self._transport = transport
         self._policy = policy
         self._timings = timings
+        self._clock = clock
         self._on_endpoint_leaving = on_endpoint_leaving
         self._tree = Tree()
         self._leaving: set[str] = set()
@@ -282,16 +283,25 @@
             self._told_leaving.add(endpoint_id)
             self._on_endpoint_leaving(endpoint_id)
 
+    @property
+    def period_ms(self) -> float:
+        """Time until the next tick: longer while nothing here waits for one."""
+        desks = self.role.desks() or self._local.desks()
+        if desks or self.client.is_waiting:
+            return self._timings.client_tick_ms
+        return self._timings.calm_tick_ms
+
     async def _tick_forever(self) -> None:
-        period_s = self._timings.client_tick_ms / 1000
-        every = max(1, round(self._timings.role_tick_ms / self._timings.client_tick_ms))
-        ticks = 0
+        # Half a tick early is on time: sleeps are a little longer than asked for.
+        role_ms = self._timings.role_tick_ms - self._timings.client_tick_ms / 2
+        role_ticked_ms = 0.0
         while True:
-            await asyncio.sleep(period_s)
-            ticks += 1
+            await asyncio.sleep(self.period_ms / 1000)
+            now_ms = self._clock.now_ms()
             try:
                 self.tick_client()
-                if ticks % every == 0:
+                if now_ms - role_ticked_ms >= role_ms:
+                    role_ticked_ms = now_ms
                     self.tick_role()
             except Exception as error:  # a tick must not end the others
                 log_event(TASK_FAILED, task="coordination", error=repr(error))
--- a/src/pomelolane/coordination/options.py
+++ b/src/pomelolane/coordination/options.py
@@ -17,6 +17,10 @@
 
     Attributes:
         client_tick_ms: Period in which a gateway checks deadlines.
+        calm_tick_ms: The same while nothing waits there and it schedules nothing: a
+            third of the time that questions may stay unanswered. On a fleet of 70 VMs
+            two or three schedule, and ticks every 25 ms are a third of what an idle VM
+            does (profile: 0.4 of 1.2% of a host core).
         role_tick_ms: Period in which a scheduler drives its cores.
         reply_ms: A question unanswered for this long is asked again.
         reply_attempts: Questions unanswered after which a VM is suspected.
@@ -40,6 +44,7 @@
     """
 
     client_tick_ms: float = 25.0
+    calm_tick_ms: float = 100.0
     role_tick_ms: float = 50.0
     reply_ms: float = 300.0
     reply_attempts: int = 2
--- a/tests/coordination/role.feature
+++ b/tests/coordination/role.feature
@@ -203,3 +203,9 @@
     Then all coordinated requests run exactly once
     And every request of tier 0 ran before those of tier 2
     And no coordinated endpoint ever ran more than its slots
+
+  Scenario: A VM that schedules nothing and waits for nothing ticks less often
+    Given all coordinated slots are taken for 800 ms
+    Then the scheduler's VM ticks every 25 ms and the others every 100 ms
+    When "others" asks for 1 slots of tier 1
+    Then the VMs that wait tick every 25 ms
--- a/tests/steps/coordination_steps.py
+++ b/tests/steps/coordination_steps.py
@@ -60,6 +60,25 @@
     assert len(world.order) == len(context.fillers)
 
 
+@then(
+    "the scheduler's VM ticks every {busy_ms:d} ms and the others every {calm_ms:d} ms"
+)
+def step_ticks(context, busy_ms, calm_ms):
+    world = world_of(context)
+    scheduler = world.scheduler()
+    for name, vm in world.vms.items():
+        expected_ms = busy_ms if name == scheduler else calm_ms
+        assert vm.coordination.period_ms == expected_ms, name
+
+
+@then("the VMs that wait tick every {ms:d} ms")
+def step_waiting_tick(context, ms):
+    world = world_of(context)
+    waiting = {r.gateway for r in in_flight(world) if not r.dispatches}
+    assert waiting
+    assert all(world.vms[name].coordination.period_ms == ms for name in waiting)
+
+
 @given("all coordinated slots take {for_ms:d} ms")
 def step_take(context, for_ms):
     world_of(context).run_ms = for_ms
