Take no other writer's entry for an endpoint, and no start for another

Cause: any entry that had a service, an address and a zone was used: addresses that are none, ports over 65,535, -3 slots (taken as 1), unknown states (taken as draining) and services; a value that was null or not base64 failed the read of a whole table; one unreadable row of the VMs' table or of the records of use raised out of their reads. An endpoint that starts again under its id kept the places, speed and suspicion of before.

Change: an entry needs all fields that the registry documents, each of its type; one event (endpoint_rejected) when it begins to be wrong; rows that cannot be read hide no other (row_rejected).

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -439,3 +439,17 @@
 ENDPOINT_GONE = _define(
     804, "endpoint_gone", "info", "endpoint version", "The registry lists it no more."
 )
+ENDPOINT_REJECTED = _define(
+    805,
+    "endpoint_rejected",
+    "warning",
+    "endpoint error version",
+    "Its entry in the registry cannot be read or be right; it gets no requests.",
+)
+ROW_REJECTED = _define(
+    806,
+    "row_rejected",
+    "warning",
+    "table row error",
+    "A row of the metadata store cannot be read; the others are used.",
+)
--- a/src/pomelolane/model.py
+++ b/src/pomelolane/model.py
@@ -115,6 +115,9 @@
         generation: Hardware generation, e.g. ``g1``.
         honours_fencing: Whether it refuses orders with an old fencing number.
         leaving: Whether the operator has marked it as leaving.
+        born_ms: When its process started, by its own clock; 0 where it does not say.
+            Another moment means another start, which holds and knows nothing of
+            the earlier one.
     """
 
     endpoint_id: str
@@ -128,6 +131,7 @@
     generation: str = "g1"
     honours_fencing: bool = False
     leaving: bool = False
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/platform/documents.py
+++ b/src/pomelolane/platform/documents.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
+from ipaddress import IPv4Address
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
@@ -23,10 +26,14 @@
 )
 from pomelolane.platform.errors import DocumentError
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 TEAM = ""
 """The platform has no teams; every organisation is in the unnamed one."""
 
 _TOKENS = "token_count"
+_LAST_PORT = 65_535
 
 
 _SPARE_SHARE = 0.8
@@ -117,14 +124,28 @@
     tenants: tuple[_Tenant, ...] = ()
 
 
-class _Server(msgspec.Struct):
-    """What the project calls an endpoint."""
+class _State(StrEnum):
+    READY = "ready"
+    DRAINING = "draining"
 
-    service: str
+
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Whole = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _Server(msgspec.Struct, rename="camel"):
+    """What the project calls an endpoint; other writers' entries lack fields."""
+
+    service: _Name
     address: str
-    zone: str
-    slots: int = 1
-    state: str = "ready"
+    zone: _Name
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: _State
+    cold_remaining_ms: float
+    sequence: _Whole
+    # Older endpoints do not tell it.
+    born: _Whole = 0
 
 
 _configurations = msgspec.json.Decoder(_Configuration)
@@ -168,29 +189,48 @@
 
 
 def endpoint_from_row(
-    endpoint_id: str, data: bytes, services: dict[str, Service]
+    endpoint_id: str, data: bytes, services: Mapping[str, Service]
 ) -> Endpoint:
     """Decode a registered endpoint.
 
+    Args:
+        endpoint_id: Its id.
+        data: The entry.
+        services: Those that are configured.
+
     Raises:
-        DocumentError: It cannot be read.
+        DocumentError: It cannot be read, or it cannot be an endpoint's entry.
     """
     try:
         server = _servers.decode(data)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise DocumentError(f"endpoint {endpoint_id}: {error}") from error
     service = services.get(server.service)
+    if service is None:
+        raise DocumentError(f"endpoint {endpoint_id}: its service is not configured")
+    if not _is_address(server.address):
+        raise DocumentError(f"endpoint {endpoint_id}: its address is not ip:port")
     return Endpoint(
         endpoint_id=endpoint_id,
         service=server.service,
         data_centre=server.zone,
         address=server.address,
-        slots=max(1, server.slots),
-        kv_tokens=service.kv_tokens if service is not None else 0,
-        leaving=server.state != "ready",
+        slots=server.slots,
+        kv_tokens=service.kv_tokens,
+        leaving=server.state is not _State.READY,
+        born_ms=server.born,
     )
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdecimal() and 0 < int(port) <= _LAST_PORT
+
+
 def _route(route: _Route) -> Route:
     targets = tuple(RouteTarget(one.service, one.weight) for one in route.split)
     if not targets:
--- a/src/pomelolane/platform/roster.py
+++ b/src/pomelolane/platform/roster.py
@@ -10,6 +10,8 @@
 import msgspec
 import zmq
 
+from pomelolane import events
+from pomelolane.logs import log_event
 from pomelolane.membership import ClusterKeys
 from pomelolane.membership.keys import SHARED_NAME
 from pomelolane.platform.errors import StoreUnavailableError
@@ -18,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from pomelolane.platform.storeclient import StoreClient
+    from pomelolane.platform.storeclient import StoreClient, StoredRow
     from pomelolane.ports import Clock
 
 TABLE = "vms"
@@ -48,7 +50,7 @@
     speak to the VMs.
 
     Raises:
-        StoreUnavailableError: The store does not answer.
+        StoreUnavailableError: The store does not answer, or not with keys.
     """
     found = await _read_keys(store)
     if found is None:
@@ -66,11 +68,18 @@
 async def _read_keys(store: StoreClient) -> _KeyPair | None:
     snapshot = await store.read(_KEY_TABLE)
     for row in snapshot.rows:
-        if row.key == _KEY_ROW:
-            return msgspec.json.decode(row.value, type=_KeyPair)
+        if row.key == _KEY_ROW and not row.deleted:
+            return _key_pair(row.value)
     return None
 
 
+def _key_pair(value: bytes) -> _KeyPair:
+    try:
+        return msgspec.json.decode(value, type=_KeyPair)
+    except msgspec.DecodeError as error:
+        raise StoreUnavailableError(f"the common keys are no keys: {error}") from error
+
+
 class VmRoster:
     """The :class:`~pomelolane.ports.VmList` of this project's VMs.
 
@@ -118,12 +127,15 @@
             return self._listed
         self._reads += 1
         self._read_ms = now_ms
-        self._listed = tuple(
-            _listed(row.key, row.value) for row in snapshot.rows if not row.deleted
-        )
+        listed = (_listed(row) for row in snapshot.rows if not row.deleted)
+        self._listed = tuple(vm for vm in listed if vm is not None)
         return self._listed
 
 
-def _listed(vm_id: str, value: bytes) -> ListedVm:
-    entry = msgspec.json.decode(value, type=_Entry)
-    return ListedVm(vm_id, entry.data_centre, entry.address, leaving=False)
+def _listed(row: StoredRow) -> ListedVm | None:
+    try:
+        entry = msgspec.json.decode(row.value, type=_Entry)
+    except msgspec.DecodeError as error:
+        log_event(events.ROW_REJECTED, table=TABLE, row=row.key, error=error)
+        return None
+    return ListedVm(row.key, entry.data_centre, entry.address, leaving=False)
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -5,7 +5,7 @@
 import asyncio
 import base64
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
 import msgspec
@@ -40,7 +40,8 @@
     # Counter value of the transaction that wrote the row, not a count of the
     # row's own changes.
     ver: int = 0
-    value: str = ""
+    # Text that encodes bytes, if a right-minded writer wrote it.
+    value: Any = ""
     # Set where the row was deleted.
     tombstone: bool = False
 
@@ -60,7 +61,7 @@
     Attributes:
         key: Its key.
         version: Version of the store at its last change.
-        value: Its bytes.
+        value: Its bytes, none where they cannot be read.
         deleted: Whether it is no more.
     """
 
@@ -239,5 +240,18 @@
 
 
 def _stored(row: _Row) -> StoredRow:
-    value = b"" if row.tombstone else base64.b64decode(row.value)
+    value = b"" if row.tombstone else _bytes_from_text(row.value)
     return StoredRow(row.key, row.ver, value, row.tombstone)
+
+
+def _bytes_from_text(value: object) -> bytes:
+    """Return a row's bytes; none, which nothing decodes, where they cannot be read.
+
+    One row of another writer must not hide all the others of its table.
+    """
+    if not isinstance(value, str):
+        return b""
+    try:
+        return base64.b64decode(value, validate=True)
+    except ValueError:
+        return b""
--- a/src/pomelolane/platform/userecord.py
+++ b/src/pomelolane/platform/userecord.py
@@ -10,12 +10,14 @@
 
 import msgspec
 
+from pomelolane import events
+from pomelolane.logs import log_event
 from pomelolane.scheduler.spans import Use
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from pomelolane.platform.storeclient import StoreClient
+    from pomelolane.platform.storeclient import StoreClient, StoredRow
 
 _TABLE = "uses"
 _OLDEST_MS = 20_000
@@ -84,7 +86,9 @@
         for row in snapshot.rows:
             if row.deleted or not row.key.startswith(f"{service}/"):
                 continue
-            record = msgspec.json.decode(row.value, type=_Record)
+            record = _record(row)
+            if record is None:
+                continue
             if row.key == self._key(service):
                 self._keep_former(service, record)
                 continue
@@ -103,6 +107,14 @@
         return f"{service}/{self._vm_id}"
 
 
+def _record(row: StoredRow) -> _Record | None:
+    try:
+        return msgspec.json.decode(row.value, type=_Record)
+    except msgspec.DecodeError as error:
+        log_event(events.ROW_REJECTED, table=_TABLE, row=row.key, error=error)
+        return None
+
+
 def _young(entries: Iterable[_Entry], now_ms: int) -> list[_Entry]:
     return [entry for entry in entries if now_ms - entry.at_ms < _OLDEST_MS]
 
--- a/src/pomelolane/platform/watches.py
+++ b/src/pomelolane/platform/watches.py
@@ -204,6 +204,7 @@
         self._trouble = _Trouble("endpoints", clock)
         self._values: dict[str, bytes] = {}
         self._endpoints: dict[str, Endpoint] = {}
+        self._rejected: dict[str, str] = {}
         self._shared: SharedReads | None = None
         self._missing_since_ms: dict[str, float] = {}
         self._grace_until_ms = 0.0
@@ -275,7 +276,9 @@
         self._publish()
 
     def _state_hash(self) -> int:
-        states = sorted((key, one.leaving) for key, one in self._endpoints.items())
+        states = sorted(
+            (key, one.leaving, one.born_ms) for key, one in self._endpoints.items()
+        )
         return xxhash.xxh32_intdigest(msgspec.msgpack.encode(states))
 
     async def _step(self) -> None:
@@ -323,18 +326,31 @@
         for key in self._missing_since_ms:
             self._values.pop(key, None)
             self._endpoints.pop(key, None)
+            self._rejected.pop(key, None)
         self._missing_since_ms.clear()
 
     def _decode(self, key: str) -> None:
         configuration = self._current.value
-        services = configuration.services if configuration is not None else {}
+        if configuration is None:
+            # Nobody can say yet which services there are.
+            return
         try:
-            endpoint = endpoint_from_row(key, self._values[key], services)
+            endpoint = endpoint_from_row(key, self._values[key], configuration.services)
         except DocumentError as error:
             self._endpoints.pop(key, None)
-            log_event(events.CONFIGURATION_REJECTED, error=error, version=self._version)
+            self._reject(key, str(error))
         else:
             self._endpoints[key] = endpoint
+            self._rejected.pop(key, None)
+
+    def _reject(self, key: str, error: str) -> None:
+        """Tell of a wrong entry once; its writer may repeat it every second."""
+        if self._rejected.get(key) == error:
+            return
+        self._rejected[key] = error
+        log_event(
+            events.ENDPOINT_REJECTED, endpoint=key, error=error, version=self._version
+        )
 
     def _decode_all(self) -> None:
         """Read all rows anew: the configuration names the services."""
@@ -343,7 +359,7 @@
         self._publish(confirms=False)
 
     def _publish(self, *, confirms: bool = True) -> None:
-        if self.is_read:
+        if self.is_read and self._current.value is not None:
             endpoints = dict(self._endpoints)
             self._directory.replace(endpoints, self._version, confirms=confirms)
 
--- a/src/pomelolane/scheduler/objective/fleet.py
+++ b/src/pomelolane/scheduler/objective/fleet.py
@@ -58,11 +58,16 @@
     # --- settings -----------------------------------------------------------
 
     def configure(self, endpoints: Mapping[str, Endpoint]) -> list[str]:
-        """Adopt the declared endpoints; return the requests of those that left."""
+        """Adopt the declared endpoints; return the requests of those that are gone.
+
+        One that was started again is gone as well, with all that is known of it.
+        """
         lost: list[str] = []
-        for name in [name for name in self._workers if name not in endpoints]:
-            lost.extend(self._workers.pop(name).flights)
-            self._with_room.pop(name, None)
+        for name, worker in list(self._workers.items()):
+            endpoint = endpoints.get(name)
+            if endpoint is None or endpoint.born_ms != worker.endpoint.born_ms:
+                lost.extend(self._workers.pop(name).flights)
+                self._with_room.pop(name, None)
         for name, endpoint in endpoints.items():
             worker = self._workers.get(name)
             if worker is None:
--- a/standins/routed/store.py
+++ b/standins/routed/store.py
@@ -83,6 +83,12 @@
         self._tell()
         return self._version
 
+    def put_as_it_is(self, table: str, key: str, value: Any) -> None:
+        """Write a row whose value need not be text that encodes bytes."""
+        self._version += 1
+        self._rows[table, "", key] = _Row(value, self._version)
+        self._tell()
+
     def delete(self, table: str, key: str) -> None:
         """Delete a row."""
         self._version += 1
--- a/tests/scheduler/objective.feature
+++ b/tests/scheduler/objective.feature
@@ -197,3 +197,20 @@
       | count | events | least | most |
       | 200   | 10     | 9     | 11   |
       | 200   | 80     | 72    | 88   |
+
+  Scenario: An endpoint that was started again holds and knows nothing of before
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 2     |
+    And "one" has broken 3 connections in a row
+    And every slot is taken
+    When "one" starts again under its id
+    And the objective core is given
+      | id     | rank | objective_ms |
+      | first  | 1    | 500          |
+      | second | 1    | 500          |
+    Then "first" is granted on "one"
+    And "second" is granted on "one"
+    And "one" is taken to be as fast and sound as an unknown one
+    When word comes of a request that the earlier start of "one" ran
+    Then 2 requests run on "one"
--- a/tests/steps/objective_steps.py
+++ b/tests/steps/objective_steps.py
@@ -1,5 +1,7 @@
 """Steps of the objective policy and of limits in a sliding span."""
 
+from dataclasses import replace
+
 import msgspec
 from behave import given, then, when
 from scheduler_driver import CoreDriver, endpoint_from_row, make_handle
@@ -410,3 +412,33 @@
     worker = next(iter(context.core.core._fleet))
     events = worker._expected_pieces(_handle("expected", decode=tokens))
     assert least <= events <= most, events
+
+
+@when('"{endpoint}" starts again under its id')
+def step_starts_again(context, endpoint):
+    context.before = next(iter(context.core.running))
+    context.core.endpoints = [
+        replace(one, born_ms=one.born_ms + 1) if one.endpoint_id == endpoint else one
+        for one in context.core.endpoints
+    ]
+    context.core.configure(context.core.endpoints)
+
+
+@then('"{endpoint}" is taken to be as fast and sound as an unknown one')
+def step_unknown(context, endpoint):
+    figures = context.core.core.status()[endpoint]
+    assert figures.slowdown == 1.0, figures
+    assert figures.fail_share == 0.0, figures
+    assert not figures.suspended, figures
+
+
+@when('word comes of a request that the earlier start of "{endpoint}" ran')
+def step_late_word(context, endpoint):
+    del endpoint
+    context.core.event(context.before, ttft_ms=9_000.0)
+    context.core.event(context.before, finished=True, outcome="failed")
+
+
+@then('{count:d} requests run on "{endpoint}"')
+def step_run_on(context, count, endpoint):
+    assert context.core.core.status()[endpoint].running == count
