Count answers that began within their objective, and those that did not

No metric told a full service that answers late from one that refuses in time: the first hypothesis of the incident had to be read off logs of 70 VMs.

--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -451,5 +451,7 @@
         return budget
 
     def _observe_first(self, state: CallState) -> None:
-        first_ms = self._clock.now_ms() - state.call.accepted_ms
-        metrics.observe_first(state.call.service, first_ms)
+        call = state.call
+        first_ms = self._clock.now_ms() - call.accepted_ms
+        objective_ms = call.route.objective_ms
+        metrics.observe_first(call.service, call.rank, first_ms, objective_ms)
--- a/src/pomelolane/forwarding/metrics.py
+++ b/src/pomelolane/forwarding/metrics.py
@@ -15,6 +15,10 @@
     "Time from a request's head to the first byte of its answer.",
     buckets=_BUCKETS_S,
 )
+_BEGUN = Counter(
+    "pomelolane_forwarded_begun_total",
+    "Answers that began, by service, rank and whether within the objective.",
+)
 _HELD = Histogram(
     "pomelolane_forwarded_wait_seconds",
     "Time that a request waited for a slot.",
@@ -57,9 +61,14 @@
     _HELD.observe({"service": service}, wait_ms / 1000)
 
 
-def observe_first(service: str, first_ms: float) -> None:
-    """Observe when an answer began."""
+def observe_first(
+    service: str, rank: int, first_ms: float, objective_ms: float
+) -> None:
+    """Observe when an answer began, and whether in time; 0 for no objective."""
     _FIRST.observe({"service": service}, first_ms / 1000)
+    in_time = not objective_ms or first_ms <= objective_ms
+    labels = {"service": service, "rank": str(rank), "in_time": str(in_time).lower()}
+    _BEGUN.inc(labels)
 
 
 def count_store_call(call: str, status: int, sent: int, received: int) -> None:
--- a/tests/platform/serving.feature
+++ b/tests/platform/serving.feature
@@ -16,6 +16,12 @@
     And exactly one endpoint ran "POST /plain/a?x=1&y HTTP/1.1" with the body "abc"
     And that request carried the organisation and the endpoint's id, and no key
 
+  Scenario: An answer that begins in time is counted as such
+    When a caller sends "GET /plain/a"
+    Then the answer is 200 and the endpoint's own
+    And the metrics count 1 answer of "portal" that began in time
+    And the balancer's listener knows no page "/elsewhere"
+
   Scenario: What only the system may set does not pass
     When a caller sends "GET /plain/a" with the headers
       | header          | value |
--- a/tests/steps/platform_serving_steps.py
+++ b/tests/steps/platform_serving_steps.py
@@ -7,6 +7,7 @@
 from bench.processes import wait_until
 from standins.routed.endpoint import Fault
 from standins.routed.store import Trouble
+from standins.routed.vm import exchange
 from tests.routed_world import HOST, ORGANISATION, RoutedWorld, caller_headers
 
 MOST_TRIES = 30
@@ -266,3 +267,25 @@
     for name in names.split(", "):
         found = [line["request"] for line in context.vm.events(name)]
         assert context.request_id in found, (name, found)
+
+
+@then('the metrics count {count:d} answer of "{service}" that began in time')
+def step_begun(context, count, service):
+    answer = context.run(_page(context, "/metrics"))
+    assert answer.status == 200, answer.data
+    text = answer.body.decode()
+    name = "pomelolane_forwarded_begun_total"
+    lines = [line for line in text.splitlines() if line.startswith(name)]
+    expected = ('in_time="true"', f'service="{service}"', f" {count}")
+    assert len(lines) == 1, text
+    assert all(part in lines[0] for part in expected), lines
+
+
+@then('the balancer\'s listener knows no page "{path}"')
+def step_no_page(context, path):
+    assert context.run(_page(context, path)).status == 404
+
+
+async def _page(context, path):
+    vm = context.vm
+    return await exchange(vm.ip, vm.probe.port, f"GET {path} HTTP/1.1")
