--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -133,7 +133,7 @@
         if refusal is not None:
             return [Decision(request_id, refusal)]
         waiting = waiting_from_handle(handle, now_ms)
-        refusal = self._hopeless(waiting, now_ms)
+        refusal = self._refuse_arrival(waiting, now_ms)
         if refusal is not None:
             self._give_back(waiting)
             return [Decision(request_id, refusal)]
@@ -236,7 +236,7 @@
         endpoint_id = self._flights.pop(request_id, "")
         self._fleet.end(endpoint_id, request_id)
 
-    def _hopeless(self, waiting: Waiting, now_ms: float) -> Refusal | None:
+    def _refuse_arrival(self, waiting: Waiting, now_ms: float) -> Refusal | None:
         """Refuse on arrival what could only be answered late."""
         handle = waiting.handle
         if not self._fleet.has_any(handle.excluded):
@@ -356,12 +356,12 @@
     def _grant(self, waiting: Waiting, worker: Worker, now_ms: float) -> Decision:
         handle = waiting.handle
         self._waiting.remove(handle.request_id)
+        slot_ms = worker.duration_ms(handle)
+        self._admission.granted(handle.tier_rank, slot_ms, now_ms)
         flight = self._fleet.begin(worker, handle, now_ms)
         flight.charged_ms = now_ms
         self._limits.granted(handle, handle.charge_tokens, waiting.submitted_ms, now_ms)
         self._flights[handle.request_id] = worker.endpoint.endpoint_id
-        slot_ms = worker.duration_ms(handle)
-        self._admission.granted(handle.tier_rank, slot_ms, now_ms)
         grant = Grant(
             handle.request_id, worker.endpoint.endpoint_id, flight.expected_ms
         )
--- a/src/pomelolane/scheduler/objective/fleet.py
+++ b/src/pomelolane/scheduler/objective/fleet.py
@@ -185,7 +185,7 @@
         Such a request is due before all others. Sent in its turn, it makes those
         behind it too late as well: of what a plain service answers that is asked for
         a fifth more than it can answer, .41 was on time, and .99 is if it waits behind
-        (means of the load pattern of full plain services).
+        (load pattern of full plain services, seed 1).
         """
         if waiting.late or not waiting.handle.objective_ms:
             return False
