--- a/bench/lab/plain.py
+++ b/bench/lab/plain.py
@@ -9,9 +9,9 @@
 import heapq
 import random
 from dataclasses import dataclass, field
-from itertools import count
 from typing import TYPE_CHECKING
 
+from bench.lab.queue import EventQueue
 from pomelolane.messages import Handle, StreamEvent
 from pomelolane.model import Endpoint, Service, ServiceKind, Team, Tier, Tree, Work
 from pomelolane.ports import Grant
@@ -138,9 +138,9 @@
         self._load = load
         self._core = make_core(SERVICE)
         self._core.configure(_tree(load), 0.0)
-        self._now_ms = 0.0
-        self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
-        self._sequence = count()
+        self._queue = EventQueue()
+        self._at = self._queue.at
+        self._after = self._queue.after
         self._open: dict[str, PlainCall] = {}
         self._busy: dict[str, list[float]] = {}
         self._draw = random.Random(load.seed + 1000)
@@ -152,9 +152,7 @@
             self._draw_arrivals(draw, kind)
         self._at(TICK_MS, self._tick)
         end_ms = self._load.length_ms + TAIL_MS
-        while self._events and self._events[0][0] < end_ms:
-            self._now_ms, _, function, arguments = heapq.heappop(self._events)
-            function(*arguments)
+        self._queue.run_until(end_ms)
         return self.play
 
     def _draw_arrivals(self, draw: random.Random, kind: PlainKind) -> None:
@@ -168,12 +166,9 @@
             self.play.calls.append(call)
             self._at(at_ms, self._send, call)
 
-    def _at(self, at_ms: float, function: Callable[..., None], *arguments) -> None:
-        entry = (at_ms, next(self._sequence), function, arguments)
-        heapq.heappush(self._events, entry)
-
-    def _after(self, for_ms: float, function: Callable[..., None], *arguments) -> None:
-        self._at(self._now_ms + for_ms, function, *arguments)
+    @property
+    def _now_ms(self) -> float:
+        return self._queue.now_ms
 
     def _send(self, call: PlainCall) -> None:
         call.tries += 1
--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import heapq
 from dataclasses import dataclass, field
-from itertools import count
 from typing import TYPE_CHECKING
 
 from bench.lab.day import DATA_CENTRES
 from bench.lab.engine import Engine, Run
+from bench.lab.queue import EventQueue
 from pomelolane.messages import Handle, StreamEvent
 from pomelolane.model import Endpoint, Service, ServiceKind, Team, Tier, Tree, Work
 from pomelolane.ports import Grant
@@ -97,9 +96,9 @@
         self._day = day
         self._make_core = make_core
         self._core = make_core(SERVICE)
-        self._now_ms = 0.0
-        self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
-        self._sequence = count()
+        self._queue = EventQueue()
+        self._at = self._queue.at
+        self._after = self._queue.after
         self._open: dict[str, Attempt] = {}
         self._down_until_ms = 0.0
         speeds = day.spec.speeds
@@ -123,17 +122,12 @@
             self._at(at_ms, self._restart)
         self._at(TICK_MS, self._tick)
         end_ms = day.length_ms + TAIL_MS
-        while self._events and self._events[0][0] < end_ms:
-            self._now_ms, _, function, arguments = heapq.heappop(self._events)
-            function(*arguments)
+        self._queue.run_until(end_ms)
         return self.play
 
-    def _at(self, at_ms: float, function: Callable[..., None], *arguments) -> None:
-        entry = (at_ms, next(self._sequence), function, arguments)
-        heapq.heappush(self._events, entry)
-
-    def _after(self, for_ms: float, function: Callable[..., None], *arguments) -> None:
-        self._at(self._now_ms + for_ms, function, *arguments)
+    @property
+    def _now_ms(self) -> float:
+        return self._queue.now_ms
 
     # --- callers ------------------------------------------------------------
 
