One VM of a data centre waits for the configuration; a VM that starts again reads the list once

Ruled out: passing it on without bound (a large document to 50 VMs fills a link of 10 Mbit/s for a second and more), and trusting one reader alone: who hears nothing for 0.45 to 0.54 of the time in which a configuration must be in force asks itself.

--- /dev/null
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -0,0 +1,205 @@
+"""Watch of the configuration in the metadata store.
+
+It changes seldom and must be in force soon, so it is waited for: by one VM of each
+data centre, which passes it on, and by each VM that hears nothing of that one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from pomelolane import events
+from pomelolane.logs import log_event
+from pomelolane.platform.documents import configuration_from_json
+from pomelolane.platform.errors import (
+    DocumentError,
+    HistoryLostError,
+    StoreUnavailableError,
+)
+from pomelolane.platform.sharing import SharedReads
+from pomelolane.platform.storeclient import StoredRow
+from pomelolane.platform.trouble import StoreTrouble
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pomelolane.forwarding import Configuration, CurrentConfiguration
+    from pomelolane.messages import WatchedChanges
+    from pomelolane.platform.documents import LimitWindow
+    from pomelolane.platform.storeclient import StoreClient
+    from pomelolane.ports import Clock, Membership, Transport
+
+_TABLE = "op"
+_KEY = "config"
+
+_WAIT_SHARE = 0.3
+"""Part of the time in which a configuration must be in force that a call waits for a
+change. Each answer tells the other VMs that nothing was missed until then."""
+
+_PATIENCE_SHARE = 0.45
+"""Part of that time after which a VM that hears nothing asks itself: a call's wait, its
+way, and the rest for an answer from the store and for putting it in force."""
+
+_PATIENCE_SPREAD = 1.2
+"""VMs that hear nothing ask one after the other: the first ones that hear again, from
+the next VM that asks for all, need not ask."""
+
+_MOST_PASSED_BYTES = 24_000
+"""Larger documents are only announced, and each VM reads them itself: passed to 50 VMs,
+this takes a second of a link of 10 Mbit/s."""
+
+_UNREAD_PAUSE_S = 0.1
+
+
+class ConfigurationWatch:
+    """Keeps the configuration in force up to date.
+
+    Args:
+        store: The store.
+        current: Where configurations are put in force.
+        clock: Time.
+        limit_window: How organisations' use is counted.
+        apply_ms: Time in which a change must be in force.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        current: CurrentConfiguration,
+        clock: Clock,
+        limit_window: LimitWindow,
+        apply_ms: int,
+    ) -> None:
+        self._store = store
+        self._limit_window = limit_window
+        self._current = current
+        self._clock = clock
+        self._wait_ms = int(apply_ms * _WAIT_SHARE)
+        spread = random.uniform(1.0, _PATIENCE_SPREAD)
+        self._patience_ms = apply_ms * _PATIENCE_SHARE * spread
+        self._trouble = StoreTrouble("configuration", clock)
+        self._shared: SharedReads | None = None
+        self._after = -1
+        self._confirmed_ms = 0.0
+        self._document_hash = 0
+        self._poll: asyncio.Task[None] | None = None
+
+    def share(
+        self, vm_id: str, data_centre: str, membership: Membership, transport: Transport
+    ) -> None:
+        """Ask for the other VMs of the data centre, or let one of them do so."""
+        self._shared = SharedReads(
+            _TABLE, vm_id, data_centre, membership, transport, self._take_shared
+        )
+
+    def refresh(self) -> None:
+        """Ask anew: a call from before an outage may never be answered."""
+        self._after = -1
+        if self._poll is not None:
+            self._poll.cancel()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            fresh_s = self._fresh_s()
+            if fresh_s > 0:
+                await asyncio.sleep(fresh_s)
+                continue
+            self._poll = asyncio.create_task(self._step())
+            try:
+                await asyncio.wait({self._poll})
+            finally:
+                self._poll.cancel()
+            if self._poll.cancelled():
+                continue
+            try:
+                self._poll.result()
+            except HistoryLostError:
+                self._after = -1
+            except StoreUnavailableError as error:
+                await asyncio.sleep(self._trouble.failed(error))
+
+    def _fresh_s(self) -> float:
+        """Return for how long what another VM has told is young enough."""
+        shared = self._shared
+        if shared is None or self._after < 0 or shared.is_reader:
+            return 0.0
+        age_ms = self._clock.now_ms() - self._confirmed_ms
+        return (self._patience_ms - age_ms) / 1000
+
+    async def _step(self) -> None:
+        after = self._after
+        if after < 0:
+            snapshot = await self._store.read(_TABLE)
+        else:
+            snapshot = await self._store.changes(_TABLE, after, self._wait_ms)
+        self._trouble.succeeded(snapshot.version)
+        self._take(snapshot.rows, snapshot.version)
+        if self._shared is not None and self._shared.is_reader:
+            self._pass_on(after, snapshot.rows)
+        if self._current.value is None and after < 0:
+            await asyncio.sleep(_UNREAD_PAUSE_S)
+
+    def _pass_on(self, after: int, rows: Sequence[StoredRow]) -> None:
+        if sum(len(row.value) for row in rows) > _MOST_PASSED_BYTES:
+            rows = ()
+        self._shared.pass_on(after, self._after, rows, self._document_hash)
+
+    def _take_shared(self, news: WatchedChanges) -> None:
+        """Take what another VM was told, unless something is missing before it."""
+        if not news.after <= self._after <= news.version:
+            return
+        rows = tuple(
+            StoredRow(one.key, news.version, one.value, one.deleted)
+            for one in news.changes
+        )
+        self._take(rows, news.version)
+        if self._document_hash != news.state_hash:
+            # It was too large to be passed on, or was read in another order.
+            self._after = -1
+
+    def _take(self, rows: Sequence[StoredRow], version: int) -> None:
+        self._after = max(self._after, version)
+        self._confirmed_ms = self._clock.now_ms()
+        for row in rows:
+            if row.key != _KEY or row.deleted:
+                continue
+            self._document_hash = xxhash.xxh32_intdigest(row.value)
+            self._adopt(row)
+
+    def _adopt(self, row: StoredRow) -> None:
+        try:
+            configuration = configuration_from_json(row.value, self._limit_window)
+        except DocumentError as error:
+            log_event(events.CONFIGURATION_REJECTED, error=error, version=row.version)
+            return
+        before = self._current.value
+        if self._current.adopt(configuration):
+            _log_applied(before, configuration)
+
+
+def _log_applied(before: Configuration | None, now: Configuration) -> None:
+    log_event(
+        events.CONFIGURATION_APPLIED,
+        version=now.version,
+        routes=len(now.routes),
+        services=len(now.services),
+        organisations=len(now.organisations),
+    )
+    known = before.organisations if before is not None else {}
+    for name, organisation in now.organisations.items():
+        limits = organisation.limits
+        if name in known and known[name].limits == limits:
+            continue
+        log_event(
+            events.ORGANISATION_LIMIT,
+            organisation=name,
+            tokens_per_s=limits.tokens_per_s,
+            burst_tokens=limits.burst_tokens,
+            requests_per_s=limits.requests_per_s,
+            version=now.version,
+        )
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -21,21 +21,22 @@
 )
 from pomelolane.logs import log_event
 from pomelolane.meeting import meet_others
+from pomelolane.platform.configurationwatch import ConfigurationWatch
 from pomelolane.platform.dialect import PlatformDialect
 from pomelolane.platform.early import NODE_FILE_VARIABLE
+from pomelolane.platform.endpointwatch import EndpointWatch
 from pomelolane.platform.errors import DocumentError, StoreUnavailableError
 from pomelolane.platform.nodefile import node_file_from_path
-from pomelolane.platform.roster import TABLE, VmRoster, shared_keys
+from pomelolane.platform.roster import VmRoster
 from pomelolane.platform.storeclient import StoreClient
 from pomelolane.platform.userecord import StoreUseRecord
-from pomelolane.platform.watches import ConfigurationWatch, EndpointWatch
 
 if TYPE_CHECKING:
     import socket
 
     from pomelolane.http.listener import Listener
-    from pomelolane.membership import ClusterKeys
     from pomelolane.platform.nodefile import NodeFile
+    from pomelolane.platform.roster import FirstContact
 
 METRICS_PORT = 9464
 """Port of the metrics address in deploy/system.toml."""
@@ -110,9 +111,14 @@
 
     async def _start(self) -> None:
         file = self._file
-        roster = VmRoster(self._store, self._clock)
+        peer_address = f"{file.ip}:{file.peer_port}"
+        roster = VmRoster(
+            self._store, self._clock, file.vm_id, file.data_centre, peer_address
+        )
         watch = EndpointWatch(self._store, self._directory, self._current, self._clock)
-        incarnation, keys = await self._first_contact()
+        contact = await self._first_contact(roster)
+        # By the store's steady clock: the time of day may jump between two starts.
+        incarnation = contact.now_ms + 1
         self._node = node = ForwardingNode(
             _options(file),
             incarnation,
@@ -120,7 +126,7 @@
             self._directory,
             PlatformDialect(),
             roster,
-            keys,
+            contact.keys,
             StoreUseRecord(self._store, file.vm_id, incarnation),
             self._clock,
         )
@@ -128,8 +134,9 @@
         watch.share(file.vm_id, file.data_centre, member, member.transport)
         self._background.start("endpoints", watch.run())
         configuration = ConfigurationWatch(
-            self._store, self._current, self._clock, file.limit_window
+            self._store, self._current, self._clock, file.limit_window, file.apply_ms
         )
+        configuration.share(file.vm_id, file.data_centre, member, member.transport)
         watch.on_regained(configuration.refresh)
         self._background.start("configuration", configuration.run())
         self._background.start("roster", self._enter(roster))
@@ -152,17 +159,11 @@
         await self._current.known()
         node.take_callers()
 
-    async def _first_contact(self) -> tuple[int, ClusterKeys]:
-        """Return the number of this start, and the VMs' keys.
-
-        The number is the store's steady clock: the time of day may have jumped
-        since the start before.
-        """
+    async def _first_contact(self, roster: VmRoster) -> FirstContact:
         pause_s = _FIRST_PAUSE_S
         while True:
             try:
-                now_ms = (await self._store.read(TABLE)).now_ms
-                return int(now_ms) + 1, await shared_keys(self._store)
+                return await roster.first_contact()
             except StoreUnavailableError as error:
                 log_event(events.STORE_LOST, what="start", error=error, age_ms=0)
             self._refuse_early()
@@ -176,12 +177,9 @@
             self._early = None
 
     async def _enter(self, roster: VmRoster) -> None:
-        file = self._file
         while True:
             try:
-                await roster.enter(
-                    file.vm_id, file.data_centre, f"{file.ip}:{file.peer_port}"
-                )
+                await roster.enter()
                 return
             except StoreUnavailableError as error:
                 log_event(events.STORE_LOST, what="roster", error=error, age_ms=0)
--- a/src/pomelolane/platform/roster.py
+++ b/src/pomelolane/platform/roster.py
@@ -5,7 +5,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 import zmq
@@ -23,17 +26,24 @@
     from pomelolane.platform.storeclient import StoreClient, StoredRow
     from pomelolane.ports import Clock
 
+_Kind = TypeVar("_Kind")
+
 TABLE = "vms"
-_KEY_TABLE = "keys"
-_KEY_ROW = "shared"
-FIRST_READS = 3
-"""Reads in a row after the start, while the others' rows come in."""
+_KEY_ROW = "/keys"
+"""Row of the VMs' common key pair: no VM has such a name."""
+
+_KEYS_SPREAD_S = 0.3
+"""Time over which VMs of a fleet that starts for the first time offer a key pair: the
+store writes a few hundred rows a second, and 200 VMs at once would wait for it."""
+
+_FIRST_READS = 3
+"""Reads in a row of a VM that was not on the list: others may have started with it."""
 
 PERIOD_MS = 10_000.0
 """Age up to which a read is used again later; heartbeats spread news sooner."""
 
 
-class _Entry(msgspec.Struct):
+class _Entry(msgspec.Struct, frozen=True):
     data_centre: str
     address: str
 
@@ -43,70 +53,88 @@
     private: str
 
 
-async def shared_keys(store: StoreClient) -> ClusterKeys:
-    """Return the VMs' common key pair, made by whichever VM comes first.
+@dataclass(frozen=True, slots=True)
+class FirstContact:
+    """What a starting VM learns of the store.
 
-    Who may read the store's table is a VM of this system; nobody else can
-    speak to the VMs.
-
-    Raises:
-        StoreUnavailableError: The store does not answer, or not with keys.
+    Attributes:
+        now_ms: The store's steady clock.
+        keys: The VMs' common keys.
     """
-    found = await _read_keys(store)
-    if found is None:
-        public, private = zmq.curve_keypair()
-        made = _KeyPair(public.decode(), private.decode())
-        rows = {_KEY_ROW: msgspec.json.encode(made)}
-        await store.write(_KEY_TABLE, rows, only_new=True)
-        found = await _read_keys(store)
-    if found is None:
-        raise StoreUnavailableError("the common keys were written and are not there")
-    public_key = found.public.encode()
-    return ClusterKeys(public_key, found.private.encode(), {SHARED_NAME: public_key})
-
-
-async def _read_keys(store: StoreClient) -> _KeyPair | None:
-    snapshot = await store.read(_KEY_TABLE)
-    for row in snapshot.rows:
-        if row.key == _KEY_ROW and not row.deleted:
-            return _key_pair(row.value)
-    return None
-
 
-def _key_pair(value: bytes) -> _KeyPair:
-    try:
-        return msgspec.json.decode(value, type=_KeyPair)
-    except msgspec.DecodeError as error:
-        raise StoreUnavailableError(f"the common keys are no keys: {error}") from error
+    now_ms: int
+    keys: ClusterKeys
 
 
 class VmRoster:
     """The :class:`~pomelolane.ports.VmList` of this project's VMs.
 
+    Who may read the store's table is a VM of this system: the keys that VMs prove to
+    each other stand there too.
+
     Args:
         store: The store.
         clock: Time.
+        vm_id: This VM.
+        data_centre: Where it stands.
+        address: ``ip:port`` at which other VMs reach it.
     """
 
-    def __init__(self, store: StoreClient, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        clock: Clock,
+        vm_id: str,
+        data_centre: str,
+        address: str,
+    ) -> None:
         self._store = store
         self._clock = clock
-        self._listed: tuple[ListedVm, ...] = ()
+        self._vm_id = vm_id
+        self._own = _Entry(data_centre, address)
+        self._entries: dict[str, _Entry] = {}
+        self._keys: _KeyPair | None = None
         self._reads = 0
+        self._first_reads = _FIRST_READS
         self._read_ms = 0.0
 
-    async def enter(self, vm_id: str, data_centre: str, address: str) -> None:
-        """Put this VM on the list.
+    async def first_contact(self) -> FirstContact:
+        """Read the list and the keys, made by whichever VM comes first.
+
+        A VM that starts again finds both in one call.
+
+        Raises:
+            StoreUnavailableError: The store does not answer, or not with keys.
+        """
+        now_ms = await self._read()
+        if self._vm_id in self._entries:
+            self._first_reads = 1
+        if self._keys is None:
+            await asyncio.sleep(random.uniform(0.0, _KEYS_SPREAD_S))
+            now_ms = await self._read()
+        if self._keys is None:
+            await self._offer_keys()
+            now_ms = await self._read()
+        if self._keys is None:
+            raise StoreUnavailableError("the common keys were written and not found")
+        public_key = self._keys.public.encode()
+        private_key = self._keys.private.encode()
+        keys = ClusterKeys(public_key, private_key, {SHARED_NAME: public_key})
+        return FirstContact(int(now_ms), keys)
+
+    async def enter(self) -> None:
+        """Put this VM on the list, unless it stands there as it is.
 
         Raises:
             StoreUnavailableError: The store does not take it.
         """
-        value = msgspec.json.encode(_Entry(data_centre, address))
-        await self._store.write(TABLE, {vm_id: value})
+        if self._entries.get(self._vm_id) != self._own:
+            value = msgspec.json.encode(self._own)
+            await self._store.write(TABLE, {self._vm_id: value})
 
     def vm_ids(self) -> list[str]:
         """Return the VMs on the list as last read, none before that."""
-        return [listed.vm_id for listed in self._listed]
+        return list(self._entries)
 
     async def read(self) -> Sequence[ListedVm]:
         """Return the list, which may be seconds old.
@@ -114,28 +142,42 @@
         Raises:
             StoreUnavailableError: It has never been read.
         """
-        now_ms = self._clock.now_ms()
-        is_young = now_ms - self._read_ms < PERIOD_MS
-        if self._reads >= FIRST_READS and is_young:
-            return self._listed
-        try:
-            snapshot = await self._store.read(TABLE)
-        except StoreUnavailableError:
-            # An older list still tells whom to try; the watches log the outage.
-            if self._reads == 0:
-                raise
-            return self._listed
+        is_young = self._clock.now_ms() - self._read_ms < PERIOD_MS
+        if self._reads < self._first_reads or not is_young:
+            try:
+                await self._read()
+            except StoreUnavailableError:
+                # An older list still tells whom to try; the watches log the outage.
+                if self._reads == 0:
+                    raise
+        return tuple(
+            ListedVm(vm_id, entry.data_centre, entry.address, leaving=False)
+            for vm_id, entry in self._entries.items()
+        )
+
+    async def _read(self) -> float:
+        """Read the table; return the store's clock."""
+        snapshot = await self._store.read(TABLE)
         self._reads += 1
-        self._read_ms = now_ms
-        listed = (_listed(row) for row in snapshot.rows if not row.deleted)
-        self._listed = tuple(vm for vm in listed if vm is not None)
-        return self._listed
+        self._read_ms = self._clock.now_ms()
+        rows = {row.key: row for row in snapshot.rows if not row.deleted}
+        key_row = rows.pop(_KEY_ROW, None)
+        if key_row is not None:
+            self._keys = _decoded(key_row, _KeyPair)
+        entries = {key: _decoded(row, _Entry) for key, row in rows.items()}
+        self._entries = {key: one for key, one in entries.items() if one is not None}
+        return snapshot.now_ms
+
+    async def _offer_keys(self) -> None:
+        public, private = zmq.curve_keypair()
+        made = _KeyPair(public.decode(), private.decode())
+        rows = {_KEY_ROW: msgspec.json.encode(made)}
+        await self._store.write(TABLE, rows, only_new=True)
 
 
-def _listed(row: StoredRow) -> ListedVm | None:
+def _decoded(row: StoredRow, kind: type[_Kind]) -> _Kind | None:
     try:
-        entry = msgspec.json.decode(row.value, type=_Entry)
+        return msgspec.json.decode(row.value, type=kind)
     except msgspec.DecodeError as error:
         log_event(events.ROW_REJECTED, table=TABLE, row=row.key, error=error)
         return None
-    return ListedVm(row.key, entry.data_centre, entry.address, leaving=False)
--- a/src/pomelolane/platform/sharing.py
+++ b/src/pomelolane/platform/sharing.py
@@ -48,8 +48,10 @@
     @property
     def is_reader(self) -> bool:
         """Whether this VM reads for the others of its data centre."""
-        able = [peer.vm_id for peer in self._peers() if _may_read(peer)]
-        return self._vm_id == min(able, default=self._vm_id)
+        staying = [peer for peer in self._peers() if not peer.draining]
+        # Where all have just started, one of them reads for those that start.
+        able = [peer for peer in staying if peer.ready] or staying
+        return self._vm_id == min((one.vm_id for one in able), default=self._vm_id)
 
     def pass_on(
         self, after: int, version: int, rows: Iterable[StoredRow], state_hash: int
@@ -69,7 +71,3 @@
         del sender
         if message.source == self._table:
             self._take(message)
-
-
-def _may_read(peer: Peer) -> bool:
-    return peer.ready and not peer.draining
--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -1,5 +1,6 @@
-Feature: One VM of a data centre reads the endpoints for the others
+Feature: One VM of a data centre reads the store for the others
   The others read themselves as soon as they hear nothing, or something is missing.
+  Endpoints are read once a second, the configuration is waited for.
 
   Background:
     Given a metadata store and the VMs "a" and "b" of one data centre that watch it
@@ -25,3 +26,37 @@
   Scenario: Changes behind a gap are not taken
     When "b" hears of changes that begin behind what it has read
     Then "b" has taken none of them
+
+  Scenario: A configuration that one VM is told of comes into force on the other
+    When the operator says version 5
+    Then every VM has version 5 within 500 ms
+    And in the next 2500 ms "b" has waited for no configuration
+
+  Scenario: A VM that hears nothing waits for the configuration itself
+    When messages between the VMs are lost
+    And the operator says version 5
+    Then every VM has version 5 within 2000 ms
+
+  Scenario: A configuration too large to be passed on is read by each VM
+    When the operator says version 5 with 400 more routes
+    Then every VM has version 5 within 1000 ms
+
+  Scenario: A VM without an own way to the store hears of the configuration
+    When "b" cannot reach the store
+    And the operator says version 5
+    Then every VM has version 5 within 1000 ms
+
+  Scenario: A reader that is cut off from the store holds up nobody
+    When "a" cannot reach the store
+    And the operator says version 5
+    Then "b" has version 5 within 2000 ms
+
+  Scenario: An older word of another VM does not take a configuration back
+    When the operator says version 5
+    Then every VM has version 5 within 500 ms
+    When "b" is told again of version 1
+    Then "b" has version 5 within 100 ms
+
+  Scenario: Among VMs that have all just started, one reads for the others
+    When neither VM takes callers yet
+    Then in the next 2500 ms "b" makes no call and "a" makes at least 2
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -40,6 +40,10 @@
   Scenario: Keys are the same for all VMs
     Then two VMs that ask for the shared keys at once get the same ones
 
+  Scenario: A VM that starts again finds the list and the keys in one call
+    When "vm-1" has started before and starts again
+    Then its second start has called the store 1 time
+
   Scenario: A record of use comes back with its age
     When 5000 tokens of "org" are recorded as used 300 ms ago
     Then the record says 5000 tokens of "org" at least 300 ms ago
--- a/tests/steps/platform_entries_steps.py
+++ b/tests/steps/platform_entries_steps.py
@@ -12,7 +12,7 @@
 from pomelolane import events
 from pomelolane.clock import MonotonicClock
 from pomelolane.model import Endpoint, Service, ServiceKind
-from pomelolane.platform import watches
+from pomelolane.platform import endpointwatch as watches
 from pomelolane.platform.documents import endpoint_from_row
 from pomelolane.platform.errors import DocumentError
 from pomelolane.platform.roster import VmRoster
@@ -85,8 +85,10 @@
 
 @when('a VM "{vm_id}" enters the roster')
 def step_enters(context, vm_id):
-    context.roster = VmRoster(context.client, MonotonicClock())
-    context.run(context.roster.enter(vm_id, DATA_CENTRE, "127.0.0.1:9"))
+    context.roster = VmRoster(
+        context.client, MonotonicClock(), vm_id, DATA_CENTRE, "127.0.0.1:9"
+    )
+    context.run(context.roster.enter())
 
 
 @then('the roster lists "{vm_id}"')
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -1,6 +1,7 @@
 """Steps of tests/platform/sharing.feature: watches over a network in memory."""
 
 import asyncio
+import json
 from dataclasses import replace
 
 from behave import given, then, when
@@ -9,14 +10,19 @@
 from pomelolane.clock import MonotonicClock
 from pomelolane.forwarding import CurrentConfiguration, EndpointDirectory
 from pomelolane.messages import RecordChange, WatchedChanges
-from pomelolane.platform.documents import LimitWindow, configuration_from_json
+from pomelolane.platform.configurationwatch import ConfigurationWatch
+from pomelolane.platform.documents import LimitWindow
+from pomelolane.platform.endpointwatch import EndpointWatch
+from pomelolane.platform.errors import StoreUnavailableError
 from pomelolane.platform.storeclient import StoreClient, StoredRow
-from pomelolane.platform.watches import EndpointWatch
 from pomelolane.ports import Peer, View
 from standins.routed import MetadataStore, RoutedEndpoint
 from standins.routed.endpoint import registered
 from tests.routed_world import DATA_CENTRE, configuration
 
+APPLY_MS = 2000
+"""Tightest time in which a configuration must be in force."""
+
 
 class Network:
     """Carries messages between VMs, and says who is alive."""
@@ -24,7 +30,7 @@
     def __init__(self, names):
         self.loses = False
         self.handlers = {name: [] for name in names}
-        self.peers = {n: Peer(n, 1, DATA_CENTRE, "") for n in names}
+        self.peers = {n: Peer(n, 1, DATA_CENTRE, "", ready=True) for n in names}
 
     def view(self):
         return View(1, dict(self.peers))
@@ -54,10 +60,13 @@
         clock = MonotonicClock()
         self.client = StoreClient(address)
         self.current = CurrentConfiguration()
-        self.current.adopt(configuration_from_json(configuration(1), LimitWindow()))
         self.directory = EndpointDirectory(clock)
         self.watch = EndpointWatch(self.client, self.directory, self.current, clock)
         self.watch.share(name, DATA_CENTRE, network, Port(network, name))
+        self.configurations = ConfigurationWatch(
+            self.client, self.current, clock, LimitWindow(), APPLY_MS
+        )
+        self.configurations.share(name, DATA_CENTRE, network, Port(network, name))
 
     def leaving(self):
         return {n for n, one in self.directory.all.items() if one.leaving}
@@ -75,9 +84,13 @@
     address = context.run(context.store.start())
     context.add_cleanup(lambda: context.run(context.store.aclose()))
     put(context, "p1", "ready")
+    context.store.put("op", "config", configuration(1))
     context.network = Network("ab")
     context.vms = {name: Vm(name, address, context.network) for name in "ab"}
-    tasks = [context.loop.create_task(vm.watch.run()) for vm in context.vms.values()]
+    watches = [
+        watch for vm in context.vms.values() for watch in (vm.watch, vm.configurations)
+    ]
+    tasks = [context.loop.create_task(watch.run()) for watch in watches]
     context.add_cleanup(lambda: context.run(end(context.vms.values(), tasks)))
     for vm in context.vms.values():
         context.run(asyncio.wait_for(vm.directory.known(), 5))
@@ -153,3 +166,61 @@
 @then('"{name}" has taken none of them')
 def step_none_taken(context, name):
     assert "p1" in context.vms[name].directory.all
+
+
+@when("the operator says version {version:d}")
+def step_operator_says(context, version):
+    context.store.put("op", "config", configuration(version))
+
+
+@when("the operator says version {version:d} with {n:d} more routes")
+def step_operator_says_much(context, version, n):
+    document = json.loads(configuration(version))
+    route = document["routes"][0]
+    document["routes"] += [route | {"prefix": f"/more/{i}/"} for i in range(n)]
+    context.store.put("op", "config", json.dumps(document).encode())
+
+
+@when('"{name}" cannot reach the store')
+def step_cut(context, name):
+    async def refuse(*args):
+        raise StoreUnavailableError("cut off")
+
+    context.vms[name].client._call = refuse
+    # What it has asked before is still answered for a while.
+    context.run(asyncio.sleep(APPLY_MS / 1000))
+
+
+@when('"{name}" is told again of version {version:d}')
+def step_told_again(context, name, version):
+    change = RecordChange("config", configuration(version), deleted=False)
+    watch = context.vms[name].configurations
+    watch._take_shared(WatchedChanges("op", 0, watch._after, (change,)))
+
+
+@when("neither VM takes callers yet")
+def step_none_ready(context):
+    peers = context.network.peers
+    for name, peer in peers.items():
+        peers[name] = replace(peer, ready=False)
+
+
+@then("every VM has version {version:d} within {ms:d} ms")
+def step_all_have_version(context, version, ms):
+    def have():
+        return all(vm.current.version == version for vm in context.vms.values())
+
+    context.run(wait_until(have, ms / 1000, "not all have it"))
+
+
+@then('"{name}" has version {version:d} within {ms:d} ms')
+def step_has_version(context, name, version, ms):
+    current = context.vms[name].current
+    context.run(wait_until(lambda: current.version == version, ms / 1000, "not yet"))
+
+
+@then('in the next {ms:d} ms "{name}" has waited for no configuration')
+def step_no_wait(context, ms, name):
+    before = context.vms[name].client.calls
+    context.run(asyncio.sleep(ms / 1000))
+    assert context.vms[name].client.calls == before
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -7,11 +7,12 @@
 from bench.processes import wait_until
 from pomelolane.clock import MonotonicClock
 from pomelolane.forwarding import CurrentConfiguration, EndpointDirectory
+from pomelolane.platform.configurationwatch import ConfigurationWatch
 from pomelolane.platform.documents import LimitWindow
-from pomelolane.platform.roster import shared_keys
+from pomelolane.platform.endpointwatch import EndpointWatch
+from pomelolane.platform.roster import VmRoster
 from pomelolane.platform.storeclient import StoreClient
 from pomelolane.platform.userecord import StoreUseRecord
-from pomelolane.platform.watches import ConfigurationWatch, EndpointWatch
 from pomelolane.scheduler.spans import Use
 from standins.routed import MetadataStore, RoutedEndpoint
 from standins.routed.endpoint import registered
@@ -19,6 +20,7 @@
 from tests.routed_world import DATA_CENTRE, configuration
 
 SOON_MS = 3000
+APPLY_MS = 2000
 
 
 @given("a metadata store and its watches")
@@ -36,7 +38,9 @@
     context.current = CurrentConfiguration()
     context.directory = EndpointDirectory(clock)
     endpoints = EndpointWatch(context.client, context.directory, context.current, clock)
-    watch = ConfigurationWatch(context.client, context.current, clock, LimitWindow())
+    watch = ConfigurationWatch(
+        context.client, context.current, clock, LimitWindow(), APPLY_MS
+    )
     endpoints.on_regained(watch.refresh)
     context.tasks = [
         context.loop.create_task(endpoints.run()),
@@ -133,13 +137,36 @@
 
 @then("two VMs that ask for the shared keys at once get the same ones")
 def step_keys(context):
+    rosters = [_roster(context, f"vm-{n}") for n in range(2)]
+
     async def both():
-        return await asyncio.gather(
-            shared_keys(context.client), shared_keys(context.client)
-        )
+        return await asyncio.gather(*(one.first_contact() for one in rosters))
 
     one, other = context.run(both())
-    assert one.private_key == other.private_key
+    assert one.keys.private_key == other.keys.private_key
+
+
+def _roster(context, vm_id):
+    clock = MonotonicClock()
+    return VmRoster(context.client, clock, vm_id, DATA_CENTRE, "127.0.0.1:1")
+
+
+@when('"{vm_id}" has started before and starts again')
+def step_starts_again(context, vm_id):
+    async def start():
+        roster = _roster(context, vm_id)
+        await roster.first_contact()
+        await roster.enter()
+        await roster.read()
+
+    context.run(start())
+    context.calls_before = context.client.calls
+    context.run(start())
+
+
+@then("its second start has called the store {n:d} time")
+def step_start_calls(context, n):
+    assert context.client.calls - context.calls_before == n
 
 
 @when('{tokens:d} tokens of "{organisation}" are recorded as used {ms:d} ms ago')
