--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -54,6 +54,9 @@
 
 _UNREAD_PAUSE_S = 0.1
 
+_LOOK_S = 0.1
+"""How often a VM looks whether it is now the one that asks for the others."""
+
 
 class ConfigurationWatch:
     """Keeps the configuration in force up to date.
@@ -84,6 +87,7 @@
         self._trouble = StoreTrouble("configuration", clock)
         self._shared: SharedReads | None = None
         self._after = -1
+        self._is_reading = False
         self._confirmed_ms = 0.0
         self._document_hash = 0
         self._poll: asyncio.Task[None] | None = None
@@ -107,7 +111,8 @@
         while True:
             fresh_s = self._fresh_s()
             if fresh_s > 0:
-                await asyncio.sleep(fresh_s)
+                self._is_reading = False
+                await asyncio.sleep(min(fresh_s, _LOOK_S))
                 continue
             self._poll = asyncio.create_task(self._step())
             try:
@@ -136,7 +141,10 @@
         if after < 0:
             snapshot = await self._store.read(_TABLE)
         else:
-            snapshot = await self._store.changes(_TABLE, after, self._wait_ms)
+            # The first answer is for those who have heard nothing for a while.
+            wait_ms = self._wait_ms if self._is_reading else 0
+            snapshot = await self._store.changes(_TABLE, after, wait_ms)
+        self._is_reading = True
         self._trouble.succeeded(snapshot.version)
         self._take(snapshot.rows, snapshot.version)
         if self._shared is not None and self._shared.is_reader:
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -54,7 +54,6 @@
 
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 1.0
-_ENTER_PAUSE_S = 0.5
 
 
 class PlatformHost:
@@ -139,7 +138,6 @@
         configuration.share(file.vm_id, file.data_centre, member, member.transport)
         watch.on_regained(configuration.refresh)
         self._background.start("configuration", configuration.run())
-        self._background.start("roster", self._enter(roster))
         await node.start()
         self._background.start("ledger", node.ledger.run())
         sock, self._early = self._early, None
@@ -178,15 +176,6 @@
             self._early.close()
             self._early = None
 
-    async def _enter(self, roster: VmRoster) -> None:
-        while True:
-            try:
-                await roster.enter()
-                return
-            except StoreUnavailableError as error:
-                log_event(events.STORE_LOST, what="roster", error=error, age_ms=0)
-            await asyncio.sleep(_ENTER_PAUSE_S)
-
     async def _stop(self, starting: asyncio.Task[None]) -> None:
         starting.cancel()
         if self._node is not None:
--- a/src/pomelolane/platform/roster.py
+++ b/src/pomelolane/platform/roster.py
@@ -37,10 +37,14 @@
 store writes a few hundred rows a second, and 200 VMs at once would wait for it."""
 
 _FIRST_READS = 3
-"""Reads in a row of a VM that was not on the list: others may have started with it."""
+"""Reads of a VM that was not on the list until it takes the list for whole: others may
+have started with it, and those that it hears of then tell it of the rest."""
+
+_FIRST_PERIOD_MS = 500.0
+"""Age up to which one of these reads is used again."""
 
 PERIOD_MS = 10_000.0
-"""Age up to which a read is used again later; heartbeats spread news sooner."""
+"""The same for later reads; heartbeats spread news sooner."""
 
 
 class _Entry(msgspec.Struct, frozen=True):
@@ -99,16 +103,18 @@
         self._read_ms = 0.0
 
     async def first_contact(self) -> FirstContact:
-        """Read the list and the keys, made by whichever VM comes first.
+        """Read the list and the keys, made by whichever VM comes first, and enter.
 
-        A VM that starts again finds both in one call.
+        A VM that starts again finds all in one call.
 
         Raises:
             StoreUnavailableError: The store does not answer, or not with keys.
         """
         now_ms = await self._read()
-        if self._vm_id in self._entries:
+        if self._entries.get(self._vm_id) == self._own:
             self._first_reads = 1
+        else:
+            await self._enter()
         if self._keys is None:
             await asyncio.sleep(random.uniform(0.0, _KEYS_SPREAD_S))
             now_ms = await self._read()
@@ -122,16 +128,6 @@
         keys = ClusterKeys(public_key, private_key, {SHARED_NAME: public_key})
         return FirstContact(int(now_ms), keys)
 
-    async def enter(self) -> None:
-        """Put this VM on the list, unless it stands there as it is.
-
-        Raises:
-            StoreUnavailableError: The store does not take it.
-        """
-        if self._entries.get(self._vm_id) != self._own:
-            value = msgspec.json.encode(self._own)
-            await self._store.write(TABLE, {self._vm_id: value})
-
     def vm_ids(self) -> list[str]:
         """Return the VMs on the list as last read, none before that."""
         return list(self._entries)
@@ -142,8 +138,9 @@
         Raises:
             StoreUnavailableError: It has never been read.
         """
-        is_young = self._clock.now_ms() - self._read_ms < PERIOD_MS
-        if self._reads < self._first_reads or not is_young:
+        is_whole = self._reads >= self._first_reads
+        period_ms = PERIOD_MS if is_whole else _FIRST_PERIOD_MS
+        if self._reads == 0 or self._clock.now_ms() - self._read_ms >= period_ms:
             try:
                 await self._read()
             except StoreUnavailableError:
@@ -168,6 +165,10 @@
         self._entries = {key: one for key, one in entries.items() if one is not None}
         return snapshot.now_ms
 
+    async def _enter(self) -> None:
+        value = msgspec.json.encode(self._own)
+        await self._store.write(TABLE, {self._vm_id: value})
+
     async def _offer_keys(self) -> None:
         public, private = zmq.curve_keypair()
         made = _KeyPair(public.decode(), private.decode())
--- a/tests/steps/membership_tables_steps.py
+++ b/tests/steps/membership_tables_steps.py
@@ -326,7 +326,8 @@
 
 
 @then(
-    "{count:d} lines are written within {ms:d} ms, one of {one:d} and one of {two:d} VMs"
+    "{count:d} lines are written within {ms:d} ms, one of {one:d} and one of {two:d} "
+    "VMs"
 )
 def step_lines(context, count, ms, one, two):
     context.written.log.tell(float(ms))
--- a/tests/steps/platform_entries_steps.py
+++ b/tests/steps/platform_entries_steps.py
@@ -88,7 +88,7 @@
     context.roster = VmRoster(
         context.client, MonotonicClock(), vm_id, DATA_CENTRE, "127.0.0.1:9"
     )
-    context.run(context.roster.enter())
+    context.run(context.roster.first_contact())
 
 
 @then('the roster lists "{vm_id}"')
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -156,7 +156,6 @@
     async def start():
         roster = _roster(context, vm_id)
         await roster.first_contact()
-        await roster.enter()
         await roster.read()
 
     context.run(start())
