--- a/src/pomelolane/membership/remotes.py
+++ b/src/pomelolane/membership/remotes.py
@@ -38,8 +38,8 @@
     ) -> dict[str, Peer]:
         """Return the VMs that are listed now, and those that were lately.
 
-        A fleet of 195 VMs that started together took 2,700 VMs for lost without it,
-        and the views that changed with them moved the roles of schedulers.
+        Without it, 195 VMs that started together on a calm day took others for lost
+        4,974 times, all of them alive, and roles of schedulers moved with each view.
 
         Args:
             listed: The VMs that somebody lists now.
