Lose a data centre at once of which nobody speaks any more

Cause: the VMs of a data centre that is cut off stayed known for 2 s longer since: delegates dropped it after 2 s of silence, and what they had last confirmed was young then. Test: tables.feature, red before.

--- a/src/pomelolane/membership/remotes.py
+++ b/src/pomelolane/membership/remotes.py
@@ -43,7 +43,8 @@
 
         Args:
             listed: The VMs that somebody lists now.
-            heard_ms: When each data centre was last heard of.
+            heard_ms: When each data centre was last heard of, for those of which
+                anybody speaks still.
             gone: VMs that somebody has listed before and lists no more.
             now_ms: The time.
         """
@@ -55,7 +56,8 @@
         old = [
             vm_id
             for vm_id, known in self._known.items()
-            if vm_id not in listed and known.heard_ms < oldest_ms
+            if vm_id not in listed
+            and (known.heard_ms < oldest_ms or known.peer.data_centre not in heard_ms)
         ]
         for vm_id in old:
             del self._known[vm_id]
--- a/tests/membership/tables.feature
+++ b/tests/membership/tables.feature
@@ -46,6 +46,12 @@
     When nobody is listed from 3001 ms on
     Then the VMs known at 3001 ms are ""
 
+  # A data centre of which the delegates hear no more must not keep getting requests.
+  Scenario: A data centre of which nobody speaks any more is lost at once
+    Given VMs "b1 b2 b3" of another data centre, last heard of at 1000 ms
+    When nobody speaks of their data centre from 1100 ms on
+    Then the VMs known at 1100 ms are ""
+
   Scenario: Changes of the view are told with one line for each data centre
     When 40 VMs of "dcb" and 30 of "dcc" join a view one after the other in 450 ms
     Then 2 lines are written within 600 ms, one of 40 and one of 30 VMs
--- a/tests/steps/membership_tables_steps.py
+++ b/tests/steps/membership_tables_steps.py
@@ -262,6 +262,12 @@
     context.listed = {}
 
 
+@when("nobody speaks of their data centre from {ms:d} ms on")
+def step_not_spoken_of(context, ms):
+    context.listed = {}
+    context.heard_ms = {}
+
+
 @when('the source that listed "{before}" lists "{names}" at {ms:d} ms')
 def step_unlisted(context, before, names, ms):
     context.digests.put("b1", digest_of("dcb", names), float(ms))
