--- a/src/pomelolane/membership/remotes.py
+++ b/src/pomelolane/membership/remotes.py
@@ -39,7 +39,7 @@
     ) -> dict[str, Peer]:
         """Return the VMs that are listed now, and those that were lately.
 
-        Without it, 195 VMs that started together on a calm day took others for lost
+        Without it, 195 VMs that started together before any load took others for lost
         4,974 times, all of them alive, and roles of schedulers moved with each view.
 
         Args:
