Tell in the log which requests ask for the same

Each attempt has an id of its own, so that repeats could be told from other requests only by the length of their prompts. The fingerprint is a hash of caller, method, path, query and body.

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -129,8 +129,8 @@
     211,
     "forward_accepted",
     "info",
-    "request grant route service organisation rank kind objective_ms limit_ms "
-    "prompt_tokens hint_tokens charge_tokens version",
+    "request fingerprint grant route service organisation rank kind objective_ms "
+    "limit_ms prompt_tokens hint_tokens charge_tokens version",
     "A routed request passed the checks under this configuration version.",
 )
 FORWARD_SENT = _define(
--- a/src/pomelolane/forwarding/call.py
+++ b/src/pomelolane/forwarding/call.py
@@ -31,6 +31,7 @@
         accepted_ms: When its head had come.
         limit_ms: Time from then until the final answer is due.
         version: Version of the configuration that decided.
+        fingerprint: The same for every attempt that asks for the same.
     """
 
     local_id: str
@@ -47,6 +48,7 @@
     accepted_ms: float
     limit_ms: int
     version: int
+    fingerprint: str = ""
 
     @property
     def log_id(self) -> str:
--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -11,6 +11,7 @@
 from pomelolane.forwarding.call import ForwardCall
 from pomelolane.forwarding.routes import RouteTable, service_from_route
 from pomelolane.outcomes import Reason
+from pomelolane.quarantine import fingerprint_from_request
 
 if TYPE_CHECKING:
     from pomelolane.forwarding.configuration import Configuration, Route
@@ -79,6 +80,7 @@
         limit_ms = description.deadline_ms or DEFAULT_DEADLINE_MS
         if route.timeout_ms:
             limit_ms = min(limit_ms, route.timeout_ms)
+        target = _target(exchange)
         charge = description.prompt_tokens + description.answer_limit_tokens
         return ForwardCall(
             local_id=uuid.uuid4().hex,
@@ -89,12 +91,15 @@
             rank=configuration.rank(organisation, route),
             charge_tokens=charge or configuration.plain_tokens,
             method=exchange.method,
-            target=_target(exchange),
+            target=target,
             headers=tuple(exchange.headers),
             body=body,
             accepted_ms=accepted_ms,
             limit_ms=limit_ms,
             version=configuration.version,
+            fingerprint=fingerprint_from_request(
+                organisation, exchange.method, target, body
+            ),
         )
 
     def _find_route(self, exchange: Exchange) -> Route:
--- a/src/pomelolane/forwarding/journal.py
+++ b/src/pomelolane/forwarding/journal.py
@@ -22,6 +22,7 @@
     log_event(
         events.FORWARD_ACCEPTED,
         request=call.log_id,
+        fingerprint=call.fingerprint,
         grant=call.local_id,
         route=call.route.name,
         service=call.service,
