Keep requests that end endpoints away from them

Cause: what a request did to endpoints was forgotten with its attempt, and no VM told another; a broken stream that may be resumed went on elsewhere whatever had broken it. Class: state of a request that outlives the attempt kept by the attempt alone. Ruled out: ends for other reasons (the request was among those of 12 of 12 engines that ended, and of none that did not); the retry budget (it counts repeats of one attempt, and each attempt ends an engine without any repeat).

Change: a gateway whose answer breaks off looks whether anything listens at the endpoint; if not, or if the registry shows another start there, it reports the end under the request's fingerprint to all VMs, and to a table of the store, which VMs read when they start and one of each data centre afterwards. All judge alike: three ends, or four where another request was beside it each time; what one explains does not count against the others. A whole answer pardons. Suspects (two ends) are not placed beside each other. What is blamed is refused as not run, its waits end at once, and it is not repeated.

--- a/src/pomelolane/endpoints/pool.py
+++ b/src/pomelolane/endpoints/pool.py
@@ -13,7 +13,7 @@
 
 from pomelolane.clock import MonotonicClock
 from pomelolane.endpoints.connection import HttpConnection
-from pomelolane.exceptions import EndpointRefusedError
+from pomelolane.exceptions import EndpointDownError, EndpointRefusedError
 
 if TYPE_CHECKING:
     from pomelolane.ports import Clock
@@ -66,6 +66,20 @@
             connection.discard()
         return await self._connect(address)
 
+    async def is_down(self, address: str) -> bool:
+        """Tell whether nothing listens at an address; False where it cannot be told.
+
+        A connection that is made is kept for the next request.
+        """
+        try:
+            connection = await self._connect(address)
+        except EndpointDownError:
+            return True
+        except EndpointRefusedError:
+            return False
+        self._on_idle(connection)
+        return False
+
     def idle_count(self, address: str) -> int:
         """Return the number of idle connections to an address."""
         return len(self._idle[address])
@@ -96,6 +110,9 @@
                     lambda: HttpConnection(sock, self._on_idle, self._on_closed),
                     sock=sock,
                 )
+        except ConnectionRefusedError as error:
+            sock.close()
+            raise EndpointDownError(f"{address}: {error!r}") from error
         except (OSError, ValueError) as error:
             sock.close()
             raise EndpointRefusedError(f"{address}: {error!r}") from error
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -177,6 +177,14 @@
     "The caller left; its run is cancelled by closing the endpoint's connection.",
 )
 
+REQUEST_BLAMED = _define(
+    218,
+    "request_blamed",
+    "warning",
+    "fingerprint ends",
+    "Endpoints end under requests that ask for this; they are refused from now on.",
+)
+
 # 3xx: the scheduler
 PLACED = _define(
     301,
@@ -331,6 +339,14 @@
     "The record of organisations' use was not written or read; a guess stands in.",
 )
 
+END_RECORD_FAILED = _define(
+    514,
+    "end_record_failed",
+    "warning",
+    "action error",
+    "The record of endpoints that ended under requests is not reached; told once.",
+)
+
 # 6xx: jobs
 JOB_ACCEPTED = _define(
     601, "job_accepted", "info", "job organisation service", "202 was answered."
@@ -463,3 +479,10 @@
     "table row error",
     "A row of the metadata store cannot be read; the others are used.",
 )
+ENDPOINT_ENDED = _define(
+    807,
+    "endpoint_ended",
+    "warning",
+    "endpoint fingerprint ends",
+    "It ended while this request may have run there; so many ended under it by now.",
+)
--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -9,7 +9,7 @@
 from pomelolane.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock
@@ -38,6 +38,10 @@
         """All endpoints by id, leaving ones included."""
         return self._endpoints
 
+    def listed(self) -> Iterable[Endpoint]:
+        """Return all endpoints, leaving ones included."""
+        return self._endpoints.values()
+
     @property
     def age_ms(self) -> float:
         """Time since the source last confirmed the list."""
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -21,7 +21,13 @@
 from pomelolane.forwarding import journal, metrics
 from pomelolane.forwarding.call import CallState
 from pomelolane.forwarding.handles import handle_from_state
+from pomelolane.forwarding.patience import (
+    SilentEndpointError,
+    patience_ms,
+    wait_patiently,
+)
 from pomelolane.forwarding.refusals import (
+    KEPT_OUT,
     answer_refusal,
     refusal_from_error,
     truthful,
@@ -33,8 +39,7 @@
 from pomelolane.ports.forwarding import Dispatch, Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
-    from typing import Any
+    from collections.abc import Callable
 
     from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.budget import SharedRetryBudget
@@ -45,6 +50,7 @@
     from pomelolane.http.exchange import Exchange
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock, Grant, SchedulerClient
+    from pomelolane.quarantine import EndWatch, Quarantine
 
 MAX_TRIES = 6
 """Grants that one request may ask for; refused connections cost no send."""
@@ -52,13 +58,6 @@
 RETRY_AFTER_MS = 300
 """When to come back after an endpoint has refused: about a request's time."""
 
-PATIENCE_FACTOR = 3.0
-"""Times the predicted first byte that a repeatable request waits for it."""
-
-PATIENCE_SHARE = 0.4
-"""Part of the objective that it waits at least: what is left must be enough for
-another endpoint."""
-
 STALL_FACTOR = 2.5
 """Times the pause that still counts as on time after which a stream is left: slow
 engines pause 1.7 times as long beside long prompts (Cedarline, scale-1), and callers
@@ -70,6 +69,7 @@
 SKIPPED_BODY_MS = 200
 """Longest time for that."""
 
+_REDIRECTION = 300
 _SERVER_ERROR = 500
 STOPPING_RETRY_MS = 50
 """When to come back to a stopping VM's neighbours: at once."""
@@ -97,21 +97,6 @@
         self.is_paid = False
 
 
-class _SilentError(EndpointBrokenError):
-    """An endpoint is given up because it has not begun to answer."""
-
-
-async def _first_byte(sending: Coroutine[Any, Any, Sent]) -> Sent:
-    """Return an answer whose first byte, or end, has come."""
-    sent = await sending
-    try:
-        await sent.stream.wait()
-    except asyncio.CancelledError:
-        await sent.stream.aclose()
-        raise
-    return sent
-
-
 class Forwarder:
     """Serves callers of routed services.
 
@@ -121,6 +106,8 @@
         sender: Writes to endpoints.
         directory: Endpoints as known here.
         make_budget: Makes a service's budget of repeated sends.
+        quarantine: Requests that no endpoint may get.
+        ends: Looks after endpoints whose connections broke.
         clock: Time.
         data_centre: Where this VM stands.
     """
@@ -132,6 +119,8 @@
         sender: Sender,
         directory: EndpointDirectory,
         make_budget: Callable[[], SharedRetryBudget],
+        quarantine: Quarantine,
+        ends: EndWatch,
         clock: Clock,
         data_centre: str,
     ) -> None:
@@ -140,6 +129,8 @@
         self._sender = sender
         self._directory = directory
         self._make_budget = make_budget
+        self._quarantine = quarantine
+        self._ends = ends
         self._clock = clock
         self._data_centre = data_centre
         self._budgets: dict[str, SharedRetryBudget] = {}
@@ -148,6 +139,7 @@
         self._stop_at_ms = math.inf
         self._takes_more = True
         self._ended = asyncio.Event()
+        quarantine.on_blamed(self._recall)
 
     def stop_by(self, at_ms: float) -> None:
         """Take only what can be finished until then."""
@@ -222,11 +214,16 @@
     async def _run(self, state: CallState, relay: Relay) -> Refusal | None:
         """Try endpoints until one answers; return the refusal if none does."""
         while True:
+            if await self._quarantine.settled(state.call.fingerprint):
+                return truthful(state, KEPT_OUT)
             grant = await self._acquire(state)
             if isinstance(grant, Refusal):
                 return truthful(state, grant)
             state.tries += 1
             watch = StreamWatch(self._client, grant, self._clock)
+            if self._quarantine.blames(state.call.fingerprint):
+                watch.finish(refused=True, outcome=Outcome.NOT_RUN)
+                return truthful(state, KEPT_OUT)
             try:
                 await self._attempt(state, relay, grant, watch)
             except _Again as again:
@@ -241,11 +238,29 @@
 
     async def _acquire(self, state: CallState) -> Grant | Refusal:
         asked_ms = self._clock.now_ms()
-        handle = handle_from_state(state, self._data_centre, asked_ms)
-        grant = await self._client.acquire(handle)
+        suspect = self._quarantine.is_suspect(state.call.fingerprint)
+        handle = handle_from_state(state, self._data_centre, asked_ms, suspect=suspect)
+        task = asyncio.current_task()
+        state.waiter = task
+        try:
+            grant = await self._client.acquire(handle)
+        except asyncio.CancelledError:
+            if not state.is_recalled:
+                raise
+            task.uncancel()
+            return KEPT_OUT
+        finally:
+            state.waiter = None
         metrics.observe_wait(state.call.service, self._clock.now_ms() - asked_ms)
         return grant
 
+    def _recall(self, fingerprint: str) -> None:
+        """End the waits of requests that are refused from now on."""
+        for state in self.open_calls.values():
+            if state.call.fingerprint == fingerprint and state.waiter is not None:
+                state.is_recalled = True
+                state.waiter.cancel()
+
     async def _attempt(
         self, state: CallState, relay: Relay, grant: Grant, watch: StreamWatch
     ) -> None:
@@ -275,14 +290,22 @@
         dispatch = Dispatch(call.organisation, left_ms, state.last_event_id)
         sending = self._sender.send(connection, call, endpoint, dispatch)
         try:
-            sent = await self._patiently(state, sending, grant)
+            sent = await wait_patiently(
+                sending,
+                self._patience_ms(state, grant),
+                lambda: self._may_repeat(state),
+            )
         except EndpointRefusedError as error:
             state.may_have_run = may_have_run
             state.sends -= 1
             raise self._not_taken(state, watch, str(error)) from error
+        except SilentEndpointError as error:
+            again = self._broken(state, watch, str(error))
+            again.is_paid = True
+            raise again from error
         except EndpointBrokenError as error:
             again = self._broken(state, watch, str(error))
-            again.is_paid = isinstance(error, _SilentError)
+            await self._look_after(state, endpoint)
             raise again from error
         if sent.verdict is Verdict.NOT_RUN:
             state.may_have_run = may_have_run
@@ -290,28 +313,11 @@
             raise self._not_taken(state, watch, "the endpoint did not run it")
         await self._pass_on(state, relay, sent, watch, endpoint)
 
-    async def _patiently(
-        self, state: CallState, sending: Coroutine[Any, Any, Sent], grant: Grant
-    ) -> Sent:
-        """Wait for a first byte, but not for long where another may answer.
-
-        Raises:
-            EndpointBrokenError: It does not come, and a repeat is paid for.
-        """
-        waiting = asyncio.ensure_future(_first_byte(sending))
-        patience_ms = max(
-            PATIENCE_FACTOR * grant.expected_ttft_ms,
-            PATIENCE_SHARE * state.call.route.objective_ms,
-        )
-        try:
-            if self._can_repeat(state) and state.call.route.objective_ms:
-                await asyncio.wait({waiting}, timeout=patience_ms / 1000)
-                if not waiting.done() and self._may_repeat(state):
-                    raise _SilentError(f"nothing within {patience_ms:.0f} ms")
-            return await waiting
-        finally:
-            if not waiting.done():
-                waiting.cancel()
+    def _patience_ms(self, state: CallState, grant: Grant) -> float | None:
+        objective_ms = state.call.route.objective_ms
+        if not objective_ms or not self._can_repeat(state):
+            return None
+        return patience_ms(grant.expected_ttft_ms, objective_ms)
 
     async def _pass_on(
         self,
@@ -342,9 +348,16 @@
                 stall.stop()
             await stream.aclose()
         if not end.whole:
-            raise self._cut_short(state, watch, stream, stall)
+            again = self._cut_short(state, watch, stream, stall)
+            if not again.is_paid:
+                await self._ends.look(
+                    state.call.fingerprint, endpoint, endpoint.address
+                )
+            raise again
         if failed:
             watch.finish(outcome=Outcome.FAILED)
+        elif stream.status < _REDIRECTION:
+            self._quarantine.answered(state.call.fingerprint)
         journal.finished(
             state.call,
             endpoint,
@@ -382,6 +395,10 @@
         again.is_paid = True
         return again
 
+    async def _look_after(self, state: CallState, endpoint: Endpoint) -> None:
+        """Find out whether an endpoint that broke off has ended."""
+        await self._ends.look(state.call.fingerprint, endpoint, endpoint.address)
+
     # --- what went wrong ----------------------------------------------------
 
     def _not_taken(self, state: CallState, watch: StreamWatch, detail: str) -> _Again:
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -21,7 +21,8 @@
 from pomelolane.forwarding.tree import tree_from_configuration
 from pomelolane.http.listener import Listener, listening_socket
 from pomelolane.logs import log_event
-from pomelolane.membership import make_member
+from pomelolane.membership import make_member, reads_for_others
+from pomelolane.quarantine import EndNews, EndWatch, Quarantine, RecordKeeper
 
 if TYPE_CHECKING:
     import socket
@@ -33,6 +34,7 @@
     from pomelolane.membership import ClusterKeys
     from pomelolane.ports import Clock, VmList
     from pomelolane.ports.forwarding import Dialect
+    from pomelolane.quarantine import EndRecord
 
 POLICY = "objective"
 HEAD_TIMEOUT_MS = 3_000
@@ -100,6 +102,7 @@
         vm_list: Where other VMs are found.
         keys: Keys that the VMs prove to each other.
         record: Where organisations' use is kept.
+        end_record: Where reports of endpoints that ended under requests are kept.
         clock: Time.
     """
 
@@ -113,6 +116,7 @@
         vm_list: VmList,
         keys: ClusterKeys,
         record: UseRecord,
+        end_record: EndRecord,
         clock: Clock,
     ) -> None:
         self._options = options
@@ -147,6 +151,19 @@
         )
         told = ToldUses(options.vm_id, self.member, self.member.transport, clock)
         self.ledger = Ledger(self.coordination, record, told)
+        self.quarantine = Quarantine(clock)
+        self._ends = EndWatch(self.quarantine, self._pool, directory, clock)
+        self._end_news = EndNews(
+            options.vm_id, self.member, self.member.transport, self.quarantine
+        )
+        self.end_record = RecordKeeper(
+            end_record,
+            self.quarantine,
+            lambda: reads_for_others(
+                options.vm_id, options.data_centre, self.member.view()
+            ),
+            self._end_news.pass_on,
+        )
         self._intake = Intake(dialect, clock)
         self.forwarder = Forwarder(
             self._intake,
@@ -154,6 +171,8 @@
             Sender(self._pool, dialect),
             directory,
             self._make_budget,
+            self.quarantine,
+            self._ends,
             clock,
             options.data_centre,
         )
@@ -163,6 +182,7 @@
         current.on_change(self._intake.adopt)
         current.on_change(lambda _: self._configure())
         directory.on_change(self._configure)
+        directory.on_change(self._ends.endpoints_changed)
 
     @property
     def is_ready(self) -> bool:
--- a/src/pomelolane/forwarding/refusals.py
+++ b/src/pomelolane/forwarding/refusals.py
@@ -21,6 +21,16 @@
     from pomelolane.http.exchange import Exchange
 
 _LIMITS = (Reason.REQUEST_LIMIT, Reason.TOKEN_LIMIT, Reason.CONCURRENCY_LIMIT)
+_TRUE_AFTER_A_RUN = (Reason.DEADLINE_PASSED, Reason.ENDS_ENDPOINTS)
+"""Reasons that hold whether or not an endpoint has begun the request."""
+
+KEPT_OUT = Refusal(
+    Outcome.NOT_RUN,
+    Reason.ENDS_ENDPOINTS,
+    detail="endpoints have ended under requests that ask for this",
+)
+"""Coming back cannot help, so that it names no time."""
+
 NOT_READY_RETRY_MS = 500
 """When to come back to a VM that knows no configuration yet."""
 
@@ -31,7 +41,7 @@
         return refusal
     outcome = Outcome.UNKNOWN
     reason = refusal.reason
-    if reason is not Reason.DEADLINE_PASSED:
+    if reason not in _TRUE_AFTER_A_RUN:
         reason = Reason.ENDPOINT_BROKEN
     return Refusal(outcome, reason, 0, refusal.detail)
 
--- a/src/pomelolane/membership/__init__.py
+++ b/src/pomelolane/membership/__init__.py
@@ -8,6 +8,7 @@
 from pomelolane.membership.addresses import AddressBook
 from pomelolane.membership.keys import ClusterKeys, cluster_keys_from_settings
 from pomelolane.membership.member import Member, make_member
+from pomelolane.membership.readers import reads_for_others
 from pomelolane.membership.recorded import RecordedMarks
 from pomelolane.membership.rendezvous import choose, choose_several, weight
 from pomelolane.membership.transport import ZmqTransport, make_transport
@@ -23,5 +24,6 @@
     "cluster_keys_from_settings",
     "make_member",
     "make_transport",
+    "reads_for_others",
     "weight",
 ]
--- a/src/pomelolane/messages/__init__.py
+++ b/src/pomelolane/messages/__init__.py
@@ -31,6 +31,7 @@
     MemberState,
     Pulse,
 )
+from pomelolane.messages.quarantine import EndsReported, ReportedEnd
 from pomelolane.messages.scheduling import (
     Granted,
     Handle,
@@ -60,6 +61,7 @@
     "DigestPulse",
     "DigestWanted",
     "EndpointLeaving",
+    "EndsReported",
     "Granted",
     "Handle",
     "Heartbeat",
@@ -75,6 +77,7 @@
     "Refused",
     "RelayedResult",
     "RelayedWrite",
+    "ReportedEnd",
     "RunningHandle",
     "StreamEvent",
     "Submit",
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -39,6 +39,8 @@
         charge_tokens: Tokens counted against the organisation's limit.
         patience_ms: Time left until the caller leaves if its answer has not begun,
             0 for not before the deadline.
+        suspect: Whether several endpoints have ended under it: it runs beside no
+            other such request, so that the next end tells which of them did it.
     """
 
     request_id: str
@@ -60,6 +62,7 @@
     gap_ms: int = 0
     charge_tokens: int = 0
     patience_ms: int = 0
+    suspect: bool = False
 
     def with_budget(self, budget_ms: int, *, admitted: bool) -> Handle:
         """Return the handle as of a later moment, by the budget that is left."""
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -30,6 +30,7 @@
     HeartbeatWanted,
     Pulse,
 )
+from pomelolane.messages.quarantine import EndsReported
 from pomelolane.messages.scheduling import (
     Granted,
     NotScheduler,
@@ -69,6 +70,7 @@
     | BranchWanted
     | BranchContent
     | EndpointLeaving
+    | EndsReported
     | KeyQuery
     | KeyAnswer
     | ClaimBatch
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -25,6 +25,7 @@
 from pomelolane.platform.dialect import PlatformDialect
 from pomelolane.platform.early import NODE_FILE_VARIABLE
 from pomelolane.platform.endpointwatch import EndpointWatch
+from pomelolane.platform.endrecord import StoreEndRecord
 from pomelolane.platform.errors import DocumentError, StoreUnavailableError
 from pomelolane.platform.nodefile import node_file_from_path
 from pomelolane.platform.roster import VmRoster
@@ -127,6 +128,7 @@
             roster,
             contact.keys,
             StoreUseRecord(self._store, file.vm_id, incarnation),
+            StoreEndRecord(self._store),
             self._clock,
         )
         member = node.member
@@ -139,6 +141,8 @@
         watch.on_regained(configuration.refresh)
         self._background.start("configuration", configuration.run())
         await node.start()
+        self._background.start("read ends", node.end_record.read())
+        self._background.start("write ends", node.end_record.write())
         self._background.start("ledger", node.ledger.run())
         sock, self._early = self._early, None
         self._front = await listen_for_callers(node, file.front, sock)
@@ -157,6 +161,7 @@
         await self._current.known()
         node.take_part()
         await node.ledger.loaded()
+        await node.end_record.loaded()
         node.take_callers()
 
     async def _first_contact(self, roster: VmRoster) -> FirstContact:
--- a/src/pomelolane/platform/sharing.py
+++ b/src/pomelolane/platform/sharing.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING
 
+from pomelolane.membership import reads_for_others
 from pomelolane.messages import RecordChange, WatchedChanges
 
 if TYPE_CHECKING:
@@ -48,10 +49,8 @@
     @property
     def is_reader(self) -> bool:
         """Whether this VM reads for the others of its data centre."""
-        staying = [peer for peer in self._peers() if not peer.draining]
-        # Where all have just started, one of them reads for those that start.
-        able = [peer for peer in staying if peer.ready] or staying
-        return self._vm_id == min((one.vm_id for one in able), default=self._vm_id)
+        view = self._membership.view()
+        return reads_for_others(self._vm_id, self._data_centre, view)
 
     def pass_on(
         self, after: int, version: int, rows: Iterable[StoredRow], state_hash: int
--- /dev/null
+++ b/src/pomelolane/quarantine/news.py
@@ -0,0 +1,144 @@
+"""Tells the other VMs what this one has found out on ends of endpoints.
+
+Each VM tells all others itself. What is lost on the way comes again a second later,
+and a VM that comes into view hears all that still counts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from pomelolane.messages import EndsReported, ReportedEnd
+from pomelolane.quarantine.book import EndReport
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from pomelolane.ports import Membership, Transport, View
+    from pomelolane.quarantine.quarantine import Quarantine
+
+GATHER_S = 0.003
+"""How long news is gathered into one message: all requests of an endpoint that ends
+break within a millisecond, and the judgement waits twenty times as long."""
+
+REPEAT_S = 1.0
+"""When news on suspects is told once more: a connection between VMs that has fallen
+silent is replaced by then, and engines take about three seconds to come back."""
+
+MOST_TOLD_ANEW = 500
+"""Reports that a VM which comes into view is told at most, the newest ones; 35 KB."""
+
+
+class EndNews:
+    """This VM's part in sharing reports.
+
+    Args:
+        vm_id: This VM.
+        membership: Who is alive.
+        transport: Way to the others.
+        quarantine: What is known here.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        membership: Membership,
+        transport: Transport,
+        quarantine: Quarantine,
+    ) -> None:
+        self._vm_id = vm_id
+        self._membership = membership
+        self._transport = transport
+        self._quarantine = quarantine
+        self._reports: list[EndReport] = []
+        self._pardoned: list[EndReport] = []
+        self._found: dict[EndReport, None] = {}
+        self._known: set[tuple[str, int]] = set()
+        self._gathering: asyncio.TimerHandle | None = None
+        quarantine.on_news(self._gather)
+        membership.on_change(self._greet)
+        transport.subscribe(EndsReported, self._take)
+
+    def pass_on(self, reports: Sequence[EndReport]) -> None:
+        """Tell the others what was read from the record and was new here."""
+        if reports:
+            self._send(reports, ())
+
+    def _gather(
+        self, reports: Sequence[EndReport], pardoned: Sequence[EndReport]
+    ) -> None:
+        self._reports += reports
+        self._pardoned += pardoned
+        self._found.update(dict.fromkeys(reports))
+        while len(self._found) > MOST_TOLD_ANEW:
+            del self._found[next(iter(self._found))]
+        if self._gathering is None:
+            loop = asyncio.get_running_loop()
+            self._gathering = loop.call_later(GATHER_S, self._tell)
+
+    def _tell(self) -> None:
+        reports, self._reports = self._reports, []
+        pardoned, self._pardoned = self._pardoned, []
+        self._gathering = None
+        self._send(reports, pardoned)
+        asyncio.get_running_loop().call_later(REPEAT_S, self._repeat, reports, pardoned)
+
+    def _repeat(
+        self, reports: Sequence[EndReport], pardoned: Sequence[EndReport]
+    ) -> None:
+        quarantine = self._quarantine
+        serious = [
+            one
+            for one in reports
+            if quarantine.is_suspect(one.fingerprint)
+            or quarantine.blames(one.fingerprint)
+        ]
+        self._send(serious, pardoned)
+
+    def _send(
+        self, reports: Iterable[EndReport], pardoned: Iterable[EndReport]
+    ) -> None:
+        message = self._message(reports, pardoned)
+        if not message.reports and not message.pardoned:
+            return
+        for vm_id in self._membership.view().peers:
+            if vm_id != self._vm_id:
+                self._transport.send(vm_id, message)
+
+    def _greet(self, view: View) -> None:
+        """Tell VMs that have come into view, or started again, what they missed."""
+        present = {(peer.vm_id, peer.incarnation) for peer in view.peers.values()}
+        joined = present - self._known
+        self._known = present
+        message = self._message(self._found, ())
+        if not message.reports:
+            return
+        for vm_id, _ in joined:
+            if vm_id != self._vm_id:
+                self._transport.send(vm_id, message)
+
+    def _message(
+        self, reports: Iterable[EndReport], pardoned: Iterable[EndReport]
+    ) -> EndsReported:
+        told = []
+        for report in reports:
+            age_ms = self._quarantine.age_ms(report)
+            if age_ms is not None:
+                told.append(_told(report, int(age_ms)))
+        return EndsReported(tuple(told), tuple(_told(one) for one in pardoned))
+
+    def _take(self, sender: str, message: EndsReported) -> None:
+        del sender
+        self._quarantine.take(
+            [(_report(told), told.age_ms) for told in message.reports],
+            [_report(told) for told in message.pardoned],
+        )
+
+
+def _told(report: EndReport, age_ms: int = 0) -> ReportedEnd:
+    return ReportedEnd(report.fingerprint, report.endpoint_start, age_ms)
+
+
+def _report(told: ReportedEnd) -> EndReport:
+    return EndReport(told.fingerprint, told.endpoint_start)
--- a/tests/platform/quarantine.feature
+++ b/tests/platform/quarantine.feature
@@ -27,3 +27,10 @@
     When such a request comes every 300 ms at the VMs in turn for 9 s, beside harmless ones
     Then it reached endpoints at most 3 times later than 3 s after its third end
     And harmless requests are served again from 5 s after its third end on
+
+  Scenario: All VMs are killed at the same moment and start again
+    When such a request comes every 300 ms at the VMs in turn for 3 s, beside harmless ones
+    And all VMs are killed and start again
+    And such a request comes every 300 ms at the VMs in turn for 6 s, beside harmless ones
+    Then it reached endpoints at most 3 times later than 3 s after its third end
+    And harmless requests are served again from 6 s after its third end on
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -18,6 +18,7 @@
 from pomelolane.forwarding.handles import handle_from_state
 from pomelolane.forwarding.routes import service_from_route
 from pomelolane.ports.forwarding import CallDescription
+from pomelolane.quarantine import Quarantine
 
 STEP_MS = 100
 
@@ -166,7 +167,9 @@
 def step_stopping(context, ms):
     clock = ManualClock()
     unused = None
-    context.forwarder = Forwarder(unused, unused, unused, unused, unused, clock, "")
+    context.forwarder = Forwarder(
+        unused, unused, unused, unused, unused, Quarantine(clock), unused, clock, ""
+    )
     assert context.forwarder.may_take(math.inf)
     context.forwarder.stop_by(clock.now_ms() + ms)
 
