--- a/src/pomelolane/quarantine/quarantine.py
+++ b/src/pomelolane/quarantine/quarantine.py
@@ -44,6 +44,10 @@
         self._on_news: list[OnNews] = []
         self._on_blamed: list[Callable[[str], None]] = []
 
+    def __len__(self) -> int:
+        """Return the number of reports that count."""
+        return len(self._book)
+
     # --- what requests ask ------------------------------------------------
 
     def blames(self, fingerprint: str) -> bool:
