Keep such requests out at callers' own gateway and from jobs too

The same cause stood at the other door: its dispatcher forgot a request with its end, and a job that ends endpoints was queued again until its deadline. Seen red before: 20 dispatches of one request in 10 attempts (now at most 4); a job refused for this reason was queued again without end (now it fails with what is known). Both doors ask for slots at one gate, which refuses, recalls waits and marks suspects; the own door's record is in the platform's table.

--- a/src/pomelolane/assembly.py
+++ b/src/pomelolane/assembly.py
@@ -33,6 +33,7 @@
     make_member,
 )
 from pomelolane.parts import Parts
+from pomelolane.quarantine import EndNews, EndWatch, Quarantine, RecordKeeper
 from pomelolane.registry import ENDPOINT_ADAPTERS
 from pomelolane.settings.distribution import make_distribution
 from pomelolane.settings.store import SettingsStore
@@ -47,6 +48,7 @@
     make_leases,
     platform_from_url,
 )
+from pomelolane.store.endrecord import TableEndRecord
 from pomelolane.store.orders import HttpOrderSender
 from pomelolane.tree import CurrentTree
 
@@ -85,7 +87,10 @@
     distribution.on_change(adoption.take_soon)
     pool = ConnectionPool()
     adapters = {kind: make(pool) for kind, make in ENDPOINT_ADAPTERS.items()}
-    dispatcher = _make_dispatcher(ground, coordination, adapters)
+    quarantine = Quarantine(ground.clock)
+    ends = EndWatch(quarantine, pool, ground.tree, ground.clock, WallClock())
+    ground.tree.on_change(lambda _: ends.endpoints_changed())
+    dispatcher = _make_dispatcher(ground, coordination, adapters, quarantine, ends)
     committer = _make_committer(ground)
     claims = _make_claims(ground, committer)
     keyed = _make_keyed(ground, claims, dispatcher, adapters)
@@ -113,6 +118,7 @@
             ground.platform.table, ground.platform.objects, WallClock()
         ),
         keeper=_make_keeper(ground, coordination, sender),
+        end_record=_make_end_record(ground, quarantine),
         order_sender=sender,
     )
 
@@ -121,12 +127,16 @@
     ground: _Ground,
     coordination: Coordination,
     adapters: dict[str, EndpointAdapter],
+    quarantine: Quarantine,
+    ends: EndWatch,
 ) -> Dispatcher:
     return Dispatcher(
         ground.tree,
         coordination.client,
         adapters,
         RetryBudget(),
+        quarantine,
+        ends,
         ground.clock,
         ground.options.data_centre,
         on_leaving=lambda endpoint: ground.member.mark_leaving(endpoint, "answer"),
@@ -257,6 +267,17 @@
     )
 
 
+def _make_end_record(ground: _Ground, quarantine: Quarantine) -> RecordKeeper:
+    member = ground.member
+    news = EndNews(ground.options.vm_id, member, member.transport, quarantine)
+    return RecordKeeper(
+        TableEndRecord(ground.platform.table, WallClock()),
+        quarantine,
+        lambda: member.is_delegate,
+        news.pass_on,
+    )
+
+
 def _make_marks(ground: _Ground) -> RecordedMarks:
     tree = ground.tree
 
--- a/src/pomelolane/forwarding/call.py
+++ b/src/pomelolane/forwarding/call.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    import asyncio
-
     from pomelolane.forwarding.configuration import Route
     from pomelolane.ports.forwarding import CallDescription
 
@@ -75,8 +73,6 @@
         excluded: Endpoints that it is not offered to again.
         last_event_id: Last whole event that the caller has.
         endpoint_id: Where it was sent last.
-        waiter: Its task while it waits for a slot.
-        is_recalled: Whether that wait was ended, since no endpoint may get it.
     """
 
     call: ForwardCall
@@ -87,5 +83,3 @@
     excluded: tuple[str, ...] = ()
     last_event_id: bytes = b""
     endpoint_id: str = ""
-    waiter: asyncio.Task[None] | None = None
-    is_recalled: bool = False
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -27,7 +27,6 @@
     wait_patiently,
 )
 from pomelolane.forwarding.refusals import (
-    KEPT_OUT,
     answer_refusal,
     refusal_from_error,
     truthful,
@@ -37,6 +36,7 @@
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.ports.forwarding import Dispatch, Verdict
+from pomelolane.quarantine import Gate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -130,6 +130,7 @@
         self._directory = directory
         self._make_budget = make_budget
         self._quarantine = quarantine
+        self._gate = Gate(quarantine, client, clock)
         self._ends = ends
         self._clock = clock
         self._data_centre = data_centre
@@ -139,7 +140,6 @@
         self._stop_at_ms = math.inf
         self._takes_more = True
         self._ended = asyncio.Event()
-        quarantine.on_blamed(self._recall)
 
     def stop_by(self, at_ms: float) -> None:
         """Take only what can be finished until then."""
@@ -214,16 +214,11 @@
     async def _run(self, state: CallState, relay: Relay) -> Refusal | None:
         """Try endpoints until one answers; return the refusal if none does."""
         while True:
-            if await self._quarantine.settled(state.call.fingerprint):
-                return truthful(state, KEPT_OUT)
             grant = await self._acquire(state)
             if isinstance(grant, Refusal):
                 return truthful(state, grant)
             state.tries += 1
             watch = StreamWatch(self._client, grant, self._clock)
-            if self._quarantine.blames(state.call.fingerprint):
-                watch.finish(refused=True, outcome=Outcome.NOT_RUN)
-                return truthful(state, KEPT_OUT)
             try:
                 await self._attempt(state, relay, grant, watch)
             except _Again as again:
@@ -238,29 +233,11 @@
 
     async def _acquire(self, state: CallState) -> Grant | Refusal:
         asked_ms = self._clock.now_ms()
-        suspect = self._quarantine.is_suspect(state.call.fingerprint)
-        handle = handle_from_state(state, self._data_centre, asked_ms, suspect=suspect)
-        task = asyncio.current_task()
-        state.waiter = task
-        try:
-            grant = await self._client.acquire(handle)
-        except asyncio.CancelledError:
-            if not state.is_recalled:
-                raise
-            task.uncancel()
-            return KEPT_OUT
-        finally:
-            state.waiter = None
+        handle = handle_from_state(state, self._data_centre, asked_ms)
+        grant = await self._gate.acquire(state.call.fingerprint, handle)
         metrics.observe_wait(state.call.service, self._clock.now_ms() - asked_ms)
         return grant
 
-    def _recall(self, fingerprint: str) -> None:
-        """End the waits of requests that are refused from now on."""
-        for state in self.open_calls.values():
-            if state.call.fingerprint == fingerprint and state.waiter is not None:
-                state.is_recalled = True
-                state.waiter.cancel()
-
     async def _attempt(
         self, state: CallState, relay: Relay, grant: Grant, watch: StreamWatch
     ) -> None:
--- a/src/pomelolane/forwarding/handles.py
+++ b/src/pomelolane/forwarding/handles.py
@@ -14,16 +14,13 @@
 request on the users' sheets, so that it is due first in its rank."""
 
 
-def handle_from_state(
-    state: CallState, data_centre: str, now_ms: float, *, suspect: bool = False
-) -> Handle:
+def handle_from_state(state: CallState, data_centre: str, now_ms: float) -> Handle:
     """Return the handle of a request as it stands now.
 
     Args:
         state: The request.
         data_centre: Where its gateway stands.
         now_ms: The time.
-        suspect: Whether several endpoints have ended under it.
     """
     call = state.call
     described = call.description
@@ -57,5 +54,4 @@
         gap_ms=call.route.gap_ms,
         charge_tokens=call.charge_tokens,
         patience_ms=patience_ms,
-        suspect=suspect,
     )
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from pomelolane import events
+from pomelolane.clock import WallClock
 from pomelolane.coordination import make_coordination
 from pomelolane.coordination.options import Timings
 from pomelolane.endpoints import ConnectionPool
@@ -152,7 +153,9 @@
         told = ToldUses(options.vm_id, self.member, self.member.transport, clock)
         self.ledger = Ledger(self.coordination, record, told)
         self.quarantine = Quarantine(clock)
-        self._ends = EndWatch(self.quarantine, self._pool, directory, clock)
+        self._ends = EndWatch(
+            self.quarantine, self._pool, directory, clock, WallClock()
+        )
         self._end_news = EndNews(
             options.vm_id, self.member, self.member.transport, self.quarantine
         )
--- a/src/pomelolane/forwarding/refusals.py
+++ b/src/pomelolane/forwarding/refusals.py
@@ -24,13 +24,6 @@
 _TRUE_AFTER_A_RUN = (Reason.DEADLINE_PASSED, Reason.ENDS_ENDPOINTS)
 """Reasons that hold whether or not an endpoint has begun the request."""
 
-KEPT_OUT = Refusal(
-    Outcome.NOT_RUN,
-    Reason.ENDS_ENDPOINTS,
-    detail="endpoints have ended under requests that ask for this",
-)
-"""Coming back cannot help, so that it names no time."""
-
 NOT_READY_RETRY_MS = 500
 """When to come back to a VM that knows no configuration yet."""
 
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -18,6 +18,7 @@
 from pomelolane.messages import Handle
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.ports import UpstreamRequest
+from pomelolane.quarantine import Gate
 from pomelolane.store import claim_key
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
     from pomelolane.gateway.retries import RetryBudget
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock, EndpointAdapter, Grant, SchedulerClient
+    from pomelolane.quarantine import EndWatch, Quarantine
     from pomelolane.tree import CurrentTree
 
     OnPlaced = Callable[[str, str], Awaitable[None]]
@@ -35,6 +37,7 @@
 MAX_ATTEMPTS = 4
 RETRY_AFTER_FAILURE_MS = 1000
 
+_REDIRECTION = 300
 _STATE_HEADER = b"x-endpoint-state"
 _LEAVING = b"leaving"
 
@@ -51,6 +54,8 @@
         client: Where grants come from.
         adapters: Endpoint adapters by service kind.
         budget: Budget of repeated attempts.
+        quarantine: Requests that no endpoint may get.
+        ends: Looks after endpoints whose connections broke.
         clock: The process's clock.
         data_centre: This VM's data centre.
         on_leaving: Told of an endpoint whose answer says that it leaves.
@@ -62,6 +67,8 @@
         client: SchedulerClient,
         adapters: Mapping[str, EndpointAdapter],
         budget: RetryBudget,
+        quarantine: Quarantine,
+        ends: EndWatch,
         clock: Clock,
         data_centre: str,
         on_leaving: Callable[[str], object] = _ignore,
@@ -70,6 +77,9 @@
         self._client = client
         self._adapters = adapters
         self._budget = budget
+        self._quarantine = quarantine
+        self._ends = ends
+        self._gate = Gate(quarantine, client, clock)
         self._clock = clock
         self._data_centre = data_centre
         self._on_leaving = on_leaving
@@ -138,7 +148,8 @@
         if budget_ms <= 0:
             return self._late(state)
         queued_ms = self._clock.now_ms()
-        grant = await self._client.acquire(self._handle(state, budget_ms))
+        handle = self._handle(state, budget_ms)
+        grant = await self._gate.acquire(state.fingerprint, handle)
         if isinstance(grant, Refusal):
             return self._after_dispatch(state, grant)
         endpoint = self._tree.value.endpoints.get(grant.endpoint_id)
@@ -184,7 +195,7 @@
             state.dispatched = dispatched_before
             return self._refused(state, endpoint, watch, str(error))
         except EndpointBrokenError as error:
-            return self._broken(state, endpoint, watch, str(error))
+            return await self._broken(state, endpoint, watch, str(error))
         except TimeoutError:
             self._cancel_upstream(adapter, endpoint, state.stream_id)
             return self._late(state)
@@ -196,8 +207,10 @@
             self._cancel_upstream(adapter, endpoint, state.stream_id)
             return Refusal(Outcome.CUT_SHORT, Reason.CALLER_GONE)
         if not result.whole:
-            return self._broken(state, endpoint, watch, "the answer ended early")
+            return await self._broken(state, endpoint, watch, "the answer ended early")
         watch.finish(cached_tokens=result.cached_tokens)
+        if stream.status < _REDIRECTION:
+            self._quarantine.answered(state.fingerprint)
         return self._delivered(state, stream.status, watch, result)
 
     async def _relay(
@@ -250,7 +263,7 @@
         )
         return self._after_dispatch(state, refusal)
 
-    def _broken(
+    async def _broken(
         self, state: RequestState, endpoint: Endpoint, watch: StreamWatch, detail: str
     ) -> Refusal:
         outcome = Outcome.CUT_SHORT if state.begun else Outcome.UNKNOWN
@@ -265,6 +278,7 @@
             outcome=outcome,
             reason=Reason.ENDPOINT_BROKEN,
         )
+        await self._ends.look(state.fingerprint, endpoint, endpoint.address)
         return Refusal(outcome, Reason.ENDPOINT_BROKEN, RETRY_AFTER_FAILURE_MS, detail)
 
     def _retry_is_open(self, state: RequestState) -> bool:
--- a/src/pomelolane/gateway/state.py
+++ b/src/pomelolane/gateway/state.py
@@ -7,6 +7,8 @@
 
 from typing import TYPE_CHECKING
 
+from pomelolane.quarantine import fingerprint_from_request
+
 if TYPE_CHECKING:
     from pomelolane.gateway.intake import Call
 
@@ -19,6 +21,7 @@
         dispatched: Whether a byte may have gone to an endpoint.
         endpoint_id: Where it runs or ran last.
         stream_id: The engine's stream of the last attempt.
+        fingerprint: The same for every request that asks for the same.
         finished: Whether it has ended.
         outcome: Empty while open or on success, else the outcome.
         outlives_cancel: Whether the engine's stream is left running when this
@@ -33,6 +36,7 @@
         "dispatched",
         "endpoint_id",
         "excluded",
+        "fingerprint",
         "finished",
         "outcome",
         "outlives_cancel",
@@ -44,6 +48,9 @@
         self.accepted_ms = accepted_ms
         self.attempt = 0
         self.excluded: tuple[str, ...] = ()
+        self.fingerprint = fingerprint_from_request(
+            call.organisation.name, call.method, call.path.encode(), call.body
+        )
         self.dispatched = False
         self.begun = False
         self.endpoint_id = ""
--- a/src/pomelolane/parts.py
+++ b/src/pomelolane/parts.py
@@ -25,6 +25,7 @@
     from pomelolane.gateway import Dispatcher, Gateway, KeyedCalls
     from pomelolane.jobs import Jobs
     from pomelolane.membership import Member, RecordedMarks
+    from pomelolane.quarantine import RecordKeeper
     from pomelolane.settings.distribution import Distribution
     from pomelolane.settings.options import ServeOptions
     from pomelolane.settings.store import SettingsStore
@@ -58,6 +59,7 @@
     jobs: Jobs
     sweeper: ClaimSweeper
     keeper: ModelKeeper
+    end_record: RecordKeeper
     order_sender: HttpOrderSender
 
     def is_ready(self) -> bool:
@@ -89,6 +91,9 @@
         self.background.start("claims", self.sweeper.run())
         self.background.start("marks", self.marks.run())
         self.background.start("models", self.keeper.run())
+        self.background.start("write ends", self.end_record.write())
+        self.background.start("read ends", self.end_record.read())
+        await self.end_record.loaded()
 
     async def _import_first(self) -> None:
         """Store the declarations given at the start where there are none yet."""
--- a/src/pomelolane/quarantine/__init__.py
+++ b/src/pomelolane/quarantine/__init__.py
@@ -9,6 +9,7 @@
 from pomelolane.quarantine.book import EndBook, EndReport
 from pomelolane.quarantine.ends import EndWatch, endpoint_start
 from pomelolane.quarantine.fingerprint import fingerprint_from_request
+from pomelolane.quarantine.gate import Gate
 from pomelolane.quarantine.judgement import Judgement, judge
 from pomelolane.quarantine.news import EndNews
 from pomelolane.quarantine.quarantine import Quarantine
@@ -25,6 +26,7 @@
     "EndRecord",
     "EndReport",
     "EndWatch",
+    "Gate",
     "Judgement",
     "Quarantine",
     "RecordKeeper",
--- a/src/pomelolane/quarantine/ends.py
+++ b/src/pomelolane/quarantine/ends.py
@@ -26,6 +26,10 @@
 """How long another start in the registry still tells of the end: endpoints are back
 after some seconds."""
 
+UNTOLD_START_MS = 10_000.0
+"""Spell in which the ends of an endpoint that does not tell when it started count as
+one: all requests of one end are found out within a second, and a start takes some."""
+
 _START_DIGEST_BYTES = 8
 
 
@@ -39,9 +43,15 @@
         """Return all endpoints."""
 
 
-def endpoint_start(endpoint: Endpoint) -> str:
-    """Return a short name of this start of an endpoint."""
-    text = f"{endpoint.endpoint_id}@{endpoint.born_ms}".encode()
+def endpoint_start(endpoint: Endpoint, wall_ms: float) -> str:
+    """Return a short name of this start of an endpoint.
+
+    Args:
+        endpoint: The endpoint.
+        wall_ms: Time of day, for those that do not tell when they started.
+    """
+    start = endpoint.born_ms or f"about {int(wall_ms // UNTOLD_START_MS)}"
+    text = f"{endpoint.endpoint_id}@{start}".encode()
     return hashlib.blake2b(text, digest_size=_START_DIGEST_BYTES).hexdigest()
 
 
@@ -53,6 +63,7 @@
         pool: Connects to endpoints.
         endpoints: Known endpoints.
         clock: Time.
+        wall: Time of day.
     """
 
     def __init__(
@@ -61,12 +72,14 @@
         pool: ConnectionPool,
         endpoints: Endpoints,
         clock: Clock,
+        wall: Clock,
     ) -> None:
         self._quarantine = quarantine
         self._pool = pool
         self._endpoints = endpoints
         self._clock = clock
-        self._doubts: dict[tuple[str, str], tuple[Endpoint, float]] = {}
+        self._wall = wall
+        self._doubts: dict[tuple[str, Endpoint], float] = {}
         self._looking: set[asyncio.Task[None]] = set()
 
     async def look(self, fingerprint: str, endpoint: Endpoint, address: str) -> None:
@@ -85,12 +98,12 @@
     def endpoints_changed(self) -> None:
         """Compare the endpoints in doubt with the list."""
         oldest_ms = self._clock.now_ms() - DOUBT_MS
-        for key, (endpoint, at_ms) in list(self._doubts.items()):
+        for (fingerprint, endpoint), at_ms in list(self._doubts.items()):
             if at_ms < oldest_ms:
-                del self._doubts[key]
+                del self._doubts[fingerprint, endpoint]
             elif self._has_successor(endpoint):
-                del self._doubts[key]
-                self._report(key[0], endpoint)
+                del self._doubts[fingerprint, endpoint]
+                self._report(fingerprint, endpoint)
 
     async def _look(self, fingerprint: str, endpoint: Endpoint, address: str) -> None:
         if self._endpoints.usable(endpoint.endpoint_id) is None:
@@ -99,10 +112,7 @@
         if await self._pool.is_down(address):
             self._report(fingerprint, endpoint)
             return
-        self._doubts[fingerprint, endpoint_start(endpoint)] = (
-            endpoint,
-            self._clock.now_ms(),
-        )
+        self._doubts[fingerprint, endpoint] = self._clock.now_ms()
 
     def _has_successor(self, endpoint: Endpoint) -> bool:
         """Tell whether another start stands where an endpoint stood."""
@@ -114,5 +124,5 @@
         )
 
     def _report(self, fingerprint: str, endpoint: Endpoint) -> None:
-        name = endpoint.endpoint_id
-        self._quarantine.ended(fingerprint, endpoint_start(endpoint), name)
+        start = endpoint_start(endpoint, self._wall.now_ms())
+        self._quarantine.ended(fingerprint, start, endpoint.endpoint_id)
--- a/src/pomelolane/tree.py
+++ b/src/pomelolane/tree.py
@@ -10,7 +10,9 @@
 from pomelolane.model import Tree
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
+
+    from pomelolane.model import Endpoint
 
 
 class CurrentTree:
@@ -25,6 +27,15 @@
         """The tree in force; empty until the first one was adopted."""
         return self._tree
 
+    def usable(self, endpoint_id: str) -> Endpoint | None:
+        """Return an endpoint that may get new work, else None."""
+        endpoint = self._tree.endpoints.get(endpoint_id)
+        return None if endpoint is None or endpoint.leaving else endpoint
+
+    def listed(self) -> Iterable[Endpoint]:
+        """Return all endpoints, leaving ones included."""
+        return self._tree.endpoints.values()
+
     @property
     def ready(self) -> bool:
         """Whether any branch has been adopted."""
--- a/tests/gateway/dispatch.feature
+++ b/tests/gateway/dispatch.feature
@@ -68,3 +68,16 @@
     Then the dispatcher ends with not_run
     And the endpoints got 0 dispatches
     And the dispatcher has given its slot back
+
+  Scenario: A request under which endpoints end is refused, whoever repeats it
+    Given every endpoint of the dispatcher ends under a request
+    When the dispatcher repeats one idempotent request 10 times
+    Then the endpoints got at most 4 dispatches
+    And the dispatcher ends with not_run
+
+  Scenario: Another caller's request is served beside it
+    Given every endpoint of the dispatcher ends under a request
+    When the dispatcher repeats one idempotent request 10 times
+    And the dispatcher's endpoints answer again
+    And the dispatcher serves another organisation
+    Then the dispatcher ends with delivery
--- a/tests/jobs/runner.feature
+++ b/tests/jobs/runner.feature
@@ -27,6 +27,12 @@
     Then the job ends as "done" with its own answer
     And the engine has run the job 1 time
 
+  Scenario: A job under which endpoints end is given up, not queued again
+    Given the job scheduler refuses it since endpoints end under it
+    When a job is accepted on "a"
+    Then the job ends as "failed" with outcome "not_run"
+    And the job was refused once
+
   Scenario: A deadline that passes in the queue is a truthful end
     Given the job scheduler refuses for ever
     When a job is accepted on "a" with a deadline of 50 ms
--- a/tests/jobs_world.py
+++ b/tests/jobs_world.py
@@ -80,6 +80,7 @@
         self.vm_id = vm_id
         self.engine = engine
         self.refusals = 0
+        self.reason = Reason.QUEUE_FULL
         self.grants = asyncio.Event()
         self.grants.set()
         self.thaw = asyncio.Event()
@@ -95,7 +96,7 @@
             self.waiting -= 1
         if self.refusals:
             self.refusals -= 1
-            return Refusal(Outcome.NOT_RUN, Reason.QUEUE_FULL, 1)
+            return Refusal(Outcome.NOT_RUN, self.reason, 1)
         stream_id = f"{job.job_id}-{job.attempt}"
         await self.thaw.wait()
         await on_placed("e1", stream_id)
--- a/tests/quarantine/sharing.feature
+++ b/tests/quarantine/sharing.feature
@@ -66,3 +66,14 @@
     And "b" and "c" have heard of it, and all VMs end
     And the VM "d" starts with a quarantine
     Then "d" blames "guilty" as soon as it has read the record
+
+  Scenario Outline: The record in the platform's table says the same
+    Given a record in the platform's table
+    When 3 reports are written there, one of them <change>
+    Then the record there holds <count> reports, <pardoned> of them were taken out
+
+    Examples:
+      | change                   | count | pardoned |
+      | again                    | 3     | 0        |
+      | and taken out later      | 2     | 1        |
+      | beside an unreadable row | 3     | 0        |
--- a/tests/steps/gateway_dispatch_steps.py
+++ b/tests/steps/gateway_dispatch_steps.py
@@ -5,7 +5,8 @@
 
 from behave import given, then, when
 
-from pomelolane.clock import MonotonicClock
+from pomelolane.clock import MonotonicClock, WallClock
+from pomelolane.endpoints import ConnectionPool
 from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
 from pomelolane.gateway.dispatch import Dispatcher
 from pomelolane.gateway.ending import Delivered, SinkResult
@@ -13,10 +14,12 @@
 from pomelolane.model import Endpoint, Tree
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.ports import Grant
+from pomelolane.quarantine import EndWatch, Quarantine
 from pomelolane.tree import CurrentTree
 from tests.gateway_calls import make_call
 
 _WHOLE = ("answers", "says that it leaves")
+STARTS_ANEW_S = 0.02
 REFUSAL = Refusal(Outcome.NOT_RUN, Reason.QUEUE_FULL, 500)
 
 
@@ -75,12 +78,20 @@
         self.behaviours = {}
         self.dispatches = []
         self.cancelled = asyncio.Event()
+        self.ended = []
+        self.restart = None
 
     async def dispatch(self, endpoint, request):
         behaviour = self.behaviours.get(endpoint.endpoint_id, "answers")
+        if endpoint in self.ended:
+            raise EndpointRefusedError("nothing listens")
         self.dispatches.append(request.request_id)
         if behaviour == "refuses the connection":
             raise EndpointRefusedError("refused")
+        if behaviour == "ends under a request":
+            self.ended.append(endpoint)
+            self.restart(endpoint)
+            raise EndpointBrokenError("the endpoint closed the connection")
         if behaviour == "breaks before a byte":
             raise EndpointBrokenError("broken")
         return ScriptedStream(behaviour)
@@ -112,19 +123,33 @@
     tree.adopt(Tree(endpoints=endpoints, versions={"b": 1}))
     context.scheduler = ScriptedScheduler()
     context.adapter = ScriptedAdapter()
+    context.adapter.restart = lambda endpoint: _start_anew(tree, endpoint)
     context.leaving = []
     context.clock = SkippingClock()
+    quarantine = Quarantine(context.clock)
+    ends = EndWatch(quarantine, ConnectionPool(), tree, context.clock, WallClock())
     context.dispatcher = Dispatcher(
         tree,
         context.scheduler,
         {"engine": context.adapter},
         RetryBudget(),
+        quarantine,
+        ends,
         context.clock,
         "dc",
         on_leaving=lambda endpoint: context.leaving.append(endpoint),
     )
 
 
+def _start_anew(tree, endpoint):
+    """Nothing listens at the endpoint's address; later it is there as another start."""
+    successor = replace(endpoint, born_ms=endpoint.born_ms + 1)
+    endpoints = tree.value.endpoints | {endpoint.endpoint_id: successor}
+    asyncio.get_running_loop().call_later(
+        STARTS_ANEW_S, tree.adopt, replace(tree.value, endpoints=endpoints)
+    )
+
+
 @given("the dispatcher is paused past the deadline while it waits for a grant")
 def step_paused(context):
     def pause():
@@ -194,6 +219,28 @@
         _run(context, _call("idempotent", number))
 
 
+@when("the dispatcher repeats one idempotent request {count:d} times")
+def step_run_same(context, count):
+    for number in range(count):
+        context.result = _run(context, _call("idempotent", number))
+        context.run(asyncio.sleep(2 * STARTS_ANEW_S))
+
+
+@when("the dispatcher's endpoints answer again")
+def step_answer_again(context):
+    context.adapter.behaviours.clear()
+
+
+@when("the dispatcher serves another organisation")
+def step_run_other(context):
+    context.result = _run(context, make_call(99, organisation="other"))
+
+
+@then("the endpoints got at most {most:d} dispatches")
+def step_at_most(context, most):
+    assert len(context.adapter.dispatches) <= most, context.adapter.dispatches
+
+
 @when("the dispatcher's caller leaves")
 def step_leaves(context):
     async def leave():
--- a/tests/steps/gateway_keyed_steps.py
+++ b/tests/steps/gateway_keyed_steps.py
@@ -4,8 +4,8 @@
 
 from behave import given, then, when
 
-from pomelolane.clock import MonotonicClock
-from pomelolane.endpoints import AnswerStream
+from pomelolane.clock import MonotonicClock, WallClock
+from pomelolane.endpoints import AnswerStream, ConnectionPool
 from pomelolane.exceptions import EndpointBrokenError, PlatformUnavailableError
 from pomelolane.gateway.answers import answer_from_object
 from pomelolane.gateway.dispatch import Dispatcher
@@ -19,6 +19,7 @@
 from pomelolane.model import Endpoint, Service, ServiceKind, Tree
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.ports import Grant, Peer, View
+from pomelolane.quarantine import EndWatch, Quarantine
 from pomelolane.store import (
     EmbeddedObjectStore,
     EmbeddedTable,
@@ -174,8 +175,17 @@
         self.scheduler = OneSlotScheduler()
         self.vm_id = vm_id
         adapters = {"engine": context.engine}
+        quarantine = Quarantine(clock)
+        ends = EndWatch(quarantine, ConnectionPool(), tree, clock, WallClock())
         self.dispatcher = Dispatcher(
-            tree, self.scheduler, adapters, RetryBudget(), clock, "dc"
+            tree,
+            self.scheduler,
+            adapters,
+            RetryBudget(),
+            quarantine,
+            ends,
+            clock,
+            "dc",
         )
         port = context.wire.port(vm_id)
         self.claims = make_claims(context.shared_table, vm_id, 1, clock)
--- a/tests/steps/jobs_steps.py
+++ b/tests/steps/jobs_steps.py
@@ -13,7 +13,7 @@
 from pomelolane.clock import MonotonicClock
 from pomelolane.jobs import JobRecord, JobState
 from pomelolane.jobs.liveness import HeartbeatWriter
-from pomelolane.outcomes import Refusal
+from pomelolane.outcomes import Reason, Refusal
 from pomelolane.ports import ClaimRecord, Peer
 from pomelolane.store import GroupCommitter, job_reservation
 from tests.faults import COMMIT_FAULTS, until
@@ -47,6 +47,20 @@
     return context.world.vms[vm_id]
 
 
+@given("the job scheduler refuses it since endpoints end under it")
+def step_refuses_ends(context):
+    for vm in context.world.vms.values():
+        vm.dispatcher.refusals = _FOR_EVER
+        vm.dispatcher.reason = Reason.ENDS_ENDPOINTS
+
+
+@then("the job was refused once")
+def step_refused_once(context):
+    vms = context.world.vms.values()
+    refused = [_FOR_EVER - vm.dispatcher.refusals for vm in vms]
+    assert sum(refused) == 1, refused
+
+
 @given('job VM "{vm_id}" may run nothing')
 def step_may_run_nothing(context, vm_id):
     _vm(context, vm_id).jobs.runner._draining = True
--- a/tests/steps/quarantine_ends_steps.py
+++ b/tests/steps/quarantine_ends_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from pomelolane.clock import ManualClock
+from pomelolane.clock import ManualClock, WallClock
 from pomelolane.endpoints import ConnectionPool
 from pomelolane.forwarding import EndpointDirectory
 from pomelolane.model import Endpoint
@@ -43,7 +43,11 @@
     context.add_cleanup(lambda: context.run(_close(context)))
     context.found = Found(context.clock)
     context.watch = EndWatch(
-        context.found, context.pool, context.directory, context.clock
+        context.found,
+        context.pool,
+        context.directory,
+        context.clock,
+        WallClock(),
     )
     context.directory.on_change(context.watch.endpoints_changed)
     _list(context, context.endpoint)
--- a/tests/steps/quarantine_sharing_steps.py
+++ b/tests/steps/quarantine_sharing_steps.py
@@ -6,12 +6,20 @@
 from behave import given, then, when
 
 from bench.processes import wait_until
-from pomelolane.clock import MonotonicClock
+from pomelolane.clock import MonotonicClock, WallClock
 from pomelolane.membership import reads_for_others
 from pomelolane.platform.endrecord import StoreEndRecord
 from pomelolane.platform.storeclient import StoreClient
-from pomelolane.ports import Peer, View
-from pomelolane.quarantine import EndNews, Quarantine, RecordKeeper
+from pomelolane.ports import Peer, View, Write
+from pomelolane.quarantine import (
+    EndNews,
+    EndReport,
+    Quarantine,
+    RecordedEnd,
+    RecordKeeper,
+)
+from pomelolane.store import EmbeddedTable
+from pomelolane.store.endrecord import PREFIX, TableEndRecord
 from standins.routed import MetadataStore
 from standins.routed.store import Trouble
 from tests.routed_world import DATA_CENTRE
@@ -224,3 +232,36 @@
 def step_record(context, count):
     rows = context.run(context.network.vms["a"].client.read(TABLE)).rows
     assert len([row for row in rows if not row.deleted]) == count, rows
+
+
+@given("a record in the platform's table")
+def step_table(context):
+    context.table_of_platform = EmbeddedTable()
+    context.record = TableEndRecord(context.table_of_platform, WallClock())
+
+
+@when("{count:d} reports are written there, one of them {change}")
+def step_written(context, count, change):
+    reports = [EndReport("request", f"start-{number}") for number in range(count)]
+    ends = [RecordedEnd(report, 100.0) for report in reports]
+
+    async def write():
+        await context.record.save(ends, [])
+        await context.record.load()
+        if change == "again":
+            await context.record.save(ends[:1], [])
+        elif change == "and taken out later":
+            await context.record.save([], reports[:1])
+        else:
+            bad = Write(PREFIX + "request/bad", b"?", None)
+            await context.table_of_platform.commit([bad])
+
+    context.run(write())
+
+
+@then("the record there holds {count:d} reports, {pardoned:d} of them were taken out")
+def step_holds(context, count, pardoned):
+    news = context.run(context.record.load())
+    assert len(news.ends) == count, news
+    assert len(news.pardoned) == pardoned, news
+    assert all(100 <= one.age_ms < 5000 for one in news.ends), news
