Count the time in which a VM is suspended

Cause: all ages, deadlines and leases were measured with a clock that stands still while the VM is suspended. A request that was held through 7 s of it would have gone to an endpoint with 7 s more than its caller waits, a lease would have seemed held, and the silence of the others gone unnoticed. Change: the process's clock counts suspensions; both doors bound requests by timeouts that are corrected after one, since the loop's timers do not count it either. tests/clock.feature: the clock seen red before (0.08 ms instead of 7000).

--- a/src/pomelolane/assembly.py
+++ b/src/pomelolane/assembly.py
@@ -91,6 +91,7 @@
     ends = EndWatch(quarantine, pool, ground.tree, ground.clock, WallClock())
     ground.tree.on_change(lambda _: ends.endpoints_changed())
     dispatcher = _make_dispatcher(ground, coordination, adapters, quarantine, ends)
+    ground.member.on_tick(dispatcher.timeouts.look)
     committer = _make_committer(ground)
     claims = _make_claims(ground, committer)
     keyed = _make_keyed(ground, claims, dispatcher, adapters)
--- a/src/pomelolane/clock.py
+++ b/src/pomelolane/clock.py
@@ -17,12 +17,18 @@
 """Time between two readings above which a process counts as paused."""
 
 
+_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""The monotonic clock of Linux stands still while a VM is suspended, and the rest of
+the world does not: a lease, a deadline or a silence that was measured with it would
+seem seconds younger than it is."""
+
+
 class MonotonicClock:
-    """The operating system's monotonic clock."""
+    """The operating system's monotonic clock, time of suspension included."""
 
     def now_ms(self) -> float:
         """Return milliseconds since an arbitrary origin."""
-        return time.monotonic() * 1000.0
+        return time.clock_gettime(_CLOCK) * 1000.0
 
 
 class WallClock:
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -37,6 +37,7 @@
 from pomelolane.outcomes import Outcome, Reason, Refusal
 from pomelolane.ports.forwarding import Dispatch, Verdict
 from pomelolane.quarantine import Gate
+from pomelolane.timeouts import Timeouts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -136,6 +137,7 @@
         self._data_centre = data_centre
         self._budgets: dict[str, SharedRetryBudget] = {}
         self.open_calls: dict[str, CallState] = {}
+        self.timeouts = Timeouts(clock)
         self.draining = False
         self._stop_at_ms = math.inf
         self._takes_more = True
@@ -202,7 +204,7 @@
             return
         self._budget(call.service).earn()
         try:
-            async with asyncio.timeout(max(0.0, self._left_ms(call)) / 1000):
+            async with self.timeouts.after(self._left_ms(call)):
                 refusal = await self._run(state, relay)
         except TimeoutError:
             refusal = self._timed_out(state)
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -179,6 +179,7 @@
             clock,
             options.data_centre,
         )
+        self.member.on_tick(self.forwarder.timeouts.look)
         self._takes_part = False
         self._is_started = False
         self._handover: asyncio.Task[None] | None = None
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -20,6 +20,7 @@
 from pomelolane.ports import UpstreamRequest
 from pomelolane.quarantine import Gate
 from pomelolane.store import claim_key
+from pomelolane.timeouts import Timeouts
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
@@ -85,6 +86,7 @@
         self._on_leaving = on_leaving
         self._background: set[asyncio.Task[None]] = set()
         self.open_requests: dict[str, RequestState] = {}
+        self.timeouts = Timeouts(clock)
 
     def open(self, call: Call) -> RequestState:
         """Note an accepted request."""
@@ -185,7 +187,7 @@
         self._log_dispatch(state, watch.grant, queued_ms)
         adapter = self._adapters[state.call.service.kind.value]
         try:
-            async with asyncio.timeout(max(0.0, self._budget_ms(state)) / 1000):
+            async with self.timeouts.after(self._budget_ms(state)):
                 stream = await adapter.dispatch(endpoint, _upstream(state))
                 try:
                     result = await self._relay(state, sink, stream, watch)
--- a/src/pomelolane/membership/member.py
+++ b/src/pomelolane/membership/member.py
@@ -80,6 +80,7 @@
         )
         self._on_versions: list[Callable[[str, Mapping[str, int]], None]] = []
         self._on_pause: list[Callable[[float], None]] = []
+        self._on_tick: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task] = []
         self._touched = False
         self._next_beat_ms = 0.0
@@ -129,6 +130,10 @@
         """Call ``callback(paused_ms)`` when this process has not run for long."""
         self._on_pause.append(callback)
 
+    def on_tick(self, callback: Callable[[], None]) -> None:
+        """Call back every :data:`TICK_S` while this process runs."""
+        self._on_tick.append(callback)
+
     def known_vms(self) -> int:
         """Return how many VMs there may be, this one and silent ones included."""
         return len(self._context.contacts) + 1
@@ -228,6 +233,8 @@
         """Do what is due; called every :data:`TICK_S`."""
         context = self._context
         now_ms = context.clock.now_ms()
+        for callback in self._on_tick:
+            callback()
         self._notice_pause(now_ms)
         context.pause.ran(now_ms)
         self._keeper.tick(now_ms)
--- a/tests/clock.feature
+++ b/tests/clock.feature
@@ -12,3 +12,23 @@
     When the desk settles anew
     And the desk is asked by "b" for tier 0
     Then the desk has refused nobody
+
+  Scenario: A suspension of the VM counts for everything that is measured
+    Given the process's clock
+    When the VM is suspended for 7000 ms, which its monotonic clock does not count
+    Then the process's clock has moved on by 7000 ms
+
+  Scenario: A request's timeout counts a suspension of the VM
+    Given a timeout of 3000 ms
+    When the VM is suspended for 7000 ms, and looks at its timeouts
+    Then the timeout ends what it bounds within 500 ms
+
+  Scenario: A timeout that is not over yet goes on for what is left
+    Given a timeout of 8000 ms
+    When the VM is suspended for 7500 ms, and looks at its timeouts
+    Then the timeout ends what it bounds after 300 to 1000 ms
+
+  Scenario: Looking without a suspension changes nothing
+    Given a timeout of 400 ms
+    When the VM looks at its timeouts
+    Then the timeout ends what it bounds after 300 to 1000 ms
