Show that those beside such a request stay served, and that resets are no ends

Over real processes: only the guilty request is blamed while others run beside it and are repeated with it, two guilty ones at the same time are both found, and answers that are reset or torn by living engines count as no end.

--- a/tests/coordination/desk.feature
+++ b/tests/coordination/desk.feature
@@ -31,3 +31,14 @@
     When the desk is asked by "a" for tier 0
     And the endpoint's data centre is cut off from the desk and comes back
     Then the desk has granted nobody else
+
+  Scenario Outline: Suspects are kept apart, so that the next end tells them apart
+    Given a settled desk with <endpoints> endpoints of 4 free slots
+    When 2 suspects and 2 other requests ask the desk
+    Then the desk has granted all 4
+    And the suspects run on <apart> endpoints
+
+    Examples:
+      | endpoints | apart |
+      | 3         | 2     |
+      | 1         | 1     |
--- a/tests/platform/quarantine.feature
+++ b/tests/platform/quarantine.feature
@@ -34,3 +34,25 @@
     And such a request comes every 300 ms at the VMs in turn for 6 s, beside harmless ones
     Then it reached endpoints at most 3 times later than 3 s after its third end
     And harmless requests are served again from 6 s after its third end on
+
+  Scenario: Harmless requests that were beside it are not refused with it
+    Given engines that take 120 ms to begin an answer
+    When such a request comes every 100 ms at the VMs in turn for 6 s, beside harmless ones
+    Then the VMs blame one request only
+    And no harmless request was refused for its company
+
+  Scenario: Two such requests of two callers come at the same time
+    Given engines that take 120 ms to begin an answer
+    When two such requests come every 200 ms at the VMs in turn for 9 s
+    Then each reached endpoints at most 3 times later than 3 s after its third end
+    And the VMs blame two requests only
+
+  Scenario Outline: Connections that break for other reasons are no ends
+    Given all engines do "<fault>"
+    When harmless requests come for 3 s
+    Then the VMs blame nothing, and tell of no end
+
+    Examples:
+      | fault |
+      | crash |
+      | torn  |
--- a/tests/steps/coordination_desk_steps.py
+++ b/tests/steps/coordination_desk_steps.py
@@ -113,3 +113,49 @@
 @then("the desk has granted nobody else")
 def step_granted_nobody(context):
     assert context.granted == ["b"], context.granted
+
+
+@given("a settled desk with {count:d} endpoints of {slots:d} free slots")
+def step_settled(context, count, slots):
+    context.placed = {}
+
+    def send(gateway, message):
+        if isinstance(message, Granted):
+            context.placed[message.request_id] = message.endpoint_id
+
+    clock = ManualClock(1000.0)
+    desk = Desk("chat", make_core("chat"), send, clock, Timings(), lambda _: 1.0)
+    works = {"w": Work("w", "top", 9000)}
+    endpoint = Endpoint("e0", "chat", "dc", "", slots=slots, kv_tokens=100_000)
+    endpoints = {
+        f"e{number}": replace(endpoint, endpoint_id=f"e{number}")
+        for number in range(count)
+    }
+    # Placement alone would give all requests to the fast one.
+    endpoints["e0"] = replace(
+        endpoint, decode_tokens_per_s=4000.0, prefill_tokens_per_s=400_000.0
+    )
+    service = Service("chat", "t", ServiceKind.ENGINE, works)
+    desk.configure(Tree(services={"chat": service}, endpoints=endpoints))
+    context.desk = desk
+
+
+@when("{suspects:d} suspects and {others:d} other requests ask the desk")
+def step_suspects(context, suspects, others):
+    for number in range(suspects + others):
+        name = f"s{number}" if number < suspects else f"o{number}"
+        handle = Handle(
+            name, "chat", "w", 0, "o", "t", 9000, 10, 10, suspect=number < suspects
+        )
+        context.desk.receive("a", Submit(1, waiting=(handle,)))
+
+
+@then("the desk has granted all {count:d}")
+def step_all_granted(context, count):
+    assert len(context.placed) == count, context.placed
+
+
+@then("the suspects run on {count:d} endpoints")
+def step_apart(context, count):
+    found = {where for name, where in context.placed.items() if name.startswith("s")}
+    assert len(found) == count, context.placed
