Give a last chance before lower tiers take the slot

Change: such a request gets a free slot before lower tiers if a short answer would be in time, behind its own tier's requests that have time; likewise a straggler's probe. tests/scheduler/lengths, health: seen red before.

--- /dev/null
+++ b/src/pomelolane/scheduler/chances.py
@@ -0,0 +1,119 @@
+"""Who gets a slot that the usual order leaves free, and who probes a straggler.
+
+A request that has no time for a middling answer any more is refused only when a short
+one would be late, too; until then a lower tier must not have taken its place.
+"""
+
+from __future__ import annotations
+
+from contextlib import closing
+from itertools import islice
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from pomelolane.scheduler.fleet import Worker
+    from pomelolane.scheduler.flights import FlightBook
+    from pomelolane.scheduler.options import CoreOptions
+    from pomelolane.scheduler.placement import Placement, Placer
+    from pomelolane.scheduler.queue import FairQueue
+    from pomelolane.scheduler.waiting import Waiting
+
+    Chosen = tuple[Waiting, Placement]
+
+MOST_LOOKED_AT = 16
+"""Requests of a tier that are looked at: the next ones are due later, and the usual
+order may still serve them."""
+
+
+class Chances:
+    """Chooses requests beside the usual order.
+
+    Args:
+        queue: What waits.
+        placer: Predicts requests on endpoints.
+        flights: Knows whose concurrency is used up.
+        options: Switches of the core.
+        may_go: Tells whether limits and the reserve let a request have a slot.
+    """
+
+    def __init__(
+        self,
+        queue: FairQueue,
+        placer: Placer,
+        flights: FlightBook,
+        options: CoreOptions,
+        may_go: Callable[[Waiting, float], bool],
+    ) -> None:
+        self._queue = queue
+        self._placer = placer
+        self._flights = flights
+        self._options = options
+        self._may_go = may_go
+
+    def for_slot(self, rank: int, held: set[str], now_ms: float) -> Chosen | None:
+        """Return one of a tier that a short answer in a free slot would save.
+
+        Args:
+            rank: The tier, of which nothing can go in the usual order.
+            held: Endpoints that other requests wait for.
+            now_ms: The time.
+        """
+        if not self._queue.all_deferred(rank):
+            return None
+        with closing(self._queue.scan(rank)) as requests:
+            for waiting in islice(requests, MOST_LOOKED_AT):
+                if not self._may_go(waiting, now_ms):
+                    continue
+                placement = self._placer.place_for_short_answer(waiting, held, now_ms)
+                if placement is not None:
+                    return waiting, placement
+        return None
+
+    def for_probe(self, worker: Worker, now_ms: float) -> Chosen | None:
+        """Return the request that tries an endpoint which was slow.
+
+        It is one of the lowest tier, since higher ones are to be spared the risk, but
+        for those that nothing else can save: the others of their tier, which have time,
+        go before them everywhere else.
+        """
+        return self._saved_by_probe(worker, now_ms) or self._lowest(worker, now_ms)
+
+    def _saved_by_probe(self, worker: Worker, now_ms: float) -> Chosen | None:
+        for rank in self._queue.ranks():
+            if not self._queue.has_deferred(rank):
+                continue
+            with closing(self._queue.scan(rank)) as requests:
+                deferred = (waiting for waiting in requests if waiting.deferred)
+                for waiting in islice(deferred, MOST_LOOKED_AT):
+                    if self._flights.park_if_limited(waiting.handle):
+                        continue
+                    placement = self._placer.in_time_if_short(waiting, worker, now_ms)
+                    if placement is not None:
+                        return waiting, placement
+        return None
+
+    def _lowest(self, worker: Worker, now_ms: float) -> Chosen | None:
+        """Return a request that would be in time even at the measured speed."""
+        for rank in reversed(self._queue.ranks()):
+            with closing(self._queue.scan(rank)) as requests:
+                for waiting in requests:
+                    placement = self._probing(waiting, worker, now_ms)
+                    if placement is not None:
+                        return waiting, placement
+        return None
+
+    def _probing(
+        self, waiting: Waiting, worker: Worker, now_ms: float
+    ) -> Placement | None:
+        if worker.endpoint_id in waiting.handle.excluded:
+            return None
+        if waiting.deferred and self._options.sure_first:
+            return None
+        if self._flights.park_if_limited(waiting.handle):
+            return None
+        if not worker.account.kv_fits(waiting.cost_tokens):
+            return None
+        placement = self._placer.predict(waiting, worker, 0.0, now_ms)
+        return placement if self._placer.in_time(waiting, placement, now_ms) else None
--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import heapq
-from contextlib import closing
 from dataclasses import replace
 from itertools import count
 from typing import TYPE_CHECKING
@@ -18,6 +17,7 @@
 from pomelolane.registry import PLACEMENT_POLICIES, register
 from pomelolane.scheduler.admission import Admission
 from pomelolane.scheduler.affinity import PrefixIndex
+from pomelolane.scheduler.chances import Chances
 from pomelolane.scheduler.estimate import AnswerLengths
 from pomelolane.scheduler.figures import figures_of_worker
 from pomelolane.scheduler.fleet import Fleet
@@ -37,7 +37,6 @@
     from pomelolane.outcomes import Refusal
     from pomelolane.ports import CacheEvent, LoadReport, SchedulingCore
     from pomelolane.scheduler.figures import EndpointFigures
-    from pomelolane.scheduler.fleet import Worker
     from pomelolane.scheduler.placement import Placement
 
 
@@ -71,6 +70,9 @@
             ),
             options,
         )
+        self._chances = Chances(
+            self._queue, self._placer, self._flights, options, self._may_go
+        )
         self._waiting: dict[str, Waiting] = {}
         self._checks: list[tuple[float, int, Waiting]] = []
         self._sequence = count()
@@ -295,14 +297,15 @@
                         return self._grant(waiting, placement, now_ms)
             finally:
                 requests.close()
+            chosen = self._chances.for_slot(rank, held, now_ms)
+            if chosen is not None:
+                return self._grant(*chosen, now_ms)
         return None
 
     def _try(self, waiting: Waiting, held: set[str], now_ms: float) -> Placement | None:
         if waiting.deferred and self._is_behind(waiting):
             return None
-        if self._flights.park_if_limited(waiting.handle):
-            return None
-        if not self._room_for(waiting, now_ms):
+        if not self._may_go(waiting, now_ms):
             return None
         placement = self._placer.place(waiting, held, now_ms)
         if placement is None:
@@ -319,6 +322,12 @@
             return False
         return not self._queue.all_deferred(waiting.handle.tier_rank)
 
+    def _may_go(self, waiting: Waiting, now_ms: float) -> bool:
+        """Tell whether limits and the reserve let a request have a slot."""
+        if self._flights.park_if_limited(waiting.handle):
+            return False
+        return self._room_for(waiting, now_ms)
+
     def _room_for(self, waiting: Waiting, now_ms: float) -> bool:
         """Tell whether the reserve leaves room for a request."""
         if not self._options.reserve:
@@ -331,37 +340,14 @@
         return self._reserve.allows(handle.tier_rank, hold_ms, summary.slots, now_ms)
 
     def _probe(self, now_ms: float) -> list[Decision]:
-        """Send one request, of the lowest tier, to each endpoint due a probe."""
+        """Send one request to each endpoint that is due a probe."""
         decisions: list[Decision] = []
         for worker in self._fleet.probes_due(now_ms):
-            waiting = self._probing_request(worker, now_ms)
-            if waiting is None:
-                continue
-            placement = self._placer.predict(waiting, worker, 0.0, now_ms)
-            decisions.append(self._grant(waiting, placement, now_ms))
+            chosen = self._chances.for_probe(worker, now_ms)
+            if chosen is not None:
+                decisions.append(self._grant(*chosen, now_ms))
         return decisions
 
-    def _probing_request(self, worker: Worker, now_ms: float) -> Waiting | None:
-        """Return a request that would be in time even at the measured speed."""
-        for rank in reversed(self._queue.ranks()):
-            with closing(self._queue.scan(rank)) as requests:
-                for waiting in requests:
-                    if self._may_probe(waiting, worker, now_ms):
-                        return waiting
-        return None
-
-    def _may_probe(self, waiting: Waiting, worker: Worker, now_ms: float) -> bool:
-        if worker.endpoint_id in waiting.handle.excluded:
-            return False
-        if waiting.deferred and self._options.sure_first:
-            return False
-        if self._flights.park_if_limited(waiting.handle):
-            return False
-        if not worker.account.kv_fits(waiting.cost_tokens):
-            return False
-        placement = self._placer.predict(waiting, worker, 0.0, now_ms)
-        return self._placer.in_time(waiting, placement, now_ms)
-
     def _grant(self, waiting: Waiting, placement: Placement, now_ms: float) -> Decision:
         del self._waiting[waiting.handle.request_id]
         self._queue.take(waiting)
--- a/src/pomelolane/scheduler/placement.py
+++ b/src/pomelolane/scheduler/placement.py
@@ -101,6 +101,39 @@
         held.add(later.worker.endpoint_id)
         return None
 
+    def place_for_short_answer(
+        self, waiting: Waiting, held: set[str], now_ms: float
+    ) -> Placement | None:
+        """Return the free endpoint where a short answer would be in time soonest.
+
+        Args:
+            waiting: A request that a middling answer would make late.
+            held: Endpoints that other requests wait for.
+            now_ms: The time.
+
+        Returns:
+            None where even a short answer would be late.
+        """
+        soonest: Placement | None = None
+        soonest_ms = waiting.deadline_ms - now_ms
+        holders = self._holders(waiting.handle)
+        for worker in self._open_candidates(waiting, holders, held):
+            placement = self.predict(waiting, worker, 0.0, now_ms)
+            short_ms = _short_answer_ms(waiting, placement)
+            if short_ms < soonest_ms:
+                soonest, soonest_ms = placement, short_ms
+        return soonest
+
+    def in_time_if_short(
+        self, waiting: Waiting, worker: Worker, now_ms: float
+    ) -> Placement | None:
+        """Return the prediction on one endpoint if a short answer would be in time."""
+        if not _fits(worker, waiting, set()):
+            return None
+        placement = self.predict(waiting, worker, 0.0, now_ms)
+        is_late = now_ms + _short_answer_ms(waiting, placement) >= waiting.deadline_ms
+        return None if is_late else placement
+
     def hold_memory(self, waiting: Waiting, held: set[str]) -> None:
         """Keep an endpoint from lower tiers until a request's KV cache fits."""
         tokens = waiting.cost_tokens
@@ -255,6 +288,14 @@
                 yield worker
 
 
+def _short_answer_ms(waiting: Waiting, placement: Placement) -> float:
+    """Return the predicted time to the end of a short answer."""
+    account = placement.worker.account
+    prompt = placement.prefill_tokens
+    start_ms = placement.first_token_ms - account.own_first_token_ms(prompt)
+    return start_ms + account.service_ms(prompt, waiting.short_decode_tokens)
+
+
 def _allowed(worker: Worker, waiting: Waiting, held: set[str]) -> bool:
     endpoint_id = worker.endpoint_id
     return endpoint_id not in held and endpoint_id not in waiting.handle.excluded
--- a/src/pomelolane/scheduler/queue.py
+++ b/src/pomelolane/scheduler/queue.py
@@ -167,6 +167,10 @@
         """Tell whether every waiting request of a tier is deferred."""
         return self._tiers[rank].deferred == len(self._tiers[rank].by_arrival)
 
+    def has_deferred(self, rank: int) -> bool:
+        """Tell whether any waiting request of a tier is deferred."""
+        return self._tiers[rank].deferred > 0
+
     def correct(self, handle: Handle, tokens: float) -> None:
         """Add to (or give back) what an organisation was charged."""
         tier = self._tier(handle.tier_rank)
--- a/tests/scheduler/health.feature
+++ b/tests/scheduler/health.feature
@@ -53,3 +53,18 @@
       | low  | 2    | 10     | 60000     |
     And the core sees its stragglers stay slow for 1000 ms
     Then the core granted "low" on "fast"
+
+  Scenario: A straggler is probed by one of a higher tier that nothing else can save
+    Given the core has seen "fast" keep its pace
+    And the core has seen 4 whole answers of 10 tokens to "modest"
+    And the core has seen 6 whole answers of 100 tokens to "modest"
+    When "fast" becomes 10 times slower for 1500 ms under the core's eyes
+    And the core is given 4 requests of tier 0
+    And 100 ms pass for the core
+    And the core is given the requests
+      | id     | tier | decode | budget_ms | organisation |
+      | urgent | 0    | 100    | 2200      | modest       |
+      | low    | 2    | 10     | 60000     | modest       |
+    And the core sees its stragglers stay slow for 400 ms
+    Then the core granted "urgent" on "fast"
+    And the core has not decided "low"
--- a/tests/scheduler/lengths.feature
+++ b/tests/scheduler/lengths.feature
@@ -38,3 +38,42 @@
     And the core has not decided "old"
     When the core sees one request end on "only"
     Then the core granted "old" on "only"
+
+  Scenario: One that only a short answer can save goes before lower tiers
+    Given the core has seen 4 whole answers of 10 tokens to "modest"
+    And the core has seen 6 whole answers of 100 tokens to "modest"
+    And the core's slots are all taken by tier 0 of "greedy"
+    When the core is given the requests
+      | id     | tier | prefill | decode | budget_ms | organisation |
+      | urgent | 0    | 8       | 100    | 4000      | modest       |
+      | job    | 2    | 8       | 100    | 60000     | greedy       |
+    And 3000 ms pass for the core
+    And the core sees one request end on "only"
+    Then the core granted "urgent" on "only"
+    And the core has not decided "job"
+
+  Scenario: It leaves the slot to its own tier's requests that have time
+    Given the core has seen 4 whole answers of 10 tokens to "modest"
+    And the core has seen 6 whole answers of 100 tokens to "modest"
+    And the core's slots are all taken by tier 0 of "greedy"
+    When the core is given the requests
+      | id     | tier | prefill | decode | budget_ms | organisation |
+      | urgent | 0    | 8       | 100    | 4000      | modest       |
+    And 3000 ms pass for the core
+    And the core is given the requests
+      | id    | tier | prefill | decode | budget_ms | organisation |
+      | fresh | 0    | 8       | 100    | 60000     | greedy       |
+    And the core sees one request end on "only"
+    Then the core granted "fresh" on "only"
+
+  Scenario: One that not even a short answer can save takes no slot
+    Given the core has seen 4 whole answers of 50 tokens to "modest"
+    And the core has seen 6 whole answers of 100 tokens to "modest"
+    And the core's slots are all taken by tier 0 of "greedy"
+    When the core is given the requests
+      | id     | tier | prefill | decode | budget_ms | organisation |
+      | urgent | 0    | 8       | 100    | 4000      | modest       |
+      | job    | 2    | 8       | 100    | 60000     | greedy       |
+    And 3500 ms pass for the core
+    And the core sees one request end on "only"
+    Then the core granted "job" on "only"
