--- a/src/pomelolane/scheduler/chances.py
+++ b/src/pomelolane/scheduler/chances.py
@@ -56,20 +56,18 @@
         """Return one of a tier that a short answer in a free slot would save.
 
         Args:
-            rank: The tier, of which nothing can go in the usual order.
+            rank: The tier, of which nothing can go in the usual order: those that have
+                time may be excluded from what is free.
             held: Endpoints that other requests wait for.
             now_ms: The time.
         """
-        if not self._queue.all_deferred(rank):
-            return None
-        with closing(self._queue.scan(rank)) as requests:
-            for waiting in islice(requests, MOST_LOOKED_AT):
-                if not self._may_go(waiting, now_ms):
-                    continue
-                placement = self._placer.place_for_short_answer(waiting, held, now_ms)
-                if placement is not None:
-                    return waiting, placement
-        return None
+
+        def place(waiting: Waiting) -> Placement | None:
+            if not self._may_go(waiting, now_ms):
+                return None
+            return self._placer.place_for_short_answer(waiting, held, now_ms)
+
+        return self._first_deferred(rank, place)
 
     def for_probe(self, worker: Worker, now_ms: float) -> Chosen | None:
         """Return the request that tries an endpoint which was slow.
@@ -81,17 +79,29 @@
         return self._saved_by_probe(worker, now_ms) or self._lowest(worker, now_ms)
 
     def _saved_by_probe(self, worker: Worker, now_ms: float) -> Chosen | None:
+        def place(waiting: Waiting) -> Placement | None:
+            if self._flights.park_if_limited(waiting.handle):
+                return None
+            return self._placer.in_time_if_short(waiting, worker, now_ms)
+
         for rank in self._queue.ranks():
-            if not self._queue.has_deferred(rank):
-                continue
-            with closing(self._queue.scan(rank)) as requests:
-                deferred = (waiting for waiting in requests if waiting.deferred)
-                for waiting in islice(deferred, MOST_LOOKED_AT):
-                    if self._flights.park_if_limited(waiting.handle):
-                        continue
-                    placement = self._placer.in_time_if_short(waiting, worker, now_ms)
-                    if placement is not None:
-                        return waiting, placement
+            chosen = self._first_deferred(rank, place)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _first_deferred(
+        self, rank: int, place: Callable[[Waiting], Placement | None]
+    ) -> Chosen | None:
+        """Return the first deferred request of a tier that finds a place."""
+        if not self._queue.has_deferred(rank):
+            return None
+        with closing(self._queue.scan(rank)) as requests:
+            deferred = (waiting for waiting in requests if waiting.deferred)
+            for waiting in islice(deferred, MOST_LOOKED_AT):
+                placement = place(waiting)
+                if placement is not None:
+                    return waiting, placement
         return None
 
     def _lowest(self, worker: Worker, now_ms: float) -> Chosen | None:
--- a/tests/scheduler/lengths.feature
+++ b/tests/scheduler/lengths.feature
@@ -66,6 +66,25 @@
     And the core sees one request end on "only"
     Then the core granted "fresh" on "only"
 
+  Scenario: Those of its tier that may not use the slot do not keep it from one
+    Given a core with the endpoints
+      | endpoint | slots | prefill_tokens_per_s | decode_tokens_per_s |
+      | only     | 1     | 8000                 | 50                  |
+      | other    | 1     | 8000                 | 50                  |
+    And the core has seen 4 whole answers of 10 tokens to "modest"
+    And the core has seen 6 whole answers of 100 tokens to "modest"
+    And the core's slots are all taken by tier 0 of "greedy"
+    When the core is given the requests
+      | id     | tier | prefill | decode | budget_ms | organisation | excluded |
+      | urgent | 0    | 8       | 100    | 4000      | modest       |          |
+      | job    | 2    | 8       | 100    | 60000     | greedy       |          |
+    And 3000 ms pass for the core
+    And the core is given the requests
+      | id    | tier | prefill | decode | budget_ms | organisation | excluded |
+      | fresh | 0    | 8       | 100    | 60000     | greedy       | only     |
+    And the core sees one request end on "only"
+    Then the core granted "urgent" on "only"
+
   Scenario: One that not even a short answer can save takes no slot
     Given the core has seen 4 whole answers of 50 tokens to "modest"
     And the core has seen 6 whole answers of 100 tokens to "modest"
--- a/tests/steps/scheduler_driver.py
+++ b/tests/steps/scheduler_driver.py
@@ -131,6 +131,7 @@
         budget_ms=int(cells.get("budget_ms", 60_000)),
         prefill_tokens=int(cells.get("prefill", 100)),
         decode_tokens=int(cells.get("decode", 10)),
+        **({"excluded": (cells["excluded"],)} if cells.get("excluded") else {}),
         **fields,
     )
 
