--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -9,8 +9,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import msgspec
-
+from pomelolane.coordination.apart import kept_apart
 from pomelolane.coordination.book import Book, Entry, Follower
 from pomelolane.coordination.decisions import log_grant, log_refusal
 from pomelolane.coordination.epochs import start_of
@@ -361,30 +360,11 @@
     def _queue(self, entry: Entry) -> None:
         now_ms = self._clock.now_ms()
         entry.in_core = True
-        handle = self._kept_apart(entry.handle_at(now_ms))
+        endpoints = self._tree.endpoints.values() if self._tree else ()
+        own = (one for one in endpoints if one.service == self.service)
+        handle = kept_apart(entry.handle_at(now_ms), self.book.entries.values(), own)
         self._carry_out(self.core.submit(handle, now_ms))
 
-    def _kept_apart(self, handle: Handle) -> Handle:
-        """Return a suspect's handle without the endpoints that run another suspect.
-
-        Two that always run together cannot be told apart when their endpoint ends, and
-        a harmless one would be refused with the other.
-        """
-        if not handle.suspect or self._tree is None:
-            return handle
-        entries = self.book.entries.values()
-        taken = {one.endpoint_id for one in entries if one.handle.suspect}
-        free = {
-            name
-            for name, endpoint in self._tree.endpoints.items()
-            if endpoint.service == self.service and not endpoint.leaving
-        }
-        if not free - taken - set(handle.excluded):
-            return handle
-        return msgspec.structs.replace(
-            handle, excluded=(*handle.excluded, *sorted(taken & free))
-        )
-
     def _forget(self, entry: Entry) -> None:
         self.book.remove(entry)
         if entry.in_core:
--- a/src/pomelolane/scheduler/chances.py
+++ b/src/pomelolane/scheduler/chances.py
@@ -22,9 +22,12 @@
 
     Chosen = tuple[Waiting, Placement]
 
-MOST_LOOKED_AT = 16
-"""Requests of a tier that are looked at: the next ones are due later, and the usual
-order may still serve them."""
+MOST_FOR_SLOT = 16
+"""Deferred requests of a tier that are looked at for a free slot, at each decision."""
+
+MOST_FOR_PROBE = 256
+"""The same for a probe, of which there is one a second: the first ones are due at once
+and would be late on an endpoint that is a little slower than the best."""
 
 
 class Chances:
@@ -67,7 +70,7 @@
                 return None
             return self._placer.place_for_short_answer(waiting, held, now_ms)
 
-        return self._first_deferred(rank, place)
+        return self._first_deferred(rank, place, MOST_FOR_SLOT)
 
     def for_probe(self, worker: Worker, now_ms: float) -> Chosen | None:
         """Return the request that tries an endpoint which was slow.
@@ -85,20 +88,20 @@
             return self._placer.in_time_if_short(waiting, worker, now_ms)
 
         for rank in self._queue.ranks():
-            chosen = self._first_deferred(rank, place)
+            chosen = self._first_deferred(rank, place, MOST_FOR_PROBE)
             if chosen is not None:
                 return chosen
         return None
 
     def _first_deferred(
-        self, rank: int, place: Callable[[Waiting], Placement | None]
+        self, rank: int, place: Callable[[Waiting], Placement | None], most: int
     ) -> Chosen | None:
         """Return the first deferred request of a tier that finds a place."""
         if not self._queue.has_deferred(rank):
             return None
         with closing(self._queue.scan(rank)) as requests:
             deferred = (waiting for waiting in requests if waiting.deferred)
-            for waiting in islice(deferred, MOST_LOOKED_AT):
+            for waiting in islice(deferred, most):
                 placement = place(waiting)
                 if placement is not None:
                     return waiting, placement
