Count a pause of the scheduler's VM as time that callers have waited

The desk's clock stands still in a pause, which is right for judging others by their silence, and wrong for deadlines.

--- a/src/pomelolane/clock.py
+++ b/src/pomelolane/clock.py
@@ -86,6 +86,11 @@
         self._last_ms = clock.now_ms()
         self._paused_ms = 0.0
 
+    @property
+    def paused_ms(self) -> float:
+        """Sum of all pauses that were noticed."""
+        return self._paused_ms
+
     def now_ms(self) -> float:
         """Return milliseconds of the time in which the process ran."""
         now_ms = self._clock.now_ms()
--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -85,7 +85,8 @@
         self._pace = PaceWatch(clock)
         self._chooser = Chooser(vm_id, membership, clock)
         # What a scheduler believes of others ages only while it runs itself.
-        steady = SteadyClock(clock, self._settle_anew)
+        steady = self._steady = SteadyClock(clock, self._settle_anew)
+        self._counted_pauses_ms = 0.0
         # The role hears of a change first, so that a gateway which follows
         # its own VM finds the desk there.
         self.role = SchedulerRole(
@@ -112,9 +113,14 @@
         Requests that came in meanwhile may have gone on elsewhere, and must not
         push out those that still wait here.
         """
+        paused_ms = self._steady.paused_ms - self._counted_pauses_ms
+        self._counted_pauses_ms = self._steady.paused_ms
         gateways = self._chooser.gateways()
         for desk in self.role.desks().values():
             desk.settle(gateways)
+            desk.note_pause(paused_ms)
+        for desk in self._local.desks().values():
+            desk.note_pause(paused_ms)
 
     def _link_context(self, clock: Clock, incarnation: int) -> LinkContext:
         return LinkContext(
--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -165,6 +165,29 @@
         for follower in self.book.followers.values():
             follower.registered = False
 
+    def note_pause(self, paused_ms: float) -> None:
+        """Count a pause of this VM as time that the callers have waited.
+
+        The desk's clock stood still, so that their deadlines seem further away than
+        they are. The core is told anew of what waits, as of now.
+
+        Args:
+            paused_ms: How long the VM did not run.
+        """
+        waiting = self.book.waiting()
+        # All leave the book first, so that no withdrawal grants another one.
+        for entry in waiting:
+            self.book.remove(entry)
+        now_ms = self._clock.now_ms()
+        for entry in waiting:
+            if entry.in_core:
+                self._carry_out(self.core.withdraw(entry.request_id, now_ms))
+            entry.in_core = False
+            entry.deadline_ms -= paused_ms
+        for entry in waiting:
+            self.book.add(entry)
+        self._queue_known(waiting)
+
     @property
     def is_settling(self) -> bool:
         """Whether grants are held back."""
@@ -435,7 +458,11 @@
         else:
             self._top_only = True
             self._settle_by_ms = now_ms + self._timings.settle_lower_ms
-        for entry in sorted(self.book.waiting(), key=lambda one: one.urgency):
+        self._queue_known(self.book.waiting())
+
+    def _queue_known(self, entries: Sequence[Entry]) -> None:
+        """Queue the entries that are still there, most urgent first."""
+        for entry in sorted(entries, key=lambda one: one.urgency):
             known = entry.request_id in self.book.entries
             if known and not entry.in_core and self._may_queue(entry):
                 self._queue(entry)
--- a/tests/clock.feature
+++ b/tests/clock.feature
@@ -13,6 +13,21 @@
     And the desk is asked by "b" for tier 0
     Then the desk has refused nobody
 
+  Scenario: Callers did not wait for a scheduler that was paused
+    Given a desk that settles for gateways "a" and "b" with 1 free slot
+    And the desk's queue holds 1 request, its slot is taken and "a" waits in tier 1
+    When the desk's VM was paused for 8500 ms
+    And the desk's clock moves on by 2600 ms
+    Then the desk has refused "a" only
+
+  Scenario: What is told after a pause is not placed twice
+    Given a desk that settles for gateways "a" and "b" with 1 free slot
+    And the desk's queue holds 1 request, its slot is taken and "a" waits in tier 1
+    When the desk's VM was paused for 2000 ms
+    And the desk's clock moves on by 3000 ms
+    And the desk sees its first request end
+    Then the desk has granted "a" twice in all
+
   Scenario: A suspension of the VM counts for everything that is measured
     Given the process's clock
     When the VM is suspended for 7000 ms, which its monotonic clock does not count
--- a/tests/steps/coordination_desk_steps.py
+++ b/tests/steps/coordination_desk_steps.py
@@ -7,7 +7,15 @@
 from pomelolane.clock import ManualClock
 from pomelolane.coordination.desk import Desk
 from pomelolane.coordination.options import Timings
-from pomelolane.messages import Granted, Handle, Refused, Submit, Sync
+from pomelolane.messages import (
+    Granted,
+    Handle,
+    Progress,
+    Refused,
+    StreamEvent,
+    Submit,
+    Sync,
+)
 from pomelolane.model import Endpoint, Service, ServiceKind, Tree, Work
 from pomelolane.scheduler import make_core
 
@@ -81,6 +89,29 @@
     context.desk.settle(("a", "b"))
 
 
+@when("the desk's VM was paused for {ms:d} ms")
+def step_paused(context, ms):
+    context.desk.settle(("a", "b"))
+    context.desk.note_pause(ms)
+
+
+@when("the desk sees its first request end")
+def step_first_ends(context):
+    events = (StreamEvent("first", "e1", ttft_ms=5.0, finished=True),)
+    context.desk.receive("a", Progress(1, events))
+    context.desk.tick()
+
+
+@then('the desk has granted "{gateway}" twice in all')
+def step_twice(context, gateway):
+    assert context.granted == [gateway, gateway], context.granted
+
+
+@then('the desk has refused "{gateway}" only')
+def step_refused_only(context, gateway):
+    assert context.refused == [gateway], context.refused
+
+
 @then("the desk has refused nobody")
 def step_nobody(context):
     assert context.refused == [], context.refused
