--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -20,6 +20,13 @@
 )
 from pomelolane.forwarding import journal, metrics
 from pomelolane.forwarding.call import CallState
+from pomelolane.forwarding.failures import (
+    AgainSignal,
+    broken,
+    cut_short,
+    not_taken,
+    timed_out,
+)
 from pomelolane.forwarding.handles import handle_from_state
 from pomelolane.forwarding.patience import (
     SilentEndpointError,
@@ -56,9 +63,6 @@
 MAX_TRIES = 6
 """Grants that one request may ask for; refused connections cost no send."""
 
-RETRY_AFTER_MS = 300
-"""When to come back after an endpoint has refused: about a request's time."""
-
 STALL_FACTOR = 2.5
 """Times the pause that still counts as on time after which a stream is left: slow
 engines pause 1.7 times as long beside long prompts (Cedarline, scale-1), and callers
@@ -84,20 +88,6 @@
 """What a stopping VM answers to what it may not be able to finish."""
 
 
-class _Again(Exception):  # noqa: N818  (a signal, not an error)
-    """The request may be tried at another endpoint.
-
-    Attributes:
-        refusal: What the caller hears if it is not.
-        is_paid: Whether the repeat is counted against the budget already.
-    """
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(refusal.detail)
-        self.refusal = refusal
-        self.is_paid = False
-
-
 class Forwarder:
     """Serves callers of routed services.
 
@@ -207,7 +197,7 @@
             async with self.timeouts.after(self._left_ms(call)):
                 refusal = await self._run(state, relay)
         except TimeoutError:
-            refusal = self._timed_out(state)
+            refusal = timed_out(state)
         if refusal is None:
             metrics.count_end(call.route.name, call.service, call.rank, _DELIVERED)
             return
@@ -223,7 +213,7 @@
             watch = StreamWatch(self._client, grant, self._clock)
             try:
                 await self._attempt(state, relay, grant, watch)
-            except _Again as again:
+            except AgainSignal as again:
                 if not again.is_paid and not self._may_repeat(state):
                     return truthful(state, again.refusal)
                 balance = self._budget(state.call.service).balance
@@ -248,17 +238,17 @@
         """Send to one endpoint and relay its answer.
 
         Raises:
-            _Again: It gave no answer that the caller has seen the end of.
+            AgainSignal: It gave no answer that the caller has seen the end of.
         """
         call = state.call
         endpoint = self._directory.usable(grant.endpoint_id)
         state.endpoint_id = grant.endpoint_id
         if endpoint is None:
-            raise self._not_taken(state, watch, "the endpoint is leaving")
+            raise not_taken(state, watch, "the endpoint is leaving")
         try:
             connection = await self._sender.connect(endpoint)
         except EndpointRefusedError as error:
-            raise self._not_taken(state, watch, str(error)) from error
+            raise not_taken(state, watch, str(error)) from error
         left_ms = int(self._left_ms(call))
         if left_ms <= 0:
             raise TimeoutError
@@ -281,20 +271,20 @@
             state.run.settle()
             state.may_have_run = may_have_run
             state.sends -= 1
-            raise self._not_taken(state, watch, str(error)) from error
+            raise not_taken(state, watch, str(error)) from error
         except SilentEndpointError as error:
-            again = self._broken(state, watch, str(error))
+            again = broken(state, watch, str(error))
             again.is_paid = True
             raise again from error
         except EndpointBrokenError as error:
-            again = self._broken(state, watch, str(error))
+            again = broken(state, watch, str(error))
             await state.run.broke()
             raise again from error
         if sent.verdict is Verdict.NOT_RUN:
             state.run.settle()
             state.may_have_run = may_have_run
             await sent.stream.aclose()
-            raise self._not_taken(state, watch, "the endpoint did not run it")
+            raise not_taken(state, watch, "the endpoint did not run it")
         await self._pass_on(state, relay, sent, watch, endpoint)
 
     def _patience_ms(self, state: CallState, grant: Grant) -> float | None:
@@ -320,7 +310,7 @@
                 state.run.settle()
                 watch.first()
                 detail = f"the endpoint answered {stream.status}"
-                again = self._broken(state, watch, detail)
+                again = broken(state, watch, detail)
                 again.is_paid = True
                 raise again
             await stream.wait()
@@ -333,7 +323,7 @@
                 stall.stop()
             await stream.aclose()
         if not end.whole:
-            again = self._cut_short(state, watch, stream, stall)
+            again = cut_short(state, watch, stream, stall)
             if not again.is_paid:
                 await self._ends.look(
                     state.call.fingerprint, endpoint, endpoint.address
@@ -367,38 +357,8 @@
 
         return StallWatch(STALL_FACTOR * route.gap_ms, leave, self._clock)
 
-    def _cut_short(
-        self,
-        state: CallState,
-        watch: StreamWatch,
-        stream: AnswerStream,
-        stall: StallWatch | None,
-    ) -> _Again:
-        """Judge an answer that has ended before it was whole."""
-        if stall is None or not stall.has_left:
-            return self._broken(state, watch, str(stream.error))
-        again = self._broken(state, watch, "the stream fell silent")
-        again.is_paid = True
-        return again
-
     # --- what went wrong ----------------------------------------------------
 
-    def _not_taken(self, state: CallState, watch: StreamWatch, detail: str) -> _Again:
-        """Judge a send that the endpoint has certainly not begun."""
-        state.excluded += (state.endpoint_id,)
-        watch.finish(refused=True, outcome=Outcome.NOT_RUN)
-        return self._failed(state, Reason.ENDPOINT_REFUSED, detail)
-
-    def _broken(self, state: CallState, watch: StreamWatch, detail: str) -> _Again:
-        """Judge a send that the endpoint may have begun."""
-        state.excluded += (state.endpoint_id,)
-        watch.finish(outcome=Outcome.FAILED)
-        return self._failed(state, Reason.ENDPOINT_BROKEN, detail)
-
-    def _failed(self, state: CallState, reason: Reason, detail: str) -> _Again:
-        journal.failed(state, reason, detail)
-        return _Again(Refusal(Outcome.NOT_RUN, reason, RETRY_AFTER_MS, detail))
-
     def _can_repeat(self, state: CallState) -> bool:
         """Tell whether another endpoint may be asked, budget aside."""
         call = state.call
@@ -415,15 +375,6 @@
         # A send that reached no endpoint costs nothing of the budget.
         return state.sends == 0 or self._budget(state.call.service).spend()
 
-    def _timed_out(self, state: CallState) -> Refusal:
-        refusal = Refusal(
-            Outcome.NOT_RUN,
-            Reason.DEADLINE_PASSED,
-            RETRY_AFTER_MS,
-            "the time allowed has passed",
-        )
-        return truthful(state, refusal)
-
     async def _refuse(
         self, state: CallState, exchange: Exchange, refusal: Refusal
     ) -> None:
