--- a/src/pomelolane/endpoints/pool.py
+++ b/src/pomelolane/endpoints/pool.py
@@ -13,7 +13,7 @@
 
 from pomelolane.clock import MonotonicClock
 from pomelolane.endpoints.connection import HttpConnection
-from pomelolane.exceptions import EndpointDownError, EndpointRefusedError
+from pomelolane.exceptions import EndpointRefusedError
 
 if TYPE_CHECKING:
     from pomelolane.ports import Clock
@@ -73,10 +73,8 @@
         """
         try:
             connection = await self._connect(address)
-        except EndpointDownError:
-            return True
-        except EndpointRefusedError:
-            return False
+        except EndpointRefusedError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
         self._on_idle(connection)
         return False
 
@@ -110,9 +108,6 @@
                     lambda: HttpConnection(sock, self._on_idle, self._on_closed),
                     sock=sock,
                 )
-        except ConnectionRefusedError as error:
-            sock.close()
-            raise EndpointDownError(f"{address}: {error!r}") from error
         except (OSError, ValueError) as error:
             sock.close()
             raise EndpointRefusedError(f"{address}: {error!r}") from error
--- a/src/pomelolane/exceptions.py
+++ b/src/pomelolane/exceptions.py
@@ -157,10 +157,6 @@
     """The connection was refused or the call rejected before it was taken."""
 
 
-class EndpointDownError(EndpointRefusedError):
-    """Nothing listens at the endpoint's address."""
-
-
 class EndpointBrokenError(EndpointError):
     """The endpoint failed after bytes of the request had been sent."""
 
