Keep what has passed as it was when a limit changes

Callers saw: an organisation had one and a half times its limit in a span while the operator lowered the limit and took it back. Cause: the sliding span scaled what had passed down with the limit and kept the result; after the limit was raised, so much might pass again. The record and what schedulers tell each other carried the scaled amounts too. Class: a fact rewritten to suit a setting. Change: amounts stay; each knows what a span could hold when it passed, and counts for the same part of a lower bound while that is in force. Records and told uses carry the bound. A check of window.feature asked for the fault (400 tokens more of a bound of 800 after 1,000 had passed) and is replaced by one of the amounts after each change.

--- a/src/pomelolane/forwarding/told.py
+++ b/src/pomelolane/forwarding/told.py
@@ -47,7 +47,9 @@
 
     def tell(self, service: str, uses: Sequence[Use]) -> None:
         """Tell all others what passed here."""
-        told = tuple(ToldUse(use.organisation, use.age_ms, use.tokens) for use in uses)
+        told = tuple(
+            ToldUse(use.organisation, use.age_ms, use.tokens, use.bound) for use in uses
+        )
         message = UsesTold(service, told)
         for vm_id in self._membership.view().peers:
             if vm_id != self._vm_id:
@@ -68,7 +70,7 @@
 
     def _take(self, sender: str, message: UsesTold) -> None:
         uses = tuple(
-            Use(told.organisation, told.age_ms, told.tokens, sender)
+            Use(told.organisation, told.age_ms, told.tokens, sender, told.bound)
             for told in message.uses
         )
         self._heard[message.service, sender] = (self._clock.now_ms(), uses)
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -259,11 +259,13 @@
         organisation: Who.
         age_ms: How long ago.
         tokens: How much.
+        bound: What a span could hold when it passed, 0 where that is not known.
     """
 
     organisation: str
     age_ms: int
     tokens: int
+    bound: int = 0
 
 
 class UsesTold(Message, frozen=True):
--- a/src/pomelolane/platform/userecord.py
+++ b/src/pomelolane/platform/userecord.py
@@ -33,6 +33,8 @@
     # On the store's steady clock, which all VMs can tell.
     at_ms: int
     tokens: int
+    # What a span could hold when they passed, 0 where that is not known.
+    bound: int = 0
 
 
 class _Record(msgspec.Struct):
@@ -68,7 +70,8 @@
             await self.load(service)
         now_ms = int(self._store.now_ms())
         entries = [
-            _Entry(use.organisation, now_ms - use.age_ms, use.tokens) for use in uses
+            _Entry(use.organisation, now_ms - use.age_ms, use.tokens, use.bound)
+            for use in uses
         ]
         former = _young(self._former[service], now_ms)
         record = msgspec.json.encode(_Record(self._incarnation, entries, former))
@@ -121,6 +124,12 @@
 
 def _uses(entries: Iterable[_Entry], now_ms: int, scheduler: str) -> list[Use]:
     return [
-        Use(entry.organisation, max(0, now_ms - entry.at_ms), entry.tokens, scheduler)
+        Use(
+            entry.organisation,
+            max(0, now_ms - entry.at_ms),
+            entry.tokens,
+            scheduler,
+            entry.bound,
+        )
         for entry in _young(entries, now_ms)
     ]
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -126,7 +126,7 @@
         for use in uses:
             account = self._organisations.get(use.organisation)
             if account is not None and account.window is not None:
-                account.window.add_past(use.tokens, now_ms - use.age_ms)
+                account.window.add_past(use.tokens, now_ms - use.age_ms, use.bound)
 
     def configure(self, tree: Tree) -> None:
         """Adopt a tree's limits; unchanged accounts keep their levels."""
--- a/src/pomelolane/scheduler/spans.py
+++ b/src/pomelolane/scheduler/spans.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from bisect import bisect_right, insort
+from bisect import bisect_left, bisect_right, insort
 from collections import deque
 from dataclasses import dataclass
 from heapq import merge
+from typing import NamedTuple
 
 _BURST_MS = 1_000.0
 _USE_STEP_MS = 250
@@ -60,12 +61,33 @@
         age_ms: How long ago.
         tokens: How much.
         scheduler: VM that let it pass, empty for this one.
+        bound: What a span could hold when it passed, 0 where that is not known.
     """
 
     organisation: str
     age_ms: int
     tokens: int
     scheduler: str = ""
+    bound: int = 0
+
+
+class _Passed(NamedTuple):
+    """An amount that has passed, and what a span could hold then."""
+
+    at_ms: float
+    tokens: float
+    bound: float
+
+    def counted(self, bound: float) -> float:
+        """Return what it counts for under a bound.
+
+        Under a lower one it is the same part of it: else a lowered limit would refuse
+        everything for a whole span. The amount itself stays, so that a limit which is
+        raised again has not forgotten it.
+        """
+        if bound >= self.bound:
+            return self.tokens
+        return self.tokens * bound / self.bound
 
 
 class SlidingWindow:
@@ -98,8 +120,8 @@
         self._bound = bound
         self._window_ms = window_ms
         self._spare = spare
-        self._passed: list[tuple[float, float]] = []
-        self._past: list[tuple[float, float]] = []
+        self._passed: list[_Passed] = []
+        self._past: list[_Passed] = []
         self._promised: deque[tuple[float, float]] = deque()
         self._assumed = 0.0
         self._assumed_until_ms = 0.0
@@ -118,8 +140,8 @@
 
     def restart(self) -> None:
         """Forget what others let pass, but a part of the guess: some is unrecorded."""
-        self._used -= _sum(self._past)
         self._past.clear()
+        self._count()
         self._assumed *= _UNRECORDED_PART
 
     def unrecorded_share(self) -> float:
@@ -137,30 +159,33 @@
     def uses(self, organisation: str, now_ms: float) -> list[Use]:
         """Return what this scheduler let pass, summed up by steps of its age."""
         self._forget(now_ms)
-        sums: dict[int, float] = {}
-        for at_ms, amount in self._passed:
+        sums: dict[tuple[int, int], float] = {}
+        for at_ms, tokens, bound in self._passed:
             age_ms = int((now_ms - at_ms) // _USE_STEP_MS) * _USE_STEP_MS
-            sums[age_ms] = sums.get(age_ms, 0.0) + amount
-        return [Use(organisation, age, round(total)) for age, total in sums.items()]
+            key = age_ms, round(bound)
+            sums[key] = sums.get(key, 0.0) + tokens
+        return [
+            Use(organisation, age_ms, round(total), bound=bound)
+            for (age_ms, bound), total in sums.items()
+        ]
 
-    def add_past(self, amount: float, at_ms: float) -> None:
-        """Count an amount that passed under an earlier scheduler."""
-        self._add(self._past, at_ms, amount)
-
-    def adopt(self, bound: float, spare: float) -> None:
-        """Go on under another bound.
+    def add_past(self, amount: float, at_ms: float, bound: float = 0.0) -> None:
+        """Count an amount that passed under another scheduler.
 
-        What has passed under a larger one counts as the same part of the lower
-        one: else a lowered limit would refuse everything for a whole span.
+        Args:
+            amount: How much.
+            at_ms: When.
+            bound: What a span could hold there, 0 for as much as here.
         """
+        self._add(self._past, _Passed(at_ms, amount, bound or self._bound))
+
+    def adopt(self, bound: float, spare: float) -> None:
+        """Go on under another bound."""
         if 0 < bound < self._bound:
-            part = bound / self._bound
-            self._passed = _scaled(self._passed, part)
-            self._past = _scaled(self._past, part)
-            self._used *= part
-            self._assumed *= part
+            self._assumed *= bound / self._bound
         self._bound = bound
         self._spare = spare
+        self._count()
 
     def wait_ms(self, amount: float, now_ms: float) -> float:
         """Return how long until an amount may pass, 0 for now.
@@ -175,33 +200,39 @@
             self._promised.popleft()
         over += sum(promised for _, promised in self._promised)
         wait_ms = self._window_ms
-        for at_ms, passed in merge(self._past, self._passed):
-            over -= passed
+        for passed in merge(self._past, self._passed):
+            over -= passed.counted(self._bound)
             if over <= 0:
-                wait_ms = max(1.0, at_ms + self._window_ms - now_ms)
+                wait_ms = max(1.0, passed.at_ms + self._window_ms - now_ms)
                 break
         self._promised.append((now_ms + wait_ms, amount))
         return wait_ms
 
     def take(self, amount: float, now_ms: float) -> None:
         """Let an amount pass."""
-        self._add(self._passed, now_ms, amount)
+        self._add(self._passed, _Passed(now_ms, amount, self._bound))
         self._unrecorded += amount
 
     def give_back(self, amount: float, taken_ms: float) -> None:
-        """Undo an amount that was let pass at a time; both leave the span together."""
-        self._add(self._passed, taken_ms, -amount)
+        """Undo an amount that was let pass at a time, unless it counts no more."""
+        first = bisect_left(self._passed, (taken_ms, amount))
+        if first == len(self._passed) or self._passed[first][:2] != (taken_ms, amount):
+            return
+        self._used -= self._passed.pop(first).counted(self._bound)
 
     def move(self, amount: float, taken_ms: float, now_ms: float) -> None:
         """Count an amount that was let pass at a time as let pass now."""
         self.give_back(amount, taken_ms)
-        self._add(self._passed, now_ms, amount)
+        self._add(self._passed, _Passed(now_ms, amount, self._bound))
+
+    def _add(self, uses: list[_Passed], passed: _Passed) -> None:
+        insort(uses, passed)
+        self._used += passed.counted(self._bound)
 
-    def _add(
-        self, uses: list[tuple[float, float]], at_ms: float, tokens: float
-    ) -> None:
-        insort(uses, (at_ms, tokens))
-        self._used += tokens
+    def _count(self) -> None:
+        """Count anew all that has passed, under the present bound."""
+        passed = (*self._past, *self._passed)
+        self._used = sum(one.counted(self._bound) for one in passed)
 
     def _forget(self, now_ms: float) -> None:
         if now_ms >= self._assumed_until_ms:
@@ -209,16 +240,8 @@
         oldest_ms = now_ms - self._window_ms
         for uses in (self._passed, self._past):
             old = bisect_right(uses, (oldest_ms, float("inf")))
-            self._used -= _sum(uses[:old])
+            self._used -= sum(one.counted(self._bound) for one in uses[:old])
             del uses[:old]
         if not self._passed and not self._past:
             # No rounding is carried on.
             self._used = 0.0
-
-
-def _sum(uses: list[tuple[float, float]]) -> float:
-    return sum(amount for _, amount in uses)
-
-
-def _scaled(uses: list[tuple[float, float]], part: float) -> list[tuple[float, float]]:
-    return [(at_ms, amount * part) for at_ms, amount in uses]
--- a/tests/coordination/limits.feature
+++ b/tests/coordination/limits.feature
@@ -18,7 +18,9 @@
       | 2     |
       | 3     |
 
-  # Seen with it: what passed before a limit was lowered may pass again once it is raised.
+  # Seen with it: what passed before a limit was lowered might pass again once it was
+  # raised. What had passed was scaled down with the limit, and stayed so: 6,000 tokens
+  # under a limit of 6,000 were 3,000 from then on, and 9,000 ran in one span.
   Scenario: A limit that is lowered and raised is never had twice
     Given a region whose organisations may use 6000 tokens in 8 s, and 1200 beside
     When one asks for several times that while the limit is halved and taken back
--- a/tests/scheduler/window.feature
+++ b/tests/scheduler/window.feature
@@ -20,8 +20,26 @@
     When 1000 tokens pass at 0 ms
     And the bound becomes 400
     Then 1 tokens must wait 8000 ms at 0 ms
-    When the bound becomes 800
-    Then 400 tokens may pass at 0 ms
+
+  Scenario: A limit that is raised again has not forgotten what passed
+    Given a window of 1000 tokens in 8000 ms
+    When 500 tokens pass at 0 ms
+    And the bound becomes 400
+    Then 201 tokens must wait 8000 ms at 0 ms
+    When 200 tokens pass at 0 ms
+    And the bound becomes 1000
+    Then 301 tokens must wait 8000 ms at 0 ms
+    And 300 tokens may pass at 0 ms
+    When the bound becomes 600
+    Then 1 tokens must wait 8000 ms at 0 ms
+
+  Scenario: What another scheduler let pass under a larger limit counts as the same part
+    Given a window of 400 tokens in 8000 ms
+    When 500 tokens passed elsewhere at 0 ms, where 1000 were the bound
+    Then 201 tokens must wait 8000 ms at 0 ms
+    And 200 tokens may pass at 0 ms
+    When the bound becomes 1000
+    Then 501 tokens must wait 8000 ms at 0 ms
 
   Scenario: What passes after a record is known as unrecorded
     Given a window of 1000 tokens in 8000 ms
--- a/tests/steps/objective_steps.py
+++ b/tests/steps/objective_steps.py
@@ -234,6 +234,11 @@
     context.window.add_past(tokens, ms)
 
 
+@when("{tokens:d} tokens passed elsewhere at {ms:d} ms, where {bound:d} were the bound")
+def step_passed_elsewhere(context, tokens, ms, bound):
+    context.window.add_past(tokens, ms, bound)
+
+
 @then("{tokens:d} tokens must wait {wait_ms:d} ms at {ms:d} ms")
 def step_must_wait(context, tokens, wait_ms, ms):
     assert context.window.wait_ms(tokens, ms) == wait_ms
