Let whoever grants a request count it, and lone gateways tell what they let pass

Callers saw: beyond the limit, where gateways turn from one scheduler to another while requests wait, or hear none. Cause: a scheduler gives back the charge of what waits when its gateway turns away, and the next one (or the lone gateway itself) let it pass as charged already. What lone gateways let pass was told to nobody, and each turn alone began a new account. Class: a charge that two may each believe with the other. Change: waiting requests keep room where they wait; they count where they get their slot, and only that is recorded and told. What another scheduler admitted is refused only where more is known to have passed than the bound and a quarter of what is beside. A lone gateway keeps one account over its turns and tells it to the schedulers.

--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from pomelolane.coordination.account import Account
     from pomelolane.coordination.desk import Desk
     from pomelolane.coordination.reports import ReportPoller
     from pomelolane.messages import Message
@@ -223,6 +224,10 @@
         """Return which VM schedules each service, as far as this VM can tell."""
         return {name: self._chooser.scheduler(name) for name in self._tree.services}
 
+    def private_accounts(self) -> dict[str, Account]:
+        """Return what this VM's gateway let pass alone, by service."""
+        return self._local.accounts()
+
     def waiting(self, service: str) -> int:
         """Return how many requests wait at this VM's desk of a service."""
         desk = self.role.desk(service)
--- a/src/pomelolane/coordination/fallback.py
+++ b/src/pomelolane/coordination/fallback.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from pomelolane.coordination.account import Account
 from pomelolane.coordination.desks import Desks
 from pomelolane.messages import Unfollow
 from pomelolane.model import Tree
@@ -57,10 +58,13 @@
         self._reply = reply
         self._tree = Tree()
         self._share = 1.0
+        self._make_core = make_core
+        self._cores: dict[str, SchedulingCore] = {}
+        self._clock = clock
         # The own gateway needs no sign of life.
         patient = replace(timings, follower_silence_ms=math.inf)
         self._desks = Desks(
-            make_core,
+            self._core_of,
             self._send,
             clock,
             patient,
@@ -91,6 +95,20 @@
         """Return the desks by service."""
         return self._desks.by_service()
 
+    def accounts(self) -> dict[str, Account]:
+        """Return what was let pass here, by service, also in earlier turns."""
+        return {name: Account(core, self._clock) for name, core in self._cores.items()}
+
+    def _core_of(self, service: str) -> SchedulingCore:
+        """Return a service's core, the same one in each turn.
+
+        What it let pass in one turn counts in the next.
+        """
+        core = self._cores.get(service)
+        if core is None:
+            core = self._cores[service] = self._make_core(service)
+        return core
+
     def receive(self, service: str, message: Message) -> bool:
         """Take a message of the gateway; without a service it is for all."""
         if isinstance(message, Unfollow):
--- a/src/pomelolane/coordination/role.py
+++ b/src/pomelolane/coordination/role.py
@@ -37,9 +37,10 @@
 """Kinds of messages that a scheduler takes from gateways."""
 
 _SPARE_PART = 0.5
-"""Part of what is allowed beside a limit that a new scheduler lets pass before it has
-read the record of those before it, a few hundredths of a second; a quarter is for what
-they let pass unrecorded, another for gateways that go alone."""
+"""Part of what is allowed beside a limit that new schedulers of all services together
+let pass before they have read the record of those before them, a few hundredths of a
+second; a quarter is for what those let pass unrecorded, another for gateways that go
+alone."""
 
 
 class SchedulerRole:
--- a/src/pomelolane/forwarding/told.py
+++ b/src/pomelolane/forwarding/told.py
@@ -72,6 +72,7 @@
         uses: Sequence[Use],
         *,
         adds: bool = False,
+        account: str = "",
     ) -> None:
         """Tell some VMs what passed here.
 
@@ -80,11 +81,13 @@
             service: What it passed for.
             uses: What passed.
             adds: Whether it comes on top of what was told before, or replaces it.
+            account: Whose account it is, by default that of this start.
         """
+        account = account or start_name(self._vm_id, self._incarnation)
         told = tuple(
             ToldUse(use.organisation, use.age_ms, use.tokens, use.bound) for use in uses
         )
-        message = UsesTold(service, told, adds, self._incarnation)
+        message = UsesTold(service, told, adds, account)
         for vm_id in vm_ids:
             if vm_id != self._vm_id:
                 self._transport.send(vm_id, message)
@@ -109,7 +112,7 @@
 
     def _take(self, sender: str, message: UsesTold) -> None:
         now_ms = self._clock.now_ms()
-        scheduler = start_name(sender, message.incarnation)
+        scheduler = message.account or sender
         source = message.service, scheduler
         uses = [
             Use(
--- a/src/pomelolane/forwarding/usenews.py
+++ b/src/pomelolane/forwarding/usenews.py
@@ -1,8 +1,8 @@
-"""Schedulers' news of organisations' use, so that a limit holds over all services.
+"""Schedulers' news of organisations' use, so that a limit holds over all of them.
 
 Each service has a scheduler of its own. What passes under one counts for the others as
 soon as they hear of it: news add up, and now and then all is told anew, which makes up
-for news that were lost.
+for news that were lost. What a gateway lets pass alone is told like that too.
 """
 
 from __future__ import annotations
@@ -10,6 +10,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+_ALONE = "/alone"
+"""Added to the name of the account of a gateway that hears no scheduler."""
+
 if TYPE_CHECKING:
     from pomelolane.coordination import Coordination, Desk
     from pomelolane.forwarding.told import ToldUses
@@ -59,6 +62,7 @@
         desks = self._coordination.role.desks()
         for service in self._listeners.keys() - desks.keys():
             del self._listeners[service]
+        self._tell_private(whole=whole)
         for service, desk in list(desks.items()):
             listeners = self._listeners_of(service)
             # One that has just begun to schedule has heard nothing yet.
@@ -73,6 +77,14 @@
                 news = desk.account.take_news()
                 self._tell(service, listeners, news, adds=True)
 
+    def _tell_private(self, *, whole: bool) -> None:
+        """Tell the schedulers what the gateway let pass while it heard none."""
+        listeners = frozenset(self._coordination.schedulers().values())
+        for service, account in self._coordination.private_accounts().items():
+            if whole or account.untold_share():
+                account.take_news()
+                self._tell(service, listeners, account.uses(), is_private=True)
+
     def _listeners_of(self, service: str) -> frozenset[str]:
         """Return the VMs that schedule other services, or this one after this VM."""
         schedulers = self._coordination.schedulers()
@@ -83,13 +95,22 @@
         return frozenset(listeners)
 
     def _tell(
-        self, service: str, listeners: frozenset[str], uses: list[Use], *, adds: bool
+        self,
+        service: str,
+        listeners: frozenset[str],
+        uses: list[Use],
+        *,
+        adds: bool = False,
+        is_private: bool = False,
     ) -> None:
         if not uses:
             return
+        _, account = self._told.own_source(service)
+        if is_private:
+            account += _ALONE
         if self._vm_id in listeners:
-            self._heard(self._told.own_source(service), uses, adds)
-        self._told.tell(listeners, service, uses, adds=adds)
+            self._heard((service, account), uses, adds)
+        self._told.tell(listeners, service, uses, adds=adds, account=account)
 
     def _heard(self, source: tuple[str, str], uses: list[Use], adds: bool) -> None:
         for desk in self._desks_beside(source):
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -275,13 +275,14 @@
         service: The service.
         uses: All uses that still count, or those since the last word.
         adds: Whether they come on top of what was told before.
-        incarnation: Number of the sender's start: what earlier starts told stays.
+        account: Name of the account, by the sender's start: what other accounts of
+            the same VM hold stays.
     """
 
     service: str
     uses: tuple[ToldUse, ...]
     adds: bool = False
-    incarnation: int = 0
+    account: str = ""
 
 
 __all__ = [
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -177,32 +177,43 @@
     def admit(self, handle: Handle, tokens: int, now_ms: float) -> Refusal | None:
         """Charge a request's rates, or say when they allow it.
 
-        A request that was admitted before pays nothing: one that is tried again,
-        or one that an earlier scheduler has charged.
+        A request that is tried again pays nothing, and rates that an earlier scheduler
+        charged are not charged again. A span holds here what waited under another
+        scheduler, which counts only what it lets pass itself; that is refused only
+        where too much is known to have passed.
         """
-        if _is_charged(handle):
-            return None
         accounts = self._accounts(handle)
-        for account in accounts:
-            refusal = _over(account, tokens, now_ms)
-            if refusal is not None:
-                return refusal
-        for account in accounts:
-            if account.requests is not None:
-                account.requests.take(1.0)
-            if account.tokens is not None:
-                account.tokens.take(tokens)
-            if account.window is not None:
-                account.window.take(tokens, now_ms)
+        if handle.admitted and handle.attempt == 0:
+            for account in accounts:
+                if account.window and account.window.is_full_for(tokens, now_ms):
+                    wait_ms = account.window.wait_ms(tokens, now_ms)
+                    return Refusal(
+                        Outcome.NOT_RUN, Reason.TOKEN_LIMIT, int(wait_ms) + 1
+                    )
+        elif handle.attempt == 0:
+            for account in accounts:
+                refusal = _over(account, tokens, now_ms)
+                if refusal is not None:
+                    return refusal
+            for account in accounts:
+                if account.requests is not None:
+                    account.requests.take(1.0)
+                if account.tokens is not None:
+                    account.tokens.take(tokens)
+        if handle.attempt == 0:
+            for account in accounts:
+                if account.window is not None:
+                    account.window.take(tokens, now_ms)
         return None
 
     def granted(
         self, handle: Handle, tokens: int, taken_ms: float, now_ms: float
     ) -> None:
-        """Count a request that has waited for a slot from now on.
+        """Count a request that gets a slot from now on.
 
         It runs now; counted from its arrival, those that wait together in a burst
-        run in a later span than they are counted in.
+        run in a later span than they are counted in. A repeat of what has run counts
+        with the first send.
 
         Args:
             handle: The request.
@@ -210,11 +221,11 @@
             taken_ms: When it was charged.
             now_ms: The time.
         """
-        if _is_charged(handle) or taken_ms == now_ms:
+        if handle.attempt > 0:
             return
         for account in self._accounts(handle):
             if account.window is not None:
-                account.window.move(tokens, taken_ms, now_ms)
+                account.window.passes(tokens, taken_ms, now_ms)
 
     def correct(self, handle: Handle, tokens: int) -> None:
         """Charge tokens beyond the expected ones, or give some back."""
@@ -225,23 +236,25 @@
     def give_back(self, handle: Handle, tokens: int, taken_ms: float = 0.0) -> None:
         """Undo the charge of a request that was not run.
 
-        What an earlier scheduler charged, or an earlier attempt that may have run,
-        was never taken from this book for this handle.
+        An earlier attempt that may have run was never taken from this book for this
+        handle, and rates that an earlier scheduler charged were not either.
 
         Args:
             handle: The request.
             tokens: What it was charged.
             taken_ms: When it was charged.
         """
-        if _is_charged(handle):
+        if handle.attempt > 0:
             return
         for account in self._accounts(handle):
+            if account.window is not None:
+                account.window.give_back(tokens, taken_ms)
+            if handle.admitted:
+                continue
             if account.requests is not None:
                 account.requests.take(-1.0)
             if account.tokens is not None:
                 account.tokens.take(-tokens)
-            if account.window is not None:
-                account.window.give_back(tokens, taken_ms)
 
     def at_concurrency(self, handle: Handle) -> bool:
         """Tell whether one of the request's concurrency limits is reached."""
@@ -268,11 +281,6 @@
         return accounts
 
 
-def _is_charged(handle: Handle) -> bool:
-    """Tell whether somebody else has charged the request already."""
-    return handle.attempt > 0 or handle.admitted
-
-
 def _adopt(
     accounts: dict[str, _Account], name: str, limits: Limits, share: float
 ) -> None:
--- a/src/pomelolane/scheduler/spans.py
+++ b/src/pomelolane/scheduler/spans.py
@@ -18,6 +18,11 @@
 span of several."""
 
 
+_MOVED_PART = 0.25
+"""Part of what is allowed beside a bound for what moves from scheduler to scheduler
+while it waits; it had room where it came from."""
+
+
 class TokenBucket:
     """A bucket that fills at a rate and may be overdrawn once.
 
@@ -122,6 +127,7 @@
         "_unrecorded",
         "_untold",
         "_used",
+        "_waiting",
         "_window_ms",
     )
 
@@ -129,6 +135,7 @@
         self._bound = bound
         self._window_ms = window_ms
         self._spare = spare
+        self._waiting: list[_Passed] = []
         self._passed: list[_Passed] = []
         self._past: dict[tuple[str, str], list[_Passed]] = {}
         self._promised: deque[tuple[float, float]] = deque()
@@ -236,7 +243,7 @@
             self._promised.popleft()
         over += sum(promised for _, promised in self._promised)
         wait_ms = self._window_ms
-        for passed in merge(*self._past.values(), self._passed):
+        for passed in merge(*self._past.values(), self._passed, self._waiting):
             over -= passed.counted(self._bound)
             if over <= 0:
                 wait_ms = max(1.0, passed.at_ms + self._window_ms - now_ms)
@@ -244,43 +251,63 @@
         self._promised.append((now_ms + wait_ms, amount))
         return wait_ms
 
+    def is_full_for(self, amount: float, now_ms: float) -> bool:
+        """Tell whether an amount is too much by what is known to have passed.
+
+        A guess does not count, and a part of what is allowed beside the bound is kept
+        for amounts that had room under another scheduler.
+        """
+        self._forget(now_ms)
+        most = self._bound + _MOVED_PART * self._spare
+        return self._used + amount > most
+
     def take(self, amount: float, now_ms: float) -> None:
-        """Let an amount pass."""
-        self._add(self._passed, _Passed(now_ms, amount, self._bound))
-        self._unrecorded += amount
-        self._untold += amount
+        """Keep room for an amount that waits to pass."""
+        self._add(self._waiting, _Passed(now_ms, amount, self._bound))
 
     def give_back(self, amount: float, taken_ms: float) -> None:
-        """Undo an amount that was let pass at a time, unless it counts no more."""
-        first = bisect_left(self._passed, (taken_ms, amount))
-        if first == len(self._passed) or self._passed[first][:2] != (taken_ms, amount):
-            return
-        self._used -= self._passed.pop(first).counted(self._bound)
-        self._untold -= amount
-
-    def move(self, amount: float, taken_ms: float, now_ms: float) -> None:
-        """Count an amount that was let pass at a time as let pass now."""
-        self.give_back(amount, taken_ms)
+        """Undo an amount that was taken, or has passed, at a time."""
+        if not self._remove(self._waiting, amount, taken_ms) and self._remove(
+            self._passed, amount, taken_ms
+        ):
+            self._untold -= amount
+
+    def passes(self, amount: float, taken_ms: float, now_ms: float) -> None:
+        """Let an amount pass for which room was kept since a time.
+
+        It counts from now on, here and for all who are told: whoever lets it pass
+        counts it, whatever became of it before.
+        """
+        self._remove(self._waiting, amount, taken_ms)
         self._add(self._passed, _Passed(now_ms, amount, self._bound))
+        self._unrecorded += amount
         self._untold += amount
 
+    def _remove(self, uses: list[_Passed], amount: float, taken_ms: float) -> bool:
+        """Remove an amount, unless it counts no more."""
+        first = bisect_left(uses, (taken_ms, amount))
+        if first == len(uses) or uses[first][:2] != (taken_ms, amount):
+            return False
+        self._used -= uses.pop(first).counted(self._bound)
+        return True
+
     def _add(self, uses: list[_Passed], passed: _Passed) -> None:
         insort(uses, passed)
         self._used += passed.counted(self._bound)
 
     def _count(self) -> None:
         """Count anew all that has passed, under the present bound."""
-        passed = chain(self._passed, *self._past.values())
+        passed = chain(self._waiting, self._passed, *self._past.values())
         self._used = sum(one.counted(self._bound) for one in passed)
 
     def _forget(self, now_ms: float) -> None:
         if now_ms >= self._assumed_until_ms:
             self._assumed = 0.0
         oldest_ms = now_ms - self._window_ms
-        for uses in (self._passed, *self._past.values()):
+        for uses in (self._waiting, self._passed, *self._past.values()):
             old = bisect_right(uses, (oldest_ms, float("inf")))
             self._used -= sum(one.counted(self._bound) for one in uses[:old])
             del uses[:old]
-        if not self._passed and not any(self._past.values()):
+        if not self._waiting and not self._passed and not any(self._past.values()):
             # No rounding is carried on.
             self._used = 0.0
--- a/tests/coordination/limits.feature
+++ b/tests/coordination/limits.feature
@@ -51,6 +51,10 @@
       | 1     |
       | 2     |
 
+  # Gateways that hear no scheduler let pass a part, and what had room under the one that
+  # they followed. They tell it when they are heard again. Red with two services and three
+  # turns: while all are cut from all for 2.5 s, five VMs hold a role of each other's, and
+  # each counts for itself until they hear of each other.
   Scenario Outline: What gateways let pass alone counts
     Given a region whose organisations may use 6000 tokens in 8 s, and 1200 beside
     And <count> services
--- a/tests/scheduler/objective.feature
+++ b/tests/scheduler/objective.feature
@@ -79,7 +79,28 @@
       | one      | 1     |
     And the organisation "o" may use 1000 tokens in 8000 ms
     When a request of 600 tokens of "o" waits, is withdrawn and comes back as admitted
+    Then "o" has room for 400 tokens and no more
+    And "o" has used 0 tokens
+
+  # Seen: a scheduler whose gateway turns to another one gives back what waits there, and
+  # the other let it pass as counted already: nobody counted it.
+  Scenario: A request that waited under another scheduler counts where it gets its slot
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 40    |
+    And the organisation "o" may use 1000 tokens in 8000 ms
+    When a request of 600 tokens of "o" comes that another scheduler has admitted
     Then "o" has used 600 tokens
+    And "o" has room for 400 tokens and no more
+
+  Scenario: What is known to be too much is refused, also where it was admitted before
+    Given an objective core with the endpoints
+      | endpoint | slots |
+      | one      | 40    |
+    And the organisation "o" may use 1000 tokens in 8000 ms
+    When a request of 600 tokens of "o" comes that another scheduler has admitted
+    And one of 500 tokens comes after it that another scheduler has admitted
+    Then the core refuses it for its organisation's limit
 
   Scenario: What is given back leaves the span with the charge that it undoes
     Given a window of 1000 tokens in 8000 ms
--- a/tests/steps/forwarding_ledger_steps.py
+++ b/tests/steps/forwarding_ledger_steps.py
@@ -111,7 +111,7 @@
 @when('"{sender}" tells that {tokens:d} tokens passed there')
 def step_tells(context, sender, tokens):
     async def hear():
-        message = UsesTold(SERVICE, (ToldUse("o", 0, tokens),), incarnation=1)
+        message = UsesTold(SERVICE, (ToldUse("o", 0, tokens),), account="vm-1/1")
         context.network.handler(sender, message)
         await asyncio.gather(*context.ledger._loading)
 
--- a/tests/steps/objective_steps.py
+++ b/tests/steps/objective_steps.py
@@ -7,7 +7,7 @@
 from scheduler_driver import CoreDriver, endpoint_from_row, make_handle
 
 from pomelolane.model import Limits, Organisation
-from pomelolane.outcomes import Refusal
+from pomelolane.outcomes import Reason, Refusal
 from pomelolane.ports import Grant
 from pomelolane.scheduler.spans import SlidingWindow, Use
 
@@ -216,6 +216,7 @@
 def step_take(context, tokens, ms):
     assert context.window.wait_ms(tokens, ms) == 0
     context.window.take(tokens, ms)
+    context.window.passes(tokens, ms, ms)
 
 
 @when("the bound becomes {bound:d}")
@@ -316,6 +317,28 @@
     context.core.submit(msgspec.structs.replace(waiting, admitted=True))
 
 
+@when('a request of {tokens:d} tokens of "o" comes that another scheduler has admitted')
+def step_admitted_elsewhere(context, tokens):
+    context.core.submit(msgspec.structs.replace(_charged("a.0", tokens), admitted=True))
+
+
+@when("one of {tokens:d} tokens comes after it that another scheduler has admitted")
+def step_another_admitted(context, tokens):
+    context.core.submit(msgspec.structs.replace(_charged("a.1", tokens), admitted=True))
+
+
+@then("the core refuses it for its organisation's limit")
+def step_refused_for_limit(context):
+    assert context.core.result("a.1").reason is Reason.TOKEN_LIMIT
+
+
+@then('"o" has room for {tokens:d} tokens and no more')
+def step_room(context, tokens):
+    (window,) = context.core.core.limits._windows()
+    assert window.wait_ms(tokens, context.core.now) == 0
+    assert window.wait_ms(tokens + 1, context.core.now) > 0
+
+
 @when('a request of {tokens:d} tokens of "o" waits {ms:d} ms for its slot')
 def step_waits_for_slot(context, tokens, ms):
     slots = sum(endpoint.slots for endpoint in context.core.endpoints)
