--- a/tests/coordination/limited_world.py
+++ b/tests/coordination/limited_world.py
@@ -9,10 +9,11 @@
 from collections import Counter
 from dataclasses import replace
 
+from pomelolane.exceptions import PlatformUnavailableError
 from pomelolane.forwarding.ledger import Ledger
 from pomelolane.forwarding.told import ToldUses, start_name
 from pomelolane.forwarding.usenews import WHOLE_TICKS, UseNews
-from pomelolane.messages import Handle
+from pomelolane.messages import Handle, ToldUse, UsesTold
 from pomelolane.model import Endpoint, Limits, Organisation, Service, ServiceKind, Work
 from pomelolane.ports import Grant
 from pomelolane.scheduler.objective.core import make_objective_core
@@ -36,10 +37,12 @@
         self._start = vm_id, world.peers[vm_id].incarnation
 
     async def save(self, service, uses):
+        self._check()
         now_ms = self._world.clock.now_ms()
         self._world.record[service, self._start] = (now_ms, list(uses))
 
     async def load(self):
+        self._check()
         now_ms = self._world.clock.now_ms()
         return [
             replace(
@@ -53,6 +56,10 @@
             if start != self._start
         ]
 
+    def _check(self):
+        if self._world.store_is_away:
+            raise PlatformUnavailableError("the store is away")
+
 
 class LimitedWorld(World):
     """Two organisations ask the services; each keeps its limit or not."""
@@ -79,6 +86,7 @@
         )
         self.limit(BOUND)
         self.record = {}
+        self.store_is_away = False
         self.ledgers = {}
         self.news = {}
         for name in self.vms:
@@ -128,6 +136,13 @@
         self.vms[name].coordination.configure(self.tree)
         await self.settle()
 
+    async def hear_from_gone(self, vm_id, service, organisation, tokens):
+        """Let all hear what a VM told before it was gone."""
+        message = UsesTold(service, (ToldUse(organisation, 0, tokens),))
+        for vm in self.vms.values():
+            vm.transport.deliver(vm_id, message)
+        await self.settle()
+
     async def ask_for(self, for_ms, tokens, counts):
         """Ask each so often; ``counts`` has requests by organisation and service."""
         end_ms = self.clock.now_ms() + for_ms
--- a/tests/coordination/limits.feature
+++ b/tests/coordination/limits.feature
@@ -66,3 +66,24 @@
       | 1     | 1     |
       | 1     | 3     |
       | 2     | 3     |
+
+  # New schedulers of several services each let pass half of what is beside a limit, before
+  # they know anything: twice and three times the half of one scheduler.
+  Scenario Outline: New schedulers that know nothing share half of what is beside
+    Given a region whose organisations may use 6000 tokens in 8 s, and 1200 beside
+    And <count> services
+    When the store is away and one asks new schedulers of each for 1000 at once
+    Then 600 of its tokens run at most
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+      | 3     |
+
+  # One word of one VM is not the record of all: a scheduler that cannot read the record
+  # dropped its guess of what all had let pass for it.
+  Scenario: A scheduler that cannot read the record keeps its guess whatever it hears
+    Given a region whose organisations may use 6000 tokens in 8 s, and 1200 beside
+    When new schedulers hear of 100 tokens that one other let pass
+    Then 600 of its tokens run at most
--- a/tests/steps/coordination_limits_steps.py
+++ b/tests/steps/coordination_limits_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from tests.coordination.limited_world import (
+    ASK_EACH_MS,
     BESIDE,
     BOUND,
     GREEDY,
@@ -98,6 +99,34 @@
     context.run(world.ask_for(SPAN_MS, TOKENS, _counts(context)))
 
 
+@when("the store is away and one asks new schedulers of each for {tokens:d} at once")
+def step_new_schedulers(context, tokens):
+    world = context.world = LimitedWorld(NAMES, context.services)
+    world.store_is_away = True
+    context.run(world.configure())
+    context.run(world.run(TURN_MS))
+    counts = {(GREEDY, name): tokens // TOKENS for name in context.services}
+    context.run(world.ask_for(ASK_EACH_MS, TOKENS, counts))
+
+
+@when("new schedulers hear of {tokens:d} tokens that one other let pass")
+def step_hear_one(context, tokens):
+    world = context.world = LimitedWorld(NAMES, context.services)
+    world.store_is_away = True
+    context.run(world.configure())
+    context.run(world.run(TURN_MS))
+    context.run(world.hear_from_gone("x-1", context.services[0], GREEDY, tokens))
+    context.run(world.run(TURN_MS))
+    counts = {(GREEDY, context.services[0]): GREEDY_EACH_MS}
+    context.run(world.ask_for(SPAN_MS // 4, TOKENS, counts))
+
+
+@then("{most:d} of its tokens run at most")
+def step_at_most(context, most):
+    passed = context.world.most_in_a_span(GREEDY)
+    assert passed <= most, passed
+
+
 @then("no span has more of its tokens run than that")
 def step_kept(context):
     most = context.world.most_in_a_span(GREEDY)
