--- a/tests/coordination/limits.feature
+++ b/tests/coordination/limits.feature
@@ -40,6 +40,21 @@
       | 1     |
       | 2     |
 
+  # Seen: more than the limit where schedulers were killed one after the other, under one
+  # organisation's burst.
+  Scenario Outline: What a scheduler let pass in a burst is known when it is killed
+    Given a region whose organisations may use 6000 tokens in 8 s, and 1200 beside
+    When the scheduler is killed after each <each_ms> ms of a burst, <times> times
+    Then no span has more of its tokens run than that
+
+    Examples:
+      | each_ms | times |
+      | 200     | 1     |
+      | 300     | 1     |
+      | 300     | 2     |
+      | 400     | 2     |
+      | 300     | 3     |
+
   Scenario Outline: Schedulers that leave take their account along
     Given a region whose organisations may use 6000 tokens in 8 s, and 1200 beside
     And <count> services
--- a/tests/steps/coordination_limits_steps.py
+++ b/tests/steps/coordination_limits_steps.py
@@ -18,6 +18,7 @@
 TOKENS = 25
 TURN_MS = 2_500
 GREEDY_EACH_MS = 10
+BURST_EACH_MS = 40
 ROUNDS = 3
 
 
@@ -73,6 +74,16 @@
     context.run(world.ask_for(SPAN_MS, TOKENS, _counts(context)))
 
 
+@when("the scheduler is killed after each {each_ms:d} ms of a burst, {times:d} times")
+def step_killed_in_burst(context, each_ms, times):
+    world = _start(context)
+    burst = {(GREEDY, context.services[0]): BURST_EACH_MS}
+    for _ in range(times):
+        context.run(world.ask_for(each_ms, TOKENS, burst))
+        context.run(world.lose(world.scheduler()))
+    context.run(world.ask_for(SPAN_MS, TOKENS, burst))
+
+
 @when("one asks each service for several times that while schedulers hand over")
 def step_handed_over(context):
     world = _start(context)
