Let the next scheduler in line hear what passes

Callers saw: beyond the limit, where schedulers were killed one after the other. Cause: the next scheduler knew only the record, written four times a second by what has passed; what it lacks was covered by the part set aside for one kill. Two kills in a span lack twice that, and what was heard of a dead scheduler died with the next one. Class: a margin for one event, spent by each. Change: a scheduler's news go to the VM that would follow it, too; who hears them for the first time, or in a new start, is told all, with what was heard of VMs that may be gone. Words that are passed on stay aside until a role is taken: they may be older than the record. Ruled out: writing the record more often (a store call each time; still a margin for one kill). limits.feature, two and three kills in a burst: 9,175 and 11,175 before, 7,200 allowed; green now.

--- a/src/pomelolane/coordination/chooser.py
+++ b/src/pomelolane/coordination/chooser.py
@@ -77,6 +77,14 @@
             self._chosen[service] = chosen
         return chosen
 
+    def successor(self, service: str) -> str:
+        """Return the VM to follow once the present scheduler is gone, '' for none."""
+        gone = self.scheduler(service)
+        peers = self.view().peers
+        live = [vm for vm in peers if vm != gone and not self.is_suspected(vm)]
+        able = [vm for vm in live if self._is_able(service, vm)]
+        return choose(service, self._strong(able)) if able else ""
+
     def incarnation_of(self, vm_id: str) -> int:
         """Return the number of a VM's start, 0 while it is not in the view."""
         peer = self.view().peers.get(vm_id)
--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -224,6 +224,14 @@
         """Return which VM schedules each service, as far as this VM can tell."""
         return {name: self._chooser.scheduler(name) for name in self._tree.services}
 
+    def successor(self, service: str) -> str:
+        """Return which VM schedules a service once its scheduler is gone, or ''."""
+        return self._chooser.successor(service)
+
+    def incarnation_of(self, vm_id: str) -> int:
+        """Return the number of a VM's start, 0 while it is not in the view."""
+        return self._chooser.incarnation_of(vm_id)
+
     def private_accounts(self) -> dict[str, Account]:
         """Return what this VM's gateway let pass alone, by service."""
         return self._local.accounts()
--- a/src/pomelolane/forwarding/told.py
+++ b/src/pomelolane/forwarding/told.py
@@ -102,11 +102,39 @@
         account = account or start_name(self._vm_id, self._incarnation)
         self._send(vm_ids, UsesTold(service, _told(uses), adds, account))
 
+    def pass_on(self, vm_ids: Iterable[str]) -> None:
+        """Tell some VMs what this one has heard.
+
+        Those whose accounts these are may be gone: nobody else tells it.
+        """
+        listeners = tuple(vm_ids)
+        now_ms = self._clock.now_ms()
+        for (service, account), heard in self._heard.items():
+            uses = _aged(heard, now_ms)
+            message = UsesTold(service, _told(uses), account=account, is_passed_on=True)
+            self._send(listeners, message)
+
     def _send(self, vm_ids: Iterable[str], message: UsesTold) -> None:
         for vm_id in vm_ids:
             if vm_id != self._vm_id:
                 self._transport.send(vm_id, message)
 
+    def _take_passed_on(
+        self, source: tuple[str, str], heard: list[tuple[float, Use]], now_ms: float
+    ) -> None:
+        """Keep what another VM has heard, for when this one takes a role.
+
+        It is no news for the roles that this VM has: they have read the record, which
+        may be younger.
+        """
+        _, account = source
+        own = start_name(self._vm_id, self._incarnation)
+        if account == own or account.startswith(f"{own}/"):
+            return
+        known_ms = _youngest_ms(_aged(self._heard.get(source, ()), now_ms))
+        if _youngest_ms(_aged(heard, now_ms)) < known_ms:
+            self._heard[source] = heard
+
     def knows_all(self, service: str) -> bool:
         """Tell whether one that had the role for a whole span has just told of it."""
         left_ms = self._left_ms.get(service)
@@ -120,10 +148,7 @@
         for use in recorded:
             accounts.setdefault(use.source, []).append(use)
         for source, heard in self._heard.items():
-            told = [
-                replace(use, age_ms=use.age_ms + int(now_ms - at_ms))
-                for at_ms, use in heard
-            ]
+            told = _aged(heard, now_ms)
             if _youngest_ms(told) <= _youngest_ms(accounts.get(source, ())):
                 accounts[source] = told
         uses = chain.from_iterable(accounts.values())
@@ -150,12 +175,16 @@
             )
             for told in message.uses
         ]
+        heard = [(now_ms, use) for use in uses]
+        if message.is_passed_on:
+            self._take_passed_on(source, heard, now_ms)
+            return
         if message.has_held:
             self._left_ms[message.service] = now_ms
         if not message.adds:
             self._forget(now_ms)
             self._heard[source] = []
-        self._heard.setdefault(source, []).extend((now_ms, use) for use in uses)
+        self._heard.setdefault(source, []).extend(heard)
         self.on_news(source, uses, message.adds)
         if message.leaves:
             self.on_left(message.service)
@@ -167,6 +196,12 @@
     )
 
 
+def _aged(heard: Iterable[tuple[float, Use]], now_ms: float) -> list[Use]:
+    return [
+        replace(use, age_ms=use.age_ms + int(now_ms - at_ms)) for at_ms, use in heard
+    ]
+
+
 def _youngest_ms(uses: Iterable[Use]) -> float:
     return min((use.age_ms for use in uses), default=inf)
 
--- a/src/pomelolane/forwarding/usenews.py
+++ b/src/pomelolane/forwarding/usenews.py
@@ -1,8 +1,9 @@
 """Schedulers' news of organisations' use, so that a limit holds over all of them.
 
 Each service has a scheduler of its own. What passes under one counts for the others as
-soon as they hear of it: news add up, and now and then all is told anew, which makes up
-for news that were lost. What a gateway lets pass alone is told like that too.
+soon as they hear of it, and the next one in line knows it when this one is killed.
+News add up, and now and then all is told anew, which makes up for news that were lost.
+What a gateway lets pass alone is told like that too.
 """
 
 from __future__ import annotations
@@ -30,7 +31,7 @@
 
 
 class UseNews:
-    """Tells the schedulers of other services what passes here, and hears them.
+    """Tells the schedulers of other services and successors what passes here.
 
     Args:
         vm_id: This VM.
@@ -42,7 +43,7 @@
         self._vm_id = vm_id
         self._coordination = coordination
         self._told = told
-        self._listeners: dict[str, frozenset[str]] = {}
+        self._listeners: dict[str, dict[str, int]] = {}
         told.on_news = self._heard
 
     async def run(self) -> None:
@@ -65,18 +66,25 @@
         self._tell_private(whole=whole)
         for service, desk in list(desks.items()):
             listeners = self._listeners_of(service)
-            # One that has just begun to schedule has heard nothing yet.
-            is_new = bool(listeners - self._listeners.get(service, frozenset()))
-            self._listeners[service] = listeners
+            newcomers = self._newcomers(service, listeners)
+            if newcomers:
+                self._told.pass_on(newcomers)
             if not listeners:
                 continue
-            if whole or is_new:
+            if whole or newcomers:
                 desk.account.take_news()
                 self._tell(service, listeners, desk.account.uses(), adds=False)
             elif desk.account.untold_share() >= UNTOLD_SHARE:
                 news = desk.account.take_news()
                 self._tell(service, listeners, news, adds=True)
 
+    def _newcomers(self, service: str, listeners: frozenset[str]) -> set[str]:
+        """Return the listeners that have heard nothing yet, or in an earlier start."""
+        before = self._listeners.get(service, {})
+        starts = {vm: self._coordination.incarnation_of(vm) for vm in listeners}
+        self._listeners[service] = starts
+        return {vm for vm, start in starts.items() if before.get(vm) != start}
+
     def _tell_private(self, *, whole: bool) -> None:
         """Tell the schedulers what the gateway let pass while it heard none."""
         listeners = frozenset(self._coordination.schedulers().values())
@@ -86,13 +94,18 @@
                 self._tell(service, listeners, account.uses(), is_private=True)
 
     def _listeners_of(self, service: str) -> frozenset[str]:
-        """Return the VMs that schedule other services, or this one after this VM."""
+        """Return the VMs that schedule other services, or this one after this VM.
+
+        The next one in line hears everything while this one lives: the record lacks
+        what passed last when a scheduler is killed.
+        """
         schedulers = self._coordination.schedulers()
         listeners = {vm for name, vm in schedulers.items() if name != service}
-        successor = schedulers.get(service, self._vm_id)
-        if successor != self._vm_id:
-            listeners.add(successor)
-        return frozenset(listeners)
+        if schedulers.get(service, self._vm_id) == self._vm_id:
+            listeners.add(self._coordination.successor(service))
+        else:
+            listeners.add(schedulers[service])
+        return frozenset(listeners - {""})
 
     def _tell(
         self,
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -277,6 +277,7 @@
         adds: Whether they come on top of what was told before.
         account: Name of the account, by the sender's start: what other accounts of
             the same VM hold stays.
+        is_passed_on: Whether the sender has only heard it.
         leaves: Whether the sender leaves the role.
         has_held: Whether it had the role for a whole span, so that nothing passed
             elsewhere meanwhile.
@@ -286,6 +287,7 @@
     uses: tuple[ToldUse, ...]
     adds: bool = False
     account: str = ""
+    is_passed_on: bool = False
     leaves: bool = False
     has_held: bool = False
 
--- a/tests/coordination/limits.feature
+++ b/tests/coordination/limits.feature
@@ -41,7 +41,9 @@
       | 2     |
 
   # Seen: more than the limit where schedulers were killed one after the other, under one
-  # organisation's burst.
+  # organisation's burst. The next scheduler knew only the record, which lacks what passed
+  # last: within what is allowed beside for one kill, and again with each kill in a span.
+  # Proved by 9,175 and 11,175 tokens for two and three kills.
   Scenario Outline: What a scheduler let pass in a burst is known when it is killed
     Given a region whose organisations may use 6000 tokens in 8 s, and 1200 beside
     When the scheduler is killed after each <each_ms> ms of a burst, <times> times
@@ -67,9 +69,8 @@
       | 2     |
 
   # Gateways that hear no scheduler let pass a part, and what had room under the one that
-  # they followed. They tell it when they are heard again. Red with two services and three
-  # turns: while all are cut from all for 2.5 s, five VMs hold a role of each other's, and
-  # each counts for itself until they hear of each other.
+  # they followed. They tell it when they are heard again; until then VMs that are cut off
+  # from each other hold the same roles, and each counts for itself.
   Scenario Outline: What gateways let pass alone counts
     Given a region whose organisations may use 6000 tokens in 8 s, and 1200 beside
     And <count> services
