--- a/src/pomelolane/forwarding/usenews.py
+++ b/src/pomelolane/forwarding/usenews.py
@@ -87,8 +87,11 @@
 
     def _tell_private(self, *, whole: bool) -> None:
         """Tell the schedulers what the gateway let pass while it heard none."""
+        accounts = self._coordination.private_accounts()
+        if not accounts:
+            return
         listeners = frozenset(self._coordination.schedulers().values())
-        for service, account in self._coordination.private_accounts().items():
+        for service, account in accounts.items():
             if whole or account.untold_share():
                 account.take_news()
                 self._tell(service, listeners, account.uses(), is_private=True)
