--- a/src/pomelolane/coordination/chooser.py
+++ b/src/pomelolane/coordination/chooser.py
@@ -32,8 +32,8 @@
 _ALARM_MEMORY_MS = 30_000.0
 _MOST_PATIENCE = 8
 """Each false alarm doubles the silence that raises the next one, up to eight times and
-to what ``Timings.patience_ms`` allows: without it a scheduler that stood still for a
-second lost and took its role every 0.1 to 0.6 s from then on."""
+to what ``Timings.patience_ms`` allows: else a scheduler that is slow now and then would
+lose its role and take it back all the time."""
 
 
 class Chooser:
--- a/src/pomelolane/coordination/fallback.py
+++ b/src/pomelolane/coordination/fallback.py
@@ -19,8 +19,7 @@
 """Part of what is allowed beside a limit that all gateways which go alone let pass
 together in the first span: the scheduler that they followed may have let pass all that
 the limit allows, and the next one lets pass a part of its own before it has read the
-record. With half of the limit itself, 68 of 195 gateways that were alone after a loss
-of power everywhere let pass a sixth of it beside their scheduler (by their logs)."""
+record."""
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/pomelolane/coordination/options.py
+++ b/src/pomelolane/coordination/options.py
@@ -18,9 +18,8 @@
     Attributes:
         client_tick_ms: Period in which a gateway checks deadlines.
         calm_tick_ms: The same while nothing waits there and it schedules nothing: a
-            third of the time that questions may stay unanswered. On a fleet of 70 VMs
-            two or three schedule; an idle VM takes 0.42% of a host core with it, and
-            0.86% with ticks every 25 ms (20 VMs, one machine).
+            third of the time that questions may stay unanswered. Most VMs of a fleet
+            are idle like that, and each tick costs processor time.
         role_tick_ms: Period in which a scheduler drives its cores.
         reply_ms: A question unanswered for this long is asked again.
         reply_attempts: Questions unanswered after which a VM is suspected.
--- a/src/pomelolane/forwarding/told.py
+++ b/src/pomelolane/forwarding/told.py
@@ -23,7 +23,6 @@
 OLDEST_MS = 20_000.0
 """Age from which on a use counts in no span; the spans are a few seconds."""
 
-
 LEFT_LATELY_MS = 1_000.0
 """Time after a scheduler's last word in which its successor takes the role."""
 
@@ -190,6 +189,14 @@
             self.on_left(message.service)
 
 
+def start_name(vm_id: str, incarnation: int) -> str:
+    """Return the name under which a start of a VM keeps its account.
+
+    What an earlier start let pass counts beside what the present one does.
+    """
+    return f"{vm_id}/{incarnation}"
+
+
 def _told(uses: Iterable[Use]) -> tuple[ToldUse, ...]:
     return tuple(
         ToldUse(use.organisation, use.age_ms, use.tokens, use.bound) for use in uses
@@ -206,14 +213,6 @@
     return min((use.age_ms for use in uses), default=inf)
 
 
-def start_name(vm_id: str, incarnation: int) -> str:
-    """Return the name under which a start of a VM keeps its account.
-
-    What an earlier start let pass counts beside what the present one does.
-    """
-    return f"{vm_id}/{incarnation}"
-
-
 def _ignore(service: str) -> None:
     """Stand in until somebody wants to know."""
 
--- a/src/pomelolane/forwarding/usenews.py
+++ b/src/pomelolane/forwarding/usenews.py
@@ -11,14 +11,14 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-_ALONE = "/alone"
-"""Added to the name of the account of a gateway that hears no scheduler."""
-
 if TYPE_CHECKING:
     from pomelolane.coordination import Coordination, Desk
     from pomelolane.forwarding.told import ToldUses
     from pomelolane.scheduler.spans import Use
 
+_ALONE = "/alone"
+"""Added to the name of the account of a gateway that hears no scheduler."""
+
 TICK_S = 0.1
 """Shortest time between two words."""
 
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -193,28 +193,19 @@
         scheduler, which counts only what it lets pass itself; that is refused only
         where too much is known to have passed.
         """
+        if handle.attempt > 0:
+            return None
         accounts = self._accounts(handle)
-        if handle.admitted and handle.attempt == 0:
-            for account in accounts:
-                if account.window and account.window.is_full_for(tokens, now_ms):
-                    wait_ms = account.window.wait_ms(tokens, now_ms)
-                    return Refusal(
-                        Outcome.NOT_RUN, Reason.TOKEN_LIMIT, int(wait_ms) + 1
-                    )
-        elif handle.attempt == 0:
-            for account in accounts:
-                refusal = _over(account, tokens, now_ms)
-                if refusal is not None:
-                    return refusal
-            for account in accounts:
-                if account.requests is not None:
-                    account.requests.take(1.0)
-                if account.tokens is not None:
-                    account.tokens.take(tokens)
-        if handle.attempt == 0:
-            for account in accounts:
-                if account.window is not None:
-                    account.window.take(tokens, now_ms)
+        judge = _known_over if handle.admitted else _over
+        for account in accounts:
+            refusal = judge(account, tokens, now_ms)
+            if refusal is not None:
+                return refusal
+        for account in accounts:
+            if account.window is not None:
+                account.window.take(tokens, now_ms)
+            if not handle.admitted:
+                _charge_rates(account, 1.0, tokens)
         return None
 
     def granted(
@@ -260,12 +251,8 @@
         for account in self._accounts(handle):
             if account.window is not None:
                 account.window.give_back(tokens, taken_ms)
-            if handle.admitted:
-                continue
-            if account.requests is not None:
-                account.requests.take(-1.0)
-            if account.tokens is not None:
-                account.tokens.take(-tokens)
+            if not handle.admitted:
+                _charge_rates(account, -1.0, -tokens)
 
     def at_concurrency(self, handle: Handle) -> bool:
         """Tell whether one of the request's concurrency limits is reached."""
@@ -306,6 +293,22 @@
     return TokenBucket(per_s, burst) if per_s > 0 else None
 
 
+def _charge_rates(account: _Account, requests: float, tokens: float) -> None:
+    """Charge an account's rates; negative amounts give back."""
+    if account.requests is not None:
+        account.requests.take(requests)
+    if account.tokens is not None:
+        account.tokens.take(tokens)
+
+
+def _known_over(account: _Account, tokens: int, now_ms: float) -> Refusal | None:
+    """Refuse what had room elsewhere only where too much is known to have passed."""
+    if account.window is None or not account.window.is_full_for(tokens, now_ms):
+        return None
+    wait_ms = account.window.wait_ms(tokens, now_ms)
+    return Refusal(Outcome.NOT_RUN, Reason.TOKEN_LIMIT, int(wait_ms) + 1)
+
+
 def _over(account: _Account, tokens: int, now_ms: float) -> Refusal | None:
     if account.window is not None:
         wait_ms = account.window.wait_ms(tokens, now_ms)
--- a/src/pomelolane/scheduler/spans.py
+++ b/src/pomelolane/scheduler/spans.py
@@ -318,6 +318,8 @@
             old = bisect_right(uses, (oldest_ms, float("inf")))
             self._used -= sum(one.counted(self._bound) for one in uses[:old])
             del uses[:old]
-        if not self._waiting and not self._passed and not any(self._past.values()):
+        for source in [name for name, uses in self._past.items() if not uses]:
+            del self._past[source]
+        if not self._waiting and not self._passed and not self._past:
             # No rounding is carried on.
             self._used = 0.0
