Read the store anew when it comes back from an older copy

Callers would see: routes, keys or endpoints of before, for good. Cause: versions are given out again after such a return; a watch that goes on from a version of before gets no 410 once the new numbering has passed it, and misses what was written in between. Change: the client keeps the number of the numbering for each table that was read, and tells a watch that its history is lost when another one answers. Left: what the system wrote and lost (record of use, crash reports, keys, list of VMs), and versions that one VM passes on to others.

--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -30,6 +30,9 @@
 """Idle connections are kept for as long as the store does; before one is used
 again, a look at its socket tells whether the store has closed it."""
 
+_ERA = b"store-era"
+"""Header whose number rises when the store comes back from an older copy."""
+
 _PAGE_ROWS = 500
 _HISTORY_GONE = 410
 _CONFLICT = 412
@@ -54,6 +57,19 @@
     now_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """A successful answer.
+
+    Attributes:
+        era: Number of the store's numbering of versions, 0 where it tells none.
+        data: The body.
+    """
+
+    era: int
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class StoredRow:
     """A row, or the mark that it was deleted.
@@ -102,6 +118,7 @@
             connect_timeout_ms=CONNECT_TIMEOUT_MS, max_idle_ms=MAX_IDLE_MS
         )
         self.calls = 0
+        self._eras: dict[str, int] = {}
         self._clock = MonotonicClock()
         self._ahead_ms = 0.0
 
@@ -117,11 +134,14 @@
         """
         rows: list[StoredRow] = []
         start = ""
+        # Versions of another numbering than that of the first page are unknown here.
+        self._eras.pop(table, None)
         while True:
             query = {"table": table, "part": "", "limit": str(_PAGE_ROWS)}
             if start:
                 query["from"] = start
-            page = await self._get("/rows-get", query, CALL_TIMEOUT_S)
+            era, page = await self._get("/rows-get", query, CALL_TIMEOUT_S)
+            self._eras.setdefault(table, era)
             rows.extend(_stored(row) for row in page.rows)
             if not page.has_more or not page.rows:
                 return Snapshot(tuple(rows), page.ver, page.now_ms)
@@ -132,10 +152,14 @@
 
         Raises:
             StoreUnavailableError: No answer, or a refusal.
-            HistoryLostError: The store no longer knows; read the table whole.
+            HistoryLostError: The store no longer knows, or has come back from an older
+                copy and gives versions out again; read the table whole.
         """
         query = {"table": table, "after": str(after), "waitMs": str(wait_ms)}
-        page = await self._get("/rows-feed", query, CALL_TIMEOUT_S + wait_ms / 1000)
+        timeout_s = CALL_TIMEOUT_S + wait_ms / 1000
+        era, page = await self._get("/rows-feed", query, timeout_s)
+        if self._eras.setdefault(table, era) != era:
+            raise HistoryLostError(table)
         return Snapshot(tuple(_stored(r) for r in page.rows), page.ver, page.now_ms)
 
     async def write(
@@ -188,14 +212,16 @@
         """Close the connections."""
         self._pool.close()
 
-    async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> _Rows:
-        data = await self._call("GET", path, query, timeout_s)
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> tuple[int, _Rows]:
+        answer = await self._call("GET", path, query, timeout_s)
         try:
-            rows = msgspec.json.decode(data, type=_Rows)
+            rows = msgspec.json.decode(answer.data, type=_Rows)
         except msgspec.DecodeError as error:
             raise StoreUnavailableError(f"{path}: {error}") from error
         self._ahead_ms = rows.now_ms - self._clock.now_ms()
-        return rows
+        return answer.era, rows
 
     async def _call(
         self,
@@ -204,7 +230,7 @@
         query: dict[str, str],
         timeout_s: float,
         body: object = None,
-    ) -> bytes:
+    ) -> _Answer:
         self.calls += 1
         data = b"" if body is None else msgspec.json.encode(body)
         head = self._head(method, path, query, len(data))
@@ -214,14 +240,14 @@
         except (EndpointRefusedError, EndpointBrokenError, TimeoutError) as error:
             count_store_call(path, 0, len(data), 0)
             raise StoreUnavailableError(f"{path}: {error!r}") from error
-        count_store_call(path, status, len(data), len(answer))
+        count_store_call(path, status, len(data), len(answer.data))
         if status == _HISTORY_GONE:
             raise HistoryLostError(path)
         if status != 200:
             raise StoreUnavailableError(f"{path}: status {status}", status)
         return answer
 
-    async def _exchange(self, method: str, request: list[bytes]) -> tuple[int, bytes]:
+    async def _exchange(self, method: str, request: list[bytes]) -> tuple[int, _Answer]:
         connection = await self._pool.acquire(self._address)
         stream = await connection.exchange(method, request)
         try:
@@ -229,7 +255,7 @@
         finally:
             # A call that ran out of time must not leave its answer to the next.
             await stream.aclose()
-        return stream.status, answer
+        return stream.status, _Answer(_era(stream.headers), answer)
 
     def _head(self, method: str, path: str, query: dict[str, str], size: int) -> bytes:
         target = f"{path}?{urlencode(query)}" if query else path
@@ -239,6 +265,11 @@
         return "\r\n".join([*lines, "", ""]).encode("ascii")
 
 
+def _era(headers: Sequence[tuple[bytes, bytes]]) -> int:
+    text = dict(headers).get(_ERA, b"")
+    return int(text) if text.isdigit() else 0
+
+
 def _stored(row: _Row) -> StoredRow:
     value = b"" if row.tombstone else _bytes_from_text(row.value)
     return StoredRow(row.key, row.ver, value, row.tombstone)
--- a/standins/routed/store.py
+++ b/standins/routed/store.py
@@ -40,6 +40,14 @@
     deleted: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What the store held at a moment."""
+
+    rows: dict[tuple[str, str, str], _Row]
+    version: int
+
+
 class MetadataStore:
     """The store's state and its HTTP calls.
 
@@ -47,11 +55,13 @@
         trouble: What is wrong at present.
         oldest: Version from which on the history is known.
         calls: Calls by path.
+        era: Number of its numbering of versions, in all answers.
     """
 
     def __init__(self) -> None:
         self.trouble = Trouble.NONE
         self.oldest = 0
+        self.era = 1
         self.calls: Counter[str] = Counter()
         self._rows: dict[tuple[str, str, str], _Row] = {}
         self._version = 0
@@ -104,6 +114,17 @@
         """Know no change before now."""
         self.oldest = self._version
 
+    def copy(self) -> StoreCopy:
+        """Return what it holds now."""
+        return StoreCopy(dict(self._rows), self._version)
+
+    def come_back_from(self, copy: StoreCopy) -> None:
+        """Hold what a copy holds; versions after it are given out again."""
+        self._rows = dict(copy.rows)
+        self._version = copy.version
+        self.era += 1
+        self._tell()
+
     def _tell(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -119,6 +140,7 @@
             case Trouble.RESET:
                 return drop_connection(request)
         answer = await handler(request)
+        answer.headers["Store-Era"] = str(self.era)
         if self.trouble is Trouble.LOST and request.method == "POST":
             return drop_connection(request)
         return answer
@@ -159,7 +181,7 @@
         after = int(query["after"])
         until_s = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         while True:
-            if after < self.oldest:
+            if not self.oldest <= after <= self._version:
                 return json_response({}, status=410)
             rows = self._rows.items()
             changed = [
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -16,6 +16,13 @@
     When the store forgets its history and says version 7
     Then the configuration in force is version 7
 
+  # The store gave out the versions after the copy again: a watch that went on from one of
+  # them was told only what came after it, and missed the rest.
+  Scenario: A store that comes back from an older copy is read anew
+    When the store comes back from an older copy, says version 6 and passes its old numbers
+    Then the configuration in force is version 6 within 3000 ms
+    And the known endpoints are "p1"
+
   Scenario: A document that cannot be read leaves the one before in force
     When the store says something that is no configuration
     And the store says version 8
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -21,6 +21,7 @@
 
 SOON_MS = 3000
 APPLY_MS = 2000
+READ_S = 1.5
 
 
 @given("a metadata store and its watches")
@@ -79,6 +80,21 @@
     context.run(asyncio.sleep(0.2))
 
 
+@when(
+    "the store comes back from an older copy, says version 6 and passes its old numbers"
+)
+def step_older_copy(context):
+    store = context.store
+    copy = store.copy()
+    for number in range(20):
+        store.put("other", f"k{number}", b"")
+    context.run(asyncio.sleep(READ_S))
+    store.come_back_from(copy)
+    store.put("op", "config", configuration(6))
+    for number in range(30):
+        store.put("other", f"k{number}", b"")
+
+
 @when("the store forgets its history and says version {version:d}")
 def step_forgets(context, version):
     context.store.put("op", "config", configuration(version))
