--- a/tests/platform/limits.feature
+++ b/tests/platform/limits.feature
@@ -13,19 +13,31 @@
       | e1       | pool    |
       | e2       | pool    |
       | e3       | pool    |
-    And an organisation that may use 1000 tokens a second and 2000 at once
-    And 3 platform VMs
 
   Scenario: It asks two services
+    Given an organisation that may use 1000 tokens a second and 2000 at once
+    And 3 platform VMs
     When it asks 60 times a second for 100 tokens, half of them of each service, for 9 s
     Then no 4 s hold more than 7600 of its tokens
 
   Scenario: Its limit is halved and taken back
+    Given an organisation that may use 1000 tokens a second and 2000 at once
+    And 3 platform VMs
     When it asks 60 times a second for 100 tokens, half of them of each service, for 9 s
     And its limit is halved and taken back each 1500 ms meanwhile
     Then no 4 s hold more than 7600 of its tokens
 
   Scenario: All VMs are killed one after the other
+    Given an organisation that may use 1000 tokens a second and 2000 at once
+    And 3 platform VMs
     When it asks 60 times a second for 100 tokens, half of them of each service, for 9 s
     And the VMs are killed and started again one after the other meanwhile
     Then no 4 s hold more than 7600 of its tokens
+
+  # Limits in requests were counted by each service for itself, without a record, and
+  # without what may come at once.
+  Scenario: Its limit counts requests
+    Given an organisation that may send 10 requests a second and 20 at once
+    And 3 platform VMs
+    When it asks 60 times a second for 100 tokens, half of them of each service, for 9 s
+    Then no 4 s hold more than 76 of its requests
--- a/tests/steps/platform_limits_steps.py
+++ b/tests/steps/platform_limits_steps.py
@@ -9,15 +9,15 @@
 from tests.routed_world import KEY, ORGANISATION, caller_headers
 
 SPAN_S = 4
-BOUNDS = {"quotaWindowS": SPAN_S, "quotaOvershoot": 0.1, "quotaSlack": 1000}
+TOKENS = "token_count"
 KILL_EVERY_S = 2.5
 
 
-def _tenants(rate_per_s, burst):
+def _tenants(rate_per_s, burst, unit=TOKENS):
     tenant = {
         "name": ORGANISATION,
         "apiKeys": [KEY],
-        "unit": "token_count",
+        "unit": unit,
         "plainTokens": 100,
         "ratePerS": rate_per_s,
         "burst": burst,
@@ -27,9 +27,24 @@
 
 @given("an organisation that may use {per_s:d} tokens a second and {burst:d} at once")
 def step_limited(context, per_s, burst):
+    _limit(context, per_s, burst, 1_000, TOKENS)
+
+
+@given(
+    "an organisation that may send {per_s:d} requests a second and {burst:d} at once"
+)
+def step_limited_requests(context, per_s, burst):
+    _limit(context, per_s, burst, 10, "request_count")
+
+
+def _limit(context, per_s, burst, slack, unit):
     context.limit = per_s, burst
-    context.world.bounds = BOUNDS
-    context.world.configure(tenants=_tenants(per_s, burst))
+    context.world.bounds = {
+        "quotaWindowS": SPAN_S,
+        "quotaOvershoot": 0.1,
+        "quotaSlack": slack,
+    }
+    context.world.configure(tenants=_tenants(per_s, burst, unit))
     for endpoint in context.world.endpoints.values():
         endpoint.options.slots = 40
 
@@ -92,10 +107,19 @@
 
 @then("no {span_s:d} s hold more than {most:d} of its tokens")
 def step_bounded(context, span_s, most):
+    _check_held(context, span_s, most, context.tokens)
+
+
+@then("no {span_s:d} s hold more than {most:d} of its requests")
+def step_bounded_requests(context, span_s, most):
+    _check_held(context, span_s, most, 1)
+
+
+def _check_held(context, span_s, most, each):
     context.run(context.play)
     seen = [one for each in context.world.endpoints.values() for one in each.seen]
     times_s = sorted(one.at_s for one in seen)
     begun = [sum(at <= one < at + span_s for one in times_s) for at in times_s]
-    held = max(begun) * context.tokens
+    held = max(begun) * each
     # An organisation that is refused everything keeps its limit, too.
     assert most / 2 <= held <= most, json.dumps({"held": held, "all": len(times_s)})
