--- a/tests/environment.py
+++ b/tests/environment.py
@@ -37,6 +37,13 @@
     context.add_cleanup(_close_loop, context.loop)
 
 
+def after_step(context, step):
+    """Print why a step failed: the short report leaves it out."""
+    del context
+    if step.exception is not None:
+        print(f"\n{step.filename}:{step.line} {step.name}: {step.exception!r}")
+
+
 def _close_loop(loop):
     pending = asyncio.all_tasks(loop)
     for task in pending:
