--- a/src/pomelolane/coordination/account.py
+++ b/src/pomelolane/coordination/account.py
@@ -17,12 +17,12 @@
     """The account of one desk.
 
     Args:
-        core: The desk's core; one that shares no limits has an empty account.
+        book: What was let pass, and the limits.
         clock: The desk's time.
     """
 
-    def __init__(self, core: SchedulingCore, clock: Clock) -> None:
-        self._book: LimitBook = getattr(core, "limits", None) or LimitBook()
+    def __init__(self, book: LimitBook, clock: Clock) -> None:
+        self._book = book
         self._clock = clock
 
     def assume_used(self, spare_part: float) -> None:
@@ -76,3 +76,8 @@
             adds: Whether it comes on top of what was told before, or replaces it.
         """
         self._book.hear(source, uses, self._clock.now_ms(), adds=adds)
+
+
+def account_from_core(core: SchedulingCore, clock: Clock) -> Account:
+    """Return a core's account, an empty one where it shares no limits."""
+    return Account(getattr(core, "limits", None) or LimitBook(), clock)
--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from pomelolane.coordination.account import Account
+from pomelolane.coordination.account import account_from_core
 from pomelolane.coordination.apart import kept_apart
 from pomelolane.coordination.book import Book, Entry, Follower
 from pomelolane.coordination.decisions import log_grant, log_refusal
@@ -74,7 +74,7 @@
         self._rate_share = rate_share
         self.service = service
         self.core = core
-        self.account = Account(core, clock)
+        self.account = account_from_core(core, clock)
         self.book = Book()
         self._send = send
         self._clock = clock
--- a/src/pomelolane/coordination/fallback.py
+++ b/src/pomelolane/coordination/fallback.py
@@ -28,6 +28,7 @@
     from pomelolane.coordination.options import Timings
     from pomelolane.messages import Message
     from pomelolane.ports import Clock, SchedulingCore
+    from pomelolane.scheduler.limits import LimitBook
 
 
 class LocalDesks:
@@ -58,7 +59,7 @@
         self._tree = Tree()
         self._share = 1.0
         self._make_core = make_core
-        self._cores: dict[str, SchedulingCore] = {}
+        self._books: dict[str, LimitBook] = {}
         self._clock = clock
         # The own gateway needs no sign of life.
         patient = replace(timings, follower_silence_ms=math.inf)
@@ -96,16 +97,16 @@
 
     def accounts(self) -> dict[str, Account]:
         """Return what was let pass here, by service, also in earlier turns."""
-        return {name: Account(core, self._clock) for name, core in self._cores.items()}
+        return {name: Account(book, self._clock) for name, book in self._books.items()}
 
     def _core_of(self, service: str) -> SchedulingCore:
-        """Return a service's core, the same one in each turn.
+        """Return a new core that goes on with what earlier ones let pass.
 
-        What it let pass in one turn counts in the next.
+        All else that those knew may be out of date.
         """
-        core = self._cores.get(service)
-        if core is None:
-            core = self._cores[service] = self._make_core(service)
+        core = self._make_core(service)
+        if hasattr(core, "limits"):
+            core.limits = self._books.setdefault(service, core.limits)
         return core
 
     def receive(self, service: str, message: Message) -> bool:
