Let schedulers pass on what they know of limits, with the part that they guess

Callers below their limit got 429 for up to a span when a scheduler started while the store was away. Cause: the word of the one before counted only if it had held the role for a whole span, since it told no more than its own account; and it still counted a part of the guess of its own start. Change: a scheduler's word says which part of limits it guesses, and those next in line are told what it read and heard of others; so the word of the last one stands for a record that cannot be read, also where it was killed. The record is read again while a guess stands in for it. 429 by a guess has a reason of its own, limits_guessed tells of it.

--- a/src/pomelolane/coordination/account.py
+++ b/src/pomelolane/coordination/account.py
@@ -53,19 +53,22 @@
         """Return what passed since the last news; it counts as told then."""
         return self._book.take_news()
 
-    def is_guessing(self) -> bool:
-        """Tell whether what others let pass is counted by a guess."""
-        return self._book.is_guessing(self._clock.now_ms())
+    def guess_part(self) -> float:
+        """Return the part of limits that is counted as used by a guess."""
+        return self._book.guess_part(self._clock.now_ms())
 
-    def take_uses(self, uses: Iterable[Use], *, keeps_guess: bool = False) -> None:
+    def guessed(self) -> list[str]:
+        """Return the organisations whose limits are judged by a guess."""
+        return self._book.guessed(self._clock.now_ms())
+
+    def take_uses(self, uses: Iterable[Use], *, guess_part: float = 0.0) -> None:
         """Count what others let pass.
 
         Args:
             uses: What they have recorded and told.
-            keeps_guess: Whether some that know of more may not have told it.
+            guess_part: Part of limits that those who told it count by a guess.
         """
-        now_ms = self._clock.now_ms()
-        self._book.take_uses(uses, now_ms, keeps_guess=keeps_guess)
+        self._book.take_uses(uses, self._clock.now_ms(), guess_part=guess_part)
 
     def hear(self, source: tuple[str, str], uses: Iterable[Use], *, adds: bool) -> None:
         """Count what another scheduler tells that it let pass.
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -339,6 +339,15 @@
     "The record of organisations' use was not written or read; a guess stands in.",
 )
 
+LIMITS_GUESSED = _define(
+    517,
+    "limits_guessed",
+    "warning",
+    "service part organisations",
+    "The record of organisations' use cannot be read; so much of each limit counts as "
+    "used for one span, or until it can be read.",
+)
+
 CRASH_RECORD_FAILED = _define(
     514,
     "crash_record_failed",
--- a/src/pomelolane/forwarding/ledger.py
+++ b/src/pomelolane/forwarding/ledger.py
@@ -28,6 +28,9 @@
 in a row, as when many VMs start, move roles that are left again at once. Until then the
 scheduler lets pass what is allowed beside the limits."""
 
+READ_AGAIN_TICKS = 2
+"""Ticks between two tries to read the record while a guess stands in for it."""
+
 LOADED_S = 0.25
 """How long a VM that starts waits for records at most; the store answers in a few
 milliseconds, and callers wait."""
@@ -80,6 +83,7 @@
         self._saved: dict[str, bool] = {}
         self._overdue: set[str] = set()
         self._awaiting: set[str] = set()
+        self._unread: dict[str, int] = {}
         self._loading: set[asyncio.Task[None]] = set()
         coordination.role.on_taken = self._taken
         coordination.role.on_left = self._left
@@ -91,6 +95,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             ticks += 1
+            self.read_again()
             await self.save(only_due=ticks % CALM_TICKS != 0)
 
     async def loaded(self) -> None:
@@ -144,10 +149,28 @@
     def _left(self, service: str) -> None:
         """Tell the others what passed here: the store may not have heard of it."""
         account = self._coordination.role.desks()[service].account
+        self._unread.pop(service, None)
         uses = account.uses()
         if uses:
-            has_held = not account.is_guessing()
-            self._told.tell_all(service, uses, has_held=has_held)
+            scheduler = self._coordination.schedulers().get(service, "")
+            successor = self._coordination.successor(service)
+            self._told.tell_all(
+                service,
+                uses,
+                next_vms={scheduler, successor} - {""},
+                guess_part=account.guess_part(),
+            )
+
+    def read_again(self) -> None:
+        """Read the record again for roles that are judged by a guess without it."""
+        for service, ticks in list(self._unread.items()):
+            desk = self._coordination.role.desk(service)
+            if desk is None or not desk.account.guess_part():
+                del self._unread[service]
+            elif ticks:
+                self._unread[service] = ticks - 1
+            else:
+                self._taken(service)
 
     def _heard(self, service: str) -> None:
         if self._coordination.role.desk(service) is not None:
@@ -168,14 +191,31 @@
         except PlatformError as error:
             log_event(events.LEDGER_FAILED, service=service, error=error)
         uses = [*self._told.merge(recorded), *self._passed_here_beside(service)]
+        if is_read:
+            self._told.keep_read(recorded)
+            self._unread.pop(service, None)
+        else:
+            self._unread[service] = READ_AGAIN_TICKS
         desk = self._coordination.role.desk(service)
-        if desk is None or not (is_read or uses):
+        if desk is None:
             return
         # One word is not the record: others may have let pass what nobody has told.
-        keeps_guess = not is_read and not self._told.knows_all(service)
-        desk.account.take_uses(uses, keeps_guess=keeps_guess)
+        guess_part = 0.0 if is_read else self._told.guess_part(service)
+        desk.account.take_uses(uses, guess_part=guess_part)
         tokens = sum(use.tokens for use in uses)
         log_event(events.LEDGER_LOADED, service=service, tokens=tokens)
+        if not is_read:
+            self._tell_guess(service, desk)
+
+    def _tell_guess(self, service: str, desk: Desk) -> None:
+        guessed = desk.account.guessed()
+        if guessed:
+            log_event(
+                events.LIMITS_GUESSED,
+                service=service,
+                part=desk.account.guess_part(),
+                organisations=len(guessed),
+            )
 
     def _passed_here_beside(self, service: str) -> list[Use]:
         """Return what passed under this VM for other services."""
--- a/src/pomelolane/forwarding/refusals.py
+++ b/src/pomelolane/forwarding/refusals.py
@@ -20,7 +20,12 @@
     from pomelolane.forwarding.call import CallState
     from pomelolane.http.exchange import Exchange
 
-_LIMITS = (Reason.REQUEST_LIMIT, Reason.TOKEN_LIMIT, Reason.CONCURRENCY_LIMIT)
+_LIMITS = (
+    Reason.REQUEST_LIMIT,
+    Reason.TOKEN_LIMIT,
+    Reason.LIMIT_GUESSED,
+    Reason.CONCURRENCY_LIMIT,
+)
 _TRUE_AFTER_A_RUN = (Reason.DEADLINE_PASSED, Reason.CRASHES_ENDPOINTS)
 """Reasons that hold whether or not an endpoint has begun the request."""
 
--- a/src/pomelolane/forwarding/told.py
+++ b/src/pomelolane/forwarding/told.py
@@ -23,8 +23,9 @@
 OLDEST_MS = 20_000.0
 """Age from which on a use counts in no span; the spans are a few seconds."""
 
-LEFT_LATELY_MS = 1_000.0
-"""Time after a scheduler's last word in which its successor takes the role."""
+WORD_COUNTS_MS = 4_000.0
+"""Age up to which a scheduler's word stands for a record that cannot be read: it tells
+all that it let pass every two seconds, and one that falls silent is replaced soon."""
 
 
 class ToldUses:
@@ -57,7 +58,8 @@
         self._transport = transport
         self._clock = clock
         self._heard: dict[tuple[str, str], list[tuple[float, Use]]] = {}
-        self._left_ms: dict[str, float] = {}
+        self._words: dict[str, tuple[float, float]] = {}
+        self._has_read = False
         self.on_left: Callable[[str], None] = _ignore
         self.on_news: Callable[[tuple[str, str], list[Use], bool], None] = _ignore_news
         transport.subscribe(UsesTold, self._take)
@@ -66,19 +68,39 @@
         """Return whose account this VM's is."""
         return service, start_name(self._vm_id, self._incarnation)
 
-    def tell_all(self, service: str, uses: Sequence[Use], *, has_held: bool) -> None:
+    def tell_all(
+        self,
+        service: str,
+        uses: Sequence[Use],
+        *,
+        next_vms: Iterable[str],
+        guess_part: float,
+    ) -> None:
         """Tell all others what passed here, as this VM leaves the role.
 
+        Those that take the role next are also told what others let pass before: only
+        with that is the word of this VM all that there is to know.
+
         Args:
             service: What it passed for.
             uses: What passed.
-            has_held: Whether this VM had the role for a whole span.
+            next_vms: Those that may take the role now.
+            guess_part: Part of limits that it counted by a guess.
         """
-        account = start_name(self._vm_id, self._incarnation)
-        message = UsesTold(
-            service, _told(uses), account=account, leaves=True, has_held=has_held
-        )
-        self._send(self._membership.view().peers, message)
+        next_vms = set(next_vms)
+        self._forget(self._clock.now_ms())
+        knows_more = any(source != self.own_source(service) for source in self._heard)
+        self.pass_on(next_vms)
+        others = self._membership.view().peers.keys() - next_vms
+        for vm_ids, part in (
+            (next_vms, guess_part),
+            (others, 1.0 if knows_more else guess_part),
+        ):
+            _, account = self.own_source(service)
+            message = UsesTold(
+                service, _told(uses), account=account, leaves=True, guess_part=part
+            )
+            self._send(vm_ids, message)
 
     def tell(
         self,
@@ -88,6 +110,7 @@
         *,
         adds: bool = False,
         account: str = "",
+        guess_part: float | None = None,
     ) -> None:
         """Tell some VMs what passed here.
 
@@ -97,9 +120,12 @@
             uses: What passed.
             adds: Whether it comes on top of what was told before, or replaces it.
             account: Whose account it is, by default that of this start.
+            guess_part: Part of limits that a scheduler counts by a guess; None for a
+                gateway that is alone.
         """
         account = account or start_name(self._vm_id, self._incarnation)
-        self._send(vm_ids, UsesTold(service, _told(uses), adds, account))
+        message = UsesTold(service, _told(uses), adds, account, guess_part=guess_part)
+        self._send(vm_ids, message)
 
     def pass_on(self, vm_ids: Iterable[str]) -> None:
         """Tell some VMs what this one has heard.
@@ -134,10 +160,28 @@
         if _youngest_ms(_aged(heard, now_ms)) < known_ms:
             self._heard[source] = heard
 
-    def knows_all(self, service: str) -> bool:
-        """Tell whether one that had the role for a whole span has just told of it."""
-        left_ms = self._left_ms.get(service)
-        return left_ms is not None and self._clock.now_ms() - left_ms < LEFT_LATELY_MS
+    def guess_part(self, service: str) -> float:
+        """Return the part of limits that the scheduler until now counted by a guess.
+
+        All else it has told; 1 where none has told anything lately.
+        """
+        told_ms, part = self._words.get(service, (-inf, 1.0))
+        return part if self._clock.now_ms() - told_ms < WORD_COUNTS_MS else 1.0
+
+    def keep_read(self, recorded: Sequence[Use]) -> None:
+        """Keep what was read from the record, for schedulers that cannot read it."""
+        now_ms = self._clock.now_ms()
+        accounts: dict[tuple[str, str], list[tuple[float, Use]]] = {}
+        for use in recorded:
+            accounts.setdefault(use.source, []).append((now_ms, use))
+        for source, uses in accounts.items():
+            self._take_passed_on(source, uses, now_ms)
+        self._has_read = True
+
+    def take_has_read(self) -> bool:
+        """Tell whether a record was read since the last call."""
+        has_read, self._has_read = self._has_read, False
+        return has_read
 
     def merge(self, recorded: Sequence[Use]) -> list[Use]:
         """Return recorded uses, accounts replaced by their word where it is younger."""
@@ -178,8 +222,8 @@
         if message.is_passed_on:
             self._take_passed_on(source, heard, now_ms)
             return
-        if message.has_held:
-            self._left_ms[message.service] = now_ms
+        if message.guess_part is not None:
+            self._words[message.service] = (now_ms, message.guess_part)
         if not message.adds:
             self._forget(now_ms)
             self._heard[source] = []
--- a/src/pomelolane/forwarding/usenews.py
+++ b/src/pomelolane/forwarding/usenews.py
@@ -63,6 +63,9 @@
         desks = self._coordination.role.desks()
         for service in self._listeners.keys() - desks.keys():
             del self._listeners[service]
+        if self._told.take_has_read():
+            # Those who take the role next may not be able to read what was read here.
+            self._listeners.clear()
         self._tell_private(whole=whole)
         for service, desk in list(desks.items()):
             listeners = self._listeners_of(service)
@@ -71,12 +74,14 @@
                 self._told.pass_on(newcomers)
             if not listeners:
                 continue
+            account = desk.account
+            part = account.guess_part()
             if whole or newcomers:
-                desk.account.take_news()
-                self._tell(service, listeners, desk.account.uses(), adds=False)
-            elif desk.account.untold_share() >= UNTOLD_SHARE:
-                news = desk.account.take_news()
-                self._tell(service, listeners, news, adds=True)
+                account.take_news()
+                self._tell(service, listeners, account.uses(), guess_part=part)
+            elif account.untold_share() >= UNTOLD_SHARE:
+                news = account.take_news()
+                self._tell(service, listeners, news, adds=True, guess_part=part)
 
     def _newcomers(self, service: str, listeners: frozenset[str]) -> set[str]:
         """Return the listeners that have heard nothing yet, or in an earlier start."""
@@ -94,7 +99,7 @@
         for service, account in accounts.items():
             if whole or account.untold_share():
                 account.take_news()
-                self._tell(service, listeners, account.uses(), is_private=True)
+                self._tell(service, listeners, account.uses())
 
     def _listeners_of(self, service: str) -> frozenset[str]:
         """Return the VMs that schedule other services, or this one after this VM.
@@ -117,16 +122,26 @@
         uses: list[Use],
         *,
         adds: bool = False,
-        is_private: bool = False,
+        guess_part: float | None = None,
     ) -> None:
-        if not uses:
-            return
+        """Tell what passed, also that nothing did: silence would say nothing.
+
+        Args:
+            service: What it passed for.
+            listeners: Whom.
+            uses: What passed.
+            adds: Whether it comes on top of what was told before, or replaces it.
+            guess_part: Part of limits that the scheduler counts by a guess; None for
+                what the gateway let pass alone.
+        """
         _, account = self._told.own_source(service)
-        if is_private:
+        if guess_part is None:
             account += _ALONE
         if self._vm_id in listeners:
             self._heard((service, account), uses, adds)
-        self._told.tell(listeners, service, uses, adds=adds, account=account)
+        self._told.tell(
+            listeners, service, uses, adds=adds, account=account, guess_part=guess_part
+        )
 
     def _heard(self, source: tuple[str, str], uses: list[Use], adds: bool) -> None:
         for desk in self._desks_beside(source):
--- a/src/pomelolane/http/problem.py
+++ b/src/pomelolane/http/problem.py
@@ -35,6 +35,7 @@
     Reason.KEY_REUSED: 422,
     Reason.REQUEST_LIMIT: 429,
     Reason.TOKEN_LIMIT: 429,
+    Reason.LIMIT_GUESSED: 429,
     Reason.CONCURRENCY_LIMIT: 429,
     Reason.ENDPOINT_BROKEN: 502,
     Reason.ENDPOINT_ERROR: 502,
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -279,8 +279,8 @@
             the same VM hold stays.
         is_passed_on: Whether the sender has only heard it.
         leaves: Whether the sender leaves the role.
-        has_held: Whether it had the role for a whole span, so that nothing passed
-            elsewhere meanwhile.
+        guess_part: Part of each limit that the sender counts as used by a guess, beside
+            what it has heard or read; None from a gateway that is alone.
     """
 
     service: str
@@ -289,7 +289,7 @@
     account: str = ""
     is_passed_on: bool = False
     leaves: bool = False
-    has_held: bool = False
+    guess_part: float | None = None
 
 
 __all__ = [
--- a/src/pomelolane/outcomes.py
+++ b/src/pomelolane/outcomes.py
@@ -39,6 +39,7 @@
     DEADLINE_PASSED = "deadline_passed"
     REQUEST_LIMIT = "request_limit"
     TOKEN_LIMIT = "token_limit"
+    LIMIT_GUESSED = "limit_guessed"
     CONCURRENCY_LIMIT = "concurrency_limit"
     NO_ENDPOINT = "no_endpoint"
     NOT_READY = "not_ready"
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -158,22 +158,31 @@
         accounts = self._organisations.values()
         return [one.window for one in accounts if one.window is not None]
 
-    def is_guessing(self, now_ms: float) -> bool:
-        """Tell whether it counts what others let pass by a guess."""
-        return any(window.is_guessing(now_ms) for window in self._windows())
+    def guess_part(self, now_ms: float) -> float:
+        """Return the largest part of a limit that is counted as used by a guess."""
+        parts = (window.guess_part(now_ms) for window in self._windows())
+        return max(parts, default=0.0)
+
+    def guessed(self, now_ms: float) -> list[str]:
+        """Return the organisations whose limits are judged by a guess."""
+        return [
+            name
+            for name, account in self._organisations.items()
+            if account.window is not None and account.window.guess_part(now_ms) > 0
+        ]
 
     def take_uses(
-        self, uses: Iterable[Use], now_ms: float, *, keeps_guess: bool = False
+        self, uses: Iterable[Use], now_ms: float, *, guess_part: float = 0.0
     ) -> None:
         """Count what other schedulers let pass.
 
         Args:
             uses: What they have recorded and told.
             now_ms: The time.
-            keeps_guess: Whether some that know of more may not have told it.
+            guess_part: Part of limits that those who told it count by a guess.
         """
         for window in self._windows():
-            window.restart(keeps_guess=keeps_guess)
+            window.restart(guess_part)
         for use in uses:
             self._add_past(use, use.source, now_ms)
 
@@ -305,15 +314,26 @@
     """Refuse what had room elsewhere only where too much is known to have passed."""
     if account.window is None or not account.window.is_full_for(tokens, now_ms):
         return None
-    wait_ms = account.window.wait_ms(tokens, now_ms)
-    return Refusal(Outcome.NOT_RUN, Reason.TOKEN_LIMIT, int(wait_ms) + 1)
+    return _window_refusal(account.window, tokens, now_ms)
+
+
+def _window_refusal(
+    window: SlidingWindow, tokens: int, now_ms: float
+) -> Refusal | None:
+    """Refuse what a span has no room for, and say whether a guess is the reason."""
+    wait_ms = window.wait_ms(tokens, now_ms)
+    if wait_ms <= 0:
+        return None
+    is_known = window.is_known_full_for(tokens, now_ms)
+    reason = Reason.TOKEN_LIMIT if is_known else Reason.LIMIT_GUESSED
+    return Refusal(Outcome.NOT_RUN, reason, int(wait_ms) + 1)
 
 
 def _over(account: _Account, tokens: int, now_ms: float) -> Refusal | None:
     if account.window is not None:
-        wait_ms = account.window.wait_ms(tokens, now_ms)
-        if wait_ms > 0:
-            return Refusal(Outcome.NOT_RUN, Reason.TOKEN_LIMIT, int(wait_ms) + 1)
+        refusal = _window_refusal(account.window, tokens, now_ms)
+        if refusal is not None:
+            return refusal
     checks = (
         (account.requests, 1.0, Reason.REQUEST_LIMIT),
         (account.tokens, tokens, Reason.TOKEN_LIMIT),
--- a/src/pomelolane/scheduler/spans.py
+++ b/src/pomelolane/scheduler/spans.py
@@ -118,6 +118,7 @@
 
     __slots__ = (
         "_assumed",
+        "_assumed_part",
         "_assumed_until_ms",
         "_bound",
         "_passed",
@@ -140,6 +141,7 @@
         self._past: dict[tuple[str, str], list[_Passed]] = {}
         self._promised: deque[tuple[float, float]] = deque()
         self._assumed = 0.0
+        self._assumed_part = 0.0
         self._assumed_until_ms = 0.0
         self._unrecorded = 0.0
         self._untold = 0.0
@@ -153,23 +155,31 @@
             now_ms: The time.
         """
         self._assumed = max(0.0, self._bound - spare_part * self._spare)
+        self._assumed_part = 1.0
         self._assumed_until_ms = now_ms + self._window_ms
 
-    def restart(self, *, keeps_guess: bool = False) -> None:
+    def restart(self, guess_part: float = 0.0) -> None:
         """Forget what others let pass, but a part of the guess: some is unrecorded.
 
         Args:
-            keeps_guess: Keep all of the guess: not all who know have told.
+            guess_part: Part of the bound that those who tell it anew count by a guess.
         """
         self._past.clear()
         self._count()
-        if not keeps_guess:
-            self._assumed *= _UNRECORDED_PART
+        part = max(_UNRECORDED_PART, guess_part)
+        if part < self._assumed_part:
+            self._assumed *= part / self._assumed_part
+            self._assumed_part = part
 
-    def is_guessing(self, now_ms: float) -> bool:
-        """Tell whether it counts what others let pass by a guess."""
+    def guess_part(self, now_ms: float) -> float:
+        """Return the part of the bound that is counted as used by a guess."""
         self._forget(now_ms)
-        return self._assumed > 0
+        return self._assumed_part if self._assumed > 0 else 0.0
+
+    def is_known_full_for(self, amount: float, now_ms: float) -> bool:
+        """Tell whether an amount has no room by what is known to have passed."""
+        self._forget(now_ms)
+        return self._used + min(amount, self._bound) > self._bound
 
     def unrecorded_share(self) -> float:
         """Return the tokens since the last record as a part of what is allowed beside.
@@ -312,7 +322,7 @@
 
     def _forget(self, now_ms: float) -> None:
         if now_ms >= self._assumed_until_ms:
-            self._assumed = 0.0
+            self._assumed = self._assumed_part = 0.0
         oldest_ms = now_ms - self._window_ms
         for uses in (self._waiting, self._passed, *self._past.values()):
             old = bisect_right(uses, (oldest_ms, float("inf")))
--- a/tests/coordination/limited_world.py
+++ b/tests/coordination/limited_world.py
@@ -103,7 +103,8 @@
             tokens_per_s=bound * 1000 / SPAN_MS, window_ms=SPAN_MS, window_spare=BESIDE
         )
         organisations = {
-            name: Organisation(name, "", "", limits=limits) for name in (GREEDY, MODEST, HALF)
+            name: Organisation(name, "", "", limits=limits)
+            for name in (GREEDY, MODEST, HALF)
         }
         self.tree = replace(self.tree, organisations=organisations)
 
@@ -129,20 +130,28 @@
         self.stops.append(stop)
         await self.settle()
 
+    async def hand_over(self, name):
+        """Begin a planned stop of which the others hear from the VM itself."""
+        self.peers[name] = replace(self.peers[name], draining=True)
+        self.share_view()
+        await self.leave(name)
+
     async def start_again(self, name):
         self.incarnation += 1
-        self.peers[name] = replace(self.peers[name], incarnation=self.incarnation)
+        self.peers[name] = replace(
+            self.peers[name], incarnation=self.incarnation, draining=False
+        )
         self.start_vm(name)
         self._keep_account(name)
         self.share_view()
         self.vms[name].coordination.configure(self.tree)
         await self.settle()
 
-    async def hear_from_gone(self, service, organisation, tokens, *, has_held):
+    async def hear_from_gone(self, service, organisation, tokens, *, guess_part):
         """Let all hear what a VM told before it was gone."""
         vm_id = "gone"
         use = ToldUse(organisation, 0, tokens)
-        message = UsesTold(service, (use,), leaves=True, has_held=has_held)
+        message = UsesTold(service, (use,), leaves=True, guess_part=guess_part)
         for vm in self.vms.values():
             vm.transport.deliver(vm_id, message)
         await self.settle()
@@ -156,7 +165,7 @@
         while self.clock.now_ms() < end_ms:
             gateways = sorted(self.vms)
             self.due.update(counts)
-            for (organisation, service) in counts:
+            for organisation, service in counts:
                 count = int(self.due[organisation, service])
                 self.due[organisation, service] -= count
                 for _ in range(count):
@@ -173,6 +182,7 @@
             if self.clock.now_ms() >= self.ledger_at_ms:
                 self.ledger_at_ms = self.clock.now_ms() + LEDGER_EACH_MS
                 for ledger in list(self.ledgers.values()):
+                    ledger.read_again()
                     await ledger.save(only_due=True)
 
     def most_in_a_span(self, organisation):
--- a/tests/coordination/limits.feature
+++ b/tests/coordination/limits.feature
@@ -104,6 +104,7 @@
     Given a region whose organisations may use 6000 tokens in 8 s, and 1200 beside
     When new schedulers hear of 100 tokens that one other let pass
     Then 600 of its tokens run at most
+    And it is told that its limit is judged by a guess
 
   Scenario: A scheduler that cannot read the record believes the one before it
     Given a region whose organisations may use 6000 tokens in 8 s, and 1200 beside
--- a/tests/steps/coordination_limits_steps.py
+++ b/tests/steps/coordination_limits_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from pomelolane.outcomes import Reason, Refusal
 from tests.coordination.limited_world import (
     ASK_EACH_MS,
     BESIDE,
@@ -123,13 +124,14 @@
     context.since_ms = world.clock.now_ms()
     for _ in range(ROUNDS):
         name = world.scheduler(context.services[0])
-        if fate != "killed":
+        if fate == "handed over":
+            context.run(world.hand_over(name))
+            context.run(world.ask_for(TURN_MS // 5, TOKENS, counts))
+        elif fate == "stopped":
             context.run(world.leave(name))
-        if fate != "handed over":
-            context.run(world.lose(name))
+        context.run(world.lose(name))
         context.run(world.ask_for(TURN_MS // 2, TOKENS, counts))
-        if fate != "handed over":
-            context.run(world.start_again(name))
+        context.run(world.start_again(name))
         context.run(world.ask_for(TURN_MS // 2, TOKENS, counts))
     world.store_is_away = False
     context.run(world.ask_for(SPAN_MS, TOKENS, counts))
@@ -164,9 +166,9 @@
     world.store_is_away = True
     context.run(world.configure())
     context.run(world.run(TURN_MS))
-    has_held = who == "the one before"
+    guess_part = 0.0 if who == "the one before" else 1.0
     context.run(
-        world.hear_from_gone(context.services[0], GREEDY, tokens, has_held=has_held)
+        world.hear_from_gone(context.services[0], GREEDY, tokens, guess_part=guess_part)
     )
     context.run(world.run(TURN_MS))
     counts = {(GREEDY, context.services[0]): GREEDY_EACH_MS}
@@ -179,6 +181,13 @@
     assert passed <= most, passed
 
 
+@then("it is told that its limit is judged by a guess")
+def step_told_guess(context):
+    results = [request.result for request in context.world.requests.values()]
+    reasons = {result.reason for result in results if isinstance(result, Refusal)}
+    assert reasons == {Reason.LIMIT_GUESSED}, reasons
+
+
 @then("{least:d} of its tokens run at least")
 def step_at_least(context, least):
     passed = context.world.most_in_a_span(GREEDY)
--- a/tests/steps/forwarding_ledger_steps.py
+++ b/tests/steps/forwarding_ledger_steps.py
@@ -32,11 +32,14 @@
     def uses(self):
         return [Use("o", 0, 100)]
 
-    def is_guessing(self):
-        return False
+    def guess_part(self):
+        return 0.0
 
-    def take_uses(self, uses, *, keeps_guess):
-        self.keeps_guess = keeps_guess
+    def guessed(self):
+        return []
+
+    def take_uses(self, uses, *, guess_part):
+        self.guess_part_taken = guess_part
         self.taken = sum(use.tokens for use in uses)
 
 
@@ -88,7 +91,11 @@
     context.record = FakeRecord()
     context.network = FakeNetwork()
     told = ToldUses("vm-0", 1, context.network, context.network, ManualClock())
-    coordination = SimpleNamespace(role=context.role)
+    coordination = SimpleNamespace(
+        role=context.role,
+        schedulers=lambda: {SERVICE: "vm-1"},
+        successor=lambda service: "vm-2",
+    )
     context.ledger = Ledger(coordination, context.record, told, load_delay_s=0.0)
 
 
--- a/tests/steps/platform_limits_steps.py
+++ b/tests/steps/platform_limits_steps.py
@@ -3,9 +3,11 @@
 import asyncio
 import itertools
 import json
+from collections import Counter
 
 from behave import given, then, when
 
+from standins.routed.store import Trouble
 from tests.routed_world import KEY, ORGANISATION, caller_headers
 
 SPAN_S = 4
@@ -55,6 +57,7 @@
 )
 def step_asks(context, per_s, tokens, for_s):
     context.tokens = tokens
+    context.statuses = Counter()
 
     async def play():
         vms = itertools.cycle(context.world.vms)
@@ -62,7 +65,8 @@
         asking = []
         for number in range(per_s * for_s):
             path = f"{next(paths)} HTTP/1.1"
-            asking.append(asyncio.ensure_future(_ask(next(vms), path, number, tokens)))
+            call = _ask(next(vms), path, number, tokens, context.statuses)
+            asking.append(asyncio.ensure_future(call))
             await asyncio.sleep(1 / per_s)
         await asyncio.gather(*asking)
 
@@ -70,10 +74,11 @@
     context.add_cleanup(context.play.cancel)
 
 
-async def _ask(vm, path, number, tokens):
+async def _ask(vm, path, number, tokens, statuses):
     headers = caller_headers(f"r{number}", token_usage=f"{tokens - 10},10")
     try:
-        await vm.ask(path, headers, b"")
+        answer = await vm.ask(path, headers, b"")
+        statuses[answer.status] += 1
     except (OSError, TimeoutError):
         return
 
@@ -105,6 +110,51 @@
     context.add_cleanup(task.cancel)
 
 
+@when("all VMs are killed and started again after {after_s:d} s")
+def step_all_killed(context, after_s):
+    async def kill():
+        await asyncio.sleep(after_s)
+        for vm in context.world.vms:
+            vm.process.kill()
+        for vm in context.world.vms:
+            await vm.process.wait()
+            await vm.start()
+
+    task = context.loop.create_task(kill())
+    context.add_cleanup(task.cancel)
+
+
+def _schedules(vm, service):
+    roles = [one for one in vm.events("scheduler_role") if one["service"] == service]
+    return bool(roles) and roles[-1]["held"] in (True, "true")
+
+
+@when("the store is away from {from_s:f} to {to_s:f} s as two schedulers are stopped")
+def step_store_away(context, from_s, to_s):
+    async def stop():
+        await asyncio.sleep(from_s)
+        context.world.store.trouble = Trouble.BUSY
+        step_s = (to_s - from_s) / 4
+        running = list(context.world.vms)
+        for _ in range(2):
+            await asyncio.sleep(step_s)
+            vm = next(vm for vm in running if _schedules(vm, "pool"))
+            running.remove(vm)
+            vm.signal()
+        await asyncio.sleep(2 * step_s)
+        context.world.store.trouble = Trouble.NONE
+
+    task = context.loop.create_task(stop())
+    context.add_cleanup(task.cancel)
+
+
+@then("none of its requests is answered with {status:d}")
+def step_none(context, status):
+    context.run(context.play)
+    statuses = context.statuses
+    assert statuses[200] > 0 and not statuses[status], statuses
+
+
 @then("no {span_s:d} s hold more than {most:d} of its tokens")
 def step_bounded(context, span_s, most):
     _check_held(context, span_s, most, context.tokens)
