--- a/src/pomelolane/coordination/chooser.py
+++ b/src/pomelolane/coordination/chooser.py
@@ -85,6 +85,19 @@
         able = [vm for vm in live if self._is_able(service, vm)]
         return choose(service, self._strong(able)) if able else ""
 
+    def heirs(self, service: str) -> frozenset[str]:
+        """Return the VMs that take the role if the scheduler or a data centre is lost.
+
+        These are its successor, and of each data centre the VM that its gateways follow
+        where they see no other one.
+        """
+        by_data_centre: dict[str, list[str]] = {}
+        for vm_id, peer in self.view().peers.items():
+            if not self.is_suspected(vm_id) and self._is_able(service, vm_id):
+                by_data_centre.setdefault(peer.data_centre, []).append(vm_id)
+        heirs = {choose(service, self._strong(vms)) for vms in by_data_centre.values()}
+        return frozenset(heirs | {self.successor(service)}) - {""}
+
     def incarnation_of(self, vm_id: str) -> int:
         """Return the number of a VM's start, 0 while it is not in the view."""
         peer = self.view().peers.get(vm_id)
--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -228,6 +228,10 @@
         """Return which VM schedules a service once its scheduler is gone, or ''."""
         return self._chooser.successor(service)
 
+    def heirs(self, service: str) -> frozenset[str]:
+        """Return the VMs that take the role where the scheduler is lost."""
+        return self._chooser.heirs(service)
+
     def incarnation_of(self, vm_id: str) -> int:
         """Return the number of a VM's start, 0 while it is not in the view."""
         return self._chooser.incarnation_of(vm_id)
--- a/src/pomelolane/forwarding/ledger.py
+++ b/src/pomelolane/forwarding/ledger.py
@@ -139,6 +139,7 @@
         return desk.account.unrecorded_share() >= UNRECORDED_SHARE
 
     def _taken(self, service: str) -> None:
+        self._count_told(service)
         if service in self._awaiting:
             return
         self._awaiting.add(service)
@@ -146,6 +147,17 @@
         self._loading.add(task)
         task.add_done_callback(self._loading.discard)
 
+    def _count_told(self, service: str) -> None:
+        """Judge by the word of the scheduler before until the record is read."""
+        desk = self._coordination.role.desk(service)
+        guess_part = self._told.guess_part(service)
+        if desk is not None and guess_part < 1.0:
+            desk.account.take_uses(self._known(service, ()), guess_part=guess_part)
+
+    def _known(self, service: str, recorded: Sequence[Use]) -> list[Use]:
+        """Return what others let pass, by the record, their word, and this VM."""
+        return [*self._told.merge(recorded), *self._passed_here_beside(service)]
+
     def _left(self, service: str) -> None:
         """Tell the others what passed here: the store may not have heard of it."""
         account = self._coordination.role.desks()[service].account
@@ -190,7 +202,7 @@
             is_read = True
         except PlatformError as error:
             log_event(events.LEDGER_FAILED, service=service, error=error)
-        uses = [*self._told.merge(recorded), *self._passed_here_beside(service)]
+        uses = self._known(service, recorded)
         if is_read:
             self._told.keep_read(recorded)
             self._unread.pop(service, None)
--- a/src/pomelolane/forwarding/usenews.py
+++ b/src/pomelolane/forwarding/usenews.py
@@ -104,15 +104,18 @@
     def _listeners_of(self, service: str) -> frozenset[str]:
         """Return the VMs that schedule other services, or this one after this VM.
 
-        The next one in line hears everything while this one lives: the record lacks
-        what passed last when a scheduler is killed.
+        Those next in line hear everything while this one lives: the record lacks what
+        passed last when a scheduler is killed, and where a data centre is cut off its
+        gateways follow a scheduler of their own.
         """
         schedulers = self._coordination.schedulers()
         listeners = {vm for name, vm in schedulers.items() if name != service}
-        if schedulers.get(service, self._vm_id) == self._vm_id:
-            listeners.add(self._coordination.successor(service))
-        else:
+        if schedulers.get(service, self._vm_id) != self._vm_id:
             listeners.add(schedulers[service])
+        # Whoever takes one role of this VM has to know what passed for its others, too.
+        for name, vm in schedulers.items():
+            if vm == self._vm_id:
+                listeners |= self._coordination.heirs(name) - {self._vm_id}
         return frozenset(listeners - {""})
 
     def _tell(
--- a/tests/coordination/limits.feature
+++ b/tests/coordination/limits.feature
@@ -127,6 +127,8 @@
 
     Examples:
       | count | fate        |
+      | 1     | cut off     |
+      | 2     | cut off     |
       | 1     | stopped     |
       | 1     | killed      |
       | 1     | handed over |
