Roll versions out, or back: bounded share, verdict, completion in time

Nothing read an order or wrote its state: a new version got its full share of work at once. A package of its own tries it at the service's scheduler, in bursts on one endpoint after the other, judges it beside the old one by a sequential test, moves the service before the order's end and records the state on condition that nobody else has (docs/design/rollouts.md; ways weighed there). Every other VM, and gateways that are alone, keep new requests from it. Not built: other orders in place of one in force are read but not played; no trials at 89 VMs.

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -481,6 +481,34 @@
     "endpoint error version",
     "Its entry in the registry cannot be read or be right; it gets no requests.",
 )
+ROLLOUT_ORDERED = _define(
+    811,
+    "rollout_ordered",
+    "info",
+    "service to_version duration_ms",
+    "An operator orders that a service be moved to a version.",
+)
+ROLLOUT_PHASE = _define(
+    812,
+    "rollout_phase",
+    "info",
+    "service to_version phase arrived exposed answers bad_answers reason",
+    "The order's phase for this VM, with what its trial has seen and why it ended.",
+)
+ROLLOUT_RECORD_FAILED = _define(
+    813,
+    "rollout_record_failed",
+    "warning",
+    "service error",
+    "The state of an order was not read or written; it is tried again.",
+)
+ROLLOUT_REJECTED = _define(
+    814,
+    "rollout_rejected",
+    "error",
+    "row error",
+    "An order cannot be read; the one before stays.",
+)
 ROW_REJECTED = _define(
     806,
     "row_rejected",
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -25,6 +25,7 @@
 from pomelolane.logs import log_event
 from pomelolane.membership import make_member, reads_for_others
 from pomelolane.quarantine import CrashNews, CrashWatch, Quarantine, RecordKeeper
+from pomelolane.rollouts import RolloutBounds, Rollouts
 
 if TYPE_CHECKING:
     import socket
@@ -37,6 +38,7 @@
     from pomelolane.ports import Clock, VmList
     from pomelolane.ports.forwarding import Dialect
     from pomelolane.quarantine import CrashRecord
+    from pomelolane.rollouts import RolloutRecord
 
 POLICY = "objective"
 HEAD_TIMEOUT_MS = 3_000
@@ -78,6 +80,7 @@
         peer_port: Port for the other VMs.
         grace_ms: Time allowed for a planned stop.
         retries: Repeated sends allowed over all VMs.
+        rollouts: What a version that is not proved may get.
         carries_per_s: Requests a second that it can schedule.
     """
 
@@ -89,6 +92,7 @@
     peer_port: int
     grace_ms: int
     retries: RetryAllowance
+    rollouts: RolloutBounds
     carries_per_s: int = 0
 
 
@@ -105,6 +109,7 @@
         keys: Keys that the VMs prove to each other.
         record: Where organisations' use is kept.
         crash_record: Where reports of endpoints that crashed under requests are kept.
+        rollout_record: Where states of roll-outs are kept.
         clock: Time.
     """
 
@@ -119,6 +124,7 @@
         keys: ClusterKeys,
         record: UseRecord,
         crash_record: CrashRecord,
+        rollout_record: RolloutRecord,
         clock: Clock,
     ) -> None:
         self._options = options
@@ -171,6 +177,14 @@
             ),
             self._crash_news.pass_on,
         )
+        self.rollouts = Rollouts(
+            options.rollouts,
+            rollout_record,
+            self.coordination,
+            clock,
+            lambda: directory.all,
+        )
+        self.rollouts.on_change = self._configure
         self._intake = Intake(dialect, clock)
         self.forwarder = Forwarder(
             self._intake,
@@ -235,6 +249,7 @@
             "open_requests": len(self.forwarder.open_calls),
             "peers": sorted(self.member.view().peers),
             "scheduling": self.coordination.status(),
+            "rollouts": self.rollouts.figures(),
         }
 
     async def drain(self) -> None:
@@ -291,7 +306,8 @@
         configuration = self._current.value
         if configuration is None or not self._takes_part:
             return
-        tree = tree_from_configuration(configuration, self._directory.all)
+        usable = self.rollouts.usable(self._directory.all)
+        tree = tree_from_configuration(configuration, usable)
         self.coordination.configure(tree)
 
     def _make_budget(self) -> SharedRetryBudget:
--- a/src/pomelolane/messages/declarations.py
+++ b/src/pomelolane/messages/declarations.py
@@ -52,11 +52,13 @@
         key: Its key.
         value: Its bytes as the source has them, empty where it was deleted.
         deleted: Whether it is no more.
+        version: Version of the source at its change, 0 where that is not told.
     """
 
     key: str
     value: bytes
     deleted: bool = False
+    version: int = 0
 
 
 class WatchedChanges(Message, frozen=True):
--- a/src/pomelolane/model.py
+++ b/src/pomelolane/model.py
@@ -118,6 +118,7 @@
         born_ms: When its process started, by its own clock; 0 where it does not say.
             Another moment means another start, which holds and knows nothing of
             the earlier one.
+        version: Version of its software, empty where it does not say.
     """
 
     endpoint_id: str
@@ -132,6 +133,7 @@
     honours_fencing: bool = False
     leaving: bool = False
     born_ms: int = 0
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -20,18 +20,20 @@
     HistoryLostError,
     StoreUnavailableError,
 )
+from pomelolane.platform.rolloutrecord import orders_from_rows
 from pomelolane.platform.sharing import SharedReads
 from pomelolane.platform.storeclient import StoredRow
 from pomelolane.platform.trouble import StoreTrouble
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from pomelolane.forwarding import Configuration, CurrentConfiguration
     from pomelolane.messages import WatchedChanges
     from pomelolane.platform.documents import LimitWindow
     from pomelolane.platform.storeclient import StoreClient
     from pomelolane.ports import Clock, Membership, Transport
+    from pomelolane.rollouts import RolloutOrder
 
 _TABLE = "op"
 _KEY = "config"
@@ -67,6 +69,9 @@
         clock: Time.
         limit_window: How organisations' use is counted.
         apply_ms: Time in which a change must be in force.
+
+    Attributes:
+        on_orders: Called with orders to roll a version out, as they are read.
     """
 
     def __init__(
@@ -91,6 +96,7 @@
         self._confirmed_ms = 0.0
         self._document_hash = 0
         self._poll: asyncio.Task[None] | None = None
+        self.on_orders: Callable[[list[RolloutOrder]], None] = _ignore_orders
 
     def share(
         self, vm_id: str, data_centre: str, membership: Membership, transport: Transport
@@ -164,7 +170,7 @@
         if not news.after <= self._after <= news.version:
             return
         rows = tuple(
-            StoredRow(one.key, news.version, one.value, one.deleted)
+            StoredRow(one.key, one.version or news.version, one.value, one.deleted)
             for one in news.changes
         )
         self._take(rows, news.version)
@@ -175,6 +181,9 @@
     def _take(self, rows: Sequence[StoredRow], version: int) -> None:
         self._after = max(self._after, version)
         self._confirmed_ms = self._clock.now_ms()
+        orders = orders_from_rows(rows)
+        if orders:
+            self.on_orders(orders)
         for row in rows:
             if row.key != _KEY or row.deleted:
                 continue
@@ -192,6 +201,10 @@
             _log_applied(before, configuration)
 
 
+def _ignore_orders(orders: list[RolloutOrder]) -> None:
+    """Stand in until somebody wants to know."""
+
+
 def _log_applied(before: Configuration | None, now: Configuration) -> None:
     log_event(
         events.CONFIGURATION_APPLIED,
--- a/src/pomelolane/platform/documents.py
+++ b/src/pomelolane/platform/documents.py
@@ -220,6 +220,7 @@
         kv_tokens=service.kv_tokens,
         leaving=server.state is not _State.READY,
         born_ms=server.born,
+        version=server.version,
     )
 
 
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -28,6 +28,7 @@
 from pomelolane.platform.endpointwatch import EndpointWatch
 from pomelolane.platform.errors import DocumentError, StoreUnavailableError
 from pomelolane.platform.nodefile import node_file_from_path
+from pomelolane.platform.rolloutrecord import StoreRolloutRecord
 from pomelolane.platform.roster import VmRoster
 from pomelolane.platform.storeclient import StoreClient
 from pomelolane.platform.userecord import StoreUseRecord
@@ -37,7 +38,7 @@
 
     from pomelolane.http.listener import Listener
     from pomelolane.platform.nodefile import NodeFile
-    from pomelolane.platform.roster import FirstContact
+from pomelolane.platform.roster import FirstContact
 
 METRICS_PORT = 9464
 """Port of the metrics address in deploy/system.toml."""
@@ -129,6 +130,7 @@
             contact.keys,
             StoreUseRecord(self._store, file.vm_id, incarnation),
             StoreCrashRecord(self._store),
+            StoreRolloutRecord(self._store),
             self._clock,
         )
         member = node.member
@@ -138,6 +140,7 @@
             self._store, self._current, self._clock, file.limit_window, file.apply_ms
         )
         configuration.share(file.vm_id, file.data_centre, member, member.transport)
+        configuration.on_orders = node.rollouts.take
         watch.on_regained(configuration.refresh)
         self._background.start("configuration", configuration.run())
         await node.start()
@@ -145,6 +148,7 @@
         self._background.start("write crashes", node.crash_record.write())
         self._background.start("ledger", node.ledger.run())
         self._background.start("use_news", node.use_news.run())
+        self._background.start("rollouts", node.rollouts.run())
         sock, self._early = self._early, None
         self._front = await listen_for_callers(node, file.front, sock)
         log_event(
@@ -246,5 +250,6 @@
         peer_port=file.peer_port,
         grace_ms=file.grace_ms,
         retries=file.retries,
+        rollouts=file.rollouts,
         carries_per_s=carried_per_s(file.core_share, file.link_mbps),
     )
--- a/src/pomelolane/platform/nodefile.py
+++ b/src/pomelolane/platform/nodefile.py
@@ -10,6 +10,7 @@
 from pomelolane.forwarding import RetryAllowance
 from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.errors import DocumentError
+from pomelolane.rollouts import RolloutBounds
 
 
 class _Listen(msgspec.Struct):
@@ -28,6 +29,8 @@
     quota_window_s: float = 8.0
     quota_overshoot: float = 0.0
     quota_slack: float = 0.0
+    exposure_share: float = 0.1
+    exposure_slack: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -76,6 +79,7 @@
         apply_ms: Time within which a configuration must be in force.
         retries: Repeated sends allowed over all VMs.
         limit_window: How organisations' use is counted.
+        rollouts: What a version that is not proved may get.
         core_share: Speed of the core that its loop runs on, 1 for a whole one.
         link_mbps: Rate of its network link.
     """
@@ -94,6 +98,7 @@
     apply_ms: int
     retries: RetryAllowance
     limit_window: LimitWindow
+    rollouts: RolloutBounds
     core_share: float
     link_mbps: float
 
@@ -132,6 +137,7 @@
             bounds.quota_overshoot,
             bounds.quota_slack,
         ),
+        rollouts=RolloutBounds(bounds.exposure_share, bounds.exposure_slack),
         core_share=file.limits.cpu_share,
         link_mbps=file.limits.link_mbps,
     )
--- a/src/pomelolane/platform/sharing.py
+++ b/src/pomelolane/platform/sharing.py
@@ -56,7 +56,9 @@
         self, after: int, version: int, rows: Iterable[StoredRow], state_hash: int
     ) -> None:
         """Tell the others of the data centre what was read."""
-        changes = tuple(RecordChange(r.key, r.value, r.deleted) for r in rows)
+        changes = tuple(
+            RecordChange(r.key, r.value, r.deleted, r.version) for r in rows
+        )
         message = WatchedChanges(self._table, after, version, changes, state_hash)
         for peer in self._peers():
             if peer.vm_id != self._vm_id:
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -87,6 +87,23 @@
     deleted: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class TableRow:
+    """A row of a table's unnamed part, as a transaction names it.
+
+    Attributes:
+        table: The table.
+        key: Its key.
+        value: Its bytes, to be written.
+        version: The version that it must have, 0 for none.
+    """
+
+    table: str
+    key: str
+    value: bytes = b""
+    version: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """Rows as of one moment.
@@ -184,21 +201,37 @@
         Raises:
             StoreUnavailableError: It may or may not have been done.
         """
-        new = values if only_new else ()
+        writes = [TableRow(table, key, value) for key, value in values.items()]
+        expected = [TableRow(table, key) for key in values] if only_new else []
+        deleted = [TableRow(table, key) for key in deletes]
+        return await self.transact(writes, expected, deleted)
+
+    async def transact(
+        self,
+        writes: Sequence[TableRow],
+        expected: Sequence[TableRow] = (),
+        deletes: Sequence[TableRow] = (),
+    ) -> bool:
+        """Change rows of unnamed parts in one transaction.
+
+        Args:
+            writes: Rows to write.
+            expected: Rows that must have these versions, 0 for none.
+            deletes: Rows to delete.
+
+        Returns:
+            Whether the condition held.
+
+        Raises:
+            StoreUnavailableError: It may or may not have been done.
+        """
         body = {
-            "expected": [
-                {"table": table, "part": "", "key": key, "ver": 0} for key in new
-            ],
+            "expected": [_named(row) | {"ver": row.version} for row in expected],
             "writes": [
-                {
-                    "table": table,
-                    "part": "",
-                    "key": key,
-                    "value": base64.b64encode(value).decode(),
-                }
-                for key, value in values.items()
+                _named(row) | {"value": base64.b64encode(row.value).decode()}
+                for row in writes
             ],
-            "deletes": [{"table": table, "part": "", "key": key} for key in deletes],
+            "deletes": [_named(row) for row in deletes],
         }
         try:
             await self._call("POST", "/rows-tx", {}, CALL_TIMEOUT_S, body)
@@ -265,6 +298,10 @@
         return "\r\n".join([*lines, "", ""]).encode("ascii")
 
 
+def _named(row: TableRow) -> dict[str, Any]:
+    return {"table": row.table, "part": "", "key": row.key}
+
+
 def _era(headers: Sequence[tuple[bytes, bytes]]) -> int:
     text = dict(headers).get(_ERA, b"")
     return int(text) if text.isdigit() else 0
--- a/src/pomelolane/ports/__init__.py
+++ b/src/pomelolane/ports/__init__.py
@@ -23,6 +23,7 @@
     LoadReport,
     SchedulerClient,
     SchedulingCore,
+    VersionTrial,
 )
 
 __all__ = [
@@ -45,6 +46,7 @@
     "Transport",
     "UpstreamRequest",
     "UpstreamStream",
+    "VersionTrial",
     "View",
     "VmList",
     "Write",
--- a/src/pomelolane/ports/scheduling.py
+++ b/src/pomelolane/ports/scheduling.py
@@ -80,6 +80,34 @@
     prefix_hash: int
 
 
+class VersionTrial(Protocol):
+    """The trial of a new version of a service's endpoints, as its core sees it."""
+
+    def arrived_with(self, handle: Handle) -> None:
+        """Count a request for the service."""
+
+    def takes(self, handle: Handle) -> bool:
+        """Tell whether a request should go to the new version."""
+
+    def candidates(self) -> Sequence[str]:
+        """Return the endpoints of that version to try, in this order."""
+
+    def granted(self, endpoint_id: str, work: str) -> None:
+        """Count a request that was given to an endpoint, of either version."""
+
+    def answered(
+        self,
+        endpoint_id: str,
+        work: str,
+        now_ms: float,
+        *,
+        has_failed: bool,
+        slowness: float,
+        has_begun: bool,
+    ) -> None:
+        """Judge an answer, or the end of a request that got none."""
+
+
 class SchedulingCore(Protocol):
     """The pure decision core of one service: no I/O, time passed in.
 
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -23,10 +23,15 @@
 
     from pomelolane.messages import Handle, RunningHandle, StreamEvent
     from pomelolane.model import Tree
-    from pomelolane.ports import CacheEvent, LoadReport, SchedulingCore
+    from pomelolane.ports import (
+        CacheEvent,
+        LoadReport,
+        SchedulingCore,
+        VersionTrial,
+    )
     from pomelolane.scheduler.objective.forecast import Outlook
     from pomelolane.scheduler.objective.waiting import Waiting, WaitingLine
-    from pomelolane.scheduler.objective.worker import Worker, WorkerFigures
+    from pomelolane.scheduler.objective.worker import Flight, Worker, WorkerFigures
 
 _TRIES = 12
 """Waiting requests looked at after the first one that finds no place."""
@@ -47,6 +52,7 @@
 
     Attributes:
         limits: What organisations used of their limits.
+        trial: The trial of a new version, if there is one.
     """
 
     def __init__(self, service_name: str, options: ObjectiveOptions) -> None:
@@ -54,6 +60,7 @@
         self._options = options
         self._fleet = Fleet(options)
         self.limits = LimitBook()
+        self.trial: VersionTrial | None = None
         self._waiting = WaitingRequests()
         self._admission = Admission(options, self._fleet)
         self._flights: dict[str, str] = {}
@@ -115,6 +122,9 @@
         if refusal is not None:
             return [Decision(request_id, refusal)]
         waiting = waiting_from_handle(handle, now_ms)
+        worker = self._worker_on_trial(waiting, now_ms)
+        if worker is not None:
+            return [self._grant(waiting, worker, now_ms)]
         refusal = self._refuse_arrival(waiting, now_ms)
         if refusal is not None:
             self._give_back(waiting)
@@ -161,6 +171,8 @@
             # A prompt that has been read makes room for the next one.
             return self._dispatch(now_ms) if begins else []
         self._end(event.request_id)
+        if self.trial is not None and not event.refused:
+            self._tell_trial(flight, event, now_ms)
         if event.refused:
             worker.refused(now_ms)
             self.limits.give_back(
@@ -218,6 +230,26 @@
         endpoint_id = self._flights.pop(request_id, "")
         self._fleet.end(endpoint_id, request_id)
 
+    def _worker_on_trial(self, waiting: Waiting, now_ms: float) -> Worker | None:
+        """Return the endpoint of a version on trial that should get a request."""
+        if self.trial is None:
+            return None
+        self.trial.arrived_with(waiting.handle)
+        if not self.trial.takes(waiting.handle):
+            return None
+        candidates = self.trial.candidates()
+        return self._fleet.place_on_trial(waiting, candidates, now_ms)
+
+    def _tell_trial(self, flight: Flight, event: StreamEvent, now_ms: float) -> None:
+        self.trial.answered(
+            event.endpoint_id,
+            flight.handle.work,
+            now_ms,
+            has_failed=bool(event.outcome),
+            slowness=flight.slowness(now_ms),
+            has_begun=flight.started,
+        )
+
     def _refuse_arrival(self, waiting: Waiting, now_ms: float) -> Refusal | None:
         """Refuse on arrival what could only be answered late."""
         handle = waiting.handle
@@ -344,6 +376,8 @@
         flight.charged_ms = now_ms
         self.limits.granted(handle, handle.charge_tokens, waiting.submitted_ms, now_ms)
         self._flights[handle.request_id] = worker.endpoint.endpoint_id
+        if self.trial is not None:
+            self.trial.granted(worker.endpoint.endpoint_id, handle.work)
         grant = Grant(
             handle.request_id, worker.endpoint.endpoint_id, flight.expected_ms
         )
--- a/src/pomelolane/scheduler/objective/fleet.py
+++ b/src/pomelolane/scheduler/objective/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from pomelolane.model import ServiceKind
@@ -179,6 +180,35 @@
         at_ms = now_ms + best.predict_ms(handle) + self.margin_ms()
         return best if at_ms <= waiting.objective_at_ms else None
 
+    def place_on_trial(
+        self, waiting: Waiting, candidates: Iterable[str], now_ms: float
+    ) -> Worker | None:
+        """Return the first of some endpoints that would answer on time.
+
+        They get nothing else, so the first one is used fully before the next.
+
+        Args:
+            waiting: The request.
+            candidates: Ids of endpoints.
+            now_ms: The time.
+
+        Returns:
+            None where the request should go elsewhere.
+        """
+        handle = waiting.handle
+        left_ms = waiting.deadline_ms - now_ms
+        due_ms = waiting.objective_at_ms if handle.objective_ms else math.inf
+        for name in candidates:
+            worker = self._with_room.get(name)
+            if worker is None or not worker.is_able(now_ms):
+                continue
+            worker.measure_room(now_ms)
+            first_ms = worker.predict_ms(handle)
+            is_in_time = now_ms + first_ms + self.margin_ms() <= due_ms
+            if is_in_time and worker.bid_ms(handle, left_ms) < _ANY_TIME_MS:
+                return worker
+        return None
+
     def is_hopeless(self, waiting: Waiting, now_ms: float) -> bool:
         """Tell whether no endpoint could answer on time, were it idle.
 
--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -42,6 +42,7 @@
         started: Whether the first answer byte was seen.
         pieces: Pieces of the answer that were seen.
         charged_ms: When it was charged to its organisation's limit.
+        first_ms: Time to the first answer byte, negative until it was seen.
     """
 
     handle: Handle
@@ -51,6 +52,18 @@
     started: bool = False
     pieces: int = 0
     charged_ms: float = 0.0
+    first_ms: float = -1.0
+
+    def slowness(self, now_ms: float) -> float:
+        """Return the time to the first answer byte against one at speed 1.
+
+        What was begun under an earlier scheduler says nothing; what never began took as
+        long as it was waited for, at least.
+        """
+        if self.first_ms < 0 and self.started:
+            return -1.0
+        first_ms = self.first_ms if self.first_ms >= 0 else now_ms - self.granted_ms
+        return first_ms / self.nominal_ms
 
 
 @dataclass(slots=True)
@@ -139,7 +152,11 @@
 
     def is_open(self, now_ms: float) -> bool:
         """Tell whether a request may go to one of its free slots now."""
-        if self.leaving or now_ms < self.suspended_until_ms:
+        return not self.leaving and self.is_able(now_ms)
+
+    def is_able(self, now_ms: float) -> bool:
+        """Tell the same of one that gets requests of a trial alone."""
+        if now_ms < self.suspended_until_ms:
             return False
         return not self.probing or len(self.flights) < _PROBES_AT_ONCE
 
@@ -312,6 +329,7 @@
     def saw_first(self, flight: Flight, ttft_ms: float, now_ms: float) -> None:
         """Learn the speed from a first answer byte."""
         self.mark_started(flight)
+        flight.first_ms = ttft_ms
         if len(self.read_prompts) == _READ_PROMPTS:
             self.read_tokens -= self.read_prompts.popleft()[1]
         self.read_prompts.append((now_ms, flight.handle.prefill_tokens))
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import time
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -39,6 +40,25 @@
     """The body claims an encoding."""
 
 
+@dataclass(frozen=True, slots=True)
+class Flaw:
+    """What is wrong with a version.
+
+    Attributes:
+        share: Part of its answers that are bad.
+        slower_by: Factor on their time; 0 where they fail instead.
+        after_s: Time from the endpoint's start until then.
+        busy: Part of its slots that must be taken.
+        path: How their paths begin.
+    """
+
+    share: float = 0.5
+    slower_by: float = 0.0
+    after_s: float = 0.0
+    busy: float = 0.0
+    path: str = "/"
+
+
 @dataclass(slots=True)
 class EndpointOptions:
     """How an endpoint works.
@@ -52,6 +72,8 @@
         fatal: Part of a body under which the process ends when it begins the request;
             empty for none.
         ends_silently: Whether its connections then stay open and say nothing more.
+        version: Version of its software.
+        flaw: What is wrong with that version, if anything.
     """
 
     slots: int = 4
@@ -61,6 +83,8 @@
     event_ms: float = 2.0
     fatal: bytes = b""
     ends_silently: bool = False
+    version: str = "v1"
+    flaw: Flaw | None = None
 
 
 @dataclass(slots=True)
@@ -75,6 +99,7 @@
         cut: Whether its caller closed the connection first.
         at_s: When it arrived, by the test's monotonic clock.
         ended_s: When the process ended under it, 0 where it did not.
+        bad_s: When it got a bad answer by the version's flaw, 0 where it did not.
     """
 
     line: str
@@ -84,6 +109,7 @@
     cut: bool = False
     at_s: float = field(default_factory=time.monotonic)
     ended_s: float = 0.0
+    bad_s: float = 0.0
 
 
 @dataclass(eq=False)
@@ -106,6 +132,8 @@
     def __post_init__(self) -> None:
         self._running = asyncio.Semaphore(self.options.slots)
         self._waiting = 0
+        self._at_work = 0
+        self._started_s = time.monotonic()
         self._tasks: set[asyncio.Task[None]] = set()
         self.ended = asyncio.Event()
 
@@ -114,6 +142,10 @@
         self._server = await asyncio.start_server(self._serve, host, port)
         return f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
+    def restart_clock(self) -> None:
+        """Count the time until its flaw from now on."""
+        self._started_s = time.monotonic()
+
     async def aclose(self) -> None:
         """Stop to listen and drop all connections."""
         self._drop_all()
@@ -156,9 +188,11 @@
             await self._running.acquire()
         finally:
             self._waiting -= 1
+        self._at_work += 1
         try:
             return await self._run(request, reader, writer)
         finally:
+            self._at_work -= 1
             self._running.release()
 
     async def _run(
@@ -192,7 +226,13 @@
         fault = self.fault
         if fault is Fault.SILENT:
             await asyncio.sleep(_LONG_S)
-        await asyncio.sleep(self.options.work_ms / 1000)
+        work_s = self.options.work_ms / 1000
+        flaw = self.options.flaw
+        if flaw is not None and self._is_bad(flaw, request):
+            request.bad_s = time.monotonic() + work_s * max(1.0, flaw.slower_by)
+            work_s *= max(1.0, flaw.slower_by)
+            fault = fault if flaw.slower_by else Fault.ERROR
+        await asyncio.sleep(work_s)
         if self.options.fatal and self.options.fatal in request.body:
             request.ended_s = time.monotonic()
             self.ended.set()
@@ -222,6 +262,13 @@
         await writer.drain()
         return True
 
+    def _is_bad(self, flaw: Flaw, request: Seen) -> bool:
+        path = request.line.split(" ")[1]
+        is_late = time.monotonic() >= self._started_s + flaw.after_s
+        is_busy = self._at_work >= flaw.busy * self.options.slots
+        is_chosen = random.random() < flaw.share
+        return is_chosen and is_late and is_busy and path.startswith(flaw.path)
+
     async def _be_silent_if_ended(self) -> None:
         if self.ended.is_set():
             await asyncio.sleep(_LONG_S)
@@ -260,7 +307,7 @@
         "service": service,
         "address": address,
         "zone": data_centre,
-        "version": "v1",
+        "version": endpoint.options.version,
         "slots": endpoint.options.slots,
         "state": state,
         "coldRemainingMs": 0,
--- /dev/null
+++ b/tests/steps/rollouts_judge_steps.py
@@ -0,0 +1,135 @@
+"""Steps of tests/rollouts/judge.feature."""
+
+import random
+from dataclasses import dataclass
+
+from behave import given, then, when
+
+from pomelolane.rollouts import VersionAnswer, VersionJudge
+
+ROUTES = ("long", "short", "rare")
+ROUTE_WEIGHTS = (5, 4, 2)
+NEW_EACH = 6
+"""One answer in so many is of the new version."""
+
+ENDPOINTS = 12
+FOCUS_ANSWERS = 8
+SPEEDS = (0.7, 0.7, 3.0)
+USUAL_ERROR_SHARE = 0.01
+BEGINS = 100
+ANSWER_MS = 10.0
+
+
+@dataclass(frozen=True)
+class Case:
+    """How the versions behave.
+
+    ``fails(route, new_answers)`` and ``slows`` return the share of the new version's
+    answers that fail, and the factor by which one is slower.
+    """
+
+    fails: object = None
+    slows: object = None
+    both_fail: object = None
+    failing_endpoints: object = None
+    overload: bool = False
+
+
+CASES = {
+    "failing for half": Case(fails=lambda route, n: 0.5),
+    "failing for a fifth": Case(fails=lambda route, n: 0.2),
+    "failing on one route of three": Case(
+        fails=lambda route, n: 0.6 if route == "short" else 0.0
+    ),
+    "failing from answer 100 on": Case(fails=lambda route, n: 0.5 * (n > BEGINS)),
+    "slower by six times": Case(slows=lambda draw: 6.0),
+    "slower by four times for half": Case(
+        slows=lambda draw: 4.0 if draw.random() < 0.5 else 1.0
+    ),
+    "good": Case(),
+    "good, and both versions fail for a seventh": Case(both_fail=lambda n: 1 / 7),
+    "good, and both versions begin to fail": Case(
+        both_fail=lambda n: 0.5 * (n > BEGINS)
+    ),
+    "good, and one of its endpoints fails": Case(
+        failing_endpoints=lambda draw: {"new-3"}
+    ),
+    "good, and a seventh of all endpoints fails": Case(
+        failing_endpoints=lambda draw: {
+            f"{version}-{n}"
+            for version in ("old", "new")
+            for n in range(ENDPOINTS)
+            if draw.random() < 1 / 7
+        }
+    ),
+    "good, and all are overloaded for a while": Case(overload=True),
+}
+
+
+@given("a judge of a version that is {case} on endpoints of unlike speeds")
+def step_case(context, case):
+    context.case = CASES[case]
+
+
+@when("up to {answers:d} answers of it come, in {trials:d} seeded trials")
+def step_trials(context, answers, trials):
+    context.judges = [_play(context.case, answers, seed) for seed in range(trials)]
+
+
+def _play(case, answers, seed):
+    draw = random.Random(seed)
+    judge = VersionJudge()
+    judge.new_endpoints = ENDPOINTS
+    failing = case.failing_endpoints(draw) if case.failing_endpoints else set()
+    speeds = {
+        f"{version}-{n}": draw.choice(SPEEDS)
+        for version in ("old", "new")
+        for n in range(ENDPOINTS)
+    }
+    now_ms = 0.0
+    while judge.new_answers < answers and not judge.is_bad:
+        now_ms += ANSWER_MS
+        answer = _answer(case, judge, draw, failing, speeds)
+        if answer.endpoint_id not in judge.doubted:
+            judge.add(answer, now_ms)
+        elif len(judge.doubted) == ENDPOINTS:
+            break
+        else:
+            judge.new_answers += 1
+    return judge
+
+
+def _answer(case, judge, draw, failing, speeds):
+    is_new = draw.randrange(NEW_EACH) == 0
+    route = draw.choices(ROUTES, ROUTE_WEIGHTS)[0]
+    number = judge.new_answers
+    focus = number // FOCUS_ANSWERS % ENDPOINTS
+    name = f"new-{focus}" if is_new else f"old-{draw.randrange(ENDPOINTS)}"
+    fail_share = USUAL_ERROR_SHARE
+    if is_new and case.fails:
+        fail_share = max(fail_share, case.fails(route, number))
+    if case.both_fail:
+        fail_share = max(fail_share, case.both_fail(number))
+    if name in failing:
+        fail_share = 0.5
+    slowness = speeds[name] * draw.lognormvariate(0.0, 0.35)
+    if is_new and case.slows:
+        slowness *= case.slows(draw)
+    if case.overload and BEGINS < number < 2 * BEGINS:
+        slowness *= draw.uniform(1.0, 8.0)
+    return VersionAnswer(name, route, is_new, draw.random() < fail_share, slowness)
+
+
+@then(
+    "it is condemned in {least:d} trials at least, after {most:d} bad answers at most"
+)
+def step_condemned(context, least, most):
+    found = [judge for judge in context.judges if judge.is_bad]
+    late = [judge.bad_answers for judge in found if judge.bad_answers > most]
+    assert len(found) >= least and not late, (len(found), late)
+
+
+@then("it is condemned in {most:d} trial at most")
+def step_kept(context, most):
+    reasons = [judge.reason for judge in context.judges if judge.is_bad]
+    assert len(reasons) <= most, reasons
