End trials that are recorded, and let orders lapse that nobody knows a state of

A scheduler judged answers on after its verdict was on record, for as long as it ran. A VM that knew an order but no state of it (it never scheduled the service) kept its gateway, when alone, from that version for ever, also where a later release has both versions. A verdict that was not yet on record when its VM lost the role is written when it has it again. Found by reading.

--- a/src/pomelolane/rollouts/rollouts.py
+++ b/src/pomelolane/rollouts/rollouts.py
@@ -29,6 +29,11 @@
 TICK_S = 0.05
 """How often trials go on."""
 
+LAPSES_AFTER_MS = 10_000.0
+"""Time after an order's end from which on a VM that knows no state of it lets it be: a
+version that was rolled back has no endpoints then, and others must not be kept from work
+for an order that was carried out long ago."""
+
 PAUSE_S = 0.2
 """Time between two tries to read or write the record."""
 
@@ -76,8 +81,13 @@
     core: object = None
     recorded: Phase | None = None
     old: frozenset[str] = frozenset()
+    has_lapsed: bool = False
     work: asyncio.Task[None] | None = None
 
+    def lapses_ms(self) -> float:
+        """Return when the order is let be where nothing is known of it."""
+        return self.first_seen_ms + self.order.duration_ms + LAPSES_AFTER_MS
+
 
 class Rollouts:
     """Knows the orders of all services.
@@ -170,6 +180,7 @@
         desk = self._coordination.role.desk(rollout.order.service)
         if desk is None:
             self._leave(rollout)
+            self._let_lapse(rollout)
             return
         if rollout.core is not desk.core:
             self._leave(rollout)
@@ -177,12 +188,19 @@
         if rollout.trial is None:
             if rollout.phase is Phase.UNKNOWN:
                 self._start(rollout, self._take_up(rollout))
+            elif rollout.recorded is None:
+                self._start(rollout, self._save(rollout, rollout.phase))
             return
         desk.core.trial = rollout.trial
         rollout.trial.tick(self._record.now_ms())
         metrics.show(rollout.order, rollout.trial)
         self._follow(rollout, rollout.trial)
 
+    def _let_lapse(self, rollout: _Rollout) -> None:
+        if not rollout.has_lapsed and self._record.now_ms() >= rollout.lapses_ms():
+            rollout.has_lapsed = True
+            self.on_change()
+
     def _follow(self, rollout: _Rollout, trial: Trial) -> None:
         """Bring the VM in line with the trial, and the record with both."""
         if trial.phase is not rollout.phase:
@@ -224,21 +242,25 @@
             return
         rollout.work = asyncio.get_running_loop().create_task(work)
 
-    def _leave(self, rollout: _Rollout) -> None:
-        """Leave a trial to the next scheduler; a final state stays known."""
+    def _end_trial(self, rollout: _Rollout) -> None:
+        """Judge no more answers."""
+        rollout.trial = None
         if rollout.core is not None:
             rollout.core.trial = None
-            rollout.core = None
-        if rollout.trial is None:
+
+    def _leave(self, rollout: _Rollout) -> None:
+        """Leave a trial to the next scheduler; a final state stays known."""
+        was_trying = rollout.trial is not None
+        self._end_trial(rollout)
+        rollout.core = None
+        if not was_trying:
             return
-        rollout.trial = None
         if rollout.phase not in _FINAL:
             rollout.phase = Phase.UNKNOWN
             self.on_change()
 
     def _let_go(self, rollout: _Rollout) -> None:
-        if rollout.core is not None:
-            rollout.core.trial = None
+        self._end_trial(rollout)
         if rollout.work is not None:
             rollout.work.cancel()
 
@@ -286,9 +308,8 @@
             await asyncio.sleep(PAUSE_S)
             return
         rollout.recorded = phase
-        if rollout.trial is not None:
-            rollout.trial.phase = phase
         self._enter(rollout, phase)
+        self._end_trial(rollout)
 
     def _tell_failed(self, order: RolloutOrder, error: PlatformError) -> None:
         log_event(events.ROLLOUT_RECORD_FAILED, service=order.service, error=error)
@@ -305,8 +326,8 @@
         case Phase.COMPLETED:
             # What is listed later has nothing to do with this order.
             return set(rollout.old & old)
-        case Phase.UNKNOWN if not old:
-            # The old endpoints are gone, as when the service has moved.
+        case Phase.UNKNOWN if not old or rollout.has_lapsed:
+            # The old endpoints are gone, as when the service has moved, or the order.
             return set()
     return new
 
