--- a/src/pomelolane/rollouts/rollouts.py
+++ b/src/pomelolane/rollouts/rollouts.py
@@ -31,8 +31,8 @@
 
 LAPSES_AFTER_MS = 10_000.0
 """Time after an order's end from which on a VM that knows no state of it lets it be: a
-version that was rolled back has no endpoints then, and others must not be kept from work
-for an order that was carried out long ago."""
+version that was rolled back has no endpoints then, and others must not be kept from
+work for an order that was carried out long ago."""
 
 PAUSE_S = 0.2
 """Time between two tries to read or write the record."""
