--- a/src/pomelolane/forwarding/configuration.py
+++ b/src/pomelolane/forwarding/configuration.py
@@ -140,8 +140,7 @@
         """Return one rank from an organisation's and its route's.
 
         A request without an organisation stands among the least urgent of them by its
-        route's rank. Behind all of them it would be starved by any overload: of what
-        was asked of public routes .15 was served beside .85 of the rest.
+        route's rank. Behind all of them it would be starved by any overload.
         """
         least = max(self.rank_by_organisation.values(), default=0)
         first = min(self.rank_by_organisation.get(organisation, least), MOST_RANKS - 1)
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -181,7 +181,6 @@
             options.rollouts,
             rollout_record,
             self.coordination,
-            clock,
             lambda: directory.all,
         )
         self.rollouts.on_change = self._configure
--- a/src/pomelolane/rollouts/rollouts.py
+++ b/src/pomelolane/rollouts/rollouts.py
@@ -23,7 +23,6 @@
 
     from pomelolane.coordination import Coordination
     from pomelolane.model import Endpoint
-    from pomelolane.ports import Clock
     from pomelolane.rollouts.order import RolloutBounds, RolloutRecord
 
 TICK_S = 0.05
@@ -96,7 +95,6 @@
         bounds: What a version that is not proved may get.
         record: Where states are kept.
         coordination: This VM's part in scheduling.
-        clock: Time.
         listed: Returns the endpoints as they are listed now.
 
     Attributes:
@@ -108,13 +106,11 @@
         bounds: RolloutBounds,
         record: RolloutRecord,
         coordination: Coordination,
-        clock: Clock,
         listed: Callable[[], Mapping[str, Endpoint]],
     ) -> None:
         self._bounds = bounds
         self._record = record
         self._coordination = coordination
-        self._clock = clock
         self._listed = listed
         self._rollouts: dict[str, _Rollout] = {}
         self.on_change: Callable[[], None] = _ignore
--- a/src/pomelolane/rollouts/trial.py
+++ b/src/pomelolane/rollouts/trial.py
@@ -93,7 +93,6 @@
         self._order = order
         self._share = TRIED_PART * bounds.exposure_share
         self._slack = SLACK_PART * bounds.exposure_slack if is_first else 0.0
-        self._ends_ms = ends_ms
         before_ms = min(MOVE_BEFORE_MS, MOVE_BEFORE_PART * order.duration_ms)
         self._move_ms = ends_ms - before_ms
         self._complete_ms = ends_ms - min(COMPLETE_BEFORE_MS, before_ms / 2)
--- a/src/pomelolane/scheduler/objective/admission.py
+++ b/src/pomelolane/scheduler/objective/admission.py
@@ -18,8 +18,8 @@
 
 _OUTLOOK_MS = 50.0
 """Age up to which a prediction of waits is used for arrivals: the period of ticks,
-each of which makes a new one. With one for each arrival 600 arrivals/s at 225 slots
-filled a whole core and more; now they take a tenth of one (host core)."""
+each of which makes a new one. One for each arrival would take most of a core where
+hundreds arrive in a second."""
 
 _MOST_SHARE = 0.98
 """Most of the slots that more urgent ranks are taken to keep: waits are then fifty
@@ -79,8 +79,7 @@
         The wait counts those that are ahead now. The more urgent ones that come
         meanwhile make it longer: a request that is due only when its caller leaves
         would wait in vain. They are not held against an earlier objective: bursts
-        end, and refusing more for them was worth -0.004 +- 0.003 over 40 drawn days of
-        engines in overload.
+        end, and more would be refused for nothing.
         """
         start_ms *= self._options.wait_factor
         if waiting.handle.late_window_ms <= 0:
--- a/src/pomelolane/scheduler/objective/fleet.py
+++ b/src/pomelolane/scheduler/objective/fleet.py
@@ -213,9 +213,7 @@
         """Tell whether no endpoint could answer on time, were it idle.
 
         Such a request is due before all others. Sent in its turn, it makes those
-        behind it too late as well: of what a plain service answers that is asked for
-        a fifth more than it can answer, .41 was on time, and .99 is if it waits behind
-        (load pattern of full plain services, seed 1).
+        behind it too late as well.
         """
         if waiting.late or not waiting.handle.objective_ms:
             return False
--- a/src/pomelolane/scheduler/objective/options.py
+++ b/src/pomelolane/scheduler/objective/options.py
@@ -37,29 +37,25 @@
         patience_share: Part of the time for which callers bear silence that a
             request waits at most: what is left must be enough for a first answer
             byte on a slow endpoint, and a refusal while the caller is there lets it
-            come back. Over 60 drawn days 1.6% of the callers left without it,
-            0.7% with it.
+            come back.
         early_share: Part of the objective within which a refusal still costs
             the caller nothing.
         demand_ms: How long what was granted to a rank is remembered: bursts of
             arrivals are over in seconds, and a slot is held for about one.
         length_factor: How much longer than hinted an answer may be and still
-            end in time; 9 in 10 are within it on the users' calm days.
+            end in time: hints are right at the median only.
         min_retry_ms: Shortest time to come back that is told.
         max_retry_ms: Longest one; callers have seconds.
         far_ms: How much sooner an answer must begin in another data centre than in
             the caller's own; a message takes about 1.5 ms more each way, and the
-            bytes between data centres are paid for. Two thirds of all requests left
-            their data centre without it, as chance would have it.
+            bytes between data centres are paid for.
         margin_ms: What an answer takes on its ways between caller, gateway, scheduler
             and endpoint, beside what is predicted of the endpoint: some five ways of
-            1 to 3 ms. A full service is granted what is predicted to be just on time;
-            without the margin a third of that is just late (plain services).
+            1 to 3 ms. A full service is granted what is predicted to be just on time,
+            and much of that would be just late.
         spread_factor: How many times the mean error of predictions an answer must be
-            predicted before it is due. Of plain calls of unlike length that a full
-            service answers, .84, .76 and .83 are on time without it, .93, .90 and .95
-            with it (means of four seeds of three loads), with as many answers; drawn
-            days of engines lose 0.002 +- 0.001 of worth (120 days).
+            predicted before it is due: calls of unlike length are predicted in the
+            mean only, and a full service would answer many just too late.
         fail_step: Weight of one answer in the learnt share of failures.
         fail_weight: How much a share of failures lengthens a prediction.
     """
--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -271,8 +271,7 @@
 
         Between two events of a stream the engine takes a step for each token, and
         reads one chunk in each: of this prompt, of those that still wait, and of
-        those that were read within the allowed pause. Counting only what was read
-        since the event before cost 0.02 of worth on loaded days of two deployments.
+        those that were read within the allowed pause.
         """
         gap_ms = self._shortest_gap_ms()
         if not gap_ms:
