--- a/tests/routed_world.py
+++ b/tests/routed_world.py
@@ -145,6 +145,14 @@
         await vm.ready()
         return vm
 
+    async def restart_vms(self):
+        """Kill all VMs at one moment and start them again."""
+        for vm in self.vms:
+            vm.process.kill()
+        for vm in self.vms:
+            await vm.process.wait()
+            await vm.start()
+
     async def aclose(self):
         """End everything that was started."""
         for task in self._successions:
--- a/tests/steps/platform_limits_steps.py
+++ b/tests/steps/platform_limits_steps.py
@@ -114,11 +114,7 @@
 def step_all_killed(context, after_s):
     async def kill():
         await asyncio.sleep(after_s)
-        for vm in context.world.vms:
-            vm.process.kill()
-        for vm in context.world.vms:
-            await vm.process.wait()
-            await vm.start()
+        await context.world.restart_vms()
 
     task = context.loop.create_task(kill())
     context.add_cleanup(task.cancel)
--- a/tests/steps/platform_rollouts_steps.py
+++ b/tests/steps/platform_rollouts_steps.py
@@ -160,11 +160,7 @@
 def step_killed(context, after_s):
     async def kill():
         await asyncio.sleep(BEFORE_S + after_s)
-        for vm in context.world.vms:
-            vm.process.kill()
-        for vm in context.world.vms:
-            await vm.process.wait()
-            await vm.start()
+        await context.world.restart_vms()
 
     task = context.loop.create_task(kill())
     context.add_cleanup(task.cancel)
