Read the rate that endpoints name in their answers, and log it

Cause of the blind spot: nothing decoded the header, so no log could tell whether a limit is not read, kept by each VM alone, or forgotten with a scheduler. Decoded once, by the dialect, into a typed notice; a gateway logs endpoint_limit when its belief changes, and endpoint_header_rejected where a value cannot be read (once for each change). A report on a request bears the limit to its scheduler, which does nothing with it yet: no decision changes.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -52,6 +52,7 @@
         self._links: dict[str, Link] = {}
         self._tickets: dict[str, Ticket] = {}
         self._leaving: set[str] = set()
+        self._starts: dict[str, int] = {}
         self._retry_after_ms: dict[str, int] = {}
         self._pinged_ms = context.clock.now_ms()
         self._ran_ms = self._pinged_ms
@@ -99,6 +100,16 @@
         for service in [name for name in self._links if name not in tree.services]:
             self._close(service)
         self._leaving &= set(tree.endpoints)
+        self._forget_limits(tree)
+
+    def _forget_limits(self, tree: Tree) -> None:
+        """Drop what endpoints said that have ended or begun anew."""
+        starts = {name: one.born_ms for name, one in tree.endpoints.items()}
+        known = self._starts.items()
+        changed = [name for name, born_ms in known if starts.get(name) != born_ms]
+        self._starts = starts
+        for link in self._links.values():
+            link.limits.forget(changed)
 
     def mark_leaving(self, endpoint_id: str) -> None:
         """Use no further grant for an endpoint."""
--- a/src/pomelolane/coordination/link.py
+++ b/src/pomelolane/coordination/link.py
@@ -8,11 +8,13 @@
 
 from typing import TYPE_CHECKING
 
+from pomelolane.coordination.limits import HeardLimits
 from pomelolane.coordination.options import LOCAL
 from pomelolane.coordination.progress import ProgressBatch
 from pomelolane.events import LOCAL_FALLBACK, SCHEDULER_CHOSEN
 from pomelolane.logs import log_event
 from pomelolane.messages import (
+    NO_NEWS,
     Message,
     Progress,
     Submit,
@@ -44,6 +46,7 @@
         self.service = service
         self.waiting: dict[str, Ticket] = {}
         self.running: dict[str, Ticket] = {}
+        self.limits = HeardLimits(service)
         self.scheduler = LOCAL
         self.epoch = context.epochs.next()
         self._context = context
@@ -99,6 +102,8 @@
     def observe(self, ticket: Ticket, event: StreamEvent) -> None:
         """Pass on progress; what frees a slot goes at once."""
         ticket.saw(event)
+        if event.limit_per_s != NO_NEWS:
+            self.limits.hear(event.endpoint_id, event.limit_per_s)
         self._progress.add(event)
         if event.finished:
             self.drop(ticket)
--- a/src/pomelolane/coordination/progress.py
+++ b/src/pomelolane/coordination/progress.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from pomelolane.messages import NO_NEWS
+
 if TYPE_CHECKING:
     from pomelolane.messages import StreamEvent
 
@@ -45,4 +47,7 @@
         finished=earlier.finished or later.finished,
         refused=earlier.refused or later.refused,
         cached_tokens=max(earlier.cached_tokens, later.cached_tokens),
+        limit_per_s=earlier.limit_per_s
+        if later.limit_per_s == NO_NEWS
+        else later.limit_per_s,
     )
--- a/src/pomelolane/coordination/status.py
+++ b/src/pomelolane/coordination/status.py
@@ -47,6 +47,7 @@
         epoch: Number of the choice.
         waiting: Own requests that wait.
         running: Own requests that run.
+        limits_per_s: Requests a second that endpoints in need have asked for.
     """
 
     service: str
@@ -54,6 +55,7 @@
     epoch: int
     waiting: int
     running: int
+    limits_per_s: dict[str, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,4 +99,5 @@
         epoch=link.epoch,
         waiting=len(link.waiting),
         running=len(link.running),
+        limits_per_s=link.limits.known(),
     )
--- a/src/pomelolane/coordination/watch.py
+++ b/src/pomelolane/coordination/watch.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING
 
-from pomelolane.messages import StreamEvent
+from pomelolane.messages import NO_NEWS, StreamEvent
 
 if TYPE_CHECKING:
     from pomelolane.outcomes import Outcome
@@ -34,12 +34,22 @@
         self._tokens = 0
         self._reported_tokens = 0
         self._done = False
+        self._limit_per_s = NO_NEWS
 
     def dispatched(self) -> None:
         """Note that the first byte of the request leaves now."""
         self._begun_ms = self._clock.now_ms()
         self._reported_ms = self._begun_ms
 
+    def noticed(self, limit_per_s: float | None) -> None:
+        """Pass on with the next report what rate the endpoint asks for.
+
+        Args:
+            limit_per_s: Requests a second, infinite for no limit, None for unknown.
+        """
+        if limit_per_s is not None:
+            self._limit_per_s = limit_per_s
+
     def first(self) -> None:
         """Note the first byte of the answer."""
         if self.ttft_ms >= 0:
@@ -88,6 +98,8 @@
         event = StreamEvent(
             request_id=self.grant.request_id,
             endpoint_id=self.grant.endpoint_id,
+            limit_per_s=self._limit_per_s,
             **values,
         )
+        self._limit_per_s = NO_NEWS
         self._client.observe(event)
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -481,6 +481,20 @@
     "endpoint error version",
     "Its entry in the registry cannot be read or be right; it gets no requests.",
 )
+ENDPOINT_LIMIT = _define(
+    808,
+    "endpoint_limit",
+    "info",
+    "endpoint service limit_per_s",
+    "An answer names the rate that an endpoint takes, names another, or none any more.",
+)
+ENDPOINT_HEADER_REJECTED = _define(
+    809,
+    "endpoint_header_rejected",
+    "warning",
+    "endpoint header value",
+    "What an endpoint says of itself in its answers cannot be read; it is passed over.",
+)
 ROLLOUT_ORDERED = _define(
     811,
     "rollout_ordered",
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -28,6 +28,7 @@
     timed_out,
 )
 from pomelolane.forwarding.handles import handle_from_state
+from pomelolane.forwarding.notices import Notices
 from pomelolane.forwarding.patience import (
     SilentEndpointError,
     patience_ms,
@@ -119,6 +120,7 @@
         self._client = client
         self._sender = sender
         self._directory = directory
+        self._notices = Notices(directory)
         self._make_budget = make_budget
         self._quarantine = quarantine
         self._gate = Gate(quarantine, client, clock)
@@ -280,6 +282,7 @@
             again = broken(state, watch, str(error))
             await state.run.broke()
             raise again from error
+        self._notices.take(endpoint.endpoint_id, sent.notice, watch)
         if sent.verdict is Verdict.NOT_RUN:
             state.run.settle()
             state.may_have_run = may_have_run
--- /dev/null
+++ b/src/pomelolane/forwarding/notices.py
@@ -0,0 +1,57 @@
+"""Takes in what endpoints say of themselves in their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pomelolane import events
+from pomelolane.logs import log_event
+
+if TYPE_CHECKING:
+    from pomelolane.coordination.watch import StreamWatch
+    from pomelolane.forwarding.endpoints import EndpointDirectory
+    from pomelolane.ports.forwarding import EndpointNotice
+
+_LOGGED_BYTES = 64
+
+
+class Notices:
+    """Passes notices on to those who act on them.
+
+    Args:
+        directory: Endpoints as known here.
+    """
+
+    def __init__(self, directory: EndpointDirectory) -> None:
+        self._directory = directory
+        self._rejected: dict[str, tuple[tuple[str, str], ...]] = {}
+        directory.on_change(self._forget_gone)
+
+    def take(
+        self, endpoint_id: str, notice: EndpointNotice, watch: StreamWatch
+    ) -> None:
+        """Take the notice of one answer.
+
+        Args:
+            endpoint_id: Who gave it.
+            notice: What it says.
+            watch: Reports on the request to its scheduler.
+        """
+        watch.noticed(notice.limit_per_s)
+        self._log_rejected(endpoint_id, notice)
+
+    def _log_rejected(self, endpoint_id: str, notice: EndpointNotice) -> None:
+        if notice.rejected == self._rejected.get(endpoint_id, ()):
+            return
+        self._rejected[endpoint_id] = notice.rejected
+        for header, value in notice.rejected:
+            log_event(
+                events.ENDPOINT_HEADER_REJECTED,
+                endpoint=endpoint_id,
+                header=header,
+                value=value[:_LOGGED_BYTES],
+            )
+
+    def _forget_gone(self) -> None:
+        for endpoint_id in self._rejected.keys() - self._directory.all.keys():
+            del self._rejected[endpoint_id]
--- a/src/pomelolane/forwarding/sender.py
+++ b/src/pomelolane/forwarding/sender.py
@@ -15,7 +15,7 @@
     from pomelolane.endpoints.connection import HttpConnection
     from pomelolane.forwarding.call import ForwardCall
     from pomelolane.model import Endpoint
-    from pomelolane.ports.forwarding import Dialect, Dispatch
+    from pomelolane.ports.forwarding import Dialect, Dispatch, EndpointNotice
 
     Header = tuple[bytes, bytes]
 
@@ -30,10 +30,12 @@
     Attributes:
         stream: The answer.
         verdict: What its head is worth.
+        notice: What the endpoint says of itself in it.
     """
 
     stream: AnswerStream
     verdict: Verdict
+    notice: EndpointNotice
 
 
 class Sender:
@@ -81,7 +83,8 @@
             await stream.aclose()
             connection.discard()
             raise EndpointBrokenError(f"the answer's head is {verdict.value}")
-        return Sent(stream, verdict)
+        notice = self._dialect.read_notice(stream.status, stream.headers)
+        return Sent(stream, verdict, notice)
 
 
 def _head(call: ForwardCall, headers: Sequence[Header]) -> bytes:
--- a/src/pomelolane/messages/__init__.py
+++ b/src/pomelolane/messages/__init__.py
@@ -33,6 +33,7 @@
 )
 from pomelolane.messages.quarantine import CrashesReported, ReportedCrash
 from pomelolane.messages.scheduling import (
+    NO_NEWS,
     Granted,
     Handle,
     NotScheduler,
@@ -52,6 +53,7 @@
 from pomelolane.messages.wire import AnyMessage, decode_message, encode_message
 
 __all__ = [
+    "NO_NEWS",
     "AnyMessage",
     "BranchContent",
     "BranchWanted",
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -10,6 +10,9 @@
 from pomelolane.messages.base import Message
 from pomelolane.outcomes import Reason
 
+NO_NEWS = -1.0
+"""Where an event tells nothing new of a figure."""
+
 
 class Handle(msgspec.Struct, frozen=True, array_like=True):
     """What a scheduler needs to know of a waiting request, never its body.
@@ -177,6 +180,8 @@
         outcome: Empty on success, else an :class:`Outcome` value.
         refused: Whether the endpoint refused it before taking it.
         cached_tokens: Prompt tokens that the engine reported as cached, or -1.
+        limit_per_s: Requests a second that the endpoint takes from all VMs together,
+            infinite where it names no limit, :data:`NO_NEWS` if not new.
     """
 
     request_id: str
@@ -188,6 +193,7 @@
     outcome: str = ""
     refused: bool = False
     cached_tokens: int = -1
+    limit_per_s: float = NO_NEWS
 
 
 class Progress(Message, frozen=True):
@@ -293,6 +299,7 @@
 
 
 __all__ = [
+    "NO_NEWS",
     "Granted",
     "Handle",
     "NotScheduler",
--- a/src/pomelolane/platform/dialect.py
+++ b/src/pomelolane/platform/dialect.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from pomelolane.endpoints.headers import strip_hop_headers
 from pomelolane.exceptions import BadRequestError
 from pomelolane.outcomes import Reason
-from pomelolane.ports.forwarding import CallDescription, Verdict
+from pomelolane.ports.forwarding import CallDescription, EndpointNotice, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -33,6 +34,8 @@
 _NOT_RUN = b"not-executed"
 _ENCODING = b"content-encoding"
 _MISDIRECTED = 421
+# Requests a second that the endpoint takes from all VMs together.
+_LIMIT = b"server-limit"
 
 _SET_HERE = frozenset(
     {
@@ -105,6 +108,29 @@
             return Verdict.INVALID
         return Verdict.ANSWER
 
+    def read_notice(self, status: int, headers: Sequence[Header]) -> EndpointNotice:
+        """Return what an endpoint says of itself in an answer that is its own."""
+        if status == _MISDIRECTED:
+            # Another endpoint has taken over the address.
+            return EndpointNotice()
+        named = b", ".join(value for name, value in headers if name == _LIMIT)
+        if not named:
+            return EndpointNotice(limit_per_s=math.inf)
+        limit_per_s = _rate(named)
+        if limit_per_s is None:
+            rejected = (_LIMIT.decode(), named.decode("latin-1"))
+            return EndpointNotice(rejected=(rejected,))
+        return EndpointNotice(limit_per_s=limit_per_s)
+
+
+def _rate(text: bytes) -> float | None:
+    """Return a rate, or None for what is none."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
 
 def _number(name: bytes, text: bytes) -> int:
     text = text.strip()
--- a/src/pomelolane/ports/forwarding.py
+++ b/src/pomelolane/ports/forwarding.py
@@ -74,6 +74,20 @@
     resume_after: bytes = b""
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointNotice:
+    """What an endpoint says of itself in the head of an answer.
+
+    Attributes:
+        limit_per_s: Requests a second that it takes from all VMs together, infinite
+            where it names no limit, None where that cannot be told.
+        rejected: Names and values of headers that cannot be read.
+    """
+
+    limit_per_s: float | None = None
+    rejected: tuple[tuple[str, str], ...] = ()
+
+
 class Dialect(Protocol):
     """Reads and writes the heads of requests and answers."""
 
@@ -91,3 +105,6 @@
 
     def judge(self, status: int, headers: Sequence[Header], request_id: str) -> Verdict:
         """Tell what an endpoint's head is worth."""
+
+    def read_notice(self, status: int, headers: Sequence[Header]) -> EndpointNotice:
+        """Return what an endpoint says of itself in an answer that is its own."""
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -122,12 +122,14 @@
         fault: What it does wrong.
         seen: All requests so far.
         ended: Set once its process has ended under a request.
+        says: Headers that all its answers bear.
     """
 
     endpoint_id: str
     options: EndpointOptions = field(default_factory=EndpointOptions)
     fault: Fault = Fault.NONE
     seen: list[Seen] = field(default_factory=list)
+    says: dict[str, str] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._running = asyncio.Semaphore(self.options.slots)
@@ -181,7 +183,7 @@
             return True
         full = self._waiting >= self.options.queue and self._running.locked()
         if full:
-            writer.write(_head(503, {"not-executed": "1"}, 0))
+            writer.write(_head(503, {"not-executed": "1", **self.says}, 0))
             return True
         self._waiting += 1
         try:
@@ -245,6 +247,7 @@
             return False
         headers = {"request-id": request.headers.get("request-id", "")}
         headers["server-seal"] = f"seal-of-{self.endpoint_id}"
+        headers |= self.says
         if fault is Fault.FOREIGN:
             headers["request-id"] = "another"
         if fault is Fault.UNSEALED:
--- /dev/null
+++ b/tests/platform/notices.feature
@@ -0,0 +1,20 @@
+@processes
+Feature: What endpoints say of themselves in their answers
+  Real VMs before engines. An endpoint in need names the requests a second that it takes
+  from all VMs together; those that it has told send it no more than half as much again.
+
+  Background:
+    Given a platform with the endpoints
+      | endpoint | service |
+      | e1       | pool    |
+      | e2       | pool    |
+      | e3       | pool    |
+    And 3 platform VMs
+
+  Scenario: VMs log what they hear of limits
+    Given "e1" says "Server-Limit: soon"
+    When callers ask the engines 40 times a second for 2 s
+    And "e1" names a limit of 50 requests a second after 1 s
+    Then all requests are served
+    And each VM that logs "endpoint_header_rejected" of "e1" does so once
+    And a VM logs "endpoint_limit" of "e1"
