Add a failing test of an endpoint that gets more than the rate that it names

Three real VMs, 40 requests a second on three engines of which one names 1.5 a second: it gets 157 in 4 s, 14 are allowed. endpoint_limit is in the VMs' logs, so that the limit is read; no grant differs.

--- a/tests/platform/notices.feature
+++ b/tests/platform/notices.feature
@@ -18,3 +18,10 @@
     Then all requests are served
     And each VM that logs "endpoint_header_rejected" of "e1" does so once
     And a VM logs "endpoint_limit" of "e1"
+
+  # An endpoint that had named 1.2 requests a second got 21 in 4 s.
+  Scenario: An endpoint in need gets no more than the rate that it names
+    When callers ask the engines 40 times a second for 12 s
+    And "e1" names a limit of 1.5 requests a second after 1 s
+    Then "e1" gets no more than its limit allows
+    And all requests are served
