Keep to the rates that endpoints ask for in their answers

Callers and operators saw: an endpoint that had named 1.2 requests a second in its answers got 21 in 4 s, 12 are allowed.

Cause: what an endpoint says of itself in an answer went to the caller and no further; grants were made from slots alone. Ruled out: limits kept by each VM alone (one VM sent 1.7 a second to an endpoint of 1.4), and limits lost with a scheduler (the roles did not change before the first break).

Change: the scheduler spaces an endpoint's grants by the rate that its answers name, as the sum over all VMs is what counts. An answer without a limit ends it, if its request was granted after the last one that named it. Predictions of waits count the rate, so that admission and the time to come back follow. A gateway tells a new scheduler, before its handles, what it has heard; where VMs go alone, such an endpoint is dealt whole to one of them, a part of 1.2 a second being nothing or too much. A rate outlasts a gap in the registry, and no new start. At least one request in five seconds goes, so that the end is heard.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -103,13 +103,16 @@
         self._forget_limits(tree)
 
     def _forget_limits(self, tree: Tree) -> None:
-        """Drop what endpoints said that have ended or begun anew."""
+        """Drop what endpoints said that have begun anew."""
         starts = {name: one.born_ms for name, one in tree.endpoints.items()}
-        known = self._starts.items()
-        changed = [name for name, born_ms in known if starts.get(name) != born_ms]
+        anew = [
+            name
+            for name, born_ms in starts.items()
+            if self._starts.get(name, born_ms) != born_ms
+        ]
         self._starts = starts
         for link in self._links.values():
-            link.limits.forget(changed)
+            link.limits.forget(anew)
 
     def mark_leaving(self, endpoint_id: str) -> None:
         """Use no further grant for an endpoint."""
--- a/src/pomelolane/coordination/coordination.py
+++ b/src/pomelolane/coordination/coordination.py
@@ -248,10 +248,11 @@
     def status(self) -> CoordinationStatus:
         """Return what operators may want to see."""
         links = self.client.links()
+        now_ms = self._clock.now_ms()
         desks = [*self.role.desks().values(), *self._local.desks().values()]
         roles = [name for name in self.role.desks() if self.role.desk(name)]
         return CoordinationStatus(
-            links=tuple(link_status(links[name]) for name in sorted(links)),
+            links=tuple(link_status(links[name], now_ms) for name in sorted(links)),
             roles=tuple(sorted(roles)),
             desks=tuple(desk_status(desk) for desk in desks),
             suspects=self._chooser.suspects(),
--- a/src/pomelolane/coordination/desk.py
+++ b/src/pomelolane/coordination/desk.py
@@ -18,6 +18,7 @@
 from pomelolane.messages import (
     Granted,
     Handle,
+    LimitsHeard,
     Message,
     Progress,
     Refused,
@@ -82,6 +83,7 @@
         self._share_of = share_of
         self._share = 1.0
         self._leaving: set[str] = set()
+        self._limited: frozenset[str] = frozenset()
         self._tree: Tree | None = None
         self._settle_by_ms: float | None = None
         self._top_only = False
@@ -95,7 +97,10 @@
         self._dealt = self._dealt_to(self.followers())
         marked = self._with_marks(tree)
         if len(self._dealt) > 1:
-            marked = partitioned_tree(marked, self._dealt[0], self._dealt)
+            self._limited = self._limited_endpoints()
+            marked = partitioned_tree(
+                marked, self._dealt[0], self._dealt, self._limited
+            )
         self._carry_out(self.core.configure(marked, self._clock.now_ms()))
         self._update_share()
 
@@ -220,6 +225,8 @@
                 self._withdrawn(gateway, message)
             case Unfollow():
                 self._unfollowed(gateway, message)
+            case LimitsHeard():
+                self._limits_heard(gateway, message)
 
     def _submitted(self, gateway: str, message: Submit) -> None:
         if self._follower(gateway, message.epoch) is None:
@@ -282,6 +289,8 @@
             if event.finished:
                 self.book.remove(entry)
             self._carry_out(self.core.observe(event, now_ms))
+            if event.limit_per_s is not None:
+                self._note_limited()
 
     def _withdrawn(self, gateway: str, message: Withdraw) -> None:
         for request_id in message.request_ids:
@@ -290,6 +299,23 @@
             if known and message.epoch >= entry.epoch:
                 self._forget(entry)
 
+    def _limits_heard(self, gateway: str, message: LimitsHeard) -> None:
+        hear_limit = getattr(self.core, "hear_limit", None)
+        if hear_limit is None or self._follower(gateway, message.epoch) is None:
+            return
+        now_ms = self._clock.now_ms()
+        for one in message.limits:
+            hear_limit(one.endpoint_id, one.limit_per_s, now_ms - one.age_ms, now_ms)
+        self._note_limited()
+
+    def _note_limited(self) -> None:
+        """Deal the slots anew where other endpoints than before name a rate."""
+        if len(self._dealt) > 1 and self._limited_endpoints() != self._limited:
+            self.configure(self._tree)
+
+    def _limited_endpoints(self) -> frozenset[str]:
+        return getattr(self.core, "limited_endpoints", frozenset)()
+
     def _unfollowed(self, gateway: str, message: Unfollow) -> None:
         follower = self.book.followers.get(gateway)
         if follower is not None and message.epoch >= follower.epoch:
--- a/src/pomelolane/coordination/limits.py
+++ b/src/pomelolane/coordination/limits.py
@@ -7,9 +7,17 @@
 
 from pomelolane.events import ENDPOINT_LIMIT
 from pomelolane.logs import log_event
+from pomelolane.messages import NamedLimit
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Iterable
+
+
+_NONE = (math.inf, 0.0)
+
+KEPT_MS = 60_000.0
+"""How long a limit is told that no answer here repeats: an endpoint gets a request each
+few seconds at least, so that some gateway has heard its newer word."""
 
 
 class HeardLimits:
@@ -21,21 +29,23 @@
 
     def __init__(self, service: str) -> None:
         self._service = service
-        self._limits: dict[str, float] = {}
+        self._limits: dict[str, tuple[float, float]] = {}
 
-    def hear(self, endpoint_id: str, limit_per_s: float) -> None:
+    def hear(self, endpoint_id: str, limit_per_s: float, now_ms: float) -> None:
         """Keep what an answer says.
 
         Args:
             endpoint_id: The endpoint.
             limit_per_s: Requests a second, infinite where it names no limit.
+            now_ms: The time.
         """
-        if limit_per_s == self._limits.get(endpoint_id, math.inf):
-            return
+        before_per_s, _ = self._limits.get(endpoint_id, _NONE)
         if math.isinf(limit_per_s):
-            del self._limits[endpoint_id]
+            self._limits.pop(endpoint_id, None)
         else:
-            self._limits[endpoint_id] = limit_per_s
+            self._limits[endpoint_id] = limit_per_s, now_ms
+        if limit_per_s == before_per_s:
+            return
         log_event(
             ENDPOINT_LIMIT,
             endpoint=endpoint_id,
@@ -43,11 +53,19 @@
             limit_per_s="" if math.isinf(limit_per_s) else limit_per_s,
         )
 
-    def forget(self, endpoint_ids: Collection[str]) -> None:
-        """Drop what was heard of endpoints that have ended or begun anew."""
+    def forget(self, endpoint_ids: Iterable[str]) -> None:
+        """Drop what was heard of endpoints that have begun anew."""
         for endpoint_id in endpoint_ids:
             self._limits.pop(endpoint_id, None)
 
-    def known(self) -> dict[str, float]:
-        """Return the limits that stand, by endpoint."""
-        return dict(self._limits)
+    def known(self, now_ms: float) -> tuple[NamedLimit, ...]:
+        """Return the limits that stand."""
+        self._limits = {
+            endpoint_id: limit
+            for endpoint_id, limit in self._limits.items()
+            if now_ms - limit[1] < KEPT_MS
+        }
+        return tuple(
+            NamedLimit(endpoint_id, limit_per_s, int(now_ms - heard_ms))
+            for endpoint_id, (limit_per_s, heard_ms) in self._limits.items()
+        )
--- a/src/pomelolane/coordination/link.py
+++ b/src/pomelolane/coordination/link.py
@@ -14,7 +14,7 @@
 from pomelolane.events import LOCAL_FALLBACK, SCHEDULER_CHOSEN
 from pomelolane.logs import log_event
 from pomelolane.messages import (
-    NO_NEWS,
+    LimitsHeard,
     Message,
     Progress,
     Submit,
@@ -102,8 +102,9 @@
     def observe(self, ticket: Ticket, event: StreamEvent) -> None:
         """Pass on progress; what frees a slot goes at once."""
         ticket.saw(event)
-        if event.limit_per_s != NO_NEWS:
-            self.limits.hear(event.endpoint_id, event.limit_per_s)
+        if event.limit_per_s is not None:
+            now_ms = self._context.clock.now_ms()
+            self.limits.hear(event.endpoint_id, event.limit_per_s, now_ms)
         self._progress.add(event)
         if event.finished:
             self.drop(ticket)
@@ -264,10 +265,16 @@
         self._syncs = 0
         self._settled = False
         self._unsent.clear()
+        self._tell_limits()
         self._submit(list(self.waiting.values()), list(self.running.values()))
         self._flush_progress()
         self.sync()
 
+    def _tell_limits(self) -> None:
+        known = self.limits.known(self._context.clock.now_ms())
+        if known:
+            self.send(LimitsHeard(self.epoch, self.service, known))
+
     def _go_alone(self) -> None:
         log_event(
             LOCAL_FALLBACK, service=self.service, share=f"{self._context.share():.3f}"
--- a/src/pomelolane/coordination/progress.py
+++ b/src/pomelolane/coordination/progress.py
@@ -10,8 +10,6 @@
 
 import msgspec
 
-from pomelolane.messages import NO_NEWS
-
 if TYPE_CHECKING:
     from pomelolane.messages import StreamEvent
 
@@ -48,6 +46,6 @@
         refused=earlier.refused or later.refused,
         cached_tokens=max(earlier.cached_tokens, later.cached_tokens),
         limit_per_s=earlier.limit_per_s
-        if later.limit_per_s == NO_NEWS
+        if later.limit_per_s is None
         else later.limit_per_s,
     )
--- a/src/pomelolane/coordination/role.py
+++ b/src/pomelolane/coordination/role.py
@@ -14,6 +14,7 @@
 from pomelolane.events import SCHEDULER_ROLE
 from pomelolane.logs import log_event
 from pomelolane.messages import (
+    LimitsHeard,
     Message,
     NotScheduler,
     Progress,
@@ -33,7 +34,7 @@
     from pomelolane.coordination.options import Timings
     from pomelolane.ports import Clock, Peer, SchedulingCore, Transport
 
-ROLE_MESSAGES = (Submit, Sync, Progress, Withdraw, Unfollow)
+ROLE_MESSAGES = (Submit, Sync, Progress, Withdraw, Unfollow, LimitsHeard)
 """Kinds of messages that a scheduler takes from gateways."""
 
 _SPARE_PART = 0.5
@@ -166,7 +167,7 @@
                 self._transport.send(gateway, SyncAck(epochs.PING, message.service))
             case Submit():
                 self._submitted(gateway, message)
-            case Sync() | Unfollow():
+            case Sync() | Unfollow() | LimitsHeard():
                 self._pass_on(gateway, message, message.service)
             case Progress() | Withdraw():
                 for desk in self._desks.all():
@@ -188,7 +189,7 @@
         desk = self._desks.get(service)
         if desk is not None:
             desk.receive(gateway, message)
-        elif not isinstance(message, Unfollow):
+        elif not isinstance(message, Unfollow | LimitsHeard):
             self._decline(gateway, message.epoch, service)
 
     def _decline(self, gateway: str, epoch: int, service: str) -> None:
--- a/src/pomelolane/coordination/scope.py
+++ b/src/pomelolane/coordination/scope.py
@@ -43,12 +43,24 @@
     return replace(endpoint, leaving=True)
 
 
-def partitioned_tree(tree: Tree, vm_id: str, vm_ids: Collection[str]) -> Tree:
+def partitioned_tree(
+    tree: Tree,
+    vm_id: str,
+    vm_ids: Collection[str],
+    limited: Collection[str] = (),
+) -> Tree:
     """Return the tree with those slots alone that are one VM's own.
 
     Every slot is dealt to one of the VMs, so that VMs with equal views which all
     grant by themselves grant no slot twice, however few slots there are for each.
-    An endpoint without a slot for this VM counts as leaving.
+    An endpoint without a slot for this VM counts as leaving. One that has named a rate
+    belongs to one VM: a part of a rate is too little for a request now and then.
+
+    Args:
+        tree: The tree.
+        vm_id: This VM.
+        vm_ids: All that grant by themselves.
+        limited: Endpoints that have named a rate.
     """
     endpoints = dict(tree.endpoints)
     for service in {one.service for one in endpoints.values()}:
@@ -61,6 +73,9 @@
         for endpoint_id in list(open_ids):
             endpoint = endpoints[endpoint_id]
             own = sum(next(owners) == vm_id for _ in range(endpoint.slots))
+            if endpoint_id in limited:
+                owner = choose_several(endpoint_id, vm_ids, 1)[0]
+                own = endpoint.slots if owner == vm_id else 0
             slots = own or endpoint.slots
             endpoints[endpoint_id] = replace(endpoint, slots=slots, leaving=not own)
     return replace(tree, endpoints=endpoints)
--- a/src/pomelolane/coordination/status.py
+++ b/src/pomelolane/coordination/status.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from pomelolane.coordination.desk import Desk
     from pomelolane.coordination.link import Link
+    from pomelolane.messages import NamedLimit
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +48,7 @@
         epoch: Number of the choice.
         waiting: Own requests that wait.
         running: Own requests that run.
-        limits_per_s: Requests a second that endpoints in need have asked for.
+        limits: Rates that endpoints in need have asked for.
     """
 
     service: str
@@ -55,7 +56,7 @@
     epoch: int
     waiting: int
     running: int
-    limits_per_s: dict[str, float]
+    limits: tuple[NamedLimit, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +92,7 @@
     )
 
 
-def link_status(link: Link) -> LinkStatus:
+def link_status(link: Link, now_ms: float) -> LinkStatus:
     """Return the status of a link."""
     return LinkStatus(
         service=link.service,
@@ -99,5 +100,5 @@
         epoch=link.epoch,
         waiting=len(link.waiting),
         running=len(link.running),
-        limits_per_s=link.limits.known(),
+        limits=link.limits.known(now_ms),
     )
--- a/src/pomelolane/coordination/watch.py
+++ b/src/pomelolane/coordination/watch.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING
 
-from pomelolane.messages import NO_NEWS, StreamEvent
+from pomelolane.messages import StreamEvent
 
 if TYPE_CHECKING:
     from pomelolane.outcomes import Outcome
@@ -34,7 +34,7 @@
         self._tokens = 0
         self._reported_tokens = 0
         self._done = False
-        self._limit_per_s = NO_NEWS
+        self._limit_per_s: float | None = None
 
     def dispatched(self) -> None:
         """Note that the first byte of the request leaves now."""
@@ -101,5 +101,5 @@
             limit_per_s=self._limit_per_s,
             **values,
         )
-        self._limit_per_s = NO_NEWS
+        self._limit_per_s = None
         self._client.observe(event)
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -28,7 +28,6 @@
     timed_out,
 )
 from pomelolane.forwarding.handles import handle_from_state
-from pomelolane.forwarding.notices import Notices
 from pomelolane.forwarding.patience import (
     SilentEndpointError,
     patience_ms,
@@ -55,6 +54,7 @@
     from pomelolane.forwarding.call import ForwardCall
     from pomelolane.forwarding.endpoints import EndpointDirectory
     from pomelolane.forwarding.intake import Intake
+    from pomelolane.forwarding.notices import Notices
     from pomelolane.forwarding.sender import Sender, Sent
     from pomelolane.http.exchange import Exchange
     from pomelolane.model import Endpoint
@@ -97,6 +97,7 @@
         client: Where slots come from.
         sender: Writes to endpoints.
         directory: Endpoints as known here.
+        notices: Takes what endpoints say of themselves.
         make_budget: Makes a service's budget of repeated sends.
         quarantine: Requests that no endpoint may get.
         crashes: Looks after endpoints whose connections broke.
@@ -110,6 +111,7 @@
         client: SchedulerClient,
         sender: Sender,
         directory: EndpointDirectory,
+        notices: Notices,
         make_budget: Callable[[], SharedRetryBudget],
         quarantine: Quarantine,
         crashes: CrashWatch,
@@ -120,7 +122,7 @@
         self._client = client
         self._sender = sender
         self._directory = directory
-        self._notices = Notices(directory)
+        self._notices = notices
         self._make_budget = make_budget
         self._quarantine = quarantine
         self._gate = Gate(quarantine, client, clock)
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -17,6 +17,7 @@
 from pomelolane.forwarding.forwarder import Forwarder
 from pomelolane.forwarding.intake import Intake
 from pomelolane.forwarding.ledger import Ledger
+from pomelolane.forwarding.notices import Notices
 from pomelolane.forwarding.sender import Sender
 from pomelolane.forwarding.told import ToldUses
 from pomelolane.forwarding.tree import tree_from_configuration
@@ -190,6 +191,7 @@
             self.coordination.client,
             Sender(self._pool, dialect),
             directory,
+            Notices(directory),
             self._make_budget,
             self.quarantine,
             self._crashes,
--- a/src/pomelolane/messages/__init__.py
+++ b/src/pomelolane/messages/__init__.py
@@ -33,9 +33,10 @@
 )
 from pomelolane.messages.quarantine import CrashesReported, ReportedCrash
 from pomelolane.messages.scheduling import (
-    NO_NEWS,
     Granted,
     Handle,
+    LimitsHeard,
+    NamedLimit,
     NotScheduler,
     Progress,
     Refused,
@@ -53,7 +54,6 @@
 from pomelolane.messages.wire import AnyMessage, decode_message, encode_message
 
 __all__ = [
-    "NO_NEWS",
     "AnyMessage",
     "BranchContent",
     "BranchWanted",
@@ -70,8 +70,10 @@
     "HeartbeatWanted",
     "KeyAnswer",
     "KeyQuery",
+    "LimitsHeard",
     "MemberState",
     "Message",
+    "NamedLimit",
     "NotScheduler",
     "Progress",
     "Pulse",
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -10,9 +10,6 @@
 from pomelolane.messages.base import Message
 from pomelolane.outcomes import Reason
 
-NO_NEWS = -1.0
-"""Where an event tells nothing new of a figure."""
-
 
 class Handle(msgspec.Struct, frozen=True, array_like=True):
     """What a scheduler needs to know of a waiting request, never its body.
@@ -181,7 +178,7 @@
         refused: Whether the endpoint refused it before taking it.
         cached_tokens: Prompt tokens that the engine reported as cached, or -1.
         limit_per_s: Requests a second that the endpoint takes from all VMs together,
-            infinite where it names no limit, :data:`NO_NEWS` if not new.
+            infinite where it names no limit, None if not new.
     """
 
     request_id: str
@@ -193,7 +190,7 @@
     outcome: str = ""
     refused: bool = False
     cached_tokens: int = -1
-    limit_per_s: float = NO_NEWS
+    limit_per_s: float | None = None
 
 
 class Progress(Message, frozen=True):
@@ -246,6 +243,37 @@
     held: int = 0
 
 
+class NamedLimit(msgspec.Struct, frozen=True, array_like=True):
+    """The rate that an endpoint has named in an answer.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        limit_per_s: Requests a second that it takes from all VMs together.
+        age_ms: How long ago.
+    """
+
+    endpoint_id: str
+    limit_per_s: float
+    age_ms: int
+
+
+class LimitsHeard(Message, frozen=True):
+    """Gateway to its new scheduler: the rates that endpoints have named to it.
+
+    It comes before the handles, so that no grant goes past a limit which only the
+    scheduler before has known.
+
+    Attributes:
+        epoch: The gateway's number for its current choice of scheduler.
+        service: The service.
+        limits: The newest of each endpoint.
+    """
+
+    epoch: int
+    service: str
+    limits: tuple[NamedLimit, ...]
+
+
 class Unfollow(Message, frozen=True):
     """Gateway to its earlier scheduler: it follows another one now.
 
@@ -299,9 +327,10 @@
 
 
 __all__ = [
-    "NO_NEWS",
     "Granted",
     "Handle",
+    "LimitsHeard",
+    "NamedLimit",
     "NotScheduler",
     "Progress",
     "Refused",
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -33,6 +33,7 @@
 from pomelolane.messages.quarantine import CrashesReported
 from pomelolane.messages.scheduling import (
     Granted,
+    LimitsHeard,
     NotScheduler,
     Progress,
     Refused,
@@ -61,6 +62,7 @@
     | Sync
     | SyncAck
     | Unfollow
+    | LimitsHeard
     | Heartbeat
     | Pulse
     | HeartbeatWanted
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -13,6 +13,7 @@
 from pomelolane.scheduler.objective.admission import Admission
 from pomelolane.scheduler.objective.fleet import Fleet, most_room
 from pomelolane.scheduler.objective.options import ObjectiveOptions
+from pomelolane.scheduler.objective.rate import rate_answered, rate_told
 from pomelolane.scheduler.objective.waiting import (
     WaitingRequests,
     waiting_from_handle,
@@ -80,7 +81,7 @@
             for name, endpoint in tree.endpoints.items()
             if endpoint.service == self._service
         }
-        for request_id in self._fleet.configure(own):
+        for request_id in self._fleet.configure(own, now_ms):
             self._flights.pop(request_id, None)
         self.limits.configure(tree)
         return self._dispatch(now_ms)
@@ -108,6 +109,22 @@
         """Let only a share of organisations' rates pass."""
         self.limits.scale(share, now_ms)
 
+    def hear_limit(
+        self, endpoint_id: str, limit_per_s: float, heard_ms: float, now_ms: float
+    ) -> None:
+        """Learn the rate that an endpoint has named to a gateway."""
+        worker = self._fleet.find(endpoint_id)
+        if worker is not None:
+            worker.rate = rate_told(worker.rate, limit_per_s, heard_ms, now_ms)
+
+    def limited_endpoints(self) -> frozenset[str]:
+        """Return the endpoints that get no more than the rate that they ask for."""
+        return frozenset(
+            worker.endpoint.endpoint_id
+            for worker in self._fleet
+            if worker.rate is not None
+        )
+
     # --- requests ---------------------------------------------------------
 
     def submit(self, handle: Handle, now_ms: float) -> Sequence[Decision]:
@@ -161,6 +178,10 @@
         if worker is None or flight is None:
             return []
         worker.heard(now_ms)
+        if event.limit_per_s is not None:
+            worker.rate = rate_answered(
+                worker.rate, event.limit_per_s, flight.granted_ms, now_ms
+            )
         if event.tokens > 0 and event.elapsed_ms > 0:
             worker.saw_pieces(flight, event.tokens, event.elapsed_ms)
         begins = event.ttft_ms >= 0 and not flight.started
@@ -374,6 +395,8 @@
         self._admission.granted(handle.tier_rank, slot_ms, now_ms)
         flight = self._fleet.begin(worker, handle, now_ms)
         flight.charged_ms = now_ms
+        if worker.rate is not None:
+            worker.rate.take(now_ms)
         self.limits.granted(handle, handle.charge_tokens, waiting.submitted_ms, now_ms)
         self._flights[handle.request_id] = worker.endpoint.endpoint_id
         if self.trial is not None:
--- a/src/pomelolane/scheduler/objective/fleet.py
+++ b/src/pomelolane/scheduler/objective/fleet.py
@@ -7,6 +7,7 @@
 
 from pomelolane.model import ServiceKind
 from pomelolane.scheduler.objective.lengths import EventSize, Spread
+from pomelolane.scheduler.objective.rate import KEPT_MS
 from pomelolane.scheduler.objective.worker import Worker
 
 if TYPE_CHECKING:
@@ -15,6 +16,7 @@
     from pomelolane.messages import Handle
     from pomelolane.model import Endpoint
     from pomelolane.scheduler.objective.options import ObjectiveOptions
+    from pomelolane.scheduler.objective.rate import NamedRate
     from pomelolane.scheduler.objective.waiting import Waiting
     from pomelolane.scheduler.objective.worker import Flight
 
@@ -45,6 +47,7 @@
         self._spread = Spread()
         self._workers: dict[str, Worker] = {}
         self._with_room: dict[str, Worker] = {}
+        self._kept_rates: dict[tuple[str, int], NamedRate] = {}
         self._in_need = False
         self._fastest: Worker | None = None
         self._fastest_at_ms = 0.0
@@ -58,7 +61,7 @@
 
     # --- settings -----------------------------------------------------------
 
-    def configure(self, endpoints: Mapping[str, Endpoint]) -> list[str]:
+    def configure(self, endpoints: Mapping[str, Endpoint], now_ms: float) -> list[str]:
         """Adopt the declared endpoints; return the requests of those that are gone.
 
         One that was started again is gone as well, with all that is known of it.
@@ -69,10 +72,12 @@
             if endpoint is None or endpoint.born_ms != worker.endpoint.born_ms:
                 lost.extend(self._workers.pop(name).flights)
                 self._with_room.pop(name, None)
+                self._keep_rate(worker)
         for name, endpoint in endpoints.items():
             worker = self._workers.get(name)
             if worker is None:
                 worker = self._make_worker(endpoint)
+                worker.rate = self._take_kept_rate(endpoint, now_ms)
                 self._workers[name] = worker
             worker.endpoint = endpoint
             worker.leaving = endpoint.leaving
@@ -86,6 +91,20 @@
         for worker in self._workers.values():
             self._index(worker)
 
+    def _keep_rate(self, worker: Worker) -> None:
+        """Keep the rate of an endpoint that the registry may only have lost."""
+        if worker.rate is not None:
+            start = worker.endpoint.endpoint_id, worker.endpoint.born_ms
+            self._kept_rates[start] = worker.rate
+
+    def _take_kept_rate(self, endpoint: Endpoint, now_ms: float) -> NamedRate | None:
+        self._kept_rates = {
+            start: rate
+            for start, rate in self._kept_rates.items()
+            if now_ms - rate.named_ms < KEPT_MS
+        }
+        return self._kept_rates.pop((endpoint.endpoint_id, endpoint.born_ms), None)
+
     def _make_worker(self, endpoint: Endpoint) -> Worker:
         return Worker(endpoint, self.kind, self._options, self.event_size, self._spread)
 
@@ -120,14 +139,16 @@
             staying = (w for w in self._workers.values() if not w.leaving)
             self._in_need = all(worker.is_doubted(now_ms) for worker in staying)
         if self._in_need:
-            found = [w for w in with_room if not w.leaving]
+            found = [w for w in with_room if not w.leaving and w.is_within_rate(now_ms)]
         return found
 
     def is_still_open(self, worker: Worker, now_ms: float) -> bool:
         """Tell whether one of the open endpoints may get another request."""
         if worker.endpoint.endpoint_id not in self._with_room:
             return False
-        return self._in_need or worker.is_open(now_ms)
+        if self._in_need:
+            return worker.is_within_rate(now_ms)
+        return worker.is_open(now_ms)
 
     def has_any(self, excluded: tuple[str, ...]) -> bool:
         """Tell whether any endpoint stays that a request may go to."""
--- a/src/pomelolane/scheduler/objective/forecast.py
+++ b/src/pomelolane/scheduler/objective/forecast.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from bisect import bisect_right
 from typing import TYPE_CHECKING
 
@@ -14,9 +15,13 @@
     from collections.abc import Iterable, Sequence
 
     from pomelolane.messages import Handle
+    from pomelolane.scheduler.objective.rate import NamedRate
     from pomelolane.scheduler.objective.waiting import Key
     from pomelolane.scheduler.objective.worker import Pace, Worker
 
+_HELD_S = 1.0
+"""About how long a request holds a slot."""
+
 
 class Forecast:
     """The times from now at which slots come free, each used in turn.
@@ -56,11 +61,23 @@
         busy = sorted(
             worker.remaining_ms(flight, now_ms) for flight in worker.flights.values()
         )
-        free.extend(max(pause_ms, one) for one in busy[-slots:])
-        free.extend([pause_ms] * (slots - len(busy)))
+        starts_ms = [max(pause_ms, one) for one in busy[-slots:]]
+        starts_ms.extend([pause_ms] * (slots - len(busy)))
+        if worker.rate is not None:
+            starts_ms = _spaced(starts_ms, worker.rate, now_ms)
+        free.extend(starts_ms)
     return Forecast(free)
 
 
+def _spaced(starts_ms: list[float], rate: NamedRate, now_ms: float) -> list[float]:
+    """Return when as many slots come free as a rate keeps busy."""
+    busy_slots = max(1, math.ceil(rate.per_s * _HELD_S))
+    gap_ms = 1000.0 / rate.per_s
+    first_ms = rate.wait_ms(now_ms)
+    soonest = sorted(starts_ms)[:busy_slots]
+    return [max(one, first_ms + n * gap_ms) for n, one in enumerate(soonest)]
+
+
 class FleetPace:
     """How fast a service's endpoints are together, for any request.
 
--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -13,6 +13,7 @@
     from pomelolane.model import Endpoint
     from pomelolane.scheduler.objective.lengths import EventSize, Spread
     from pomelolane.scheduler.objective.options import ObjectiveOptions
+    from pomelolane.scheduler.objective.rate import NamedRate
 
 _SLOWEST = 12.0
 _FASTEST = 0.2
@@ -76,6 +77,7 @@
         fail_share: Learnt share of failed answers.
         straggling: Whether it is much slower than speed 1.
         suspended: Whether it gets nothing at present.
+        limit_per_s: Requests a second that it asks for, 0 where it names no limit.
     """
 
     running: int
@@ -83,6 +85,7 @@
     fail_share: float
     straggling: bool
     suspended: bool
+    limit_per_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +114,7 @@
         event_size: Expected tokens in one event of an answer, of all endpoints.
         spread: By how much first answer bytes miss their prediction, of all endpoints.
         leaving: Whether it may get nothing more.
+        rate: The rate that it asks for, None where it names no limit.
         flights: Running requests by id.
         slowdown: Learnt time against speed 1.
         fail_share: Learnt share of failed answers.
@@ -133,6 +137,7 @@
     event_size: EventSize
     spread: Spread
     leaving: bool = False
+    rate: NamedRate | None = None
     flights: dict[str, Flight] = field(default_factory=dict)
     slowdown: float = 1.0
     fail_share: float = 0.0
@@ -156,10 +161,14 @@
 
     def is_able(self, now_ms: float) -> bool:
         """Tell the same of one that gets requests of a trial alone."""
-        if now_ms < self.suspended_until_ms:
+        if now_ms < self.suspended_until_ms or not self.is_within_rate(now_ms):
             return False
         return not self.probing or len(self.flights) < _PROBES_AT_ONCE
 
+    def is_within_rate(self, now_ms: float) -> bool:
+        """Tell whether the rate that it asks for allows a request now."""
+        return self.rate is None or self.rate.wait_ms(now_ms) <= 0
+
     def is_doubted(self, now_ms: float) -> bool:
         """Tell whether it is suspended, or has to prove itself."""
         return self.probing or now_ms < self.suspended_until_ms
@@ -400,6 +409,7 @@
             self.fail_share,
             self.slowdown > _STRAGGLING_FACTOR,
             now_ms < self.suspended_until_ms,
+            0.0 if self.rate is None else self.rate.per_s,
         )
 
 
--- a/tests/coordination/overload.feature
+++ b/tests/coordination/overload.feature
@@ -85,3 +85,9 @@
     When "another" asks for 1 slots of tier 0
     And the running coordinated request shows its first token
     Then the scheduler has heard of it within 10 ms
+
+  # A part of a rate for each VM would be more than the rate, or nothing.
+  Scenario: VMs that all go alone keep the limit of an endpoint together
+    When 6 VMs know that an endpoint takes 1.5 requests a second, and all go alone
+    And each of them is asked for 40 requests in 8000 ms
+    Then together they send 17 requests to it at most, and 8 at least
--- a/tests/platform/notices.feature
+++ b/tests/platform/notices.feature
@@ -25,3 +25,31 @@
     And "e1" names a limit of 1.5 requests a second after 1 s
     Then "e1" gets no more than its limit allows
     And all requests are served
+
+  Scenario: The limit holds beyond the scheduler that heard of it
+    Given another platform VM
+    When callers ask the engines 40 times a second for 18 s
+    And "e1" names a limit of 1.5 requests a second after 1 s
+    And the engines' scheduler is killed after 5 s
+    And the engines' scheduler is frozen from 8 s to 11 s
+    Then "e1" gets no more than its limit allows
+
+  Scenario: All engines are in need
+    When callers ask the engines 40 times a second for 12 s
+    And "e1" names a limit of 2 requests a second after 1 s
+    And "e2" names a limit of 2 requests a second after 1 s
+    And "e3" names a limit of 2 requests a second after 1 s
+    Then "e1" gets no more than its limit allows
+    And "e2" gets no more than its limit allows
+    And "e3" gets no more than its limit allows
+    And each engine gets nearly what its limit allows it
+    And each answer is 200, or 503 with a time to come back
+
+  Scenario: An endpoint that names no limit any more gets its part again
+    Given the endpoint "e2" takes 300 ms
+    And the endpoint "e3" takes 300 ms
+    When callers ask the engines 40 times a second for 12 s
+    And "e1" names a limit of 1.5 requests a second after 1 s
+    And "e1" names no limit any more after 8 s
+    Then "e1" gets no more than its limit allows
+    And "e1" gets more than 10 requests in the last 2 s
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -168,7 +168,16 @@
     clock = ManualClock()
     unused = None
     context.forwarder = Forwarder(
-        unused, unused, unused, unused, unused, Quarantine(clock), unused, clock, ""
+        unused,
+        unused,
+        unused,
+        unused,
+        unused,
+        unused,
+        Quarantine(clock),
+        unused,
+        clock,
+        "",
     )
     assert context.forwarder.may_take(math.inf)
     context.forwarder.stop_by(clock.now_ms() + ms)
--- a/tests/steps/platform_notices_steps.py
+++ b/tests/steps/platform_notices_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import signal
 import time
 from collections import Counter
 
@@ -22,6 +23,7 @@
 def step_ask(context, per_s, for_s):
     context.statuses = Counter()
     context.asked_s = time.monotonic()
+    context.for_s = for_s
     context.named = {}
     context.lifted = {}
 
@@ -42,14 +44,17 @@
     headers = caller_headers(f"r{number}", token_usage="90,10")
     try:
         answer = await vm.ask("POST /chat/a HTTP/1.1", headers, b"")
-        statuses[answer.status] += 1
+        status = str(answer.status)
+        if float(answer.headers.get("retry-after", 0)) > 0:
+            status += " with a time"
+        statuses[status] += 1
     except (OSError, TimeoutError):
         statuses["none"] += 1
 
 
 def _later(context, after_s, act):
     async def wait():
-        await asyncio.sleep(after_s)
+        await asyncio.sleep(context.asked_s + after_s - time.monotonic())
         act()
 
     task = context.loop.create_task(wait())
@@ -65,6 +70,47 @@
     _later(context, after_s, act)
 
 
+@when('"{name}" names no limit any more after {after_s:d} s')
+def step_names_none(context, name, after_s):
+    def act():
+        del context.world.endpoints[name].says["server-limit"]
+        context.lifted[name] = time.monotonic()
+
+    _later(context, after_s, act)
+
+
+@given("another platform VM")
+def step_another_vm(context):
+    context.run(context.world.add_vm())
+
+
+def _scheduler(context):
+    """Return the VM that took the engines' role last."""
+    return max(context.world.vms, key=_taken_ms)
+
+
+def _taken_ms(vm):
+    roles = [one for one in vm.events("scheduler_role") if one["service"] == "pool"]
+    if not roles or roles[-1]["held"] not in (True, "true"):
+        return 0
+    return roles[-1]["t_ms"]
+
+
+@when("the engines' scheduler is killed after {after_s:d} s")
+def step_kill(context, after_s):
+    _later(context, after_s, lambda: _scheduler(context).process.kill())
+
+
+@when("the engines' scheduler is frozen from {from_s:d} s to {to_s:d} s")
+def step_freeze(context, from_s, to_s):
+    def freeze():
+        vm = _scheduler(context)
+        vm.signal(signal.SIGSTOP)
+        _later(context, to_s, lambda: vm.signal(signal.SIGCONT))
+
+    _later(context, from_s, freeze)
+
+
 @then('"{name}" gets no more than its limit allows')
 def step_bounded(context, name):
     context.run(context.play)
@@ -80,7 +126,7 @@
 @then("all requests are served")
 def step_all_served(context):
     context.run(context.play)
-    assert set(context.statuses) == {200}, context.statuses
+    assert set(context.statuses) == {"200"}, context.statuses
 
 
 @given('"{name}" says "{header}: {value}"')
@@ -104,3 +150,28 @@
 def step_logs_once(context, event, name):
     counts = [len(lines) for lines in _logged(context, event, name)]
     assert max(counts) == 1, counts
+
+
+@then("each engine gets nearly what its limit allows it")
+def step_used(context):
+    for name, (named_s, per_s) in context.named.items():
+        seen = context.world.endpoints[name].seen
+        count = sum(one.at_s >= named_s + STABLE_S for one in seen)
+        span_s = context.asked_s + context.for_s - named_s - STABLE_S
+        assert count >= 0.75 * per_s * span_s, (name, count, span_s)
+
+
+@then("each answer is 200, or 503 with a time to come back")
+def step_refused(context):
+    allowed = {"200", "503 with a time"}
+    assert set(context.statuses) == allowed, context.statuses
+
+
+@then('"{name}" gets more than {count:d} requests in the last {last_s:d} s')
+def step_last(context, name, count, last_s):
+    since_s = context.asked_s + context.for_s - last_s
+    counts = {
+        endpoint_id: sum(one.at_s >= since_s for one in endpoint.seen)
+        for endpoint_id, endpoint in context.world.endpoints.items()
+    }
+    assert counts[name] > count, counts
