--- a/tests/platform/notices.feature
+++ b/tests/platform/notices.feature
@@ -53,3 +53,10 @@
     And "e1" names no limit any more after 8 s
     Then "e1" gets no more than its limit allows
     And "e1" gets more than 10 requests in the last 2 s
+
+  # A request reached an endpoint 2.9 s after an answer had said that it leaves.
+  Scenario: An endpoint that says it leaves gets nothing, whatever the registry says
+    When callers ask the engines 40 times a second for 7 s
+    And "e1" says that it leaves after 1 s
+    Then "e1" gets nothing later than 2 s after its word
+    And all requests are served
--- a/tests/steps/platform_notices_steps.py
+++ b/tests/steps/platform_notices_steps.py
@@ -175,3 +175,20 @@
         for endpoint_id, endpoint in context.world.endpoints.items()
     }
     assert counts[name] > count, counts
+
+
+@when('"{name}" says that it leaves after {after_s:d} s')
+def step_leaves(context, name, after_s):
+    def act():
+        context.world.endpoints[name].says["server-leaving"] = "1"
+        context.said_s = time.monotonic()
+
+    _later(context, after_s, act)
+
+
+@then('"{name}" gets nothing later than {within_s:d} s after its word')
+def step_nothing(context, name, within_s):
+    context.run(context.play)
+    seen = context.world.endpoints[name].seen
+    late = sum(one.at_s > context.said_s + within_s for one in seen)
+    assert late == 0, late
