Take endpoints out of use that say in an answer that they leave

Callers saw: requests reached an endpoint up to 3.5 s after an answer had told the same VM that it leaves; the store was away, so that the registry did not say it for 12 s.

Cause: only the registry's word counted. Ruled out: a word lost between VMs (none read it), and grants from before it (the late ones were granted 2 s after).

Change: the list of endpoints by which a VM grants and sends counts one as leaving from its first answer that says so. The VM marks it for all others by the existing marks, which heartbeats repeat, so that a scheduler that takes the role later knows it. The mark names one start: a new start under the same id is free, a gap in the registry changes nothing.

--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from pomelolane import events
@@ -14,6 +15,15 @@
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock
 
+MARK_KEPT_MS = 600_000.0
+"""How long the mark of an endpoint is kept that the registry lists no more: it may only
+have lapsed there."""
+
+
+def name_of_start(endpoint: Endpoint) -> str:
+    """Return a name that an endpoint has until it starts anew."""
+    return f"{endpoint.endpoint_id}@{endpoint.born_ms}"
+
 
 class EndpointDirectory:
     """Endpoints by id, with the time at which the list was last confirmed.
@@ -26,6 +36,8 @@
         self._clock = clock
         self._endpoints: dict[str, Endpoint] = {}
         self._confirmed_ms = clock.now_ms()
+        self._marked_ms: dict[str, float] = {}
+        self._version = 0
         self._followers: list[Callable[[], None]] = []
         self._known = asyncio.Event()
 
@@ -60,6 +72,36 @@
         """Note that the source still says the same."""
         self._confirmed_ms = self._clock.now_ms()
 
+    def mark_leaving(self, start: str) -> bool:
+        """Count a start of an endpoint as leaving, whatever the source says.
+
+        Args:
+            start: Its :func:`name_of_start`.
+
+        Returns:
+            Whether that is news.
+        """
+        if start in self._marked_ms:
+            return False
+        self._marked_ms[start] = self._clock.now_ms()
+        self._adopt(self._endpoints)
+        return True
+
+    def _with_marks(self, endpoints: dict[str, Endpoint]) -> dict[str, Endpoint]:
+        now_ms = self._clock.now_ms()
+        marked = {
+            name: replace(one, leaving=True)
+            for name, one in endpoints.items()
+            if name_of_start(one) in self._marked_ms
+        }
+        self._marked_ms.update((name_of_start(one), now_ms) for one in marked.values())
+        self._marked_ms = {
+            start: at_ms
+            for start, at_ms in self._marked_ms.items()
+            if now_ms - at_ms < MARK_KEPT_MS
+        }
+        return endpoints | marked
+
     def replace(
         self, endpoints: dict[str, Endpoint], version: int, *, confirms: bool = True
     ) -> None:
@@ -73,6 +115,13 @@
         if confirms:
             self.confirm()
         self._known.set()
+        self._version = version
+        self._adopt(endpoints)
+
+    def _adopt(self, endpoints: dict[str, Endpoint]) -> None:
+        if self._marked_ms:
+            endpoints = self._with_marks(endpoints)
+        version = self._version
         before = self._endpoints
         if endpoints == before:
             return
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -284,7 +284,7 @@
             again = broken(state, watch, str(error))
             await state.run.broke()
             raise again from error
-        self._notices.take(endpoint.endpoint_id, sent.notice, watch)
+        self._notices.take(endpoint, sent.notice, watch)
         if sent.verdict is Verdict.NOT_RUN:
             state.run.settle()
             state.may_have_run = may_have_run
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -14,6 +14,7 @@
 from pomelolane.endpoints import ConnectionPool
 from pomelolane.forwarding.app import CallerApp, ProbeApp
 from pomelolane.forwarding.budget import RetryAllowance, SharedRetryBudget
+from pomelolane.forwarding.departures import SaidDepartures
 from pomelolane.forwarding.forwarder import Forwarder
 from pomelolane.forwarding.intake import Intake
 from pomelolane.forwarding.ledger import Ledger
@@ -191,7 +192,7 @@
             self.coordination.client,
             Sender(self._pool, dialect),
             directory,
-            Notices(directory),
+            Notices(directory, SaidDepartures(directory, self.member)),
             self._make_budget,
             self.quarantine,
             self._crashes,
--- a/src/pomelolane/forwarding/notices.py
+++ b/src/pomelolane/forwarding/notices.py
@@ -9,7 +9,9 @@
 
 if TYPE_CHECKING:
     from pomelolane.coordination.watch import StreamWatch
+    from pomelolane.forwarding.departures import SaidDepartures
     from pomelolane.forwarding.endpoints import EndpointDirectory
+    from pomelolane.model import Endpoint
     from pomelolane.ports.forwarding import EndpointNotice
 
 _LOGGED_BYTES = 64
@@ -20,25 +22,31 @@
 
     Args:
         directory: Endpoints as known here.
+        departures: Takes endpoints out of use that leave.
     """
 
-    def __init__(self, directory: EndpointDirectory) -> None:
+    def __init__(
+        self, directory: EndpointDirectory, departures: SaidDepartures
+    ) -> None:
         self._directory = directory
+        self._departures = departures
         self._rejected: dict[str, tuple[tuple[str, str], ...]] = {}
         directory.on_change(self._forget_gone)
 
     def take(
-        self, endpoint_id: str, notice: EndpointNotice, watch: StreamWatch
+        self, endpoint: Endpoint, notice: EndpointNotice, watch: StreamWatch
     ) -> None:
         """Take the notice of one answer.
 
         Args:
-            endpoint_id: Who gave it.
+            endpoint: Who gave it.
             notice: What it says.
             watch: Reports on the request to its scheduler.
         """
         watch.noticed(notice.limit_per_s)
-        self._log_rejected(endpoint_id, notice)
+        if notice.is_leaving:
+            self._departures.hear(endpoint)
+        self._log_rejected(endpoint.endpoint_id, notice)
 
     def _log_rejected(self, endpoint_id: str, notice: EndpointNotice) -> None:
         if notice.rejected == self._rejected.get(endpoint_id, ()):
--- a/src/pomelolane/platform/dialect.py
+++ b/src/pomelolane/platform/dialect.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from pomelolane.endpoints.headers import strip_hop_headers
 from pomelolane.exceptions import BadRequestError
@@ -11,12 +11,15 @@
 from pomelolane.ports.forwarding import CallDescription, EndpointNotice, Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from pomelolane.model import Endpoint
     from pomelolane.ports.forwarding import Dispatch
 
     Header = tuple[bytes, bytes]
+    Rejected = tuple[tuple[str, str], ...]
+
+T = TypeVar("T")
 
 _REQUEST_ID = b"request-id"
 _DEADLINE = b"deadline-ms"
@@ -36,6 +39,8 @@
 _MISDIRECTED = 421
 # Requests a second that the endpoint takes from all VMs together.
 _LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
+_FLAGS = {b"0": False, b"1": True}
 
 _SET_HERE = frozenset(
     {
@@ -113,23 +118,37 @@
         if status == _MISDIRECTED:
             # Another endpoint has taken over the address.
             return EndpointNotice()
-        named = b", ".join(value for name, value in headers if name == _LIMIT)
-        if not named:
-            return EndpointNotice(limit_per_s=math.inf)
-        limit_per_s = _rate(named)
-        if limit_per_s is None:
-            rejected = (_LIMIT.decode(), named.decode("latin-1"))
-            return EndpointNotice(rejected=(rejected,))
-        return EndpointNotice(limit_per_s=limit_per_s)
-
-
-def _rate(text: bytes) -> float | None:
-    """Return a rate, or None for what is none."""
+        limit_per_s, bad_limit = _read(headers, _LIMIT, _rate, math.inf)
+        is_leaving, bad_leaving = _read(headers, _LEAVING, _flag, False)
+        return EndpointNotice(
+            limit_per_s, bool(is_leaving), rejected=bad_limit + bad_leaving
+        )
+
+
+def _read(
+    headers: Sequence[Header], name: bytes, parse: Callable[[bytes], T], absent: T
+) -> tuple[T | None, Rejected]:
+    """Return a header's value, None with what was rejected if it cannot be read."""
+    text = b", ".join(value for key, value in headers if key == name).strip()
+    if not text:
+        return absent, ()
     try:
-        rate = float(text)
+        return parse(text), ()
     except ValueError:
-        return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
+        return None, ((name.decode(), text.decode("latin-1")),)
+
+
+def _rate(text: bytes) -> float:
+    rate = float(text)
+    if not math.isfinite(rate) or rate < 0:
+        raise ValueError(text)
+    return rate
+
+
+def _flag(text: bytes) -> bool:
+    if text not in _FLAGS:
+        raise ValueError(text)
+    return _FLAGS[text]
 
 
 def _number(name: bytes, text: bytes) -> int:
--- a/src/pomelolane/ports/forwarding.py
+++ b/src/pomelolane/ports/forwarding.py
@@ -81,10 +81,12 @@
     Attributes:
         limit_per_s: Requests a second that it takes from all VMs together, infinite
             where it names no limit, None where that cannot be told.
+        is_leaving: Whether it leaves: it wants no new requests.
         rejected: Names and values of headers that cannot be read.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
     rejected: tuple[tuple[str, str], ...] = ()
 
 
--- a/tests/platform/notices.feature
+++ b/tests/platform/notices.feature
@@ -60,3 +60,9 @@
     And "e1" says that it leaves after 1 s
     Then "e1" gets nothing later than 2 s after its word
     And all requests are served
+
+  Scenario: The word of an endpoint that leaves outlasts the scheduler that heard it
+    When callers ask the engines 40 times a second for 8 s
+    And "e1" says that it leaves after 1 s
+    And the engines' scheduler is killed after 3 s
+    Then "e1" gets nothing later than 2 s after its word
