--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -100,6 +100,7 @@
         at_s: When it arrived, by the test's monotonic clock.
         ended_s: When the process ended under it, 0 where it did not.
         bad_s: When it got a bad answer by the version's flaw, 0 where it did not.
+        turned_away: Whether it was turned away with a time of rest.
     """
 
     line: str
@@ -110,6 +111,7 @@
     at_s: float = field(default_factory=time.monotonic)
     ended_s: float = 0.0
     bad_s: float = 0.0
+    turned_away: bool = False
 
 
 @dataclass(eq=False)
@@ -123,6 +125,9 @@
         seen: All requests so far.
         ended: Set once its process has ended under a request.
         says: Headers that all its answers bear.
+        rest: What it asks for in ``Retry-After`` as it turns requests away, empty
+            where it turns none away.
+        turns_away_each: Which requests it turns away: 4 for each fourth.
     """
 
     endpoint_id: str
@@ -130,6 +135,8 @@
     fault: Fault = Fault.NONE
     seen: list[Seen] = field(default_factory=list)
     says: dict[str, str] = field(default_factory=dict)
+    rest: str = ""
+    turns_away_each: int = 1
 
     def __post_init__(self) -> None:
         self._running = asyncio.Semaphore(self.options.slots)
@@ -181,6 +188,11 @@
         if expected != self.endpoint_id:
             writer.write(_head(421, {"instance-id": self.endpoint_id}, 0))
             return True
+        if self.rest and len(self.seen) % self.turns_away_each == 0:
+            request.turned_away = True
+            headers = {"not-executed": "1", "retry-after": self.rest, **self.says}
+            writer.write(_head(503, headers, 0))
+            return True
         full = self._waiting >= self.options.queue and self._running.locked()
         if full:
             writer.write(_head(503, {"not-executed": "1", **self.says}, 0))
--- a/tests/platform/notices.feature
+++ b/tests/platform/notices.feature
@@ -66,3 +66,12 @@
     And "e1" says that it leaves after 1 s
     And the engines' scheduler is killed after 3 s
     Then "e1" gets nothing later than 2 s after its word
+
+  # An endpoint had asked a VM for 3 s of rest, and got four requests from it.
+  Scenario: An endpoint that asks a VM for rest gets it
+    Given the endpoint "e2" takes 300 ms
+    And the endpoint "e3" takes 300 ms
+    When callers ask the engines 40 times a second for 9 s
+    And "e1" turns each 4th request away for 3 s of rest after 1 s
+    Then "e1" gets 2 requests at most from a VM while it rests
+    And each answer is 200, or 503 with a time to come back
--- a/tests/steps/platform_notices_steps.py
+++ b/tests/steps/platform_notices_steps.py
@@ -15,6 +15,7 @@
 STABLE_S = 3.0
 """Time from which on a limit binds."""
 
+RESTED_FROM_S = 0.5
 MOST_FACTOR = 1.5
 MOST_BESIDE = 5
 
@@ -192,3 +193,35 @@
     seen = context.world.endpoints[name].seen
     late = sum(one.at_s > context.said_s + within_s for one in seen)
     assert late == 0, late
+
+
+@when(
+    '"{name}" turns each {each:d}th request away for {rest_s:d} s of rest after '
+    "{after_s:d} s"
+)
+def step_rests(context, name, each, rest_s, after_s):
+    context.world.endpoints[name].turns_away_each = each
+    context.rest_s = rest_s
+
+    def act():
+        context.world.endpoints[name].rest = str(rest_s)
+
+    _later(context, after_s, act)
+
+
+@then('"{name}" gets {most:d} requests at most from a VM while it rests')
+def step_rested(context, name, most):
+    context.run(context.play)
+    seen = context.world.endpoints[name].seen
+    assert any(one.turned_away for one in seen)
+    for vm in range(len(context.world.vms)):
+        own = [one for one in seen if _asked_vm(context, one) == vm]
+        for asked in (one.at_s for one in own if one.turned_away):
+            rest = asked + RESTED_FROM_S, asked + context.rest_s
+            got = sum(rest[0] < one.at_s < rest[1] for one in own)
+            assert got <= most, (vm, got)
+
+
+def _asked_vm(context, seen):
+    """Return the number of the VM that a request was sent to."""
+    return int(seen.headers["request-id"][1:]) % len(context.world.vms)
