Give endpoints the rest that they ask a VM for

Callers and operators saw: an endpoint turned a VM away with 503 and Retry-After: 3 and got up to four requests from that VM in the 3 s, two are allowed.

Cause: how long was not read. A refusal paused the endpoint for all VMs for 60 ms, doubled with each in a row, and the next answer to any VM ended that. Ruled out: grants from before the rest (the late ones were granted 2 s after).

Change: the VM that was turned away uses no grant for that endpoint until the rest is over, and leaves it out of what it asks for; the scheduler moves the work to other endpoints, and other VMs to this one. A new start ends the rest.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -13,6 +13,7 @@
 
 from pomelolane.coordination.epochs import PING
 from pomelolane.coordination.link import Link
+from pomelolane.coordination.rests import Rests
 from pomelolane.coordination.tickets import Ticket
 from pomelolane.messages import (
     Granted,
@@ -52,6 +53,7 @@
         self._links: dict[str, Link] = {}
         self._tickets: dict[str, Ticket] = {}
         self._leaving: set[str] = set()
+        self._rests = Rests(context.clock)
         self._starts: dict[str, int] = {}
         self._retry_after_ms: dict[str, int] = {}
         self._pinged_ms = context.clock.now_ms()
@@ -72,7 +74,7 @@
             return _not_run(Reason.NOT_READY, 1000, "the service is not configured")
         if handle.request_id in self._tickets:
             return _not_run(Reason.CLAIM_HELD, 0, "the request id is in use")
-        ticket = self._open(handle)
+        ticket = self._open(self._rests.excluded_from(handle))
         link.add(ticket)
         try:
             return await ticket.answer
@@ -89,6 +91,10 @@
             del self._tickets[event.request_id]
         self._links[ticket.handle.service].observe(ticket, event)
 
+    def rest(self, service: str, endpoint_id: str, rest_ms: float) -> None:
+        """Use no grant for an endpoint for a time: it has asked this VM for rest."""
+        self._rests.begin(service, endpoint_id, rest_ms)
+
     # --- the facade -------------------------------------------------------
 
     def configure(self, tree: Tree) -> None:
@@ -100,9 +106,9 @@
         for service in [name for name in self._links if name not in tree.services]:
             self._close(service)
         self._leaving &= set(tree.endpoints)
-        self._forget_limits(tree)
+        self._forget_earlier_starts(tree)
 
-    def _forget_limits(self, tree: Tree) -> None:
+    def _forget_earlier_starts(self, tree: Tree) -> None:
         """Drop what endpoints said that have begun anew."""
         starts = {name: one.born_ms for name, one in tree.endpoints.items()}
         anew = [
@@ -113,6 +119,7 @@
         self._starts = starts
         for link in self._links.values():
             link.limits.forget(anew)
+        self._rests.forget(anew)
 
     def mark_leaving(self, endpoint_id: str) -> None:
         """Use no further grant for an endpoint."""
@@ -242,7 +249,9 @@
         self._doubted.clear()
 
     def _is_ruled_out(self, ticket: Ticket, endpoint_id: str) -> bool:
-        return endpoint_id in self._leaving or endpoint_id in ticket.handle.excluded
+        if endpoint_id in self._leaving or self._rests.includes(endpoint_id):
+            return True
+        return endpoint_id in ticket.handle.excluded
 
     def _look_elsewhere(self, link: Link, ticket: Ticket, endpoint_id: str) -> None:
         excluded = {*ticket.handle.excluded, endpoint_id}
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -495,6 +495,13 @@
     "endpoint header value",
     "What an endpoint says of itself in its answers cannot be read; it is passed over.",
 )
+ENDPOINT_RESTS = _define(
+    810,
+    "endpoint_rests",
+    "info",
+    "endpoint service rest_ms",
+    "It has turned a request away and wants nothing from this VM for so long.",
+)
 ROLLOUT_ORDERED = _define(
     811,
     "rollout_ordered",
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -192,7 +192,11 @@
             self.coordination.client,
             Sender(self._pool, dialect),
             directory,
-            Notices(directory, SaidDepartures(directory, self.member)),
+            Notices(
+                directory,
+                SaidDepartures(directory, self.member),
+                self.coordination.client,
+            ),
             self._make_budget,
             self.quarantine,
             self._crashes,
--- a/src/pomelolane/forwarding/notices.py
+++ b/src/pomelolane/forwarding/notices.py
@@ -8,6 +8,7 @@
 from pomelolane.logs import log_event
 
 if TYPE_CHECKING:
+    from pomelolane.coordination.client import GatewayClient
     from pomelolane.coordination.watch import StreamWatch
     from pomelolane.forwarding.departures import SaidDepartures
     from pomelolane.forwarding.endpoints import EndpointDirectory
@@ -23,11 +24,16 @@
     Args:
         directory: Endpoints as known here.
         departures: Takes endpoints out of use that leave.
+        client: Uses no grants for endpoints that rest.
     """
 
     def __init__(
-        self, directory: EndpointDirectory, departures: SaidDepartures
+        self,
+        directory: EndpointDirectory,
+        departures: SaidDepartures,
+        client: GatewayClient,
     ) -> None:
+        self._client = client
         self._directory = directory
         self._departures = departures
         self._rejected: dict[str, tuple[tuple[str, str], ...]] = {}
@@ -44,6 +50,8 @@
             watch: Reports on the request to its scheduler.
         """
         watch.noticed(notice.limit_per_s)
+        if notice.rest_ms > 0:
+            self._client.rest(endpoint.service, endpoint.endpoint_id, notice.rest_ms)
         if notice.is_leaving:
             self._departures.hear(endpoint)
         self._log_rejected(endpoint.endpoint_id, notice)
--- a/src/pomelolane/platform/dialect.py
+++ b/src/pomelolane/platform/dialect.py
@@ -37,9 +37,13 @@
 _NOT_RUN = b"not-executed"
 _ENCODING = b"content-encoding"
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 # Requests a second that the endpoint takes from all VMs together.
 _LIMIT = b"server-limit"
 _LEAVING = b"server-leaving"
+# Seconds in which the endpoint wants nothing from this VM.
+_REST = b"retry-after"
+_MOST_REST_S = 600.0
 _FLAGS = {b"0": False, b"1": True}
 
 _SET_HERE = frozenset(
@@ -118,10 +122,16 @@
         if status == _MISDIRECTED:
             # Another endpoint has taken over the address.
             return EndpointNotice()
-        limit_per_s, bad_limit = _read(headers, _LIMIT, _rate, math.inf)
+        limit_per_s, bad_limit = _read(headers, _LIMIT, _not_negative, math.inf)
         is_leaving, bad_leaving = _read(headers, _LEAVING, _flag, False)
+        rest_ms, bad_rest = 0.0, ()
+        if status == _UNAVAILABLE:
+            rest_ms, bad_rest = _read(headers, _REST, _rest_ms, 0.0)
         return EndpointNotice(
-            limit_per_s, bool(is_leaving), rejected=bad_limit + bad_leaving
+            limit_per_s,
+            bool(is_leaving),
+            rest_ms or 0.0,
+            bad_limit + bad_leaving + bad_rest,
         )
 
 
@@ -138,11 +148,15 @@
         return None, ((name.decode(), text.decode("latin-1")),)
 
 
-def _rate(text: bytes) -> float:
-    rate = float(text)
-    if not math.isfinite(rate) or rate < 0:
+def _not_negative(text: bytes) -> float:
+    number = float(text)
+    if not math.isfinite(number) or number < 0:
         raise ValueError(text)
-    return rate
+    return number
+
+
+def _rest_ms(text: bytes) -> float:
+    return min(_not_negative(text), _MOST_REST_S) * 1000.0
 
 
 def _flag(text: bytes) -> bool:
--- a/src/pomelolane/ports/forwarding.py
+++ b/src/pomelolane/ports/forwarding.py
@@ -82,11 +82,13 @@
         limit_per_s: Requests a second that it takes from all VMs together, infinite
             where it names no limit, None where that cannot be told.
         is_leaving: Whether it leaves: it wants no new requests.
+        rest_ms: How long it wants nothing from this VM, 0 where it does not ask.
         rejected: Names and values of headers that cannot be read.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
+    rest_ms: float = 0.0
     rejected: tuple[tuple[str, str], ...] = ()
 
 
--- a/tests/platform/notices.feature
+++ b/tests/platform/notices.feature
@@ -75,3 +75,13 @@
     And "e1" turns each 4th request away for 3 s of rest after 1 s
     Then "e1" gets 2 requests at most from a VM while it rests
     And each answer is 200, or 503 with a time to come back
+
+  Scenario: All engines ask for rest
+    When callers ask the engines 40 times a second for 9 s
+    And "e1" turns each 4th request away for 3 s of rest after 1 s
+    And "e2" turns each 4th request away for 3 s of rest after 1 s
+    And "e3" turns each 4th request away for 3 s of rest after 1 s
+    Then "e1" gets 2 requests at most from a VM while it rests
+    And "e2" gets 2 requests at most from a VM while it rests
+    And "e3" gets 2 requests at most from a VM while it rests
+    And each answer is 200, or 503 with a time to come back
