--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -30,9 +30,10 @@
         SchedulingCore,
         VersionTrial,
     )
+    from pomelolane.scheduler.objective.flight import Flight
     from pomelolane.scheduler.objective.forecast import Outlook
     from pomelolane.scheduler.objective.waiting import Waiting, WaitingLine
-    from pomelolane.scheduler.objective.worker import Flight, Worker, WorkerFigures
+    from pomelolane.scheduler.objective.worker import Worker, WorkerFigures
 
 _TRIES = 12
 """Waiting requests looked at after the first one that finds no place."""
--- a/src/pomelolane/scheduler/objective/fleet.py
+++ b/src/pomelolane/scheduler/objective/fleet.py
@@ -15,10 +15,10 @@
 
     from pomelolane.messages import Handle
     from pomelolane.model import Endpoint
+    from pomelolane.scheduler.objective.flight import Flight
     from pomelolane.scheduler.objective.options import ObjectiveOptions
     from pomelolane.scheduler.objective.rate import NamedRate
     from pomelolane.scheduler.objective.waiting import Waiting
-    from pomelolane.scheduler.objective.worker import Flight
 
 _ANY_TIME_MS = float("inf")
 
