Remember how many VMs there were before a cut for as long as meant

Cause: where equal counts were merged, the entry before them was overwritten, so that the larger count was forgotten at the second question and a VM that is cut off took the whole of a limit for its part.

--- a/src/pomelolane/coordination/chooser.py
+++ b/src/pomelolane/coordination/chooser.py
@@ -130,7 +130,8 @@
         while now_ms - self._seen[0][0] > _SEEN_MS:
             self._seen.popleft()
         if len(self._seen) > 2 and self._seen[-2][1] == self._seen[-1][1]:
-            self._seen[-2] = self._seen.pop()
+            newest = self._seen.pop()
+            self._seen[-1] = newest
 
     def is_suspected(self, vm_id: str) -> bool:
         """Tell whether a VM is passed over because of its silence."""
