Tell limits to a scheduler that takes the role after it was asked

Found in reading the mend of endpoints' limits: a gateway that follows a VM which does not see itself as the scheduler yet tells it what endpoints have named, and is declined with it; when the VM takes the role, the handles come again by the sync, the limits did not. They go with each first sync now. A word from before an answer without a limit brings the limit back no more, however often it is told.

Red before: coordination/overload.feature, 'A scheduler that takes the role after it was asked still hears of limits' (the successor knew of none).

--- a/src/pomelolane/coordination/limits.py
+++ b/src/pomelolane/coordination/limits.py
@@ -8,6 +8,7 @@
 from pomelolane.events import ENDPOINT_LIMIT
 from pomelolane.logs import log_event
 from pomelolane.messages import NamedLimit
+from pomelolane.ports import LIMIT_KEPT_MS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -15,10 +16,6 @@
 
 _NONE = (math.inf, 0.0)
 
-KEPT_MS = 60_000.0
-"""How long a limit is told that no answer here repeats: an endpoint gets a request each
-few seconds at least, so that some gateway has heard its newer word."""
-
 
 class HeardLimits:
     """Limits of one service's endpoints, the newest of each.
@@ -63,7 +60,7 @@
         self._limits = {
             endpoint_id: limit
             for endpoint_id, limit in self._limits.items()
-            if now_ms - limit[1] < KEPT_MS
+            if now_ms - limit[1] < LIMIT_KEPT_MS
         }
         return tuple(
             NamedLimit(endpoint_id, limit_per_s, int(now_ms - heard_ms))
--- a/src/pomelolane/coordination/link.py
+++ b/src/pomelolane/coordination/link.py
@@ -157,6 +157,9 @@
         """Tell the scheduler what is held, and see whether it is there."""
         is_short = len(self.waiting) + len(self.running) <= _SHORT_LISTS
         is_whole = is_short or self._syncs % self._timings.whole_every == 0
+        if self._syncs == 0:
+            # A scheduler that was asked before it took the role has heard nothing.
+            self._tell_limits()
         waiting = tuple(self.waiting) if is_whole else ()
         running = tuple(self.running) if is_whole else ()
         self._syncs += 1
--- a/src/pomelolane/forwarding/departures.py
+++ b/src/pomelolane/forwarding/departures.py
@@ -57,6 +57,8 @@
 
     def _take_back(self) -> None:
         """End the marks of starts that are no more."""
+        if not self._told:
+            return
         listed = {name_of_start(one) for one in self._directory.listed()}
         for start in self._told - listed:
             self._told.discard(start)
--- a/src/pomelolane/ports/__init__.py
+++ b/src/pomelolane/ports/__init__.py
@@ -17,6 +17,7 @@
     WriteResult,
 )
 from pomelolane.ports.scheduling import (
+    LIMIT_KEPT_MS,
     CacheEvent,
     Decision,
     Grant,
@@ -27,6 +28,7 @@
 )
 
 __all__ = [
+    "LIMIT_KEPT_MS",
     "CacheEvent",
     "ClaimRecord",
     "Claims",
--- a/src/pomelolane/ports/scheduling.py
+++ b/src/pomelolane/ports/scheduling.py
@@ -16,6 +16,11 @@
     from pomelolane.outcomes import Refusal
 
 
+LIMIT_KEPT_MS = 60_000.0
+"""How long the rate that an endpoint has named is remembered where no answer repeats
+it: one request in a few seconds goes at least, so that somebody hears a newer word."""
+
+
 @dataclass(frozen=True, slots=True)
 class Grant:
     """Permission to dispatch one request to one endpoint, once.
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -115,7 +116,7 @@
     ) -> None:
         """Learn the rate that an endpoint has named to a gateway."""
         worker = self._fleet.find(endpoint_id)
-        if worker is not None:
+        if worker is not None and heard_ms > worker.unlimited_ms:
             worker.rate = rate_told(worker.rate, limit_per_s, heard_ms, now_ms)
 
     def limited_endpoints(self) -> frozenset[str]:
@@ -183,6 +184,8 @@
             worker.rate = rate_answered(
                 worker.rate, event.limit_per_s, flight.granted_ms, now_ms
             )
+            if math.isinf(event.limit_per_s):
+                worker.unlimited_ms = max(worker.unlimited_ms, flight.granted_ms)
         if event.tokens > 0 and event.elapsed_ms > 0:
             worker.saw_pieces(flight, event.tokens, event.elapsed_ms)
         begins = event.ttft_ms >= 0 and not flight.started
--- a/src/pomelolane/scheduler/objective/fleet.py
+++ b/src/pomelolane/scheduler/objective/fleet.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.model import ServiceKind
+from pomelolane.ports import LIMIT_KEPT_MS
 from pomelolane.scheduler.objective.lengths import EventSize, Spread
-from pomelolane.scheduler.objective.rate import KEPT_MS
 from pomelolane.scheduler.objective.worker import Worker
 
 if TYPE_CHECKING:
@@ -101,7 +101,7 @@
         self._kept_rates = {
             start: rate
             for start, rate in self._kept_rates.items()
-            if now_ms - rate.named_ms < KEPT_MS
+            if now_ms - rate.named_ms < LIMIT_KEPT_MS
         }
         return self._kept_rates.pop((endpoint.endpoint_id, endpoint.born_ms), None)
 
--- a/src/pomelolane/scheduler/objective/rate.py
+++ b/src/pomelolane/scheduler/objective/rate.py
@@ -10,10 +10,6 @@
 _LEAST_PER_S = 0.2
 """A request now and then finds out whether a limit of less still stands."""
 
-KEPT_MS = 60_000.0
-"""How long a rate is remembered that no answer repeats: an endpoint gets a request each
-few seconds at least, so that somebody has heard its newer word."""
-
 
 class NamedRate:
     """Spaces the requests to one endpoint.
--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -80,6 +81,7 @@
         spread: By how much first answer bytes miss their prediction, of all endpoints.
         leaving: Whether it may get nothing more.
         rate: The rate that it asks for, None where it names no limit.
+        unlimited_ms: When the newest request was granted that was answered without one.
         flights: Running requests by id.
         slowdown: Learnt time against speed 1.
         fail_share: Learnt share of failed answers.
@@ -103,6 +105,7 @@
     spread: Spread
     leaving: bool = False
     rate: NamedRate | None = None
+    unlimited_ms: float = -math.inf
     flights: dict[str, Flight] = field(default_factory=dict)
     slowdown: float = 1.0
     fail_share: float = 0.0
--- a/tests/coordination/overload.feature
+++ b/tests/coordination/overload.feature
@@ -88,6 +88,13 @@
 
   # A part of a rate for each VM would be more than the rate, or nothing.
   Scenario: VMs that all go alone keep the limit of an endpoint together
-    When 6 VMs know that an endpoint takes 1.5 requests a second, and all go alone
+    Given 6 VMs that know that an endpoint takes 1.5 requests a second
+    When none of them hears any other
     And each of them is asked for 40 requests in 8000 ms
     Then together they send 17 requests to it at most, and 8 at least
+
+  Scenario: A scheduler that takes the role after it was asked still hears of limits
+    Given 4 VMs that know that an endpoint takes 1.5 requests a second
+    But the scheduler's successor has not heard of it
+    When the scheduler dies, and its successor is the last to see that
+    Then the successor keeps the endpoint's limit
--- a/tests/platform/notices.feature
+++ b/tests/platform/notices.feature
@@ -85,3 +85,9 @@
     And "e2" gets 2 requests at most from a VM while it rests
     And "e3" gets 2 requests at most from a VM while it rests
     And each answer is 200, or 503 with a time to come back
+
+  Scenario: The limit holds as all VMs are killed and started again in turn
+    When callers ask the engines 40 times a second for 14 s
+    And "e1" names a limit of 1.5 requests a second after 1 s
+    And the VMs are killed and started again one after the other meanwhile
+    Then "e1" gets no more than its limit allows
--- a/tests/scheduler/rate.feature
+++ b/tests/scheduler/rate.feature
@@ -45,6 +45,14 @@
     And 100 requests wait for 1000 ms
     Then "needy" is granted 18 to 20 of them
 
+  Scenario: What a gateway has heard earlier brings no limit back
+    When an answer of "needy" names 1 requests a second
+    And 2000 ms pass for the objective core
+    And an answer of "needy" names no limit
+    And a gateway tells that "needy" named 1 requests a second 1900 ms ago
+    And 30 requests wait for 50 ms
+    Then "needy" is granted 30 to 30 of them
+
   Scenario: It outlasts a gap in the registry, and not a new start
     When a gateway tells that "needy" named 1 requests a second 500 ms ago
     And the registry loses "needy" for a moment
--- a/tests/steps/scheduler_rate_steps.py
+++ b/tests/steps/scheduler_rate_steps.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from itertools import combinations, count
 
-from behave import then, when
+from behave import given, then, when
 from scheduler_driver import make_handle
 
 from pomelolane.messages import StreamEvent
@@ -115,11 +115,8 @@
     assert least <= context.granted <= most, context.granted
 
 
-@when(
-    "{number:d} VMs know that an endpoint takes {per_s:g} requests a second, and all "
-    "go alone"
-)
-def step_all_alone(context, number, per_s):
+@given("{number:d} VMs that know that an endpoint takes {per_s:g} requests a second")
+def step_all_know(context, number, per_s):
     names = [f"a-{one}" for one in range(number)]
     world = context.world = World(
         names,
@@ -136,7 +133,41 @@
     context.run(world.run(20))
     for name in names:
         _hear(context, name, per_s)
-    world.network.cuts |= {frozenset(pair) for pair in combinations(names, 2)}
+    context.run(world.run(50))
+
+
+@when("none of them hears any other")
+def step_all_alone(context):
+    world = context.world
+    world.network.cuts |= {frozenset(pair) for pair in combinations(world.vms, 2)}
+
+
+@given("the scheduler's successor has not heard of it")
+def step_successor_unaware(context):
+    holder = context.world.vms[context.world.scheduler()]
+    context.successor = holder.coordination.successor("pool")
+    client = context.world.vms[context.successor].coordination.client
+    client.links()["pool"].limits.forget(["a/1"])
+
+
+@when("the scheduler dies, and its successor is the last to see that")
+def step_successor_late(context):
+    world = context.world
+    world.kill(world.scheduler())
+    peers = {name: world.peers[name] for name in world.vms}
+    for name in world.vms.keys() - {context.successor}:
+        world.vms[name].membership.set(peers)
+    for name in world.vms:
+        ask(context, name)
+    context.run(world.run(300))
+    world.share_view()
+    context.run(world.run(1_000))
+
+
+@then("the successor keeps the endpoint's limit")
+def step_successor_knows(context):
+    desk = context.world.vms[context.successor].coordination.role.desk("pool")
+    assert desk.core.limited_endpoints() == {"a/1"}
 
 
 def _hear(context, name, per_s):
