End an endpoint's limit with a success alone

Found in reading the mend: a refusal or a failure without the header counted as 'names no limit', so that an endpoint in need which turns one request away would be open to all that waits. What 421, 5xx and refusals leave out says nothing now.

Red before: scheduler/rate.feature, 'What the header may say', 503 and 500 without the header.

--- a/src/pomelolane/platform/dialect.py
+++ b/src/pomelolane/platform/dialect.py
@@ -110,8 +110,7 @@
         echoed = found.get(_REQUEST_ID)
         if echoed is not None and echoed.decode("latin-1") != request_id:
             return Verdict.FOREIGN
-        is_success = 200 <= status < 300
-        if is_success and (echoed is None or _SEAL not in found):
+        if _is_success(status) and (echoed is None or _SEAL not in found):
             return Verdict.INVALID
         if _ENCODING in found or status < 200 or 300 <= status < 400:
             return Verdict.INVALID
@@ -122,7 +121,9 @@
         if status == _MISDIRECTED:
             # Another endpoint has taken over the address.
             return EndpointNotice()
-        limit_per_s, bad_limit = _read(headers, _LIMIT, _not_negative, math.inf)
+        # Only a success tells that a limit is over: others may lack the header.
+        no_limit = math.inf if _is_success(status) else None
+        limit_per_s, bad_limit = _read(headers, _LIMIT, _not_negative, no_limit)
         is_leaving, bad_leaving = _read(headers, _LEAVING, _flag, False)
         rest_ms, bad_rest = 0.0, ()
         if status == _UNAVAILABLE:
@@ -135,8 +136,15 @@
         )
 
 
+def _is_success(status: int) -> bool:
+    return 200 <= status < 300
+
+
 def _read(
-    headers: Sequence[Header], name: bytes, parse: Callable[[bytes], T], absent: T
+    headers: Sequence[Header],
+    name: bytes,
+    parse: Callable[[bytes], T],
+    absent: T | None,
 ) -> tuple[T | None, Rejected]:
     """Return a header's value, None with what was rejected if it cannot be read."""
     text = b", ".join(value for key, value in headers if key == name).strip()
--- a/src/pomelolane/ports/forwarding.py
+++ b/src/pomelolane/ports/forwarding.py
@@ -80,7 +80,7 @@
 
     Attributes:
         limit_per_s: Requests a second that it takes from all VMs together, infinite
-            where it names no limit, None where that cannot be told.
+            where a success names no limit, None where that cannot be told.
         is_leaving: Whether it leaves: it wants no new requests.
         rest_ms: How long it wants nothing from this VM, 0 where it does not ask.
         rejected: Names and values of headers that cannot be read.
--- a/tests/scheduler/rate.feature
+++ b/tests/scheduler/rate.feature
@@ -76,3 +76,21 @@
       | r2 | 1    | 9000         |
       | r3 | 1    | 400          |
     Then "r3" is refused as "deadline_unreachable" with a time to come back
+
+  # A refusal that lacks the header must not open an endpoint in need.
+  Scenario Outline: What the header may say
+    Then an answer <status> with "Server-Limit: <value>" names <limit>
+
+    Examples:
+      | status | value    | limit            |
+      | 200    | 1.2      | 1.2              |
+      | 503    | 1.2      | 1.2              |
+      | 200    | 0        | 0                |
+      | 200    |          | no limit         |
+      | 503    |          | nothing          |
+      | 500    |          | nothing          |
+      | 421    | 1.2      | nothing          |
+      | 200    | -1       | nothing readable |
+      | 200    | nan      | nothing readable |
+      | 200    | 1e999    | nothing readable |
+      | 200    | 1.2, 1.2 | nothing readable |
--- a/tests/steps/scheduler_rate_steps.py
+++ b/tests/steps/scheduler_rate_steps.py
@@ -8,6 +8,7 @@
 from scheduler_driver import make_handle
 
 from pomelolane.messages import StreamEvent
+from pomelolane.platform.dialect import PlatformDialect
 from pomelolane.ports import Grant
 from pomelolane.scheduler.objective.core import make_objective_core
 from tests.coordination.world import World, ask
@@ -202,3 +203,15 @@
 def step_together(context, most, least):
     sent = sum("a/1" in request.dispatches for request in context.later)
     assert least <= sent <= most, sent
+
+
+@then('an answer {status:d} with "Server-Limit: {value}" names {limit}')
+@then('an answer {status:d} with "Server-Limit: " names {limit}')
+def step_header(context, status, limit, value=""):
+    del context
+    headers = [(b"server-limit", value.encode())] if value else []
+    notice = PlatformDialect().read_notice(status, headers)
+    expected = {"no limit": math.inf, "nothing": None, "nothing readable": None}
+    named = expected[limit] if limit in expected else float(limit)
+    assert notice.limit_per_s == named, notice
+    assert bool(notice.rejected) == (limit == "nothing readable"), notice
