--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SCENARIO ?=
 SEED ?= 1
 
-.PHONY: all env demo demo-platform test lint format bench bench-relay bench-decisions bench-capacity bench-lab bench-interleave chaos binary docs clean
+.PHONY: all env demo demo-platform test lint format bench bench-relay bench-decisions bench-capacity bench-lab bench-interleave chaos soak binary docs clean
 
 all: lint test
 
@@ -53,6 +53,9 @@
 chaos: env
 	$(BIN)/python -m bench.chaos --seed $(SEED)
 
+soak: env
+	$(BIN)/python -m bench.soak --seed $(SEED)
+
 binary: env
 	mkdir -p dist
 	$(BIN)/shiv --quiet --compressed --console-script pomelolane --output-file dist/pomelolane .
--- /dev/null
+++ b/bench/soak/checks.py
@@ -0,0 +1,120 @@
+"""Holds what reached the endpoints against the rules of the users' pages."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING
+
+from bench.soak.evidence import vm_of
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from bench.soak.evidence import Evidence, Start, Word
+    from standins.routed.endpoint import Seen
+
+
+STABLE_S = 3.0
+SPAN_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_BESIDE = 5
+DRAIN_S = 2.0
+REST_FROM_S = 0.5
+REST_MOST = 2
+ONCE_PATH = "/plain/file/"
+
+
+def check_all(evidence: Evidence) -> list[str]:
+    """Return every broken rule in words."""
+    checks = (_limits, _departures, _rests, _once, _refusals)
+    return [breach for check in checks for breach in check(evidence)]
+
+
+def _request_id(seen: Seen) -> str:
+    return seen.headers.get("request-id", "")
+
+
+def _by_vm(start: Start) -> dict[int, list[Seen]]:
+    found = defaultdict(list)
+    for seen in start.seen:
+        found[vm_of(_request_id(seen))].append(seen)
+    return found
+
+
+def _is_excused(evidence: Evidence, vm: int, from_s: float, to_s: float) -> bool:
+    spans = evidence.disturbed.get(vm, ())
+    return any(span.from_s <= to_s and span.until_s >= from_s for span in spans)
+
+
+def _limits(evidence: Evidence) -> Iterator[str]:
+    for start in evidence.starts:
+        for word in start.limits:
+            yield from _limit(evidence, start, word)
+
+
+def _limit(evidence: Evidence, start: Start, word: Word) -> Iterator[str]:
+    times_s = sorted(
+        seen.at_s
+        for vm, all_seen in _by_vm(start).items()
+        for seen in all_seen
+        if word.from_s + STABLE_S <= seen.at_s < word.until_s
+        and not _is_excused(evidence, vm, word.from_s, seen.at_s)
+    )
+    held = [sum(at <= one < at + SPAN_S for one in times_s) for at in times_s]
+    most = LIMIT_FACTOR * SPAN_S * word.value + LIMIT_BESIDE
+    if max(held, default=0) > most:
+        yield f"LIMIT {start.name}: {max(held)} of {most:g} at {word.value:g} a second"
+
+
+def _departures(evidence: Evidence) -> Iterator[str]:
+    for start in evidence.starts:
+        for vm, all_seen in _by_vm(start).items():
+            answered = [s.at_s for s in all_seen if s.ran and s.at_s >= start.leaves_s]
+            if not answered:
+                continue
+            told_s = min(answered)
+            late = [
+                seen
+                for seen in all_seen
+                if evidence.calls[_request_id(seen)].sent_s > told_s + DRAIN_S
+                and not _is_excused(evidence, vm, told_s, seen.at_s)
+            ]
+            if late:
+                yield f"DRAIN {start.name}: {len(late)} late from VM {vm}"
+
+
+def _rests(evidence: Evidence) -> Iterator[str]:
+    for start in evidence.starts:
+        rest_s = max((word.value for word in start.rests), default=0.0)
+        for vm, all_seen in _by_vm(start).items():
+            for asked in (seen.at_s for seen in all_seen if seen.turned_away):
+                got = sum(
+                    asked + REST_FROM_S < seen.at_s < asked + rest_s
+                    for seen in all_seen
+                )
+                excused = _is_excused(evidence, vm, asked, asked + rest_s)
+                if got > REST_MOST and not excused:
+                    yield f"BUDGET {start.name}: {got} from VM {vm} in its rest"
+
+
+def _runs(evidence: Evidence) -> Counter[str]:
+    """Count the runs of requests that may run once."""
+    return Counter(
+        _request_id(seen)
+        for start in evidence.starts
+        for seen in start.seen
+        if seen.ran and ONCE_PATH in seen.line
+    )
+
+
+def _once(evidence: Evidence) -> Iterator[str]:
+    for request_id, runs in _runs(evidence).items():
+        if runs > 1:
+            yield f"TWICE {request_id}: {runs} runs"
+
+
+def _refusals(evidence: Evidence) -> Iterator[str]:
+    for request_id in _runs(evidence):
+        status = evidence.calls[request_id].status
+        if status in (429, 503):
+            yield f"REFUSED {request_id}: {status}, and it has run"
--- /dev/null
+++ b/bench/soak/evidence.py
@@ -0,0 +1,83 @@
+"""What a run has seen, in seconds of one monotonic clock."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from standins.routed.endpoint import Seen
+
+UNTIL_THE_END_S = float("inf")
+
+
+@dataclass(slots=True)
+class Word:
+    """What a start of an endpoint said for a time.
+
+    Attributes:
+        from_s: Since when.
+        value: Requests a second, or seconds of rest.
+        until_s: Until when.
+    """
+
+    from_s: float
+    value: float = 0.0
+    until_s: float = UNTIL_THE_END_S
+
+
+@dataclass(slots=True)
+class Start:
+    """One start of an endpoint.
+
+    Attributes:
+        name: Its id.
+        seen: The requests that reached it.
+        limits: The limits that it named.
+        rests: When it turned requests away.
+        leaves_s: When it first said that it leaves.
+    """
+
+    name: str
+    seen: list[Seen]
+    limits: list[Word] = field(default_factory=list)
+    rests: list[Word] = field(default_factory=list)
+    leaves_s: float = UNTIL_THE_END_S
+
+
+@dataclass(slots=True)
+class Call:
+    """One request of a caller.
+
+    Attributes:
+        sent_s: When it was sent.
+        path: Its path.
+        status: The answer's status, 0 for none.
+    """
+
+    sent_s: float
+    path: str
+    status: int = 0
+
+
+@dataclass(slots=True)
+class Evidence:
+    """Everything.
+
+    Attributes:
+        starts: All starts of endpoints.
+        calls: Requests by id; the id begins with the number of the VM.
+        disturbed: For each VM, from when to when it was not in order.
+        statuses: Answers by status.
+    """
+
+    starts: list[Start] = field(default_factory=list)
+    calls: dict[str, Call] = field(default_factory=dict)
+    disturbed: dict[int, list[Word]] = field(default_factory=dict)
+    statuses: Counter[int] = field(default_factory=Counter)
+
+
+def vm_of(request_id: str) -> int:
+    """Return the number of the VM that a request was sent to."""
+    return int(request_id.partition("-")[0])
--- /dev/null
+++ b/bench/soak/plan.py
@@ -0,0 +1,106 @@
+"""Draws a series of disturbances from a seed; they overlap."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+_CALM_S = 3.0
+"""Time at the start and at the end without a new disturbance."""
+
+_MEAN_GAP_S = 1.5
+_LIMITS_PER_S = (0.8, 1.5, 3.0, 6.0)
+_REST_S = 3.0
+
+
+class Kind(StrEnum):
+    """What happens to a VM, an endpoint or the store."""
+
+    VM_KILL = "vm_kill"
+    VM_STOP = "vm_stop"
+    VM_FREEZE = "vm_freeze"
+    VM_HUP = "vm_hup"
+    STORE_BUSY = "store_busy"
+    STORE_SILENT = "store_silent"
+    LIMIT = "limit"
+    """The endpoint names a limit for a time."""
+    LEAVE = "leave"
+    """It says that it leaves, and starts again under its id after a time."""
+    REST = "rest"
+    """It turns each third request away for a time, and asks for rest."""
+
+
+_OF_VMS = (Kind.VM_KILL, Kind.VM_STOP, Kind.VM_FREEZE, Kind.VM_HUP)
+_OF_STORE = (Kind.STORE_BUSY, Kind.STORE_SILENT)
+_OF_ENDPOINTS = (Kind.LIMIT, Kind.LEAVE, Kind.REST)
+_WEIGHTED = (*_OF_VMS, *_OF_STORE, *_OF_ENDPOINTS * 2)
+
+
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """One disturbance.
+
+    Attributes:
+        at_s: When, from the start of the calls.
+        kind: What.
+        target: Number of the VM or endpoint, 0 for the store.
+        for_s: How long.
+        value: Requests a second, or seconds of rest; 0 for other kinds.
+    """
+
+    at_s: float
+    kind: Kind
+    target: int
+    for_s: float
+    value: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """All that a run does.
+
+    Attributes:
+        seed: What it was drawn from.
+        seconds: How long callers ask.
+        vms: Number of VMs.
+        engines: Number of engines.
+        disturbances: In order of time.
+    """
+
+    seed: int
+    seconds: float
+    vms: int
+    engines: int
+    disturbances: tuple[Disturbance, ...]
+
+
+def draw_plan(seed: int, seconds: float, vms: int, engines: int) -> Plan:
+    """Draw a plan; a target that is disturbed is left alone until it is over."""
+    draw = random.Random(seed)
+    busy_until_s: dict[tuple[str, int], float] = {}
+    found = []
+    at_s = _CALM_S
+    while at_s < seconds - _CALM_S:
+        one = _draw_one(draw, at_s, vms, engines)
+        family = one.kind.value[:2] if one.kind not in _OF_ENDPOINTS else "endpoint"
+        target = family, one.target
+        if busy_until_s.get(target, 0.0) <= at_s:
+            busy_until_s[target] = at_s + one.for_s + 1.0
+            found.append(one)
+        at_s += draw.expovariate(1 / _MEAN_GAP_S)
+    return Plan(seed, seconds, vms, engines, tuple(found))
+
+
+def _draw_one(draw: random.Random, at_s: float, vms: int, engines: int) -> Disturbance:
+    kind = draw.choice(_WEIGHTED)
+    if kind in _OF_VMS:
+        return Disturbance(at_s, kind, draw.randrange(vms), draw.uniform(0.5, 4.0))
+    if kind in _OF_STORE:
+        return Disturbance(at_s, kind, 0, draw.uniform(1.0, 8.0))
+    value = {
+        Kind.LIMIT: draw.choice(_LIMITS_PER_S),
+        Kind.REST: _REST_S,
+    }.get(kind, 0.0)
+    target = draw.randrange(engines)
+    return Disturbance(at_s, kind, target, draw.uniform(5.0, 14.0), value)
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -316,8 +316,9 @@
     address: str,
     data_centre: str,
     state: str = "ready",
+    born_ms: int = 0,
 ) -> bytes:
-    """Return the row by which an endpoint registers."""
+    """Return the row by which an endpoint registers; no start is told for 0."""
     row = {
         "service": service,
         "address": address,
@@ -328,6 +329,8 @@
         "coldRemainingMs": 0,
         "sequence": 1,
     }
+    if born_ms:
+        row["born"] = born_ms
     return json.dumps(row).encode()
 
 
