--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -92,7 +92,12 @@
     if "content-length" in fields:
         await reader.readexactly(int(fields["content-length"]))
     else:
-        while size := int(await reader.readline(), 16):
+        while size := int(await _read_line(reader), 16):
             await reader.readexactly(size + 2)
-        await reader.readline()
+        await _read_line(reader)
     return status, fields.get("connection") == "close"
+
+
+async def _read_line(reader: asyncio.StreamReader) -> bytes:
+    """Return a line; an answer that ends without one was broken off."""
+    return await reader.readuntil(b"\n")
