--- a/tests/membership/waiting.py
+++ b/tests/membership/waiting.py
@@ -21,6 +21,15 @@
     context.run(asyncio.sleep(0))
 
 
+def call(context, function, *arguments):
+    """Call something that needs a running loop."""
+
+    async def inside():
+        return function(*arguments)
+
+    return context.run(inside())
+
+
 async def eventually(condition, what):
     """Wait until ``condition()`` holds, without a time of its own."""
     try:
--- a/tests/steps/membership_member_steps.py
+++ b/tests/steps/membership_member_steps.py
@@ -13,7 +13,7 @@
 from pomelolane.messages import Heartbeat
 from pomelolane.ports import ListedVm
 from tests.membership.region import Region
-from tests.membership.waiting import eventually, stop_at_end
+from tests.membership.waiting import call, eventually, stop_at_end
 
 NAMES = "abcdef"
 
@@ -42,15 +42,6 @@
     }
 
 
-def call(context, function, *arguments):
-    """Call something that needs a running loop."""
-
-    async def inside():
-        return function(*arguments)
-
-    return context.run(inside())
-
-
 def wait_for(context, condition, what):
     context.run(eventually(condition, what))
 
--- a/tests/steps/membership_tables_steps.py
+++ b/tests/steps/membership_tables_steps.py
@@ -9,13 +9,14 @@
 from pomelolane.membership import AddressBook, choose, make_member, viewlog
 from pomelolane.membership.contacts import Contacts
 from pomelolane.membership.digests import DigestTable
+from pomelolane.membership.hashing import hash_of_digest, hash_of_heartbeat
 from pomelolane.membership.heartbeat import HeartbeatTable
 from pomelolane.membership.leaving import LeavingMarks
 from pomelolane.membership.remotes import RemoteMembers
 from pomelolane.membership.viewlog import ViewLog
-from pomelolane.messages import Digest, Heartbeat, MemberState
+from pomelolane.messages import Digest, DigestPulse, Heartbeat, MemberState, Pulse
 from pomelolane.ports import Peer, View
-from tests.membership.waiting import stop_at_end
+from tests.membership.waiting import call, stop_at_end
 
 
 def heartbeat_of(vm_id, incarnation=2):
@@ -292,6 +293,82 @@
         known_at(context, now_ms, context.digests.take_gone())
 
 
+class FollowingMember:
+    """A member on a clock moved by hand, and what it hears from the others.
+
+    Its neighbour's pulse comes 100 ms before its own beat would be due.
+    """
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.member = make_member("m0", "dca", 1, clock=self.clock)
+        self.neighbour = heartbeat_of("m1")
+        self.digests = {}
+
+    async def run_until(self, end_ms):
+        """Let time pass in steps of a tick."""
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance(100.0)
+            self._hear_neighbour()
+            self._hear_delegates()
+            await asyncio.sleep(0)
+            self.member.tick()
+
+    def say(self, sender, names):
+        """Let a delegate say who is in its data centre."""
+        self.digests[sender] = digest_of("dcb", names)
+        self.member.transport._deliver(sender, self.digests[sender])
+
+    def _hear_delegates(self):
+        if self.clock.now_ms() % 1000.0:
+            return
+        for sender, digest in self.digests.items():
+            pulse = DigestPulse("dcb", hash_of_digest(digest))
+            self.member.transport._deliver(sender, pulse)
+
+    def _hear_neighbour(self):
+        if self.clock.now_ms() % 500.0 != 400.0:
+            return
+        first = "m1" not in self.member.neighbours()
+        pulse = Pulse(hash_of_heartbeat(self.neighbour))
+        self.member.transport._deliver("m1", self.neighbour if first else pulse)
+
+
+@given("a member that beats whenever its neighbour does")
+def step_following(context):
+    context.following = FollowingMember()
+    member = context.following.member
+    context.run(member.start())
+    stop_at_end(context, member)
+
+
+@given('"b1" and "b2" speak for another data centre until {ms:d} ms')
+def step_speak(context, ms):
+    call(context, context.following.say, "b1", "b1 b2")
+    call(context, context.following.say, "b2", "b1 b2")
+    context.run(context.following.run_until(ms))
+    context.seen_at = {ms: set(context.following.member.view().peers)}
+
+
+@when('"b1" falls silent and "b2" lists itself alone from {ms:d} ms on')
+def step_b1_silent(context, ms):
+    del context.following.digests["b1"]
+    context.run(context.following.run_until(ms))
+    call(context, context.following.say, "b2", "b2")
+
+
+@then('the member sees "{vm_id}" at {ms:d} ms')
+def step_sees(context, vm_id, ms):
+    assert vm_id in context.seen_at[ms]
+
+
+@then('the member does not see "{vm_id}" at {ms:d} ms')
+def step_sees_not(context, vm_id, ms):
+    context.run(context.following.run_until(ms))
+    peers = context.following.member.view().peers
+    assert vm_id not in peers, peers
+
+
 @then('the VMs known at {ms:d} ms are "{names}"')
 def step_known(context, ms, names):
     known = known_at(context, ms)
