Use an endpoint again that answers before its usual pace is known

Callers saw: after a VM froze, requests waited 0.8 to 1.3 s while two of three engines stood empty for 1.6 s (a trial of tests/proofs/leaving.feature:19 on, traced).

Cause: an endpoint whose requests are silent is taken for a straggler, and wins grants back by its pace against its usual one. Until 48 tokens of it are known there is none to compare with, so a whole good answer changed nothing; probes went out after 0.5, 1, 2 and 4 s. Change: without a usual pace an endpoint can only be suspected of silence, and tokens end that.

--- a/src/pomelolane/scheduler/health.py
+++ b/src/pomelolane/scheduler/health.py
@@ -122,13 +122,17 @@
         return False
 
     def _judge(self, now_ms: float) -> None:
+        has_answered = self._fresh_tokens >= _FRESH_TOKENS
         if self._usual_tokens < _MATURE_TOKENS:
+            # Without a usual pace, silence is all that it can be suspected of.
+            if self.state is State.STRAGGLING and has_answered:
+                self._recover()
             return
         self.slowdown = self._usual.per_ms / max(1e-9, self._recent.per_ms)
         if self.state is State.HEALTHY:
             if self.slowdown > _SLOWDOWN_LOST:
                 self._suspect(now_ms, self.slowdown)
-        elif self._fresh_tokens >= _FRESH_TOKENS and self.slowdown < _SLOWDOWN_WON:
+        elif has_answered and self.slowdown < _SLOWDOWN_WON:
             self._recover()
 
     def _settle_probe(self, flight: Flight, event: StreamEvent, now_ms: float) -> None:
--- a/tests/scheduler/health.feature
+++ b/tests/scheduler/health.feature
@@ -24,6 +24,18 @@
       | a  | 0    | 10     |
     Then the core granted "a" on "slow"
 
+  # Guards against an endpoint that stays out of use because its pace was not known yet.
+  Scenario: An endpoint that was silent before its pace was known gets grants again
+    When the core is given the requests
+      | id | tier | decode |
+      | a  | 0    | 10     |
+    And 1500 ms pass for the core
+    And the core sees "a" end
+    And the core is given the requests
+      | id | tier | decode |
+      | b  | 0    | 10     |
+    Then the core granted "b" on "fast"
+
   Scenario: A straggler that keeps its pace again gets grants again
     Given the core has seen "fast" keep its pace
     When "fast" becomes 10 times slower for 1500 ms under the core's eyes
