Find overdue VMs in the tick, without a refresh at each beat

Callers could see a second fault of the same cause: a delegate that falls silent while a new one lists itself alone took live VMs out of the view at once, where there had been no refresh for 2 s; they are meant to stay until the new one knows them.

Change: a table of digests remembers when the sources that it dropped were last heard, so a VM that nobody lists any more is kept until exactly 2 s after that; the tick asks whether one is overdue. Beats are as before.

--- a/src/pomelolane/membership/delegate.py
+++ b/src/pomelolane/membership/delegate.py
@@ -152,7 +152,7 @@
         """Drop what nobody speaks of any more; True where there was any."""
         direct = self._direct.expire(now_ms)
         relayed = self._relayed.expire(now_ms)
-        return direct or relayed
+        return direct or relayed or self._members.has_overdue(now_ms)
 
     def excuse(self, now_ms: float) -> None:
         """Count everything as heard now, after this VM itself has paused."""
--- a/src/pomelolane/membership/digests.py
+++ b/src/pomelolane/membership/digests.py
@@ -52,6 +52,7 @@
         self._from_members = from_members
         self._entries: dict[str, dict[str, _Entry]] = {}
         self._gone: set[str] = set()
+        self._dropped_ms: dict[str, float] = {}
         self._merged: dict[str, Merged] = {}
 
     def data_centres(self) -> tuple[str, ...]:
@@ -108,6 +109,11 @@
         ]
         for data_centre, source in silent:
             self._drop(data_centre, source)
+        self._dropped_ms = {
+            vm_id: at_ms
+            for vm_id, at_ms in self._dropped_ms.items()
+            if now_ms - at_ms <= TIMEOUT_MS
+        }
         return bool(silent)
 
     def excuse(self, now_ms: float) -> None:
@@ -124,8 +130,11 @@
         )
 
     def listed_ms(self) -> dict[str, float]:
-        """Return when a source that lists it was last heard, for each VM."""
-        listed_ms: dict[str, float] = {}
+        """Return when a source that lists it was last heard, for each VM.
+
+        Sources that were dropped within :data:`TIMEOUT_MS` count as well.
+        """
+        listed_ms = dict(self._dropped_ms)
         for entries in self._entries.values():
             for entry in entries.values():
                 for vm_id in _names(entry.digest):
@@ -166,7 +175,10 @@
 
     def _drop(self, data_centre: str, source: str) -> None:
         entries = self._entries[data_centre]
-        del entries[source]
+        entry = entries.pop(source)
+        for vm_id in _names(entry.digest):
+            before_ms = self._dropped_ms.get(vm_id, entry.heard_ms)
+            self._dropped_ms[vm_id] = max(before_ms, entry.heard_ms)
         self._merged.pop(data_centre, None)
         if not entries:
             del self._entries[data_centre]
--- a/src/pomelolane/membership/member.py
+++ b/src/pomelolane/membership/member.py
@@ -267,11 +267,6 @@
 
     def _greet_listed(self) -> None:
         """Try the VMs that the list names now, not at the next beat."""
-        self._beat_early()
-
-    def _beat_early(self) -> None:
-        """Beat before the next tick that would, which also drops overdue VMs."""
-        self._touch()
         self._beat(self._context.clock.now_ms())
 
     def _clean_up(self, now_ms: float) -> None:
@@ -352,7 +347,7 @@
             self._tell_versions(heartbeat.vm_id, heartbeat.versions)
             self._touch()
         elif self._context.clock.now_ms() >= self._next_beat_ms - ALIGN_MS:
-            self._beat_early()
+            self._beat(self._context.clock.now_ms())
 
     def _take_digest(self, sender: str, digest: Digest) -> None:
         self._notice_pause(self._context.clock.now_ms())
--- a/src/pomelolane/membership/remotes.py
+++ b/src/pomelolane/membership/remotes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,11 @@
 
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
+        self._overdue_after_ms = math.inf
+
+    def has_overdue(self, now_ms: float) -> bool:
+        """Tell whether :meth:`update` would drop a VM that nobody lists."""
+        return now_ms > self._overdue_after_ms
 
     def update(
         self,
@@ -44,7 +50,8 @@
 
         Args:
             listed: The VMs that somebody lists now.
-            listed_ms: When a source that lists it was last heard, for each of them.
+            listed_ms: When a source that lists it was last heard, for each of them
+                and for those that were listed lately.
             data_centres: Those of which anybody speaks still.
             gone: VMs that somebody has listed before and lists no more.
             now_ms: The time.
@@ -53,16 +60,12 @@
             self._known.pop(vm_id, None)
         for vm_id, peer in listed.items():
             self._known[vm_id] = _Known(peer, listed_ms.get(vm_id, now_ms))
-        oldest_ms = now_ms - TIMEOUT_MS
-        old = [
-            vm_id
-            for vm_id, known in self._known.items()
-            if vm_id not in listed
-            and (
-                known.listed_ms < oldest_ms
-                or known.peer.data_centre not in data_centres
-            )
-        ]
-        for vm_id in old:
-            del self._known[vm_id]
+        self._overdue_after_ms = math.inf
+        for vm_id in self._known.keys() - listed.keys():
+            known = self._known[vm_id]
+            until_ms = listed_ms.get(vm_id, known.listed_ms) + TIMEOUT_MS
+            if now_ms > until_ms or known.peer.data_centre not in data_centres:
+                del self._known[vm_id]
+            else:
+                self._overdue_after_ms = min(self._overdue_after_ms, until_ms)
         return {vm_id: known.peer for vm_id, known in self._known.items()}
--- a/tests/membership/tables.feature
+++ b/tests/membership/tables.feature
@@ -62,9 +62,19 @@
   Scenario: A member that beats with its neighbour loses a delegate that falls silent
     Given a member that beats whenever its neighbour does
     And "b1" and "b2" speak for another data centre until 5000 ms
+    And the member sees "b1" at 5000 ms
     When "b1" falls silent and "b2" lists itself alone from 6600 ms on
-    Then the member sees "b1" at 5000 ms
-    And the member does not see "b1" at 8000 ms
+    Then the member does not see "b1" at 8000 ms
+
+  # Guards against live VMs that leave the view of one that beats with its neighbours.
+  Scenario: A member that beats with its neighbour keeps VMs while their delegate changes
+    Given a member that beats whenever its neighbour does
+    And "b1" alone speaks for "b1 b2 b3" until 60000 ms
+    When "b1" falls silent and "b2" lists itself alone from 60500 ms on
+    Then the member sees "b3" at 61800 ms
+    When "b2" lists "b2 b3" from 61900 ms on
+    Then the member sees "b3" at 70000 ms
+    And the member does not see "b1" at 70000 ms
 
   Scenario: Changes of the view are told with one line for each data centre
     When 40 VMs of "dcb" and 30 of "dcc" join a view one after the other in 450 ms
--- a/tests/steps/membership_tables_steps.py
+++ b/tests/steps/membership_tables_steps.py
@@ -347,7 +347,12 @@
     call(context, context.following.say, "b1", "b1 b2")
     call(context, context.following.say, "b2", "b1 b2")
     context.run(context.following.run_until(ms))
-    context.seen_at = {ms: set(context.following.member.view().peers)}
+
+
+@given('"b1" alone speaks for "{names}" until {ms:d} ms')
+def step_speaks_alone(context, names, ms):
+    call(context, context.following.say, "b1", names)
+    context.run(context.following.run_until(ms))
 
 
 @when('"b1" falls silent and "b2" lists itself alone from {ms:d} ms on')
@@ -357,9 +362,18 @@
     call(context, context.following.say, "b2", "b2")
 
 
+@when('"b2" lists "{names}" from {ms:d} ms on')
+def step_b2_lists(context, names, ms):
+    context.run(context.following.run_until(ms))
+    call(context, context.following.say, "b2", names)
+
+
+@given('the member sees "{vm_id}" at {ms:d} ms')
 @then('the member sees "{vm_id}" at {ms:d} ms')
 def step_sees(context, vm_id, ms):
-    assert vm_id in context.seen_at[ms]
+    context.run(context.following.run_until(ms))
+    peers = context.following.member.view().peers
+    assert vm_id in peers, peers
 
 
 @then('the member does not see "{vm_id}" at {ms:d} ms')
