End marks of leaving endpoints in the tick, not with the next change of the view

Operators would see: an endpoint whose mark was taken back stays out of use on a VM that beats with its neighbours, until something else changes the view.

Change: the tick asks whether a mark is overdue. tests/membership/tables.feature: red without the change, green with it.

--- a/src/pomelolane/membership/leaving.py
+++ b/src/pomelolane/membership/leaving.py
@@ -50,6 +50,10 @@
         self._known.update(dict.fromkeys(endpoint_ids, now_ms))
         return new
 
+    def has_overdue(self, now_ms: float) -> bool:
+        """Tell whether :meth:`expire` has anything to look at."""
+        return any(now_ms - at_ms > HOLD_MS for at_ms in self._known.values())
+
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """Drop the marks that nobody repeats and return them."""
         self._known.update(dict.fromkeys(self._own, now_ms))
--- a/src/pomelolane/membership/member.py
+++ b/src/pomelolane/membership/member.py
@@ -240,6 +240,7 @@
         self._keeper.tick(now_ms)
         silent_ms = context.table.expire(now_ms)
         changed = self._exchange.expire(now_ms) or self._recover(now_ms)
+        changed = changed or context.marks.has_overdue(now_ms)
         beat_is_due = now_ms >= self._next_beat_ms
         if silent_ms or changed or beat_is_due:
             self._refresh(silent_ms)
--- a/tests/membership/tables.feature
+++ b/tests/membership/tables.feature
@@ -76,6 +76,13 @@
     Then the member sees "b3" at 70000 ms
     And the member does not see "b1" at 70000 ms
 
+  # Guards against an endpoint that stays out of use after its mark was taken back.
+  Scenario: A member that beats with its neighbour ends marks that nobody repeats
+    Given a member that beats whenever its neighbour does
+    And its neighbour marks "e" as leaving until 5000 ms
+    Then the member knows that "e" is leaving at 30000 ms
+    And the member does not know that "e" is leaving at 36000 ms
+
   Scenario: Changes of the view are told with one line for each data centre
     When 40 VMs of "dcb" and 30 of "dcc" join a view one after the other in 450 ms
     Then 2 lines are written within 600 ms, one of 40 and one of 30 VMs
--- a/tests/steps/membership_tables_steps.py
+++ b/tests/steps/membership_tables_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from behave import given, then, when
+from msgspec.structs import replace
 
 from pomelolane.addresses import Seed
 from pomelolane.clock import ManualClock
@@ -342,6 +343,27 @@
     stop_at_end(context, member)
 
 
+@given('its neighbour marks "{endpoint_id}" as leaving until {ms:d} ms')
+def step_neighbour_marks(context, endpoint_id, ms):
+    following = context.following
+    following.neighbour = replace(following.neighbour, leaving=(endpoint_id,))
+    context.run(following.run_until(ms))
+    following.neighbour = replace(following.neighbour, leaving=())
+    call(context, following.member.transport._deliver, "m1", following.neighbour)
+
+
+@then('the member knows that "{endpoint_id}" is leaving at {ms:d} ms')
+def step_member_knows(context, endpoint_id, ms):
+    context.run(context.following.run_until(ms))
+    assert endpoint_id in context.following.member.leaving_endpoints()
+
+
+@then('the member does not know that "{endpoint_id}" is leaving at {ms:d} ms')
+def step_member_knows_not(context, endpoint_id, ms):
+    context.run(context.following.run_until(ms))
+    assert endpoint_id not in context.following.member.leaving_endpoints()
+
+
 @given('"b1" and "b2" speak for another data centre until {ms:d} ms')
 def step_speak(context, ms):
     call(context, context.following.say, "b1", "b1 b2")
