--- a/src/pomelolane/membership/remotes.py
+++ b/src/pomelolane/membership/remotes.py
@@ -45,8 +45,8 @@
     ) -> dict[str, Peer]:
         """Return the VMs that are listed now, and those that were lately.
 
-        Without it, 195 VMs that started together before any load took others for lost
-        4,974 times, all of them alive, and roles of schedulers moved with each view.
+        Without the latter, VMs that start together would take live ones for lost, and
+        the roles of schedulers would move with each view.
 
         Args:
             listed: The VMs that somebody lists now.
--- a/src/pomelolane/membership/viewlog.py
+++ b/src/pomelolane/membership/viewlog.py
@@ -1,7 +1,7 @@
 """Tells operators of changes of the view, one line for each data centre.
 
-With a line for each VM that each VM sees, a fleet of 195 VMs wrote 40,000 when it
-started, and more than a log may hold.
+A line for each VM that each VM sees would be more than a log may hold when a fleet
+starts.
 """
 
 from __future__ import annotations
