Order requests of one rank by a precedence

Cause: shares and reserved retries both need an order within a rank, and forecasts compare queue keys. Change: QueueKey is rank, precedence and due time; every request has the middle precedence, so that the order is as before.

--- a/src/pomelolane/scheduler/objective/waiting.py
+++ b/src/pomelolane/scheduler/objective/waiting.py
@@ -4,6 +4,7 @@
 
 import heapq
 from dataclasses import dataclass, field
+from enum import IntEnum
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -13,8 +14,23 @@
     from pomelolane.messages import Handle
     from pomelolane.scheduler.objective.options import ObjectiveOptions
 
-QueueKey = tuple[int, float]
-"""Sort key: tier rank, then the time at which the first answer byte is due."""
+QueueKey = tuple[int, int, float]
+"""Sort key: tier rank, precedence within it, then the time at which the first answer
+byte is due."""
+
+
+class Precedence(IntEnum):
+    """Order of requests within one tier rank.
+
+    Attributes:
+        RESERVED: Its caller returns at the time for which a slot is reserved.
+        WITHIN_SHARE: Its organisation asks for no more than its share of the slots.
+        BEYOND_SHARE: Its organisation asks for more than its share.
+    """
+
+    RESERVED = 0
+    WITHIN_SHARE = 1
+    BEYOND_SHARE = 2
 
 
 @dataclass(slots=True, eq=False)
@@ -28,6 +44,7 @@
         objective_at_ms: Time at which the first answer byte is due.
         late: Whether its objective is out of reach.
         queued: Whether it still waits.
+        precedence: Its order within the tier rank.
         key: Its position in the queue.
     """
 
@@ -37,11 +54,12 @@
     objective_at_ms: float
     late: bool = False
     queued: bool = True
+    precedence: Precedence = Precedence.WITHIN_SHARE
     key: QueueKey = field(init=False)
 
     def __post_init__(self) -> None:
-        """Set the key, which never changes."""
-        self.key = (self.handle.tier_rank, self.objective_at_ms)
+        """Set the key from the other fields."""
+        self.key = (self.handle.tier_rank, self.precedence, self.objective_at_ms)
 
     def give_up_at_ms(self, options: ObjectiveOptions) -> float:
         """Return the time at which it is refused if no slot has become free."""
