Count one outage once wherever the wall clock's boundaries fall

Cause: the start of an endpoint that does not state it was named after a 10 s interval of the wall clock. Where a boundary fall between two failures of one outage, it counted as two crashes, and a harmless request was quarantined. Change: names whose first crashes are less than 10 s apart are one start, at each VM and in any order of reports (quarantine/starts.py). A VM that knows a start of the last 10 s uses its name, so VMs of the previous version mostly count the same. Reports and rows carry the endpoint's id, appended with a default. The same cause stood behind clears, which named one of two names of a start; they now hold for all, and are passed on under the later name. Reports that only VMs of the previous version make still count by interval.

--- a/src/pomelolane/messages/quarantine.py
+++ b/src/pomelolane/messages/quarantine.py
@@ -14,11 +14,13 @@
         fingerprint: Hash that identifies the request's content.
         endpoint_start: Identifies the start of the endpoint that crashed.
         age_ms: Time since the crash was detected.
+        endpoint_id: The endpoint if it does not state its start, else empty.
     """
 
     fingerprint: str
     endpoint_start: str
     age_ms: int = 0
+    endpoint_id: str = ""
 
 
 class CrashesReported(Message, frozen=True):
--- a/src/pomelolane/platform/crashrecord.py
+++ b/src/pomelolane/platform/crashrecord.py
@@ -28,9 +28,12 @@
 this is for a VM that none of them reaches."""
 
 
-class _Row(msgspec.Struct):
+class _Row(msgspec.Struct, omit_defaults=True):
     # On the store's steady clock, which all VMs can tell.
     at_ms: int
+    # Only for an endpoint that does not state its start; the previous version's rows
+    # lack it.
+    endpoint_id: str = ""
 
 
 class StoreCrashRecord:
@@ -54,7 +57,9 @@
         """
         now_ms = self._store.now_ms()
         rows = {
-            _key(one.report): msgspec.json.encode(_Row(int(now_ms - one.age_ms)))
+            _key(one.report): msgspec.json.encode(
+                _Row(int(now_ms - one.age_ms), one.report.endpoint_id)
+            )
             for one in reports
         }
         await self._store.write(_TABLE, rows, [_key(report) for report in dropped])
@@ -87,9 +92,9 @@
     return f"{report.fingerprint}{_SEPARATOR}{report.endpoint_start}"
 
 
-def _report(row: StoredRow) -> CrashReport:
+def _report(row: StoredRow, endpoint_id: str = "") -> CrashReport:
     fingerprint, _, endpoint_start = row.key.partition(_SEPARATOR)
-    return CrashReport(fingerprint, endpoint_start)
+    return CrashReport(fingerprint, endpoint_start, endpoint_id)
 
 
 def _news(snapshot: Snapshot) -> RecordNews:
@@ -102,8 +107,9 @@
         if row.deleted:
             continue
         try:
-            at_ms = msgspec.json.decode(row.value, type=_Row).at_ms
+            value = msgspec.json.decode(row.value, type=_Row)
         except msgspec.DecodeError as error:
             log_event(events.ROW_REJECTED, table=_TABLE, row=row.key, error=error)
             continue
-        yield RecordedCrash(_report(row), max(0.0, now_ms - at_ms))
+        report = _report(row, value.endpoint_id)
+        yield RecordedCrash(report, max(0.0, now_ms - value.at_ms))
--- a/src/pomelolane/quarantine/__init__.py
+++ b/src/pomelolane/quarantine/__init__.py
@@ -8,7 +8,7 @@
 """
 
 from pomelolane.quarantine.book import CrashBook, CrashReport
-from pomelolane.quarantine.crashes import CrashWatch, Run, endpoint_start
+from pomelolane.quarantine.crashes import CrashWatch, Run
 from pomelolane.quarantine.fingerprint import fingerprint_from_request
 from pomelolane.quarantine.gate import Gate
 from pomelolane.quarantine.judgement import Judgement, judge
@@ -34,7 +34,6 @@
     "RecordNews",
     "RecordedCrash",
     "Run",
-    "endpoint_start",
     "fingerprint_from_request",
     "judge",
 ]
--- a/src/pomelolane/quarantine/crashes.py
+++ b/src/pomelolane/quarantine/crashes.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 from collections import Counter
 from typing import TYPE_CHECKING, Protocol
 
+from pomelolane.quarantine.starts import start_name
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -33,12 +34,6 @@
 MOST_DOUBTS = 5_000
 """Requests in doubt that are kept; a VM gives up some hundreds in that time."""
 
-UNTOLD_START_MS = 10_000.0
-"""Spell in which the crashes of an endpoint that does not tell when it started count as
-one: all requests of one crash are found out within a second, and a start takes some."""
-
-_START_DIGEST_BYTES = 8
-
 
 class Endpoints(Protocol):
     """The endpoints as this VM knows them."""
@@ -50,18 +45,6 @@
         """Return all endpoints."""
 
 
-def endpoint_start(endpoint: Endpoint, wall_ms: float) -> str:
-    """Return a short name of this start of an endpoint.
-
-    Args:
-        endpoint: The endpoint.
-        wall_ms: Time of day, for those that do not tell when they started.
-    """
-    start = endpoint.born_ms or f"about {int(wall_ms // UNTOLD_START_MS)}"
-    text = f"{endpoint.endpoint_id}@{start}".encode()
-    return hashlib.blake2b(text, digest_size=_START_DIGEST_BYTES).hexdigest()
-
-
 class CrashWatch:
     """Looks after endpoints while requests run there, and a while after.
 
@@ -163,8 +146,13 @@
             self._report(fingerprint, endpoint)
 
     def _report(self, fingerprint: str, endpoint: Endpoint) -> None:
-        start = endpoint_start(endpoint, self._wall.now_ms())
-        self._quarantine.crashed(fingerprint, start, endpoint.endpoint_id)
+        endpoint_id = endpoint.endpoint_id
+        if endpoint.born_ms:
+            start = start_name(endpoint_id, endpoint.born_ms)
+            self._quarantine.crashed(fingerprint, start, endpoint_id)
+        else:
+            wall_ms = self._wall.now_ms()
+            self._quarantine.crashed_unstated(fingerprint, endpoint_id, wall_ms)
 
 
 class Run:
--- a/src/pomelolane/quarantine/news.py
+++ b/src/pomelolane/quarantine/news.py
@@ -137,8 +137,10 @@
 
 
 def _told(report: CrashReport, age_ms: int = 0) -> ReportedCrash:
-    return ReportedCrash(report.fingerprint, report.endpoint_start, age_ms)
+    return ReportedCrash(
+        report.fingerprint, report.endpoint_start, age_ms, report.endpoint_id
+    )
 
 
 def _report(told: ReportedCrash) -> CrashReport:
-    return CrashReport(told.fingerprint, told.endpoint_start)
+    return CrashReport(told.fingerprint, told.endpoint_start, told.endpoint_id)
--- a/src/pomelolane/quarantine/quarantine.py
+++ b/src/pomelolane/quarantine/quarantine.py
@@ -68,16 +68,21 @@
 
     def crashed(self, fingerprint: str, endpoint_start: str, endpoint_id: str) -> None:
         """Take note that an endpoint has crashed while a request may have run there."""
-        report = CrashReport(fingerprint, endpoint_start)
-        if not self._add(report, self._clock.now_ms()):
-            return
-        log_event(
-            events.ENDPOINT_CRASHED,
-            endpoint=endpoint_id,
-            fingerprint=fingerprint,
-            crashes=self._book.crashes(fingerprint),
-        )
-        self._tell([report], [])
+        self._crashed(CrashReport(fingerprint, endpoint_start), endpoint_id)
+
+    def crashed_unstated(
+        self, fingerprint: str, endpoint_id: str, wall_ms: float
+    ) -> None:
+        """Take note of a crash of an endpoint that does not state its start.
+
+        Args:
+            fingerprint: What the request asks for.
+            endpoint_id: The endpoint.
+            wall_ms: Time of day.
+        """
+        now_ms = self._clock.now_ms()
+        start = self._book.unstated_start(endpoint_id, wall_ms, now_ms)
+        self._crashed(CrashReport(fingerprint, start, endpoint_id), endpoint_id)
 
     def answered(self, fingerprint: str) -> None:
         """Take note of a whole answer, which clears the request.
@@ -118,7 +123,14 @@
         for report in cleared:
             if self._book.clear(report, now_ms):
                 self._review_soon()
-        return [one for one, age_ms in reports if self._add(one, now_ms - age_ms)]
+        found = [one for one, age_ms in reports if self._add(one, now_ms - age_ms)]
+        known = [one for one in found if self._book.is_cleared(one)]
+        if known:
+            # Others may not know that its start was cleared under another name.
+            for report in known:
+                self._book.clear(report, now_ms)
+            self._tell([], known)
+        return found
 
     def age_ms(self, report: CrashReport) -> float | None:
         """Return the age of a report, None where it does not count any more."""
@@ -138,6 +150,17 @@
 
     # --- inside -----------------------------------------------------------
 
+    def _crashed(self, report: CrashReport, endpoint_id: str) -> None:
+        if not self._add(report, self._clock.now_ms()):
+            return
+        log_event(
+            events.ENDPOINT_CRASHED,
+            endpoint=endpoint_id,
+            fingerprint=report.fingerprint,
+            crashes=self._book.crashes(report.fingerprint),
+        )
+        self._tell([report], [])
+
     def _add(self, report: CrashReport, at_ms: float) -> bool:
         is_new = self._book.add(report, at_ms)
         if is_new:
--- a/src/pomelolane/store/crashrecord.py
+++ b/src/pomelolane/store/crashrecord.py
@@ -25,8 +25,11 @@
 them reaches may send such a request for so long."""
 
 
-class _Value(msgspec.Struct):
+class _Value(msgspec.Struct, omit_defaults=True):
     at_wall_ms: float
+    # Only for an endpoint that does not state its start; the previous version's rows
+    # lack it.
+    endpoint_id: str = ""
 
 
 class TableCrashRecord:
@@ -53,7 +56,11 @@
         now_ms = self._wall.now_ms()
         writes = [
             Write(
-                _key(one.report), msgspec.json.encode(_Value(now_ms - one.age_ms)), None
+                _key(one.report),
+                msgspec.json.encode(
+                    _Value(now_ms - one.age_ms, one.report.endpoint_id)
+                ),
+                None,
             )
             for one in reports
         ]
@@ -88,16 +95,17 @@
     return f"{PREFIX}{report.fingerprint}/{report.endpoint_start}"
 
 
-def _report(row: Row) -> CrashReport:
+def _report(row: Row, endpoint_id: str) -> CrashReport:
     fingerprint, _, start = row.key.removeprefix(PREFIX).partition("/")
-    return CrashReport(fingerprint, start)
+    return CrashReport(fingerprint, start, endpoint_id)
 
 
 def _crashes(rows: Iterable[Row], now_ms: float) -> Iterable[RecordedCrash]:
     for row in rows:
         try:
-            at_ms = msgspec.json.decode(row.value, type=_Value).at_wall_ms
+            value = msgspec.json.decode(row.value, type=_Value)
         except msgspec.DecodeError as error:
             log_event(events.ROW_REJECTED, table=PREFIX, row=row.key, error=error)
             continue
-        yield RecordedCrash(_report(row), max(0.0, now_ms - at_ms))
+        report = _report(row, value.endpoint_id)
+        yield RecordedCrash(report, max(0.0, now_ms - value.at_wall_ms))
