Record when requests occupy slots of the routed endpoint

Cause: tests of shares need the use of slots over a time. Change: Seen has the times at which a request got its slot and left it.

--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -101,6 +101,8 @@
         ended_s: When the process ended under it, 0 where it did not.
         bad_s: When it got a bad answer by the version's flaw, 0 where it did not.
         turned_away: Whether it was turned away with a time of rest.
+        slot_from_s: When it got a slot, 0 where it did not.
+        slot_until_s: When it left the slot, 0 where it has not.
     """
 
     line: str
@@ -112,6 +114,8 @@
     ended_s: float = 0.0
     bad_s: float = 0.0
     turned_away: bool = False
+    slot_from_s: float = 0.0
+    slot_until_s: float = 0.0
 
 
 @dataclass(eq=False)
@@ -203,9 +207,11 @@
         finally:
             self._waiting -= 1
         self._at_work += 1
+        request.slot_from_s = time.monotonic()
         try:
             return await self._run(request, reader, writer)
         finally:
+            request.slot_until_s = time.monotonic()
             self._at_work -= 1
             self._running.release()
 
