Decide which requests wait for the rate of a limit

Cause: a limit is enforced only as the sum over a sliding window, so an organisation with high demand uses the window in two seconds. While an organisation is over its limit, requests leave what large and urgent ones need. The window can be asked for room without a reservation.

--- /dev/null
+++ b/src/pomelolane/scheduler/paced_demand.py
@@ -0,0 +1,106 @@
+"""What the pacer of one organisation knows of its demand: promises, rates and needs."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from itertools import chain
+from math import inf
+
+_PROMISE_KEPT_MS = 500.0
+"""How long after its retry time the tokens of a refused caller still count: messages,
+clocks and the caller's own connection take that long."""
+
+_NEEDS_KEPT_MS = 5_000.0
+"""Period over which needed levels are kept, for one to two periods."""
+
+_OVER_LIMIT_MS = 1_000.0
+"""How long after a refusal an organisation counts as over its limit."""
+
+_PASS_RATE_MS = 1_000.0
+"""Time constant of the rates at which tokens pass."""
+
+_MIN_PASS_RATE_MS = 200.0
+"""Shortest time over which these rates are measured, after the first pass."""
+
+
+class Promises:
+    """Tokens that refused callers were told to return for."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[float, int]] = []
+        self._sum = 0
+
+    def total(self, now_ms: float) -> int:
+        """Return the tokens that are promised now."""
+        while self._heap and self._heap[0][0] <= now_ms:
+            self._sum -= heapq.heappop(self._heap)[1]
+        return self._sum
+
+    def add(self, tokens: int, retry_at_ms: float) -> None:
+        """Promise tokens to a caller that may return at a time."""
+        heapq.heappush(self._heap, (retry_at_ms + _PROMISE_KEPT_MS, tokens))
+        self._sum += tokens
+
+
+class PassRates:
+    """Tokens per millisecond that pass, by rank, as decaying averages."""
+
+    def __init__(self) -> None:
+        self._sums: dict[int, tuple[float, float, float]] = {}
+
+    def add(self, rank: int, tokens: float, now_ms: float) -> None:
+        """Count tokens that pass."""
+        total, weight_ms, at_ms = self._sums.get(rank, (0.0, 0.0, now_ms))
+        kept = math.exp((at_ms - now_ms) / _PASS_RATE_MS)
+        weight_ms = weight_ms * kept + _PASS_RATE_MS * (1.0 - kept)
+        self._sums[rank] = total * kept + tokens, weight_ms, now_ms
+
+    def more_urgent(self, rank: int, now_ms: float) -> float:
+        """Return the rate of all ranks that are more urgent."""
+        rate = 0.0
+        for one, (total, weight_ms, at_ms) in self._sums.items():
+            if one < rank:
+                kept = math.exp((at_ms - now_ms) / _PASS_RATE_MS)
+                weight_ms = weight_ms * kept + _PASS_RATE_MS * (1.0 - kept)
+                rate += total * kept / max(weight_ms, _MIN_PASS_RATE_MS)
+        return rate
+
+
+class NeededLevels:
+    """The highest level that a recent request needed to have its turn, by rank.
+
+    Small requests find tokens more often than large ones. While an organisation is over
+    its limit, requests leave the tokens that large requests of their rank or of more
+    urgent ranks need on arrival to have their turn in time.
+    """
+
+    def __init__(self) -> None:
+        self._current: dict[int, float] = {}
+        self._previous: dict[int, float] = {}
+        self._until_ms = -inf
+        self._over_until_ms = -inf
+
+    def add(self, rank: int, level: float, now_ms: float) -> None:
+        """Record the level that an arriving request needs."""
+        if now_ms >= self._until_ms:
+            is_recent = now_ms < self._until_ms + _NEEDS_KEPT_MS
+            self._previous = self._current if is_recent else {}
+            self._current = {}
+            self._until_ms = now_ms + _NEEDS_KEPT_MS
+        self._current[rank] = max(level, self._current.get(rank, -inf))
+
+    def record_refusal(self, now_ms: float) -> None:
+        """Count the organisation as over its limit for some time."""
+        self._over_until_ms = now_ms + _OVER_LIMIT_MS
+
+    def is_over_limit(self, now_ms: float) -> bool:
+        """Return whether a request was refused recently."""
+        return now_ms < self._over_until_ms
+
+    def highest(self, below_rank: int, now_ms: float) -> float:
+        """Return the highest level of the ranks below one, while over the limit."""
+        if not self.is_over_limit(now_ms):
+            return -inf
+        levels = chain(self._current.items(), self._previous.items())
+        return max((level for one, level in levels if one < below_rank), default=-inf)
--- a/src/pomelolane/scheduler/rate_limiting.py
+++ b/src/pomelolane/scheduler/rate_limiting.py
@@ -263,15 +263,26 @@
         while self._retry_reservations and self._retry_reservations[0][0] <= now_ms:
             self._retry_reservations.popleft()
         over += sum(reserved for _, reserved in self._retry_reservations)
-        wait_ms = self._window_ms
-        for entry in merge(*self._reported.values(), self._granted, self._waiting):
-            over -= entry.scaled_tokens(self._bound)
-            if over <= 0:
-                wait_ms = max(1.0, entry.at_ms + self._window_ms - now_ms)
-                break
+        wait_ms = self._expires_in_ms(over, now_ms)
         self._retry_reservations.append((now_ms + wait_ms, amount))
         return wait_ms
 
+    def room_in_ms(self, amount: float, now_ms: float) -> float:
+        """Return how long until there is room for an amount, without reserving it."""
+        if self._used + self._assumed + amount <= self._bound:
+            return 0.0
+        self._drop_expired(now_ms)
+        over = self._used + self._assumed + min(amount, self._bound) - self._bound
+        return self._expires_in_ms(over, now_ms) if over > 0 else 0.0
+
+    def _expires_in_ms(self, amount: float, now_ms: float) -> float:
+        """Return how long until usage of an amount has left the window."""
+        for entry in merge(*self._reported.values(), self._granted, self._waiting):
+            amount -= entry.scaled_tokens(self._bound)
+            if amount <= 0:
+                return max(1.0, entry.at_ms + self._window_ms - now_ms)
+        return self._window_ms
+
     def is_over_tolerance(self, amount: float, now_ms: float) -> bool:
         """Return whether known usage plus an amount exceeds the bound by too much.
 
