Show operators which organisations wait for their rate

Cause: a paced organisation is not to be seen from refusals alone. The status of the core is unchanged.

--- a/src/pomelolane/coordination/status.py
+++ b/src/pomelolane/coordination/status.py
@@ -15,6 +15,7 @@
     from pomelolane.coordination.link import Link
     from pomelolane.coordination.service_queue import ServiceQueue
     from pomelolane.messages import NamedLimit
+    from pomelolane.scheduler.pacing import PacedLimit
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +29,7 @@
         waiting_by_tier: Number of waiting requests by tier rank.
         running_by_endpoint: Number of granted requests by endpoint.
         core: Status of the core, such as endpoint speeds, None if it has none.
+        paced: Level and waiting requests of the organisations whose limits are paced.
     """
 
     service: str
@@ -36,6 +38,7 @@
     waiting_by_tier: dict[int, int]
     running_by_endpoint: dict[str, int]
     core: Any = None
+    paced: tuple[PacedLimit, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +85,7 @@
     waiting = Counter(e.handle.tier_rank for e in entries if not e.endpoint_id)
     running = Counter(e.endpoint_id for e in entries if e.endpoint_id)
     read_core = getattr(service_queue.core, "status", None)
+    read_paced = getattr(service_queue.core, "paced_limits", tuple)
     return ServiceQueueStatus(
         service=service_queue.service,
         settling=service_queue.is_settling,
@@ -89,6 +93,7 @@
         waiting_by_tier=dict(sorted(waiting.items())),
         running_by_endpoint=dict(sorted(running.items())),
         core=read_core() if callable(read_core) else None,
+        paced=read_paced(),
     )
 
 
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -231,6 +231,13 @@
     "service share",
     "No scheduler answers; this VM grants from its fixed share of slots.",
 )
+LIMIT_PACED = _define(
+    331,
+    "limit_paced",
+    "info",
+    "service organisation waits requests tokens level_tokens tokens_per_s",
+    "Requests of an organisation begin or cease to wait for the rate of its limit.",
+)
 
 # 4xx: membership
 PEERS_UP = _define(
