Pace organisations' limits in the policy objective

Cause: an organisation over its limit starved all others for two seconds and was then refused everything for six. Change: the limiter of the objective core asks the pacer before it charges the window, and passes it what others use, shares, refunds and settings. Waiting requests are known to submit, withdraw, tick, configure and register_running. WaitingRequest has the time of the charge, which may be later than its submission. Limiters without a pacer work as before.

--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.outcomes import Outcome, Reason, Refusal
+from pomelolane.scheduler.pacing import Pace
 from pomelolane.scheduler.rate_limiting import SlidingWindow, TokenBucket, TokenUse
 
 if TYPE_CHECKING:
@@ -16,6 +17,7 @@
 
     from pomelolane.messages import Handle
     from pomelolane.model import Limits, Tree
+    from pomelolane.scheduler.pacing import LimitPacer, PacedLimit, PacedRequest
 
 _MIN_RETRY_MS = 10
 
@@ -56,9 +58,14 @@
 
 
 class UsageLimiter:
-    """Enforces the limits of all teams and organisations for one service."""
+    """Enforces the limits of all teams and organisations for one service.
 
-    def __init__(self) -> None:
+    Args:
+        pacer: Paces organisations' limits, None for no pacing.
+    """
+
+    def __init__(self, pacer: LimitPacer | None = None) -> None:
+        self._pacer = pacer
         self._teams: dict[str, _Account] = {}
         self._organisations: dict[str, _Account] = {}
         self._accounts_by_tenant: dict[tuple[str, str], tuple[_Account, ...]] = {}
@@ -91,6 +98,7 @@
         for account in (*self._teams.values(), *self._organisations.values()):
             if account.share != share:
                 account.configure(account.limits, share)
+        self._configure_pacer()
 
     def assume_used(self, spare_part: float, now_ms: float) -> None:
         """Assume that earlier schedulers used all windows.
@@ -159,6 +167,8 @@
         if not adds:
             for window in self._windows():
                 window.drop_reported(source)
+            if self._pacer is not None:
+                self._pacer.drop_reported(source, now_ms)
         for use in uses:
             self._add_reported(use, source, now_ms)
 
@@ -169,6 +179,8 @@
         if account is not None and account.window is not None:
             at_ms = now_ms - use.age_ms
             account.window.add_reported(use.tokens, at_ms, use.bound, source)
+            if self._pacer is not None:
+                self._pacer.add_reported(use, source, at_ms)
 
     def _windows(self) -> list[SlidingWindow]:
         accounts = self._organisations.values()
@@ -200,6 +212,8 @@
         """
         for window in self._windows():
             window.clear_reported(guess_part)
+        if self._pacer is not None:
+            self._pacer.drop_reported(None, now_ms)
         for use in uses:
             self._add_reported(use, use.source, now_ms)
 
@@ -212,6 +226,74 @@
             _configure_account(
                 self._organisations, name, organisation.limits, self._share
             )
+        self._configure_pacer()
+
+    def _configure_pacer(self) -> None:
+        if self._pacer is None:
+            return
+        for name, account in self._organisations.items():
+            self._pacer.configure(name, account.limits, account.share)
+
+    def pace(self, request: PacedRequest, now_ms: float) -> Pace | Refusal:
+        """Decide whether a request waits for its organisation's rate.
+
+        A request that passes is admitted next, which charges it. Retries and requests
+        admitted by an earlier scheduler pass.
+        """
+        handle = request.handle
+        if self._pacer is None or handle.attempt > 0 or handle.admitted:
+            return Pace.PASSES
+        if not self._pacer.is_paced(handle.organisation):
+            return Pace.PASSES
+        window = self._organisations[handle.organisation].window
+        window_wait_ms = window.room_in_ms(request.tokens, now_ms)
+        if window_wait_ms > 0 and window_wait_ms > request.left_ms(now_ms):
+            # The window refuses it.
+            return Pace.PASSES
+        return self._pacer.offer(request, window_wait_ms, now_ms)
+
+    def is_pacing(self, request_id: str) -> bool:
+        """Return whether a request waits for its organisation's rate."""
+        return self._pacer is not None and request_id in self._pacer
+
+    def next_released(self, now_ms: float) -> PacedRequest | None:
+        """Remove and return a request whose turn has come, to be admitted next."""
+        if self._pacer is None:
+            return None
+
+        def has_room(handle: Handle) -> bool:
+            window = self._organisations[handle.organisation].window
+            return window.room_in_ms(handle.charge_tokens, now_ms) <= 0
+
+        return self._pacer.next_released(has_room, now_ms)
+
+    def expire_paced(self, now_ms: float) -> list[tuple[PacedRequest, Refusal]]:
+        """Remove and return the requests that have waited too long for their rate.
+
+        If the window lets them pass later than the rate, they are refused by it.
+        """
+        expired = [] if self._pacer is None else self._pacer.expire(now_ms)
+        return [
+            (request, self._later_refusal(request, refusal, now_ms))
+            for request, refusal in expired
+        ]
+
+    def _later_refusal(
+        self, request: PacedRequest, refusal: Refusal, now_ms: float
+    ) -> Refusal:
+        window = self._organisations[request.handle.organisation].window
+        by_window = _window_refusal(window, request.tokens, now_ms)
+        if by_window is None or by_window.retry_after_ms < refusal.retry_after_ms:
+            return refusal
+        return by_window
+
+    def remove_paced(self, request_id: str) -> bool:
+        """Remove a request that waits for its rate; return whether it did."""
+        return self._pacer is not None and self._pacer.remove(request_id) is not None
+
+    def paced(self, now_ms: float) -> tuple[PacedLimit, ...]:
+        """Return the status of the paced organisations."""
+        return () if self._pacer is None else self._pacer.status(now_ms)
 
     def admit(self, handle: Handle, tokens: int, now_ms: float) -> Refusal | None:
         """Charge a request to its limits, or refuse it with a retry time.
@@ -234,6 +316,8 @@
                 account.window.take(tokens, now_ms)
             if not handle.admitted:
                 _charge_rates(account, 1.0, tokens)
+        if self._pacer is not None:
+            self._pacer.record_pass(handle, now_ms)
         return None
 
     def record_grant(
@@ -281,6 +365,8 @@
                 account.window.give_back(tokens, taken_ms)
             if not handle.admitted:
                 _charge_rates(account, -1.0, -tokens)
+        if self._pacer is not None:
+            self._pacer.refund(handle)
 
     def is_at_concurrency_limit(self, handle: Handle) -> bool:
         """Return whether one of the request's concurrency limits is reached."""
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -19,6 +19,7 @@
     WaitingRequests,
     waiting_from_handle,
 )
+from pomelolane.scheduler.pacing import Pace, PacedRequest, make_limit_pacer
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -35,6 +36,7 @@
     from pomelolane.scheduler.objective.forecast import WaitForecast
     from pomelolane.scheduler.objective.waiting import RequestQueue, WaitingRequest
     from pomelolane.scheduler.objective.worker import Worker, WorkerFigures
+    from pomelolane.scheduler.pacing import PacedLimit
 
 _MAX_UNPLACED_REQUESTS = 12
 """Requests without a suitable endpoint after which a pass over a queue ends."""
@@ -62,7 +64,7 @@
         self._service = service_name
         self._options = options
         self._fleet = Fleet(options)
-        self.limits = UsageLimiter()
+        self.limits = UsageLimiter(make_limit_pacer())
         self.trial: VersionTrial | None = None
         self._waiting = WaitingRequests()
         self._admission = Admission(options, self._fleet)
@@ -86,7 +88,7 @@
         for request_id in self._fleet.configure(own, now_ms):
             self._endpoint_by_request.pop(request_id, None)
         self.limits.configure(tree)
-        return self._dispatch(now_ms)
+        return [*self._release_paced(now_ms), *self._dispatch(now_ms)]
 
     def mark_leaving(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
         """Stop granting requests to an endpoint."""
@@ -134,14 +136,34 @@
         request_id = handle.request_id
         if request_id in self._waiting or request_id in self._endpoint_by_request:
             return []
+        if self.limits.is_pacing(request_id):
+            return []
         if handle.admitted and self._withdrawn.pop(request_id, None) is not None:
             # The charge was refunded when the request was withdrawn because its
             # gateway was lost: charge it again.
             handle = msgspec.structs.replace(handle, admitted=False)
+        waiting = waiting_from_handle(handle, now_ms)
+        pace = self.limits.pace(self._paced_request(waiting), now_ms)
+        if pace is Pace.PASSES:
+            return self._admit(waiting, now_ms)
+        return [] if pace is Pace.WAITS else [Decision(request_id, pace)]
+
+    def _paced_request(self, waiting: WaitingRequest) -> PacedRequest:
+        handle = waiting.handle
+        wait_ms = self._options.early_share * handle.objective_ms
+        received_ms = waiting.objective_at_ms - handle.objective_ms
+        return PacedRequest(
+            handle, waiting.objective_at_ms, received_ms + wait_ms, wait_ms, waiting
+        )
+
+    def _admit(self, waiting: WaitingRequest, now_ms: float) -> Sequence[Decision]:
+        """Charge a request to its limits, then grant, refuse or queue it."""
+        handle = waiting.handle
+        request_id = handle.request_id
         refusal = self.limits.admit(handle, handle.charge_tokens, now_ms)
         if refusal is not None:
             return [Decision(request_id, refusal)]
-        waiting = waiting_from_handle(handle, now_ms)
+        waiting.charged_ms = now_ms
         worker = self._trial_worker(waiting, now_ms)
         if worker is not None:
             return [self._grant(waiting, worker, now_ms)]
@@ -159,6 +181,7 @@
         if worker is None or handle.request_id in self._endpoint_by_request:
             return
         self._waiting.remove(handle.request_id)
+        self.limits.remove_paced(handle.request_id)
         flight = self._fleet.begin(worker, handle, now_ms)
         if running.started:
             worker.mark_started(flight)
@@ -170,6 +193,8 @@
         if waiting is not None:
             self._give_back(waiting)
             self._withdrawn[request_id] = now_ms
+        elif self.limits.remove_paced(request_id):
+            self._withdrawn[request_id] = now_ms
         else:
             self._release(request_id)
         return self._dispatch(now_ms)
@@ -230,7 +255,8 @@
         for worker in self._fleet:
             worker.suspend_if_silent(now_ms)
         self._forget_withdrawn(now_ms)
-        decisions = self._refuse_unreachable(now_ms)
+        decisions = self._release_paced(now_ms)
+        decisions.extend(self._refuse_unreachable(now_ms))
         decisions.extend(self._expire(now_ms))
         decisions.extend(self._dispatch(now_ms))
         return decisions
@@ -242,11 +268,24 @@
             for worker in self._fleet
         }
 
+    def paced_limits(self) -> tuple[PacedLimit, ...]:
+        """Return the level and queue of each paced organisation, for operators."""
+        return self.limits.paced(self._now_ms)
+
     # --- internals -----------------------------------------------------------
 
+    def _release_paced(self, now_ms: float) -> list[Decision]:
+        """Admit requests whose rate has room; refuse those that waited too long."""
+        decisions: list[Decision] = []
+        while (paced := self.limits.next_released(now_ms)) is not None:
+            decisions.extend(self._admit(paced.item, now_ms))
+        for paced, refusal in self.limits.expire_paced(now_ms):
+            decisions.append(Decision(paced.handle.request_id, refusal))
+        return decisions
+
     def _give_back(self, waiting: WaitingRequest) -> None:
         handle = waiting.handle
-        self.limits.give_back(handle, handle.charge_tokens, waiting.submitted_ms)
+        self.limits.give_back(handle, handle.charge_tokens, waiting.charged_ms)
 
     def _forget_withdrawn(self, now_ms: float) -> None:
         oldest_ms = now_ms - _WITHDRAWN_RETENTION_MS
@@ -420,7 +459,7 @@
         if worker.rate is not None:
             worker.rate.take(now_ms)
         self.limits.record_grant(
-            handle, handle.charge_tokens, waiting.submitted_ms, now_ms
+            handle, handle.charge_tokens, waiting.charged_ms, now_ms
         )
         self._endpoint_by_request[handle.request_id] = worker.endpoint.endpoint_id
         if self.trial is not None:
--- a/src/pomelolane/scheduler/objective/waiting.py
+++ b/src/pomelolane/scheduler/objective/waiting.py
@@ -40,6 +40,7 @@
     Attributes:
         handle: The request.
         submitted_ms: When it was submitted.
+        charged_ms: When it was charged to its organisation's limit.
         deadline_ms: Time by which the answer must have ended.
         objective_at_ms: Time at which the first answer byte is due.
         late: Whether its objective is out of reach.
@@ -55,10 +56,12 @@
     late: bool = False
     queued: bool = True
     precedence: Precedence = Precedence.WITHIN_SHARE
+    charged_ms: float = field(init=False)
     key: QueueKey = field(init=False)
 
     def __post_init__(self) -> None:
-        """Set the key from the other fields."""
+        """Set the time of the charge and the key from the other fields."""
+        self.charged_ms = self.submitted_ms
         self.key = (self.handle.tier_rank, self.precedence, self.objective_at_ms)
 
     def give_up_at_ms(self, options: ObjectiveOptions) -> float:
