Carry fingerprints and reservations in messages

Cause: a scheduler cannot recognise a refused caller that returns, as callers use a new id and another VM, and a successor does not know what was reserved.

Change: Handle.fingerprint (16 digits of ForwardCall.fingerprint), Refused.reserved_ms, HeldReservation and ReservationsHeld; Refusal.reserved_ms and Grant.reserved inside a VM. A receiver rejects a whole frame if it does not know one of its messages. ReservationsHeld is sent in a frame of its own, so that a scheduler of the previous version does not lose the handles that were queued in the same iteration of the event loop.

--- a/src/pomelolane/forwarding/handles.py
+++ b/src/pomelolane/forwarding/handles.py
@@ -13,6 +13,10 @@
 """Time within which a broken stream should resume. It is less than any objective that
 the users specified, so that the stream is due before new requests of its rank."""
 
+FINGERPRINT_DIGITS = 16
+"""Digits of the fingerprint that a handle carries: 64 bits, so that equal ones do not
+occur by chance among the few thousand requests that one scheduler recognises."""
+
 
 def handle_from_state(state: CallState, data_centre: str, now_ms: float) -> Handle:
     """Return the handle with which a request asks for a slot.
@@ -54,4 +58,5 @@
         gap_ms=call.route.gap_ms,
         charge_tokens=call.charge_tokens,
         patience_ms=patience_ms,
+        fingerprint=call.fingerprint[:FINGERPRINT_DIGITS],
     )
--- a/src/pomelolane/membership/transport.py
+++ b/src/pomelolane/membership/transport.py
@@ -26,7 +26,7 @@
     is_loopback,
 )
 from pomelolane.membership.links import VM_PROPERTY, Link
-from pomelolane.messages import decode_message, encode_message
+from pomelolane.messages import SENT_ALONE, decode_message, encode_message
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
@@ -161,7 +161,7 @@
         if link is None:
             return False
         data = encode_message(message)
-        if not link.put(data):
+        if not link.put(data, alone=isinstance(message, SENT_ALONE)):
             return False
         self.bytes_sent_by_kind[type(message).__name__] += len(data)
         return True
--- a/src/pomelolane/messages/__init__.py
+++ b/src/pomelolane/messages/__init__.py
@@ -35,11 +35,13 @@
 from pomelolane.messages.scheduling import (
     Granted,
     Handle,
+    HeldReservation,
     LimitsHeard,
     NamedLimit,
     NotScheduler,
     Progress,
     Refused,
+    ReservationsHeld,
     RunningHandle,
     StreamEvent,
     Submit,
@@ -51,9 +53,15 @@
     UsesTold,
     Withdraw,
 )
-from pomelolane.messages.wire import AnyMessage, decode_message, encode_message
+from pomelolane.messages.wire import (
+    SENT_ALONE,
+    AnyMessage,
+    decode_message,
+    encode_message,
+)
 
 __all__ = [
+    "SENT_ALONE",
     "AnyMessage",
     "BranchContent",
     "BranchWanted",
@@ -68,6 +76,7 @@
     "Handle",
     "Heartbeat",
     "HeartbeatWanted",
+    "HeldReservation",
     "KeyAnswer",
     "KeyQuery",
     "LimitsHeard",
@@ -82,6 +91,7 @@
     "RelayedResult",
     "RelayedWrite",
     "ReportedCrash",
+    "ReservationsHeld",
     "RunningHandle",
     "StreamEvent",
     "Submit",
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -41,6 +41,8 @@
             begun, 0 if it stays until the deadline.
         suspect: Whether several endpoints have crashed while running it. It then runs
             beside no other suspect, so that the next crash identifies the cause.
+        fingerprint: First 16 digits of the hash of the request's content, equal for
+            repeated requests, empty if unknown.
     """
 
     request_id: str
@@ -63,6 +65,7 @@
     charge_tokens: int = 0
     patience_ms: int = 0
     suspect: bool = False
+    fingerprint: str = ""
 
     def with_budget(self, budget_ms: int, *, admitted: bool) -> Handle:
         """Return the handle with the remaining budget and patience."""
@@ -156,12 +159,14 @@
         request_id: The request.
         reason: Reason for the refusal.
         retry_after_ms: Time to wait before a retry, from the measured drain rate.
+        reserved_ms: Slot time reserved at that time, 0 for none.
     """
 
     epoch: int
     request_id: str
     reason: Reason
     retry_after_ms: int
+    reserved_ms: int = 0
 
 
 class StreamEvent(msgspec.Struct, frozen=True, array_like=True):
@@ -276,6 +281,38 @@
     limits: tuple[NamedLimit, ...]
 
 
+class HeldReservation(msgspec.Struct, frozen=True, array_like=True):
+    """Slot time that a scheduler reserved with a refusal.
+
+    Attributes:
+        fingerprint: Fingerprint of the refused request, as in its handle.
+        tier_rank: Rank of the request.
+        due_in_ms: Time until the retry time, negative after it.
+        slot_ms: Slot time that is reserved.
+    """
+
+    fingerprint: str
+    tier_rank: int
+    due_in_ms: int
+    slot_ms: int
+
+
+class ReservationsHeld(Message, frozen=True):
+    """Gateway to its new scheduler: reservations of refusals that it has relayed.
+
+    It is sent before the handles, so that a caller that returns in time is recognised.
+
+    Attributes:
+        epoch: The gateway's number for its current choice of scheduler.
+        service: The service.
+        reservations: Reservations that have not expired.
+    """
+
+    epoch: int
+    service: str
+    reservations: tuple[HeldReservation, ...]
+
+
 class Unfollow(Message, frozen=True):
     """Gateway to its former scheduler: the gateway uses another one now.
 
@@ -334,11 +371,13 @@
 __all__ = [
     "Granted",
     "Handle",
+    "HeldReservation",
     "LimitsHeard",
     "NamedLimit",
     "NotScheduler",
     "Progress",
     "Refused",
+    "ReservationsHeld",
     "RunningHandle",
     "StreamEvent",
     "Submit",
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -37,6 +37,7 @@
     NotScheduler,
     Progress,
     Refused,
+    ReservationsHeld,
     Submit,
     SubmitAck,
     Sync,
@@ -63,6 +64,7 @@
     | SyncAck
     | Unfollow
     | LimitsHeard
+    | ReservationsHeld
     | Heartbeat
     | Pulse
     | HeartbeatWanted
@@ -79,6 +81,10 @@
     | ClaimResults
 )
 
+SENT_ALONE = (ReservationsHeld,)
+"""Kinds that the previous version does not know. A receiver rejects a whole frame if it
+does not know one of its messages, so these are sent in frames of their own."""
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
 
@@ -100,4 +106,4 @@
         raise TransportError(f"undecodable message: {error}") from error
 
 
-__all__ = ["AnyMessage", "decode_message", "encode_message"]
+__all__ = ["SENT_ALONE", "AnyMessage", "decode_message", "encode_message"]
--- a/src/pomelolane/outcomes.py
+++ b/src/pomelolane/outcomes.py
@@ -66,12 +66,14 @@
         reason: Why.
         retry_after_ms: When coming back can help, 0 where it can't.
         detail: One sentence for people.
+        reserved_ms: Slot time reserved for the caller's return, 0 for none.
     """
 
     outcome: Outcome
     reason: Reason
     retry_after_ms: int = 0
     detail: str = ""
+    reserved_ms: int = 0
 
     def __bool__(self) -> bool:
         return False
--- a/src/pomelolane/ports/scheduling.py
+++ b/src/pomelolane/ports/scheduling.py
@@ -29,11 +29,13 @@
         request_id: The request.
         endpoint_id: Where to send it.
         expected_ttft_ms: Predicted time until the first token.
+        reserved: Whether the request used a reservation.
     """
 
     request_id: str
     endpoint_id: str
     expected_ttft_ms: float
+    reserved: bool = False
 
 
 @dataclass(frozen=True, slots=True)
