Reserve slot time for refused callers that return

Cause: Retry-After of an early refusal was the predicted lateness, which refers to no capacity.

A refusal for deadline_unreachable reserves the first bin that the caller waits for; a caller that returns in time goes first in its rank and is not refused early. Predicted waits are extended by what is reserved, so that new requests are not admitted and then overtaken. Without a reservation the retry time is that of the first free bin, also for requests that waited in vain. Handles without a fingerprint are treated as before.

--- a/src/pomelolane/scheduler/objective/admission.py
+++ b/src/pomelolane/scheduler/objective/admission.py
@@ -103,6 +103,13 @@
         )
         return now_ms + wait_ms + ttft_ms - waiting.objective_at_ms
 
+    def slots_left(
+        self, waiting: WaitingRequest, wait_forecast: WaitForecast, now_ms: float
+    ) -> float:
+        """Return the number of slots that more urgent requests leave to a request."""
+        share = self._more_urgent_share(waiting, wait_forecast, now_ms)
+        return wait_forecast.slots * (1.0 - share)
+
     def _more_urgent_share(
         self, waiting: WaitingRequest, wait_forecast: WaitForecast, now_ms: float
     ) -> float:
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -15,7 +15,12 @@
 from pomelolane.scheduler.objective.fleet import Fleet, longest_accepted_prompt
 from pomelolane.scheduler.objective.options import ObjectiveOptions
 from pomelolane.scheduler.objective.rate import rate_after_answer, rate_after_report
+from pomelolane.scheduler.objective.reservations import (
+    Reservation,
+    make_retry_reservations,
+)
 from pomelolane.scheduler.objective.waiting import (
+    Precedence,
     WaitingRequests,
     waiting_from_handle,
 )
@@ -33,6 +38,7 @@
     )
     from pomelolane.scheduler.objective.flight import Flight
     from pomelolane.scheduler.objective.forecast import WaitForecast
+    from pomelolane.scheduler.objective.reservations import ReservationFigures
     from pomelolane.scheduler.objective.waiting import RequestQueue, WaitingRequest
     from pomelolane.scheduler.objective.worker import Worker, WorkerFigures
 
@@ -66,6 +72,7 @@
         self.trial: VersionTrial | None = None
         self._waiting = WaitingRequests()
         self._admission = Admission(options, self._fleet)
+        self._reservations = make_retry_reservations(options)
         self._endpoint_by_request: dict[str, str] = {}
         self._withdrawn: dict[str, float] = {}
         self._mean_service_ms = _INITIAL_SERVICE_MS
@@ -127,6 +134,32 @@
             if worker.rate is not None
         )
 
+    def hear_reservation(
+        self,
+        fingerprint: str,
+        tier_rank: int,
+        due_in_ms: float,
+        slot_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Add a reservation of a former scheduler that a gateway has kept."""
+        due_ms = now_ms + due_in_ms
+        slots = sum(
+            worker.usable_slots(self._fleet.share)
+            for worker in self._fleet
+            if not worker.leaving
+        )
+        reservation = Reservation(0, fingerprint, tier_rank, due_ms, slot_ms)
+        self._reservations.adopt(reservation, slots, now_ms)
+
+    def account_for_pause(self, paused_ms: float, now_ms: float) -> None:
+        """Make retry times earlier by a pause in which the clock stood still."""
+        self._reservations.account_for_pause(paused_ms, now_ms)
+
+    def reservation_figures(self) -> ReservationFigures:
+        """Return the number of reservations, for operators."""
+        return self._reservations.figures
+
     # --- requests ---------------------------------------------------------
 
     def submit(self, handle: Handle, now_ms: float) -> Sequence[Decision]:
@@ -134,6 +167,7 @@
         request_id = handle.request_id
         if request_id in self._waiting or request_id in self._endpoint_by_request:
             return []
+        is_resubmitted = handle.admitted or request_id in self._withdrawn
         if handle.admitted and self._withdrawn.pop(request_id, None) is not None:
             # The charge was refunded when the request was withdrawn because its
             # gateway was lost: charge it again.
@@ -142,6 +176,7 @@
         if refusal is not None:
             return [Decision(request_id, refusal)]
         waiting = waiting_from_handle(handle, now_ms)
+        self._reservations.claim(waiting, now_ms, is_resubmitted=is_resubmitted)
         worker = self._trial_worker(waiting, now_ms)
         if worker is not None:
             return [self._grant(waiting, worker, now_ms)]
@@ -229,6 +264,7 @@
         """Suspend silent endpoints, and move or refuse requests that are now late."""
         for worker in self._fleet:
             worker.suspend_if_silent(now_ms)
+        self._reservations.update(self._fleet, self._fleet.share, now_ms)
         self._forget_withdrawn(now_ms)
         decisions = self._refuse_unreachable(now_ms)
         decisions.extend(self._expire(now_ms))
@@ -305,11 +341,34 @@
         wait_forecast: WaitForecast,
         now_ms: float,
     ) -> Refusal | None:
-        """Return a refusal if the predicted wait is too long for the objective."""
-        late_ms = self._admission.lateness_ms(waiting, wait_ms, wait_forecast, now_ms)
+        """Return a refusal if the predicted wait is too long for the objective.
+
+        A request with a reservation is never refused early.
+        """
+        if waiting.precedence is Precedence.RESERVED:
+            return None
+        handle = waiting.handle
+        slots = self._admission.slots_left(waiting, wait_forecast, now_ms)
+        delayed_ms = self._reservations.delayed_ms(
+            handle.tier_rank, wait_ms, slots, now_ms
+        )
+        late_ms = self._admission.lateness_ms(
+            waiting, delayed_ms, wait_forecast, now_ms
+        )
         if late_ms <= 0:
             return None
-        return self._refusal(Reason.DEADLINE_UNREACHABLE, late_ms)
+        if not handle.fingerprint:
+            return self._refusal(Reason.DEADLINE_UNREACHABLE, late_ms)
+        offer = self._reservations.offer(
+            waiting,
+            max(wait_ms, late_ms),
+            wait_forecast.latency.duration_ms(handle),
+            slots,
+            now_ms,
+        )
+        return self._refusal(
+            Reason.DEADLINE_UNREACHABLE, offer.retry_ms, offer.reserved_ms
+        )
 
     def _refuse_unreachable(self, now_ms: float) -> list[Decision]:
         """Refuse waiting requests that can no longer be on time.
@@ -337,10 +396,12 @@
         self._give_back(waiting)
         return Decision(waiting.handle.request_id, refusal)
 
-    def _refusal(self, reason: Reason, retry_ms: float) -> Refusal:
+    def _refusal(
+        self, reason: Reason, retry_ms: float, reserved_ms: int = 0
+    ) -> Refusal:
         options = self._options
         bounded = min(options.max_retry_ms, max(options.min_retry_ms, int(retry_ms)))
-        return Refusal(Outcome.NOT_RUN, reason, bounded)
+        return Refusal(Outcome.NOT_RUN, reason, bounded, reserved_ms=reserved_ms)
 
     def _expire(self, now_ms: float) -> list[Decision]:
         """Move requests past their objective to the late queue; refuse expired ones.
@@ -353,12 +414,23 @@
             min_ttft_ms = self._fleet.min_ttft_ms(waiting.handle, now_ms)
             answerable_ms = waiting.deadline_ms - min_ttft_ms
             if now_ms >= min(answerable_ms, waiting.give_up_at_ms(self._options)):
-                refusal = self._refusal(Reason.DEADLINE_PASSED, self._mean_service_ms)
+                retry_ms = self._retry_after_expiry_ms(waiting, now_ms)
+                refusal = self._refusal(Reason.DEADLINE_PASSED, retry_ms)
                 decisions.append(self._refuse_waiting(waiting, refusal))
             elif not waiting.late and now_ms >= waiting.objective_at_ms:
                 self._waiting.move_to_late(waiting)
         return decisions
 
+    def _retry_after_expiry_ms(self, waiting: WaitingRequest, now_ms: float) -> float:
+        """Return the time until capacity is free for a request that waited in vain."""
+        handle = waiting.handle
+        if not handle.fingerprint or not handle.objective_ms:
+            return self._mean_service_ms
+        wait_forecast = self._admission.recent_forecast(self._waiting, now_ms)
+        slots = self._admission.slots_left(waiting, wait_forecast, now_ms)
+        wait_ms = wait_forecast.wait_ms(waiting.key, now_ms)
+        return self._reservations.predict_ms(handle.tier_rank, wait_ms, slots, now_ms)
+
     def _dispatch(self, now_ms: float) -> list[Decision]:
         """Grant slots, first to requests that can be on time, then to late ones."""
         self._now_ms = now_ms
@@ -413,6 +485,7 @@
     ) -> Decision:
         handle = waiting.handle
         self._waiting.remove(handle.request_id)
+        self._reservations.cancel_early(waiting)
         slot_ms = worker.duration_ms(handle)
         self._admission.record_grant(handle.tier_rank, slot_ms, now_ms)
         flight = self._fleet.begin(worker, handle, now_ms)
@@ -426,7 +499,10 @@
         if self.trial is not None:
             self.trial.count_grant(worker.endpoint.endpoint_id, handle.work)
         grant = Grant(
-            handle.request_id, worker.endpoint.endpoint_id, flight.expected_ttft_ms
+            handle.request_id,
+            worker.endpoint.endpoint_id,
+            flight.expected_ttft_ms,
+            reserved=waiting.precedence is Precedence.RESERVED,
         )
         return Decision(handle.request_id, grant)
 
--- a/src/pomelolane/scheduler/objective/options.py
+++ b/src/pomelolane/scheduler/objective/options.py
@@ -61,6 +61,8 @@
             would be answered just too late without it.
         fail_step: Weight of one sample in the learnt share of failures.
         fail_weight: Penalty factor on predicted times per share of failed answers.
+        reserved_share: Share of the slots that may be reserved for refused callers; the
+            rest is for new requests.
     """
 
     prefill_per_ms: float = 55.0
@@ -89,3 +91,4 @@
     spread_factor: float = 1.5
     fail_step: float = 0.1
     fail_weight: float = 6.0
+    reserved_share: float = 0.5
--- a/src/pomelolane/scheduler/objective/waiting.py
+++ b/src/pomelolane/scheduler/objective/waiting.py
@@ -13,6 +13,7 @@
 
     from pomelolane.messages import Handle
     from pomelolane.scheduler.objective.options import ObjectiveOptions
+    from pomelolane.scheduler.objective.reservations import Reservation
 
 QueueKey = tuple[int, int, float]
 """Sort key: tier rank, precedence within it, then the time at which the first answer
@@ -45,6 +46,7 @@
         late: Whether its objective is out of reach.
         queued: Whether it still waits.
         precedence: Its order within the tier rank.
+        reservation: Reservation that it uses, or for which it arrived too early.
         key: Its position in the queue.
     """
 
@@ -55,6 +57,7 @@
     late: bool = False
     queued: bool = True
     precedence: Precedence = Precedence.WITHIN_SHARE
+    reservation: Reservation | None = None
     key: QueueKey = field(init=False)
 
     def __post_init__(self) -> None:
--- /dev/null
+++ b/tests/scheduler/load/refused_callers_return.feature
@@ -0,0 +1,20 @@
+Feature: Refused callers return
+  Load: for 6 s all callers of a plain service ask for 1.6 times the capacity. A refused
+  caller returns once, at its retry time, if that is within a third of its time left; one
+  in ten repeats at once instead.
+
+  Guards against retry times that refer to no capacity. They were the predicted lateness,
+  mostly 100 to 250 ms, so that about two thirds of the returned requests were refused
+  again: 0.34 and 0.36 of them were served where 0.97 and 0.98 are with reservations.
+
+  Scenario Outline: Who returns at the retry time is served
+    When <endpoints> endpoints of <slots> slots that take <work_ms> ms get 1.6 times their capacity for 6 s
+    Then at least 0.80 of the callers that return are served
+    And at least 0.95 of those with a reservation are served
+    And those who repeat at once are served no more often than new requests
+    And new requests are served at least half as often as without reservations
+
+    Examples:
+      | endpoints | slots | work_ms |
+      | 4         | 6     | 80      |
+      | 6         | 4     | 105     |
