--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -158,7 +159,7 @@
 
     def reservation_figures(self) -> ReservationFigures:
         """Return the number of reservations, for operators."""
-        return self._reservations.figures
+        return replace(self._reservations.figures)
 
     # --- requests ---------------------------------------------------------
 
--- a/tests/coordination/reservations.feature
+++ b/tests/coordination/reservations.feature
@@ -36,6 +36,12 @@
       | killed |
       | paused |
 
+  # Guards against a line for each tick in which endpoints fail.
+  Scenario: Reservations withdrawn for lost slots are logged once in 1 s with their number
+    When a caller of another VM is refused with a reservation
+    And the only endpoint leaves in two steps 200 ms apart
+    Then within 1200 ms one line says that 15 reservations have lapsed
+
   # A scheduler of the previous version rejects a whole frame with an unknown message.
   Scenario: A message of the previous version without the new fields is read
     Then a refusal and a handle without the new fields are decoded with their defaults
--- a/tests/scheduler/reservations.feature
+++ b/tests/scheduler/reservations.feature
@@ -70,6 +70,13 @@
     And -200 ms from its retry time "a" arrives with nothing else
     Then it goes first
 
+  # Guards against refusing early, after a pause, a request that has returned in time.
+  Scenario: A request that used its reservation keeps it when it is submitted again
+    When request "a" is refused
+    And 0 ms from its retry time "a" arrives with nothing else
+    And the same request is submitted again
+    Then it goes first
+
   Scenario: The number of reservations is bounded
     When 6000 reservations are received
     Then 4096 reservations are held
--- a/tests/steps/coordination_reservations_steps.py
+++ b/tests/steps/coordination_reservations_steps.py
@@ -6,6 +6,8 @@
 import msgspec
 from behave import given, then, when
 
+from pomelolane.coordination import reservations
+from pomelolane.events import RESERVATIONS_LAPSED
 from pomelolane.membership.links import Link
 from pomelolane.messages import (
     Handle,
@@ -164,6 +166,32 @@
     context.run(context.world.run(300))
 
 
+@when("the only endpoint leaves in two steps {ms:d} ms apart")
+def step_slots_lost(context, ms):
+    world = context.world
+    context.logged = []
+    before = reservations.log_event
+    reservations.log_event = lambda event, **fields: context.logged.append(
+        (event, fields)
+    )
+    context.add_cleanup(setattr, reservations, "log_event", before)
+    context.run(world.run(50))
+    for slots in (2, 0):
+        endpoint = replace(
+            world.tree.endpoints["a/1"], slots=max(slots, 1), leaving=not slots
+        )
+        world.tree = replace(world.tree, endpoints={"a/1": endpoint})
+        context.run(world.configure())
+        context.run(world.run(ms))
+
+
+@then("within {ms:d} ms one line says that {count:d} reservations have lapsed")
+def step_lapse_logged(context, ms, count):
+    context.run(context.world.run(ms))
+    lines = [fields for event, fields in context.logged if event is RESERVATIONS_LAPSED]
+    assert lines == [{"service": "pool", "count": count}], lines
+
+
 @then("the copy used no reservation")
 def step_unused(context):
     assert context.request.result is None, context.request
--- a/tests/steps/scheduler_reservations_steps.py
+++ b/tests/steps/scheduler_reservations_steps.py
@@ -99,6 +99,13 @@
     _arrive(context, name)
 
 
+@when("the same request is submitted again")
+def step_again(context):
+    handle = context.waiting.handle
+    context.waiting = waiting_from_handle(handle, context.now_ms)
+    context.book.claim(context.waiting, context.now_ms, is_resubmitted=True)
+
+
 @when('"{name}" arrives {ms:d} ms later and is {result}')
 def step_early(context, name, ms, result):
     context.before = context.offer
