Use the nearest reservation that is due, not the nearest

Cause: of two reservations of one fingerprint the nearest was taken even if its window had not begun, so that a caller 300 ms late counted as early.

Change: the nearest of those whose window is open.

Measured: the new scenario fails without the change and passes with it.

--- a/src/pomelolane/scheduler/objective/reservations.py
+++ b/src/pomelolane/scheduler/objective/reservations.py
@@ -252,8 +252,9 @@
         ]
         if not held:
             return None
-        nearest = min(held, key=lambda one: abs(one.due_ms - now_ms))
-        if nearest.is_usable(handle.tier_rank, now_ms):
+        usable = [one for one in held if one.is_usable(handle.tier_rank, now_ms)]
+        nearest = min(usable or held, key=lambda one: abs(one.due_ms - now_ms))
+        if usable:
             self._release(nearest)
             self._claims[handle.request_id] = nearest
             self.figures.used += 1
--- a/tests/scheduler/reservations.feature
+++ b/tests/scheduler/reservations.feature
@@ -50,6 +50,13 @@
     And "a" arrives 60 ms later and is granted
     Then no reservation is held
 
+  # Guards against taking a caller that is 300 ms late for one that returns too early.
+  Scenario: Of several reservations the nearest that may be used is used
+    When request "a" is refused
+    And a second reservation of "a" is received, due 450 ms later
+    And 300 ms from its retry time "a" arrives with nothing else
+    Then it goes first
+
   # Guards against a used reservation that a gateway sends again, and against one that two
   # gateways were told of.
   Scenario: A reservation that is sent again is added once
--- a/tests/steps/scheduler_reservations_steps.py
+++ b/tests/steps/scheduler_reservations_steps.py
@@ -125,6 +125,12 @@
         context.book.adopt(one, context.slots, context.now_ms)
 
 
+@when('a second reservation of "{name}" is received, due {ms:d} ms later')
+def step_second(context, name, ms):
+    one = Reservation(0, name, RANK, context.due_ms + ms, SLOT_MS)
+    context.book.adopt(one, context.slots, context.now_ms)
+
+
 @when('"{name}" is used and gateways send its reservation again')
 def step_used_sent(context, name):
     context.now_ms = context.due_ms
