Move the data classes of reservations into a module of their own

Change: Reservation, RetryOffer, SlotSupply and ReservationFigures are in reserved_slots.py.

Measured: tests/scheduler/reservations.feature, tests/scheduler/load, tests/coordination and tests/docs pass.

--- a/src/pomelolane/coordination/service_queue.py
+++ b/src/pomelolane/coordination/service_queue.py
@@ -39,7 +39,7 @@
     from pomelolane.coordination.timings import Timings
     from pomelolane.model import Endpoint, ServiceKind, Tree
     from pomelolane.ports import Clock, Decision, SchedulingCore
-    from pomelolane.scheduler.objective.reservations import ReservationFigures
+    from pomelolane.scheduler.objective.reserved_slots import ReservationFigures
 
 TOP_RANK = 0
 _MAX_MISSED_SYNCS = 2
--- a/src/pomelolane/coordination/status.py
+++ b/src/pomelolane/coordination/status.py
@@ -15,7 +15,7 @@
     from pomelolane.coordination.link import Link
     from pomelolane.coordination.service_queue import ServiceQueue
     from pomelolane.messages import NamedLimit
-    from pomelolane.scheduler.objective.reservations import ReservationFigures
+    from pomelolane.scheduler.objective.reserved_slots import ReservationFigures
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -16,10 +16,8 @@
 from pomelolane.scheduler.objective.fleet import Fleet, longest_accepted_prompt
 from pomelolane.scheduler.objective.options import ObjectiveOptions
 from pomelolane.scheduler.objective.rate import rate_after_answer, rate_after_report
-from pomelolane.scheduler.objective.reservations import (
-    Reservation,
-    make_retry_reservations,
-)
+from pomelolane.scheduler.objective.reservations import make_retry_reservations
+from pomelolane.scheduler.objective.reserved_slots import Reservation
 from pomelolane.scheduler.objective.waiting import (
     Precedence,
     WaitingRequests,
@@ -39,7 +37,7 @@
     )
     from pomelolane.scheduler.objective.flight import Flight
     from pomelolane.scheduler.objective.forecast import WaitForecast
-    from pomelolane.scheduler.objective.reservations import ReservationFigures
+    from pomelolane.scheduler.objective.reserved_slots import ReservationFigures
     from pomelolane.scheduler.objective.waiting import RequestQueue, WaitingRequest
     from pomelolane.scheduler.objective.worker import Worker, WorkerFigures
 
--- a/src/pomelolane/scheduler/objective/waiting.py
+++ b/src/pomelolane/scheduler/objective/waiting.py
@@ -13,7 +13,7 @@
 
     from pomelolane.messages import Handle
     from pomelolane.scheduler.objective.options import ObjectiveOptions
-    from pomelolane.scheduler.objective.reservations import Reservation
+    from pomelolane.scheduler.objective.reserved_slots import Reservation
 
 QueueKey = tuple[int, int, float]
 """Sort key: tier rank, precedence within it, then the time at which the first answer
--- a/tests/steps/scheduler_reservations_steps.py
+++ b/tests/steps/scheduler_reservations_steps.py
@@ -7,10 +7,8 @@
 from scheduler_driver import make_handle
 
 from pomelolane.scheduler.objective import ObjectiveOptions
-from pomelolane.scheduler.objective.reservations import (
-    Reservation,
-    make_retry_reservations,
-)
+from pomelolane.scheduler.objective.reservations import make_retry_reservations
+from pomelolane.scheduler.objective.reserved_slots import Reservation
 from pomelolane.scheduler.objective.waiting import Precedence, waiting_from_handle
 
 START_MS = 10_000.0
