--- a/src/pomelolane/coordination/status.py
+++ b/src/pomelolane/coordination/status.py
@@ -15,6 +15,7 @@
     from pomelolane.coordination.link import Link
     from pomelolane.coordination.service_queue import ServiceQueue
     from pomelolane.messages import NamedLimit
+    from pomelolane.scheduler.objective.reserved_slots import ReservationFigures
     from pomelolane.scheduler.pacing import PacedLimit
 
 
@@ -30,6 +31,7 @@
         running_by_endpoint: Number of granted requests by endpoint.
         core: Status of the core, such as endpoint speeds, None if it has none.
         paced: Level and waiting requests of the organisations whose limits are paced.
+        reservations: Number of reserved retries, None if the core makes none.
     """
 
     service: str
@@ -39,6 +41,7 @@
     running_by_endpoint: dict[str, int]
     core: Any = None
     paced: tuple[PacedLimit, ...] = ()
+    reservations: ReservationFigures | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +55,7 @@
         waiting: Number of this gateway's waiting requests.
         running: Number of this gateway's running requests.
         limits: Rate limits that endpoints have announced.
+        reservations: Number of reservations of refusals that were relayed to callers.
     """
 
     service: str
@@ -60,6 +64,7 @@
     waiting: int
     running: int
     limits: tuple[NamedLimit, ...]
+    reservations: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +99,7 @@
         running_by_endpoint=dict(sorted(running.items())),
         core=read_core() if callable(read_core) else None,
         paced=read_paced(),
+        reservations=service_queue.reservation_figures(),
     )
 
 
@@ -106,4 +112,5 @@
         waiting=len(link.waiting),
         running=len(link.running),
         limits=link.limits.current(now_ms),
+        reservations=len(link.reservations.current(now_ms)),
     )
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -190,14 +190,15 @@
     301,
     "placed",
     "info",
-    "request service endpoint tier waited_ms queue_ms prefill_ms cached_tokens score",
+    "request service endpoint tier waited_ms queue_ms prefill_ms cached_tokens score "
+    "reserved",
     "The scheduler granted a slot; the figures are those that decided.",
 )
 REFUSED = _define(
     302,
     "refused",
     "info",
-    "request service tier reason queued retry_after_ms",
+    "request service tier reason queued retry_after_ms reserved_ms",
     "The scheduler gave up on a waiting request.",
 )
 SCHEDULER_CHOSEN = _define(
@@ -238,6 +239,13 @@
     "service organisation waits requests tokens level_tokens tokens_per_s",
     "Requests of an organisation begin or cease to wait for the rate of its limit.",
 )
+RESERVATIONS_LAPSED = _define(
+    332,
+    "reservations_lapsed",
+    "info",
+    "service count",
+    "Slots were lost, and reserved retries that no longer fit were withdrawn.",
+)
 
 # 4xx: membership
 PEERS_UP = _define(
--- a/src/pomelolane/scheduler/objective/waiting.py
+++ b/src/pomelolane/scheduler/objective/waiting.py
@@ -13,6 +13,7 @@
 
     from pomelolane.messages import Handle
     from pomelolane.scheduler.objective.options import ObjectiveOptions
+    from pomelolane.scheduler.objective.reserved_slots import Reservation
 
 QueueKey = tuple[int, int, float]
 """Sort key: tier rank, precedence within it, then the time at which the first answer
@@ -46,6 +47,8 @@
         late: Whether its objective is out of reach.
         queued: Whether it still waits.
         precedence: Its order within the tier rank.
+        is_resubmitted: Whether this scheduler or an earlier one had it before.
+        reservation: Reservation that it uses, or for which it arrived too early.
         key: Its position in the queue.
     """
 
@@ -56,6 +59,8 @@
     late: bool = False
     queued: bool = True
     precedence: Precedence = Precedence.WITHIN_SHARE
+    is_resubmitted: bool = False
+    reservation: Reservation | None = None
     charged_ms: float = field(init=False)
     key: QueueKey = field(init=False)
 
