Divide the slots of a contended rank among organisations

Cause: one organisation that asks forty times its usual demand took the slots of all others of its rank. Change: objective/shares.py keeps the demand of each organisation, divides the slots max-min fairly by weight every 50 ms and classifies requests; what waits is reclassified when a rank becomes or ceases to be contended, and old queue entries are skipped. Status, event 330 and the refusal's log line show it. A request that is registered as running brings its received tokens, which its remaining time needs.

--- a/src/pomelolane/coordination/decisions.py
+++ b/src/pomelolane/coordination/decisions.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pomelolane.events import PLACED, REFUSED
+from pomelolane.events import PLACED, REFUSED, SHARES_CONTENDED
 from pomelolane.logs import log_event
 
 if TYPE_CHECKING:
@@ -42,9 +42,24 @@
         reason=refusal.reason,
         queued=queued,
         retry_after_ms=refusal.retry_after_ms,
+        beyond_share=refusal.beyond_share,
     )
 
 
+def log_contention(service: str, core: SchedulingCore, now_ms: float) -> None:
+    """Log a change of the contended ranks, if the core divides slots and has one."""
+    take_change = getattr(core, "take_contention_change", None)
+    change = take_change(now_ms) if take_change is not None else None
+    if change is not None:
+        log_event(
+            SHARES_CONTENDED,
+            service=service,
+            contended=",".join(map(str, change.contended)),
+            ended=",".join(map(str, change.ended)),
+            beyond=",".join(change.beyond),
+        )
+
+
 def _placement_of(core: SchedulingCore, request_id: str) -> Placement | None:
     """Return the predicted placement of a grant, if the core provides it."""
     read = getattr(core, "placement_of", None)
--- a/src/pomelolane/coordination/service_queue.py
+++ b/src/pomelolane/coordination/service_queue.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from pomelolane.coordination.decisions import log_grant, log_refusal
+from pomelolane.coordination.decisions import log_contention, log_grant, log_refusal
 from pomelolane.coordination.epochs import incarnation_part
 from pomelolane.coordination.limit_account import account_from_core
 from pomelolane.coordination.request_table import Entry, Follower, RequestTable
@@ -186,6 +186,7 @@
         for entry in due:
             self._remove(entry)
         self._apply_decisions(self.core.tick(now_ms))
+        log_contention(self.service, self.core, now_ms)
 
     def drop_gateway(self, gateway: str) -> None:
         """Remove a gateway; slots of its running requests stay taken for a while."""
--- a/src/pomelolane/coordination/status.py
+++ b/src/pomelolane/coordination/status.py
@@ -15,6 +15,7 @@
     from pomelolane.coordination.link import Link
     from pomelolane.coordination.service_queue import ServiceQueue
     from pomelolane.messages import NamedLimit
+    from pomelolane.scheduler.objective.shares import RankShares
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +29,7 @@
         waiting_by_tier: Number of waiting requests by tier rank.
         running_by_endpoint: Number of granted requests by endpoint.
         core: Status of the core, such as endpoint speeds, None if it has none.
+        shares: Organisations' shares of the slots in the contended ranks.
     """
 
     service: str
@@ -36,6 +38,7 @@
     waiting_by_tier: dict[int, int]
     running_by_endpoint: dict[str, int]
     core: Any = None
+    shares: tuple[RankShares, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,13 +85,15 @@
     waiting = Counter(e.handle.tier_rank for e in entries if not e.endpoint_id)
     running = Counter(e.endpoint_id for e in entries if e.endpoint_id)
     read_core = getattr(service_queue.core, "status", None)
+    core = read_core() if callable(read_core) else None
     return ServiceQueueStatus(
         service=service_queue.service,
         settling=service_queue.is_settling,
         followers=tuple(sorted(service_queue.followers())),
         waiting_by_tier=dict(sorted(waiting.items())),
         running_by_endpoint=dict(sorted(running.items())),
-        core=read_core() if callable(read_core) else None,
+        core=getattr(core, "endpoints", core),
+        shares=getattr(core, "shares", ()),
     )
 
 
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -197,7 +197,7 @@
     302,
     "refused",
     "info",
-    "request service tier reason queued retry_after_ms",
+    "request service tier reason queued retry_after_ms beyond_share",
     "The scheduler gave up on a waiting request.",
 )
 SCHEDULER_CHOSEN = _define(
@@ -231,6 +231,14 @@
     "service share",
     "No scheduler answers; this VM grants from its fixed share of slots.",
 )
+SHARES_CONTENDED = _define(
+    330,
+    "shares_contended",
+    "info",
+    "service contended ended beyond",
+    "Ranks in which organisations ask for more slots than there are, and those that"
+    " ceased to be; organisations beyond their share, as rank:name.",
+)
 
 # 4xx: membership
 PEERS_UP = _define(
--- a/src/pomelolane/outcomes.py
+++ b/src/pomelolane/outcomes.py
@@ -66,12 +66,14 @@
         reason: Why.
         retry_after_ms: When coming back can help, 0 where it can't.
         detail: One sentence for people.
+        beyond_share: Whether its organisation asked for more than its share of slots.
     """
 
     outcome: Outcome
     reason: Reason
     retry_after_ms: int = 0
     detail: str = ""
+    beyond_share: bool = False
 
     def __bool__(self) -> bool:
         return False
--- a/src/pomelolane/scheduler/objective/admission.py
+++ b/src/pomelolane/scheduler/objective/admission.py
@@ -10,6 +10,7 @@
     WaitForecast,
     forecast_slots,
 )
+from pomelolane.scheduler.objective.shares import in_due_order, make_fair_shares
 
 if TYPE_CHECKING:
     from pomelolane.scheduler.objective.fleet import Fleet
@@ -25,6 +26,10 @@
 """Upper bound on the share of slots attributed to more urgent ranks. Waits are then
 fifty times as long, which exceeds every objective."""
 
+_LATENCY_MAX_AGE_MS = 1000.0
+"""Maximum age of the average durations if no forecast is made because nothing waits.
+Computing them takes as long as several decisions."""
+
 
 class Admission:
     """Predicts queueing delays at one service's endpoints.
@@ -32,6 +37,9 @@
     Args:
         options: Tuning constants of the policy.
         fleet: The endpoints.
+
+    Attributes:
+        shares: Classifies requests by their organisations' shares of the slots.
     """
 
     def __init__(self, options: ObjectiveOptions, fleet: Fleet) -> None:
@@ -39,6 +47,57 @@
         self._fleet = fleet
         self._demand = Demand(options.demand_ms)
         self._wait_forecast: WaitForecast | None = None
+        self._latency = FleetLatencyModel(())
+        self._latency_at_ms = -_LATENCY_MAX_AGE_MS
+        self.shares = make_fair_shares()
+
+    def classify(
+        self, waiting: WaitingRequest, waiting_requests: WaitingRequests, now_ms: float
+    ) -> None:
+        """Set the precedence of an arriving request by its organisation's share."""
+        self.update_shares(waiting_requests, now_ms)
+        waiting.slot_ms = self._latency.duration_ms(waiting.handle)
+        waiting.set_precedence(self.shares.classify(waiting, now_ms))
+
+    def update_shares(self, waiting_requests: WaitingRequests, now_ms: float) -> None:
+        """Divide the slots if due, and reclassify what waits in changed ranks."""
+        if not self.shares.is_due(now_ms):
+            return
+        self._update_latency(now_ms)
+        changed = self.shares.divide(self._usable_slots(now_ms), now_ms)
+        if not changed:
+            return
+        affected = [w for w in waiting_requests if w.handle.tier_rank in changed]
+        for waiting in in_due_order(affected):
+            precedence = self.shares.reclassify(waiting)
+            waiting_requests.change_precedence(waiting, precedence)
+        self._wait_forecast = None
+
+    def _update_latency(self, now_ms: float) -> None:
+        wait_forecast = self._wait_forecast
+        if wait_forecast and wait_forecast.created_ms > self._latency_at_ms:
+            self._latency = wait_forecast.latency
+            self._latency_at_ms = wait_forecast.created_ms
+        if now_ms - self._latency_at_ms >= _LATENCY_MAX_AGE_MS:
+            staying = [worker for worker in self._fleet if not worker.leaving]
+            self._latency = FleetLatencyModel([w.latency_model() for w in staying])
+            self._latency_at_ms = now_ms
+
+    def _usable_slots(self, now_ms: float) -> int:
+        """Return the slots of endpoints that are neither leaving nor suspended.
+
+        If all are suspended, the slots of all are used, as in :meth:`Fleet.available`.
+        """
+        share = self._fleet.share
+        usable = suspended = 0
+        for worker in self._fleet:
+            if worker.leaving:
+                continue
+            if now_ms < worker.suspended_until_ms:
+                suspended += worker.usable_slots(share)
+            else:
+                usable += worker.usable_slots(share)
+        return usable or suspended
 
     def record_grant(self, rank: int, slot_ms: float, now_ms: float) -> None:
         """Record a granted request and how long it is expected to hold its slot."""
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -15,7 +16,10 @@
 from pomelolane.scheduler.objective.fleet import Fleet, longest_accepted_prompt
 from pomelolane.scheduler.objective.options import ObjectiveOptions
 from pomelolane.scheduler.objective.rate import rate_after_answer, rate_after_report
+from pomelolane.scheduler.objective.status import CoreStatus
 from pomelolane.scheduler.objective.waiting import (
+    Precedence,
+    RecentIds,
     WaitingRequests,
     waiting_from_handle,
 )
@@ -33,8 +37,9 @@
     )
     from pomelolane.scheduler.objective.flight import Flight
     from pomelolane.scheduler.objective.forecast import WaitForecast
+    from pomelolane.scheduler.objective.shares import ContentionChange
     from pomelolane.scheduler.objective.waiting import RequestQueue, WaitingRequest
-    from pomelolane.scheduler.objective.worker import Worker, WorkerFigures
+    from pomelolane.scheduler.objective.worker import Worker
 
 _MAX_UNPLACED_REQUESTS = 12
 """Requests without a suitable endpoint after which a pass over a queue ends."""
@@ -67,7 +72,7 @@
         self._waiting = WaitingRequests()
         self._admission = Admission(options, self._fleet)
         self._endpoint_by_request: dict[str, str] = {}
-        self._withdrawn: dict[str, float] = {}
+        self._withdrawn = RecentIds(_WITHDRAWN_RETENTION_MS)
         self._mean_service_ms = _INITIAL_SERVICE_MS
         self._now_ms = 0.0
 
@@ -86,6 +91,10 @@
         for request_id in self._fleet.configure(own, now_ms):
             self._endpoint_by_request.pop(request_id, None)
         self.limits.configure(tree)
+        organisations = tree.organisations.values()
+        self._admission.shares.configure(
+            {one.name: one.weight for one in organisations}
+        )
         return self._dispatch(now_ms)
 
     def mark_leaving(self, endpoint_id: str, now_ms: float) -> Sequence[Decision]:
@@ -145,10 +154,10 @@
         worker = self._trial_worker(waiting, now_ms)
         if worker is not None:
             return [self._grant(waiting, worker, now_ms)]
+        self._admission.classify(waiting, self._waiting, now_ms)
         refusal = self._refuse_arrival(waiting, now_ms)
         if refusal is not None:
-            self._give_back(waiting)
-            return [Decision(request_id, refusal)]
+            return [self._refuse_waiting(waiting, refusal)]
         self._waiting.add(waiting)
         return self._dispatch(now_ms)
 
@@ -158,10 +167,14 @@
         worker = self._fleet.find(running.endpoint_id)
         if worker is None or handle.request_id in self._endpoint_by_request:
             return
-        self._waiting.remove(handle.request_id)
+        known = self._waiting.remove(handle.request_id)
         flight = self._fleet.begin(worker, handle, now_ms)
+        flight.events = running.decoded_tokens
         if running.started:
             worker.mark_started(flight)
+        if known is None:
+            remaining_ms = worker.remaining_ms(flight, now_ms)
+            self._admission.shares.count_running(handle, remaining_ms, now_ms)
         self._endpoint_by_request[handle.request_id] = running.endpoint_id
 
     def withdraw(self, request_id: str, now_ms: float) -> Sequence[Decision]:
@@ -169,9 +182,10 @@
         waiting = self._waiting.remove(request_id)
         if waiting is not None:
             self._give_back(waiting)
-            self._withdrawn[request_id] = now_ms
+            self._withdrawn.add(request_id, now_ms)
         else:
             self._release(request_id)
+        self._admission.shares.withdraw(request_id, now_ms)
         return self._dispatch(now_ms)
 
     def observe(self, event: StreamEvent, now_ms: float) -> Sequence[Decision]:
@@ -229,32 +243,30 @@
         """Suspend silent endpoints, and move or refuse requests that are now late."""
         for worker in self._fleet:
             worker.suspend_if_silent(now_ms)
-        self._forget_withdrawn(now_ms)
+        self._admission.update_shares(self._waiting, now_ms)
         decisions = self._refuse_unreachable(now_ms)
         decisions.extend(self._expire(now_ms))
         decisions.extend(self._dispatch(now_ms))
         return decisions
 
-    def status(self) -> dict[str, WorkerFigures]:
-        """Return statistics for each endpoint, for operators."""
-        return {
+    def status(self) -> CoreStatus:
+        """Return statistics of endpoints and shares, for operators."""
+        endpoints = {
             worker.endpoint.endpoint_id: worker.figures(self._now_ms)
             for worker in self._fleet
         }
+        return CoreStatus(endpoints, self._admission.shares.status())
+
+    def take_contention_change(self, now_ms: float) -> ContentionChange | None:
+        """Return a change of the contended ranks to log, None without one."""
+        return self._admission.shares.take_change(now_ms)
 
     # --- internals -----------------------------------------------------------
 
     def _give_back(self, waiting: WaitingRequest) -> None:
         handle = waiting.handle
         self.limits.give_back(handle, handle.charge_tokens, waiting.submitted_ms)
-
-    def _forget_withdrawn(self, now_ms: float) -> None:
-        oldest_ms = now_ms - _WITHDRAWN_RETENTION_MS
-        while self._withdrawn:
-            request_id, at_ms = next(iter(self._withdrawn.items()))
-            if at_ms >= oldest_ms:
-                return
-            del self._withdrawn[request_id]
+        self._admission.shares.give_back(waiting)
 
     def _release(self, request_id: str) -> None:
         endpoint_id = self._endpoint_by_request.pop(request_id, "")
@@ -335,6 +347,8 @@
     def _refuse_waiting(self, waiting: WaitingRequest, refusal: Refusal) -> Decision:
         self._waiting.remove(waiting.handle.request_id)
         self._give_back(waiting)
+        if waiting.precedence is Precedence.BEYOND_SHARE:
+            refusal = replace(refusal, beyond_share=True)
         return Decision(waiting.handle.request_id, refusal)
 
     def _refusal(self, reason: Reason, retry_ms: float) -> Refusal:
--- a/src/pomelolane/scheduler/objective/waiting.py
+++ b/src/pomelolane/scheduler/objective/waiting.py
@@ -45,6 +45,9 @@
         late: Whether its objective is out of reach.
         queued: Whether it still waits.
         precedence: Its order within the tier rank.
+        slot_ms: How long it is expected to hold a slot, estimated on arrival.
+        deducted_ms: Slot time deducted from its organisation's share.
+        entry: Number of its current queue entry; earlier entries are skipped.
         key: Its position in the queue.
     """
 
@@ -55,11 +58,19 @@
     late: bool = False
     queued: bool = True
     precedence: Precedence = Precedence.WITHIN_SHARE
+    slot_ms: float = 0.0
+    deducted_ms: float = 0.0
+    entry: int = -1
     key: QueueKey = field(init=False)
 
     def __post_init__(self) -> None:
         """Set the key from the other fields."""
-        self.key = (self.handle.tier_rank, self.precedence, self.objective_at_ms)
+        self.set_precedence(self.precedence)
+
+    def set_precedence(self, precedence: Precedence) -> None:
+        """Set the precedence and the key; the request is not moved in its queue."""
+        self.precedence = precedence
+        self.key = (self.handle.tier_rank, precedence, self.objective_at_ms)
 
     def give_up_at_ms(self, options: ObjectiveOptions) -> float:
         """Return the time at which it is refused if no slot has become free."""
@@ -85,38 +96,64 @@
     )
 
 
+class RecentIds:
+    """Request ids that are kept for a time.
+
+    Args:
+        retention_ms: How long they are kept.
+    """
+
+    def __init__(self, retention_ms: float) -> None:
+        self._retention_ms = retention_ms
+        self._added_ms: dict[str, float] = {}
+
+    def add(self, request_id: str, now_ms: float) -> None:
+        """Add an id and drop those that are too old."""
+        self._added_ms.pop(request_id, None)
+        self._added_ms[request_id] = now_ms
+        while True:
+            oldest, added_ms = next(iter(self._added_ms.items()))
+            if now_ms - added_ms <= self._retention_ms:
+                return
+            del self._added_ms[oldest]
+
+    def pop(self, request_id: str, default: float | None = None) -> float | None:
+        """Remove an id and return when it was added, the default if it is unknown."""
+        return self._added_ms.pop(request_id, default)
+
+
 class RequestQueue:
     """Priority queue of waiting requests; removed entries are skipped on access.
 
     Args:
-        late: Whether it holds the late requests, instead of those on time.
+        entries: Numbers the entries of all queues of a core.
     """
 
-    def __init__(self, late: bool) -> None:
-        self._late = late
+    def __init__(self, entries: Iterator[int]) -> None:
         self._heap: list[tuple[QueueKey, int, WaitingRequest]] = []
-        self._sequence = count()
+        self._entries = entries
 
     def push(self, waiting: WaitingRequest) -> None:
-        """Add a request."""
-        heapq.heappush(self._heap, (waiting.key, next(self._sequence), waiting))
+        """Add a request; its earlier entry in any queue is skipped from now on."""
+        waiting.entry = next(self._entries)
+        heapq.heappush(self._heap, (waiting.key, waiting.entry, waiting))
 
     def pop(self) -> WaitingRequest | None:
         """Remove and return the first request, None if the queue is empty."""
         while self._heap:
-            waiting = heapq.heappop(self._heap)[2]
-            if self._is_current(waiting):
+            _, entry, waiting = heapq.heappop(self._heap)
+            if waiting.queued and waiting.entry == entry:
                 return waiting
         return None
 
     def has_any(self) -> bool:
         """Return whether any request is in the queue."""
-        while self._heap and not self._is_current(self._heap[0][2]):
+        while self._heap:
+            _, entry, waiting = self._heap[0]
+            if waiting.queued and waiting.entry == entry:
+                return True
             heapq.heappop(self._heap)
-        return bool(self._heap)
-
-    def _is_current(self, waiting: WaitingRequest) -> bool:
-        return waiting.queued and waiting.late is self._late
+        return False
 
 
 class WaitingRequests:
@@ -124,8 +161,9 @@
 
     def __init__(self) -> None:
         self._by_id: dict[str, WaitingRequest] = {}
-        self.on_time = RequestQueue(late=False)
-        self.late = RequestQueue(late=True)
+        entries = count()
+        self.on_time = RequestQueue(entries)
+        self.late = RequestQueue(entries)
 
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._by_id
@@ -153,6 +191,14 @@
         waiting.late = True
         self.late.push(waiting)
 
+    def change_precedence(
+        self, waiting: WaitingRequest, precedence: Precedence
+    ) -> None:
+        """Move a request within its queue."""
+        if waiting.precedence is not precedence:
+            waiting.set_precedence(precedence)
+            (self.late if waiting.late else self.on_time).push(waiting)
+
     def on_time_in_order(self) -> list[WaitingRequest]:
         """Return the requests that can still be on time, in queue order."""
         on_time = [one for one in self._by_id.values() if not one.late]
