--- a/src/pomelolane/coordination/status.py
+++ b/src/pomelolane/coordination/status.py
@@ -16,6 +16,7 @@
     from pomelolane.coordination.service_queue import ServiceQueue
     from pomelolane.messages import NamedLimit
     from pomelolane.scheduler.objective.reserved_slots import ReservationFigures
+    from pomelolane.scheduler.objective.shares import RankShares
     from pomelolane.scheduler.pacing import PacedLimit
 
 
@@ -32,6 +33,7 @@
         core: Status of the core, such as endpoint speeds, None if it has none.
         paced: Level and waiting requests of the organisations whose limits are paced.
         reservations: Number of reserved retries, None if the core makes none.
+        shares: Organisations' shares of the slots in the contended ranks.
     """
 
     service: str
@@ -42,6 +44,7 @@
     core: Any = None
     paced: tuple[PacedLimit, ...] = ()
     reservations: ReservationFigures | None = None
+    shares: tuple[RankShares, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,13 +94,15 @@
     running = Counter(e.endpoint_id for e in entries if e.endpoint_id)
     read_core = getattr(service_queue.core, "status", None)
     read_paced = getattr(service_queue.core, "paced_limits", tuple)
+    core = read_core() if callable(read_core) else None
     return ServiceQueueStatus(
         service=service_queue.service,
         settling=service_queue.is_settling,
         followers=tuple(sorted(service_queue.followers())),
         waiting_by_tier=dict(sorted(waiting.items())),
         running_by_endpoint=dict(sorted(running.items())),
-        core=read_core() if callable(read_core) else None,
+        core=getattr(core, "endpoints", core),
+        shares=getattr(core, "shares", ()),
         paced=read_paced(),
         reservations=service_queue.reservation_figures(),
     )
--- a/src/pomelolane/outcomes.py
+++ b/src/pomelolane/outcomes.py
@@ -67,6 +67,7 @@
         retry_after_ms: When coming back can help, 0 where it can't.
         detail: One sentence for people.
         reserved_ms: Slot time reserved for the caller's return, 0 for none.
+        beyond_share: Whether its organisation asked for more than its share of slots.
     """
 
     outcome: Outcome
@@ -74,6 +75,7 @@
     retry_after_ms: int = 0
     detail: str = ""
     reserved_ms: int = 0
+    beyond_share: bool = False
 
     def __bool__(self) -> bool:
         return False
--- a/src/pomelolane/scheduler/objective/reservations.py
+++ b/src/pomelolane/scheduler/objective/reservations.py
@@ -155,8 +155,7 @@
         if used is None:
             return
         waiting.reservation = used
-        waiting.precedence = Precedence.RESERVED
-        waiting.key = (handle.tier_rank, Precedence.RESERVED, used.due_ms)
+        waiting.set_precedence(Precedence.RESERVED)
 
     def _use(self, waiting: WaitingRequest, now_ms: float) -> Reservation | None:
         """Use the reservation with the nearest retry time; note one that is not due."""
--- a/src/pomelolane/scheduler/objective/waiting.py
+++ b/src/pomelolane/scheduler/objective/waiting.py
@@ -49,6 +49,9 @@
         precedence: Its order within the tier rank.
         is_resubmitted: Whether this scheduler or an earlier one had it before.
         reservation: Reservation that it uses, or for which it arrived too early.
+        slot_ms: How long it is expected to hold a slot, estimated on arrival.
+        deducted_ms: Slot time deducted from its organisation's share.
+        entry: Number of its current queue entry; earlier entries are skipped.
         key: Its position in the queue.
     """
 
@@ -61,13 +64,24 @@
     precedence: Precedence = Precedence.WITHIN_SHARE
     is_resubmitted: bool = False
     reservation: Reservation | None = None
+    slot_ms: float = 0.0
+    deducted_ms: float = 0.0
+    entry: int = -1
     charged_ms: float = field(init=False)
     key: QueueKey = field(init=False)
 
     def __post_init__(self) -> None:
         """Set the time of the charge and the key from the other fields."""
         self.charged_ms = self.submitted_ms
-        self.key = (self.handle.tier_rank, self.precedence, self.objective_at_ms)
+        self.set_precedence(self.precedence)
+
+    def set_precedence(self, precedence: Precedence) -> None:
+        """Set the precedence and the key; the request is not moved in its queue."""
+        self.precedence = precedence
+        due_ms = self.objective_at_ms
+        if precedence is Precedence.RESERVED and self.reservation is not None:
+            due_ms = self.reservation.due_ms
+        self.key = (self.handle.tier_rank, precedence, due_ms)
 
     def give_up_at_ms(self, options: ObjectiveOptions) -> float:
         """Return the time at which it is refused if no slot has become free."""
@@ -93,38 +107,67 @@
     )
 
 
+class RecentIds:
+    """Request ids that are kept for a time.
+
+    Args:
+        retention_ms: How long they are kept.
+    """
+
+    def __init__(self, retention_ms: float) -> None:
+        self._retention_ms = retention_ms
+        self._added_ms: dict[str, float] = {}
+
+    def add(self, request_id: str, now_ms: float) -> None:
+        """Add an id and drop those that are too old."""
+        self._added_ms.pop(request_id, None)
+        self._added_ms[request_id] = now_ms
+        while True:
+            oldest, added_ms = next(iter(self._added_ms.items()))
+            if now_ms - added_ms <= self._retention_ms:
+                return
+            del self._added_ms[oldest]
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._added_ms
+
+    def pop(self, request_id: str, default: float | None = None) -> float | None:
+        """Remove an id and return when it was added, the default if it is unknown."""
+        return self._added_ms.pop(request_id, default)
+
+
 class RequestQueue:
     """Priority queue of waiting requests; removed entries are skipped on access.
 
     Args:
-        late: Whether it holds the late requests, instead of those on time.
+        entries: Numbers the entries of all queues of a core.
     """
 
-    def __init__(self, late: bool) -> None:
-        self._late = late
+    def __init__(self, entries: Iterator[int]) -> None:
         self._heap: list[tuple[QueueKey, int, WaitingRequest]] = []
-        self._sequence = count()
+        self._entries = entries
 
     def push(self, waiting: WaitingRequest) -> None:
-        """Add a request."""
-        heapq.heappush(self._heap, (waiting.key, next(self._sequence), waiting))
+        """Add a request; its earlier entry in any queue is skipped from now on."""
+        waiting.entry = next(self._entries)
+        heapq.heappush(self._heap, (waiting.key, waiting.entry, waiting))
 
     def pop(self) -> WaitingRequest | None:
         """Remove and return the first request, None if the queue is empty."""
         while self._heap:
-            waiting = heapq.heappop(self._heap)[2]
-            if self._is_current(waiting):
+            _, entry, waiting = heapq.heappop(self._heap)
+            if waiting.queued and waiting.entry == entry:
                 return waiting
         return None
 
     def has_any(self) -> bool:
         """Return whether any request is in the queue."""
-        while self._heap and not self._is_current(self._heap[0][2]):
+        while self._heap:
+            _, entry, waiting = self._heap[0]
+            if waiting.queued and waiting.entry == entry:
+                return True
             heapq.heappop(self._heap)
-        return bool(self._heap)
-
-    def _is_current(self, waiting: WaitingRequest) -> bool:
-        return waiting.queued and waiting.late is self._late
+        return False
 
 
 class WaitingRequests:
@@ -132,8 +175,9 @@
 
     def __init__(self) -> None:
         self._by_id: dict[str, WaitingRequest] = {}
-        self.on_time = RequestQueue(late=False)
-        self.late = RequestQueue(late=True)
+        entries = count()
+        self.on_time = RequestQueue(entries)
+        self.late = RequestQueue(entries)
 
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._by_id
@@ -161,6 +205,14 @@
         waiting.late = True
         self.late.push(waiting)
 
+    def change_precedence(
+        self, waiting: WaitingRequest, precedence: Precedence
+    ) -> None:
+        """Move a request within its queue."""
+        if waiting.precedence is not precedence:
+            waiting.set_precedence(precedence)
+            (self.late if waiting.late else self.on_time).push(waiting)
+
     def on_time_in_order(self) -> list[WaitingRequest]:
         """Return the requests that can still be on time, in queue order."""
         on_time = [one for one in self._by_id.values() if not one.late]
