Export and adopt estimates of endpoints in the objective core

Cause: a new scheduler assumes that all endpoints are equally fast. Where a third of them is 4.4 times slower, its first answers there are late.

Estimates of endpoints that are declared later are kept, and received ones are passed on with their age. The tokens per event are adopted with the time between events, because the predicted duration of an answer depends on the ratio of both. Failures seen elsewhere suspend no endpoint: only the learnt share is adopted.

--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -21,7 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from pomelolane.messages import Handle, RunningHandle, StreamEvent
     from pomelolane.model import Tree
@@ -31,6 +32,7 @@
         SchedulingCore,
         VersionTrial,
     )
+    from pomelolane.scheduler.objective.estimates import EndpointEstimate
     from pomelolane.scheduler.objective.flight import Flight
     from pomelolane.scheduler.objective.forecast import WaitForecast
     from pomelolane.scheduler.objective.waiting import RequestQueue, WaitingRequest
@@ -127,6 +129,22 @@
             if worker.rate is not None
         )
 
+    def estimates(self, now_ms: float) -> tuple[EndpointEstimate, ...]:
+        """Return what is known of the endpoints, for the service's next scheduler."""
+        return self._fleet.estimates(now_ms)
+
+    def adopt_estimates(
+        self, estimates: Iterable[EndpointEstimate], now_ms: float, source: str = ""
+    ) -> int:
+        """Adopt what another scheduler has learnt; return the number adopted now."""
+        return self._fleet.adopt_estimates(estimates, source, now_ms)
+
+    def adopted_estimates(self) -> dict[str, int]:
+        """Return how many endpoints adopted an estimate, by its source."""
+        return dict(
+            Counter(w.estimate_source for w in self._fleet if w.estimate_source)
+        )
+
     # --- requests ---------------------------------------------------------
 
     def submit(self, handle: Handle, now_ms: float) -> Sequence[Decision]:
--- a/src/pomelolane/scheduler/objective/fleet.py
+++ b/src/pomelolane/scheduler/objective/fleet.py
@@ -7,6 +7,7 @@
 
 from pomelolane.model import ServiceKind
 from pomelolane.ports import LIMIT_KEPT_MS
+from pomelolane.scheduler.objective.estimates import EstimateBook
 from pomelolane.scheduler.objective.lengths import EventSize, PredictionError
 from pomelolane.scheduler.objective.worker import Worker
 
@@ -15,6 +16,7 @@
 
     from pomelolane.messages import Handle
     from pomelolane.model import Endpoint
+    from pomelolane.scheduler.objective.estimates import EndpointEstimate
     from pomelolane.scheduler.objective.flight import Flight
     from pomelolane.scheduler.objective.options import ObjectiveOptions
     from pomelolane.scheduler.objective.rate import EndpointRateLimit
@@ -49,6 +51,7 @@
         self._workers: dict[str, Worker] = {}
         self._with_free_slots: dict[str, Worker] = {}
         self._retained_rates: dict[tuple[str, int], EndpointRateLimit] = {}
+        self._estimates = EstimateBook()
         self._all_suspended = False
         self._fastest: Worker | None = None
         self._fastest_at_ms = 0.0
@@ -74,15 +77,18 @@
                 lost.extend(self._workers.pop(name).flights)
                 self._with_free_slots.pop(name, None)
                 self._retain_rate(worker)
+        added = []
         for name, endpoint in endpoints.items():
             worker = self._workers.get(name)
             if worker is None:
                 worker = self._make_worker(endpoint)
                 worker.rate = self._restore_rate(endpoint, now_ms)
                 self._workers[name] = worker
+                added.append(worker)
             worker.endpoint = endpoint
             worker.leaving = endpoint.leaving
             self._index(worker)
+        self._adopt(added, now_ms)
         self._fastest = None
         return lost
 
@@ -92,6 +98,30 @@
         for worker in self._workers.values():
             self._index(worker)
 
+    def estimates(self, now_ms: float) -> tuple[EndpointEstimate, ...]:
+        """Return what is known of the endpoints' speeds and failures."""
+        return self._estimates.export(self._workers.values(), now_ms)
+
+    def adopt_estimates(
+        self, estimates: Iterable[EndpointEstimate], source: str, now_ms: float
+    ) -> int:
+        """Adopt estimates of another scheduler; return how many were adopted now.
+
+        Those of endpoints that are not declared yet are adopted when they are.
+        """
+        received = self._estimates.receive(estimates, source, now_ms)
+        workers = [self._workers[name] for name in received if name in self._workers]
+        self._fastest = None
+        return self._adopt(workers, now_ms)
+
+    def _adopt(self, workers: Iterable[Worker], now_ms: float) -> int:
+        tried = [self._estimates.apply(worker, now_ms) for worker in workers]
+        adopted = [estimate for estimate in tried if estimate is not None]
+        newest = min(adopted, key=lambda one: one.age_ms, default=None)
+        if newest is not None and newest.event_tokens:
+            self.event_size.adopt(newest.event_tokens, newest.weight)
+        return len(adopted)
+
     def _retain_rate(self, worker: Worker) -> None:
         """Retain a rate limit in case the registry has lost the endpoint briefly."""
         if worker.rate is not None:
--- a/src/pomelolane/scheduler/objective/lengths.py
+++ b/src/pomelolane/scheduler/objective/lengths.py
@@ -25,6 +25,17 @@
         self.tokens = tokens
         self._seen = 0
 
+    def adopt(self, tokens: float, weight: float) -> None:
+        """Start from another scheduler's estimate, unless answers were seen here.
+
+        Args:
+            tokens: The other scheduler's estimate.
+            weight: Part of its distance to the initial estimate that is taken.
+        """
+        if not self._seen:
+            self.tokens += weight * (max(1.0, tokens) - self.tokens)
+            self._seen = max(1, int(weight * _INITIAL_SMOOTHING / _SMOOTHING))
+
     def learn(self, expected_tokens: int, events: int) -> None:
         """Update the estimate from a complete answer.
 
--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -8,6 +8,10 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.model import ServiceKind
+from pomelolane.scheduler.objective.estimates import (
+    STARTING_SLOWDOWN,
+    EndpointEstimate,
+)
 from pomelolane.scheduler.objective.flight import Flight
 
 if TYPE_CHECKING:
@@ -99,6 +103,10 @@
         reserved_kv_tokens: KV cache tokens for prompts and expected answers in flight.
         max_prompt_tokens: Longest prompt that would not stall the running streams, as
             of the last :meth:`update_max_prompt`.
+        samples: Number of answers that the learnt speed and share of failures are based
+            on, adopted ones included.
+        sampled_ms: Time of the newest of them.
+        estimate_source: Where its estimate was adopted from, empty if it was not.
     """
 
     endpoint: Endpoint
@@ -110,7 +118,7 @@
     rate: EndpointRateLimit | None = None
     last_unlimited_grant_ms: float = -math.inf
     flights: dict[str, Flight] = field(default_factory=dict)
-    slowdown: float = 1.0
+    slowdown: float = STARTING_SLOWDOWN
     fail_share: float = 0.0
     suspended_until_ms: float = 0.0
     probing: bool = False
@@ -124,6 +132,9 @@
     pending_prompt_tokens: int = 0
     reserved_kv_tokens: int = 0
     max_prompt_tokens: float = _UNLIMITED_TOKENS
+    samples: int = 0
+    sampled_ms: float = -math.inf
+    estimate_source: str = ""
     # Cached result of _compute_min_gap_ms; None if it must be computed again.
     _min_gap_ms: int | None = 0
 
@@ -329,10 +340,48 @@
         ratio = min(
             _MAX_SLOWDOWN, max(_MIN_SLOWDOWN, ttft_ms / flight.reference_ttft_ms)
         )
+        self._count_sample(now_ms)
         step = self.options.speed_step
         self.prediction_error.learn(ttft_ms, flight.expected_ttft_ms)
         self.slowdown += step * (ratio - self.slowdown)
 
+    def _count_sample(self, now_ms: float) -> None:
+        self.samples += 1
+        self.sampled_ms = now_ms
+
+    def estimate(self, now_ms: float) -> EndpointEstimate:
+        """Return what has been learnt, for the service's next scheduler."""
+        return EndpointEstimate(
+            self.endpoint.endpoint_id,
+            self.endpoint.born_ms,
+            self.endpoint.version,
+            self.slowdown,
+            self.event_interval_ms,
+            self.fail_share,
+            self.samples,
+            max(0.0, now_ms - self.sampled_ms),
+            self.event_size.tokens,
+        )
+
+    def adopt_estimate(
+        self, estimate: EndpointEstimate, sampled_ms: float, source: str
+    ) -> None:
+        """Replace the learnt values by an estimate of another scheduler.
+
+        Consecutive failures and suspensions stay as this scheduler has seen them.
+        """
+        slowdown = estimate.toward(STARTING_SLOWDOWN, estimate.slowdown)
+        self.slowdown = min(_MAX_SLOWDOWN, max(_MIN_SLOWDOWN, slowdown))
+        self.fail_share = estimate.toward(0.0, estimate.failure_ratio)
+        if estimate.event_interval_ms:
+            self.event_interval_ms = estimate.toward(
+                self.options.tokens_per_event * self.options.token_ms,
+                estimate.event_interval_ms,
+            )
+        self.samples = estimate.samples
+        self.sampled_ms = sampled_ms
+        self.estimate_source = source
+
     def record_success(self) -> None:
         """Record a successful answer; end any suspension and probing."""
         self.failures = 0
@@ -342,6 +391,7 @@
 
     def record_failure(self, now_ms: float) -> None:
         """Record a failed answer; suspend the endpoint after two in a row."""
+        self._count_sample(now_ms)
         step = self.options.fail_step
         self.fail_share += step * (1.0 - self.fail_share)
         self.failures += 1
