Share and record estimates of endpoints

Cause: what a scheduler has learnt of its endpoints ends with it.

Status has the number of adopted estimates by source. Events 333 estimates_adopted and 518 estimate_record_failed.

--- a/src/pomelolane/coordination/status.py
+++ b/src/pomelolane/coordination/status.py
@@ -28,6 +28,8 @@
         waiting_by_tier: Number of waiting requests by tier rank.
         running_by_endpoint: Number of granted requests by endpoint.
         core: Status of the core, such as endpoint speeds, None if it has none.
+        adopted_estimates: Number of endpoints whose estimate was adopted from another
+            scheduler, by source (a VM or the store), None if the core adopts none.
     """
 
     service: str
@@ -36,6 +38,7 @@
     waiting_by_tier: dict[int, int]
     running_by_endpoint: dict[str, int]
     core: Any = None
+    adopted_estimates: dict[str, int] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +85,7 @@
     waiting = Counter(e.handle.tier_rank for e in entries if not e.endpoint_id)
     running = Counter(e.endpoint_id for e in entries if e.endpoint_id)
     read_core = getattr(service_queue.core, "status", None)
+    read_adopted = getattr(service_queue.core, "adopted_estimates", None)
     return ServiceQueueStatus(
         service=service_queue.service,
         settling=service_queue.is_settling,
@@ -89,6 +93,7 @@
         waiting_by_tier=dict(sorted(waiting.items())),
         running_by_endpoint=dict(sorted(running.items())),
         core=read_core() if callable(read_core) else None,
+        adopted_estimates=read_adopted() if callable(read_adopted) else None,
     )
 
 
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -231,6 +231,13 @@
     "service share",
     "No scheduler answers; this VM grants from its fixed share of slots.",
 )
+ESTIMATES_ADOPTED = _define(
+    333,
+    "estimates_adopted",
+    "info",
+    "service number source",
+    "A scheduler adopted what another one, or the store, tells of so many endpoints.",
+)
 
 # 4xx: membership
 PEERS_UP = _define(
@@ -348,6 +355,14 @@
     "used for one span, or until it can be read.",
 )
 
+ESTIMATE_RECORD_FAILED = _define(
+    518,
+    "estimate_record_failed",
+    "warning",
+    "service action error",
+    "The record of estimates was not written or read; successors are still sent them.",
+)
+
 CRASH_RECORD_FAILED = _define(
     514,
     "crash_record_failed",
--- /dev/null
+++ b/src/pomelolane/forwarding/estimate_messages.py
@@ -0,0 +1,36 @@
+"""Converts estimates of endpoints to and from the form that is sent and stored."""
+
+from __future__ import annotations
+
+from pomelolane.messages import SharedEstimate
+from pomelolane.scheduler.objective.estimates import EndpointEstimate
+
+
+def shared_from_estimate(estimate: EndpointEstimate) -> SharedEstimate:
+    """Return an estimate in the form that is sent and stored."""
+    return SharedEstimate(
+        estimate.endpoint_id,
+        estimate.born_ms,
+        estimate.version,
+        round(1000 * estimate.slowdown),
+        round(1000 * estimate.event_interval_ms),
+        round(1000 * estimate.failure_ratio),
+        estimate.samples,
+        round(estimate.age_ms),
+        round(100 * estimate.event_tokens),
+    )
+
+
+def estimate_from_shared(shared: SharedEstimate) -> EndpointEstimate:
+    """Return the estimate that was sent or stored."""
+    return EndpointEstimate(
+        shared.endpoint_id,
+        shared.born_ms,
+        shared.version,
+        shared.slowdown_thousandths / 1000,
+        shared.event_interval_us / 1000,
+        shared.failure_thousandths / 1000,
+        shared.samples,
+        shared.age_ms,
+        shared.event_tokens_hundredths / 100,
+    )
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -15,6 +15,7 @@
 from pomelolane.forwarding.app import CallerApp, ProbeApp
 from pomelolane.forwarding.budget import RetryAllowance, SharedRetryBudget
 from pomelolane.forwarding.departures import AnnouncedDepartures
+from pomelolane.forwarding.estimate_keeper import EstimateKeeper
 from pomelolane.forwarding.forwarder import Forwarder
 from pomelolane.forwarding.intake import Intake
 from pomelolane.forwarding.ledger import Ledger
@@ -35,6 +36,7 @@
 
     from pomelolane.forwarding.configuration import CurrentConfiguration
     from pomelolane.forwarding.endpoints import EndpointDirectory
+    from pomelolane.forwarding.estimate_keeper import EstimateRecord
     from pomelolane.forwarding.ledger import UseRecord
     from pomelolane.membership import ClusterKeys
     from pomelolane.ports import Clock, VmList
@@ -117,6 +119,7 @@
         record: Storage of organisations' usage records.
         crash_record: Storage of reports of requests that crashed endpoints.
         rollout_record: Storage of the states of roll-outs.
+        estimate_record: Storage of schedulers' estimates of endpoints.
         clock: Source of the current time.
     """
 
@@ -132,6 +135,7 @@
         record: UseRecord,
         crash_record: CrashRecord,
         rollout_record: RolloutRecord,
+        estimate_record: EstimateRecord,
         clock: Clock,
     ) -> None:
         self._options = options
@@ -171,6 +175,14 @@
         self.usage_publisher = UsagePublisher(
             options.vm_id, self.coordination, usage_exchange
         )
+        # After the ledger, which sets the role's callbacks that the keeper extends.
+        self.estimate_keeper = EstimateKeeper(
+            options.vm_id,
+            self.coordination,
+            estimate_record,
+            self.member.transport,
+            clock,
+        )
         self.quarantine = Quarantine(clock)
         self._crashes = CrashWatch(
             self.quarantine, self._pool, directory, clock, WallClock()
--- a/src/pomelolane/messages/__init__.py
+++ b/src/pomelolane/messages/__init__.py
@@ -33,6 +33,7 @@
 )
 from pomelolane.messages.quarantine import CrashesReported, ReportedCrash
 from pomelolane.messages.scheduling import (
+    EstimatesShared,
     Granted,
     Handle,
     LimitsHeard,
@@ -41,6 +42,7 @@
     Progress,
     Refused,
     RunningHandle,
+    SharedEstimate,
     StreamEvent,
     Submit,
     SubmitAck,
@@ -64,6 +66,7 @@
     "DigestPulse",
     "DigestWanted",
     "EndpointLeaving",
+    "EstimatesShared",
     "Granted",
     "Handle",
     "Heartbeat",
@@ -83,6 +86,7 @@
     "RelayedWrite",
     "ReportedCrash",
     "RunningHandle",
+    "SharedEstimate",
     "StreamEvent",
     "Submit",
     "SubmitAck",
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from pomelolane.messages.base import Message
@@ -331,7 +333,52 @@
     guess_part: float | None = None
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""A whole number that any reader can hold, also as a float without rounding."""
+
+
+class SharedEstimate(msgspec.Struct, frozen=True, array_like=True):
+    """What a scheduler has learnt of one start of an endpoint.
+
+    Whole numbers take 3 bytes for common values, floats take 9.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        born_ms: When its process started, 0 if it does not state it.
+        version: Version of its software.
+        slowdown_thousandths: Response time as a factor on that at speed 1.
+        event_interval_us: Time between two answer events, 0 if unknown.
+        failure_thousandths: Share of failed answers.
+        samples: Number of answers that it is based on.
+        age_ms: Time since the newest of them.
+        event_tokens_hundredths: Tokens per answer event, 0 if unknown.
+    """
+
+    endpoint_id: str
+    born_ms: _Count
+    version: str
+    slowdown_thousandths: _Count
+    event_interval_us: _Count
+    failure_thousandths: _Count
+    samples: _Count
+    age_ms: _Count
+    event_tokens_hundredths: _Count = 0
+
+
+class EstimatesShared(Message, frozen=True):
+    """Scheduler to the VMs that may take over: its estimates of the endpoints.
+
+    Attributes:
+        service: The service.
+        estimates: All estimates, also adopted ones that it has not replaced.
+    """
+
+    service: str
+    estimates: tuple[SharedEstimate, ...]
+
+
 __all__ = [
+    "EstimatesShared",
     "Granted",
     "Handle",
     "LimitsHeard",
@@ -340,6 +387,7 @@
     "Progress",
     "Refused",
     "RunningHandle",
+    "SharedEstimate",
     "StreamEvent",
     "Submit",
     "SubmitAck",
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -32,6 +32,7 @@
 )
 from pomelolane.messages.quarantine import CrashesReported
 from pomelolane.messages.scheduling import (
+    EstimatesShared,
     Granted,
     LimitsHeard,
     NotScheduler,
@@ -63,6 +64,7 @@
     | SyncAck
     | Unfollow
     | LimitsHeard
+    | EstimatesShared
     | Heartbeat
     | Pulse
     | HeartbeatWanted
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -27,6 +27,7 @@
 from pomelolane.platform.early import NODE_FILE_VARIABLE
 from pomelolane.platform.endpointwatch import EndpointWatch
 from pomelolane.platform.errors import DocumentError, StoreUnavailableError
+from pomelolane.platform.estimaterecord import StoreEstimateRecord
 from pomelolane.platform.nodefile import node_file_from_path
 from pomelolane.platform.rolloutrecord import StoreRolloutRecord
 from pomelolane.platform.roster import VmRoster
@@ -131,6 +132,7 @@
             StoreUseRecord(self._store, file.vm_id, incarnation),
             StoreCrashRecord(self._store),
             StoreRolloutRecord(self._store),
+            StoreEstimateRecord(self._store),
             self._clock,
         )
         member = node.member
@@ -148,6 +150,7 @@
         self._background.start("write crashes", node.crash_record.write())
         self._background.start("ledger", node.ledger.run())
         self._background.start("use_news", node.usage_publisher.run())
+        self._background.start("estimates", node.estimate_keeper.run())
         self._background.start("rollouts", node.rollouts.run())
         sock, self._early = self._early, None
         self._front = await listen_for_callers(node, file.front, sock)
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -164,6 +164,21 @@
                 return Snapshot(tuple(rows), page.ver, page.now_ms)
             start = page.rows[-1].key + "\0"
 
+    async def read_row(self, table: str, key: str) -> tuple[StoredRow | None, float]:
+        """Read one row of a table's unnamed part, and the store's steady clock.
+
+        Returns:
+            The row, None if there is none, and the clock in ms.
+
+        Raises:
+            StoreUnavailableError: No answer, or a refusal.
+        """
+        query = {"table": table, "part": "", "limit": "1", "from": key}
+        _, page = await self._get("/rows-get", query, CALL_TIMEOUT_S)
+        found = [_stored(row) for row in page.rows if row.key == key]
+        row = next((row for row in found if not row.deleted), None)
+        return row, page.now_ms
+
     async def changes(self, table: str, after: int, wait_ms: int) -> Snapshot:
         """Return the rows that changed after a version, waiting for the first.
 
