Reject only the unreadable message of a frame

Cause: one message that a VM cannot decode made it reject all messages of the frame. VMs of the version before do so with EstimatesShared. Change: messages of a frame are decoded one by one, and EstimatesShared gets a frame of its own.

--- a/src/pomelolane/membership/links.py
+++ b/src/pomelolane/membership/links.py
@@ -65,18 +65,24 @@
         self._incarnation = incarnation
         self._clock = clock
         self._sequence = 0
-        self._queue: deque[tuple[float, bytes]] = deque()
+        # When it was queued, the encoded message, and whether it is sent alone.
+        self._queue: deque[tuple[float, bytes, bool]] = deque()
         self._flush_handle: asyncio.Handle | None = None
         self._socket = _open_socket(context, vm_id, keys, server_key)
         self._socket.connect(f"tcp://{address}")
 
-    def put(self, data: bytes) -> bool:
-        """Queue an encoded message; return False if the queue is full."""
+    def put(self, data: bytes, *, alone: bool = False) -> bool:
+        """Queue an encoded message; return False if the queue is full.
+
+        Args:
+            data: The message.
+            alone: Whether it must not share a frame with others.
+        """
         if len(self._queue) >= MAX_QUEUED_MESSAGES:
             self._drop_overdue()
         if len(self._queue) >= MAX_QUEUED_MESSAGES:
             return False
-        self._queue.append((self._clock.now_ms(), data))
+        self._queue.append((self._clock.now_ms(), data, alone))
         if self._flush_handle is None:
             self._flush_handle = asyncio.get_running_loop().call_soon(self._flush)
         return True
@@ -116,11 +122,14 @@
     def _next_batch(self) -> list[bytes]:
         batch: list[bytes] = []
         size = 0
-        for _, data in self._queue:
+        for _, data, alone in self._queue:
             size += len(data)
-            if batch and (size > MAX_BATCH_BYTES or len(batch) >= MAX_BATCH_MESSAGES):
+            is_full = size > MAX_BATCH_BYTES or len(batch) >= MAX_BATCH_MESSAGES
+            if batch and (is_full or alone):
                 break
             batch.append(data)
+            if alone:
+                break
         return batch
 
     def _drop_overdue(self) -> None:
--- a/src/pomelolane/membership/transport.py
+++ b/src/pomelolane/membership/transport.py
@@ -26,7 +26,7 @@
     is_loopback,
 )
 from pomelolane.membership.links import VM_PROPERTY, Link
-from pomelolane.messages import decode_message, encode_message
+from pomelolane.messages import EstimatesShared, decode_message, encode_message
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
@@ -39,6 +39,9 @@
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 MAX_READ_BATCH = 256
 RECEIVE_HIGH_WATER_MARK = 10_000
+SENT_ALONE = frozenset({EstimatesShared})
+"""Messages that VMs of the version before cannot decode. They reject all messages of a
+frame that contains one, so it gets a frame of its own."""
 NOT_LOOPBACK = "no cluster keys are set and the address is not a loopback address"
 UNENCRYPTED_ALLOWED = "a loopback address unless cluster keys are set"
 
@@ -161,7 +164,7 @@
         if link is None:
             return False
         data = encode_message(message)
-        if not link.put(data):
+        if not link.put(data, alone=type(message) in SENT_ALONE):
             return False
         self.bytes_sent_by_kind[type(message).__name__] += len(data)
         return True
@@ -252,12 +255,17 @@
             self._check_sender(sender, frame)
             envelope = decode_envelope(frame.buffer)
             self._replay_guard.admit(sender, envelope)
-            messages = [decode_message(raw) for raw in envelope.messages]
         except TransportError as error:
             self._reject(sender, str(error))
             return
-        for message in messages:
-            self._deliver(sender, message)
+        for raw in envelope.messages:
+            # A message of a later version must not take the others of its frame along.
+            try:
+                message = decode_message(raw)
+            except TransportError as error:
+                self._reject(sender, str(error))
+            else:
+                self._deliver(sender, message)
 
     def _check_sender(self, sender: str, frame: zmq.Frame) -> None:
         if not sender:
--- a/tests/membership/transport.feature
+++ b/tests/membership/transport.feature
@@ -80,3 +80,15 @@
     And more than the longest queue time passes and "b" is back
     And transport "a" sends another key query to "b"
     Then transport "b" has received only the other query
+
+  # VMs of the version before reject all messages of a frame with one they cannot read.
+  Scenario: Estimates share no frame with other messages
+    Given a transport pair without keys
+    When transport "a" sends a query, two lots of estimates and two queries at once
+    Then the frames of "b" have K, E, E and KK
+
+  # Otherwise a new kind of message would stop the requests of VMs of both versions.
+  Scenario: Only the unreadable message of a frame is rejected
+    Given a transport pair without keys
+    When "b" sends transport "a" an unknown message between two queries in one frame
+    Then transport "a" has 2 queries and 1 rejection
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -14,19 +14,21 @@
     make_member,
     make_transport,
 )
-from pomelolane.membership.envelope import encode_envelope
+from pomelolane.membership.envelope import decode_envelope, encode_envelope
 from pomelolane.membership.links import MAX_QUEUE_TIME_MS, VM_PROPERTY
 from pomelolane.messages import (
     Digest,
     DigestPulse,
     DigestWanted,
     EndpointLeaving,
+    EstimatesShared,
     Heartbeat,
     HeartbeatWanted,
     KeyAnswer,
     KeyQuery,
     MemberState,
     Pulse,
+    decode_message,
     encode_message,
 )
 from tests.membership.waiting import eventually, stop_at_end
@@ -370,3 +372,42 @@
     queries = context.recorders["b"].queries
     context.run(eventually(lambda: queries, "the other query"))
     assert queries == [("a", KeyQuery("other", "k"))]
+
+
+@when('transport "a" sends a query, two lots of estimates and two queries at once')
+def step_mixed(context):
+    transport = context.recorders["b"].transport
+    receive, context.frames = transport._receive, []
+
+    def record(frames):
+        raw = decode_envelope(frames[-1].buffer).messages
+        kinds = [type(decode_message(one)).__name__[0] for one in raw]
+        context.frames.append("".join(kinds))
+        receive(frames)
+
+    async def send_all():
+        query, estimates = KeyQuery("one", "k"), EstimatesShared("s", ())
+        for message in (query, estimates, estimates, query, query):
+            assert context.recorders["a"].transport.send("b", message)
+
+    transport._receive = record
+    context.run(send_all())
+
+
+@then('the frames of "b" have K, E, E and KK')
+def step_frame_kinds(context):
+    context.run(eventually(lambda: len(context.frames) == 4, "the frames"))
+    assert context.frames == ["K", "E", "E", "KK"]
+
+
+@when('"b" sends transport "a" an unknown message between two queries in one frame')
+def step_unknown(context):
+    query = encode_message(KeyQuery("raw", "k"))
+    send_raw(context, [encode_envelope(1, 1, [query, b"\x91\xa1?", query])])
+
+
+@then('transport "a" has {queries:d} queries and {rejected:d} rejection')
+def step_one_rejected(context, queries, rejected):
+    recorder = context.recorders["a"]
+    context.run(eventually(lambda: len(recorder.queries) == queries, "the queries"))
+    assert recorder.transport.rejected == rejected
