--- a/src/pomelolane/coordination/status.py
+++ b/src/pomelolane/coordination/status.py
@@ -34,6 +34,8 @@
         paced: Level and waiting requests of the organisations whose limits are paced.
         reservations: Number of reserved retries, None if the core makes none.
         shares: Organisations' shares of the slots in the contended ranks.
+        adopted_estimates: Number of endpoints whose estimate was adopted from another
+            scheduler, by source (a VM or the store), None if the core adopts none.
     """
 
     service: str
@@ -45,6 +47,7 @@
     paced: tuple[PacedLimit, ...] = ()
     reservations: ReservationFigures | None = None
     shares: tuple[RankShares, ...] = ()
+    adopted_estimates: dict[str, int] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +98,7 @@
     read_core = getattr(service_queue.core, "status", None)
     read_paced = getattr(service_queue.core, "paced_limits", tuple)
     core = read_core() if callable(read_core) else None
+    read_adopted = getattr(service_queue.core, "adopted_estimates", None)
     return ServiceQueueStatus(
         service=service_queue.service,
         settling=service_queue.is_settling,
@@ -105,6 +109,7 @@
         shares=getattr(core, "shares", ()),
         paced=read_paced(),
         reservations=service_queue.reservation_figures(),
+        adopted_estimates=read_adopted() if callable(read_adopted) else None,
     )
 
 
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -254,6 +254,13 @@
     "service count",
     "Slots were lost, and reserved retries that no longer fit were withdrawn.",
 )
+ESTIMATES_ADOPTED = _define(
+    333,
+    "estimates_adopted",
+    "info",
+    "service number source",
+    "A scheduler adopted estimates of endpoints from a VM or the store.",
+)
 
 # 4xx: membership
 PEERS_UP = _define(
@@ -378,6 +385,14 @@
     "action error",
     "The record of endpoints that crashed under requests is not reached; told once.",
 )
+ESTIMATE_RECORD_FAILED = _define(
+    518,
+    "estimate_record_failed",
+    "warning",
+    "service action error",
+    "The record of estimates was not written or read; schedulers still send them to "
+    "their successors.",
+)
 
 # 6xx: jobs
 JOB_ACCEPTED = _define(
--- a/src/pomelolane/membership/links.py
+++ b/src/pomelolane/membership/links.py
@@ -65,6 +65,7 @@
         self._incarnation = incarnation
         self._clock = clock
         self._sequence = 0
+        # When it was queued, the encoded message, and whether it is sent alone.
         self._queue: deque[tuple[float, bytes, bool]] = deque()
         self._flush_handle: asyncio.Handle | None = None
         self._socket = _open_socket(context, vm_id, keys, server_key)
--- a/src/pomelolane/membership/transport.py
+++ b/src/pomelolane/membership/transport.py
@@ -252,12 +252,17 @@
             self._check_sender(sender, frame)
             envelope = decode_envelope(frame.buffer)
             self._replay_guard.admit(sender, envelope)
-            messages = [decode_message(raw) for raw in envelope.messages]
         except TransportError as error:
             self._reject(sender, str(error))
             return
-        for message in messages:
-            self._deliver(sender, message)
+        for raw in envelope.messages:
+            # A message of a later version must not take the others of its frame along.
+            try:
+                message = decode_message(raw)
+            except TransportError as error:
+                self._reject(sender, str(error))
+            else:
+                self._deliver(sender, message)
 
     def _check_sender(self, sender: str, frame: zmq.Frame) -> None:
         if not sender:
--- a/src/pomelolane/messages/__init__.py
+++ b/src/pomelolane/messages/__init__.py
@@ -33,6 +33,7 @@
 )
 from pomelolane.messages.quarantine import CrashesReported, ReportedCrash
 from pomelolane.messages.scheduling import (
+    EstimatesShared,
     Granted,
     Handle,
     HeldReservation,
@@ -43,6 +44,7 @@
     Refused,
     ReservationsHeld,
     RunningHandle,
+    SharedEstimate,
     StreamEvent,
     Submit,
     SubmitAck,
@@ -72,6 +74,7 @@
     "DigestPulse",
     "DigestWanted",
     "EndpointLeaving",
+    "EstimatesShared",
     "Granted",
     "Handle",
     "Heartbeat",
@@ -93,6 +96,7 @@
     "ReportedCrash",
     "ReservationsHeld",
     "RunningHandle",
+    "SharedEstimate",
     "StreamEvent",
     "Submit",
     "SubmitAck",
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -368,7 +368,49 @@
     guess_part: float | None = None
 
 
+class SharedEstimate(msgspec.Struct, frozen=True, array_like=True):
+    """What a scheduler has learnt of one start of an endpoint.
+
+    Whole numbers take 3 bytes for common values, floats take 9. Receivers check them
+    when they convert an entry: a bound here would reject the whole message.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        born_ms: When its process started, 0 if it does not state it.
+        version: Version of its software.
+        slowdown_thousandths: Response time as a factor on that at speed 1.
+        event_interval_us: Time between two answer events, 0 if unknown.
+        failure_thousandths: Share of failed answers.
+        samples: Number of measured times to first byte that it is based on.
+        age_ms: Time since the newest of them.
+        event_tokens_hundredths: Tokens per answer event, 0 if unknown.
+    """
+
+    endpoint_id: str
+    born_ms: int
+    version: str
+    slowdown_thousandths: int
+    event_interval_us: int
+    failure_thousandths: int
+    samples: int
+    age_ms: int
+    event_tokens_hundredths: int = 0
+
+
+class EstimatesShared(Message, frozen=True):
+    """Scheduler to the VMs that may take over: its estimates of the endpoints.
+
+    Attributes:
+        service: The service.
+        estimates: All estimates, also adopted ones that it has not replaced.
+    """
+
+    service: str
+    estimates: tuple[SharedEstimate, ...]
+
+
 __all__ = [
+    "EstimatesShared",
     "Granted",
     "Handle",
     "HeldReservation",
@@ -379,6 +421,7 @@
     "Refused",
     "ReservationsHeld",
     "RunningHandle",
+    "SharedEstimate",
     "StreamEvent",
     "Submit",
     "SubmitAck",
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -32,6 +32,7 @@
 )
 from pomelolane.messages.quarantine import CrashesReported
 from pomelolane.messages.scheduling import (
+    EstimatesShared,
     Granted,
     LimitsHeard,
     NotScheduler,
@@ -65,6 +66,7 @@
     | Unfollow
     | LimitsHeard
     | ReservationsHeld
+    | EstimatesShared
     | Heartbeat
     | Pulse
     | HeartbeatWanted
@@ -81,9 +83,9 @@
     | ClaimResults
 )
 
-SENT_ALONE = (ReservationsHeld,)
-"""Kinds that the previous version does not know. A receiver rejects a whole frame if it
-does not know one of its messages, so these are sent in frames of their own."""
+SENT_ALONE = (EstimatesShared, ReservationsHeld)
+"""Kinds that VMs of version 0.1 do not know. Those reject a whole frame if they do not
+know one of its messages, so these are sent in frames of their own."""
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
