Keep an organisation's level when its limit changes

Uses are kept as parts of the burst and replayed at the current rate, so a changed rate or burst rewrote those before the change. The level is now folded at the change and older uses are dropped.

--- a/src/pomelolane/scheduler/core.py
+++ b/src/pomelolane/scheduler/core.py
@@ -97,7 +97,7 @@
             {team.name: team.weight for team in tree.teams.values()},
             {o.name: o.weight for o in tree.organisations.values()},
         )
-        self._limits.configure(tree)
+        self._limits.configure(tree, now_ms)
         self._running.unpark_all()
         return self._dispatch(now_ms)
 
--- a/src/pomelolane/scheduler/limits.py
+++ b/src/pomelolane/scheduler/limits.py
@@ -98,7 +98,7 @@
         for account in (*self._teams.values(), *self._organisations.values()):
             if account.share != share:
                 account.configure(account.limits, share)
-        self._configure_pacer()
+        self._configure_pacer(now_ms)
 
     def assume_used(self, spare_part: float, now_ms: float) -> None:
         """Assume that earlier schedulers used all windows.
@@ -217,7 +217,7 @@
         for use in uses:
             self._add_reported(use, use.source, now_ms)
 
-    def configure(self, tree: Tree) -> None:
+    def configure(self, tree: Tree, now_ms: float) -> None:
         """Apply the limits of a settings tree; unchanged ones keep their usage."""
         self._accounts_by_tenant.clear()
         for name, team in tree.teams.items():
@@ -226,13 +226,13 @@
             _configure_account(
                 self._organisations, name, organisation.limits, self._share
             )
-        self._configure_pacer()
+        self._configure_pacer(now_ms)
 
-    def _configure_pacer(self) -> None:
+    def _configure_pacer(self, now_ms: float) -> None:
         if self._pacer is None:
             return
         for name, account in self._organisations.items():
-            self._pacer.configure(name, account.limits, account.share)
+            self._pacer.configure(name, account.limits, account.share, now_ms)
 
     def pace(self, request: PacedRequest, now_ms: float) -> Pace | Refusal:
         """Decide whether a request waits for its organisation's rate.
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -96,7 +96,7 @@
         }
         for request_id in self._fleet.configure(own, now_ms):
             self._endpoint_by_request.pop(request_id, None)
-        self.limits.configure(tree)
+        self.limits.configure(tree, now_ms)
         organisations = tree.organisations.values()
         self._admission.shares.configure(
             {one.name: one.weight for one in organisations}
--- a/src/pomelolane/scheduler/pacing.py
+++ b/src/pomelolane/scheduler/pacing.py
@@ -99,7 +99,9 @@
 class LimitPacer(Protocol):
     """Paces the requests of all organisations that have a rate, burst and window."""
 
-    def configure(self, organisation: str, limits: Limits, share: float) -> None:
+    def configure(
+        self, organisation: str, limits: Limits, share: float, now_ms: float
+    ) -> None:
         """Apply a limit, of which a share may be used; its level keeps its part."""
 
     def is_paced(self, organisation: str) -> bool:
@@ -274,7 +276,9 @@
         self._unlimited: list[PacedRequest] = []
         self._sequence = count()
 
-    def configure(self, organisation: str, limits: Limits, share: float) -> None:
+    def configure(
+        self, organisation: str, limits: Limits, share: float, now_ms: float
+    ) -> None:
         if min(limits.tokens_per_s, limits.burst_tokens, limits.window_ms) <= 0:
             paced = self._organisations.pop(organisation, None)
             if paced is not None:
@@ -283,7 +287,7 @@
         paced = self._organisations.setdefault(organisation, _PacedOrganisation())
         if paced.applied != (limits, share):
             paced.applied = limits, share
-            paced.bucket.configure(limits, share)
+            paced.bucket.configure(limits, share, now_ms)
 
     def is_paced(self, organisation: str) -> bool:
         return organisation in self._organisations
--- a/src/pomelolane/scheduler/replayed_bucket.py
+++ b/src/pomelolane/scheduler/replayed_bucket.py
@@ -25,6 +25,10 @@
     part: float
 
 
+def _rate_and_burst(limits: Limits) -> tuple[float, float]:
+    return limits.tokens_per_s, limits.burst_tokens
+
+
 class ReplayedBucket:
     """Token bucket whose level results from replaying all known uses by their time.
 
@@ -42,10 +46,24 @@
         self._next_fold_ms = -inf
         self._passed: dict[str, _Use] = {}
         self._reported: dict[tuple[str, str], list[_Use]] = {}
+        self._limits: Limits | None = None
+        # Level after all known uses; None if they have to be replayed.
         self._current: _Use | None = None
 
-    def configure(self, limits: Limits, share: float) -> None:
-        """Apply a limit, of which a share may be used."""
+    def configure(self, limits: Limits, share: float, now_ms: float) -> None:
+        """Apply a limit, of which a share may be used.
+
+        Uses are parts of the burst and are replayed at the current rate, so those
+        before a change of the limit are folded into the level at the change.
+        """
+        old = self._limits
+        if old is not None and _rate_and_burst(old) != _rate_and_burst(limits):
+            part = self._part_at(now_ms) * old.burst_tokens / limits.burst_tokens
+            self._base = _Use(now_ms, min(1.0, part))
+            self._folded_ms = now_ms
+            self._passed.clear()
+            self._reported.clear()
+        self._limits = limits
         self.burst_tokens = limits.burst_tokens * share
         self.tokens_per_ms = limits.tokens_per_s * share / 1000.0
         self._bound_tokens = self.tokens_per_ms * limits.window_ms + self.burst_tokens
--- a/tests/scheduler/pacing.feature
+++ b/tests/scheduler/pacing.feature
@@ -63,6 +63,17 @@
     And the scheduler may use 0.5 of the rates
     Then 0 requests wait, and the level is 250 to 250 tokens
 
+  # Guards against earlier uses that are replayed under a changed limit.
+  Scenario Outline: A changed limit keeps the level
+    When 1000 tokens are used elsewhere, then 90 each 100 ms for 20 s
+    And the limit becomes <per_s> tokens a second and <burst> at once
+    Then 0 requests wait, and the level is 800 to 1000 tokens
+
+    Examples:
+      | per_s | burst |
+      | 1000  | 10000 |
+      | 500   | 1000  |
+
   # Guards against uses that are forgotten, or counted twice, as reports are replaced.
   Scenario: Usage that is reported again each 2 s counts once
     When 1000 tokens are used elsewhere, then 100 each 100 ms for 20 s
--- a/tests/steps/scheduler_pacing_steps.py
+++ b/tests/steps/scheduler_pacing_steps.py
@@ -147,6 +147,11 @@
         core.tick(100)
 
 
+@when("the limit becomes {per_s:d} tokens a second and {burst:d} at once")
+def step_changed(context, per_s, burst):
+    context.core.set_limits(Limits(0, per_s, 0, burst, WINDOW_MS))
+
+
 @when("the scheduler may use {share:f} of the rates")
 def step_share(context, share):
     context.core.core.limit_rates(share, context.core.now)
