Undo the latest pass of a bucket without replaying all passes

A request that a full service refuses on arrival is refunded right after its pass, which replayed all passes of the last six seconds at the next request. The level before the latest pass is kept and restored.

--- a/src/pomelolane/scheduler/replayed_bucket.py
+++ b/src/pomelolane/scheduler/replayed_bucket.py
@@ -49,6 +49,8 @@
         self._limits: Limits | None = None
         # Level after all known uses; None if they have to be replayed.
         self._current: _Use | None = None
+        # Latest pass, and the levels before and after it.
+        self._undo: tuple[str, _Use | None, _Use] | None = None
 
     def configure(self, limits: Limits, share: float, now_ms: float) -> None:
         """Apply a limit, of which a share may be used.
@@ -88,16 +90,26 @@
     def record_pass(self, request_id: str, tokens: float, now_ms: float) -> None:
         """Deduct the tokens of a request that passes now."""
         level = self._part_at(now_ms)
+        before = self._current
         part = tokens / self.burst_tokens
         known = self._passed.pop(request_id, None)
         known_part = known.part if known is not None else 0.0
         self._passed[request_id] = _Use(now_ms, known_part + part)
         self._current = _Use(now_ms, level - part)
+        undo = request_id, before, self._current
+        self._undo = undo if known is None else None
 
     def refund(self, request_id: str) -> None:
         """Undo a pass, unless it is already folded into the base."""
-        if self._passed.pop(request_id, None) is not None:
-            self._current = None
+        if self._passed.pop(request_id, None) is None:
+            return
+        before = None
+        if self._undo is not None:
+            latest_id, level_before, level_after = self._undo
+            # Nothing was deducted since if the level is still that of this pass.
+            if latest_id == request_id and self._current is level_after:
+                before = level_before
+        self._current = before
 
     def add_reported(
         self, use: TokenUse, source: tuple[str, str], at_ms: float
