Keep no tokens for large requests below the limit

A refused large request made smaller ones of its organisation refused for up to 10 s, as refusals for the kept level renewed the state and a request that could hardly wait kept the whole burst. A level is now kept only while the whole demand exceeds rate and burst and requests are refused that would be refused without it, and only for requests whose own wait brings their tokens.

The head passes with its own tokens, also if a more urgent request keeps a level. A request whose time ended before its turn came is passed over and expires; formerly it was released and could be refused no more. A request waits no longer than its caller.

Queue entries are removed by bisection, the tokens ahead are summed over the shorter part of the queue, and only organisations with a queue are visited.

--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -191,10 +191,13 @@
 
     def _paced_request(self, waiting: WaitingRequest) -> PacedRequest:
         handle = waiting.handle
-        wait_ms = self._options.early_share * handle.objective_ms
+        longest_wait_ms = self._options.early_share * handle.objective_ms
         received_ms = waiting.objective_at_ms - handle.objective_ms
+        latest_ms = min(
+            received_ms + longest_wait_ms, waiting.give_up_at_ms(self._options)
+        )
         return PacedRequest(
-            handle, waiting.objective_at_ms, received_ms + wait_ms, wait_ms, waiting
+            handle, waiting.objective_at_ms, latest_ms, longest_wait_ms, waiting
         )
 
     def _admit(self, waiting: WaitingRequest, now_ms: float) -> Sequence[Decision]:
--- a/src/pomelolane/scheduler/paced_demand.py
+++ b/src/pomelolane/scheduler/paced_demand.py
@@ -17,6 +17,10 @@
 _OVER_LIMIT_MS = 1_000.0
 """How long after a refusal an organisation counts as over its limit."""
 
+_MOST_EXCESS_MS = 200.0
+"""Time in which the rate makes up for the largest excess that is remembered. Otherwise
+one large request makes an organisation count as over its limit for long."""
+
 _PASS_RATE_MS = 1_000.0
 """Time constant of the rates at which tokens pass."""
 
@@ -67,22 +71,36 @@
         return rate
 
 
-class NeededLevels:
-    """The highest level that a recent request needed to have its turn, by rank.
+class KeptLevels:
+    """The highest level with which a recent request could wait, by rank.
 
     Small requests find tokens more often than large ones. While an organisation is over
     its limit, requests leave the tokens that large requests of their rank or of more
     urgent ranks need on arrival to have their turn in time.
+
+    An organisation is over its limit if a request was refused recently and its whole
+    demand, refused requests included, exceeds rate and burst.
     """
 
     def __init__(self) -> None:
+        self._excess_tokens = -inf
+        self._counted_ms = 0.0
         self._current: dict[int, float] = {}
         self._previous: dict[int, float] = {}
         self._until_ms = -inf
         self._over_until_ms = -inf
 
+    def count_demand(
+        self, tokens: int, tokens_per_ms: float, burst_tokens: float, now_ms: float
+    ) -> None:
+        """Count the tokens of an arriving request."""
+        refilled = self._excess_tokens - (now_ms - self._counted_ms) * tokens_per_ms
+        excess = max(refilled, -burst_tokens) + tokens
+        self._excess_tokens = min(excess, _MOST_EXCESS_MS * tokens_per_ms)
+        self._counted_ms = now_ms
+
     def add(self, rank: int, level: float, now_ms: float) -> None:
-        """Record the level that an arriving request needs."""
+        """Record the level with which an arriving request could wait."""
         if now_ms >= self._until_ms:
             is_recent = now_ms < self._until_ms + _NEEDS_KEPT_MS
             self._previous = self._current if is_recent else {}
@@ -91,12 +109,12 @@
         self._current[rank] = max(level, self._current.get(rank, -inf))
 
     def record_refusal(self, now_ms: float) -> None:
-        """Count the organisation as over its limit for some time."""
+        """Record a request that is refused, whatever level is kept for others."""
         self._over_until_ms = now_ms + _OVER_LIMIT_MS
 
     def is_over_limit(self, now_ms: float) -> bool:
-        """Return whether a request was refused recently."""
-        return now_ms < self._over_until_ms
+        """Return whether demand exceeds the limit and requests were refused."""
+        return self._excess_tokens > 0 and now_ms < self._over_until_ms
 
     def highest(self, below_rank: int, now_ms: float) -> float:
         """Return the highest level of the ranks below one, while over the limit."""
--- a/src/pomelolane/scheduler/pacing.py
+++ b/src/pomelolane/scheduler/pacing.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 from pomelolane.outcomes import Outcome, Reason, Refusal
-from pomelolane.scheduler.paced_demand import NeededLevels, PassRates, Promises
+from pomelolane.scheduler.paced_demand import KeptLevels, PassRates, Promises
 from pomelolane.scheduler.replayed_bucket import ReplayedBucket
 
 if TYPE_CHECKING:
@@ -55,14 +55,14 @@
         handle: The request.
         due_ms: When the first byte of its answer is due.
         latest_ms: When it is refused if its turn has not come.
-        wait_ms: Longest wait, from when it was received; 0 if it may not wait.
+        longest_wait_ms: Longest wait, from when it was received; 0 if it may not wait.
         item: What the caller wants back when the turn comes.
     """
 
     handle: Handle
     due_ms: float
     latest_ms: float
-    wait_ms: float
+    longest_wait_ms: float
     item: Any = None
 
     @property
@@ -72,7 +72,7 @@
 
     def left_ms(self, now_ms: float) -> float:
         """Return how long it may still wait."""
-        return max(0.0, self.latest_ms - now_ms) if self.wait_ms > 0 else 0.0
+        return max(0.0, self.latest_ms - now_ms) if self.longest_wait_ms > 0 else 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,14 +170,15 @@
     def __init__(self) -> None:
         self.bucket = ReplayedBucket()
         self.queue: list[_Waiting] = []
+        self.queued_tokens = 0
         self.applied: tuple[Limits, float] | None = None
         self._promises = Promises()
-        self._needs = NeededLevels()
+        self._kept_levels = KeptLevels()
         self._pass_rates = PassRates()
 
     def has_plenty(self, tokens: int, now_ms: float) -> bool:
         """Return whether a request passes without regard to others, the usual case."""
-        if self.queue or self._needs.is_over_limit(now_ms):
+        if self.queue or self._kept_levels.is_over_limit(now_ms):
             return False
         return self.bucket.level(now_ms) >= min(tokens, self.bucket.burst_tokens)
 
@@ -185,28 +186,63 @@
         self, waiting: _Waiting, window_wait_ms: float, now_ms: float
     ) -> Pace | Refusal:
         request = waiting.request
-        level = spare = self.bucket.level(now_ms)
+        spare = self.bucket.level(now_ms)
         ahead = bisect_left(self.queue, waiting) if self.queue else 0
         if ahead:
-            spare -= sum(one.request.tokens for one in self.queue[:ahead])
-        needed = self._needed(request, now_ms)
-        rate = self._rate_for(waiting.rank, now_ms)
-        room = request.left_ms(now_ms) * rate
-        kept = -inf
-        if request.wait_ms > 0:
+            spare -= self._tokens_ahead(ahead)
+        to_pass = self._level_to_pass(request)
+        left_ms = request.left_ms(now_ms)
+        room = left_ms * self._rate_for(waiting.rank, now_ms)
+        kept = self._kept(waiting.rank, request, now_ms)
+        more_urgent = max(0.0, self._kept_levels.highest(waiting.rank, now_ms))
+        after_urgent = min(request.tokens + more_urgent, self.bucket.burst_tokens)
+        target = max(after_urgent, kept)
+        if not ahead and spare >= target and window_wait_ms <= 0:
+            return Pace.PASSES
+        if left_ms > 0 and spare >= max(kept, after_urgent - room):
+            self._enqueue(waiting)
+            return Pace.WAITS
+        most_room = left_ms * self.bucket.tokens_per_ms
+        if request.longest_wait_ms > 0 and spare < to_pass - most_room:
+            self._kept_levels.record_refusal(now_ms)
+        return self._refusal(request, target - spare, now_ms)
+
+    def count_demand(self, tokens: int, now_ms: float) -> None:
+        bucket = self.bucket
+        self._kept_levels.count_demand(
+            tokens, bucket.tokens_per_ms, bucket.burst_tokens, now_ms
+        )
+
+    def _kept(self, rank: int, request: PacedRequest, now_ms: float) -> float:
+        """Return the level that a request leaves to larger or more urgent ones."""
+        longest_ms = request.longest_wait_ms
+        if longest_ms <= 0:
+            return -inf
+        to_pass = self._level_to_pass(request)
+        # One that can hardly wait would make others leave the whole burst.
+        if longest_ms * self.bucket.tokens_per_ms >= to_pass:
             # As for one that has just been received: what is submitted again has less
             # time left, and would make others leave more.
-            self._needs.add(waiting.rank, needed - request.wait_ms * rate, now_ms)
-            kept = self._needs.highest(waiting.rank + 1, now_ms)
-        if spare >= kept:
-            if not ahead and level >= needed and window_wait_ms <= 0:
-                return Pace.PASSES
-            if request.left_ms(now_ms) > 0 and spare >= needed - room:
-                insort(self.queue, waiting)
-                return Pace.WAITS
-        if request.wait_ms > 0:
-            self._needs.record_refusal(now_ms)
-        return self._refusal(request, max(needed, kept) - spare, now_ms)
+            level = to_pass - longest_ms * self._rate_for(rank, now_ms)
+            self._kept_levels.add(rank, level, now_ms)
+        return self._kept_levels.highest(rank + 1, now_ms)
+
+    def _enqueue(self, waiting: _Waiting) -> None:
+        insort(self.queue, waiting)
+        self.queued_tokens += waiting.request.tokens
+
+    def remove(self, waiting: _Waiting) -> None:
+        """Remove a queue entry."""
+        del self.queue[bisect_left(self.queue, waiting)]
+        self.queued_tokens -= waiting.request.tokens
+
+    def _tokens_ahead(self, ahead: int) -> int:
+        """Return the tokens of the first entries; walks the shorter part."""
+        if 2 * ahead <= len(self.queue):
+            return sum(one.request.tokens for one in self.queue[:ahead])
+        return self.queued_tokens - sum(
+            one.request.tokens for one in self.queue[ahead:]
+        )
 
     def _refusal(self, request: PacedRequest, missing: float, now_ms: float) -> Refusal:
         """Refuse a request with the time at which the rate admits it."""
@@ -216,14 +252,13 @@
             self._promises.add(request.tokens, now_ms + retry_ms)
         return Refusal(Outcome.NOT_RUN, Reason.TOKEN_LIMIT, retry_ms)
 
-    def _needed(self, request: PacedRequest, now_ms: float) -> float:
-        """Return the level at which a request passes."""
-        kept = self._needs.highest(request.handle.tier_rank, now_ms)
-        return min(request.tokens + max(0.0, kept), self.bucket.burst_tokens)
+    def _level_to_pass(self, request: PacedRequest) -> float:
+        """Return the level at which a request passes if none goes before it."""
+        return min(request.tokens, self.bucket.burst_tokens)
 
     def _rate_for(self, rank: int, now_ms: float) -> float:
         """Return the rate that more urgent ranks leave."""
-        if not self._needs.is_over_limit(now_ms):
+        if not self._kept_levels.is_over_limit(now_ms):
             return self.bucket.tokens_per_ms
         more_urgent = self._pass_rates.more_urgent(rank, now_ms)
         return max(0.0, self.bucket.tokens_per_ms - more_urgent)
@@ -233,26 +268,36 @@
         self._pass_rates.add(handle.tier_rank, handle.charge_tokens, now_ms)
 
     def next_released(self, now_ms: float) -> PacedRequest | None:
-        """Return the head of the queue if there are enough tokens for it."""
-        if not self.queue:
-            return None
-        request = self.queue[0].request
-        has_tokens = self.bucket.level(now_ms) >= self._needed(request, now_ms)
-        return request if has_tokens else None
+        """Return the first request if its turn came before its time ended.
+
+        Requests whose time ended before are passed over; they expire.
+        """
+        level = self.bucket.level(now_ms) if self.queue else 0.0
+        for one in self.queue:
+            request = one.request
+            ended_ms = max(0.0, now_ms - request.latest_ms)
+            before = level - ended_ms * self.bucket.tokens_per_ms
+            if before >= self._level_to_pass(request):
+                return request
+            if ended_ms <= 0:
+                break
+        return None
 
     def expire(self, now_ms: float) -> list[tuple[PacedRequest, Refusal]]:
         expired = []
-        kept: list[_Waiting] = []
+        remaining: list[_Waiting] = []
         ahead = 0
+        level = self.bucket.level(now_ms)
         for one in self.queue:
             request = one.request
             if now_ms < request.latest_ms:
-                kept.append(one)
+                remaining.append(one)
                 ahead += request.tokens
                 continue
-            missing = ahead + self._needed(request, now_ms) - self.bucket.level(now_ms)
+            missing = ahead + self._level_to_pass(request) - level
             expired.append((request, self._refusal(request, missing, now_ms)))
-        self.queue = kept
+        self.queue = remaining
+        self.queued_tokens = ahead
         return expired
 
     def status(self, name: str, now_ms: float) -> PacedLimit:
@@ -263,7 +308,7 @@
             tokens_per_s=bucket.tokens_per_ms * 1000.0,
             burst_tokens=bucket.burst_tokens,
             waiting=len(self.queue),
-            waiting_tokens=sum(one.request.tokens for one in self.queue),
+            waiting_tokens=self.queued_tokens,
         )
 
 
@@ -272,8 +317,11 @@
 
     def __init__(self) -> None:
         self._organisations: dict[str, _PacedOrganisation] = {}
-        self._waiting: dict[str, PacedRequest] = {}
-        self._unlimited: list[PacedRequest] = []
+        self._waiting: dict[str, _Waiting] = {}
+        # Waiting requests of organisations whose limit was removed.
+        self._unlimited: list[_Waiting] = []
+        # Organisations with a queue, in the order in which they began to wait.
+        self._queued: dict[str, _PacedOrganisation] = {}
         self._sequence = count()
 
     def configure(
@@ -282,7 +330,8 @@
         if min(limits.tokens_per_s, limits.burst_tokens, limits.window_ms) <= 0:
             paced = self._organisations.pop(organisation, None)
             if paced is not None:
-                self._unlimited.extend(one.request for one in paced.queue)
+                self._unlimited.extend(paced.queue)
+                self._queued.pop(organisation, None)
             return
         paced = self._organisations.setdefault(organisation, _PacedOrganisation())
         if paced.applied != (limits, share):
@@ -299,13 +348,15 @@
         paced = self._organisations.get(handle.organisation)
         if paced is None or request.tokens <= 0:
             return Pace.PASSES
+        paced.count_demand(request.tokens, now_ms)
         if window_wait_ms <= 0 and paced.has_plenty(request.tokens, now_ms):
             return Pace.PASSES
         sequence = next(self._sequence)
         waiting = _Waiting(handle.tier_rank, request.due_ms, sequence, request)
         result = paced.offer(waiting, window_wait_ms, now_ms)
         if result is Pace.WAITS:
-            self._waiting[handle.request_id] = request
+            self._waiting[handle.request_id] = waiting
+            self._queued[handle.organisation] = paced
         return result
 
     def next_released(
@@ -314,8 +365,8 @@
         if not self._waiting:
             return None
         if self._unlimited:
-            return self.remove(self._unlimited[0].handle.request_id)
-        for paced in self._organisations.values():
+            return self.remove(self._unlimited[0].request.handle.request_id)
+        for paced in self._queued.values():
             request = paced.next_released(now_ms)
             if request is not None and has_room(request.handle):
                 return self.remove(request.handle.request_id)
@@ -325,22 +376,26 @@
         if not self._waiting:
             return []
         expired = []
-        for paced in self._organisations.values():
-            if paced.queue:
-                expired.extend(paced.expire(now_ms))
+        for paced in self._queued.values():
+            expired.extend(paced.expire(now_ms))
         for request, _ in expired:
             del self._waiting[request.handle.request_id]
+        self._queued = {name: one for name, one in self._queued.items() if one.queue}
         return expired
 
     def remove(self, request_id: str) -> PacedRequest | None:
-        request = self._waiting.pop(request_id, None)
-        if request is None:
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is None:
             return None
-        paced = self._organisations.get(request.handle.organisation)
-        if paced is not None:
-            paced.queue = [one for one in paced.queue if one.request is not request]
-        self._unlimited = [one for one in self._unlimited if one is not request]
-        return request
+        organisation = waiting.request.handle.organisation
+        paced = self._queued.get(organisation)
+        if waiting in self._unlimited:
+            self._unlimited.remove(waiting)
+        elif paced is not None:
+            paced.remove(waiting)
+            if not paced.queue:
+                del self._queued[organisation]
+        return waiting.request
 
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._waiting
--- a/tests/steps/scheduler_pacing_steps.py
+++ b/tests/steps/scheduler_pacing_steps.py
@@ -147,6 +147,20 @@
         core.tick(100)
 
 
+@when("it asks for {first:d} and {large:d} tokens, then for {n:d} each 100 ms for 10 s")
+def step_below(context, first, large, n):
+    for tokens in (first, large, *[n] * 100):
+        context.core.ask("org", 0, tokens, objective_ms=400)
+        context.core.tick(100)
+
+
+@then("{count:d} of its requests is refused")
+def step_refused(context, count):
+    results = [one[0] for one in context.core.decisions.values()]
+    refused = [one for one in results if not isinstance(one, Grant)]
+    assert len(refused) == count, refused
+
+
 @when("the limit becomes {per_s:d} tokens a second and {burst:d} at once")
 def step_changed(context, per_s, burst):
     context.core.set_limits(Limits(0, per_s, 0, burst, WINDOW_MS))
