--- a/src/pomelolane/scheduler/replayed_bucket.py
+++ b/src/pomelolane/scheduler/replayed_bucket.py
@@ -12,6 +12,9 @@
 
 _FOLD_PERIOD_MS = 1_000.0
 _REPORT_STEP_MS = 250.0
+_MIN_SHARE = 0.001
+"""Least share of a limit that is applied; without any, no retry time can be given."""
+
 _REPLAYED_PART = 0.75
 """Part of the window whose uses are replayed. Older ones are folded into the level
 before they expire at the scheduler that reports them, as its next full report omits
@@ -25,6 +28,10 @@
     part: float
 
 
+def _rate_and_burst(limits: Limits) -> tuple[float, float]:
+    return limits.tokens_per_s, limits.burst_tokens
+
+
 class ReplayedBucket:
     """Token bucket whose level results from replaying all known uses by their time.
 
@@ -42,10 +49,27 @@
         self._next_fold_ms = -inf
         self._passed: dict[str, _Use] = {}
         self._reported: dict[tuple[str, str], list[_Use]] = {}
+        self._limits: Limits | None = None
+        # Level after all known uses; None if they have to be replayed.
         self._current: _Use | None = None
-
-    def configure(self, limits: Limits, share: float) -> None:
-        """Apply a limit, of which a share may be used."""
+        # Latest pass, and the levels before and after it.
+        self._undo: tuple[str, _Use | None, _Use] | None = None
+
+    def configure(self, limits: Limits, share: float, now_ms: float) -> None:
+        """Apply a limit, of which a share may be used.
+
+        Uses are parts of the burst and are replayed at the current rate, so those
+        before a change of the limit are folded into the level at the change.
+        """
+        share = max(share, _MIN_SHARE)
+        old = self._limits
+        if old is not None and _rate_and_burst(old) != _rate_and_burst(limits):
+            part = self._part_at(now_ms) * old.burst_tokens / limits.burst_tokens
+            self._base = _Use(now_ms, min(1.0, part))
+            self._folded_ms = now_ms
+            self._passed.clear()
+            self._reported.clear()
+        self._limits = limits
         self.burst_tokens = limits.burst_tokens * share
         self.tokens_per_ms = limits.tokens_per_s * share / 1000.0
         self._bound_tokens = self.tokens_per_ms * limits.window_ms + self.burst_tokens
@@ -70,16 +94,26 @@
     def record_pass(self, request_id: str, tokens: float, now_ms: float) -> None:
         """Deduct the tokens of a request that passes now."""
         level = self._part_at(now_ms)
+        before = self._current
         part = tokens / self.burst_tokens
         known = self._passed.pop(request_id, None)
         known_part = known.part if known is not None else 0.0
         self._passed[request_id] = _Use(now_ms, known_part + part)
         self._current = _Use(now_ms, level - part)
+        undo = request_id, before, self._current
+        self._undo = undo if known is None else None
 
     def refund(self, request_id: str) -> None:
         """Undo a pass, unless it is already folded into the base."""
-        if self._passed.pop(request_id, None) is not None:
-            self._current = None
+        if self._passed.pop(request_id, None) is None:
+            return
+        before = None
+        if self._undo is not None:
+            latest_id, level_before, level_after = self._undo
+            # Nothing was deducted since if the level is still that of this pass.
+            if latest_id == request_id and self._current is level_after:
+                before = level_before
+        self._current = before
 
     def add_reported(
         self, use: TokenUse, source: tuple[str, str], at_ms: float
