Bind reservations to requests and identify them across schedulers

A request that used its reservation lost its precedence after a pause, as claims were dropped with the records. While a queue settled, requests were judged by the end of settling. A reservation was used twice if two gateways' retry times differed by more than 50 ms, copies of a request were all told the same time, early arrivals were told times for which they do not wait, and messages were not validated.

- A request is linked to its reservation, used or awaited, for 15 s, also when submitted again.
- Requests that were held back are judged by their arrival; nothing expires meanwhile.
- Refusals and held reservations carry an id, by which duplicates are recognised.
An early arrival is told at least the shortest retry time.
- A reservation is told to one early arrival, and only within a third of its time left.
A request that expires is told of the reservation that it awaits.
- Fingerprint, slot time, rank and retry time of received reservations are checked, 512 are taken from a message, 16 held of a fingerprint and 1,024 of an organisation.
- Requests without an objective use no reservation, nor do those refused for no_endpoint.
- Gateways repeat no reserved retry time to other callers.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -279,7 +279,9 @@
         link.note_reply()
         if ticket.endpoint_id:
             return
-        self._retry_after_ms[link.service] = message.retry_after_ms
+        if not message.reserved_ms:
+            # A reserved time is another caller's: told to all, they return together.
+            self._retry_after_ms[link.service] = message.retry_after_ms
         link.drop(ticket)
         link.reservations.record(ticket.handle, message, self._context.clock.now_ms())
         refusal = _not_run(message.reason, message.retry_after_ms, "")
--- a/src/pomelolane/coordination/reservations.py
+++ b/src/pomelolane/coordination/reservations.py
@@ -6,9 +6,12 @@
 from typing import TYPE_CHECKING
 from weakref import WeakKeyDictionary
 
+import msgspec
+
 from pomelolane.events import RESERVATIONS_LAPSED
 from pomelolane.logs import log_event
 from pomelolane.messages import HeldReservation
+from pomelolane.scheduler.objective.reserved_slots import LATE_TOLERANCE_MS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -18,10 +21,10 @@
     from pomelolane.ports import Clock, SchedulingCore
 
 MAX_HELD = 512
-"""Reservations that a gateway keeps for one service: a message of about 12 KB."""
+"""Reservations that a gateway keeps for one service: a message of up to 14 KB."""
 
-_RETENTION_MS = 500.0
-"""Time after the retry time for which a scheduler still recognises the caller."""
+_MAX_RETRY_MS = 5_000
+"""Longest retry time of a reservation, as schedulers reserve no further ahead."""
 
 _LOG_PERIOD_MS = 1_000.0
 
@@ -37,13 +40,27 @@
 
     def record(self, handle: Handle, refusal: Refused, now_ms: float) -> None:
         """Keep the reservation of a refusal, if it has one."""
-        if not refusal.reserved_ms or not handle.fingerprint:
+        if (
+            not refusal.reserved_ms
+            or not handle.fingerprint
+            or refusal.retry_after_ms > _MAX_RETRY_MS
+        ):
             return
         self._remove_expired(now_ms)
+        if refusal.reservation_id and any(
+            (one.fingerprint, one.tier_rank, one.reservation_id)
+            == (handle.fingerprint, handle.tier_rank, refusal.reservation_id)
+            for _, one in self._held
+        ):
+            return
         if len(self._held) < MAX_HELD:
             due_ms = now_ms + refusal.retry_after_ms
             reservation = HeldReservation(
-                handle.fingerprint, handle.tier_rank, 0, refusal.reserved_ms
+                handle.fingerprint,
+                handle.tier_rank,
+                0,
+                refusal.reserved_ms,
+                refusal.reservation_id,
             )
             self._held.append((due_ms, reservation))
 
@@ -51,14 +68,12 @@
         """Return the reservations that have not expired."""
         self._remove_expired(now_ms)
         return tuple(
-            HeldReservation(
-                one.fingerprint, one.tier_rank, round(due_ms - now_ms), one.slot_ms
-            )
+            msgspec.structs.replace(one, due_in_ms=round(due_ms - now_ms))
             for due_ms, one in self._held
         )
 
     def _remove_expired(self, now_ms: float) -> None:
-        self._held = [one for one in self._held if now_ms - one[0] <= _RETENTION_MS]
+        self._held = [one for one in self._held if now_ms - one[0] <= LATE_TOLERANCE_MS]
 
 
 class LapseLogger:
--- a/src/pomelolane/coordination/service_queue.py
+++ b/src/pomelolane/coordination/service_queue.py
@@ -13,6 +13,7 @@
 from pomelolane.coordination.epochs import incarnation_part
 from pomelolane.coordination.limit_account import account_from_core
 from pomelolane.coordination.request_table import Entry, Follower, RequestTable
+from pomelolane.coordination.reservations import MAX_HELD
 from pomelolane.coordination.scope import partitioned_tree
 from pomelolane.coordination.suspects import exclude_suspect_endpoints
 from pomelolane.messages import (
@@ -147,6 +148,7 @@
         self._awaited_gateways = frozenset(gateways)
         self._top_tier_only = False
         self._settle_by_ms = self._clock.now_ms() + self._timings.settle_ms
+        self._hold_reservations(is_held=True)
         for follower in self.request_table.followers.values():
             follower.registered = False
 
@@ -172,6 +174,7 @@
                 self._apply_decisions(self.core.withdraw(entry.request_id, now_ms))
             entry.in_core = False
             entry.deadline_ms -= paused_ms
+            entry.arrived_ms -= paused_ms
         for entry in waiting:
             self.request_table.add(entry)
         self._queue_known(waiting)
@@ -222,6 +225,7 @@
         self.request_table.followers.clear()
         self._remove_all(list(self.request_table.entries.values()))
         self._settle_by_ms = None
+        self._hold_reservations(is_held=False)
 
     def apply(self, decisions: Sequence[Decision]) -> None:
         """Apply decisions that a call to the core has returned."""
@@ -330,12 +334,10 @@
         self._reassign_limited()
 
     def _handle_reservations(self, gateway: str, message: ReservationsHeld) -> None:
-        hear = getattr(self.core, "hear_reservation", None)
+        hear = getattr(self.core, "hear_reservations", None)
         if hear is None or self._follower(gateway, message.epoch) is None:
             return
-        now_ms = self._clock.now_ms()
-        for one in message.reservations:
-            hear(one.fingerprint, one.tier_rank, one.due_in_ms, one.slot_ms, now_ms)
+        hear(message.reservations[:MAX_HELD], self._clock.now_ms())
 
     def _reassign_limited(self) -> None:
         """Assign slots again if the set of rate-limited endpoints has changed."""
@@ -421,7 +423,11 @@
         handle = exclude_suspect_endpoints(
             entry.handle_at(now_ms), self.request_table.entries.values(), own
         )
-        self._apply_decisions(self.core.submit(handle, now_ms))
+        submit_held = getattr(self.core, "submit_held", None)
+        if submit_held is not None and entry.arrived_ms < now_ms:
+            self._apply_decisions(submit_held(handle, entry.arrived_ms, now_ms))
+        else:
+            self._apply_decisions(self.core.submit(handle, now_ms))
 
     def _remove(self, entry: Entry) -> None:
         self.request_table.remove(entry)
@@ -497,6 +503,14 @@
             self._top_tier_only = True
             self._settle_by_ms = now_ms + self._timings.settle_lower_ms
         self._queue_known(self.request_table.waiting())
+        if self._settle_by_ms is None:
+            self._hold_reservations(is_held=False)
+
+    def _hold_reservations(self, *, is_held: bool) -> None:
+        """Let no reservation expire for which a request may have arrived in time."""
+        hold = getattr(self.core, "hold_reservations", None)
+        if hold is not None:
+            hold(is_held=is_held)
 
     def _queue_known(self, entries: Sequence[Entry]) -> None:
         """Queue the entries that are still in the table, most urgent first."""
@@ -546,6 +560,7 @@
             refusal.reason,
             refusal.retry_after_ms,
             refusal.reserved_ms,
+            refusal.reservation_id,
         )
         self._send(entry.gateway, message)
         log_refusal(entry, refusal, len(self.request_table.entries))
--- a/src/pomelolane/messages/scheduling.py
+++ b/src/pomelolane/messages/scheduling.py
@@ -158,8 +158,9 @@
         epoch: Copied from the submit.
         request_id: The request.
         reason: Reason for the refusal.
-        retry_after_ms: Time to wait before a retry, from the measured drain rate.
+        retry_after_ms: Time after which capacity is predicted to be free.
         reserved_ms: Slot time reserved at that time, 0 for none.
+        reservation_id: Id of the reservation, 0 for none.
     """
 
     epoch: int
@@ -167,6 +168,7 @@
     reason: Reason
     retry_after_ms: int
     reserved_ms: int = 0
+    reservation_id: int = 0
 
 
 class StreamEvent(msgspec.Struct, frozen=True, array_like=True):
@@ -289,12 +291,15 @@
         tier_rank: Rank of the request.
         due_in_ms: Time until the retry time, negative after it.
         slot_ms: Slot time that is reserved.
+        reservation_id: Id from the refusal, 0 if unknown. Retry times that gateways
+            keep differ from the scheduler's by the delays of messages.
     """
 
     fingerprint: str
     tier_rank: int
     due_in_ms: int
     slot_ms: int
+    reservation_id: int = 0
 
 
 class ReservationsHeld(Message, frozen=True):
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -82,7 +82,7 @@
 )
 
 SENT_ALONE = (ReservationsHeld,)
-"""Kinds that the previous version does not know. A receiver rejects a whole frame if it
+"""Kinds that version 0.1.0 does not know. A receiver rejects a whole frame if it
 does not know one of its messages, so these are sent in frames of their own."""
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/pomelolane/outcomes.py
+++ b/src/pomelolane/outcomes.py
@@ -68,6 +68,7 @@
         detail: One sentence for people.
         reserved_ms: Slot time reserved for the caller's return, 0 for none.
         beyond_share: Whether its organisation asked for more than its share of slots.
+        reservation_id: Id of the reservation, 0 for none.
     """
 
     outcome: Outcome
@@ -76,6 +77,7 @@
     detail: str = ""
     reserved_ms: int = 0
     beyond_share: bool = False
+    reservation_id: int = 0
 
     def __bool__(self) -> bool:
         return False
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -17,7 +17,7 @@
 from pomelolane.scheduler.objective.options import ObjectiveOptions
 from pomelolane.scheduler.objective.rate import rate_after_answer, rate_after_report
 from pomelolane.scheduler.objective.reservations import make_retry_reservations
-from pomelolane.scheduler.objective.reserved_slots import Reservation
+from pomelolane.scheduler.objective.reserved_slots import Reservation, RetryOffer
 from pomelolane.scheduler.objective.status import CoreStatus
 from pomelolane.scheduler.objective.waiting import (
     Precedence,
@@ -30,7 +30,12 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from pomelolane.messages import Handle, RunningHandle, StreamEvent
+    from pomelolane.messages import (
+        Handle,
+        HeldReservation,
+        RunningHandle,
+        StreamEvent,
+    )
     from pomelolane.model import Tree
     from pomelolane.ports import (
         CacheEvent,
@@ -77,6 +82,7 @@
         self._waiting = WaitingRequests()
         self._admission = Admission(options, self._fleet)
         self._reservations = make_retry_reservations(options)
+        self._ranks: frozenset[int] = frozenset()
         self._endpoint_by_request: dict[str, str] = {}
         self._withdrawn = RecentIds(_WITHDRAWN_RETENTION_MS)
         self._mean_service_ms = _INITIAL_SERVICE_MS
@@ -96,6 +102,7 @@
         }
         for request_id in self._fleet.configure(own, now_ms):
             self._endpoint_by_request.pop(request_id, None)
+        self._ranks = frozenset(tier.rank for tier in tree.tiers.values())
         self.limits.configure(tree)
         organisations = tree.organisations.values()
         self._admission.shares.configure(
@@ -142,23 +149,30 @@
             if worker.rate is not None
         )
 
-    def hear_reservation(
-        self,
-        fingerprint: str,
-        tier_rank: int,
-        due_in_ms: float,
-        slot_ms: float,
-        now_ms: float,
+    def hear_reservations(
+        self, reservations: Sequence[HeldReservation], now_ms: float
     ) -> None:
-        """Add a reservation of a former scheduler that a gateway has kept."""
-        due_ms = now_ms + due_in_ms
-        slots = sum(
+        """Add reservations of a former scheduler that a gateway has kept."""
+        all_slots = sum(
             worker.usable_slots(self._fleet.share)
             for worker in self._fleet
             if not worker.leaving
         )
-        reservation = Reservation(0, fingerprint, tier_rank, due_ms, slot_ms)
-        self._reservations.adopt(reservation, slots, now_ms)
+        for one in reservations:
+            if one.tier_rank in self._ranks:
+                reservation = Reservation(
+                    0,
+                    one.fingerprint,
+                    one.tier_rank,
+                    now_ms + one.due_in_ms,
+                    one.slot_ms,
+                    one.reservation_id,
+                )
+                self._reservations.adopt(reservation, all_slots, now_ms)
+
+    def hold_reservations(self, *, is_held: bool) -> None:
+        """Let no reservation expire while arrived requests are held back."""
+        self._reservations.hold(is_held=is_held)
 
     def account_for_pause(self, paused_ms: float, now_ms: float) -> None:
         """Make retry times earlier by a pause in which the clock stood still."""
@@ -172,6 +186,12 @@
 
     def submit(self, handle: Handle, now_ms: float) -> Sequence[Decision]:
         """Queue a request; a request id already known is ignored."""
+        return self.submit_held(handle, now_ms, now_ms)
+
+    def submit_held(
+        self, handle: Handle, arrived_ms: float, now_ms: float
+    ) -> Sequence[Decision]:
+        """Queue a request that arrived earlier and was held back until now."""
         request_id = handle.request_id
         if request_id in self._waiting or request_id in self._endpoint_by_request:
             return []
@@ -184,6 +204,7 @@
             handle = msgspec.structs.replace(handle, admitted=False)
         waiting = waiting_from_handle(handle, now_ms)
         waiting.is_resubmitted = is_resubmitted
+        waiting.arrived_ms = arrived_ms
         pace = self.limits.pace(self._paced_request(waiting), now_ms)
         if pace is Pace.PASSES:
             return self._admit(waiting, now_ms)
@@ -205,6 +226,9 @@
         if refusal is not None:
             return [Decision(request_id, refusal)]
         waiting.charged_ms = now_ms
+        if not self._fleet.has_any(handle.excluded):
+            refusal = self._refusal(Reason.NO_ENDPOINT, self._options.min_retry_ms * 5)
+            return [self._refuse_waiting(waiting, refusal)]
         self._reservations.claim(waiting, now_ms, is_resubmitted=waiting.is_resubmitted)
         worker = self._trial_worker(waiting, now_ms)
         if worker is not None:
@@ -369,9 +393,6 @@
 
     def _refuse_arrival(self, waiting: WaitingRequest, now_ms: float) -> Refusal | None:
         """Return a refusal for a new request that could only be answered late."""
-        handle = waiting.handle
-        if not self._fleet.has_any(handle.excluded):
-            return self._refusal(Reason.NO_ENDPOINT, self._options.min_retry_ms * 5)
         if not self._admission.may_refuse(waiting, now_ms):
             return None
         if self._fleet.available(now_ms):
@@ -380,7 +401,7 @@
         wait_ms = wait_forecast.wait_ms(waiting.key, now_ms)
         refusal = self._refuse_if_late(waiting, wait_ms, wait_forecast, now_ms)
         if refusal is None:
-            wait_forecast.add(waiting.key, handle)
+            wait_forecast.add(waiting.key, waiting.handle)
         return refusal
 
     def _refuse_if_late(
@@ -415,8 +436,13 @@
             slots,
             now_ms,
         )
-        return self._refusal(
-            Reason.DEADLINE_UNREACHABLE, offer.retry_ms, offer.reserved_ms
+        return self._refusal_with_offer(Reason.DEADLINE_UNREACHABLE, offer)
+
+    def _refusal_with_offer(self, reason: Reason, offer: RetryOffer) -> Refusal:
+        return replace(
+            self._refusal(reason, offer.retry_ms),
+            reserved_ms=offer.reserved_ms,
+            reservation_id=offer.origin_id,
         )
 
     def _refuse_unreachable(self, now_ms: float) -> list[Decision]:
@@ -447,12 +473,10 @@
             refusal = replace(refusal, beyond_share=True)
         return Decision(waiting.handle.request_id, refusal)
 
-    def _refusal(
-        self, reason: Reason, retry_ms: float, reserved_ms: int = 0
-    ) -> Refusal:
+    def _refusal(self, reason: Reason, retry_ms: float) -> Refusal:
         options = self._options
         bounded = min(options.max_retry_ms, max(options.min_retry_ms, int(retry_ms)))
-        return Refusal(Outcome.NOT_RUN, reason, bounded, reserved_ms=reserved_ms)
+        return Refusal(Outcome.NOT_RUN, reason, bounded)
 
     def _expire(self, now_ms: float) -> list[Decision]:
         """Move requests past their objective to the late queue; refuse expired ones.
@@ -465,22 +489,22 @@
             min_ttft_ms = self._fleet.min_ttft_ms(waiting.handle, now_ms)
             answerable_ms = waiting.deadline_ms - min_ttft_ms
             if now_ms >= min(answerable_ms, waiting.give_up_at_ms(self._options)):
-                retry_ms = self._retry_after_expiry_ms(waiting, now_ms)
-                refusal = self._refusal(Reason.DEADLINE_PASSED, retry_ms)
+                offer = self._offer_after_expiry(waiting, now_ms)
+                refusal = self._refusal_with_offer(Reason.DEADLINE_PASSED, offer)
                 decisions.append(self._refuse_waiting(waiting, refusal))
             elif not waiting.late and now_ms >= waiting.objective_at_ms:
                 self._waiting.move_to_late(waiting)
         return decisions
 
-    def _retry_after_expiry_ms(self, waiting: WaitingRequest, now_ms: float) -> float:
+    def _offer_after_expiry(self, waiting: WaitingRequest, now_ms: float) -> RetryOffer:
         """Return the time until capacity is free for a request that waited in vain."""
         handle = waiting.handle
         if not handle.fingerprint or not handle.objective_ms:
-            return self._mean_service_ms
+            return RetryOffer(int(self._mean_service_ms))
         wait_forecast = self._admission.recent_forecast(self._waiting, now_ms)
         slots = self._admission.slots_left(waiting, wait_forecast, now_ms)
         wait_ms = wait_forecast.wait_ms(waiting.key, now_ms)
-        return self._reservations.predict_ms(handle.tier_rank, wait_ms, slots, now_ms)
+        return self._reservations.predict(waiting, wait_ms, slots, now_ms)
 
     def _dispatch(self, now_ms: float) -> list[Decision]:
         """Grant slots, first to requests that can be on time, then to late ones."""
--- a/src/pomelolane/scheduler/objective/reservations.py
+++ b/src/pomelolane/scheduler/objective/reservations.py
@@ -8,7 +8,8 @@
 
 import heapq
 import math
-from dataclasses import replace
+from collections import Counter
+from dataclasses import dataclass, replace
 from itertools import count
 from typing import TYPE_CHECKING, Protocol
 
@@ -43,6 +44,16 @@
 MAX_RESERVATIONS = 4_096
 """Reservations of one service: 5 s of 800 refusals per second."""
 
+MAX_OF_ORGANISATION = MAX_RESERVATIONS // 4
+"""Reservations of one organisation, so that one that floods leaves places to others."""
+
+MAX_OF_FINGERPRINT = 16
+"""Reservations of one fingerprint, all of which each adopted one is compared with."""
+
+_LINK_RETENTION_MS = 15_000.0
+"""How long a request is linked to its reservation: the longest time that callers wait.
+Until then the request may be submitted again."""
+
 _MAX_RECORDS = 2 * MAX_RESERVATIONS
 """Reservations including those used or cancelled that have not expired."""
 
@@ -51,7 +62,7 @@
     """Reservations of one service.
 
     Attributes:
-        figures: Counts for operators; ``held`` is updated by :meth:`expire`.
+        figures: Counts for operators; ``held`` is updated by all methods.
     """
 
     figures: ReservationFigures
@@ -73,7 +84,7 @@
         waiting: WaitingRequest,
         earliest_in_ms: float,
         slot_ms: float,
-        slots: float,
+        slots_left: float,
         now_ms: float,
     ) -> RetryOffer:
         """Return the retry time of a request that is refused, reserved if possible.
@@ -82,27 +93,34 @@
             waiting: The request.
             earliest_in_ms: Time before which no capacity is free.
             slot_ms: How long it is expected to hold a slot.
-            slots: Number of slots that more urgent ranks leave.
+            slots_left: Number of slots that more urgent ranks leave.
             now_ms: Current time.
         """
 
-    def predict_ms(
-        self, rank: int, earliest_in_ms: float, slots: float, now_ms: float
-    ) -> int:
-        """Return the retry time of a request for which nothing can be reserved.
+    def predict(
+        self,
+        waiting: WaitingRequest,
+        earliest_in_ms: float,
+        slots_left: float,
+        now_ms: float,
+    ) -> RetryOffer:
+        """Return the retry time of a request for which nothing new is reserved.
 
         Args:
-            rank: Its rank.
+            waiting: The request.
             earliest_in_ms: Time before which no capacity is free.
-            slots: Number of slots that more urgent ranks leave.
+            slots_left: Number of slots that more urgent ranks leave.
             now_ms: Current time.
         """
 
     def cancel_early(self, waiting: WaitingRequest) -> None:
         """Cancel the reservation of a granted request that had returned too early."""
 
-    def adopt(self, reservation: Reservation, slots: int, now_ms: float) -> None:
-        """Add a reservation that a former scheduler made."""
+    def adopt(self, reservation: Reservation, all_slots: int, now_ms: float) -> None:
+        """Add a reservation that a former scheduler made; others are ignored."""
+
+    def hold(self, *, is_held: bool) -> None:
+        """Let no reservation expire while requests that have arrived are held back."""
 
     def delayed_ms(
         self, rank: int, wait_ms: float, slots: float, now_ms: float
@@ -116,6 +134,21 @@
         """Make all retry times earlier by a pause in which the clock stood still."""
 
 
+@dataclass(slots=True)
+class _Link:
+    """The reservation of a request, kept in case it is submitted again.
+
+    Attributes:
+        reservation: The reservation.
+        since_ms: When the request arrived.
+        is_used: Whether the request uses it, rather than having arrived too early.
+    """
+
+    reservation: Reservation
+    since_ms: float
+    is_used: bool
+
+
 class CalendarReservations:
     """Keeps reservations in a calendar of slot time.
 
@@ -138,28 +171,37 @@
         self._by_fingerprint: dict[str, list[Reservation]] = {}
         self._by_due: list[tuple[float, int, Reservation]] = []
         self._held: dict[int, CalendarEntry] = {}
-        self._claims: dict[str, Reservation] = {}
+        self._held_by_organisation: Counter[str] = Counter()
+        self._slot_ms_by_organisation: Counter[str] = Counter()
+        self._links: dict[str, _Link] = {}
+        # Reservations of which an early arrival has been told.
+        self._told_early: set[int] = set()
         self._slots: int | None = None
+        self._is_held = False
 
     def claim(
         self, waiting: WaitingRequest, now_ms: float, *, is_resubmitted: bool
     ) -> None:
         """See :meth:`RetryReservations.claim`."""
         handle = waiting.handle
-        if not self._by_due or not handle.fingerprint or handle.attempt:
+        if not handle.fingerprint or handle.objective_ms <= 0 or handle.attempt:
             return
-        self._expire(now_ms)
-        used = self._claims.get(handle.request_id)
-        if used is None and not is_resubmitted:
-            used = self._use(waiting, now_ms)
-        if used is None:
+        link = self._links.get(handle.request_id)
+        if link is None and self._held and not is_resubmitted:
+            self._expire(now_ms)
+            link = self._link(waiting, now_ms)
+        if link is None:
             return
-        waiting.reservation = used
-        waiting.set_precedence(Precedence.RESERVED)
+        if link.is_used:
+            waiting.used = link.reservation
+            waiting.set_precedence(Precedence.RESERVED)
+        else:
+            waiting.awaited = link.reservation
 
-    def _use(self, waiting: WaitingRequest, now_ms: float) -> Reservation | None:
+    def _link(self, waiting: WaitingRequest, now_ms: float) -> _Link | None:
         """Use the reservation with the nearest retry time; note one that is not due."""
         handle = waiting.handle
+        arrived_ms = waiting.arrived_ms
         held = [
             one
             for one in self._by_fingerprint.get(handle.fingerprint, ())
@@ -167,88 +209,152 @@
         ]
         if not held:
             return None
-        usable = [one for one in held if one.is_usable(handle.tier_rank, now_ms)]
-        nearest = min(usable or held, key=lambda one: abs(one.due_ms - now_ms))
+        usable = [one for one in held if one.is_usable(handle.tier_rank, arrived_ms)]
+        nearest = min(usable or held, key=lambda one: abs(one.due_ms - arrived_ms))
         if usable:
             self._release(nearest)
-            self._claims[handle.request_id] = nearest
             self.figures.used += 1
-            return nearest
-        waiting.reservation = nearest
-        self.figures.early += 1
-        return None
+        else:
+            self.figures.early += 1
+        link = _Link(nearest, now_ms, is_used=bool(usable))
+        self._links[handle.request_id] = link
+        return link
 
     def offer(
         self,
         waiting: WaitingRequest,
         earliest_in_ms: float,
         slot_ms: float,
-        slots: float,
+        slots_left: float,
         now_ms: float,
     ) -> RetryOffer:
         """See :meth:`RetryReservations.offer`."""
         self._expire(now_ms)
-        known = waiting.reservation
-        if known is not None and known.number in self._held:
-            if known.due_ms > now_ms:
-                retry_ms = math.ceil(known.due_ms - now_ms)
-                return RetryOffer(retry_ms, _told_ms(known))
-            # Its time passed while the request waited.
-            self._release(known)
+        known = self._known_offer(waiting, now_ms)
+        if known is not None:
+            return known
         handle = waiting.handle
-        retry_ms = self._free_in_ms(handle.tier_rank, earliest_in_ms, slots, now_ms)
-        patience_ms = (waiting.deadline_ms - now_ms) / _PATIENCE_PARTS
+        retry_ms = self._free_in_ms(waiting, earliest_in_ms, slots_left, now_ms)
+        of_fingerprint = self._by_fingerprint.get(handle.fingerprint, ())
         if (
-            retry_ms > patience_ms - _PATIENCE_MARGIN_MS
+            retry_ms > _patience_ms(waiting, now_ms)
             or not handle.fingerprint
             or handle.attempt
+            or waiting.is_repeat
+            or self._held_by_organisation[handle.organisation] >= MAX_OF_ORGANISATION
+            or len(of_fingerprint) >= MAX_OF_FINGERPRINT
             or self._is_full()
         ):
             return RetryOffer(_unreserved_ms(retry_ms))
+        due_ms = now_ms + retry_ms
         reservation = Reservation(
             next(self._numbers),
             handle.fingerprint,
             handle.tier_rank,
-            now_ms + retry_ms,
+            due_ms,
             slot_ms,
+            max(1, int(due_ms)),
+            handle.organisation,
         )
-        self._add(reservation, slots * self._share)
+        if self._slots is None:
+            self._slots = math.ceil(slots_left)
+        self._add(reservation, slots_left * self._share)
         self.figures.made += 1
-        return RetryOffer(retry_ms, _told_ms(reservation))
+        return RetryOffer(retry_ms, _told_ms(reservation), reservation.origin_id)
 
-    def predict_ms(
-        self, rank: int, earliest_in_ms: float, slots: float, now_ms: float
-    ) -> int:
-        """See :meth:`RetryReservations.predict_ms`."""
+    def _known_offer(self, waiting: WaitingRequest, now_ms: float) -> RetryOffer | None:
+        """Return the remaining time of the reservation that an early arrival has.
+
+        One early arrival is told of it. Copies of the request that were all told the
+        same time would return together.
+        """
+        known = waiting.awaited
+        if known is None or known.number not in self._held:
+            return None
+        due_in_ms = known.due_ms - now_ms
+        if due_in_ms <= 0:
+            # Its time passed while the request waited.
+            self._release(known)
+            return None
+        if due_in_ms > _patience_ms(waiting, now_ms):
+            return None
+        if known.number in self._told_early:
+            waiting.is_repeat = True
+            return None
+        self._told_early.add(known.number)
+        retry_ms = max(self._min_retry_ms, math.ceil(due_in_ms))
+        return RetryOffer(retry_ms, _told_ms(known), known.origin_id)
+
+    def predict(
+        self,
+        waiting: WaitingRequest,
+        earliest_in_ms: float,
+        slots_left: float,
+        now_ms: float,
+    ) -> RetryOffer:
+        """See :meth:`RetryReservations.predict`."""
         self._expire(now_ms)
-        return _unreserved_ms(self._free_in_ms(rank, earliest_in_ms, slots, now_ms))
+        known = self._known_offer(waiting, now_ms)
+        if known is not None:
+            return known
+        free_in_ms = self._free_in_ms(waiting, earliest_in_ms, slots_left, now_ms)
+        return RetryOffer(_unreserved_ms(free_in_ms))
 
     def _free_in_ms(
-        self, rank: int, earliest_in_ms: float, slots: float, now_ms: float
+        self,
+        waiting: WaitingRequest,
+        earliest_in_ms: float,
+        slots_left: float,
+        now_ms: float,
     ) -> int:
-        """Return the time until a bin has free capacity, at most the horizon."""
+        """Return the time until a bin has free capacity, at most the horizon.
+
+        In a contended rank, no time is before that up to which the reservations of the
+        request's organisation take up its share of the reserved slots.
+        """
+        handle = waiting.handle
+        organisation_slots = waiting.share_slots * self._share
+        if organisation_slots > 0:
+            held_ms = self._slot_ms_by_organisation[handle.organisation]
+            share_in_ms = (held_ms + waiting.slot_ms) / organisation_slots
+            earliest_in_ms = max(earliest_in_ms, share_in_ms)
         earliest_ms = now_ms + max(self._min_retry_ms, earliest_in_ms)
         at_ms = self._calendar.free_from(
-            rank, earliest_ms, now_ms + HORIZON_MS, slots * self._share
+            handle.tier_rank,
+            earliest_ms,
+            now_ms + HORIZON_MS,
+            slots_left * self._share,
         )
         return int(HORIZON_MS) if at_ms is None else math.ceil(at_ms - now_ms)
 
     def cancel_early(self, waiting: WaitingRequest) -> None:
         """See :meth:`RetryReservations.cancel_early`."""
-        known = waiting.reservation
-        if known is not None and waiting.precedence is not Precedence.RESERVED:
-            self._release(known)
+        if waiting.awaited is not None:
+            self._release(waiting.awaited)
 
-    def adopt(self, reservation: Reservation, slots: int, now_ms: float) -> None:
+    def hold(self, *, is_held: bool) -> None:
+        """See :meth:`RetryReservations.hold`."""
+        self._is_held = is_held
+
+    def adopt(self, reservation: Reservation, all_slots: int, now_ms: float) -> None:
         """See :meth:`RetryReservations.adopt`."""
         self._expire(now_ms)
         due_in_ms = reservation.due_ms - now_ms
-        if self._is_full() or not -LATE_TOLERANCE_MS <= due_in_ms <= HORIZON_MS:
+        if (
+            self._is_full()
+            or not reservation.is_valid
+            or not -LATE_TOLERANCE_MS <= due_in_ms <= HORIZON_MS
+        ):
             return
         known = self._by_fingerprint.get(reservation.fingerprint, ())
-        if not any(one.is_same(reservation) for one in known):
-            reservation = replace(reservation, number=next(self._numbers))
-            self._add(reservation, slots * self._share)
+        if len(known) >= MAX_OF_FINGERPRINT or any(
+            one.is_same(reservation) for one in known
+        ):
+            return
+        if self._slots is None:
+            self._slots = all_slots
+        reservation = replace(reservation, number=next(self._numbers))
+        self._add(reservation, all_slots * self._share)
 
     def delayed_ms(
         self, rank: int, wait_ms: float, slots: float, now_ms: float
@@ -282,6 +388,9 @@
         for _, _, one in self._by_due:
             self._by_fingerprint.setdefault(one.fingerprint, []).append(one)
         self._calendar.clear()
+        for link in self._links.values():
+            one = link.reservation
+            link.reservation = replace(one, due_ms=one.due_ms - paused_ms)
         slots = (self._slots or 0) * self._share
         for one in held:
             self._held[one.number] = self._calendar.add(
@@ -292,10 +401,13 @@
     def _is_full(self) -> bool:
         return len(self._held) >= MAX_RESERVATIONS or len(self._by_due) >= _MAX_RECORDS
 
-    def _add(self, one: Reservation, slots: float) -> None:
+    def _add(self, one: Reservation, reservable_slots: float) -> None:
         self._held[one.number] = self._calendar.add(
-            one.tier_rank, one.due_ms, one.slot_ms, slots
+            one.tier_rank, one.due_ms, one.slot_ms, reservable_slots
         )
+        if one.organisation:
+            self._held_by_organisation[one.organisation] += 1
+            self._slot_ms_by_organisation[one.organisation] += one.slot_ms
         self._by_fingerprint.setdefault(one.fingerprint, []).append(one)
         heapq.heappush(self._by_due, (one.due_ms, one.number, one))
         self.figures.held = len(self._held)
@@ -306,11 +418,28 @@
         if entry is None:
             return False
         self._calendar.remove(one.tier_rank, entry)
+        self._count_released(one)
         self.figures.held = len(self._held)
         return True
 
+    def _count_released(self, one: Reservation) -> None:
+        self._told_early.discard(one.number)
+        if one.organisation:
+            self._held_by_organisation[one.organisation] -= 1
+            self._slot_ms_by_organisation[one.organisation] -= one.slot_ms
+            if not self._held_by_organisation[one.organisation]:
+                del self._held_by_organisation[one.organisation]
+                del self._slot_ms_by_organisation[one.organisation]
+
     def _expire(self, now_ms: float) -> None:
         self._calendar.advance(now_ms)
+        while self._links:
+            request_id, link = next(iter(self._links.items()))
+            if now_ms - link.since_ms <= _LINK_RETENTION_MS:
+                break
+            del self._links[request_id]
+        if self._is_held:
+            return
         while self._by_due and self._by_due[0][0] < now_ms - LATE_TOLERANCE_MS:
             one = heapq.heappop(self._by_due)[2]
             self.figures.expired += self._release(one)
@@ -321,12 +450,6 @@
             ]
             if others:
                 self._by_fingerprint[one.fingerprint] = others
-        oldest = self._by_due[0][0] if self._by_due else math.inf
-        while self._claims:
-            request_id, used = next(iter(self._claims.items()))
-            if used.due_ms >= oldest:
-                break
-            del self._claims[request_id]
 
     def _held_in_order(self) -> list[Reservation]:
         """Return the reservations, the most urgent and then the oldest first."""
@@ -345,6 +468,7 @@
                 )
             else:
                 del self._held[one.number]
+                self._count_released(one)
                 self.figures.lapsed += 1
         self.figures.held = len(self._held)
 
@@ -364,6 +488,11 @@
     return min(int(HORIZON_MS), free_in_ms + int(_PATIENCE_MARGIN_MS))
 
 
+def _patience_ms(waiting: WaitingRequest, now_ms: float) -> float:
+    """Return the longest retry time for which the caller of a request waits."""
+    return (waiting.deadline_ms - now_ms) / _PATIENCE_PARTS - _PATIENCE_MARGIN_MS
+
+
 def _told_ms(one: Reservation) -> int:
     """Return the slot time as messages carry it: at least 1, as 0 stands for none."""
     return max(1, round(one.slot_ms))
--- a/src/pomelolane/scheduler/objective/reserved_slots.py
+++ b/src/pomelolane/scheduler/objective/reserved_slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -11,13 +12,22 @@
     from pomelolane.scheduler.objective.worker import Worker
 
 EARLY_TOLERANCE_MS = 100.0
+"""How much sooner than its retry time a caller may return: clocks differ, and the slot
+time is reserved in bins of this length."""
+
 LATE_TOLERANCE_MS = 500.0
-"""How much sooner or later than its retry time a caller may return: messages, clocks
-and the caller's own connection take that long."""
+"""How much later than its retry time a caller may return: messages and the caller's own
+connection take that long."""
+
+MAX_SLOT_MS = 60_000
+"""Longest slot time that is accepted from a gateway."""
+
+_FINGERPRINT = re.compile(r"[0-9a-f]{16}")
 
 _SAME_DUE_MS = 50.0
 """Difference up to which retry times of one fingerprint are the same reservation: two
-gateways that were told of it differ by the delays of their messages."""
+gateways that were told of it differ by the delays of their messages. It applies only to
+reservations without an id."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +40,9 @@
         tier_rank: Rank of the request.
         due_ms: Retry time that its caller was given.
         slot_ms: Slot time that is reserved.
+        origin_id: Retry time on the clock of the scheduler that made it, by which
+            gateways and other schedulers recognise it; 0 if unknown.
+        organisation: Organisation of the request, empty if a gateway sent it.
     """
 
     number: int
@@ -37,6 +50,16 @@
     tier_rank: int
     due_ms: float
     slot_ms: float
+    origin_id: int = 0
+    organisation: str = ""
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether a scheduler can have made it."""
+        return (
+            _FINGERPRINT.fullmatch(self.fingerprint) is not None
+            and 1 <= self.slot_ms <= MAX_SLOT_MS
+        )
 
     def is_usable(self, rank: int, now_ms: float) -> bool:
         """Return whether a request of a rank that arrives now may use it."""
@@ -46,10 +69,11 @@
 
     def is_same(self, other: Reservation) -> bool:
         """Return whether another reservation was made for the same refusal."""
-        return (
-            self.tier_rank == other.tier_rank
-            and abs(self.due_ms - other.due_ms) <= _SAME_DUE_MS
-        )
+        if self.tier_rank != other.tier_rank:
+            return False
+        if self.origin_id and other.origin_id:
+            return self.origin_id == other.origin_id
+        return abs(self.due_ms - other.due_ms) <= _SAME_DUE_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,10 +83,12 @@
     Attributes:
         retry_ms: Time until it should return.
         reserved_ms: Slot time reserved for it, 0 for none.
+        origin_id: Id of the reservation, 0 for none.
     """
 
     retry_ms: int
     reserved_ms: int = 0
+    origin_id: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/scheduler/objective/waiting.py
+++ b/src/pomelolane/scheduler/objective/waiting.py
@@ -41,6 +41,7 @@
     Attributes:
         handle: The request.
         submitted_ms: When it was submitted.
+        arrived_ms: When it reached this scheduler, which may have held it back.
         charged_ms: When it was charged to its organisation's limit.
         deadline_ms: Time by which the answer must have ended.
         objective_at_ms: Time at which the first answer byte is due.
@@ -48,9 +49,12 @@
         queued: Whether it still waits.
         precedence: Its order within the tier rank.
         is_resubmitted: Whether this scheduler or an earlier one had it before.
-        reservation: Reservation that it uses, or for which it arrived too early.
+        used: Reservation that it uses.
+        awaited: Reservation for which it arrived too early.
+        is_repeat: Whether another early arrival was told of that reservation.
         slot_ms: How long it is expected to hold a slot, estimated on arrival.
         deducted_ms: Slot time deducted from its organisation's share.
+        share_slots: Its organisation's share of a contended rank, 0 without contention.
         entry: Number of its current queue entry; earlier entries are skipped.
         key: Its position in the queue.
     """
@@ -63,24 +67,28 @@
     queued: bool = True
     precedence: Precedence = Precedence.WITHIN_SHARE
     is_resubmitted: bool = False
-    reservation: Reservation | None = None
+    used: Reservation | None = None
+    awaited: Reservation | None = None
+    is_repeat: bool = False
     slot_ms: float = 0.0
     deducted_ms: float = 0.0
+    share_slots: float = 0.0
     entry: int = -1
     charged_ms: float = field(init=False)
+    arrived_ms: float = field(init=False)
     key: QueueKey = field(init=False)
 
     def __post_init__(self) -> None:
-        """Set the time of the charge and the key from the other fields."""
-        self.charged_ms = self.submitted_ms
+        """Set the times of charge and arrival and the key from the other fields."""
+        self.charged_ms = self.arrived_ms = self.submitted_ms
         self.set_precedence(self.precedence)
 
     def set_precedence(self, precedence: Precedence) -> None:
         """Set the precedence and the key; the request is not moved in its queue."""
         self.precedence = precedence
         due_ms = self.objective_at_ms
-        if precedence is Precedence.RESERVED and self.reservation is not None:
-            due_ms = self.reservation.due_ms
+        if precedence is Precedence.RESERVED and self.used is not None:
+            due_ms = self.used.due_ms
         self.key = (self.handle.tier_rank, precedence, due_ms)
 
     def give_up_at_ms(self, options: ObjectiveOptions) -> float:
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -122,6 +122,7 @@
         accepted_ms=0.0,
         limit_ms=1000,
         version=1,
+        fingerprint="0123456789abcdef" * 2,
     )
 
 
@@ -138,6 +139,7 @@
 @when("it asks for a slot again")
 def step_asks_again(context):
     context.handle = handle_from_state(context.state, "", 0.0)
+    assert context.handle.fingerprint == "0123456789abcdef"
 
 
 @then("it asks as attempt {attempt:d}")
