--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -84,8 +84,8 @@
 )
 
 SENT_ALONE = (EstimatesShared, ReservationsHeld)
-"""Kinds that VMs of version 0.1.0 do not know. Those reject a whole frame if they do not
-know one of its messages, so these are sent in frames of their own."""
+"""Kinds that VMs of version 0.1.0 do not know. Those reject a whole frame if they do
+not know one of its messages, so these are sent in frames of their own."""
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
