Do not continue a broken stream with the body of a failure

Cause: a stream that had begun broke, was resumed at an endpoint that answered 500, and had no retry left; the relay passed the body of the failure on and ended the answer as complete. Change: once an answer has begun, only a success may continue it; otherwise the caller's connection is cut.

--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -325,14 +325,8 @@
         failed = stream.status >= _FIRST_SERVER_ERROR_STATUS
         stall = self._stall_watch(state, stream)
         try:
-            if failed and self._reserve_retry(state):
-                # The endpoint answered, so it has not crashed; its service failed.
-                state.run.settle()
-                watch.note_first_byte()
-                detail = f"the endpoint answered {stream.status}"
-                retry = broken_by_endpoint(state, watch, detail)
-                retry.is_charged = True
-                raise retry
+            if failed or state.answer_begun:
+                self._check_status(state, stream.status, watch)
             await stream.wait()
             if not stream.is_broken_unread:
                 watch.note_first_byte()
@@ -363,6 +357,28 @@
             self._clock.now_ms(),
         )
 
+    def _check_status(
+        self, state: CallState, status: int, watch: StreamReporter
+    ) -> None:
+        """Raise if the answer must not be relayed; the endpoint has not crashed.
+
+        A failure may be retried elsewhere. The body of any answer but a success cannot
+        continue an answer that has begun: its end would make a broken stream look
+        complete.
+
+        Raises:
+            RetrySignal: The answer is not relayed.
+        """
+        is_unrelated = state.answer_begun and status >= _FIRST_REDIRECTION_STATUS
+        is_retried = status >= _FIRST_SERVER_ERROR_STATUS and self._reserve_retry(state)
+        if not is_unrelated and not is_retried:
+            return
+        state.run.settle()
+        watch.note_first_byte()
+        retry = broken_by_endpoint(state, watch, f"the endpoint answered {status}")
+        retry.is_charged = is_retried
+        raise retry
+
     def _stall_watch(self, state: CallState, stream: AnswerStream) -> StallWatch | None:
         """Return a watch for a resumable stream, None for other streams."""
         route = state.call.route
--- a/tests/platform/serving.feature
+++ b/tests/platform/serving.feature
@@ -79,6 +79,14 @@
     Then the answer is 200 and holds the events 1 to 5 once each
     And the answer is whole
 
+  # Seen: the body of the failure ended the caller's answer as if it were complete.
+  Scenario: A stream that is resumed where the endpoint fails ends visibly
+    Given the endpoint "e1" does "torn"
+    And another endpoint "e2" of "pool"
+    And the endpoint "e2" does "error"
+    When callers send "POST /help/a" until "e1" has run one
+    Then the answer is not whole
+
   Scenario: A stream that falls silent goes on elsewhere if it may be resumed
     Given the endpoint "e1" does "mute"
     And another endpoint "e2" of "pool"
