Reword comments and two private names of reserved retries and paced limits

Cause: some words were figurative, one comment read as if it told how a value was found. Change: comments, doc comments and two private names; nothing else.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -280,7 +280,7 @@
         if ticket.endpoint_id:
             return
         if not message.reserved_ms:
-            # A reserved time is another caller's: told to all, they return together.
+            # A reserved time belongs to one caller; others would return with it.
             self._retry_after_ms[link.service] = message.retry_after_ms
         link.drop(ticket)
         link.reservations.record(ticket.handle, message, self._context.clock.now_ms())
--- a/src/pomelolane/coordination/reservations.py
+++ b/src/pomelolane/coordination/reservations.py
@@ -30,7 +30,7 @@
 
 
 class RelayedReservations:
-    """Reservations of one service that the next scheduler must be told of.
+    """Reservations of one service to send to the next scheduler.
 
     Of a request's content only the fingerprint is kept.
     """
--- a/src/pomelolane/scheduler/objective/reservations.py
+++ b/src/pomelolane/scheduler/objective/reservations.py
@@ -174,8 +174,8 @@
         self._held_by_organisation: Counter[str] = Counter()
         self._slot_ms_by_organisation: Counter[str] = Counter()
         self._links: dict[str, _Link] = {}
-        # Reservations of which an early arrival has been told.
-        self._told_early: set[int] = set()
+        # Reservations whose retry time was given again to an early arrival.
+        self._given_again: set[int] = set()
         self._slots: int | None = None
         self._is_held = False
 
@@ -260,13 +260,13 @@
             self._slots = math.ceil(slots_left)
         self._add(reservation, slots_left * self._share)
         self.figures.made += 1
-        return RetryOffer(retry_ms, _told_ms(reservation), reservation.origin_id)
+        return RetryOffer(retry_ms, _sent_slot_ms(reservation), reservation.origin_id)
 
     def _known_offer(self, waiting: WaitingRequest, now_ms: float) -> RetryOffer | None:
         """Return the remaining time of the reservation that an early arrival has.
 
-        One early arrival is told of it. Copies of the request that were all told the
-        same time would return together.
+        One early arrival gets it. Copies of the request that all got the same time
+        would return together.
         """
         known = waiting.awaited
         if known is None or known.number not in self._held:
@@ -278,12 +278,12 @@
             return None
         if due_in_ms > _patience_ms(waiting, now_ms):
             return None
-        if known.number in self._told_early:
+        if known.number in self._given_again:
             waiting.is_repeat = True
             return None
-        self._told_early.add(known.number)
+        self._given_again.add(known.number)
         retry_ms = max(self._min_retry_ms, math.ceil(due_in_ms))
-        return RetryOffer(retry_ms, _told_ms(known), known.origin_id)
+        return RetryOffer(retry_ms, _sent_slot_ms(known), known.origin_id)
 
     def predict(
         self,
@@ -423,7 +423,7 @@
         return True
 
     def _count_released(self, one: Reservation) -> None:
-        self._told_early.discard(one.number)
+        self._given_again.discard(one.number)
         if one.organisation:
             self._held_by_organisation[one.organisation] -= 1
             self._slot_ms_by_organisation[one.organisation] -= one.slot_ms
@@ -493,7 +493,7 @@
     return (waiting.deadline_ms - now_ms) / _PATIENCE_PARTS - _PATIENCE_MARGIN_MS
 
 
-def _told_ms(one: Reservation) -> int:
+def _sent_slot_ms(one: Reservation) -> int:
     """Return the slot time as messages carry it: at least 1, as 0 stands for none."""
     return max(1, round(one.slot_ms))
 
--- a/src/pomelolane/scheduler/objective/reserved_slots.py
+++ b/src/pomelolane/scheduler/objective/reserved_slots.py
@@ -26,7 +26,7 @@
 
 _SAME_DUE_MS = 50.0
 """Difference up to which retry times of one fingerprint are the same reservation: two
-gateways that were told of it differ by the delays of their messages. It applies only to
+gateways that keep it differ by the delays of their messages. It applies only to
 reservations without an id."""
 
 
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RetryOffer:
-    """What a refused caller is told.
+    """Retry time of a refused caller.
 
     Attributes:
         retry_ms: Time until it should return.
--- a/src/pomelolane/scheduler/objective/waiting.py
+++ b/src/pomelolane/scheduler/objective/waiting.py
@@ -51,7 +51,7 @@
         is_resubmitted: Whether this scheduler or an earlier one had it before.
         used: Reservation that it uses.
         awaited: Reservation for which it arrived too early.
-        is_repeat: Whether another early arrival was told of that reservation.
+        is_repeat: Whether another early arrival was given that reservation.
         slot_ms: How long it is expected to hold a slot, estimated on arrival.
         deducted_ms: Slot time deducted from its organisation's share.
         share_slots: Its organisation's share of a contended rank, 0 without contention.
--- a/src/pomelolane/scheduler/paced_demand.py
+++ b/src/pomelolane/scheduler/paced_demand.py
@@ -31,11 +31,12 @@
 """Time constant of the rates at which tokens pass."""
 
 _MIN_PASS_RATE_MS = 200.0
-"""Shortest time over which these rates are measured, after the first pass."""
+"""Shortest period that a rate covers after the first pass; over less, a single request
+would give a very high rate."""
 
 
 class Promises:
-    """Tokens that refused callers were told to return for."""
+    """Tokens promised to refused callers at their retry times."""
 
     def __init__(self) -> None:
         self._heap: list[tuple[float, int]] = []
