Log how a relayed answer was framed and what was held back of it

The logs could not tell an answer whose length only the close tells from one that the endpoint framed itself, nor whether an incomplete event was held back at its end. Change: the answer's framing is an attribute of the stream, and E213 bears it together with the bytes held back. No decision depends on them.

--- a/src/pomelolane/endpoints/connection.py
+++ b/src/pomelolane/endpoints/connection.py
@@ -14,7 +14,7 @@
 import httptools
 
 from pomelolane.endpoints.headers import strip_hop_headers
-from pomelolane.endpoints.stream import AnswerStream
+from pomelolane.endpoints.stream import AnswerStream, Framing
 from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
 
 if TYPE_CHECKING:
@@ -83,7 +83,6 @@
         self._is_busy = False
         self._message_done = False
         self._reusable = False
-        self._framed = False
 
     # --- the user's side ---
 
@@ -198,10 +197,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End what was under way; a length told by the close is not vouched for."""
-        unframed = self._stream is not None and not self._framed and exc is None
+        stream = self._stream
+        is_end = stream is not None and stream.framing is Framing.CLOSE and exc is None
         self._fail(
             None
-            if unframed
+            if is_end
             else EndpointBrokenError(f"the endpoint closed the connection: {exc}")
         )
         self._transport = None
@@ -242,9 +242,10 @@
             return
         if status > _LAST_STATUS:
             raise EndpointBrokenError(f"the endpoint answered status {status}")
-        self._learn_framing()
+        framing = self._framing()
+        self._chunk_closed = framing is Framing.CHUNKS
         headers = strip_hop_headers(self._headers)
-        self._stream = AnswerStream(self, status, headers)
+        self._stream = AnswerStream(self, status, headers, framing)
         self._deliver = self._stream.feed
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(self._stream)
@@ -252,13 +253,14 @@
             self._message_done = True
             self._deliver = _drop
 
-    def _learn_framing(self) -> None:
+    def _framing(self) -> Framing:
         headers = dict(self._headers)
         coding = headers.get(b"transfer-encoding", _CHUNKED).lower()
         if coding != _CHUNKED:
             raise EndpointBrokenError(f"the answer's coding is {coding!r}")
-        self._chunk_closed = b"transfer-encoding" in headers
-        self._framed = self._chunk_closed or b"content-length" in headers
+        if b"transfer-encoding" in headers:
+            return Framing.CHUNKS
+        return Framing.LENGTH if b"content-length" in headers else Framing.CLOSE
 
     def _on_chunk_header(self) -> None:
         self._chunk_closed = False
--- a/src/pomelolane/endpoints/stream.py
+++ b/src/pomelolane/endpoints/stream.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from enum import StrEnum
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
@@ -17,6 +18,15 @@
 """Unread bytes above which reading from the endpoint is paused."""
 
 
+class Framing(StrEnum):
+    """What tells where an answer's body ends."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+    """The end of the connection, which a broken answer may share."""
+
+
 class ByteSink(Protocol):
     """Takes an answer's bytes inside the callback that received them.
 
@@ -64,6 +74,7 @@
     Attributes:
         status: HTTP status.
         headers: Headers without those that belong to one hop.
+        framing: What tells where the body ends.
         is_events: Whether the body is an event stream that ends by ``[DONE]``.
         complete: Whether the framing told that all bytes came.
         ended: Whether no more bytes will come.
@@ -75,9 +86,11 @@
         connection: ReadingControl,
         status: int,
         headers: Sequence[tuple[bytes, bytes]],
+        framing: Framing = Framing.LENGTH,
     ) -> None:
         self.status = status
         self.headers = headers
+        self.framing = framing
         self.is_events = False
         self.complete = False
         self.ended = False
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -144,7 +144,8 @@
     213,
     "forward_finished",
     "info",
-    "request endpoint status first_ms total_ms pieces gap_ms bytes",
+    "request endpoint status first_ms total_ms pieces gap_ms bytes framing"
+    " unsent_bytes",
     "The endpoint's whole answer went to the caller.",
 )
 FORWARD_REFUSED = _define(
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -351,7 +351,7 @@
         request_log.finished(
             state.call,
             endpoint,
-            stream.status,
+            stream,
             watch.ttft_ms,
             result,
             self._clock.now_ms(),
--- a/src/pomelolane/forwarding/relay.py
+++ b/src/pomelolane/forwarding/relay.py
@@ -28,12 +28,14 @@
         bytes: Number of body bytes relayed.
         chunks: Number of chunks relayed.
         gap_ms: Longest pause between two chunks.
+        unsent_bytes: Number of bytes held back at the end, inside an event.
     """
 
     is_complete: bool
     bytes: int
     chunks: int
     gap_ms: float
+    unsent_bytes: int = 0
 
 
 async def _read(stream: AnswerStream, stall: StallWatch | None) -> bytes:
@@ -60,6 +62,11 @@
         self._incomplete = b""
         self.last_id = b""
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes held back."""
+        return len(self._incomplete)
+
     def feed(self, data: bytes) -> bytes:
         """Add data, and return all complete events not returned before."""
         self._incomplete += data
@@ -129,11 +136,12 @@
             now_ms = self._clock.now_ms()
             gap_ms = max(gap_ms, now_ms - last_ms) if chunks > 1 else 0.0
             last_ms = now_ms
+        unsent_bytes = 0 if event_buffer is None else event_buffer.held_bytes
         if stream.error is not None:
-            return RelayResult(False, size, chunks, gap_ms)
+            return RelayResult(False, size, chunks, gap_ms, unsent_bytes)
         await self._send_head(stream)
         await self._send_body(b"", more=False)
-        return RelayResult(True, size, chunks, gap_ms)
+        return RelayResult(True, size, chunks, gap_ms, unsent_bytes)
 
     async def _send_head(self, stream: AnswerStream) -> None:
         """Send the head of the answer, unless an earlier attempt has sent one."""
--- a/src/pomelolane/forwarding/request_log.py
+++ b/src/pomelolane/forwarding/request_log.py
@@ -10,6 +10,7 @@
 from pomelolane.outcomes import Outcome, Reason
 
 if TYPE_CHECKING:
+    from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.call import CallState, ForwardCall
     from pomelolane.forwarding.relay import RelayResult
     from pomelolane.model import Endpoint
@@ -58,7 +59,7 @@
 def finished(
     call: ForwardCall,
     endpoint: Endpoint,
-    status: int,
+    stream: AnswerStream,
     first_ms: float,
     result: RelayResult,
     now_ms: float,
@@ -69,12 +70,14 @@
         events.FORWARD_FINISHED,
         request=call.log_id,
         endpoint=endpoint.endpoint_id,
-        status=status,
+        status=stream.status,
         first_ms=first_ms,
         total_ms=now_ms - call.accepted_ms,
         pieces=result.chunks,
         gap_ms=result.gap_ms,
         bytes=result.bytes,
+        framing=stream.framing,
+        unsent_bytes=result.unsent_bytes,
     )
 
 
