Reproduce broken answers that are framed as complete

Cause: callers got the beginning of an answer with a last chunk behind it. The stand-in endpoint framed all its streams in chunks and all other answers by their length, so no test met an answer whose end only the close of the connection tells. Change: the stand-in frames its answers in any of the three ways, and breaks them off in an orderly way, by a reset, or framed as complete.

--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -17,6 +17,12 @@
 _LONG_S = 60.0
 """Longer than any caller waits."""
 
+_BROKEN_EVENT = 3
+_BROKEN_EVENT_BYTES = 7
+"""Bytes of that event which a broken stream still sends."""
+
+_BEFORE_RESET_S = 0.05
+
 
 class Fault(StrEnum):
     """What an endpoint does wrong."""
@@ -27,7 +33,11 @@
     CRASH = "crash"
     """The connection is reset when the request is in."""
     TORN = "torn"
-    """The stream ends inside its third event."""
+    """The body ends inside its third event, or half-way, with an orderly close."""
+    RESET = "reset"
+    """As torn, but the connection is reset."""
+    CUT_SHORT = "cut short"
+    """As torn, but the framing tells that the body is complete."""
     MUTE = "mute"
     """The stream says nothing more after its second event."""
     FOREIGN = "foreign"
@@ -40,6 +50,17 @@
     """The body claims an encoding."""
 
 
+class BodyFraming(StrEnum):
+    """How an endpoint tells where a body ends."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
+_BREAKS = frozenset({Fault.TORN, Fault.RESET, Fault.CUT_SHORT})
+
+
 @dataclass(frozen=True, slots=True)
 class Flaw:
     """What is wrong with a version.
@@ -69,6 +90,10 @@
         work_ms: Time to the answer, or its first event.
         events: Events of a stream, 0 for a plain service.
         event_ms: Time between two events.
+        framing: How it frames its successful answers; None for chunks of streams
+            and the length of all others.
+        line_end: What ends a line of its streams.
+        trailer: Bytes behind the last event of its streams.
         fatal: Part of a body under which the process ends when it begins the request;
             empty for none.
         ends_silently: Whether its connections then stay open and say nothing more.
@@ -81,6 +106,9 @@
     work_ms: float = 5.0
     events: int = 0
     event_ms: float = 2.0
+    framing: BodyFraming | None = None
+    line_end: str = "\n"
+    trailer: bytes = b""
     fatal: bytes = b""
     ends_silently: bool = False
     version: str = "v1"
@@ -277,11 +305,44 @@
             return True
         if self.options.events:
             return await self._stream(request, headers, writer)
+        return await self._answer_plainly(headers, writer)
+
+    async def _answer_plainly(
+        self, headers: dict[str, str], writer: asyncio.StreamWriter
+    ) -> bool:
         body = b"answer of " + self.endpoint_id.encode()
-        whole = _head(200, headers, len(body)) + body
-        writer.write(whole * 2 if fault is Fault.EXTRA else whole)
+        if self.fault in _BREAKS:
+            framing = self.options.framing or BodyFraming.LENGTH
+            await self._break_off(headers, writer, framing, body, len(body) // 2)
+            return False
+        framing = self.options.framing or BodyFraming.LENGTH
+        head = _head(200, headers, len(body), framing)
+        whole = head + _framed(framing, body) + _end_of(framing)
+        writer.write(whole * 2 if self.fault is Fault.EXTRA else whole)
+        await writer.drain()
+        return framing is not BodyFraming.CLOSE
+
+    async def _break_off(
+        self,
+        headers: dict[str, str],
+        writer: asyncio.StreamWriter,
+        framing: BodyFraming,
+        body: bytes,
+        sent_bytes: int,
+    ) -> None:
+        """Send only the beginning of a body, and end as the fault says."""
+        sent = body[:sent_bytes]
+        if self.fault is Fault.CUT_SHORT:
+            writer.write(_head(200, headers, len(sent), framing))
+            writer.write(_framed(framing, sent) + _end_of(framing))
+        else:
+            writer.write(_head(200, headers, len(body), framing))
+            writer.write(_framed(framing, body, sent_bytes))
         await writer.drain()
-        return True
+        if self.fault is Fault.RESET:
+            # What was sent must have left before the reset takes it back.
+            await asyncio.sleep(_BEFORE_RESET_S)
+            writer.transport.abort()
 
     def _is_bad(self, flaw: Flaw, request: Seen) -> bool:
         path = request.line.split(" ")[1]
@@ -298,22 +359,33 @@
         self, request: Seen, headers: dict[str, str], writer: asyncio.StreamWriter
     ) -> bool:
         headers["content-type"] = "text/event-stream"
-        writer.write(_head(200, headers, None))
+        framing = self.options.framing or BodyFraming.CHUNKS
         first = int(request.headers.get("last-event-id", "0")) + 1
-        for number in range(first, self.options.events + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            if self.fault is Fault.TORN and number == 3:
-                writer.write(b"%x\r\n%b" % (len(event), event[:7]))
-                await writer.drain()
-                return False
-            if self.fault is Fault.MUTE and number == 3:
+        numbers = range(first, self.options.events + 1)
+        if self.fault in _BREAKS and _BROKEN_EVENT in numbers:
+            whole = b"".join(self._event(number) for number in numbers)
+            before = range(first, _BROKEN_EVENT)
+            sent_bytes = sum(len(self._event(number)) for number in before)
+            sent_bytes += _BROKEN_EVENT_BYTES
+            await self._break_off(headers, writer, framing, whole, sent_bytes)
+            return False
+        size = sum(len(self._event(number)) for number in numbers)
+        writer.write(_head(200, headers, size + len(self.options.trailer), framing))
+        for number in numbers:
+            if self.fault is Fault.MUTE and number == _BROKEN_EVENT:
                 await asyncio.sleep(_LONG_S)
             await self._be_silent_if_ended()
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            writer.write(_framed(framing, self._event(number)))
             await writer.drain()
             await asyncio.sleep(self.options.event_ms / 1000)
-        writer.write(b"0\r\n\r\n")
-        return True
+        if self.options.trailer:
+            writer.write(_framed(framing, self.options.trailer))
+        writer.write(_end_of(framing))
+        return framing is not BodyFraming.CLOSE
+
+    def _event(self, number: int) -> bytes:
+        lines = (f"id: {number}", f"data: piece {number}", "", "")
+        return self.options.line_end.join(lines).encode()
 
 
 def registered(
@@ -351,12 +423,30 @@
     return Seen(line, headers, body)
 
 
-def _head(status: int, headers: dict[str, str], length: int | None) -> bytes:
+def _head(
+    status: int,
+    headers: dict[str, str],
+    length: int,
+    framing: BodyFraming = BodyFraming.LENGTH,
+) -> bytes:
     fields = dict(headers)
-    if length is None:
+    if framing is BodyFraming.CHUNKS:
         fields["transfer-encoding"] = "chunked"
-    else:
+    elif framing is BodyFraming.LENGTH:
         fields["content-length"] = str(length)
     lines = [f"HTTP/1.1 {status} Status"]
     lines += [f"{name}: {value}" for name, value in fields.items()]
     return "\r\n".join([*lines, "", ""]).encode()
+
+
+def _framed(framing: BodyFraming, data: bytes, sent_bytes: int | None = None) -> bytes:
+    """Return a piece of a body in its framing, or the beginning of such a piece."""
+    sent = data if sent_bytes is None else data[:sent_bytes]
+    if framing is not BodyFraming.CHUNKS:
+        return sent
+    end = b"\r\n" if sent_bytes is None else b""
+    return b"%x\r\n%b%b" % (len(data), sent, end)
+
+
+def _end_of(framing: BodyFraming) -> bytes:
+    return b"0\r\n\r\n" if framing is BodyFraming.CHUNKS else b""
--- a/standins/routed/vm.py
+++ b/standins/routed/vm.py
@@ -24,6 +24,7 @@
 """The program of this checkout."""
 
 _STEP_S = 0.02
+_BLOCK_BYTES = 65536
 
 
 class PlatformVm:
@@ -131,9 +132,15 @@
 
 
 class Answer:
-    """A caller's answer as it came."""
+    """A caller's answer as it came.
 
-    def __init__(self, data: bytes) -> None:
+    Args:
+        data: All bytes.
+        was_reset: Whether the connection ended by a reset.
+    """
+
+    def __init__(self, data: bytes, was_reset: bool = False) -> None:
+        self.was_reset = was_reset
         head, _, self.body = data.partition(b"\r\n\r\n")
         self.data = data
         line, *fields = head.decode("latin-1").split("\r\n")
@@ -157,7 +164,22 @@
         """Whether the answer's framing says that it is complete."""
         if "content-length" in self.headers:
             return len(self.body) == int(self.headers["content-length"])
-        return self.body.endswith(b"0\r\n\r\n")
+        return self.has_chunks and self.body.endswith(b"0\r\n\r\n")
+
+    @property
+    def has_chunks(self) -> bool:
+        """Whether the answer's body is sent in chunks."""
+        return self.headers.get("transfer-encoding") == "chunked"
+
+    @property
+    def ends_by_close(self) -> bool:
+        """Whether only the close of the connection tells where the body ends."""
+        return not self.has_chunks and "content-length" not in self.headers
+
+    @property
+    def is_broken_off(self) -> bool:
+        """Whether a caller can tell that the answer is not complete."""
+        return self.was_reset if self.ends_by_close else not self.is_whole
 
 
 async def exchange(
@@ -173,7 +195,12 @@
     if body:
         fields.append(f"content-length: {len(body)}")
     writer.write("\r\n".join([line, *fields, "", ""]).encode("latin-1") + body)
+    data, was_reset = b"", False
     async with asyncio.timeout(GIVE_UP_S):
-        data = await reader.read()
+        try:
+            while block := await reader.read(_BLOCK_BYTES):
+                data += block
+        except ConnectionResetError:
+            was_reset = True
     writer.close()
-    return Answer(data)
+    return Answer(data, was_reset)
--- a/tests/steps/platform_serving_steps.py
+++ b/tests/steps/platform_serving_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from bench.processes import wait_until
-from standins.routed.endpoint import Fault
+from standins.routed.endpoint import BodyFraming, Fault
 from standins.routed.store import Trouble
 from standins.routed.vm import exchange
 from tests.routed_world import HOST, ORGANISATION, RoutedWorld, caller_headers
@@ -37,6 +37,11 @@
     context.world.endpoints[name].fault = Fault(fault)
 
 
+@given('the endpoint "{name}" frames its answers by "{framing}"')
+def step_framing(context, name, framing):
+    context.world.endpoints[name].options.framing = BodyFraming(framing)
+
+
 @given('the endpoint "{name}" takes {work_ms:d} ms')
 def step_work(context, name, work_ms):
     context.world.endpoints[name].options.work_ms = work_ms
@@ -189,6 +194,21 @@
     assert not context.answer.is_whole, context.answer.data
 
 
+@then("the answer is broken off")
+def step_broken_off(context):
+    assert context.answer.status == 200, context.answer.data
+    assert context.answer.is_broken_off, context.answer.data
+
+
+@then("the answer is 200 and leaves its end to the close")
+def step_ends_by_close(context):
+    answer = context.answer
+    assert answer.status == 200, answer.data
+    assert answer.ends_by_close, answer.data
+    assert not answer.was_reset, answer.data
+    assert answer.headers["connection"] == "close"
+
+
 @then("every answer is 200 and whole")
 def step_all(context):
     for answer in context.answers:
