Pass answers on as complete only if they are known to be

Callers got the beginning of an answer, framed as complete.

Cause: the relay asked only whether the endpoint's connection had failed. An answer with neither a length nor chunks ends by an orderly close, which does not fail, and the relay closed the caller's answer with a last chunk: a claim that nobody had made. The same held for a stream whose framing was complete while its last event was not; on resumable routes that event had been held back, so that nothing showed. Class: a claim that is stronger than what is known. Change: in a stream of events, the end of the last event is a second witness beside the framing, whichever it is (LF, CR LF and CR end lines; comments belong to no event); a stream that ends inside an event is broken, so it is resumed or cut off. A body that its endpoint left to the close is left to the close for the caller too, and the connection is reset where the answer breaks, also when the VM dies. Streams bear no length. HTTP/1.0 callers get no chunks. Bodies that are no events pass whole on routes for streams; those of failures were lost there.

--- a/src/pomelolane/endpoints/connection.py
+++ b/src/pomelolane/endpoints/connection.py
@@ -29,6 +29,7 @@
 
 _CHUNKED = b"chunked"
 _CRLF = b"\r\n"
+_BODILESS = frozenset({204, 304})
 _LAST_STATUS = 599
 _SWITCHING_PROTOCOLS = 101
 
@@ -258,6 +259,8 @@
         coding = headers.get(b"transfer-encoding", _CHUNKED).lower()
         if coding != _CHUNKED:
             raise EndpointBrokenError(f"the answer's coding is {coding!r}")
+        if self._method == "HEAD" or self._parser.get_status_code() in _BODILESS:
+            return Framing.LENGTH
         if b"transfer-encoding" in headers:
             return Framing.CHUNKS
         return Framing.LENGTH if b"content-length" in headers else Framing.CLOSE
--- a/src/pomelolane/forwarding/failures.py
+++ b/src/pomelolane/forwarding/failures.py
@@ -14,8 +14,8 @@
 
 if TYPE_CHECKING:
     from pomelolane.coordination.stream_reporter import StreamReporter
-    from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.call import CallState
+    from pomelolane.forwarding.relay import RelayResult
     from pomelolane.forwarding.stall import StallWatch
 
 RETRY_AFTER_MS = 300
@@ -57,7 +57,7 @@
 def incomplete_answer(
     state: CallState,
     watch: StreamReporter,
-    stream: AnswerStream,
+    result: RelayResult,
     stall: StallWatch | None,
 ) -> RetrySignal:
     """Record an answer that ended or was abandoned early; return the signal.
@@ -65,7 +65,7 @@
     A stream that the stall watch abandoned has already been charged to the budget.
     """
     if stall is None or not stall.has_abandoned:
-        return broken_by_endpoint(state, watch, str(stream.error))
+        return broken_by_endpoint(state, watch, result.failure)
     retry = broken_by_endpoint(state, watch, "the stream fell silent")
     retry.is_charged = True
     return retry
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -337,7 +337,7 @@
                 stall.stop()
             await stream.aclose()
         if not result.is_complete:
-            retry = incomplete_answer(state, watch, stream, stall)
+            retry = incomplete_answer(state, watch, result, stall)
             if not retry.is_charged:
                 await self._crashes.look(
                     state.call.fingerprint, endpoint, endpoint.address
--- a/src/pomelolane/forwarding/relay.py
+++ b/src/pomelolane/forwarding/relay.py
@@ -5,6 +5,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from pomelolane.endpoints.boundary import LINE_END, EventBoundary
+from pomelolane.endpoints.stream import Framing
+from pomelolane.forwarding.configuration import RouteKind
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -14,9 +18,10 @@
     from pomelolane.http.exchange import Exchange
     from pomelolane.ports import Clock
 
-_EVENT_END = b"\n\n"
 _EVENT_ID = b"id:"
+_EVENT_STREAM = b"text/event-stream"
 _CLOSE = (b"connection", b"close")
+_FIRST_REDIRECTION_STATUS = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,19 +29,24 @@
     """Result of relaying one answer.
 
     Attributes:
-        is_complete: Whether the whole answer was relayed.
+        failure: Why the answer is not complete, empty if it is.
         bytes: Number of body bytes relayed.
         chunks: Number of chunks relayed.
         gap_ms: Longest pause between two chunks.
-        unsent_bytes: Number of bytes held back at the end, inside an event.
+        unsent_bytes: Number of bytes held back behind the last event.
     """
 
-    is_complete: bool
+    failure: str
     bytes: int
     chunks: int
     gap_ms: float
     unsent_bytes: int = 0
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole answer was relayed."""
+        return not self.failure
+
 
 async def _read(stream: AnswerStream, stall: StallWatch | None) -> bytes:
     """Return the bytes that are ready, or empty bytes at the end of the stream."""
@@ -48,38 +58,54 @@
     return data
 
 
-class CompleteEventBuffer:
-    """Holds back the incomplete last event of a stream of server-sent events.
+class EventBuffer:
+    """Follows a stream of server-sent events on its way to the caller.
 
-    If the stream breaks and is resumed at another endpoint, the caller must not get the
-    beginning of an event twice.
+    Args:
+        holds_back: Whether to hold back the incomplete last event. If the stream breaks
+            and is resumed at another endpoint, the caller must not get the beginning of
+            an event twice.
 
     Attributes:
-        last_id: Id of the last complete event.
+        last_id: Id of the last complete event, if events are held back.
     """
 
-    def __init__(self) -> None:
-        self._incomplete = b""
+    def __init__(self, *, holds_back: bool) -> None:
+        self._holds_back = holds_back
+        self._boundary = EventBoundary()
+        self._held: list[bytes] = []
         self.last_id = b""
 
+    @property
+    def is_between_events(self) -> bool:
+        """Whether all events so far have ended."""
+        return self._boundary.is_between_events
+
     @property
     def held_bytes(self) -> int:
         """Number of bytes held back."""
-        return len(self._incomplete)
+        return sum(map(len, self._held))
 
     def feed(self, data: bytes) -> bytes:
-        """Add data, and return all complete events not returned before."""
-        self._incomplete += data
-        end = self._incomplete.rfind(_EVENT_END)
-        if end < 0:
+        """Add data, and return what may be sent of all data not returned before."""
+        between = self._boundary.feed(data)
+        if not self._holds_back:
+            return data
+        if not between:
+            self._held.append(data)
             return b""
-        complete = self._incomplete[: end + len(_EVENT_END)]
-        self._incomplete = self._incomplete[len(complete) :]
+        complete = b"".join([*self._held, data[:between]])
+        self._held = [data[between:]] if between < len(data) else []
         self._update_last_id(complete)
         return complete
 
+    def take_held(self) -> bytes:
+        """Return what was held back behind the last event: comments, if no event."""
+        held, self._held = b"".join(self._held), []
+        return held
+
     def _update_last_id(self, complete: bytes) -> None:
-        for line in reversed(complete.split(b"\n")):
+        for line in reversed(LINE_END.split(complete)):
             if line.startswith(_EVENT_ID):
                 self.last_id = line[len(_EVENT_ID) :].strip()
                 return
@@ -88,6 +114,10 @@
 class Relay:
     """Relays the answers to all sends of one request as a single answer.
 
+    An answer is relayed as complete only if its framing tells so and, in a stream of
+    events, the last event has ended. If only the close of the endpoint's connection
+    tells the end of the body, the caller's answer ends by the close as well.
+
     Args:
         exchange: The caller's exchange.
         state: State of the request.
@@ -102,7 +132,6 @@
         self._exchange = exchange
         self._state = state
         self._closes = closes
-        self._resumable = state.call.route.is_resumable
 
     async def relay(
         self,
@@ -117,18 +146,16 @@
             on_chunk: Called with the number of chunks relayed so far.
             stall: Abandons the stream if it stalls, None if it can't be resumed.
         """
-        event_buffer = CompleteEventBuffer() if self._resumable else None
+        events = self._make_event_buffer(stream)
         size = chunks = 0
         gap_ms = last_ms = 0.0
         while data := await _read(stream, stall):
-            if event_buffer is not None:
-                data = event_buffer.feed(data)
+            if events is not None:
+                data = events.feed(data)
                 if not data:
                     continue
-                self._state.last_event_id = (
-                    event_buffer.last_id or self._state.last_event_id
-                )
-            await self._send_head(stream)
+                self._state.last_event_id = events.last_id or self._state.last_event_id
+            await self._send_head(stream, events)
             await self._send_body(data, more=True)
             size += len(data)
             chunks += 1
@@ -136,27 +163,56 @@
             now_ms = self._clock.now_ms()
             gap_ms = max(gap_ms, now_ms - last_ms) if chunks > 1 else 0.0
             last_ms = now_ms
-        unsent_bytes = 0 if event_buffer is None else event_buffer.held_bytes
+        failure = self._failure(stream, events, size)
+        unsent_bytes = 0 if events is None else events.held_bytes
+        if not failure:
+            await self._send_head(stream, events)
+            rest = b"" if events is None else events.take_held()
+            await self._send_body(rest, more=False)
+        return RelayResult(failure, size, chunks, gap_ms, unsent_bytes)
+
+    def _make_event_buffer(self, stream: AnswerStream) -> EventBuffer | None:
+        """Return a buffer for a stream of events, None for any other answer."""
+        if stream.status >= _FIRST_REDIRECTION_STATUS:
+            return None
+        route = self._state.call.route
+        media_type = stream.header(b"content-type").lower()
+        if media_type and not media_type.startswith(_EVENT_STREAM):
+            return None
+        if not media_type and route.kind is not RouteKind.STREAMING:
+            return None
+        return EventBuffer(holds_back=route.is_resumable)
+
+    def _failure(
+        self, stream: AnswerStream, events: EventBuffer | None, size: int
+    ) -> str:
+        """Return why an answer that has ended is not complete, empty if it is."""
         if stream.error is not None:
-            return RelayResult(False, size, chunks, gap_ms, unsent_bytes)
-        await self._send_head(stream)
-        await self._send_body(b"", more=False)
-        return RelayResult(True, size, chunks, gap_ms, unsent_bytes)
-
-    async def _send_head(self, stream: AnswerStream) -> None:
+            return str(stream.error)
+        if events is None:
+            return ""
+        if not events.is_between_events:
+            return "the stream ended inside an event"
+        is_empty = size == 0 and not self._state.last_event_id
+        if stream.framing is Framing.CLOSE and is_empty:
+            return "the connection closed before the first event"
+        return ""
+
+    async def _send_head(
+        self, stream: AnswerStream, events: EventBuffer | None
+    ) -> None:
         """Send the head of the answer, unless an earlier attempt has sent one."""
         if self._state.answer_begun:
             return
         self._state.answer_begun = True
         headers = list(stream.headers)
+        if events is not None:
+            # A length would be complete even if the stream ends inside an event.
+            headers = [header for header in headers if header[0] != b"content-length"]
         if self._closes:
             headers.append(_CLOSE)
-        await self._exchange.send(
-            {
-                "type": "http.response.start",
-                "status": stream.status,
-                "headers": headers,
-            }
+        await self._exchange.send_head(
+            stream.status, headers, ends_by_close=stream.framing is Framing.CLOSE
         )
 
     async def _send_body(self, data: bytes, *, more: bool) -> None:
--- a/src/pomelolane/http/exchange.py
+++ b/src/pomelolane/http/exchange.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from typing import TYPE_CHECKING, Any
 
 from pomelolane.exceptions import BadRequestError
@@ -23,6 +25,8 @@
 
 SCOPE_KEY = "pomelolane.exchange"
 _CLOSE = (b"connection", b"close")
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_FLUSH_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class Exchange:
@@ -44,9 +48,11 @@
         self.path: bytes = scope["raw_path"]
         self.query: bytes = scope["query_string"]
         self.headers: list[tuple[bytes, bytes]] = scope["headers"]
+        self._takes_chunks = scope.get("http_version") != "1.0"
         self.gone = False
         self._answered = False
         self._completed = False
+        self._ends_by_close = False
         # uvicorn's own record of the answer, which also knows of bytes that
         # the relay wrote beside this class; absent under other servers.
         self._cycle = getattr(send, "__self__", None)
@@ -148,12 +154,54 @@
             self._watcher.cancel()
             self._watcher = None
 
+    async def send_head(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        *,
+        ends_by_close: bool = False,
+    ) -> None:
+        """Send the head of an answer whose body follows in pieces.
+
+        Args:
+            status: HTTP status.
+            headers: All headers.
+            ends_by_close: Whether only the close of the connection tells where the body
+                ends. So it is in any case for HTTP/1.0 callers, who know no chunks.
+        """
+        has_length = any(name == b"content-length" for name, _ in headers)
+        if ends_by_close or not (has_length or self._takes_chunks):
+            headers = headers if _CLOSE in headers else [*headers, _CLOSE]
+            self._end_by_close()
+        await self.send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+
+    def _end_by_close(self) -> None:
+        """Let the close of the connection tell where the answer ends."""
+        if self._cycle is None:
+            return
+        self._ends_by_close = True
+        # uvicorn then adds no framing of its own.
+        self._cycle.chunked_encoding = False
+        # An answer that is cut off must not look complete, even if this process dies.
+        self._set_linger(_RESET_ON_CLOSE)
+
+    def _set_linger(self, linger: bytes) -> None:
+        sock = self._cycle.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def send(self, message: AsgiMessage) -> None:
         """Send an ASGI message of an answer given here."""
         self._answered = True
-        is_body = message["type"] == "http.response.body"
-        if is_body and not message.get("more_body", False):
-            self._completed = True
+        if message["type"] == "http.response.body":
+            is_last = not message.get("more_body", False)
+            self._completed = self._completed or is_last
+            if self._ends_by_close:
+                self._cycle.expected_content_length = len(message.get("body", b""))
+                if is_last:
+                    self._set_linger(_FLUSH_ON_CLOSE)
         await self._send(message)
 
     def abort(self) -> None:
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -10,6 +10,8 @@
 import contextlib
 import json
 import random
+import socket
+import struct
 import time
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -289,7 +291,7 @@
                 return False
         await self._be_silent_if_ended()
         if fault is Fault.CRASH:
-            writer.transport.abort()
+            _reset(writer)
             return False
         headers = {"request-id": request.headers.get("request-id", "")}
         headers["server-seal"] = f"seal-of-{self.endpoint_id}"
@@ -342,7 +344,7 @@
         if self.fault is Fault.RESET:
             # What was sent must have left before the reset takes it back.
             await asyncio.sleep(_BEFORE_RESET_S)
-            writer.transport.abort()
+            _reset(writer)
 
     def _is_bad(self, flaw: Flaw, request: Seen) -> bool:
         path = request.line.split(" ")[1]
@@ -439,6 +441,13 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection by a reset; by itself ``abort`` closes it in order."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def _framed(framing: BodyFraming, data: bytes, sent_bytes: int | None = None) -> bytes:
     """Return a piece of a body in its framing, or the beginning of such a piece."""
     sent = data if sent_bytes is None else data[:sent_bytes]
--- a/standins/routed/vm.py
+++ b/standins/routed/vm.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from standins.listening import reserve_port
+from standins.routed.endpoint import BodyFraming
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -164,22 +165,21 @@
         """Whether the answer's framing says that it is complete."""
         if "content-length" in self.headers:
             return len(self.body) == int(self.headers["content-length"])
-        return self.has_chunks and self.body.endswith(b"0\r\n\r\n")
+        return self.ends_by is BodyFraming.CHUNKS and self.body.endswith(b"0\r\n\r\n")
 
     @property
-    def has_chunks(self) -> bool:
-        """Whether the answer's body is sent in chunks."""
-        return self.headers.get("transfer-encoding") == "chunked"
-
-    @property
-    def ends_by_close(self) -> bool:
-        """Whether only the close of the connection tells where the body ends."""
-        return not self.has_chunks and "content-length" not in self.headers
+    def ends_by(self) -> BodyFraming:
+        """What tells where the answer's body ends."""
+        if self.headers.get("transfer-encoding") == "chunked":
+            return BodyFraming.CHUNKS
+        is_told = "content-length" in self.headers
+        return BodyFraming.LENGTH if is_told else BodyFraming.CLOSE
 
     @property
     def is_broken_off(self) -> bool:
         """Whether a caller can tell that the answer is not complete."""
-        return self.was_reset if self.ends_by_close else not self.is_whole
+        ends_by_close = self.ends_by is BodyFraming.CLOSE
+        return self.was_reset if ends_by_close else not self.is_whole
 
 
 async def exchange(
--- a/tests/steps/platform_serving_steps.py
+++ b/tests/steps/platform_serving_steps.py
@@ -60,11 +60,11 @@
     context.run(add())
 
 
-async def _send(context, line, body=b"", **fields):
+async def _send(context, line, body=b"", version="1.1", **fields):
     context.asked += 1
     context.request_id = f"r{context.asked}"
     headers = caller_headers(context.request_id, **fields)
-    return await context.vm.ask(f"{line} HTTP/1.1", headers, body)
+    return await context.vm.ask(f"{line} HTTP/{version}", headers, body)
 
 
 @when('a caller sends "{line}" with the body "{body}"')
@@ -77,6 +77,11 @@
     context.answer = context.run(_send(context, line))
 
 
+@when('a caller sends "{line}" over HTTP/{version}')
+def step_send_version(context, line, version):
+    context.answer = context.run(_send(context, line, version=version))
+
+
 @when('a caller sends "{line}" with the headers')
 def step_send_headers(context, line):
     fields = {row["header"].replace("-", "_"): row["value"] for row in context.table}
@@ -133,6 +138,17 @@
     context.run(leave())
 
 
+@when('the VM is killed {after_ms:d} ms after a caller sent "{line}"')
+def step_kill(context, after_ms, line):
+    async def play():
+        asking = asyncio.ensure_future(_send(context, line))
+        await asyncio.sleep(after_ms / 1000)
+        context.vm.process.kill()
+        context.answer = await asking
+
+    context.run(play())
+
+
 @when('the endpoint "{name}" says that it leaves, and {ms:d} ms pass')
 def step_leaves(context, name, ms):
     context.world.register(name, "draining")
@@ -200,11 +216,27 @@
     assert context.answer.is_broken_off, context.answer.data
 
 
+@then("the answer is 200 and not broken off")
+def step_200_not_broken_off(context):
+    assert context.answer.status == 200, context.answer.data
+    assert not context.answer.is_broken_off, context.answer.data
+
+
+@then("the answer is not broken off")
+def step_not_broken_off(context):
+    assert not context.answer.is_broken_off, context.answer.data
+
+
+@then('the answer ends by "{end}"')
+def step_ends_by(context, end):
+    assert context.answer.ends_by == BodyFraming(end), context.answer.data
+
+
 @then("the answer is 200 and leaves its end to the close")
 def step_ends_by_close(context):
     answer = context.answer
     assert answer.status == 200, answer.data
-    assert answer.ends_by_close, answer.data
+    assert answer.ends_by is BodyFraming.CLOSE, answer.data
     assert not answer.was_reset, answer.data
     assert answer.headers["connection"] == "close"
 
