Do not pass the length of an event stream on

The gateway's relay leaves an event stream without its end marker open, so that the caller sees it cut off; one with a Content-Length that fits has then ended for the caller, and looks complete. Change: event streams go on in chunks.

--- a/src/pomelolane/endpoints/relay.py
+++ b/src/pomelolane/endpoints/relay.py
@@ -146,8 +146,12 @@
 
 
 def _caller_headers(stream: AnswerStream) -> Sequence[Header]:
-    """Return the headers, without a length that the caller's server would miss."""
-    if stream.status not in _BODILESS_STATUSES:
+    """Return the headers, without a length that must not frame the body.
+
+    The caller's server would miss the body of some statuses, and a stream of events may
+    have its length and lack its end marker.
+    """
+    if stream.status not in _BODILESS_STATUSES and not stream.is_events:
         return stream.headers
     return [header for header in stream.headers if header[0] != b"content-length"]
 
--- a/tests/endpoints/relay.feature
+++ b/tests/endpoints/relay.feature
@@ -21,6 +21,13 @@
       | closes                         |
       | ends well without its marker   |
 
+  # Guards against a length that ends a stream as complete without its end marker.
+  Scenario: the length of an event stream is not passed on
+    Given an engine that streams 5 events with their length and no end marker
+    When the endpoint's answer is relayed
+    Then the relay left the answer open and says broken
+    And the caller was told no length
+
   Scenario: an answer that its engine cancelled is left open
     Given an engine that streams 4 events and a last one that says cancelled
     When the endpoint's answer is relayed
--- a/tests/steps/endpoints_relay_steps.py
+++ b/tests/steps/endpoints_relay_steps.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from behave import given, then, when
-from endpoints_server import event_bytes
-from endpoints_world import DONE, request, usage_json
+from endpoints_server import answering, event_bytes
+from endpoints_world import DONE, request, serve, usage_json
 
 from pomelolane.endpoints import SseCounter, relay, usage_from_json
 
@@ -98,6 +98,13 @@
     return context.loop.create_task(run())
 
 
+@given("an engine that streams {count:d} events with their length and no end marker")
+def step_length(context, count):
+    events = event_bytes(count)
+    head = f"content-type: text/event-stream\r\ncontent-length: {len(events)}\r\n\r\n"
+    serve(context, answering(b"HTTP/1.1 200 OK\r\n" + head.encode() + events))
+
+
 @when("the endpoint's answer is relayed")
 def step_relay(context):
     context.result = context.run(start_relay(context))
@@ -120,6 +127,12 @@
     assert len(context.caller.body) == context.result.bytes > 0
 
 
+@then("the caller was told no length")
+def step_no_length(context):
+    headers = dict(context.caller.messages[0]["headers"])
+    assert b"content-length" not in headers, headers
+
+
 @then("the relay counted {chunks:d} chunks and {cached:d} cached tokens")
 def step_relay_counted(context, chunks, cached):
     assert context.result.chunks == chunks, context.result
