Reproduce a VM that is cut off from all endpoints

No stand-in could cut the links of one VM to the endpoints and leave the others'. Change: a VM may have links of its own, by a view of the store with other addresses; they are cut so that connections are refused, hang, or only new ones are refused.

--- a/standins/routed/store.py
+++ b/standins/routed/store.py
@@ -8,16 +8,20 @@
 
 import asyncio
 import base64
+import json
 import time
 from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
 from standins.serving import drop_connection, json_response
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 LONGEST_WAIT_S = 30.0
 OPERATORS_TABLES = ("op", "servers")
 
@@ -67,6 +71,7 @@
         self._version = 0
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
+        self._addresses_by_port: dict[int, Mapping[str, str]] = {}
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Listen and return ``ip:port``."""
@@ -80,6 +85,21 @@
         await site.start()
         return f"{host}:{self._runner.addresses[0][1]}"
 
+    async def start_view(self, addresses: Mapping[str, str]) -> str:
+        """Listen once more, for a VM that reaches endpoints by other addresses.
+
+        Args:
+            addresses: Its address of each endpoint, by the endpoint's own one.
+
+        Returns:
+            ``ip:port`` of the store for this VM.
+        """
+        known = len(self._runner.addresses)
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        host, port = self._runner.addresses[known][:2]
+        self._addresses_by_port[port] = addresses
+        return f"{host}:{port}"
+
     async def aclose(self) -> None:
         """Stop to listen."""
         if self._runner is not None:
@@ -167,7 +187,7 @@
         query = request.query
         limit = int(query.get("limit", 500))
         found = [
-            self._told(key, row)
+            self._told(key, row, request)
             for key, row in sorted(self._rows.items())
             if key[:2] == (query["table"], query["part"])
             and key[2] >= query.get("from", "")
@@ -185,7 +205,7 @@
                 return json_response({}, status=410)
             rows = self._rows.items()
             changed = [
-                (row.version, self._told(key, row))
+                (row.version, self._told(key, row, request))
                 for key, row in rows
                 if key[0] == query["table"] and row.version > after
             ]
@@ -201,7 +221,9 @@
     def _moment(self) -> dict[str, int]:
         return {"ver": self._version, "nowMs": int(time.monotonic() * 1000)}
 
-    def _told(self, key: tuple[str, str, str], row: _Row) -> dict[str, object]:
+    def _told(
+        self, key: tuple[str, str, str], row: _Row, request: web.Request
+    ) -> dict[str, object]:
         table, part, name = key
         told: dict[str, object] = {"table": table, "part": part, "key": name}
         told["ver"] = row.version
@@ -209,8 +231,21 @@
             told["tombstone"] = True
         else:
             told["value"] = row.value
+        port = request.transport.get_extra_info("sockname")[1]
+        if table == "servers" and port in self._addresses_by_port:
+            told |= _translated(told, self._addresses_by_port[port])
         return told
 
 
+def _translated(
+    told: dict[str, object], addresses: Mapping[str, str]
+) -> dict[str, object]:
+    if "value" not in told:
+        return {}
+    entry = json.loads(base64.b64decode(told["value"]))
+    entry["address"] = addresses.get(entry["address"], entry["address"])
+    return {"value": base64.b64encode(json.dumps(entry).encode()).decode()}
+
+
 def _key(entry: dict[str, Any]) -> tuple[str, str, str]:
     return entry["table"], entry["part"], entry["key"]
--- a/tests/routed_world.py
+++ b/tests/routed_world.py
@@ -7,6 +7,7 @@
 
 from standins.routed import EndpointOptions, MetadataStore, RoutedEndpoint
 from standins.routed.endpoint import registered
+from standins.routed.links import EndpointLink
 from standins.routed.vm import PlatformVm
 
 HOST = "shop.example"
@@ -80,6 +81,7 @@
         self.version = 0
         self.bounds = {}
         self.addresses = {}
+        self.links = []
         self._successions = []
 
     async def start(self):
@@ -145,6 +147,21 @@
         await vm.ready()
         return vm
 
+    async def add_vm_with_links(self, data_centre):
+        """Start a VM with links of its own to all endpoints that there are."""
+        links = {}
+        for _, address in self.addresses.values():
+            link = EndpointLink(address)
+            links[address] = await link.start()
+            self.links.append(link)
+        store_address = await self.store.start_view(links)
+        number = len(self.vms) + 1
+        vm = PlatformVm(number, store_address, data_centre, bounds=self.bounds)
+        await vm.start()
+        self.vms.append(vm)
+        await vm.ready()
+        return vm
+
     async def restart_vms(self):
         """Kill all VMs at one moment and start them again."""
         for vm in self.vms:
@@ -160,6 +177,8 @@
         await asyncio.gather(*self._successions, return_exceptions=True)
         for vm in self.vms:
             await vm.kill()
+        for link in self.links:
+            await link.aclose()
         for endpoint in self.endpoints.values():
             await endpoint.aclose()
         await self.store.aclose()
--- /dev/null
+++ b/tests/steps/platform_reach_steps.py
@@ -0,0 +1,80 @@
+"""Steps of VMs that are cut off from endpoints."""
+
+import asyncio
+from collections import Counter
+
+from behave import given, then, when
+
+from standins.routed.links import Cut
+from tests.routed_world import caller_headers
+
+LINES = ("GET /plain/a", "POST /plain/file/a", "POST /chat/a", "POST /help/a")
+EVERY_S = 0.1
+
+
+@given('a platform VM in "{data_centre}" with links of its own')
+def step_vm_with_links(context, data_centre):
+    context.cut_vm = context.run(context.world.add_vm_with_links(data_centre))
+
+
+async def _ask(vm, number):
+    line = LINES[number % len(LINES)]
+    headers = caller_headers(f"q{number}")
+    return await vm.ask(f"{line} HTTP/1.1", headers, b"abc")
+
+
+async def _ask_often(context, count, every_s):
+    """Send requests of all kinds at a steady pace and return their answers."""
+    asking = []
+    for _ in range(count):
+        context.asked += 1
+        asking.append(asyncio.ensure_future(_ask(context.cut_vm, context.asked)))
+        await asyncio.sleep(every_s)
+    return await asyncio.gather(*asking, return_exceptions=True)
+
+
+@when(
+    'its links are cut so that connections are "{how}", and {ms:d} ms pass with callers'
+)
+def step_cut(context, how, ms):
+    context.asked = 0
+
+    async def cut():
+        await _ask_often(context, 10, EVERY_S)
+        for link in context.world.links:
+            await link.cut(Cut(how))
+        early = _ask_often(context, int(ms / 1000 / EVERY_S), EVERY_S)
+        context.early = asyncio.ensure_future(early)
+        await asyncio.sleep(ms / 1000)
+
+    context.run(cut())
+
+
+@when("callers send {count:d} requests of all kinds to it within {s:d} s")
+def step_ask(context, count, s):
+    context.answers = context.run(_ask_often(context, count, s / count))
+    context.run(context.early)
+
+
+def _is_served(answer):
+    if isinstance(answer, Exception):
+        return False
+    return answer.status == 200 and not answer.is_broken_off
+
+
+@then("at least {share:f} of them are served")
+def step_served(context, share):
+    served = sum(map(_is_served, context.answers))
+    ends = Counter(getattr(each, "status", repr(each)) for each in context.answers)
+    assert served >= share * len(context.answers), (served, ends)
+
+
+@then("no request that may not be repeated ran twice")
+def step_once(context):
+    runs = Counter(
+        seen.headers["request-id"]
+        for endpoint in context.world.endpoints.values()
+        for seen in endpoint.seen
+        if seen.ran and not seen.line.startswith(("GET", "POST /help/"))
+    )
+    assert all(count == 1 for count in runs.values()), runs.most_common(3)
