Charge a retry once, however many endpoints refuse to connect

Cause: a request that had been sent before was charged to the retry budget again for each endpoint that refused its connection, though nothing had arrived there. Change: a retry that is paid for stays so until it is sent.

--- a/src/pomelolane/forwarding/call.py
+++ b/src/pomelolane/forwarding/call.py
@@ -74,6 +74,7 @@
         excluded: Endpoints that it must not be sent to again.
         last_event_id: Id of the last complete event sent to the caller.
         endpoint_id: Endpoint it was sent to last.
+        has_paid_retry: Whether the next send is charged to the retry budget already.
         run: Quarantine's record of the last send, until its result is known.
     """
 
@@ -85,4 +86,10 @@
     excluded: tuple[str, ...] = ()
     last_event_id: bytes = b""
     endpoint_id: str = ""
+    has_paid_retry: bool = False
     run: Run | None = None
+
+    def count_send(self) -> None:
+        """Count a send, which uses a retry that was paid for."""
+        self.sends += 1
+        self.has_paid_retry = False
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -273,7 +273,8 @@
             raise TimeoutError
         state.run = self._crashes.begin(call.fingerprint, endpoint)
         may_have_run_before, state.may_have_run = state.may_have_run, True
-        state.sends += 1
+        had_paid_retry = state.has_paid_retry
+        state.count_send()
         watch.note_dispatch()
         request_log.sent(
             state, grant, remaining_ms, self._clock.now_ms(), self._directory.age_ms
@@ -290,6 +291,7 @@
             state.run.settle()
             state.may_have_run = may_have_run_before
             state.sends -= 1
+            state.has_paid_retry = had_paid_retry
             raise refused_by_endpoint(state, watch, str(error)) from error
         except FirstByteTimeoutError as error:
             retry = broken_by_endpoint(state, watch, str(error))
@@ -409,7 +411,10 @@
         if not self._can_retry(state):
             return False
         # Attempts that reached no endpoint are not charged to the budget.
-        return state.sends == 0 or self._budget(state.call.service).spend()
+        if state.sends > 0 and not state.has_paid_retry:
+            state.has_paid_retry = self._budget(state.call.service).spend()
+            return state.has_paid_retry
+        return True
 
     async def _refuse(
         self, state: CallState, exchange: Exchange, refusal: Refusal
