Serve callers of a VM that is cut off from all endpoints by way of others

Cause: the VM that takes a request is the only one that may send it. A VM without a way to endpoints went on asking for grants, and each connection took 400 ms to fail until the request was refused. Class: a failure is ascribed to the far end, without a look at who else reaches it. Change: when connections fail, or all endpoints are silent for half a second while requests are out, a VM probes up to four other endpoints by connecting to them; if none is reached it counts itself as cut off and probes on, four times a second. Meanwhile it relays requests to other VMs, those of its data centre first. These schedule, charge and send them as their own callers'; the answer passes back as any endpoint's does, with the same rules for completeness. A request that may not be repeated is relayed once at most; 421 says that the VM can't serve it and another one is tried. The deadline is what is left, the number of sends so far counts on, and a caller's leave closes the connection to the other VM.

--- a/src/pomelolane/endpoints/pool.py
+++ b/src/pomelolane/endpoints/pool.py
@@ -78,6 +78,15 @@
         self._on_idle(connection)
         return False
 
+    async def can_connect(self, address: str) -> bool:
+        """Tell whether a connection can be made; it is kept for the next request."""
+        try:
+            connection = await self._connect(address)
+        except EndpointRefusedError:
+            return False
+        self._on_idle(connection)
+        return True
+
     def idle_count(self, address: str) -> int:
         """Return the number of idle connections to an address."""
         return len(self._idle[address])
--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -177,6 +177,20 @@
     "request endpoint sends answer_begun held_ms",
     "The caller left; its run is cancelled by closing the endpoint's connection.",
 )
+FORWARD_RELAYED = _define(
+    219,
+    "forward_relayed",
+    "info",
+    "request peer sends left_ms",
+    "The request goes to another VM, as this one reaches no endpoint.",
+)
+FORWARD_RELAY_ENDED = _define(
+    220,
+    "forward_relay_ended",
+    "info",
+    "request peer status total_ms pieces bytes detail",
+    "The other VM has answered, or could not serve the request (status 421 or 0).",
+)
 
 REQUEST_QUARANTINED = _define(
     218,
@@ -569,6 +583,20 @@
     "row error",
     "An order cannot be read; the one before stays.",
 )
+ENDPOINTS_OUT_OF_REACH = _define(
+    815,
+    "endpoints_out_of_reach",
+    "warning",
+    "silent_ms",
+    "No probed endpoint can be reached; requests are relayed to other VMs.",
+)
+ENDPOINTS_IN_REACH = _define(
+    816,
+    "endpoints_in_reach",
+    "info",
+    "after_ms",
+    "An endpoint can be reached again; requests are sent to endpoints.",
+)
 ROW_REJECTED = _define(
     806,
     "row_rejected",
--- a/src/pomelolane/forwarding/app.py
+++ b/src/pomelolane/forwarding/app.py
@@ -44,6 +44,27 @@
             exchange.unwatch()
 
 
+class PeerApp:
+    """Passes requests that other VMs took from their callers to the forwarder.
+
+    Args:
+        forwarder: Forwards the requests.
+    """
+
+    def __init__(self, forwarder: Forwarder) -> None:
+        self._forwarder = forwarder
+
+    async def __call__(
+        self, scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend
+    ) -> None:
+        """Serve one ASGI call."""
+        exchange = Exchange(scope, receive, send)
+        try:
+            await self._forwarder.serve_relayed(exchange)
+        finally:
+            exchange.unwatch()
+
+
 class ProbeApp:
     """Serves readiness, metrics and status to the load balancer and operators.
 
--- a/src/pomelolane/forwarding/call.py
+++ b/src/pomelolane/forwarding/call.py
@@ -74,6 +74,8 @@
         excluded: Endpoints that it must not be sent to again.
         last_event_id: Id of the last complete event sent to the caller.
         endpoint_id: Endpoint it was sent to last.
+        is_relayed: Whether another VM took it from its caller.
+        tried_peers: VMs that it must not be relayed to again.
         has_paid_retry: Whether the next send is charged to the retry budget already.
         run: Quarantine's record of the last send, until its result is known.
     """
@@ -86,6 +88,8 @@
     excluded: tuple[str, ...] = ()
     last_event_id: bytes = b""
     endpoint_id: str = ""
+    is_relayed: bool = False
+    tried_peers: tuple[str, ...] = ()
     has_paid_retry: bool = False
     run: Run | None = None
 
--- a/src/pomelolane/forwarding/failures.py
+++ b/src/pomelolane/forwarding/failures.py
@@ -71,6 +71,11 @@
     return retry
 
 
+def broken_by_peer(state: CallState, detail: str) -> RetrySignal:
+    """Record a relay to another VM that broke; return the signal."""
+    return _failed(state, Reason.ENDPOINT_BROKEN, detail)
+
+
 def timed_out(state: CallState) -> Refusal:
     """Return the refusal of a request whose time limit has passed."""
     refusal = Refusal(
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from pomelolane.forwarding.failures import (
     RetrySignal,
     broken_by_endpoint,
+    broken_by_peer,
     incomplete_answer,
     refused_by_endpoint,
     timed_out,
@@ -33,12 +34,14 @@
     wait_for_first_byte,
 )
 from pomelolane.forwarding.handles import handle_from_state
+from pomelolane.forwarding.peers import relay_address
 from pomelolane.forwarding.refusals import (
     answer_refusal,
     refusal_after_sends,
     refusal_from_error,
 )
 from pomelolane.forwarding.relay import Relay
+from pomelolane.forwarding.sender import SENDS_HEADER
 from pomelolane.forwarding.stall import StallWatch
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
@@ -55,10 +58,12 @@
     from pomelolane.forwarding.endpoints import EndpointDirectory
     from pomelolane.forwarding.intake import Intake
     from pomelolane.forwarding.notices import NoticeHandler
+    from pomelolane.forwarding.peers import RelayPeers
+    from pomelolane.forwarding.reach import EndpointReach
     from pomelolane.forwarding.sender import Sender, SendResult
     from pomelolane.http.exchange import Exchange
     from pomelolane.model import Endpoint
-    from pomelolane.ports import Clock, Grant, SchedulerClient
+    from pomelolane.ports import Clock, Grant, Peer, SchedulerClient
     from pomelolane.quarantine import CrashWatch, Quarantine
 
 MAX_GRANTS = 6
@@ -77,8 +82,13 @@
 SKIP_BODY_TIMEOUT_MS = 200
 """Longest time for which the body of a rejected request is read."""
 
+_MISDIRECTED_STATUS = 421
+_NOT_RUN_STATUSES = frozenset({408, 429, 503})
 _FIRST_REDIRECTION_STATUS = 300
 _FIRST_SERVER_ERROR_STATUS = 500
+RELAY_RESERVE_MS = 20
+"""Time kept for the way back of an answer from another VM."""
+
 STOPPING_RETRY_MS = 50
 """Retry delay for callers of a stopping VM: other VMs can serve them at once."""
 
@@ -105,6 +115,8 @@
         crashes: Checks whether endpoints with broken connections have crashed.
         clock: Source of the current time.
         data_centre: Data centre of this VM.
+        reach: Tells whether this VM is cut off from all endpoints.
+        peers: Chooses VMs that serve its requests then.
 
     Attributes:
         open_calls: Requests that are not finished yet, by local id.
@@ -124,6 +136,8 @@
         crashes: CrashWatch,
         clock: Clock,
         data_centre: str,
+        reach: EndpointReach,
+        peers: RelayPeers,
     ) -> None:
         self._intake = intake
         self._client = client
@@ -136,6 +150,8 @@
         self._crashes = crashes
         self._clock = clock
         self._data_centre = data_centre
+        self._reach = reach
+        self._peers = peers
         self._budgets: dict[str, SharedRetryBudget] = {}
         self.open_calls: dict[str, CallState] = {}
         self.timeouts = Timeouts(clock)
@@ -176,14 +192,43 @@
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve one exchange until it is answered or its caller has disconnected."""
-        task = asyncio.current_task()
         try:
             call = await self._intake.accept(exchange)
         except BadRequestError as error:
             await self._reject(exchange, error)
             return
-        exchange.watch_disconnect(task.cancel)
         state = CallState(call, last_event_id=call.description.resume_after)
+        await self._serve_watched(state, exchange)
+
+    async def serve_relayed(self, exchange: Exchange) -> None:
+        """Serve an exchange in which another VM stands for the caller.
+
+        The answer is 421 if that VM should ask another one: this one does not accept
+        the request, perhaps by an older configuration, or is cut off itself.
+        """
+        sends = exchange.header(SENDS_HEADER)
+        exchange.headers = [one for one in exchange.headers if one[0] != SENDS_HEADER]
+        try:
+            call = await self._intake.accept(exchange)
+        except BadRequestError:
+            await exchange.respond(_MISDIRECTED_STATUS, [], b"")
+            return
+        if self._reach.is_cut_off or not self.can_accept(call.limit_ms):
+            await exchange.respond(_MISDIRECTED_STATUS, [], b"")
+            return
+        state = CallState(
+            call,
+            sends=int(sends) if sends.isdigit() else 0,
+            last_event_id=call.description.resume_after,
+            is_relayed=True,
+        )
+        await self._serve_watched(state, exchange)
+
+    async def _serve_watched(self, state: CallState, exchange: Exchange) -> None:
+        """Serve an accepted request, and end with its caller."""
+        call = state.call
+        task = asyncio.current_task()
+        exchange.watch_disconnect(task.cancel)
         self.open_calls[call.local_id] = state
         request_log.accepted(call)
         try:
@@ -210,7 +255,8 @@
         if not self.can_accept(call.limit_ms):
             await self._refuse(state, exchange, STOPPING_REFUSAL)
             return
-        self._budget(call.service).earn()
+        if not state.is_relayed:
+            self._budget(call.service).earn()
         try:
             async with self.timeouts.after(self._remaining_ms(call)):
                 refusal = await self._try_endpoints(state, relay)
@@ -224,25 +270,35 @@
     async def _try_endpoints(self, state: CallState, relay: Relay) -> Refusal | None:
         """Try endpoints until one answers; return the refusal if none does."""
         while True:
-            grant = await self._acquire_grant(state)
-            if isinstance(grant, Refusal):
-                return refusal_after_sends(state, grant)
-            state.grants += 1
-            watch = StreamReporter(self._client, grant, self._clock)
             try:
-                await self._attempt(state, relay, grant, watch)
+                if await self._relay_by_peer(state, relay):
+                    return None
+                grant = await self._acquire_grant(state)
+                if isinstance(grant, Refusal):
+                    if await self._should_relay_instead(state):
+                        continue
+                    return refusal_after_sends(state, grant)
+                await self._use_grant(state, relay, grant)
             except RetrySignal as retry:
                 if not retry.is_charged and not self._reserve_retry(state):
                     return refusal_after_sends(state, retry.refusal)
                 balance = self._budget(state.call.service).balance
                 request_log.retried(state, retry.refusal, balance)
                 continue
-            finally:
-                watch.finish()
-                if state.run is not None:
-                    state.run.leave()
             return None
 
+    async def _use_grant(self, state: CallState, relay: Relay, grant: Grant) -> None:
+        state.grants += 1
+        watch = StreamReporter(self._client, grant, self._clock)
+        self._reach.note_sent()
+        try:
+            await self._attempt(state, relay, grant, watch)
+        finally:
+            self._reach.note_ended()
+            watch.finish()
+            if state.run is not None:
+                state.run.leave()
+
     async def _acquire_grant(self, state: CallState) -> Grant | Refusal:
         asked_ms = self._clock.now_ms()
         handle = handle_from_state(state, self._data_centre, asked_ms)
@@ -267,6 +323,7 @@
         try:
             connection = await self._sender.connect(endpoint)
         except EndpointRefusedError as error:
+            self._reach.note_failure()
             raise refused_by_endpoint(state, watch, str(error)) from error
         remaining_ms = int(self._remaining_ms(call))
         if remaining_ms <= 0:
@@ -298,9 +355,11 @@
             retry.is_charged = True
             raise retry from error
         except EndpointBrokenError as error:
+            self._reach.note_failure()
             retry = broken_by_endpoint(state, watch, str(error))
             await state.run.broke()
             raise retry from error
+        self._reach.note_heard()
         self._notice_handler.handle(endpoint, sent.notice, watch)
         if sent.verdict is Verdict.NOT_RUN:
             state.run.settle()
@@ -309,6 +368,100 @@
             raise refused_by_endpoint(state, watch, "the endpoint did not run it")
         await self._relay_answer(state, relay, sent, watch, endpoint)
 
+    # --- relays by other VMs --------------------------------------------------
+
+    async def _relay_by_peer(self, state: CallState, relay: Relay) -> bool:
+        """Have another VM serve the request if this one is cut off from all endpoints.
+
+        Returns:
+            Whether the request was answered. If not, no other VM can serve it.
+
+        Raises:
+            RetrySignal: The caller did not get a complete answer.
+            TimeoutError: The request's time limit has passed.
+        """
+        if state.is_relayed:
+            return False
+        while self._reach.is_cut_off:
+            peer = self._peers.choose(state.tried_peers)
+            if peer is None:
+                return False
+            state.tried_peers += (peer.vm_id,)
+            if await self._try_peer(state, relay, peer):
+                return True
+        return False
+
+    async def _should_relay_instead(self, state: CallState) -> bool:
+        """Return whether a refused request, for which endpoints failed, is relayed."""
+        if state.is_relayed or not state.excluded:
+            return False
+        is_cut_off = await self._reach.check()
+        return is_cut_off and self._peers.choose(state.tried_peers) is not None
+
+    async def _try_peer(self, state: CallState, relay: Relay, peer: Peer) -> bool:
+        """Relay the request to one VM; return whether it has answered for it."""
+        call = state.call
+        left_ms = int(self._remaining_ms(call)) - RELAY_RESERVE_MS
+        if left_ms <= 0:
+            raise TimeoutError
+        may_have_run_before, state.may_have_run = state.may_have_run, True
+        request_log.relayed(state, peer.vm_id, left_ms)
+        dispatch = Dispatch(call.organisation, left_ms, state.last_event_id)
+        address = relay_address(peer.address)
+        try:
+            stream = await self._sender.send_to_peer(
+                address, call, dispatch, state.sends
+            )
+        except EndpointRefusedError as error:
+            state.may_have_run = may_have_run_before
+            self._skip_peer(state, peer, 0, str(error))
+            return False
+        except EndpointBrokenError as error:
+            state.count_send()
+            self._skip_peer(state, peer, 0, str(error))
+            raise broken_by_peer(state, str(error)) from error
+        if stream.status == _MISDIRECTED_STATUS:
+            state.may_have_run = may_have_run_before
+            await stream.aclose()
+            self._skip_peer(state, peer, stream.status, "the VM can't serve it")
+            return False
+        state.count_send()
+        await self._relay_peers_answer(state, relay, stream, peer, may_have_run_before)
+        return True
+
+    def _skip_peer(
+        self, state: CallState, peer: Peer, status: int, detail: str
+    ) -> None:
+        self._peers.mark_unable(peer.vm_id)
+        now_ms = self._clock.now_ms()
+        request_log.relay_ended(state, peer.vm_id, status, now_ms, detail=detail)
+
+    async def _relay_peers_answer(
+        self,
+        state: CallState,
+        relay: Relay,
+        stream: AnswerStream,
+        peer: Peer,
+        may_have_run_before: bool,
+    ) -> None:
+        is_unrelated = state.answer_begun and stream.status >= _FIRST_REDIRECTION_STATUS
+        if stream.status in _NOT_RUN_STATUSES:
+            state.may_have_run = may_have_run_before
+        try:
+            if is_unrelated or (
+                stream.status in _NOT_RUN_STATUSES and may_have_run_before
+            ):
+                raise broken_by_peer(state, f"{peer.vm_id} answered {stream.status}")
+            result = await relay.relay(stream, lambda _: None)
+        finally:
+            await stream.aclose()
+        now_ms = self._clock.now_ms()
+        request_log.relay_ended(
+            state, peer.vm_id, stream.status, now_ms, result, result.failure
+        )
+        if not result.is_complete:
+            raise broken_by_peer(state, result.failure)
+
     def _first_byte_timeout_ms(self, state: CallState, grant: Grant) -> float | None:
         objective_ms = state.call.route.objective_ms
         if not objective_ms or not self._can_retry(state):
@@ -326,6 +479,11 @@
         stream = sent.stream
         failed = stream.status >= _FIRST_SERVER_ERROR_STATUS
         stall = self._stall_watch(state, stream)
+
+        def on_chunk(chunks: int) -> None:
+            self._reach.note_heard()
+            watch.note_tokens(chunks)
+
         try:
             if failed or state.answer_begun:
                 self._check_status(state, stream.status, watch)
@@ -333,12 +491,13 @@
             if not stream.is_broken_unread:
                 watch.note_first_byte()
                 self._observe_first_byte(state)
-            result = await relay.relay(stream, watch.note_tokens, stall)
+            result = await relay.relay(stream, on_chunk, stall)
         finally:
             if stall is not None:
                 stall.stop()
             await stream.aclose()
         if not result.is_complete:
+            self._reach.note_failure()
             retry = incomplete_answer(state, watch, result, stall)
             if not retry.is_charged:
                 await self._crashes.look(
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -12,7 +12,7 @@
 from pomelolane.coordination import make_coordination
 from pomelolane.coordination.timings import Timings
 from pomelolane.endpoints import ConnectionPool
-from pomelolane.forwarding.app import CallerApp, ProbeApp
+from pomelolane.forwarding.app import CallerApp, PeerApp, ProbeApp
 from pomelolane.forwarding.budget import RetryAllowance, SharedRetryBudget
 from pomelolane.forwarding.departures import AnnouncedDepartures
 from pomelolane.forwarding.estimate_keeper import EstimateKeeper
@@ -20,6 +20,8 @@
 from pomelolane.forwarding.intake import Intake
 from pomelolane.forwarding.ledger import Ledger
 from pomelolane.forwarding.notices import NoticeHandler
+from pomelolane.forwarding.peers import RelayPeers, relay_address
+from pomelolane.forwarding.reach import EndpointReach
 from pomelolane.forwarding.sender import Sender
 from pomelolane.forwarding.tree import tree_from_configuration
 from pomelolane.forwarding.usage_exchange import UsageExchange
@@ -32,7 +34,7 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from pomelolane.forwarding.configuration import CurrentConfiguration
     from pomelolane.forwarding.endpoints import EndpointDirectory
@@ -206,6 +208,7 @@
         )
         self.rollouts.on_change = self._configure
         self._intake = Intake(dialect, clock)
+        self.reach = EndpointReach(directory, self._pool, clock)
         self.forwarder = Forwarder(
             self._intake,
             self.coordination.client,
@@ -221,8 +224,11 @@
             self._crashes,
             clock,
             options.data_centre,
+            self.reach,
+            RelayPeers(options.vm_id, options.data_centre, self.member.view, clock),
         )
         self.member.on_tick(self.forwarder.timeouts.look)
+        self.member.on_tick(self.reach.tick)
         self._has_joined_scheduling = False
         self._is_started = False
         self._handover_task: asyncio.Task[None] | None = None
@@ -304,14 +310,15 @@
                 await self.ledger.save()
         await self.coordination.handover()
 
-    async def finish(self, listener: Listener) -> None:
+    async def finish(self, listeners: Sequence[Listener]) -> None:
         """Finish the accepted requests within the time allowed."""
         remaining_ms = self._options.grace_ms - BALANCER_REMOVAL_MS - LEAVE_RESERVE_MS
         self.forwarder.set_stop_time(self._clock.now_ms() + remaining_ms)
         try:
             async with asyncio.timeout(remaining_ms / 1000):
                 await self.forwarder.finish()
-                await listener.stop()
+                for listener in listeners:
+                    await listener.stop()
         except TimeoutError:
             log_event(
                 events.TASK_FAILED,
@@ -357,6 +364,17 @@
     return await _listen(CallerApp(node.forwarder), address, sock)
 
 
+async def listen_for_peers(node: ForwardingNode, ip: str, peer_port: int) -> Listener:
+    """Start the listener for requests that other VMs relay.
+
+    Args:
+        node: VM that serves them.
+        ip: IP address of the VM.
+        peer_port: Port for messages of other VMs.
+    """
+    return await _listen(PeerApp(node.forwarder), relay_address(f"{ip}:{peer_port}"))
+
+
 async def listen_for_probes(
     is_ready: Callable[[], bool], report: Callable[[], object], address: str
 ) -> Listener:
--- a/src/pomelolane/forwarding/request_log.py
+++ b/src/pomelolane/forwarding/request_log.py
@@ -81,6 +81,48 @@
     )
 
 
+def relayed(state: CallState, peer_id: str, left_ms: int) -> None:
+    """Log that a request is relayed to another VM."""
+    log_event(
+        events.FORWARD_RELAYED,
+        request=state.call.log_id,
+        peer=peer_id,
+        sends=state.sends,
+        left_ms=left_ms,
+    )
+
+
+def relay_ended(
+    state: CallState,
+    peer_id: str,
+    status: int,
+    now_ms: float,
+    result: RelayResult | None = None,
+    detail: str = "",
+) -> None:
+    """Log and count the end of a relay to another VM.
+
+    Args:
+        state: State of the request.
+        peer_id: The VM.
+        status: Status of its answer, 0 if there was none.
+        now_ms: Current time.
+        result: What was relayed of the answer, None if nothing was.
+        detail: Why the answer is not complete, empty if it is.
+    """
+    metrics.count_send(state.call.service, "unrelayed" if detail else "relayed")
+    log_event(
+        events.FORWARD_RELAY_ENDED,
+        request=state.call.log_id,
+        peer=peer_id,
+        status=status,
+        total_ms=now_ms - state.call.accepted_ms,
+        pieces=result.chunks if result else 0,
+        bytes=result.bytes if result else 0,
+        detail=detail,
+    )
+
+
 def failed(state: CallState, reason: Reason, detail: str) -> None:
     """Log and count a send that ended without a complete answer."""
     metrics.count_send(state.call.service, reason.value)
--- a/src/pomelolane/forwarding/sender.py
+++ b/src/pomelolane/forwarding/sender.py
@@ -19,6 +19,9 @@
 
     Header = tuple[bytes, bytes]
 
+SENDS_HEADER = b"pomelolane-sends"
+"""Header of relayed requests: how often they were sent to endpoints before."""
+
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 _FORBIDDEN_HEADER_BYTES = frozenset(b"\r\n\0")
 
@@ -89,6 +92,28 @@
         notice = self._dialect.read_notice(stream.status, stream.headers)
         return SendResult(stream, verdict, notice)
 
+    async def send_to_peer(
+        self, address: str, call: ForwardCall, dispatch: Dispatch, sends: int
+    ) -> AnswerStream:
+        """Relay a request to another VM and wait for the head of its answer.
+
+        Args:
+            address: ``ip:port`` at which the VM listens for relayed requests.
+            call: The request.
+            dispatch: What the VM is told beside the caller's own words.
+            sends: Number of times that the request was sent to an endpoint.
+
+        Raises:
+            EndpointRefusedError: Nothing was sent.
+            EndpointBrokenError: The connection failed after the write.
+        """
+        connection = await self._pool.acquire(address)
+        headers = self._dialect.relayed_headers(call.headers, dispatch)
+        parts = [_encode_head(call, [*headers, (SENDS_HEADER, b"%d" % sends)])]
+        if call.body:
+            parts.append(call.body)
+        return await connection.exchange(call.method, parts)
+
 
 def _encode_head(call: ForwardCall, headers: Sequence[Header]) -> bytes:
     lines = [call.method.encode("ascii") + b" " + call.target + b" HTTP/1.1"]
--- a/src/pomelolane/platform/dialect.py
+++ b/src/pomelolane/platform/dialect.py
@@ -65,6 +65,8 @@
 )
 """Headers of callers that are not passed on: the system's own, and framing."""
 
+_SET_BY_RELAY = frozenset({_DEADLINE, _RESUME, b"content-length", b"expect"})
+
 
 class PlatformDialect:
     """The :class:`~pomelolane.ports.forwarding.Dialect` of the platform."""
@@ -102,6 +104,16 @@
             passed.append((_RESUME, dispatch.resume_after))
         return passed
 
+    def relayed_headers(
+        self, headers: Sequence[Header], dispatch: Dispatch
+    ) -> list[Header]:
+        """Return another VM's headers: the caller's, but for the time and the event."""
+        passed = [h for h in strip_hop_headers(headers) if h[0] not in _SET_BY_RELAY]
+        passed.append((_DEADLINE, b"%d" % dispatch.left_ms))
+        if dispatch.resume_after:
+            passed.append((_RESUME, dispatch.resume_after))
+        return passed
+
     def judge(self, status: int, headers: Sequence[Header], request_id: str) -> Verdict:
         """Tell what an endpoint's head is worth."""
         found = dict(headers)
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -16,6 +16,7 @@
     ForwardingNode,
     NodeOptions,
     listen_for_callers,
+    listen_for_peers,
     listen_for_probes,
 )
 from pomelolane.forwarding.scheduling_capacity import scheduling_capacity_per_s
@@ -81,7 +82,7 @@
         self._background = BackgroundTasks()
         self._stopping = asyncio.Event()
         self._node: ForwardingNode | None = None
-        self._front: Listener | None = None
+        self._fronts: list[Listener] = []
         self._probes: list[Listener] = []
 
     def stop_soon(self) -> None:
@@ -153,7 +154,10 @@
         self._background.start("estimates", node.estimate_keeper.run())
         self._background.start("rollouts", node.rollouts.run())
         sock, self._early = self._early, None
-        self._front = await listen_for_callers(node, file.front, sock)
+        self._background.start("reach", node.reach.run())
+        self._fronts.append(await listen_for_callers(node, file.front, sock))
+        if file.has_relay_port:
+            self._fronts.append(await listen_for_peers(node, file.ip, file.peer_port))
         log_event(
             events.VM_STARTED,
             vm=file.vm_id,
@@ -193,8 +197,8 @@
         starting.cancel()
         if self._node is not None:
             await self._node.drain()
-        if self._node is not None and self._front is not None:
-            await self._node.finish(self._front)
+        if self._node is not None and self._fronts:
+            await self._node.finish(self._fronts)
         for listener in self._probes:
             await listener.stop()
         await self._background.stop()
--- a/src/pomelolane/platform/nodefile.py
+++ b/src/pomelolane/platform/nodefile.py
@@ -73,6 +73,7 @@
         front: ``ip:port`` for callers.
         ready: ``ip:port`` for the balancer's readiness questions.
         peer_port: First port that is free for the VMs' own protocol.
+        has_relay_port: Whether the port after it is free as well.
         store_address: ``ip:port`` of the metadata store.
         drain_ms: Time within which a leaving endpoint must get nothing more.
         grace_ms: Time between the stop signal and the end by force.
@@ -92,6 +93,7 @@
     front: str
     ready: str
     peer_port: int
+    has_relay_port: bool
     store_address: str
     drain_ms: int
     grace_ms: int
@@ -123,6 +125,7 @@
         front=file.listen.front,
         ready=file.listen.ready,
         peer_port=file.port_range[0],
+        has_relay_port=file.port_range[0] < file.port_range[1],
         store_address=file.platform.address,
         drain_ms=bounds.drain_ms,
         grace_ms=int(bounds.grace_s * 1000),
--- a/src/pomelolane/ports/forwarding.py
+++ b/src/pomelolane/ports/forwarding.py
@@ -107,6 +107,11 @@
     ) -> list[Header]:
         """Return the headers that an endpoint gets, without framing."""
 
+    def relayed_headers(
+        self, headers: Sequence[Header], dispatch: Dispatch
+    ) -> list[Header]:
+        """Return the headers that another VM gets in the caller's place."""
+
     def judge(self, status: int, headers: Sequence[Header], request_id: str) -> Verdict:
         """Tell what an endpoint's head is worth."""
 
--- a/src/pomelolane/trace.py
+++ b/src/pomelolane/trace.py
@@ -69,6 +69,9 @@
 
 _CAUSES = {
     "forward_finished": "{endpoint} answered {status} after {total_ms} ms.",
+    "forward_relay_ended": (
+        "{peer} answered {status} after {total_ms} ms, in place of this VM."
+    ),
     "forward_refused": (
         "The gateway ended it with status {status} after {held_ms} ms: {reason} "
         "({detail}); outcome {outcome}, {sends} sends, last endpoint {endpoint!r}."
--- a/standins/routed/vm.py
+++ b/standins/routed/vm.py
@@ -64,7 +64,7 @@
                 "front": f"{self.ip}:{self.front.port}",
                 "ready": f"{self.ip}:{self.probe.port}",
             },
-            "portRange": [self.peer.port, self.peer.port],
+            "portRange": [self.peer.port, self.peer.port + 1],
             "platform": {"address": store_address},
             "bounds": {"graceS": 8, **(bounds or {})},
         }
--- a/tests/platform/reach.feature
+++ b/tests/platform/reach.feature
@@ -24,3 +24,37 @@
       | refused     |
       | silent      |
       | new refused |
+
+  # Guards against a VM that relays to others which are cut off as well.
+  Scenario: Callers of a cut VM are served beside another one that is cut
+    Given a platform VM in "hall-b" with links of its own
+    When its links are cut so that connections are "silent", and 2500 ms pass with callers
+    And callers send 60 requests of all kinds to it within 3 s
+    Then at least 0.95 of them are served
+    And no request that may not be repeated ran twice
+
+  # Guards against streams that end with the way to their endpoint.
+  Scenario Outline: A stream that may be resumed goes on by way of another VM
+    Given engines that take 150 ms for each event
+    When its links are cut so that connections are "<how>", 250 ms after "POST /help/a"
+    Then the answer is 200 and holds the events 1 to 5 once each
+    And the answer is not broken off
+
+    Examples:
+      | how     |
+      | refused |
+      | silent  |
+
+  # Guards against relaying for longer than the cut lasts.
+  Scenario: A VM that reaches endpoints again sends to them itself
+    When its links are cut so that connections are "refused", and 1500 ms pass with callers
+    And its links are whole again, and 1000 ms pass
+    And callers send 20 requests of all kinds to it within 1 s
+    Then at least 0.95 of them are served
+    And it has relayed none of them
+
+  # Guards against a lasting belief in a cut where nobody reaches an endpoint.
+  Scenario: Where no VM reaches an endpoint, requests are refused in time
+    Given the endpoints are gone but listed
+    When callers send 10 requests of all kinds to it within 2 s
+    Then none of them is served, and none was held for over 3100 ms
--- a/tests/steps/platform_reach_steps.py
+++ b/tests/steps/platform_reach_steps.py
@@ -1,6 +1,7 @@
 """Steps of VMs that are cut off from endpoints."""
 
 import asyncio
+import time
 from collections import Counter
 
 from behave import given, then, when
@@ -50,9 +51,55 @@
     context.run(cut())
 
 
+@given("engines that take {ms:d} ms for each event")
+def step_event_ms(context, ms):
+    for endpoint in context.world.endpoints.values():
+        endpoint.options.event_ms = ms
+
+
+@given("the endpoints are gone but listed")
+def step_gone(context):
+    context.asked = 0
+    context.early = context.run(_done())
+    for endpoint in context.world.endpoints.values():
+        context.run(endpoint.aclose())
+
+
+async def _done():
+    return asyncio.ensure_future(asyncio.sleep(0))
+
+
+@when('its links are cut so that connections are "{how}", {ms:d} ms after "{line}"')
+def step_cut_after(context, how, ms, line):
+    async def play():
+        headers = caller_headers("q1")
+        asking = asyncio.ensure_future(
+            context.cut_vm.ask(f"{line} HTTP/1.1", headers, b"abc")
+        )
+        await asyncio.sleep(ms / 1000)
+        for link in context.world.links:
+            await link.cut(Cut(how))
+        context.answer = await asking
+
+    context.run(play())
+
+
+@when("its links are whole again, and {ms:d} ms pass")
+def step_heal(context, ms):
+    async def heal():
+        for link in context.world.links:
+            await link.heal()
+        await asyncio.sleep(ms / 1000)
+
+    context.run(heal())
+
+
 @when("callers send {count:d} requests of all kinds to it within {s:d} s")
 def step_ask(context, count, s):
+    context.first_id = context.asked + 1
+    started_s = time.monotonic()
     context.answers = context.run(_ask_often(context, count, s / count))
+    context.took_ms = (time.monotonic() - started_s - s) * 1000
     context.run(context.early)
 
 
@@ -78,3 +125,18 @@
         if seen.ran and not seen.line.startswith(("GET", "POST /help/"))
     )
     assert all(count == 1 for count in runs.values()), runs.most_common(3)
+
+
+@then("it has relayed none of them")
+def step_not_relayed(context):
+    relayed = {line["request"] for line in context.cut_vm.events("forward_relayed")}
+    last = {f"q{number}" for number in range(context.first_id, context.asked + 1)}
+    assert relayed, "nothing was relayed during the cut"
+    assert not relayed & last, relayed & last
+
+
+@then("none of them is served, and none was held for over {ms:d} ms")
+def step_none_served(context, ms):
+    statuses = Counter(answer.status for answer in context.answers)
+    assert set(statuses) <= {502, 503, 504}, statuses
+    assert context.took_ms <= ms, context.took_ms
