Test that brittle endpoints are not overrun

Cause: new on the users' pages, endpoints that fall over when they turn away more requests a second than they say; no stand-in did so. Change: the stand-in falls over and comes back, and says its limit in all answers.

--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -13,6 +13,7 @@
 import socket
 import struct
 import time
+from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -96,6 +97,9 @@
             and the length of all others.
         line_end: What ends a line of its streams.
         trailer: Bytes behind the last event of its streams.
+        brittle_limit: Requests that it may turn away within a second for want of room;
+            beyond, it falls over. It says so in all answers. 0 for no such limit.
+        down_s: How long it is down once it has fallen over.
         fatal: Part of a body under which the process ends when it begins the request;
             empty for none.
         ends_silently: Whether its connections then stay open and say nothing more.
@@ -111,6 +115,8 @@
     framing: BodyFraming | None = None
     line_end: str = "\n"
     trailer: bytes = b""
+    brittle_limit: int = 0
+    down_s: float = 3.0
     fatal: bytes = b""
     ends_silently: bool = False
     version: str = "v1"
@@ -157,6 +163,7 @@
         options: How it works.
         fault: What it does wrong.
         seen: All requests so far.
+        falls: How often it has fallen over.
         ended: Set once its process has ended under a request.
         says: Headers that all its answers bear.
         rest: What it asks for in ``Retry-After`` as it turns requests away, empty
@@ -175,9 +182,14 @@
     def __post_init__(self) -> None:
         self._running = asyncio.Semaphore(self.options.slots)
         self._waiting = 0
+        self._turned_away_s: deque[float] = deque()
+        self.falls = 0
+        if self.options.brittle_limit:
+            self.says["server-brittle"] = str(self.options.brittle_limit)
         self._at_work = 0
         self._started_s = time.monotonic()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._coming_back: asyncio.Task[None] | None = None
         self.ended = asyncio.Event()
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
@@ -191,6 +203,8 @@
 
     async def aclose(self) -> None:
         """Stop to listen and drop all connections."""
+        if self._coming_back is not None:
+            self._coming_back.cancel()
         self._drop_all()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
@@ -230,7 +244,7 @@
         full = self._waiting >= self.options.queue and self._running.locked()
         if full:
             writer.write(_head(503, {"not-executed": "1", **self.says}, 0))
-            return True
+            return not self._falls_over()
         self._waiting += 1
         try:
             await self._running.acquire()
@@ -245,6 +259,26 @@
             self._at_work -= 1
             self._running.release()
 
+    def _falls_over(self) -> bool:
+        """Count a request that is turned away; return whether that was one too many."""
+        limit = self.options.brittle_limit
+        now_s = time.monotonic()
+        self._turned_away_s.append(now_s)
+        while now_s - self._turned_away_s[0] > 1.0:
+            self._turned_away_s.popleft()
+        if not limit or len(self._turned_away_s) <= limit:
+            return False
+        self._turned_away_s.clear()
+        self.falls += 1
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self._drop_all()
+        self._coming_back = asyncio.create_task(self._come_back(host, port))
+        return True
+
+    async def _come_back(self, host: str, port: int) -> None:
+        await asyncio.sleep(self.options.down_s)
+        await self.start(host, port)
+
     async def _run(
         self,
         request: Seen,
