End relays to VMs that acknowledge nothing

Cause: a relayed request would wait until its deadline for a VM that lost power, or on a connection that went silent. Change: connections to other VMs carry keep-alive probes and a TCP_USER_TIMEOUT of 2.5 s. Connections to endpoints do not: their silence is no reason to end an answer. Measured: tests/platform/reach.feature passes (8 scenarios); silence of a VM itself is not played by our stand-ins.

--- a/src/pomelolane/endpoints/pool.py
+++ b/src/pomelolane/endpoints/pool.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections import defaultdict
 from typing import TYPE_CHECKING
@@ -24,6 +25,8 @@
 MAX_IDLE_MS = 3_000
 """Age at which an idle connection is dropped; servers often close after 5 s."""
 
+_KEEP_ALIVE_S = 1
+
 MAX_IDLE_PER_ADDRESS = 64
 """Idle connections kept to one address."""
 
@@ -34,6 +37,8 @@
     Args:
         connect_timeout_ms: Bound on connecting.
         max_idle_ms: Bound on the age of an idle connection.
+        dead_after_ms: Time after which a connection is closed whose peer acknowledges
+            nothing, not even keep-alive probes; 0 for never.
         clock: Source of time.
     """
 
@@ -42,10 +47,12 @@
         *,
         connect_timeout_ms: float = CONNECT_TIMEOUT_MS,
         max_idle_ms: float = MAX_IDLE_MS,
+        dead_after_ms: float = 0.0,
         clock: Clock | None = None,
     ) -> None:
         self._connect_timeout_ms = connect_timeout_ms
         self._max_idle_ms = max_idle_ms
+        self._dead_after_ms = dead_after_ms
         self._clock = clock or MonotonicClock()
         self._idle: defaultdict[str, list[HttpConnection]] = defaultdict(list)
         self._address_by_connection: dict[HttpConnection, str] = {}
@@ -110,6 +117,8 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         sock = socket.socket(family, socket.SOCK_STREAM)
         sock.setblocking(False)
+        if self._dead_after_ms:
+            _close_if_dead(sock, self._dead_after_ms)
         try:
             async with asyncio.timeout(self._connect_timeout_ms / 1000.0):
                 await loop.sock_connect(sock, (host, port))
@@ -140,6 +149,17 @@
             idle.remove(connection)
 
 
+def _close_if_dead(sock: socket.socket, after_ms: float) -> None:
+    """Have the kernel close a connection whose peer is silent (Linux)."""
+    with contextlib.suppress(AttributeError, OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEP_ALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEP_ALIVE_S)
+        # It also decides when keep-alive probes give up, whatever their count.
+        timeout_ms = int(after_ms)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     try:
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -58,6 +58,10 @@
 """Idle time after which a connection is not used again; endpoints close idle
 connections after about 5 s or more."""
 
+PEER_DEAD_AFTER_MS = 2_500
+"""Time after which a VM that acknowledges nothing ends the relays to it; a VM that is
+suspended still acknowledges."""
+
 BALANCER_REMOVAL_MS = 2_500
 """The load balancer probes once a second and removes a VM after two failed probes."""
 
@@ -147,6 +151,11 @@
         self._pool = ConnectionPool(
             connect_timeout_ms=CONNECT_TIMEOUT_MS, max_idle_ms=MAX_IDLE_MS
         )
+        self._peer_pool = ConnectionPool(
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            max_idle_ms=MAX_IDLE_MS,
+            dead_after_ms=PEER_DEAD_AFTER_MS,
+        )
         self.member = make_member(
             options.vm_id,
             options.data_centre,
@@ -212,7 +221,7 @@
         self.forwarder = Forwarder(
             self._intake,
             self.coordination.client,
-            Sender(self._pool, dialect),
+            Sender(self._pool, self._peer_pool, dialect),
             directory,
             NoticeHandler(
                 directory,
@@ -333,6 +342,7 @@
         await self.coordination.stop()
         await self.member.stop()
         self._pool.close()
+        self._peer_pool.close()
         log_event(events.VM_STOPPED, vm=self._options.vm_id)
 
     def _configure(self) -> None:
--- a/src/pomelolane/forwarding/sender.py
+++ b/src/pomelolane/forwarding/sender.py
@@ -46,11 +46,15 @@
 
     Args:
         pool: Connections to endpoints.
+        peer_pool: Connections to other VMs.
         dialect: Writes and reads the platform's headers.
     """
 
-    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
+    def __init__(
+        self, pool: ConnectionPool, peer_pool: ConnectionPool, dialect: Dialect
+    ) -> None:
         self._pool = pool
+        self._peer_pool = peer_pool
         self._dialect = dialect
 
     async def connect(self, endpoint: Endpoint) -> HttpConnection:
@@ -107,7 +111,7 @@
             EndpointRefusedError: Nothing was sent.
             EndpointBrokenError: The connection failed after the write.
         """
-        connection = await self._pool.acquire(address)
+        connection = await self._peer_pool.acquire(address)
         headers = self._dialect.relayed_headers(call.headers, dispatch)
         parts = [_encode_head(call, [*headers, (SENDS_HEADER, b"%d" % sends)])]
         if call.body:
