Do not take a VM's own cut for crashes of endpoints

A connection that is refused after a request broke counts as a crash of the endpoint under that request; where the VM is cut off, every request that it had out is blamed, and a few such VMs can put a request in quarantine. Change: before a VM blames a request it waits for the probe of its own reach, and leaves the request in doubt if it is cut off; the registry still tells of crashes. In doubt, endpoints are probed up to 20 times a second instead of 4.

--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -194,9 +194,15 @@
             self.member.transport,
             clock,
         )
+        self.reach = EndpointReach(directory, self._pool, clock)
         self.quarantine = Quarantine(clock)
         self._crashes = CrashWatch(
-            self.quarantine, self._pool, directory, clock, WallClock()
+            self.quarantine,
+            self._pool,
+            directory,
+            clock,
+            WallClock(),
+            self.reach.check,
         )
         self._crash_news = CrashNews(
             options.vm_id, self.member, self.member.transport, self.quarantine
@@ -217,7 +223,6 @@
         )
         self.rollouts.on_change = self._configure
         self._intake = Intake(dialect, clock)
-        self.reach = EndpointReach(directory, self._pool, clock)
         self.forwarder = Forwarder(
             self._intake,
             self.coordination.client,
--- a/src/pomelolane/forwarding/reach.py
+++ b/src/pomelolane/forwarding/reach.py
@@ -25,7 +25,10 @@
 """Endpoints that must all be out of reach until the VM counts as cut off."""
 
 PROBE_INTERVAL_MS = 250.0
-"""Shortest time between two probes."""
+"""Time between two probes while the VM is cut off."""
+
+DOUBT_INTERVAL_MS = 50.0
+"""Shortest time between two probes otherwise."""
 
 SILENCE_MS = 500.0
 """Silence of all endpoints, while requests are out, after which one is probed."""
@@ -114,7 +117,8 @@
                 self._update(is_cut_off=not await self._reaches_any(addresses))
             self._checked_ms = self._clock.now_ms()
             self._settled.set()
-            await asyncio.sleep(PROBE_INTERVAL_MS / 1000)
+            pause_ms = PROBE_INTERVAL_MS if self.is_cut_off else DOUBT_INTERVAL_MS
+            await asyncio.sleep(pause_ms / 1000)
 
     def _sample(self) -> Sequence[str]:
         addresses = {one.address for one in self._directory.listed() if not one.leaving}
--- a/src/pomelolane/quarantine/crashes.py
+++ b/src/pomelolane/quarantine/crashes.py
@@ -14,7 +14,7 @@
 from pomelolane.quarantine.starts import start_name
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from pomelolane.endpoints import ConnectionPool
     from pomelolane.model import Endpoint
@@ -54,6 +54,8 @@
         endpoints: Known endpoints.
         clock: Time.
         wall: Time of day.
+        is_cut_off: Tells whether this VM reaches no endpoint, so that nothing follows
+            from one that it does not reach; None where nobody can tell.
     """
 
     def __init__(
@@ -63,12 +65,14 @@
         endpoints: Endpoints,
         clock: Clock,
         wall: Clock,
+        is_cut_off: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
         self._quarantine = quarantine
         self._pool = pool
         self._endpoints = endpoints
         self._clock = clock
         self._wall = wall
+        self._is_cut_off = is_cut_off or _never_cut_off
         self._running: dict[Start, Counter[str]] = {}
         self._doubts: dict[tuple[str, Start], tuple[Endpoint, float]] = {}
         self._listed: dict[Start, Endpoint] = {}
@@ -128,7 +132,7 @@
         if self._endpoints.usable(endpoint.endpoint_id) is None:
             # It was to end: what was still running there has nothing to do with it.
             return
-        if await self._pool.is_down(address):
+        if await self._pool.is_down(address) and not await self._is_cut_off():
             self._report(fingerprint, endpoint)
         else:
             self.doubt(fingerprint, endpoint)
@@ -190,5 +194,9 @@
             await self._watch.look(self._fingerprint, self._endpoint, address)
 
 
+async def _never_cut_off() -> bool:
+    return False
+
+
 def _start(endpoint: Endpoint) -> Start:
     return endpoint.endpoint_id, endpoint.born_ms
--- a/tests/platform/reach.feature
+++ b/tests/platform/reach.feature
@@ -45,6 +45,12 @@
       | refused |
       | silent  |
 
+  # Guards against taking a VM's own cut for crashes of endpoints under its requests.
+  Scenario: A cut VM blames no request for what it can't reach
+    Given engines that take 300 ms for each event
+    When its links are cut so that connections are "refused", 250 ms after "POST /chat/a"
+    Then no VM takes an endpoint for crashed
+
   # Guards against relaying for longer than the cut lasts.
   Scenario: A VM that reaches endpoints again sends to them itself
     When its links are cut so that connections are "refused", and 1500 ms pass with callers
--- a/tests/steps/platform_reach_steps.py
+++ b/tests/steps/platform_reach_steps.py
@@ -140,3 +140,12 @@
     statuses = Counter(answer.status for answer in context.answers)
     assert set(statuses) <= {502, 503, 504}, statuses
     assert context.took_ms <= ms, context.took_ms
+
+
+@then("no VM takes an endpoint for crashed")
+def step_no_crash(context):
+    assert context.answer.is_broken_off, context.answer.data
+    crashes = [
+        line for vm in context.world.vms for line in vm.events("endpoint_crashed")
+    ]
+    assert not crashes, crashes
