--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -194,7 +194,7 @@
             self.member.transport,
             clock,
         )
-        self.reach = EndpointReach(directory, self._pool, clock)
+        self.reach = EndpointReach(directory, self._pool, clock, options.data_centre)
         self.quarantine = Quarantine(clock)
         self._crashes = CrashWatch(
             self.quarantine,
--- a/src/pomelolane/forwarding/reach.py
+++ b/src/pomelolane/forwarding/reach.py
@@ -24,6 +24,9 @@
 PROBED_ENDPOINTS = 4
 """Endpoints that must all be out of reach until the VM counts as cut off."""
 
+PROBED_NEAR = 2
+"""How many of them are in the VM's own data centre, if it has as many."""
+
 PROBE_INTERVAL_MS = 250.0
 """Time between two probes while the VM is cut off."""
 
@@ -44,18 +47,24 @@
         directory: Known endpoints.
         pool: Connections to endpoints; those made by probes are kept in it.
         clock: Source of the current time.
+        data_centre: Data centre of this VM.
 
     Attributes:
         is_cut_off: Whether no endpoint can be reached.
     """
 
     def __init__(
-        self, directory: EndpointDirectory, pool: ConnectionPool, clock: Clock
+        self,
+        directory: EndpointDirectory,
+        pool: ConnectionPool,
+        clock: Clock,
+        data_centre: str,
     ) -> None:
         self.is_cut_off = False
         self._directory = directory
         self._pool = pool
         self._clock = clock
+        self._data_centre = data_centre
         self._open_sends = 0
         self._checked_ms = 0.0
         self._heard_ms = clock.now_ms()
@@ -121,8 +130,16 @@
             await asyncio.sleep(pause_ms / 1000)
 
     def _sample(self) -> Sequence[str]:
-        addresses = {one.address for one in self._directory.listed() if not one.leaving}
-        return random.sample(sorted(addresses), min(PROBED_ENDPOINTS, len(addresses)))
+        """Return addresses to probe, those of this data centre first.
+
+        Where data centres are cut off from each other, others say nothing of this one.
+        """
+        listed = [one for one in self._directory.listed() if not one.leaving]
+        random.shuffle(listed)
+        near = [one for one in listed if one.data_centre == self._data_centre]
+        far = [one for one in listed if one.data_centre != self._data_centre]
+        chosen = [*near[:PROBED_NEAR], *far, *near[PROBED_NEAR:]]
+        return [one.address for one in chosen[:PROBED_ENDPOINTS]]
 
     async def _reaches_any(self, addresses: Sequence[str]) -> bool:
         """Return whether any address can be reached; the first one is tried alone."""
