--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -23,7 +23,6 @@
 from pomelolane.forwarding.failures import (
     RetrySignal,
     broken_by_endpoint,
-    broken_by_peer,
     incomplete_answer,
     refused_by_endpoint,
     timed_out,
@@ -34,7 +33,7 @@
     wait_for_first_byte,
 )
 from pomelolane.forwarding.handles import handle_from_state
-from pomelolane.forwarding.peers import relay_address
+from pomelolane.forwarding.peer_relay import MISDIRECTED_STATUS
 from pomelolane.forwarding.refusals import (
     answer_refusal,
     refusal_after_sends,
@@ -58,12 +57,12 @@
     from pomelolane.forwarding.endpoints import EndpointDirectory
     from pomelolane.forwarding.intake import Intake
     from pomelolane.forwarding.notices import NoticeHandler
-    from pomelolane.forwarding.peers import RelayPeers
+    from pomelolane.forwarding.peer_relay import PeerRelay
     from pomelolane.forwarding.reach import EndpointReach
     from pomelolane.forwarding.sender import Sender, SendResult
     from pomelolane.http.exchange import Exchange
     from pomelolane.model import Endpoint
-    from pomelolane.ports import Clock, Grant, Peer, SchedulerClient
+    from pomelolane.ports import Clock, Grant, SchedulerClient
     from pomelolane.quarantine import CrashWatch, Quarantine
 
 MAX_GRANTS = 6
@@ -82,13 +81,8 @@
 SKIP_BODY_TIMEOUT_MS = 200
 """Longest time for which the body of a rejected request is read."""
 
-_MISDIRECTED_STATUS = 421
-_NOT_RUN_STATUSES = frozenset({408, 429, 503})
 _FIRST_REDIRECTION_STATUS = 300
 _FIRST_SERVER_ERROR_STATUS = 500
-RELAY_RESERVE_MS = 20
-"""Time kept for the way back of an answer from another VM."""
-
 STOPPING_RETRY_MS = 50
 """Retry delay for callers of a stopping VM: other VMs can serve them at once."""
 
@@ -116,7 +110,7 @@
         clock: Source of the current time.
         data_centre: Data centre of this VM.
         reach: Tells whether this VM is cut off from all endpoints.
-        peers: Chooses VMs that serve its requests then.
+        peer_relay: Has other VMs serve its requests then.
 
     Attributes:
         open_calls: Requests that are not finished yet, by local id.
@@ -137,7 +131,7 @@
         clock: Clock,
         data_centre: str,
         reach: EndpointReach,
-        peers: RelayPeers,
+        peer_relay: PeerRelay,
     ) -> None:
         self._intake = intake
         self._client = client
@@ -151,7 +145,7 @@
         self._clock = clock
         self._data_centre = data_centre
         self._reach = reach
-        self._peers = peers
+        self._peer_relay = peer_relay
         self._budgets: dict[str, SharedRetryBudget] = {}
         self.open_calls: dict[str, CallState] = {}
         self.timeouts = Timeouts(clock)
@@ -211,10 +205,10 @@
         try:
             call = await self._intake.accept(exchange)
         except BadRequestError:
-            await exchange.respond(_MISDIRECTED_STATUS, [], b"")
+            await exchange.respond(MISDIRECTED_STATUS, [], b"")
             return
         if self._reach.is_cut_off or not self.can_accept(call.limit_ms):
-            await exchange.respond(_MISDIRECTED_STATUS, [], b"")
+            await exchange.respond(MISDIRECTED_STATUS, [], b"")
             return
         state = CallState(
             call,
@@ -271,11 +265,11 @@
         """Try endpoints until one answers; return the refusal if none does."""
         while True:
             try:
-                if await self._relay_by_peer(state, relay):
+                if await self._peer_relay.serve(state, relay):
                     return None
                 grant = await self._acquire_grant(state)
                 if isinstance(grant, Refusal):
-                    if await self._should_relay_instead(state):
+                    if state.excluded and await self._peer_relay.can_serve(state):
                         continue
                     return refusal_after_sends(state, grant)
                 await self._use_grant(state, relay, grant)
@@ -368,100 +362,6 @@
             raise refused_by_endpoint(state, watch, "the endpoint did not run it")
         await self._relay_answer(state, relay, sent, watch, endpoint)
 
-    # --- relays by other VMs --------------------------------------------------
-
-    async def _relay_by_peer(self, state: CallState, relay: Relay) -> bool:
-        """Have another VM serve the request if this one is cut off from all endpoints.
-
-        Returns:
-            Whether the request was answered. If not, no other VM can serve it.
-
-        Raises:
-            RetrySignal: The caller did not get a complete answer.
-            TimeoutError: The request's time limit has passed.
-        """
-        if state.is_relayed:
-            return False
-        while self._reach.is_cut_off:
-            peer = self._peers.choose(state.tried_peers)
-            if peer is None:
-                return False
-            state.tried_peers += (peer.vm_id,)
-            if await self._try_peer(state, relay, peer):
-                return True
-        return False
-
-    async def _should_relay_instead(self, state: CallState) -> bool:
-        """Return whether a refused request, for which endpoints failed, is relayed."""
-        if state.is_relayed or not state.excluded:
-            return False
-        is_cut_off = await self._reach.check()
-        return is_cut_off and self._peers.choose(state.tried_peers) is not None
-
-    async def _try_peer(self, state: CallState, relay: Relay, peer: Peer) -> bool:
-        """Relay the request to one VM; return whether it has answered for it."""
-        call = state.call
-        left_ms = int(self._remaining_ms(call)) - RELAY_RESERVE_MS
-        if left_ms <= 0:
-            raise TimeoutError
-        may_have_run_before, state.may_have_run = state.may_have_run, True
-        request_log.relayed(state, peer.vm_id, left_ms)
-        dispatch = Dispatch(call.organisation, left_ms, state.last_event_id)
-        address = relay_address(peer.address)
-        try:
-            stream = await self._sender.send_to_peer(
-                address, call, dispatch, state.sends
-            )
-        except EndpointRefusedError as error:
-            state.may_have_run = may_have_run_before
-            self._skip_peer(state, peer, 0, str(error))
-            return False
-        except EndpointBrokenError as error:
-            state.count_send()
-            self._skip_peer(state, peer, 0, str(error))
-            raise broken_by_peer(state, str(error)) from error
-        if stream.status == _MISDIRECTED_STATUS:
-            state.may_have_run = may_have_run_before
-            await stream.aclose()
-            self._skip_peer(state, peer, stream.status, "the VM can't serve it")
-            return False
-        state.count_send()
-        await self._relay_peers_answer(state, relay, stream, peer, may_have_run_before)
-        return True
-
-    def _skip_peer(
-        self, state: CallState, peer: Peer, status: int, detail: str
-    ) -> None:
-        self._peers.mark_unable(peer.vm_id)
-        now_ms = self._clock.now_ms()
-        request_log.relay_ended(state, peer.vm_id, status, now_ms, detail=detail)
-
-    async def _relay_peers_answer(
-        self,
-        state: CallState,
-        relay: Relay,
-        stream: AnswerStream,
-        peer: Peer,
-        may_have_run_before: bool,
-    ) -> None:
-        is_unrelated = state.answer_begun and stream.status >= _FIRST_REDIRECTION_STATUS
-        if stream.status in _NOT_RUN_STATUSES:
-            state.may_have_run = may_have_run_before
-        try:
-            if is_unrelated or (
-                stream.status in _NOT_RUN_STATUSES and may_have_run_before
-            ):
-                raise broken_by_peer(state, f"{peer.vm_id} answered {stream.status}")
-            result = await relay.relay(stream, lambda _: None)
-        finally:
-            await stream.aclose()
-        now_ms = self._clock.now_ms()
-        request_log.relay_ended(
-            state, peer.vm_id, stream.status, now_ms, result, result.failure
-        )
-        if not result.is_complete:
-            raise broken_by_peer(state, result.failure)
-
     def _first_byte_timeout_ms(self, state: CallState, grant: Grant) -> float | None:
         objective_ms = state.call.route.objective_ms
         if not objective_ms or not self._can_retry(state):
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -20,6 +20,7 @@
 from pomelolane.forwarding.intake import Intake
 from pomelolane.forwarding.ledger import Ledger
 from pomelolane.forwarding.notices import NoticeHandler
+from pomelolane.forwarding.peer_relay import PeerRelay
 from pomelolane.forwarding.peers import RelayPeers, relay_address
 from pomelolane.forwarding.reach import EndpointReach
 from pomelolane.forwarding.sender import Sender
@@ -223,10 +224,14 @@
         )
         self.rollouts.on_change = self._configure
         self._intake = Intake(dialect, clock)
+        sender = Sender(self._pool, self._peer_pool, dialect)
+        relay_peers = RelayPeers(
+            options.vm_id, options.data_centre, self.member.view, clock
+        )
         self.forwarder = Forwarder(
             self._intake,
             self.coordination.client,
-            Sender(self._pool, self._peer_pool, dialect),
+            sender,
             directory,
             NoticeHandler(
                 directory,
@@ -239,7 +244,7 @@
             clock,
             options.data_centre,
             self.reach,
-            RelayPeers(options.vm_id, options.data_centre, self.member.view, clock),
+            PeerRelay(self.reach, relay_peers, sender, clock),
         )
         self.member.on_tick(self.forwarder.timeouts.look)
         self.member.on_tick(self.reach.tick)
