Soak: cut the last VM off from all endpoints

Change: a disturbance vm_cut, in three ways, and a check of RECOVER beside those of the other rules. The last VM stands in a data centre of its own with links of its own.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -5,7 +5,7 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
-from bench.soak.evidence import vm_of
+from bench.soak.evidence import UNTIL_THE_END_S, vm_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -21,12 +21,15 @@
 DRAIN_S = 2.0
 REST_FROM_S = 0.5
 REST_MOST = 2
+CUT_FAILED_MOST = 10
+CUT_FAILED_EACH = 50
+CUT_SERVED_LEAST = 2 / 3
 ONCE_PATH = "/plain/file/"
 
 
 def check_all(evidence: Evidence) -> list[str]:
     """Return every broken rule in words."""
-    checks = (_limits, _departures, _rests, _once, _refusals)
+    checks = (_limits, _departures, _rests, _once, _refusals, _cuts)
     return [breach for check in checks for breach in check(evidence)]
 
 
@@ -118,3 +121,32 @@
         status = evidence.calls[request_id].status
         if status in (429, 503):
             yield f"REFUSED {request_id}: {status}, and it has run"
+
+
+def _cuts(evidence: Evidence) -> Iterator[str]:
+    """Compare the callers of a cut VM with those of VMs that nothing happens to."""
+    for vm, cut in evidence.cuts:
+        from_s = cut.from_s + STABLE_S
+        until_s = cut.until_s - STABLE_S
+        is_open = cut.until_s == UNTIL_THE_END_S
+        if is_open or any(
+            span is not cut and span.from_s <= until_s and span.until_s >= from_s
+            for span in evidence.disturbed[vm]
+        ):
+            continue
+        ends: dict[bool, list[bool]] = {True: [], False: []}
+        for request_id, call in evidence.calls.items():
+            at = vm_of(request_id)
+            if not from_s <= call.sent_s < until_s - SPAN_S / 2:
+                continue
+            if at == vm or not _is_excused(evidence, at, from_s, until_s):
+                ends[at == vm].append(call.status == 200)
+        own, others = ends[True], ends[False]
+        failed = own.count(False)
+        if failed <= CUT_FAILED_MOST + len(own) / CUT_FAILED_EACH or not others:
+            continue
+        if sum(own) / len(own) < CUT_SERVED_LEAST * sum(others) / len(others):
+            yield (
+                f"RECOVER VM {vm}: {sum(own)} of {len(own)}, the others {sum(others)} "
+                f"of {len(others)}"
+            )
--- a/bench/soak/evidence.py
+++ b/bench/soak/evidence.py
@@ -69,12 +69,14 @@
         starts: All starts of endpoints.
         calls: Requests by id; the id begins with the number of the VM.
         disturbed: For each VM, from when to when it was not in order.
+        cuts: VMs that were cut off from all endpoints, with these times.
         statuses: Answers by status.
     """
 
     starts: list[Start] = field(default_factory=list)
     calls: dict[str, Call] = field(default_factory=dict)
     disturbed: dict[int, list[Word]] = field(default_factory=dict)
+    cuts: list[tuple[int, Word]] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
 
 
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -21,6 +21,8 @@
     VM_STOP = "vm_stop"
     VM_FREEZE = "vm_freeze"
     VM_HUP = "vm_hup"
+    VM_CUT = "vm_cut"
+    """The last VM is cut off from all endpoints, in one of three ways."""
     STORE_BUSY = "store_busy"
     STORE_SILENT = "store_silent"
     LIMIT = "limit"
@@ -31,7 +33,8 @@
     """It turns each third request away for a time, and asks for rest."""
 
 
-_OF_VMS = (Kind.VM_KILL, Kind.VM_STOP, Kind.VM_FREEZE, Kind.VM_HUP)
+_OF_VMS = (Kind.VM_KILL, Kind.VM_STOP, Kind.VM_FREEZE, Kind.VM_HUP, Kind.VM_CUT)
+_CUTS = 3
 _OF_STORE = (Kind.STORE_BUSY, Kind.STORE_SILENT)
 _OF_ENDPOINTS = (Kind.LIMIT, Kind.LEAVE, Kind.REST)
 _WEIGHTED = (*_OF_VMS, *_OF_STORE, *_OF_ENDPOINTS * 2)
@@ -46,7 +49,8 @@
         kind: What.
         target: Number of the VM or endpoint, 0 for the store.
         for_s: How long.
-        value: Requests a second, or seconds of rest; 0 for other kinds.
+        value: Requests a second, seconds of rest, or which way of a cut; 0 for other
+            kinds.
     """
 
     at_s: float
@@ -94,6 +98,9 @@
 
 def _draw_one(draw: random.Random, at_s: float, vms: int, engines: int) -> Disturbance:
     kind = draw.choice(_WEIGHTED)
+    if kind is Kind.VM_CUT:
+        way = draw.randrange(_CUTS)
+        return Disturbance(at_s, kind, vms - 1, draw.uniform(6.0, 10.0), way)
     if kind in _OF_VMS:
         return Disturbance(at_s, kind, draw.randrange(vms), draw.uniform(0.5, 4.0))
     if kind in _OF_STORE:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -15,6 +15,7 @@
 from bench.soak.plan import Disturbance, Kind
 from standins.routed import EndpointOptions, MetadataStore, RoutedEndpoint
 from standins.routed.endpoint import registered
+from standins.routed.links import Cut, EndpointLink
 from standins.routed.store import Trouble
 from standins.routed.vm import PlatformVm
 
@@ -22,6 +23,7 @@
     from bench.soak.plan import Plan
 
 DATA_CENTRE = "hall-a"
+OTHER_DATA_CENTRE = "hall-b"
 HOST = "soak.example"
 _PLAIN_SERVICES = 3
 _SETTLED_S = 3.0
@@ -79,6 +81,7 @@
         self._running: dict[str, tuple[RoutedEndpoint, Start]] = {}
         self._addresses: dict[str, tuple[str, str]] = {}
         self._births = count(1)
+        self._links: list[EndpointLink] = []
         self.vms: list[PlatformVm] = []
         self.evidence = Evidence()
 
@@ -89,11 +92,26 @@
             await self._add(f"e{number}", "pool", EndpointOptions(events=5))
         for number in range(_PLAIN_SERVICES):
             await self._add(f"p{number}", "portal", EndpointOptions(work_ms=20))
-        for number in range(self._plan.vms):
+        for number in range(self._plan.vms - 1):
             vm = PlatformVm(number + 1, address, DATA_CENTRE)
             self.vms.append(await vm.start())
+        self.vms.append(await self._start_cuttable())
         await asyncio.gather(*(vm.ready() for vm in self.vms))
 
+    async def _start_cuttable(self) -> PlatformVm:
+        """Start a VM with links of its own to all endpoints.
+
+        It stands in a data centre of its own, since the VMs of one share the addresses
+        of endpoints.
+        """
+        addresses = {}
+        for _, address in self._addresses.values():
+            link = EndpointLink(address)
+            addresses[address] = await link.start()
+            self._links.append(link)
+        view = await self._store.start_view(addresses)
+        return await PlatformVm(self._plan.vms, view, OTHER_DATA_CENTRE).start()
+
     async def _add(
         self, name: str, service: str, options: EndpointOptions, port: int = 0
     ) -> None:
@@ -124,6 +142,9 @@
         span = Word(time.monotonic())
         self.evidence.disturbed.setdefault(one.target, []).append(span)
         match one.kind:
+            case Kind.VM_CUT:
+                self.evidence.cuts.append((one.target, span))
+                await self._cut_links(list(Cut)[int(one.value)], one.for_s)
             case Kind.VM_HUP:
                 vm.signal(signal.SIGHUP)
             case Kind.VM_FREEZE:
@@ -138,6 +159,13 @@
                 await vm.ready()
         span.until_s = time.monotonic() + _SETTLED_S
 
+    async def _cut_links(self, how: Cut, for_s: float) -> None:
+        for link in self._links:
+            await link.cut(how)
+        await asyncio.sleep(for_s)
+        for link in self._links:
+            await link.heal()
+
     async def _disturb_endpoint(self, one: Disturbance) -> None:
         name = f"e{one.target}"
         endpoint, start = self._running[name]
@@ -170,6 +198,8 @@
     async def aclose(self) -> None:
         for vm in self.vms:
             await vm.kill()
+        for link in self._links:
+            await link.aclose()
         for endpoint, _ in self._running.values():
             await endpoint.aclose()
         await self._store.aclose()
