--- a/standins/routed/links.py
+++ b/standins/routed/links.py
@@ -57,13 +57,18 @@
         elif how is Cut.REFUSED:
             self._reset_all()
 
-    async def heal(self) -> None:
-        """Let connections through again; those that hung are reset."""
+    async def heal(self, *, resets: bool = True) -> None:
+        """Let connections through again.
+
+        Args:
+            resets: Whether those that hung are reset, or else go on.
+        """
         for sock in self._full:
             sock.close()
         self._full.clear()
         if not self._flows.is_set():
-            self._reset_all()
+            if resets:
+                self._reset_all()
             self._flows.set()
         await self._listen()
 
--- a/tests/platform/reach.feature
+++ b/tests/platform/reach.feature
@@ -45,6 +45,19 @@
       | refused |
       | silent  |
 
+  # Guards against giving up requests whose endpoints are silent for a second.
+  Scenario Outline: A silent second of all endpoints breaks nothing off
+    Given engines that take 150 ms for each event
+    And endpoints that take <work_ms> ms
+    When its links are silent for 1000 ms, 250 ms after "<line>"
+    Then the answer is 200 and not broken off
+    And the endpoints have run 1 request
+
+    Examples:
+      | line               | work_ms |
+      | POST /chat/a       | 5       |
+      | POST /plain/file/a | 500     |
+
   # Guards against taking a VM's own cut for crashes of endpoints under its requests.
   Scenario: A cut VM blames no request for what it can't reach
     Given engines that take 300 ms for each event
--- a/tests/steps/platform_reach_steps.py
+++ b/tests/steps/platform_reach_steps.py
@@ -84,6 +84,30 @@
     context.run(play())
 
 
+@given("endpoints that take {ms:d} ms")
+def step_work_ms(context, ms):
+    for endpoint in context.world.endpoints.values():
+        endpoint.options.work_ms = ms
+
+
+@when('its links are silent for {for_ms:d} ms, {ms:d} ms after "{line}"')
+def step_silent(context, for_ms, ms, line):
+    async def play():
+        headers = caller_headers("q1")
+        asking = asyncio.ensure_future(
+            context.cut_vm.ask(f"{line} HTTP/1.1", headers, b"abc")
+        )
+        await asyncio.sleep(ms / 1000)
+        for link in context.world.links:
+            await link.cut(Cut.SILENT)
+        await asyncio.sleep(for_ms / 1000)
+        for link in context.world.links:
+            await link.heal(resets=False)
+        context.answer = await asking
+
+    context.run(play())
+
+
 @when("its links are whole again, and {ms:d} ms pass")
 def step_heal(context, ms):
     async def heal():
