--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -182,6 +182,8 @@
         unused,
         clock,
         "",
+        unused,
+        unused,
     )
     assert context.forwarder.can_accept(math.inf)
     context.forwarder.set_stop_time(clock.now_ms() + ms)
