--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -130,14 +130,14 @@
     "forward_accepted",
     "info",
     "request fingerprint grant route service organisation rank kind objective_ms "
-    "limit_ms prompt_tokens hint_tokens charge_tokens version",
+    "limit_ms prompt_tokens hint_tokens charge_tokens version resumes resume_after",
     "A routed request passed the checks under this configuration version.",
 )
 FORWARD_SENT = _define(
     212,
     "forward_sent",
     "info",
-    "request grant endpoint send waited_ms expected_ms left_ms list_age_ms",
+    "request grant endpoint send waited_ms expected_ms left_ms list_age_ms software",
     "The request leaves for the endpoint; from here it may have run.",
 )
 FORWARD_FINISHED = _define(
@@ -521,7 +521,7 @@
     803,
     "endpoint_known",
     "info",
-    "endpoint service data_centre leaving version",
+    "endpoint service data_centre leaving version software",
     "The registry lists an endpoint, or lists it otherwise than before.",
 )
 ENDPOINT_GONE = _define(
--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -145,6 +145,7 @@
                     data_centre=endpoint.data_centre,
                     leaving=endpoint.leaving,
                     version=version,
+                    software=endpoint.version,
                 )
         for callback in self._callbacks:
             callback()
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -328,7 +328,12 @@
         state.count_send()
         watch.note_dispatch()
         request_log.sent(
-            state, grant, remaining_ms, self._clock.now_ms(), self._directory.age_ms
+            state,
+            grant,
+            endpoint,
+            remaining_ms,
+            self._clock.now_ms(),
+            self._directory.age_ms,
         )
         dispatch = Dispatch(call.organisation, remaining_ms, state.last_event_id)
         sending = self._sender.send(connection, call, endpoint, dispatch)
--- a/src/pomelolane/forwarding/request_log.py
+++ b/src/pomelolane/forwarding/request_log.py
@@ -36,11 +36,18 @@
         hint_tokens=call.description.answer_hint_tokens,
         charge_tokens=call.charge_tokens,
         version=call.version,
+        resumes=call.description.resumes,
+        resume_after=call.description.resume_after.decode("latin-1"),
     )
 
 
 def sent(
-    state: CallState, grant: Grant, remaining_ms: int, now_ms: float, list_age_ms: float
+    state: CallState,
+    grant: Grant,
+    endpoint: Endpoint,
+    remaining_ms: int,
+    now_ms: float,
+    list_age_ms: float,
 ) -> None:
     """Log that a request is sent to an endpoint."""
     log_event(
@@ -53,6 +60,7 @@
         expected_ms=grant.expected_ttft_ms,
         left_ms=remaining_ms,
         list_age_ms=list_age_ms,
+        software=endpoint.version,
     )
 
 
--- a/src/pomelolane/platform/dialect.py
+++ b/src/pomelolane/platform/dialect.py
@@ -27,6 +27,9 @@
 _TOKENS = b"token-usage"
 _HINT = b"length-hint"
 _RESUME = b"last-event-id"
+# The caller's id of the attempt that brought the first event of its stream.
+_RESUMED_ATTEMPT = b"resumes"
+_LONGEST_ID = 200
 _KEY = b"authorization"
 _BEARER = b"bearer "
 _EXPECTED = b"expect-instance"
@@ -89,6 +92,7 @@
             answer_hint_tokens=_number(_HINT, found.get(_HINT, b"")),
             key=bearer.strip().decode("latin-1"),
             resume_after=found.get(_RESUME, b""),
+            resumes=_resumed_attempt(headers),
         )
 
     def request_headers(
@@ -148,6 +152,14 @@
         )
 
 
+def _resumed_attempt(headers: Sequence[Header]) -> str:
+    """Return the attempt that a caller resumes, empty if it names none or several."""
+    named = [value.strip() for key, value in headers if key == _RESUMED_ATTEMPT]
+    if len(named) != 1 or len(named[0]) > _LONGEST_ID:
+        return ""
+    return named[0].decode("latin-1")
+
+
 def _is_success(status: int) -> bool:
     return 200 <= status < 300
 
--- a/src/pomelolane/ports/forwarding.py
+++ b/src/pomelolane/ports/forwarding.py
@@ -30,6 +30,7 @@
         answer_hint_tokens: The caller's estimate of them, 0 for none.
         key: The caller's bearer key, empty where it gave none.
         resume_after: Id of the last event that the caller has, empty for none.
+        resumes: Id of the attempt that brought its first event, empty for none.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     answer_hint_tokens: int = 0
     key: str = ""
     resume_after: bytes = b""
+    resumes: str = ""
 
     @property
     def has_prompt(self) -> bool:
--- a/src/pomelolane/trace.py
+++ b/src/pomelolane/trace.py
@@ -39,21 +39,24 @@
 def trace_from_lines(request_id: str, lines: Iterable[str]) -> list[TracedLine]:
     """Return the lines of a request, gateways' and schedulers', in order of time.
 
+    Attempts that resume one stream are traced together.
+
     Args:
-        request_id: The id that the caller knows.
+        request_id: The id that the caller knows, of any attempt.
         lines: Log lines; text before the JSON object is kept as their source.
     """
     parsed = [line for line in map(_parsed, lines) if line is not None]
+    attempts = _attempts_of_stream(request_id, parsed)
     grants = {
         str(fields.get("grant", ""))
         for _, fields in parsed
-        if fields.get("request") == request_id and fields.get("grant")
+        if fields.get("request") in attempts and fields.get("grant")
     }
     ids = {grant.partition(".")[0] for grant in grants}
     found = [
         _traced(source, fields)
         for source, fields in parsed
-        if _is_of(str(fields.get("request", "")), request_id, ids)
+        if _is_of(str(fields.get("request", "")), attempts, ids)
     ]
     return sorted(found, key=lambda line: line.at_ms)
 
@@ -97,8 +100,22 @@
         return None
 
 
-def _is_of(value: str, request_id: str, ids: set[str]) -> bool:
-    return value == request_id or value.partition(".")[0] in ids
+def _attempts_of_stream(
+    request_id: str, parsed: Iterable[tuple[str, dict[str, Any]]]
+) -> set[str]:
+    """Return the ids of a request and of all attempts that resume the same stream."""
+    first_by_attempt = {
+        str(fields.get("request")): str(fields["resumes"])
+        for _, fields in parsed
+        if fields.get("resumes")
+    }
+    first = first_by_attempt.get(request_id, request_id)
+    resumed = {one for one, resumes in first_by_attempt.items() if resumes == first}
+    return {request_id, first, *resumed}
+
+
+def _is_of(value: str, attempts: set[str], ids: set[str]) -> bool:
+    return value in attempts or value.partition(".")[0] in ids
 
 
 def _traced(source: str, fields: dict[str, Any]) -> TracedLine:
--- a/tests/trace.feature
+++ b/tests/trace.feature
@@ -14,6 +14,25 @@
     Then the trace is "forward_accepted, placed, forward_sent, forward_refused"
     And its cause names "endpoint_broken"
 
+  # Guards against traces that show only one of the attempts that a caller made.
+  Scenario Outline: All attempts that resume one stream are traced together
+    Given the log lines
+      | vm  | t_ms | name             | fields                      |
+      | vm1 | 100  | forward_accepted | request=r1 grant=g1         |
+      | vm1 | 110  | forward_sent     | request=r1 grant=g1.0       |
+      | vm2 | 200  | forward_accepted | request=r2 grant=g2 resumes=r1 |
+      | vm3 | 201  | placed           | request=g2.0 endpoint=e1    |
+      | vm3 | 300  | forward_accepted | request=r3 grant=g3 resumes=r1 |
+      | vm1 | 301  | forward_accepted | request=r4 grant=g4 resumes=r9 |
+    When the request "<attempt>" is traced
+    Then the trace is "forward_accepted, forward_sent, forward_accepted, placed, forward_accepted"
+
+    Examples:
+      | attempt |
+      | r1      |
+      | r2      |
+      | r3      |
+
   Scenario: A request without an end is told as such
     Given the log lines
       | vm  | t_ms | name             | fields              |
