--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -97,6 +97,7 @@
             and the length of all others.
         line_end: What ends a line of its streams.
         trailer: Bytes behind the last event of its streams.
+        broken_share: Part of its streams that are reset inside their third event.
         brittle_limit: Requests that it may turn away within a second for want of room;
             beyond, it falls over. It says so in all answers. 0 for no such limit.
         down_s: How long it is down once it has fallen over.
@@ -115,6 +116,7 @@
     framing: BodyFraming | None = None
     line_end: str = "\n"
     trailer: bytes = b""
+    broken_share: float = 0.0
     brittle_limit: int = 0
     down_s: float = 3.0
     fatal: bytes = b""
@@ -356,7 +358,10 @@
         body = b"answer of " + self.endpoint_id.encode()
         if self.fault in _BREAKS:
             framing = self.options.framing or BodyFraming.LENGTH
-            await self._break_off(headers, writer, framing, body, len(body) // 2)
+            sent_bytes = len(body) // 2
+            await self._break_off(
+                self.fault, headers, writer, framing, body, sent_bytes
+            )
             return False
         framing = self.options.framing or BodyFraming.LENGTH
         head = _head(200, headers, len(body), framing)
@@ -367,6 +372,7 @@
 
     async def _break_off(
         self,
+        fault: Fault,
         headers: dict[str, str],
         writer: asyncio.StreamWriter,
         framing: BodyFraming,
@@ -375,14 +381,14 @@
     ) -> None:
         """Send only the beginning of a body, and end as the fault says."""
         sent = body[:sent_bytes]
-        if self.fault is Fault.CUT_SHORT:
+        if fault is Fault.CUT_SHORT:
             writer.write(_head(200, headers, len(sent), framing))
             writer.write(_framed(framing, sent) + _end_of(framing))
         else:
             writer.write(_head(200, headers, len(body), framing))
             writer.write(_framed(framing, body, sent_bytes))
         await writer.drain()
-        if self.fault is Fault.RESET:
+        if fault is Fault.RESET:
             # What was sent must have left before the reset takes it back.
             await asyncio.sleep(_BEFORE_RESET_S)
             _reset(writer)
@@ -405,17 +411,20 @@
         framing = self.options.framing or BodyFraming.CHUNKS
         first = int(request.headers.get("last-event-id", "0")) + 1
         numbers = range(first, self.options.events + 1)
-        if self.fault in _BREAKS and _BROKEN_EVENT in numbers:
+        fault = self.fault
+        if fault is Fault.NONE and random.random() < self.options.broken_share:
+            fault = Fault.RESET
+        if fault in _BREAKS and _BROKEN_EVENT in numbers:
             whole = b"".join(self._event(number) for number in numbers)
             before = range(first, _BROKEN_EVENT)
             sent_bytes = sum(len(self._event(number)) for number in before)
             sent_bytes += _BROKEN_EVENT_BYTES
-            await self._break_off(headers, writer, framing, whole, sent_bytes)
+            await self._break_off(fault, headers, writer, framing, whole, sent_bytes)
             return False
         size = sum(len(self._event(number)) for number in numbers)
         writer.write(_head(200, headers, size + len(self.options.trailer), framing))
         for number in numbers:
-            if self.fault is Fault.MUTE and number == _BROKEN_EVENT:
+            if fault is Fault.MUTE and number == _BROKEN_EVENT:
                 await asyncio.sleep(_LONG_S)
             await self._be_silent_if_ended()
             writer.write(_framed(framing, self._event(number)))
@@ -427,7 +436,8 @@
         return framing is not BodyFraming.CLOSE
 
     def _event(self, number: int) -> bytes:
-        lines = (f"id: {number}", f"data: piece {number}", "", "")
+        data = f"data: piece {number} of {self.options.version}"
+        lines = (f"id: {number}", data, "", "")
         return self.options.line_end.join(lines).encode()
 
 
--- a/tests/routed_world.py
+++ b/tests/routed_world.py
@@ -139,9 +139,10 @@
         row = registered(self.endpoints[name], service, address, DATA_CENTRE, state)
         self.store.put("servers", name, row)
 
-    async def add_vm(self):
+    async def add_vm(self, data_centre=DATA_CENTRE):
         """Start a VM as a real process and wait until it is ready."""
-        vm = PlatformVm(len(self.vms) + 1, self.store_address, bounds=self.bounds)
+        number = len(self.vms) + 1
+        vm = PlatformVm(number, self.store_address, data_centre, bounds=self.bounds)
         await vm.start()
         self.vms.append(vm)
         await vm.ready()
