--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -192,6 +192,14 @@
     "The other VM has answered, or could not serve the request (status 421 or 0).",
 )
 
+STREAM_ORIGIN_FOUND = _define(
+    221,
+    "stream_origin_found",
+    "info",
+    "request resumes service software source waited_ms",
+    "A caller resumes a stream, and where it began is known: it goes on only there.",
+)
+
 REQUEST_QUARANTINED = _define(
     218,
     "request_quarantined",
--- a/src/pomelolane/forwarding/call.py
+++ b/src/pomelolane/forwarding/call.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from pomelolane.forwarding.configuration import RouteKind
+from pomelolane.resumption import stream_key
+
 if TYPE_CHECKING:
     from pomelolane.forwarding.configuration import Route
     from pomelolane.model import Endpoint
@@ -35,6 +38,7 @@
         limit_ms: Time allowed from `accepted_ms` until the end of the answer.
         version: Version of the configuration used for the checks.
         fingerprint: Hash of the request's content, equal for repeated requests.
+        routed_since_ms: Since when the route has led to the same services.
     """
 
     local_id: str
@@ -52,12 +56,30 @@
     limit_ms: int
     version: int
     fingerprint: str = ""
+    routed_since_ms: float = 0.0
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller has the beginning of the stream already."""
+        is_stream = self.route.kind is RouteKind.STREAMING
+        return is_stream and bool(self.description.resume_after)
+
+    @property
+    def stream_key(self) -> int:
+        """Key of the stream over all attempts of its caller."""
+        first_attempt = self.description.first_attempt or self.local_id
+        return stream_key(self.organisation, first_attempt)
 
     @property
     def log_id(self) -> str:
         """The caller's request id, or the local id if the caller gave none."""
         return self.description.request_id or self.local_id
 
+    def resumable_ms(self, now_ms: float) -> float:
+        """Return for how long the caller may resume the stream."""
+        caller_ms = self.description.deadline_ms or self.limit_ms
+        return max(0.0, caller_ms - (now_ms - self.accepted_ms))
+
     def remaining_ms(self, now_ms: float) -> float:
         """Return the time left of the request's time limit."""
         return self.limit_ms - (now_ms - self.accepted_ms)
@@ -111,5 +133,10 @@
     @property
     def needs_origin(self) -> bool:
         """Whether the answer may only go on, and where it began is not known."""
-        is_resumable = self.call.route.is_resumable
-        return self.answer_begun and is_resumable and self.origin is None
+        has_begun = self.answer_begun and self.call.route.is_resumable
+        return self.origin is None and (has_begun or self.call.resumes_stream)
+
+    def bind(self, origin: StreamOrigin) -> None:
+        """Let the answer go on only where it began."""
+        self.origin = origin
+        self.call = replace(self.call, service=origin.service)
--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -39,7 +39,9 @@
         self._leaving_marked_ms: dict[str, float] = {}
         self._version = 0
         self._callbacks: list[Callable[[], None]] = []
+        self._refreshers: list[Callable[[], None]] = []
         self._known = asyncio.Event()
+        self._next_confirmation = asyncio.Event()
 
     async def wait_until_known(self) -> None:
         """Wait until the first list of endpoints was adopted."""
@@ -68,9 +70,30 @@
         """Call back after each change of the list."""
         self._callbacks.append(callback)
 
+    def on_refresh(self, callback: Callable[[], None]) -> None:
+        """Call back when the source is to be read at once."""
+        self._refreshers.append(callback)
+
+    async def refresh(self, timeout_ms: float) -> bool:
+        """Have the source confirm the list, and return whether it did so in time."""
+        confirmation = self._next_confirmation
+        for callback in self._refreshers:
+            callback()
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await confirmation.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def confirm(self) -> None:
         """Record that the source still reports the same list."""
         self._confirmed_ms = self._clock.now_ms()
+        confirmation, self._next_confirmation = (
+            self._next_confirmation,
+            asyncio.Event(),
+        )
+        confirmation.set()
 
     def mark_leaving(self, instance_id: str) -> bool:
         """Mark an endpoint instance as leaving, whatever the source reports.
@@ -120,11 +143,11 @@
             version: Version of the list, for the log.
             confirms: Whether the source has just confirmed the list.
         """
-        if confirms:
-            self.confirm()
         self._known.set()
         self._version = version
         self._adopt(endpoints)
+        if confirms:
+            self.confirm()
 
     def _adopt(self, endpoints: dict[str, Endpoint]) -> None:
         if self._leaving_marked_ms:
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -71,6 +71,7 @@
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock, Grant, SchedulerClient
     from pomelolane.quarantine import CrashWatch, Quarantine
+    from pomelolane.resumption import Resumption, StreamOrigin
 
 MAX_GRANTS = 6
 """Most grants that one request asks for. Refused connections use up grants, but are not
@@ -119,6 +120,7 @@
         data_centre: Data centre of this VM.
         reach: Tells whether this VM is cut off from all endpoints.
         peer_relay: Has other VMs serve its requests then.
+        resumption: Records where streams begin.
 
     Attributes:
         open_calls: Requests that are not finished yet, by local id.
@@ -140,6 +142,7 @@
         data_centre: str,
         reach: EndpointReach,
         peer_relay: PeerRelay,
+        resumption: Resumption,
     ) -> None:
         self._intake = intake
         self._client = client
@@ -154,6 +157,8 @@
         self._data_centre = data_centre
         self._reach = reach
         self._peer_relay = peer_relay
+        self._peer_relay.on_begin(self._begin_stream)
+        self._resumption = resumption
         self._budgets: dict[str, SharedRetryBudget] = {}
         self.open_calls: dict[str, CallState] = {}
         self.timeouts = Timeouts(clock)
@@ -265,14 +270,49 @@
             self._budget(call.service).earn()
         try:
             async with self.timeouts.after(self._remaining_ms(call)):
-                refusal = await self._try_endpoints(state, relay)
+                refusal = await self._find_origin(state)
+                if refusal is None:
+                    refusal = await self._try_endpoints(state, relay)
         except TimeoutError:
             refusal = timed_out(state)
+        finally:
+            self._resumption.end(call.stream_key)
         if refusal is None:
             metrics.count_end(call.route.name, call.service, call.rank, _DELIVERED)
             return
         await self._refuse(state, exchange, refusal)
 
+    async def _find_origin(self, state: CallState) -> Refusal | None:
+        """Bind a stream that its caller resumes to where it began.
+
+        Returns:
+            A refusal if that is not known, or the route does not lead there any more.
+        """
+        if state.origin is None and state.call.resumes_stream:
+            await self._ask_for_origin(state)
+        if state.needs_origin:
+            return origin_unknown(state)
+        if state.origin is None:
+            return None
+        targets = state.call.route.targets
+        if not any(target.service == state.origin.service for target in targets):
+            return no_matching_version(state)
+        state.bind(state.origin)
+        return None
+
+    async def _ask_for_origin(self, state: CallState) -> None:
+        call = state.call
+        asked_ms = self._clock.now_ms()
+        found = await self._resumption.find(
+            call.stream_key, call.service, call.routed_since_ms
+        )
+        if found is None:
+            metrics.count_resumed(call.service, "unknown")
+            return
+        waited_ms = self._clock.now_ms() - asked_ms
+        request_log.origin_found(call, found.origin, found.source, waited_ms)
+        state.origin = found.origin
+
     async def _try_endpoints(self, state: CallState, relay: Relay) -> Refusal | None:
         """Try endpoints until one answers; return the refusal if none does."""
         while True:
@@ -406,6 +446,16 @@
             raise refused_by_endpoint(state, watch, "the endpoint did not run it")
         await self._relay_answer(state, relay, sent, watch, endpoint)
 
+    def _begin_stream(self, state: CallState, origin: StreamOrigin) -> None:
+        """Bind a stream to where it begins, before its first events are sent."""
+        call = state.call
+        if state.origin is None:
+            state.origin = origin
+        if call.route.is_resumable:
+            self._resumption.begin(
+                call.stream_key, state.origin, call.resumable_ms(self._clock.now_ms())
+            )
+
     def _first_byte_timeout_ms(self, state: CallState, grant: Grant) -> float | None:
         objective_ms = state.call.route.objective_ms
         if not objective_ms or not self._can_retry(state):
@@ -429,7 +479,7 @@
             watch.note_tokens(chunks)
 
         def on_begin() -> None:
-            state.origin = state.origin or origin_from_endpoint(endpoint)
+            self._begin_stream(state, origin_from_endpoint(endpoint))
 
         try:
             if failed or state.answer_begun:
--- a/src/pomelolane/forwarding/handles.py
+++ b/src/pomelolane/forwarding/handles.py
@@ -35,7 +35,7 @@
     if patience_ms:
         silent_since_ms = state.last_sent_ms or call.accepted_ms
         patience_ms = max(1, int(patience_ms - (now_ms - silent_since_ms)))
-    if state.answer_begun:
+    if state.answer_begun or call.resumes_stream:
         # The caller has a part of the answer, so the request precedes new ones of its
         # rank and is not refused early.
         objective_ms = 0
--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -14,11 +14,17 @@
 from pomelolane.quarantine import fingerprint_from_request
 
 if TYPE_CHECKING:
-    from pomelolane.forwarding.configuration import Configuration, Route
+    from pomelolane.forwarding.configuration import (
+        Configuration,
+        Route,
+        RouteTarget,
+    )
     from pomelolane.http.exchange import Exchange
     from pomelolane.ports import Clock
     from pomelolane.ports.forwarding import CallDescription, Dialect
 
+    Targets = tuple[RouteTarget, ...]
+
 DEFAULT_DEADLINE_MS = 30_000
 """Time limit of requests without a deadline header; a route may have a shorter one."""
 
@@ -44,11 +50,21 @@
         self._routes = RouteTable(())
         self._configuration: Configuration | None = None
         self._opened = asyncio.Event()
+        self._routed_since_ms: dict[tuple[str, str], tuple[Targets, float]] = {}
 
     def use_configuration(self, configuration: Configuration) -> None:
         """TokenUse this configuration for the checks from now on."""
         self._routes = RouteTable(configuration.routes)
         self._configuration = configuration
+        now_ms = self._clock.now_ms()
+        before = self._routed_since_ms
+        self._routed_since_ms = {}
+        for route in configuration.routes:
+            key = route.host, route.prefix
+            targets, since_ms = before.get(key, ((), 0.0))
+            if targets != route.targets:
+                since_ms = now_ms
+            self._routed_since_ms[key] = route.targets, since_ms
 
     def open(self) -> None:
         """Accept requests from now on: this VM knows its settings and the other VMs."""
@@ -86,7 +102,7 @@
             local_id=uuid.uuid4().hex,
             description=description,
             route=route,
-            service=service_from_route(route, description.request_id),
+            service=service_from_route(route, description.first_attempt),
             organisation=organisation,
             rank=configuration.rank(organisation, route),
             charge_tokens=configuration.charge(organisation, tokens),
@@ -100,6 +116,7 @@
             fingerprint=fingerprint_from_request(
                 organisation, exchange.method, target, body
             ),
+            routed_since_ms=self._routed_since_ms[route.host, route.prefix][1],
         )
 
     def _find_route(self, exchange: Exchange) -> Route:
--- a/src/pomelolane/forwarding/metrics.py
+++ b/src/pomelolane/forwarding/metrics.py
@@ -27,6 +27,10 @@
 _SENDS = Counter(
     "pomelolane_forwarded_sends_total", "Sends to endpoints, by service and result."
 )
+_RESUMED_STREAMS = Counter(
+    "pomelolane_resumed_streams_total",
+    "Streams that callers resumed, by service and how their origin was found.",
+)
 _STORE_CALLS = Counter(
     "pomelolane_store_calls_total",
     "Calls to the metadata store, by call and status; 0 where no answer came.",
@@ -56,6 +60,11 @@
     _SENDS.inc({"service": service, "result": result})
 
 
+def count_resumed(service: str, source: str) -> None:
+    """Count a stream that a caller resumes; the source is ``unknown`` for a refusal."""
+    _RESUMED_STREAMS.inc({"service": service, "source": source})
+
+
 def observe_wait(service: str, wait_ms: float) -> None:
     """Observe how long a request waited for a slot."""
     _WAIT_SECONDS.observe({"service": service}, wait_ms / 1000)
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -31,6 +31,7 @@
 from pomelolane.logs import log_event
 from pomelolane.membership import is_store_reader, make_member
 from pomelolane.quarantine import CrashNews, CrashWatch, Quarantine, RecordKeeper
+from pomelolane.resumption import make_resumption
 from pomelolane.rollouts import RolloutBounds, Rollouts
 
 if TYPE_CHECKING:
@@ -245,6 +246,9 @@
             options.data_centre,
             self.reach,
             PeerRelay(self.reach, relay_peers, sender, clock),
+            make_resumption(
+                options.vm_id, directory, self.member, self.member.transport, clock
+            ),
         )
         self.member.on_tick(self.forwarder.timeouts.look)
         self.member.on_tick(self.reach.tick)
--- a/src/pomelolane/forwarding/peer_relay.py
+++ b/src/pomelolane/forwarding/peer_relay.py
@@ -16,6 +16,8 @@
 from pomelolane.resumption import ORIGIN_HEADER, origin_from_header
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.call import CallState
     from pomelolane.forwarding.peers import RelayPeers
@@ -23,6 +25,7 @@
     from pomelolane.forwarding.relay import Relay, RelayResult
     from pomelolane.forwarding.sender import Sender
     from pomelolane.ports import Clock, Peer
+    from pomelolane.resumption import StreamOrigin
 
 MISDIRECTED_STATUS = 421
 """Status by which a VM says that it can't serve a request, and has not run it."""
@@ -51,6 +54,11 @@
         self._peers = peers
         self._sender = sender
         self._clock = clock
+        self._on_begin: Callable[[CallState, StreamOrigin], None] = _ignore_begin
+
+    def on_begin(self, callback: Callable[[CallState, StreamOrigin], None]) -> None:
+        """Call back before the first events of a stream that another VM brings."""
+        self._on_begin = callback
 
     async def can_serve(self, state: CallState) -> bool:
         """Return whether another VM may serve a request, after a probe in doubt."""
@@ -140,7 +148,8 @@
             detail = "the VM does not go on at the version that began the stream"
 
         def on_begin() -> None:
-            state.origin = state.origin or origin
+            if origin is not None:
+                self._on_begin(state, origin)
 
         try:
             if detail:
@@ -163,3 +172,7 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         request_log.relay_ended(state, peer.vm_id, status, now_ms, result, detail)
+
+
+def _ignore_begin(state: CallState, origin: StreamOrigin) -> None:
+    """Do nothing before a stream begins."""
--- a/src/pomelolane/forwarding/request_log.py
+++ b/src/pomelolane/forwarding/request_log.py
@@ -16,6 +16,7 @@
     from pomelolane.model import Endpoint
     from pomelolane.outcomes import Refusal
     from pomelolane.ports import Grant
+    from pomelolane.resumption import StreamOrigin
 
 
 def accepted(call: ForwardCall) -> None:
@@ -64,6 +65,22 @@
     )
 
 
+def origin_found(
+    call: ForwardCall, origin: StreamOrigin, source: str, waited_ms: float
+) -> None:
+    """Log and count a resumed stream of which is known where it began."""
+    metrics.count_resumed(origin.service, source)
+    log_event(
+        events.STREAM_ORIGIN_FOUND,
+        request=call.log_id,
+        resumes=call.description.resumes,
+        service=origin.service,
+        software=origin.version,
+        source=source,
+        waited_ms=waited_ms,
+    )
+
+
 def finished(
     call: ForwardCall,
     endpoint: Endpoint,
--- a/src/pomelolane/messages/__init__.py
+++ b/src/pomelolane/messages/__init__.py
@@ -32,6 +32,13 @@
     Pulse,
 )
 from pomelolane.messages.quarantine import CrashesReported, ReportedCrash
+from pomelolane.messages.resumption import (
+    OriginTold,
+    OriginWanted,
+    ServiceVersions,
+    StreamBegun,
+    VersionsListed,
+)
 from pomelolane.messages.scheduling import (
     EstimatesShared,
     Granted,
@@ -87,6 +94,8 @@
     "Message",
     "NamedLimit",
     "NotScheduler",
+    "OriginTold",
+    "OriginWanted",
     "Progress",
     "Pulse",
     "RecordChange",
@@ -96,7 +105,9 @@
     "ReportedCrash",
     "ReservationsHeld",
     "RunningHandle",
+    "ServiceVersions",
     "SharedEstimate",
+    "StreamBegun",
     "StreamEvent",
     "Submit",
     "SubmitAck",
@@ -105,6 +116,7 @@
     "ToldUse",
     "Unfollow",
     "UsesTold",
+    "VersionsListed",
     "WatchedChanges",
     "Withdraw",
     "decode_message",
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -31,6 +31,12 @@
     Pulse,
 )
 from pomelolane.messages.quarantine import CrashesReported
+from pomelolane.messages.resumption import (
+    OriginTold,
+    OriginWanted,
+    StreamBegun,
+    VersionsListed,
+)
 from pomelolane.messages.scheduling import (
     EstimatesShared,
     Granted,
@@ -77,13 +83,24 @@
     | BranchContent
     | EndpointLeaving
     | CrashesReported
+    | StreamBegun
+    | OriginWanted
+    | OriginTold
+    | VersionsListed
     | KeyQuery
     | KeyAnswer
     | ClaimBatch
     | ClaimResults
 )
 
-SENT_ALONE = (EstimatesShared, ReservationsHeld)
+SENT_ALONE = (
+    EstimatesShared,
+    ReservationsHeld,
+    StreamBegun,
+    OriginWanted,
+    OriginTold,
+    VersionsListed,
+)
 """Kinds that VMs of version 0.1.0 do not know. Those reject a whole frame if they do
 not know one of its messages, so these are sent in frames of their own."""
 
--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 from typing import TYPE_CHECKING
@@ -47,6 +48,9 @@
 """Age from which on a VM reads the endpoints itself: the longest pause of the one
 that reads for it, and 0.2 s; with a read still well within the 2 s above."""
 
+REFRESH_INTERVAL_S = 0.1
+"""Shortest time between two reads that are asked for beside that pace."""
+
 RETURN_GRACE_S = 2.5
 """How long a row may be missing after an outage: the registry's entries are
 back within about two seconds of the store's return."""
@@ -83,6 +87,8 @@
         self._after = -1
         self._version = 0
         self._on_regained: list[Callable[[], None]] = []
+        self._refresh_wanted = asyncio.Event()
+        directory.on_refresh(self._refresh_wanted.set)
         current.on_change(lambda _: self._decode_all())
 
     def on_regained(self, callback: Callable[[], None]) -> None:
@@ -108,10 +114,12 @@
         while True:
             self._end_grace()
             fresh_s = self._fresh_s()
-            if fresh_s > 0:
-                await asyncio.sleep(min(fresh_s, self._grace_left_s()))
+            if fresh_s > 0 and not self._refresh_wanted.is_set():
+                await self._pause(fresh_s)
                 continue
+            self._refresh_wanted.clear()
             pause_s = ENDPOINT_PERIOD_S * random.uniform(0.9, 1.1)
+            least_s = REFRESH_INTERVAL_S
             try:
                 await self._step()
             except HistoryLostError:
@@ -119,8 +127,17 @@
                 continue
             except StoreUnavailableError as error:
                 is_reader = self._shared is None or self._shared.is_reader
-                pause_s = self._trouble.failed(error, is_reader=is_reader)
-            await asyncio.sleep(min(pause_s, self._grace_left_s()))
+                pause_s = least_s = self._trouble.failed(error, is_reader=is_reader)
+            await self._pause(pause_s, least_s)
+
+    async def _pause(self, pause_s: float, least_s: float = 0.0) -> None:
+        """Pause until missing rows are forgotten or, not too soon, a read is wanted."""
+        pause_s = min(pause_s, self._grace_left_s())
+        least_s = min(pause_s, least_s)
+        await asyncio.sleep(least_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s - least_s):
+                await self._refresh_wanted.wait()
 
     def _grace_left_s(self) -> float:
         """Return the time until missing rows are forgotten, if there are any.
--- a/src/pomelolane/ports/forwarding.py
+++ b/src/pomelolane/ports/forwarding.py
@@ -47,6 +47,12 @@
         """Whether the request is described by tokens."""
         return self.prompt_tokens > 0 or self.answer_limit_tokens > 0
 
+    @property
+    def first_attempt(self) -> str:
+        """Id of the attempt that brings, or has brought, the first event."""
+        resumes = self.resumes if self.resume_after else ""
+        return resumes or self.request_id
+
 
 class Verdict(StrEnum):
     """What an endpoint's head says of the request it is meant to answer."""
--- a/src/pomelolane/resumption/__init__.py
+++ b/src/pomelolane/resumption/__init__.py
@@ -11,12 +11,24 @@
     encode_origin,
     origin_from_endpoint,
     origin_from_header,
+    stream_key,
+)
+from pomelolane.resumption.resumption import (
+    FoundOrigin,
+    OriginSource,
+    Resumption,
+    make_resumption,
 )
 
 __all__ = [
     "ORIGIN_HEADER",
+    "FoundOrigin",
+    "OriginSource",
+    "Resumption",
     "StreamOrigin",
     "encode_origin",
+    "make_resumption",
     "origin_from_endpoint",
     "origin_from_header",
+    "stream_key",
 ]
--- a/src/pomelolane/resumption/origin.py
+++ b/src/pomelolane/resumption/origin.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote, unquote
 
+from xxhash import xxh3_64_intdigest
+
 if TYPE_CHECKING:
     from pomelolane.model import Endpoint
 
@@ -30,6 +32,17 @@
         return (endpoint.service, endpoint.version) == (self.service, self.version)
 
 
+def stream_key(organisation: str, first_attempt: str) -> int:
+    """Return the key of a stream.
+
+    Args:
+        organisation: The caller's organisation. What another one calls by the same id
+            is another stream.
+        first_attempt: The caller's id of the attempt that brings the first event.
+    """
+    return xxh3_64_intdigest(f"{organisation}\0{first_attempt}".encode())
+
+
 def origin_from_endpoint(endpoint: Endpoint) -> StreamOrigin:
     """Return the origin of streams that begin at an endpoint."""
     return StreamOrigin(endpoint.service, endpoint.version)
--- a/tests/platform/versions.feature
+++ b/tests/platform/versions.feature
@@ -31,3 +31,44 @@
     When callers take 40 streams a second for 5 s, and each third resumes at another VM
     Then no stream holds events of two versions
     And resumed streams go on at least half as often as new ones begin
+
+  # Guards, on each way by which a stream goes on, against joining versions and against
+  # refusing all that is resumed.
+  Scenario Outline: Resumed streams keep their version beside disturbances
+    Given a sixth of the streams is reset inside an event
+    When callers take 40 streams a second for 7 s, and each third resumes at another VM, while <what>
+    Then no stream holds events of two versions
+    And resumed streams go on at least half as often as new ones begin
+
+    Examples:
+      | what                                                 |
+      | nothing else happens and each resumes three times    |
+      | VMs are killed and start again in turn               |
+      | VMs are stopped and start again in turn              |
+      | all VMs are killed at once and start again           |
+      | the store refuses everything                         |
+      | a version comes and the other one shrinks            |
+      | the versions of engines restart one after the other  |
+
+  # Guards against the loss of the version on the way by another VM and back.
+  Scenario: Resumed streams keep their version by way of another VM
+    Given a VM in "hall-b" with links of its own
+    When callers take 30 streams a second for 7 s, and each third resumes at another VM, while that VM loses all endpoints
+    Then no stream holds events of two versions
+    And resumed streams go on at least half as often as new ones begin
+    And some streams were relayed
+
+  # Guards against take-ups that name no attempt, an unknown one, one of another
+  # organisation, or several.
+  Scenario Outline: A resumed stream that nobody knows is refused in time
+    When a stream that began is resumed with <how>
+    Then the answer is 503 within 1000 ms with the reason "origin_unknown"
+    And no engine got it
+
+    Examples:
+      | how                            |
+      | no attempt                     |
+      | an unknown attempt             |
+      | a name that is too long        |
+      | two attempts                   |
+      | the key of another organisation |
--- a/tests/routed_world.py
+++ b/tests/routed_world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 from standins.routed import EndpointOptions, MetadataStore, RoutedEndpoint
 from standins.routed.endpoint import registered
@@ -106,6 +107,19 @@
         self.register(name)
         return endpoint
 
+    async def replace_endpoint(self, name, successor, version):
+        """End an endpoint, and start one of another version at its address."""
+        self.store.delete("servers", name)
+        service, address = self.addresses[name]
+        options = replace(self.endpoints[name].options, version=version)
+        await self.endpoints[name].aclose()
+        endpoint = RoutedEndpoint(successor, options)
+        host, _, port = address.rpartition(":")
+        await endpoint.start(host, int(port))
+        self.endpoints[successor] = endpoint
+        self.addresses[successor] = (service, address)
+        self.register(successor)
+
     async def keep_starting(self, down_s):
         """Start endpoints that ended under a request again, under another id."""
         known = set()
--- a/tests/steps/platform_versions_steps.py
+++ b/tests/steps/platform_versions_steps.py
@@ -1,12 +1,22 @@
 """Steps of tests/platform/versions.feature, against real VMs and stand-ins."""
 
 import asyncio
+import json
 import random
+import time
 
 from behave import given, then, when
 
+from standins.routed.links import Cut
+from standins.routed.store import Trouble
 from standins.routed.streams import CallerStream, take_stream
-from tests.routed_world import RoutedWorld, caller_headers
+from tests.routed_world import (
+    KEY,
+    ORGANISATION,
+    RoutedWorld,
+    caller_headers,
+    configuration,
+)
 
 SERVICE = "pool"
 LINE = "POST /help/a"
@@ -15,12 +25,14 @@
 SEED = 1
 FEWEST_RESUMED = 12
 REGISTRY_S = 2.5
+OTHER_KEY = "key-of-another"
 
 
 @given('{count} engines with "{version}" and {others} with "{other}" in one service')
 def step_engines(context, count, version, others, other):
     context.world = world = context.run(RoutedWorld().start())
     context.add_cleanup(lambda: context.run(world.aclose()))
+    _allow_another_organisation(world)
     numbers = {"one": 1, "two": 2, "four": 4, "five": 5, "eight": 8, "no": 0}
     for name, amount in ((version, numbers[count]), (other, numbers[others])):
         for number in range(amount):
@@ -30,6 +42,17 @@
     context.draw = random.Random(SEED)
 
 
+def _allow_another_organisation(world):
+    """Add another organisation, and let both ask for as much as they like."""
+    document = json.loads(configuration())
+    tenant = document["tenants"][0]
+    tenants = [
+        tenant | {"name": name, "apiKeys": [key], "ratePerS": 0, "burst": 0}
+        for name, key in ((ORGANISATION, KEY), ("another", OTHER_KEY))
+    ]
+    world.configure(tenants=tenants)
+
+
 def _add_engine(context, name, version):
     context.run(context.world.add_endpoint(name, SERVICE, version=version, **ENGINES))
 
@@ -60,6 +83,11 @@
     context.run(asyncio.sleep(REGISTRY_S))
 
 
+def _headers():
+    """Return a caller's headers without the id of the attempt."""
+    return [one for one in caller_headers() if not one.startswith("request-id")]
+
+
 async def _take_streams(context, per_s, seconds, leaves):
     """Take streams at a steady pace; ``leaves`` draws when each caller leaves."""
     tasks = []
@@ -71,9 +99,8 @@
             order[at] = context.draw.choice(others or vms)
         stream = CallerStream()
         context.streams.append(stream)
-        headers = [h for h in caller_headers() if not h.startswith("request-id")]
         taking = take_stream(
-            order, f"s{number}", LINE, headers, leaves(number), stream=stream
+            order, f"s{number}", LINE, _headers(), leaves(number), stream=stream
         )
         tasks.append(asyncio.ensure_future(taking))
         await asyncio.sleep(1 / per_s)
@@ -106,6 +133,155 @@
     context.run(_take_streams(context, per_s, seconds, lambda _: ()))
 
 
+def _leaves_thrice(context):
+    def leaves(number):
+        draw = context.draw
+        return [draw.randint(1, 4) for _ in range(3)] if number % 3 == 0 else ()
+
+    return leaves
+
+
+async def _in_turn(context, end):
+    """End the VMs one after the other; each is ready again before the next one."""
+    for vm in context.world.vms[:3]:
+        await asyncio.sleep(0.5)
+        end(vm)
+        await vm.process.wait()
+        await vm.start()
+        await vm.ready()
+
+
+async def _kill_in_turn(context):
+    await _in_turn(context, lambda vm: vm.process.kill())
+
+
+async def _stop_in_turn(context):
+    await _in_turn(context, lambda vm: vm.signal())
+
+
+async def _kill_all(context):
+    await asyncio.sleep(2.0)
+    await context.world.restart_vms()
+
+
+async def _refuse(context):
+    await asyncio.sleep(1.0)
+    context.world.store.trouble = Trouble.BUSY
+
+
+async def _come_and_shrink(context):
+    """Let engines of a third version come, and all but two of the first leave."""
+    await asyncio.sleep(1.0)
+    for number in range(3):
+        await context.world.add_endpoint(
+            f"v3-{number}", SERVICE, version="v3", **ENGINES
+        )
+    for number in range(3):
+        await asyncio.sleep(0.5)
+        context.world.register(f"v1-{number}", "draining")
+
+
+async def _restart_engines(context):
+    """Replace engines by ones of the other version at their addresses, by new ids."""
+    for number in range(3):
+        await asyncio.sleep(1.0)
+        await context.world.replace_endpoint(f"v1-{number}", f"v2-again{number}", "v2")
+
+
+async def _cut_links(context):
+    await asyncio.sleep(1.0)
+    for link in context.world.links:
+        await link.cut(Cut.REFUSED)
+    await asyncio.sleep(4.0)
+    for link in context.world.links:
+        await link.heal()
+
+
+async def _nothing(context):
+    del context
+
+
+DISTURBANCES = {
+    "nothing else happens and each resumes three times": _nothing,
+    "VMs are killed and start again in turn": _kill_in_turn,
+    "VMs are stopped and start again in turn": _stop_in_turn,
+    "all VMs are killed at once and start again": _kill_all,
+    "the store refuses everything": _refuse,
+    "a version comes and the other one shrinks": _come_and_shrink,
+    "the versions of engines restart one after the other": _restart_engines,
+    "that VM loses all endpoints": _cut_links,
+}
+
+
+@when(
+    "callers take {per_s:d} streams a second for {seconds:d} s, and each third resumes"
+    " at another VM, while {what}"
+)
+def step_while(context, per_s, seconds, what):
+    thrice = what.endswith("three times")
+    leaves = _leaves_thrice(context) if thrice else _each_third(context)
+
+    async def play():
+        disturbing = asyncio.ensure_future(DISTURBANCES[what](context))
+        await _take_streams(context, per_s, seconds, leaves)
+        await disturbing
+
+    context.run(play())
+
+
+@given('a VM in "{data_centre}" with links of its own')
+def step_linked_vm(context, data_centre):
+    context.run(context.world.add_vm_with_links(data_centre))
+
+
+@then("some streams were relayed")
+def step_relayed(context):
+    relayed = [
+        line for vm in context.world.vms for line in vm.events("forward_relayed")
+    ]
+    resumed = [line for line in relayed if line["sends"] > 0]
+    assert relayed and resumed, (len(relayed), len(resumed))
+
+
+@when("a stream that began is resumed with {how}")
+def step_resumed_with(context, how):
+    async def play():
+        order = context.world.vms[:1]
+        began = await take_stream(order, "s", LINE, _headers(), [3])
+        first = began.first_request_id
+        fields = {
+            "no attempt": [],
+            "an unknown attempt": ["resumes: unknown"],
+            "a name that is too long": [f"resumes: {first}{'x' * 300}"],
+            "two attempts": [f"resumes: {first}", "resumes: another"],
+            "the key of another organisation": [f"resumes: {first}"],
+        }[how]
+        key = OTHER_KEY if how.startswith("the key") else KEY
+        headers = [*caller_headers("again", key=key), "last-event-id: 3", *fields]
+        started_s = time.monotonic()
+        context.answer = await context.world.vms[1].ask(f"{LINE} HTTP/1.1", headers)
+        context.took_s = time.monotonic() - started_s
+
+    context.run(play())
+
+
+@then('the answer is {status:d} within {ms:d} ms with the reason "{reason}"')
+def step_refused(context, status, ms, reason):
+    assert context.answer.status == status, context.answer.data
+    assert json.loads(context.answer.body)["reason"] == reason
+    assert context.took_s <= ms / 1000, context.took_s
+
+
+@then("no engine got it")
+def step_no_engine(context):
+    seen = [
+        one.headers["request-id"]
+        for endpoint in context.world.endpoints.values()
+        for one in endpoint.seen
+    ]
+    assert "again" not in seen
+
+
 @then("no answer holds events of two versions")
 def step_one_version_in_answer(context):
     attempts = [each for one in context.streams for each in one.attempts]
