--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -7,9 +7,11 @@
 from typing import TYPE_CHECKING
 
 from bench.soak.evidence import Call
+from standins.routed.streams import CallerStream, take_stream
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
     from itertools import count
 
     from bench.soak.evidence import Evidence
@@ -19,6 +21,8 @@
 _MEAN_PAUSE_S = 0.4
 _TIMEOUT_S = 4.0
 _AGAIN_S = 0.1
+_STREAM_ATTEMPTS = 4
+STREAM_LINE = "POST /help/a"
 _PATHS = ("GET /plain/a", "POST /plain/file/a", "POST /chat/a", "POST /help/a")
 
 
@@ -85,6 +89,29 @@
         return not closes
 
 
+async def take_streams(
+    vms: Sequence[PlatformVm],
+    headers: Sequence[str],
+    evidence: Evidence,
+    draw: random.Random,
+    ids: count,
+) -> None:
+    """Take streams until cancelled; leave half of them and resume them elsewhere."""
+
+    def make_id(vm: PlatformVm) -> str:
+        request_id = f"{vms.index(vm)}-{next(ids)}"
+        evidence.calls[request_id] = Call(time.monotonic(), STREAM_LINE)
+        return request_id
+
+    while True:
+        order = draw.sample(vms, min(len(vms), _STREAM_ATTEMPTS))
+        leaves = [draw.randint(1, 4) for _ in range(draw.choice((0, 0, 1, 2)))]
+        stream = CallerStream()
+        evidence.streams.append(stream)
+        await take_stream(order, make_id, STREAM_LINE, headers, leaves, stream=stream)
+        await asyncio.sleep(draw.expovariate(1 / _MEAN_PAUSE_S))
+
+
 async def _read_answer(reader: asyncio.StreamReader) -> tuple[int, bool]:
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
     status = int(head.split(" ", 2)[1])
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -12,6 +12,7 @@
 
     from bench.soak.evidence import Evidence, Start, Word
     from standins.routed.endpoint import Seen
+    from standins.routed.streams import Attempt, CallerStream
 
 
 STABLE_S = 3.0
@@ -25,11 +26,23 @@
 CUT_FAILED_EACH = 50
 CUT_SERVED_LEAST = 2 / 3
 ONCE_PATH = "/plain/file/"
+RESUMED_LEAST = 12
+GONE_ON_LEAST = 0.5
+FEWEST_OF_VERSION = 2
 
 
 def check_all(evidence: Evidence) -> list[str]:
     """Return every broken rule in words."""
-    checks = (_limits, _departures, _rests, _once, _refusals, _cuts)
+    checks = (
+        _limits,
+        _departures,
+        _rests,
+        _once,
+        _refusals,
+        _cuts,
+        _versions,
+        _resumed,
+    )
     return [breach for check in checks for breach in check(evidence)]
 
 
@@ -123,6 +136,47 @@
             yield f"REFUSED {request_id}: {status}, and it has run"
 
 
+def _versions(evidence: Evidence) -> Iterator[str]:
+    for stream in evidence.streams:
+        if len(stream.versions) > 1 or stream.has_gaps:
+            attempts = [(each.request_id, each.versions) for each in stream.attempts]
+            yield f"ORDER {stream.event_ids} by {attempts}"
+
+
+def _resumed(evidence: Evidence) -> Iterator[str]:
+    """Compare streams that callers resume at VMs in order with new ones there."""
+    gone_on: dict[bool, list[bool]] = {True: [], False: []}
+    for stream in evidence.streams:
+        for attempt in stream.attempts:
+            if attempt.held_s and _is_owed(evidence, stream, attempt):
+                gone_on[attempt.resumes].append(attempt.goes_on)
+    resumed, begun = gone_on[True], gone_on[False]
+    if len(resumed) < RESUMED_LEAST or not begun:
+        return
+    least = GONE_ON_LEAST * sum(begun) / len(begun)
+    if sum(resumed) / len(resumed) < least:
+        yield (
+            f"LOST {sum(resumed)} of {len(resumed)} resumed streams, {sum(begun)} of "
+            f"{len(begun)} new ones"
+        )
+
+
+def _is_owed(evidence: Evidence, stream: CallerStream, attempt: Attempt) -> bool:
+    """Return whether an attempt came to a VM in order, with endpoints to serve it."""
+    from_s, until_s = attempt.sent_s - STABLE_S, attempt.sent_s + attempt.held_s
+    vm = vm_of(attempt.request_id)
+    if _is_excused(evidence, vm, attempt.sent_s, until_s):
+        return False
+    if not attempt.resumes:
+        return True
+    serving = [
+        start
+        for start in evidence.starts
+        if start.version in stream.versions and start.serves(from_s, until_s)
+    ]
+    return len(serving) >= FEWEST_OF_VERSION
+
+
 def _cuts(evidence: Evidence) -> Iterator[str]:
     """Compare the callers of a cut VM with those of VMs that nothing happens to."""
     for vm, cut in evidence.cuts:
--- a/bench/soak/evidence.py
+++ b/bench/soak/evidence.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from standins.routed.endpoint import Seen
+    from standins.routed.streams import CallerStream
 
 UNTIL_THE_END_S = float("inf")
 
@@ -37,6 +38,10 @@
         limits: The limits that it named.
         rests: When it turned requests away.
         leaves_s: When it first said that it leaves.
+        version: Version of its software.
+        born_ms: What it registered as its start.
+        from_s: When it was registered.
+        until_s: When it ended.
     """
 
     name: str
@@ -44,6 +49,14 @@
     limits: list[Word] = field(default_factory=list)
     rests: list[Word] = field(default_factory=list)
     leaves_s: float = UNTIL_THE_END_S
+    version: str = ""
+    born_ms: int = 0
+    from_s: float = 0.0
+    until_s: float = UNTIL_THE_END_S
+
+    def serves(self, from_s: float, until_s: float) -> bool:
+        """Return whether it took requests all the time."""
+        return self.from_s <= from_s and until_s < min(self.leaves_s, self.until_s)
 
 
 @dataclass(slots=True)
@@ -71,6 +84,7 @@
         disturbed: For each VM, from when to when it was not in order.
         cuts: VMs that were cut off from all endpoints, with these times.
         statuses: Answers by status.
+        streams: Streams of callers who resume them.
     """
 
     starts: list[Start] = field(default_factory=list)
@@ -78,6 +92,7 @@
     disturbed: dict[int, list[Word]] = field(default_factory=dict)
     cuts: list[tuple[int, Word]] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
+    streams: list[CallerStream] = field(default_factory=list)
 
 
 def vm_of(request_id: str) -> int:
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -31,12 +31,16 @@
     """It says that it leaves, and starts again under its id after a time."""
     REST = "rest"
     """It turns each third request away for a time, and asks for rest."""
+    BREAK = "break"
+    """It resets a half of its streams inside an event for a time."""
+    RELEASE = "release"
+    """It leaves, and one of the other version takes its address under another id."""
 
 
 _OF_VMS = (Kind.VM_KILL, Kind.VM_STOP, Kind.VM_FREEZE, Kind.VM_HUP, Kind.VM_CUT)
 _CUTS = 3
 _OF_STORE = (Kind.STORE_BUSY, Kind.STORE_SILENT)
-_OF_ENDPOINTS = (Kind.LIMIT, Kind.LEAVE, Kind.REST)
+_OF_ENDPOINTS = (Kind.LIMIT, Kind.LEAVE, Kind.REST, Kind.BREAK, Kind.RELEASE)
 _WEIGHTED = (*_OF_VMS, *_OF_STORE, *_OF_ENDPOINTS * 2)
 
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -7,10 +7,11 @@
 import random
 import signal
 import time
+from dataclasses import replace
 from itertools import count
 from typing import TYPE_CHECKING
 
-from bench.soak.callers import CALLERS_PER_VM, Caller
+from bench.soak.callers import CALLERS_PER_VM, Caller, take_streams
 from bench.soak.evidence import Evidence, Start, Word
 from bench.soak.plan import Disturbance, Kind
 from standins.routed import EndpointOptions, MetadataStore, RoutedEndpoint
@@ -26,6 +27,9 @@
 OTHER_DATA_CENTRE = "hall-b"
 HOST = "soak.example"
 _PLAIN_SERVICES = 3
+_VERSIONS = ("v1", "v2")
+_DRAINING_S = 2.5
+_STREAM_CALLERS_PER_VM = 2
 _SETTLED_S = 3.0
 """Time after a disturbance of a VM for which it is excused, as on the users' pages."""
 
@@ -82,6 +86,7 @@
         self._addresses: dict[str, tuple[str, str]] = {}
         self._births = count(1)
         self._links: list[EndpointLink] = []
+        self._engines: dict[int, str] = {}
         self.vms: list[PlatformVm] = []
         self.evidence = Evidence()
 
@@ -89,7 +94,10 @@
         address = await self._store.start()
         self._store.put("op", "config", _configuration())
         for number in range(self._plan.engines):
-            await self._add(f"e{number}", "pool", EndpointOptions(events=5))
+            options = EndpointOptions(
+                events=8, event_ms=25.0, version=_VERSIONS[number % len(_VERSIONS)]
+            )
+            await self._add(f"e{number}", "pool", options)
         for number in range(_PLAIN_SERVICES):
             await self._add(f"p{number}", "portal", EndpointOptions(work_ms=20))
         for number in range(self._plan.vms - 1):
@@ -117,13 +125,13 @@
     ) -> None:
         endpoint = RoutedEndpoint(name, options)
         address = await endpoint.start("127.0.0.1", port)
-        start = Start(name, endpoint.seen)
+        start = Start(name, endpoint.seen, version=options.version)
+        start.from_s = time.monotonic()
         self.evidence.starts.append(start)
         self._running[name] = endpoint, start
         self._addresses[name] = service, address
-        row = registered(
-            endpoint, service, address, DATA_CENTRE, born_ms=next(self._births)
-        )
+        start.born_ms = next(self._births)
+        row = registered(endpoint, service, address, DATA_CENTRE, born_ms=start.born_ms)
         self._store.put("servers", name, row)
 
     async def act(self, one: Disturbance) -> None:
@@ -167,7 +175,7 @@
             await link.heal()
 
     async def _disturb_endpoint(self, one: Disturbance) -> None:
-        name = f"e{one.target}"
+        name = self._engines.get(one.target, f"e{one.target}")
         endpoint, start = self._running[name]
         word = Word(time.monotonic(), one.value)
         match one.kind:
@@ -182,6 +190,12 @@
                 endpoint.rest, endpoint.turns_away_each = f"{one.value:g}", 3
                 await asyncio.sleep(one.for_s)
                 endpoint.rest = ""
+            case Kind.BREAK:
+                endpoint.options.broken_share = 0.5
+                await asyncio.sleep(one.for_s)
+                endpoint.options.broken_share = 0.0
+            case Kind.RELEASE:
+                await self._release(one.target)
             case Kind.LEAVE:
                 start.leaves_s = word.from_s
                 endpoint.says["server-leaving"] = "1"
@@ -189,12 +203,35 @@
                 await self._start_again(name)
 
     async def _start_again(self, name: str) -> None:
-        endpoint, _ = self._running[name]
+        endpoint, start = self._running[name]
+        start.until_s = time.monotonic()
         await endpoint.aclose()
         service, address = self._addresses[name]
         port = int(address.rpartition(":")[2])
         await self._add(name, service, endpoint.options, port)
 
+    async def _release(self, number: int) -> None:
+        """Let an engine drain, and start one of the other version in its place."""
+        name = self._engines.get(number, f"e{number}")
+        endpoint, start = self._running.pop(name)
+        service, address = self._addresses.pop(name)
+        start.leaves_s = time.monotonic()
+        row = registered(
+            endpoint, service, address, DATA_CENTRE, "draining", start.born_ms
+        )
+        self._store.put("servers", name, row)
+        await asyncio.sleep(_DRAINING_S)
+        start.until_s = time.monotonic()
+        self._store.delete("servers", name)
+        await endpoint.aclose()
+        before = endpoint.options.version
+        version = next(one for one in _VERSIONS if one != before)
+        options = replace(endpoint.options, version=version, broken_share=0.0)
+        successor = f"{name}+"
+        self._engines[number] = successor
+        port = int(address.rpartition(":")[2])
+        await self._add(successor, service, options, port)
+
     async def aclose(self) -> None:
         for vm in self.vms:
             await vm.kill()
@@ -226,6 +263,12 @@
         for number, vm in enumerate(world.vms)
         for _ in range(CALLERS_PER_VM)
     ]
+    tasks += [
+        asyncio.create_task(
+            take_streams(world.vms, _HEADERS, world.evidence, draw, ids)
+        )
+        for _ in range(_STREAM_CALLERS_PER_VM * len(world.vms))
+    ]
     begun_s = time.monotonic()
     acting = [
         asyncio.create_task(_act_at(world, one, begun_s + one.at_s))
--- a/standins/routed/streams.py
+++ b/standins/routed/streams.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from standins.routed.vm import PlatformVm
 
@@ -34,7 +34,7 @@
         status: Status of the answer, 0 for none.
         versions: Version of each event that it brought.
         is_complete: Whether the answer ended as complete.
-        held_s: Time until the answer ended or the caller left.
+        held_s: Time until the answer ended or the caller left, 0 before.
     """
 
     request_id: str
@@ -83,7 +83,7 @@
 
 async def take_stream(
     vms: Sequence[PlatformVm],
-    name: str,
+    make_id: Callable[[PlatformVm], str],
     line: str,
     headers: Sequence[str],
     leaves_after: Sequence[int] = (),
@@ -94,7 +94,7 @@
 
     Args:
         vms: VMs in the order in which they are asked.
-        name: Beginning of the request ids.
+        make_id: Makes the id of an attempt at a VM.
         line: Method and path.
         headers: Headers of all attempts.
         leaves_after: Number of events after which the caller leaves, by attempt.
@@ -104,7 +104,7 @@
     leaves = dict(enumerate(leaves_after))
     for number, vm in enumerate(vms):
         attempt = Attempt(
-            f"{name}.{number}", vm.vm_id, time.monotonic(), bool(stream.event_ids)
+            make_id(vm), vm.vm_id, time.monotonic(), bool(stream.event_ids)
         )
         fields = [*headers, f"request-id: {attempt.request_id}"]
         if attempt.resumes:
--- a/tests/bench/soak.feature
+++ b/tests/bench/soak.feature
@@ -25,6 +25,21 @@
     When 30 requests of VM 0 reach it from 4 s on
     Then the soak finds nothing
 
+  Scenario Outline: Streams that callers resume are checked
+    Given soaked streams that were resumed at VM 1, of which <what>
+    Then the soak finds <broken>
+
+    Examples:
+      | what                                                     | broken  |
+      | all go on at their version                               | nothing |
+      | one goes on at another version                           | ORDER   |
+      | one gets an event twice                                  | ORDER   |
+      | 5 of 12 go on                                            | LOST    |
+      | 6 of 12 go on                                            | nothing |
+      | 5 of 11 go on                                            | nothing |
+      | 5 of 12 go on while VM 1 was not in order                | nothing |
+      | 5 of 12 go on with one endpoint of their version         | nothing |
+
   @processes
   Scenario: A short soak breaks no rule
     Then a soak of 30 s with seed 1 breaks no rule
--- a/tests/steps/bench_soak_steps.py
+++ b/tests/steps/bench_soak_steps.py
@@ -2,11 +2,12 @@
 
 from behave import given, then, when
 
-from bench.soak.checks import check_all
+from bench.soak.checks import RESUMED_LEAST, check_all
 from bench.soak.evidence import Call, Evidence, Start, Word
 from bench.soak.plan import draw_plan
 from bench.soak.run import play
 from standins.routed.endpoint import Seen
+from standins.routed.streams import Attempt, CallerStream
 
 GAP_S = 0.1
 LINE = "POST /plain/file/a HTTP/1.1"
@@ -55,6 +56,34 @@
         context.evidence.calls[request_id] = Call(at_s, line, status)
 
 
+def _stream(number, goes_on=True):
+    """Return a stream of three events, of which the last two were resumed."""
+    begun = Attempt(f"0-a{number}", "vm-1", 10.0, False, 200, ["v1"], held_s=0.1)
+    resumed = Attempt(f"1-b{number}", "vm-2", 10.2, True, 503, held_s=0.1)
+    if goes_on:
+        resumed.status, resumed.versions, resumed.is_complete = 200, ["v1"] * 2, True
+    return CallerStream([begun, resumed], [1, 2, 3] if goes_on else [1])
+
+
+@given("soaked streams that were resumed at VM 1, of which {what}")
+def step_streams(context, what):
+    starts = 1 if "one endpoint" in what else 2
+    context.evidence = Evidence(
+        starts=[Start(f"e{n}", [], version="v1") for n in range(starts)]
+    )
+    count = gone_on = RESUMED_LEAST
+    if what[0].isdigit():
+        gone_on, count = (int(word) for word in what.split()[:3:2])
+    streams = [_stream(number, number < gone_on) for number in range(count)]
+    if "another version" in what:
+        streams[0].attempts[1].versions = ["v2", "v2"]
+    if "twice" in what:
+        streams[0].event_ids = [1, 1, 2]
+    if "not in order" in what:
+        context.evidence.disturbed[1] = [Word(9.0, until_s=11.0)]
+    context.evidence.streams = streams
+
+
 @then("the soak finds {broken}")
 def step_found(context, broken):
     rules = {breach.split()[0] for breach in check_all(context.evidence)}
--- a/tests/steps/platform_versions_steps.py
+++ b/tests/steps/platform_versions_steps.py
@@ -1,6 +1,7 @@
 """Steps of tests/platform/versions.feature, against real VMs and stand-ins."""
 
 import asyncio
+import itertools
 import json
 import random
 import time
@@ -88,6 +89,13 @@
     return [one for one in caller_headers() if not one.startswith("request-id")]
 
 
+_NUMBERS = itertools.count(1)
+
+
+def _make_id(vm):
+    return f"{vm.vm_id}.{next(_NUMBERS)}"
+
+
 async def _take_streams(context, per_s, seconds, leaves):
     """Take streams at a steady pace; ``leaves`` draws when each caller leaves."""
     tasks = []
@@ -100,7 +108,7 @@
         stream = CallerStream()
         context.streams.append(stream)
         taking = take_stream(
-            order, f"s{number}", LINE, _headers(), leaves(number), stream=stream
+            order, _make_id, LINE, _headers(), leaves(number), stream=stream
         )
         tasks.append(asyncio.ensure_future(taking))
         await asyncio.sleep(1 / per_s)
@@ -247,7 +255,7 @@
 def step_resumed_with(context, how):
     async def play():
         order = context.world.vms[:1]
-        began = await take_stream(order, "s", LINE, _headers(), [3])
+        began = await take_stream(order, _make_id, LINE, _headers(), [3])
         first = began.first_request_id
         fields = {
             "no attempt": [],
