--- a/bench/caller.py
+++ b/bench/caller.py
@@ -44,6 +44,7 @@
         gaps_ms: Times between tokens.
         total_ms: Time until the end.
         text: The answer's text or body.
+        versions: Versions of the engines that made the events of the answer.
         whole: Whether the answer is whole and the caller's own.
         tag: Marks every token of the right answer.
         received_bytes: Length of the answer's body on the wire.
@@ -62,6 +63,7 @@
     gaps_ms: list[float] = field(default_factory=list)
     total_ms: float = 0.0
     text: str = ""
+    versions: set[str] = field(default_factory=set)
     whole: bool = False
     tag: str = ""
     received_bytes: int = 0
@@ -358,6 +360,8 @@
         record.error = record.error or "malformed event"
         return
     choices = event.get("choices")
+    if "system_fingerprint" in event:
+        record.versions.add(event["system_fingerprint"])
     if choices:
         texts.append(choices[0].get("delta", {}).get("content") or "")
         return
--- a/bench/chaos/checks/__init__.py
+++ b/bench/chaos/checks/__init__.py
@@ -1,6 +1,10 @@
 """The promises, each as a function from the evidence to what broke it."""
 
-from bench.chaos.checks.answers import check_answers, check_not_run
+from bench.chaos.checks.answers import (
+    check_answers,
+    check_not_run,
+    check_versions,
+)
 from bench.chaos.checks.breach import Breach
 from bench.chaos.checks.jobs import check_jobs
 from bench.chaos.checks.operation import check_leaving, check_stops
@@ -18,4 +22,5 @@
     "check_settings",
     "check_stops",
     "check_tiers",
+    "check_versions",
 ]
--- a/bench/chaos/checks/answers.py
+++ b/bench/chaos/checks/answers.py
@@ -27,6 +27,15 @@
             yield Breach("own_whole_answer", f"{problem}: {describe_call(result)}")
 
 
+def check_versions(evidence: Evidence) -> Iterator[Breach]:
+    """Yield each answer whose events were made by engines of two versions."""
+    for result in evidence.results:
+        versions = result.record.versions
+        if len(versions) > 1:
+            detail = f"{sorted(versions)}: {describe_call(result)}"
+            yield Breach("one_version", detail)
+
+
 def check_not_run(evidence: Evidence) -> Iterator[Breach]:
     """Yield each ``not_run`` of which an endpoint knows."""
     runs = evidence.runs_by_mark()
--- a/bench/chaos/run.py
+++ b/bench/chaos/run.py
@@ -103,6 +103,7 @@
         *checks.check_runs(evidence),
         *checks.check_not_run(evidence),
         *checks.check_answers(evidence),
+        *checks.check_versions(evidence),
         *checks.check_jobs(evidence),
         *checks.check_tiers(evidence, _engine_speeds(plan.deployment)),
         *checks.check_leaving(evidence),
--- a/standins/engine/core.py
+++ b/standins/engine/core.py
@@ -81,6 +81,7 @@
         self._timer_at_ms = 0.0
         self._journal = Journal()
         self._tally = Tally()
+        self._starts = 0
         self._start_cold()
 
     # --- requests ---------------------------------------------------------
@@ -197,7 +198,8 @@
     # --- inside -----------------------------------------------------------
 
     def _start_cold(self) -> None:
-        """Begin with no streams, an empty cache and the first model."""
+        """Begin with no streams, an empty cache, the first model and a new version."""
+        self._starts += 1
         options = self.options
         self._streams: dict[str, Stream] = {}
         self._open: dict[Sequence, Stream] = {}
@@ -222,7 +224,7 @@
         while stream_id in self._streams:
             copies += 1
             stream_id = f"{wished_id}-{copies}"
-        stream = Stream(stream_id, model, sequence)
+        stream = Stream(stream_id, model, sequence, f"v{self._starts}")
         self._streams[stream_id] = stream
         self._open[sequence] = stream
         return stream
--- a/standins/engine/streams.py
+++ b/standins/engine/streams.py
@@ -38,22 +38,28 @@
     Attributes:
         stream_id: Id to resume and cancel it by.
         model: Model that was asked.
+        version: Software version of the engine.
         sequence: Its place in the batch.
         chunks: Chunks that readers may have by now.
         end: How it ended, None while it goes on.
         ended: Set at the end.
     """
 
-    def __init__(self, stream_id: str, model: str, sequence: Sequence) -> None:
+    def __init__(
+        self, stream_id: str, model: str, sequence: Sequence, version: str = "v1"
+    ) -> None:
         self.stream_id = stream_id
         self.model = model
+        self.version = version
         self.sequence = sequence
         self.chunks = 0
         self.end: StreamEnd | None = None
         self.ended = asyncio.Event()
         self._progress = asyncio.Event()
         self._sinks: list[Sink] = []
-        self._before, self._after = _chunk_frame(stream_id, sequence.prompt.tag)
+        self._before, self._after = _chunk_frame(
+            stream_id, sequence.prompt.tag, version
+        )
 
     async def wait_for_chunk(self, number: int) -> None:
         """Wait until a chunk is there or the stream has ended."""
@@ -133,6 +139,7 @@
         event = {
             "id": self.stream_id,
             "object": "chat.completion.chunk",
+            "system_fingerprint": self.version,
             "choices": [choice],
             "usage": self.usage(),
         }
@@ -148,11 +155,12 @@
         }
 
 
-def _chunk_frame(stream_id: str, tag: str) -> tuple[bytes, bytes]:
+def _chunk_frame(stream_id: str, tag: str, version: str) -> tuple[bytes, bytes]:
     """Return what stands before and after a token's number in its event."""
     quoted_id = msgspec.json.encode(stream_id)
     before = (
         b'data: {"id":' + quoted_id + b',"object":"chat.completion.chunk",'
+        b'"system_fingerprint":' + msgspec.json.encode(version) + b","
         b'"choices":[{"index":0,"delta":{"content":"' + tag.encode() + b"-"
     )
     return before, b' "},"finish_reason":null}]}\n\n'
--- a/tests/bench/chaos/checks.feature
+++ b/tests/bench/chaos/checks.feature
@@ -21,6 +21,7 @@
       | own_whole_answer  | a call that got another's answer                         |
       | own_whole_answer  | a call that was cut without a word                       |
       | own_whole_answer  | a call that got an untyped refusal                       |
+      | one_version       | a call whose answer holds events of two versions         |
       | never_lost        | a job that did not end                                   |
       | never_lost        | a job that is done with a cut answer                     |
       | never_lost        | a job that was told not_run and ran                      |
--- a/tests/steps/bench_chaos_steps.py
+++ b/tests/steps/bench_chaos_steps.py
@@ -171,6 +171,9 @@
         [_result(text=expected_text(PROMPT, TOKENS - 1))], [_run()]
     ),
     "a call that got an untyped refusal": lambda: Evidence([_result(status=500)]),
+    "a call whose answer holds events of two versions": lambda: Evidence(
+        [_result(text=expected_text(PROMPT, TOKENS), versions={"v1", "v2"})], [_run()]
+    ),
     "a job that did not end": lambda: _job("running"),
     "a job that is done with a cut answer": lambda: _job(
         "done", answer=expected_text(PROMPT, TOKENS - 1)
