--- a/bench/soak/evidence.py
+++ b/bench/soak/evidence.py
@@ -37,7 +37,8 @@
         seen: The requests that reached it.
         limits: The limits that it named.
         rests: When it turned requests away.
-        leaves_s: When it first said that it leaves.
+        leaves_s: When it first said in its answers that it leaves.
+        drains_s: When its entry first said so.
         version: Version of its software.
         born_ms: What it registered as its start.
         from_s: When it was registered.
@@ -49,6 +50,7 @@
     limits: list[Word] = field(default_factory=list)
     rests: list[Word] = field(default_factory=list)
     leaves_s: float = UNTIL_THE_END_S
+    drains_s: float = UNTIL_THE_END_S
     version: str = ""
     born_ms: int = 0
     from_s: float = 0.0
@@ -56,7 +58,8 @@
 
     def serves(self, from_s: float, until_s: float) -> bool:
         """Return whether it took requests all the time."""
-        return self.from_s <= from_s and until_s < min(self.leaves_s, self.until_s)
+        ends_s = min(self.leaves_s, self.drains_s, self.until_s)
+        return self.from_s <= from_s and until_s < ends_s
 
 
 @dataclass(slots=True)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -215,7 +215,7 @@
         name = self._engines.get(number, f"e{number}")
         endpoint, start = self._running.pop(name)
         service, address = self._addresses.pop(name)
-        start.leaves_s = time.monotonic()
+        start.drains_s = time.monotonic()
         row = registered(
             endpoint, service, address, DATA_CENTRE, "draining", start.born_ms
         )
--- a/tests/platform/versions.feature
+++ b/tests/platform/versions.feature
@@ -49,6 +49,7 @@
       | the store refuses everything                         |
       | a version comes and the other one shrinks            |
       | the versions of engines restart one after the other  |
+      | the service is rolled out to the second version      |
 
   # Guards against the loss of the version on the way by another VM and back.
   Scenario: Resumed streams keep their version by way of another VM
@@ -58,6 +59,20 @@
     And resumed streams go on at least half as often as new ones begin
     And some streams were relayed
 
+  # Guards against attempts of one stream that are drawn to two services of a route.
+  Scenario: Resumed streams stay in their service where a route is split
+    Given a second service with "w1" takes half of the streams
+    When callers take 40 streams a second for 5 s, and each third resumes at another VM
+    Then no stream holds events of two versions
+    And resumed streams go on at least half as often as new ones begin
+
+  # Guards against streams that follow their route to another service.
+  Scenario: Resumed streams do not follow a route that moves to another service
+    Given a second service with "w1"
+    When callers take 40 streams a second for 5 s, and each third resumes at another VM, while the route moves to the second service
+    Then no stream holds events of two versions
+    And some streams were refused with "no_matching_version"
+
   # Guards against take-ups that name no attempt, an unknown one, one of another
   # organisation, or several.
   Scenario Outline: A resumed stream that nobody knows is refused in time
--- a/tests/steps/platform_versions_steps.py
+++ b/tests/steps/platform_versions_steps.py
@@ -20,6 +20,8 @@
 )
 
 SERVICE = "pool"
+SECOND_SERVICE = "second"
+ROLLOUT_S = 5.0
 LINE = "POST /help/a"
 ENGINES = {"slots": 8, "work_ms": 20.0, "events": 12, "event_ms": 20.0}
 ATTEMPTS = 4
@@ -43,7 +45,20 @@
     context.draw = random.Random(SEED)
 
 
-def _allow_another_organisation(world):
+def _lead_to(world, targets):
+    """Let the route of the streams lead to these services."""
+    document = json.loads(configuration())
+    engine = {"slots": 8, "kvCapacityTokens": 100_000}
+    second = {"name": SECOND_SERVICE, "healthPath": "/healthz", "engine": engine}
+    for route in document["routes"]:
+        if route["name"] == "help":
+            route["split"] = targets
+    _allow_another_organisation(
+        world, routes=document["routes"], services=[*document["services"], second]
+    )
+
+
+def _allow_another_organisation(world, **changes):
     """Add another organisation, and let both ask for as much as they like."""
     document = json.loads(configuration())
     tenant = document["tenants"][0]
@@ -51,7 +66,38 @@
         tenant | {"name": name, "apiKeys": [key], "ratePerS": 0, "burst": 0}
         for name, key in ((ORGANISATION, KEY), ("another", OTHER_KEY))
     ]
-    world.configure(tenants=tenants)
+    world.configure(tenants=tenants, **changes)
+
+
+def _add_second_service(context, version, targets):
+    _lead_to(context.world, targets)
+    for number in range(4):
+        name = f"{version}-{number}"
+        context.run(
+            context.world.add_endpoint(name, SECOND_SERVICE, version=version, **ENGINES)
+        )
+    context.run(asyncio.sleep(REGISTRY_S))
+
+
+@given('a second service with "{version}" takes half of the streams')
+def step_split(context, version):
+    targets = [{"service": name, "weight": 0.5} for name in (SERVICE, SECOND_SERVICE)]
+    _add_second_service(context, version, targets)
+
+
+@given('a second service with "{version}"')
+def step_second(context, version):
+    _add_second_service(context, version, [{"service": SERVICE, "weight": 1.0}])
+
+
+@then('some streams were refused with "{reason}"')
+def step_some_refused(context, reason):
+    refused = [
+        line["reason"]
+        for vm in context.world.vms
+        for line in vm.events("forward_refused")
+    ]
+    assert reason in refused, set(refused)
 
 
 def _add_engine(context, name, version):
@@ -196,6 +242,28 @@
         await context.world.replace_endpoint(f"v1-{number}", f"v2-again{number}", "v2")
 
 
+async def _roll_out(context):
+    """Order a rollout, and end the old engines as soon as it is completed."""
+    await asyncio.sleep(1.0)
+    world = context.world
+    order = {"service": SERVICE, "to": "v2", "durationS": ROLLOUT_S}
+    world.store.put("op", f"rollout/{SERVICE}", json.dumps(order).encode())
+    while True:
+        told = world.store.value("status", f"rollout/{SERVICE}") or b"{}"
+        if json.loads(told).get("state") in ("completed", "rolled_back"):
+            break
+        await asyncio.sleep(0.1)
+    context.rollout = json.loads(told)
+    for name in [one for one in world.endpoints if one.startswith("v1")]:
+        await world.endpoints[name].aclose()
+        world.store.delete("servers", name)
+
+
+async def _move_route(context):
+    await asyncio.sleep(2.0)
+    _lead_to(context.world, [{"service": SECOND_SERVICE, "weight": 1.0}])
+
+
 async def _cut_links(context):
     await asyncio.sleep(1.0)
     for link in context.world.links:
@@ -218,6 +286,8 @@
     "a version comes and the other one shrinks": _come_and_shrink,
     "the versions of engines restart one after the other": _restart_engines,
     "that VM loses all endpoints": _cut_links,
+    "the service is rolled out to the second version": _roll_out,
+    "the route moves to the second service": _move_route,
 }
 
 
