--- a/src/pomelolane/coordination/suspects.py
+++ b/src/pomelolane/coordination/suspects.py
@@ -26,13 +26,18 @@
     Args:
         handle: Handle of any request; only those of suspects are changed.
         entries: Requests that wait or run now.
-        endpoints: The service's endpoints. If all of them run a suspect, the handle is
-            returned unchanged, so that the request does not wait long.
+        endpoints: The service's endpoints. If all of them that the request may go to
+            run a suspect, the handle is returned unchanged, so that it does not wait
+            long.
     """
     if not handle.suspect:
         return handle
     taken = {entry.endpoint_id for entry in entries if entry.handle.suspect}
-    free = {one.endpoint_id for one in endpoints if not one.leaving}
+    free = {
+        one.endpoint_id
+        for one in endpoints
+        if not one.leaving and handle.version in (None, one.version)
+    }
     if not free - taken - set(handle.excluded):
         return handle
     excluded = (*handle.excluded, *sorted(taken & free))
--- a/tests/coordination/service_queue.feature
+++ b/tests/coordination/service_queue.feature
@@ -42,3 +42,15 @@
       | endpoints | apart |
       | 3         | 2     |
       | 1         | 1     |
+
+  # Guards against a stream that no endpoint may get, since one of each version runs a
+  # suspect and only others are free.
+  Scenario Outline: A suspect that is bound to a version is spread within it
+    Given the endpoints "a1" of "v1" and "b1" and "b2" of "v2", and a suspect on each first
+    When another suspect bound to "<version>" comes
+    Then it may not go to "<excluded>"
+
+    Examples:
+      | version | excluded |
+      | v1      |          |
+      | v2      | b1       |
--- a/tests/steps/coordination_service_queue_steps.py
+++ b/tests/steps/coordination_service_queue_steps.py
@@ -5,7 +5,9 @@
 from behave import given, then, when
 
 from pomelolane.clock import ManualClock
+from pomelolane.coordination.request_table import Entry
 from pomelolane.coordination.service_queue import ServiceQueue
+from pomelolane.coordination.suspects import exclude_suspect_endpoints
 from pomelolane.coordination.timings import Timings
 from pomelolane.messages import (
     Granted,
@@ -194,3 +196,37 @@
 def step_apart(context, count):
     found = {where for name, where in context.placed.items() if name.startswith("s")}
     assert len(found) == count, context.placed
+
+
+@given(
+    'the endpoints "a1" of "v1" and "b1" and "b2" of "v2", and a suspect on each first'
+)
+def step_versions(context):
+    versions = {"a1": "v1", "b1": "v2", "b2": "v2"}
+    context.endpoints = [
+        Endpoint(name, "chat", "", "", version=version)
+        for name, version in versions.items()
+    ]
+    context.entries = [
+        Entry(_suspect(f"s-{name}"), "vm", 1, 0.0, 0.0, endpoint_id=name)
+        for name in ("a1", "b1")
+    ]
+
+
+def _suspect(name, version=None):
+    return Handle(
+        name, "chat", "w", 0, "o", "t", 9000, 10, 10, suspect=True, version=version
+    )
+
+
+@when('another suspect bound to "{version}" comes')
+def step_bound_suspect(context, version):
+    context.handle = exclude_suspect_endpoints(
+        _suspect("s", version), context.entries, context.endpoints
+    )
+
+
+@then('it may not go to "{excluded}"')
+@then('it may not go to ""')
+def step_excluded(context, excluded=""):
+    assert context.handle.excluded == tuple(excluded.split()), context.handle.excluded
