--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -61,6 +61,7 @@
     from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.budget import SharedRetryBudget
     from pomelolane.forwarding.call import ForwardCall
+    from pomelolane.forwarding.continuation import Continuation
     from pomelolane.forwarding.endpoints import EndpointDirectory
     from pomelolane.forwarding.intake import Intake
     from pomelolane.forwarding.notices import NoticeHandler
@@ -71,7 +72,6 @@
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock, Grant, SchedulerClient
     from pomelolane.quarantine import CrashWatch, Quarantine
-    from pomelolane.resumption import Resumption, StreamOrigin
 
 MAX_GRANTS = 6
 """Most grants that one request asks for. Refused connections use up grants, but are not
@@ -120,7 +120,7 @@
         data_centre: Data centre of this VM.
         reach: Tells whether this VM is cut off from all endpoints.
         peer_relay: Has other VMs serve its requests then.
-        resumption: Records where streams begin.
+        continuation: Lets streams go on only where they began.
 
     Attributes:
         open_calls: Requests that are not finished yet, by local id.
@@ -142,7 +142,7 @@
         data_centre: str,
         reach: EndpointReach,
         peer_relay: PeerRelay,
-        resumption: Resumption,
+        continuation: Continuation,
     ) -> None:
         self._intake = intake
         self._client = client
@@ -157,8 +157,7 @@
         self._data_centre = data_centre
         self._reach = reach
         self._peer_relay = peer_relay
-        self._peer_relay.on_begin(self._begin_stream)
-        self._resumption = resumption
+        self._continuation = continuation
         self._budgets: dict[str, SharedRetryBudget] = {}
         self.open_calls: dict[str, CallState] = {}
         self.timeouts = Timeouts(clock)
@@ -270,49 +269,18 @@
             self._budget(call.service).earn()
         try:
             async with self.timeouts.after(self._remaining_ms(call)):
-                refusal = await self._find_origin(state)
+                refusal = await self._continuation.bind_resumed(state)
                 if refusal is None:
                     refusal = await self._try_endpoints(state, relay)
         except TimeoutError:
             refusal = timed_out(state)
         finally:
-            self._resumption.end(call.stream_key)
+            self._continuation.end(state)
         if refusal is None:
             metrics.count_end(call.route.name, call.service, call.rank, _DELIVERED)
             return
         await self._refuse(state, exchange, refusal)
 
-    async def _find_origin(self, state: CallState) -> Refusal | None:
-        """Bind a stream that its caller resumes to where it began.
-
-        Returns:
-            A refusal if that is not known, or the route does not lead there any more.
-        """
-        if state.origin is None and state.call.resumes_stream:
-            await self._ask_for_origin(state)
-        if state.needs_origin:
-            return origin_unknown(state)
-        if state.origin is None:
-            return None
-        targets = state.call.route.targets
-        if not any(target.service == state.origin.service for target in targets):
-            return no_matching_version(state)
-        state.bind(state.origin)
-        return None
-
-    async def _ask_for_origin(self, state: CallState) -> None:
-        call = state.call
-        asked_ms = self._clock.now_ms()
-        found = await self._resumption.find(
-            call.stream_key, call.service, call.routed_since_ms
-        )
-        if found is None:
-            metrics.count_resumed(call.service, "unknown")
-            return
-        waited_ms = self._clock.now_ms() - asked_ms
-        request_log.origin_found(call, found.origin, found.source, waited_ms)
-        state.origin = found.origin
-
     async def _try_endpoints(self, state: CallState, relay: Relay) -> Refusal | None:
         """Try endpoints until one answers; return the refusal if none does."""
         while True:
@@ -321,7 +289,7 @@
             try:
                 if await self._peer_relay.serve(state, relay):
                     return None
-                if self._has_endpoint_left(state):
+                if self._continuation.has_endpoint_left(state):
                     grant = await self._acquire_grant(state)
                 else:
                     grant = no_matching_version(state)
@@ -342,21 +310,10 @@
 
     async def _can_go_on(self, state: CallState) -> bool:
         """Return whether an endpoint or another VM is left for the answer."""
-        if self._has_endpoint_left(state) or self._reach.is_cut_off:
+        if self._continuation.has_endpoint_left(state) or self._reach.is_cut_off:
             return True
         return await self._peer_relay.can_serve(state)
 
-    def _has_endpoint_left(self, state: CallState) -> bool:
-        """Return whether the answer may go on at an endpoint that has not failed it."""
-        if state.origin is None:
-            return True
-        failed = {state.endpoint_id, *state.excluded}
-        return any(
-            state.may_go_to(endpoint)
-            for endpoint in self._directory.listed()
-            if not endpoint.leaving and endpoint.endpoint_id not in failed
-        )
-
     async def _use_grant(self, state: CallState, relay: Relay, grant: Grant) -> None:
         state.grants += 1
         watch = StreamReporter(self._client, grant, self._clock)
@@ -446,16 +403,6 @@
             raise refused_by_endpoint(state, watch, "the endpoint did not run it")
         await self._relay_answer(state, relay, sent, watch, endpoint)
 
-    def _begin_stream(self, state: CallState, origin: StreamOrigin) -> None:
-        """Bind a stream to where it begins, before its first events are sent."""
-        call = state.call
-        if state.origin is None:
-            state.origin = origin
-        if call.route.is_resumable:
-            self._resumption.begin(
-                call.stream_key, state.origin, call.resumable_ms(self._clock.now_ms())
-            )
-
     def _first_byte_timeout_ms(self, state: CallState, grant: Grant) -> float | None:
         objective_ms = state.call.route.objective_ms
         if not objective_ms or not self._can_retry(state):
@@ -479,7 +426,7 @@
             watch.note_tokens(chunks)
 
         def on_begin() -> None:
-            self._begin_stream(state, origin_from_endpoint(endpoint))
+            self._continuation.begin(state, origin_from_endpoint(endpoint))
 
         try:
             if failed or state.answer_begun:
@@ -574,8 +521,9 @@
 
     def _reserve_move(self, state: CallState) -> bool:
         """Return whether to give up an endpoint that is slow, and charge the retry."""
-        is_last = not self._has_endpoint_left(state) and not self._reach.is_cut_off
-        return not is_last and self._reserve_retry(state)
+        has_other = self._continuation.has_endpoint_left(state)
+        may_move = has_other or self._reach.is_cut_off
+        return may_move and self._reserve_retry(state)
 
     async def _refuse(
         self, state: CallState, exchange: Exchange, refusal: Refusal
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -14,6 +14,7 @@
 from pomelolane.endpoints import ConnectionPool
 from pomelolane.forwarding.app import ExchangeApp, ProbeApp
 from pomelolane.forwarding.budget import RetryAllowance, SharedRetryBudget
+from pomelolane.forwarding.continuation import Continuation
 from pomelolane.forwarding.departures import AnnouncedDepartures
 from pomelolane.forwarding.estimate_keeper import EstimateKeeper
 from pomelolane.forwarding.forwarder import Forwarder
@@ -226,6 +227,10 @@
         self.rollouts.on_change = self._configure
         self._intake = Intake(dialect, clock)
         sender = Sender(self._pool, self._peer_pool, dialect)
+        resumption = make_resumption(
+            options.vm_id, directory, self.member, self.member.transport, clock
+        )
+        continuation = Continuation(resumption, directory, clock)
         relay_peers = RelayPeers(
             options.vm_id, options.data_centre, self.member.view, clock
         )
@@ -245,10 +250,8 @@
             clock,
             options.data_centre,
             self.reach,
-            PeerRelay(self.reach, relay_peers, sender, clock),
-            make_resumption(
-                options.vm_id, directory, self.member, self.member.transport, clock
-            ),
+            PeerRelay(self.reach, relay_peers, sender, clock, continuation),
+            continuation,
         )
         self.member.on_tick(self.forwarder.timeouts.look)
         self.member.on_tick(self.reach.tick)
--- a/src/pomelolane/forwarding/peer_relay.py
+++ b/src/pomelolane/forwarding/peer_relay.py
@@ -16,16 +16,14 @@
 from pomelolane.resumption import ORIGIN_HEADER, origin_from_header
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.call import CallState
+    from pomelolane.forwarding.continuation import Continuation
     from pomelolane.forwarding.peers import RelayPeers
     from pomelolane.forwarding.reach import EndpointReach
     from pomelolane.forwarding.relay import Relay, RelayResult
     from pomelolane.forwarding.sender import Sender
     from pomelolane.ports import Clock, Peer
-    from pomelolane.resumption import StreamOrigin
 
 MISDIRECTED_STATUS = 421
 """Status by which a VM says that it can't serve a request, and has not run it."""
@@ -45,20 +43,22 @@
         peers: Chooses the other VMs.
         sender: Sends the requests.
         clock: Source of the current time.
+        continuation: Records where streams begin that other VMs bring.
     """
 
     def __init__(
-        self, reach: EndpointReach, peers: RelayPeers, sender: Sender, clock: Clock
+        self,
+        reach: EndpointReach,
+        peers: RelayPeers,
+        sender: Sender,
+        clock: Clock,
+        continuation: Continuation,
     ) -> None:
         self._reach = reach
         self._peers = peers
         self._sender = sender
         self._clock = clock
-        self._on_begin: Callable[[CallState, StreamOrigin], None] = _ignore_begin
-
-    def on_begin(self, callback: Callable[[CallState, StreamOrigin], None]) -> None:
-        """Call back before the first events of a stream that another VM brings."""
-        self._on_begin = callback
+        self._continuation = continuation
 
     async def can_serve(self, state: CallState) -> bool:
         """Return whether another VM may serve a request, after a probe in doubt."""
@@ -149,7 +149,7 @@
 
         def on_begin() -> None:
             if origin is not None:
-                self._on_begin(state, origin)
+                self._continuation.begin(state, origin)
 
         try:
             if detail:
@@ -172,7 +172,3 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         request_log.relay_ended(state, peer.vm_id, status, now_ms, result, detail)
-
-
-def _ignore_begin(state: CallState, origin: StreamOrigin) -> None:
-    """Do nothing before a stream begins."""
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -1,6 +1,7 @@
 """Steps of retry budgets, routes, slot requests and stopping forwarders."""
 
 import math
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -19,6 +20,7 @@
 from pomelolane.forwarding.routes import service_from_route
 from pomelolane.ports.forwarding import CallDescription
 from pomelolane.quarantine import Quarantine
+from pomelolane.resumption import StreamOrigin
 
 STEP_MS = 100
 
@@ -142,6 +144,42 @@
     assert context.handle.fingerprint == "0123456789abcdef"
 
 
+@given('a request that resumes a stream of "{version}"')
+def step_resumes(context, version):
+    route = replace(_route("r"), kind=RouteKind.STREAMING, is_resumable=True)
+    description = replace(_call().description, resume_after=b"3", resumes="first")
+    call = replace(_call(), route=route, description=description)
+    context.state = CallState(call, origin=StreamOrigin("s", version))
+
+
+@when("it asks for a slot")
+def step_asks(context):
+    context.handle = handle_from_state(context.state, "", 0.0)
+
+
+@then('it asks for endpoints of "{version}"')
+def step_version(context, version):
+    assert context.handle.version == version
+
+
+@given("its answer has begun and sent its last event after {ms:d} ms")
+def step_begun_and_sent(context, ms):
+    call = context.state.call
+    context.state.call = replace(call, route=replace(call.route, patience_ms=2000))
+    context.state.answer_begun = True
+    context.state.last_sent_ms = float(ms)
+
+
+@when("it asks for a slot after {ms:d} ms")
+def step_asks_after(context, ms):
+    context.handle = handle_from_state(context.state, "", float(ms))
+
+
+@then("it waits for {ms:d} ms at most")
+def step_patience(context, ms):
+    assert 0 < context.handle.patience_ms <= ms, context.handle.patience_ms
+
+
 @then("it asks as attempt {attempt:d}")
 def step_attempt(context, attempt):
     assert context.handle.attempt == attempt
@@ -184,6 +222,7 @@
         "",
         unused,
         unused,
+        unused,
     )
     assert context.forwarder.can_accept(math.inf)
     context.forwarder.set_stop_time(clock.now_ms() + ms)
