--- a/src/pomelolane/coordination/scope.py
+++ b/src/pomelolane/coordination/scope.py
@@ -40,7 +40,7 @@
 def _scoped(endpoint: Endpoint, data_centres: frozenset[str]) -> Endpoint:
     if endpoint.data_centre in data_centres:
         return endpoint
-    return replace(endpoint, leaving=True)
+    return replace(endpoint, leaving=True, takes_resumed=False)
 
 
 def partitioned_tree(
--- a/src/pomelolane/model.py
+++ b/src/pomelolane/model.py
@@ -119,6 +119,8 @@
             Another moment means another start, which holds and knows nothing of
             the earlier one.
         version: Version of its software, empty where it does not say.
+        takes_resumed: Whether it still takes requests that go on with a stream of its
+            version, though it is marked as leaving.
     """
 
     endpoint_id: str
@@ -134,6 +136,7 @@
     leaving: bool = False
     born_ms: int = 0
     version: str = ""
+    takes_resumed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pomelolane/rollouts/rollouts.py
+++ b/src/pomelolane/rollouts/rollouts.py
@@ -138,16 +138,23 @@
             self.on_change()
 
     def mark_blocked(self, endpoints: Mapping[str, Endpoint]) -> dict[str, Endpoint]:
-        """Return the endpoints, with blocked ones marked as leaving."""
-        blocked = set()
+        """Return the endpoints, with blocked ones marked as leaving.
+
+        Unless their version was rolled back, blocked endpoints still take requests that
+        go on with streams of their version.
+        """
+        blocked: dict[str, bool] = {}
         for rollout in self._rollouts.values():
             service = rollout.order.service
             own = {n: one for n, one in endpoints.items() if one.service == service}
             if rollout.trial is not None:
                 rollout.trial.configure(own)
-            blocked |= _blocked_endpoints(rollout, own)
+            takes_resumed = rollout.phase is not Phase.ROLLED_BACK
+            blocked |= dict.fromkeys(_blocked_endpoints(rollout, own), takes_resumed)
         return {
-            name: replace(one, leaving=True) if name in blocked else one
+            name: replace(one, leaving=True, takes_resumed=blocked[name])
+            if name in blocked and not one.leaving
+            else one
             for name, one in endpoints.items()
         }
 
--- a/src/pomelolane/scheduler/objective/core.py
+++ b/src/pomelolane/scheduler/objective/core.py
@@ -553,7 +553,7 @@
         self._now_ms = now_ms
         if not self._waiting:
             return []
-        decisions = self._grant_suspended(now_ms)
+        decisions = self._grant_bound(now_ms)
         workers = self._fleet.available(now_ms)
         if not workers:
             return decisions
@@ -564,11 +564,11 @@
             decisions.extend(self._grant_from(self._waiting.late, workers, now_ms))
         return decisions
 
-    def _grant_suspended(self, now_ms: float) -> list[Decision]:
-        """Grant requests bound to a version whose endpoints are all suspended."""
+    def _grant_bound(self, now_ms: float) -> list[Decision]:
+        """Grant requests bound to a version endpoints that no others get."""
         decisions = []
         for waiting in self._waiting.bound_in_order():
-            workers = self._fleet.suspended_for(waiting.handle, now_ms)
+            workers = self._fleet.reserve_for_bound(waiting.handle, now_ms)
             worker = self._fleet.place(waiting, workers, now_ms) if workers else None
             if worker is not None:
                 decisions.append(self._grant(waiting, worker, now_ms))
--- a/src/pomelolane/scheduler/objective/fleet.py
+++ b/src/pomelolane/scheduler/objective/fleet.py
@@ -220,25 +220,29 @@
 
     def has_any_for(self, handle: Handle) -> bool:
         """Return whether any endpoint that is not leaving may get a request."""
-        return any(not w.leaving and may_get(w, handle) for w in self._workers.values())
+        return bool(self._allowed_for(handle))
 
-    def suspended_for(self, handle: Handle, now_ms: float) -> list[Worker]:
-        """Return the endpoints with a free slot if all that may get it are suspended.
+    def reserve_for_bound(self, handle: Handle, now_ms: float) -> list[Worker]:
+        """Return endpoints with a free slot that only a request bound to them gets.
 
-        A request that is bound to a version cannot wait for endpoints of another.
+        These are endpoints that take nothing but what goes on with their streams. If
+        all endpoints of its version are suspended, it gets one of them, as it cannot
+        wait for endpoints of another version.
         """
-        allowed = [
-            w for w in self._workers.values() if not w.leaving and may_get(w, handle)
-        ]
-        if not all(w.is_suspended_or_probing(now_ms) for w in allowed):
-            return []
-        free = self._with_free_slots
+        allowed = self._allowed_for(handle)
+        are_suspended = all(w.is_suspended_or_probing(now_ms) for w in allowed)
         return [
             w
             for w in allowed
-            if w.endpoint.endpoint_id in free and w.is_within_rate(now_ms)
+            if w.endpoint.endpoint_id in self._with_free_slots
+            and w.is_within_rate(now_ms)
+            and (are_suspended or (w.leaving and w.is_available_for_trial(now_ms)))
         ]
 
+    def _allowed_for(self, handle: Handle) -> list[Worker]:
+        workers = self._workers.values()
+        return [w for w in workers if not w.is_closed_to(handle) and may_get(w, handle)]
+
     def has_free_share(self, share: float, now_ms: float) -> bool:
         """Return whether more than a share of all slots is free."""
         total = sum(worker.endpoint.slots for worker in self._workers.values())
--- a/src/pomelolane/scheduler/objective/worker.py
+++ b/src/pomelolane/scheduler/objective/worker.py
@@ -155,6 +155,11 @@
             return False
         return not self.probing or len(self.flights) < _MAX_CONCURRENT_PROBES
 
+    def is_closed_to(self, handle: Handle) -> bool:
+        """Return whether it is leaving and does not take the request either way."""
+        takes_it = self.endpoint.takes_resumed and handle.version is not None
+        return self.leaving and not takes_it
+
     def is_within_rate(self, now_ms: float) -> bool:
         """Return whether its announced rate limit allows a request now."""
         return self.rate is None or self.rate.wait_ms(now_ms) <= 0
--- a/tests/routed_world.py
+++ b/tests/routed_world.py
@@ -120,6 +120,20 @@
         self.addresses[successor] = (service, address)
         self.register(successor)
 
+    async def restart_endpoint(self, name, version, entry_lag_s):
+        """Restart an endpoint under its id and address, with its entry later."""
+        service, address = self.addresses[name]
+        before = self.endpoints[name]
+        await before.aclose()
+        host, _, port = address.rpartition(":")
+        endpoint = RoutedEndpoint(name, replace(before.options, version=version))
+        endpoint.seen = before.seen
+        self.endpoints[name] = endpoint
+        await endpoint.start(host, int(port))
+        await asyncio.sleep(entry_lag_s)
+        row = registered(endpoint, service, address, DATA_CENTRE, born_ms=2)
+        self.store.put("servers", name, row)
+
     async def keep_starting(self, down_s):
         """Start endpoints that ended under a request again, under another id."""
         known = set()
--- a/tests/scheduler/versions.feature
+++ b/tests/scheduler/versions.feature
@@ -51,6 +51,17 @@
     When 1 request bound to "v1" arrives
     Then "bound0" is granted on an endpoint of "v1"
 
+  # Guards against streams that are refused while the endpoints of their version still
+  # serve, since a rollout gives these no new requests.
+  Scenario: It goes to an endpoint that takes only streams of its version
+    Given the endpoints of "v1" take only streams of their version
+    When 1 request bound to "v1" arrives
+    And the objective core receives the requests
+      | id   | rank | objective_ms |
+      | free | 1    | 1000         |
+    Then "bound0" is granted on an endpoint of "v1"
+    And "free" is granted on "b1"
+
   # Guards against speeds of other versions as the measure of what may be in time.
   Scenario: It goes to a slow endpoint of its version that may end too late
     Given the endpoints of "v1" are slower than those of "v2"
--- a/tests/steps/scheduler_version_steps.py
+++ b/tests/steps/scheduler_version_steps.py
@@ -60,6 +60,17 @@
     context.core.tick(ms)
 
 
+@given('the endpoints of "{version}" take only streams of their version')
+def step_only_resumed(context, version):
+    endpoints = [
+        replace(one, leaving=True, takes_resumed=True)
+        if one.version == version
+        else one
+        for one in context.core.endpoints
+    ]
+    context.core.configure(endpoints)
+
+
 @given('the endpoints of "{version}" are suspended')
 def step_suspended(context, version):
     for number in range(2):
