Log unhandled errors of requests, and the version of the list behind each send

An unhandled error in a request left no line: uvicorn's own log is off. forward_error (222) names it. forward_sent gains list_version, so that a send to an endpoint that has left can be told from the list that named it: with the version of endpoint_gone, an older list shows. Nothing else changes.

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -137,7 +137,8 @@
     212,
     "forward_sent",
     "info",
-    "request grant endpoint send waited_ms expected_ms left_ms list_age_ms software",
+    "request grant endpoint send waited_ms expected_ms left_ms list_age_ms list_version"
+    " software",
     "The request leaves for the endpoint; from here it may have run.",
 )
 FORWARD_FINISHED = _define(
@@ -200,6 +201,14 @@
     "A caller resumes a stream, and where it began is known: it goes on only there.",
 )
 
+FORWARD_ERROR = _define(
+    222,
+    "forward_error",
+    "error",
+    "request error",
+    "An unhandled error ended the request.",
+)
+
 REQUEST_QUARANTINED = _define(
     218,
     "request_quarantined",
--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -61,6 +61,11 @@
         """Time since the source last confirmed the list."""
         return self._clock.now_ms() - self._confirmed_ms
 
+    @property
+    def version(self) -> int:
+        """Version of the list."""
+        return self._version
+
     def usable(self, endpoint_id: str) -> Endpoint | None:
         """Return an endpoint that may get new work, else None."""
         endpoint = self._endpoints.get(endpoint_id)
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -203,6 +203,9 @@
         except BadRequestError as error:
             await self._reject(exchange, error)
             return
+        except Exception as error:
+            request_log.error("", error)
+            raise
         state = CallState(call, last_event_id=call.description.resume_after)
         await self._serve_watched(state, exchange)
 
@@ -248,6 +251,9 @@
                 raise
             task.uncancel()
             request_log.abandoned(state, self._clock.now_ms())
+        except Exception as error:
+            request_log.error(call.log_id, error)
+            raise
         finally:
             del self.open_calls[call.local_id]
             self._request_ended.set()
@@ -369,7 +375,7 @@
             endpoint,
             remaining_ms,
             self._clock.now_ms(),
-            self._directory.age_ms,
+            self._directory,
         )
         dispatch = Dispatch(call.organisation, remaining_ms, state.last_event_id)
         sending = self._sender.send(connection, call, endpoint, dispatch)
--- a/src/pomelolane/forwarding/request_log.py
+++ b/src/pomelolane/forwarding/request_log.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.call import CallState, ForwardCall
+    from pomelolane.forwarding.endpoints import EndpointDirectory
     from pomelolane.forwarding.relay import RelayResult
     from pomelolane.model import Endpoint
     from pomelolane.outcomes import Refusal
@@ -48,9 +49,9 @@
     endpoint: Endpoint,
     remaining_ms: int,
     now_ms: float,
-    list_age_ms: float,
+    directory: EndpointDirectory,
 ) -> None:
-    """Log that a request is sent to an endpoint."""
+    """Log that a request is sent to an endpoint, with the list that names it."""
     log_event(
         events.FORWARD_SENT,
         request=state.call.log_id,
@@ -60,7 +61,8 @@
         waited_ms=now_ms - state.call.accepted_ms,
         expected_ms=grant.expected_ttft_ms,
         left_ms=remaining_ms,
-        list_age_ms=list_age_ms,
+        list_age_ms=directory.age_ms,
+        list_version=directory.version,
         software=endpoint.version,
     )
 
@@ -106,6 +108,11 @@
     )
 
 
+def error(request_id: str, raised: Exception) -> None:
+    """Log an unhandled error that ended a request."""
+    log_event(events.FORWARD_ERROR, request=request_id, error=repr(raised))
+
+
 def relayed(state: CallState, peer_id: str, left_ms: int) -> None:
     """Log that a request is relayed to another VM."""
     log_event(
