--- /dev/null
+++ b/tests/platform/changes.feature
@@ -0,0 +1,25 @@
+@processes
+Feature: A change of the configuration beside requests
+  A request is checked by the configuration that was in force when its head came, whatever
+  comes into force while its body is read.
+
+  Background:
+    Given a platform with the endpoints
+      | endpoint | service |
+      | p1       | portal  |
+      | e1       | pool    |
+    And a platform VM
+
+  # Guards against requests that ended in an unhandled exception, without an answer of an
+  # endpoint or a refusal, because their route was removed while their body was read.
+  Scenario Outline: A request is served although <what> while its body is read
+    When a caller sends "<line>" with a body that takes 600 ms, and <what> meanwhile
+    Then the answer is 200 and the endpoint's own
+    And the answer is whole
+
+    Examples:
+      | line          | what                        |
+      | POST /plain/a | its route is removed        |
+      | POST /plain/a | its service is replaced     |
+      | POST /plain/a | its key is taken away       |
+      | POST /plain/a | its route is declared again |
