--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -38,6 +38,16 @@
     When "b" alone takes "p1" for gone
     Then every VM knows "p1" within 2500 ms
 
+  # Guards against endpoints that got requests seconds after they had left: an answer from
+  # before the change came after the change itself, and brought the endpoint back.
+  Scenario: An answer that comes late does not bring an endpoint back
+    When "b" reads the list and the answer is on its way
+    And endpoint "p1" is deleted
+    Then "b" knows within 1500 ms that "p1" takes nothing more
+    When "a" is draining
+    And the answer arrives at "b"
+    Then "b" knows for 2500 ms that "p1" takes nothing more
+
   Scenario: Changes behind a gap are not taken
     When "b" hears of changes that begin behind what it has read
     Then "b" has taken none of them
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -111,6 +111,62 @@
     put(context, name, "draining")
 
 
+@when('endpoint "{name}" is deleted')
+def step_deleted(context, name):
+    context.store.delete("servers", name)
+
+
+@when('"{name}" reads the list and the answer is on its way')
+def step_late_answer(context, name):
+    vm = context.vms[name]
+    changes = vm.client.changes
+    context.arrival = context.loop.create_future()
+    is_answered = asyncio.Event()
+
+    async def late(table, after, wait_ms):
+        snapshot = await changes(table, after, wait_ms)
+        if table == "servers" and not context.arrival.done():
+            is_answered.set()
+            await context.arrival
+        return snapshot
+
+    vm.client.changes = late
+    # The heartbeat that the answer holds.
+    put(context, "p1", "ready")
+    context.loop.create_task(vm.directory.refresh(50))
+    context.run(asyncio.wait_for(is_answered.wait(), 1))
+
+
+@when('the answer arrives at "{name}"')
+def step_arrives(context, name):
+    del name
+    context.arrival.set_result(None)
+
+
+def _is_usable(vm, endpoint):
+    return vm.directory.usable(endpoint) is not None
+
+
+@then('"{name}" knows within {ms:d} ms that "{endpoint}" takes nothing more')
+def step_not_usable(context, name, ms, endpoint):
+    vm = context.vms[name]
+    left = wait_until(lambda: not _is_usable(vm, endpoint), ms / 1000, "still usable")
+    context.run(left)
+
+
+@then('"{name}" knows for {ms:d} ms that "{endpoint}" takes nothing more')
+def step_never_usable(context, name, ms, endpoint):
+    vm = context.vms[name]
+
+    async def watch():
+        until_s = time.monotonic() + ms / 1000
+        while time.monotonic() < until_s:
+            assert not _is_usable(vm, endpoint), "it is usable again"
+            await asyncio.sleep(0.01)
+
+    context.run(watch())
+
+
 @when('"{name}" has the list confirmed')
 def step_confirmed(context, name):
     started_s = time.monotonic()
