Adopt an answer of the store only if nothing newer is known

Callers' requests reached endpoints seconds after they had left. A VM's own read of the endpoints and the news of the VM that reads for its data centre may cross: the answer that showed the earlier moment came later, its rows replaced the newer ones, and the watch went on after the newer version, so that the change was never read again. Likewise, a VM that had found its list to be wrong forgot that it must read all of it. The configuration's watch had the same cause; there it could take back rollout orders.

An answer is adopted only if the watch still stands where it asked, or before the answer's moment.

--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -154,6 +154,10 @@
             snapshot = await self._store.changes(_TABLE, after, wait_ms)
         self._is_reading = True
         self._trouble.succeeded(snapshot.version)
+        if not after <= self._after <= snapshot.version:
+            # Another VM has passed on a newer state while the answer was on its way, or
+            # has shown that the table is to be read whole.
+            return
         self._take(snapshot.rows, snapshot.version)
         if self._shared is not None and self._shared.is_reader:
             self._pass_on(after, snapshot.rows)
@@ -179,7 +183,7 @@
             self._after = -1
 
     def _take(self, rows: Sequence[StoredRow], version: int) -> None:
-        self._after = max(self._after, version)
+        self._after = version
         self._confirmed_ms = self._clock.now_ms()
         orders = orders_from_rows(rows)
         if orders:
--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -177,6 +177,7 @@
         if self._state_hash() != news.state_hash:
             # Something was missed, such as a row that went and came back unchanged.
             self._after = -1
+            self._refresh_wanted.set()
             return
         self._publish()
 
@@ -197,8 +198,11 @@
             self._grace_until_ms = self._clock.now_ms() + RETURN_GRACE_S * 1000
             for callback in self._on_regained:
                 callback()
-        self._after = max(self._after, snapshot.version)
-        self._version = snapshot.version
+        if not after <= self._after <= snapshot.version:
+            # Another VM has passed on a newer state while the answer was on its way, or
+            # has shown that the list is to be read whole.
+            return
+        self._after = self._version = snapshot.version
         changed = self._take(snapshot.rows, whole=whole)
         self._publish()
         if self._shared is not None and not whole and self._shared.is_reader:
--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -48,6 +48,14 @@
     And the answer arrives at "b"
     Then "b" knows for 2500 ms that "p1" takes nothing more
 
+  # Guards against a VM that knew its list to be wrong and forgot it: the answer to a read
+  # of changes replaced the request to read all.
+  Scenario: An answer that comes late does not replace a read of the whole list
+    When "b" reads the list and the answer is on its way
+    And "b" hears of a state that is not its own
+    And the answer arrives at "b"
+    Then "b" reads the whole list within 500 ms
+
   Scenario: Changes behind a gap are not taken
     When "b" hears of changes that begin behind what it has read
     Then "b" has taken none of them
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -167,6 +167,27 @@
     context.run(watch())
 
 
+@when('"{name}" hears of a state that is not its own')
+def step_other_state(context, name):
+    vm = context.vms[name]
+    vm.whole_reads = 0
+    read = vm.client.read
+
+    async def count(table):
+        vm.whole_reads += table == "servers"
+        return await read(table)
+
+    vm.client.read = count
+    after = vm.watch._after
+    vm.watch._take_shared(WatchedChanges("servers", after, after, (), 1))
+
+
+@then('"{name}" reads the whole list within {ms:d} ms')
+def step_reads_whole(context, name, ms):
+    vm = context.vms[name]
+    context.run(wait_until(lambda: vm.whole_reads, ms / 1000, "it has read changes"))
+
+
 @when('"{name}" has the list confirmed')
 def step_confirmed(context, name):
     started_s = time.monotonic()
