Give a list of several pages the version of its first page

A table of over 500 rows is read in pages, each as of its own moment, and the list was taken to show the moment of the last page. A row of an earlier page that changed in between was neither in the list nor among the changes after it: an endpoint that began to leave then got requests until the table was read whole again.

tests/platform/watching.feature: the new scenario red before, green now.

--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -151,6 +151,7 @@
         """
         rows: list[StoredRow] = []
         start = ""
+        first: _Rows | None = None
         # Versions of another numbering than that of the first page are unknown here.
         self._eras.pop(table, None)
         while True:
@@ -160,8 +161,11 @@
             era, page = await self._get("/rows-get", query, CALL_TIMEOUT_S)
             self._eras.setdefault(table, era)
             rows.extend(_stored(row) for row in page.rows)
+            first = first or page
             if not page.has_more or not page.rows:
-                return Snapshot(tuple(rows), page.ver, page.now_ms)
+                # Pages show different moments; what changed after the first one is yet
+                # to be read.
+                return Snapshot(tuple(rows), first.ver, first.now_ms)
             start = page.rows[-1].key + "\0"
 
     async def read_row(self, table: str, key: str) -> tuple[StoredRow | None, float]:
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -70,6 +70,12 @@
     And the endpoint "p1" leaves without a word
     Then the endpoint "p1" is gone after 5500 ms
 
+  # Guards against changes that were never read, as the version of a list was that of its
+  # last page.
+  Scenario: A change on a page that was read before the last one is not missed
+    When "p1" begins to leave between two pages of the list
+    Then the changes after that list say so
+
   Scenario: Keys are the same for all VMs
     Then two VMs that ask for the shared keys at once get the same ones
 
