Check a request by one configuration, whatever comes into force meanwhile

Beside a change of the configuration, callers got 500 Internal Server Error for whole requests: neither an endpoint's answer nor a refusal. A request's head was checked by the configuration then in force; after its body was read, the time since when its route had led to its services was looked up in a table that each change replaces. If the change had removed the route, that raised KeyError, which nobody handled or logged.

The intake now holds all that it checks by in one object, and a request keeps the one that it met.

--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import uuid
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from pomelolane.exceptions import BadRequestError
@@ -36,6 +37,36 @@
 """Longest time to read a body; callers on slow links send megabytes in less."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Rules:
+    """A configuration as requests are checked by it.
+
+    Attributes:
+        configuration: The configuration.
+        routes: Its routes.
+        routed_since_ms: Targets of each route, and since when it has led to them, by
+            host and prefix.
+    """
+
+    configuration: Configuration
+    routes: RouteTable
+    routed_since_ms: dict[tuple[str, str], tuple[Targets, float]]
+
+
+def _make_rules(
+    configuration: Configuration, before: _Rules | None, now_ms: float
+) -> _Rules:
+    known = {} if before is None else before.routed_since_ms
+    routed_since_ms = {}
+    for route in configuration.routes:
+        key = route.host, route.prefix
+        targets, since_ms = known.get(key, ((), 0.0))
+        if targets != route.targets:
+            since_ms = now_ms
+        routed_since_ms[key] = route.targets, since_ms
+    return _Rules(configuration, RouteTable(configuration.routes), routed_since_ms)
+
+
 class Intake:
     """Turns HTTP exchanges into checked calls.
 
@@ -47,24 +78,12 @@
     def __init__(self, dialect: Dialect, clock: Clock) -> None:
         self._dialect = dialect
         self._clock = clock
-        self._routes = RouteTable(())
-        self._configuration: Configuration | None = None
+        self._rules: _Rules | None = None
         self._opened = asyncio.Event()
-        self._routed_since_ms: dict[tuple[str, str], tuple[Targets, float]] = {}
 
     def use_configuration(self, configuration: Configuration) -> None:
-        """TokenUse this configuration for the checks from now on."""
-        self._routes = RouteTable(configuration.routes)
-        self._configuration = configuration
-        now_ms = self._clock.now_ms()
-        before = self._routed_since_ms
-        self._routed_since_ms = {}
-        for route in configuration.routes:
-            key = route.host, route.prefix
-            targets, since_ms = before.get(key, ((), 0.0))
-            if targets != route.targets:
-                since_ms = now_ms
-            self._routed_since_ms[key] = route.targets, since_ms
+        """Use this configuration for the checks from now on."""
+        self._rules = _make_rules(configuration, self._rules, self._clock.now_ms())
 
     def open(self) -> None:
         """Accept requests from now on: this VM knows its settings and the other VMs."""
@@ -73,7 +92,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether a configuration is known."""
-        return self._configuration is not None
+        return self._rules is not None
 
     async def accept(self, exchange: Exchange) -> ForwardCall:
         """Check a request and read its body.
@@ -85,11 +104,13 @@
         if not self._opened.is_set():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._opened.wait(), START_TIMEOUT_MS / 1000)
-        configuration = self._configuration
-        if configuration is None or not self._opened.is_set():
+        # Another configuration may come into force while the body is read.
+        rules = self._rules
+        if rules is None or not self._opened.is_set():
             raise BadRequestError(503, Reason.NOT_READY, "the VM is starting")
+        configuration = rules.configuration
         description = self._dialect.describe(exchange.headers)
-        route = self._find_route(exchange)
+        route = _find_route(rules.routes, exchange)
         organisation = _authenticate(configuration, route, description)
         limits = configuration.limits
         body = await exchange.read_body(limits.max_body_bytes, BODY_TIMEOUT_MS)
@@ -116,15 +137,16 @@
             fingerprint=fingerprint_from_request(
                 organisation, exchange.method, target, body
             ),
-            routed_since_ms=self._routed_since_ms[route.host, route.prefix][1],
+            routed_since_ms=rules.routed_since_ms[route.host, route.prefix][1],
         )
 
-    def _find_route(self, exchange: Exchange) -> Route:
-        host = exchange.header(b"host").decode("latin-1")
-        route = self._routes.find(host, exchange.path.decode("latin-1"))
-        if route is None:
-            raise BadRequestError(404, Reason.NOT_FOUND, "no route has this path")
-        return route
+
+def _find_route(routes: RouteTable, exchange: Exchange) -> Route:
+    host = exchange.header(b"host").decode("latin-1")
+    route = routes.find(host, exchange.path.decode("latin-1"))
+    if route is None:
+        raise BadRequestError(404, Reason.NOT_FOUND, "no route has this path")
+    return route
 
 
 def _authenticate(
