--- a/standins/routed/vm.py
+++ b/standins/routed/vm.py
@@ -24,6 +24,10 @@
 PROGRAM = (sys.executable, "-m", "pomelolane")
 """The program of this checkout."""
 
+_NETWORK = f"127.{20 + os.getpid() % 200}.9"
+"""Addresses of the VMs, apart from those of other test runs on the machine: a VM binds
+its ports after they were given back, and another run's VM could take them."""
+
 _STEP_S = 0.02
 _BLOCK_BYTES = 65536
 
@@ -49,7 +53,7 @@
     ) -> None:
         self.program = tuple(program)
         self.vm_id = f"vm-{number}"
-        self.ip = f"127.0.9.{number}"
+        self.ip = f"{_NETWORK}.{number}"
         self.folder = tempfile.TemporaryDirectory()
         self.front = reserve_port(self.ip)
         self.probe = reserve_port(self.ip)
