Keep an endpoint leaving for the rest of its start

Callers' requests reached endpoints that had begun to leave, once a view of an earlier moment was adopted: a store that came back from an older copy lists such an endpoint as ready again. The directory kept what came last, whatever it had shown before.

A leaving state that the registry has shown for a start (instance_id_of) is final for that start, as an announced one is already. Another `born` is another start; where none is stated, an id is one start's. Announcements are still passed on to the other VMs where the registry lists the endpoint as leaving.

Red before: "An earlier list does not undo what the registry has said of a start" (departures.feature) and "An endpoint that leaves does not come back with an older copy of the store" (watching.feature).

--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -10,14 +10,14 @@
 from pomelolane.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Container, Iterable, Mapping
 
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock
 
 LEAVING_MARK_TTL_MS = 600_000.0
-"""How long a leaving mark outlives the endpoint's registry entry, which may have lapsed
-although the endpoint still runs."""
+"""How long a leaving state outlives the endpoint's registry entry, which may have
+lapsed although the endpoint still runs."""
 
 
 def instance_id_of(endpoint: Endpoint) -> str:
@@ -37,6 +37,7 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._confirmed_ms = clock.now_ms()
         self._leaving_marked_ms: dict[str, float] = {}
+        self._leaving_listed_ms: dict[str, float] = {}
         self._version = 0
         self._callbacks: list[Callable[[], None]] = []
         self._refreshers: list[Callable[[], None]] = []
@@ -115,28 +116,28 @@
         self._adopt(self._endpoints)
         return True
 
-    def _apply_leaving_marks(
-        self, endpoints: dict[str, Endpoint]
-    ) -> dict[str, Endpoint]:
-        """Return the endpoints with marked ones leaving; drop expired marks.
+    def _keep_leaving(self, endpoints: dict[str, Endpoint]) -> dict[str, Endpoint]:
+        """Return the endpoints with those leaving that were marked or listed so before.
 
-        The marks of listed endpoints are renewed.
+        The source may come to an earlier state again. A mark or listing is kept while
+        the instance is listed, and for a while after that.
         """
         now_ms = self._clock.now_ms()
-        marked = {
+        for endpoint in endpoints.values():
+            if endpoint.leaving:
+                self._leaving_listed_ms[instance_id_of(endpoint)] = now_ms
+        if not self._leaving_marked_ms and not self._leaving_listed_ms:
+            return endpoints
+        final = self._leaving_marked_ms.keys() | self._leaving_listed_ms.keys()
+        leaving = {
             endpoint_id: replace(endpoint, leaving=True)
             for endpoint_id, endpoint in endpoints.items()
-            if instance_id_of(endpoint) in self._leaving_marked_ms
+            if instance_id_of(endpoint) in final
         }
-        self._leaving_marked_ms.update(
-            (instance_id_of(endpoint), now_ms) for endpoint in marked.values()
-        )
-        self._leaving_marked_ms = {
-            instance_id: at_ms
-            for instance_id, at_ms in self._leaving_marked_ms.items()
-            if now_ms - at_ms < LEAVING_MARK_TTL_MS
-        }
-        return endpoints | marked
+        renewed = {instance_id_of(endpoint) for endpoint in leaving.values()}
+        self._leaving_marked_ms = _renewed(self._leaving_marked_ms, renewed, now_ms)
+        self._leaving_listed_ms = _renewed(self._leaving_listed_ms, renewed, now_ms)
+        return endpoints | leaving
 
     def replace(
         self, endpoints: dict[str, Endpoint], version: int, *, confirms: bool = True
@@ -155,8 +156,7 @@
             self.confirm()
 
     def _adopt(self, endpoints: dict[str, Endpoint]) -> None:
-        if self._leaving_marked_ms:
-            endpoints = self._apply_leaving_marks(endpoints)
+        endpoints = self._keep_leaving(endpoints)
         version = self._version
         previous = self._endpoints
         if endpoints == previous:
@@ -177,3 +177,18 @@
                 )
         for callback in self._callbacks:
             callback()
+
+
+def _renewed(
+    times_ms: dict[str, float], listed: Container[str], now_ms: float
+) -> dict[str, float]:
+    """Return the times with those of listed instances renewed, without expired ones."""
+    current = {
+        instance_id: now_ms if instance_id in listed else at_ms
+        for instance_id, at_ms in times_ms.items()
+    }
+    return {
+        instance_id: at_ms
+        for instance_id, at_ms in current.items()
+        if now_ms - at_ms < LEAVING_MARK_TTL_MS
+    }
--- a/tests/forwarding/departures.feature
+++ b/tests/forwarding/departures.feature
@@ -33,6 +33,31 @@
     And the second VM is notified that "e1", started at 1000, is leaving
     Then the second VM sends requests to "e1"
 
+  # Guards against endpoints that got requests again after they had begun to leave: the
+  # list of an earlier moment was adopted over the later one.
+  Scenario: An earlier list does not undo what the registry has said of a start
+    When the registry lists "e1", started at 1000, as leaving
+    And the registry lists "e1", started at 1000
+    Then the first VM sends no requests to "e1"
+    When the registry lists nothing
+    And the registry lists "e1", started at 1000
+    Then the first VM sends no requests to "e1"
+
+  Scenario: What the registry has said of a start does not apply to the next one
+    When the registry lists "e1", started at 1000, as leaving
+    And the registry lists "e1", started at 2000
+    Then the first VM sends requests to "e1"
+
+  Scenario: An endpoint that does not state its start is of one start under its id
+    When the registry lists "e1", started at 0, as leaving
+    And the registry lists "e1", started at 0
+    Then the first VM sends no requests to "e1"
+
+  Scenario: An announcement is passed on although the registry lists the endpoint as leaving
+    When the registry lists "e1", started at 1000, as leaving
+    And "e1" announces to the first VM that it is leaving
+    Then the VMs were notified once
+
   Scenario Outline: Values of the header
     Then an answer with "Server-Leaving: <value>" is read as <result>
 
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -23,6 +23,15 @@
     Then the configuration in force is version 6 within 3000 ms
     And the known endpoints are "p1"
 
+  # Guards against endpoints that got requests again after they had begun to leave, as the
+  # store came back from a copy in which they did not leave yet.
+  Scenario: An endpoint that leaves does not come back with an older copy of the store
+    When "p1" begins to leave, and the store comes back from a copy of before
+    Then "p1" takes nothing more for 2500 ms
+    When "p1" starts again
+    Then the known endpoints become "p1"
+    And "p1" takes requests
+
   Scenario: A document that cannot be read leaves the one before in force
     When the store says something that is no configuration
     And the store says version 8
--- a/tests/steps/forwarding_departures_steps.py
+++ b/tests/steps/forwarding_departures_steps.py
@@ -35,8 +35,10 @@
         self._callbacks.append(callback)
 
 
-def _endpoint(name, born_ms):
-    return Endpoint(name, "pool", "hall", "127.0.0.1:1", born_ms=born_ms)
+def _endpoint(name, born_ms, *, leaving=False):
+    return Endpoint(
+        name, "pool", "hall", "127.0.0.1:1", born_ms=born_ms, leaving=leaving
+    )
 
 
 @given('two VMs that know the endpoint "{name}", started at {born_ms:d}')
@@ -79,6 +81,11 @@
     _list(context, {name: _endpoint(name, born_ms)})
 
 
+@when('the registry lists "{name}", started at {born_ms:d}, as leaving')
+def step_lists_leaving(context, name, born_ms):
+    _list(context, {name: _endpoint(name, born_ms, leaving=True)})
+
+
 @then('the {vm} VM sends no requests to "{name}"')
 def step_unusable(context, name, vm):
     assert context.vms[vm][0].usable(name) is None
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -97,6 +97,48 @@
         store.put("other", f"k{number}", b"")
 
 
+def _register(context, name, state="ready", born_ms=1):
+    endpoint = RoutedEndpoint(name)
+    address = "127.0.0.1:1"
+    row = registered(endpoint, "portal", address, DATA_CENTRE, state, born_ms=born_ms)
+    context.store.put("servers", name, row)
+
+
+def _is_usable(context, name):
+    return context.directory.usable(name) is not None
+
+
+@when('"{name}" begins to leave, and the store comes back from a copy of before')
+def step_leaves_before_copy(context, name):
+    _register(context, name)
+    copy = context.store.copy()
+    _register(context, name, "draining")
+    context.run(_until(lambda: not _is_usable(context, name), READ_S * 1000))
+    context.store.come_back_from(copy)
+
+
+@when('"{name}" starts again')
+def step_starts_again(context, name):
+    _register(context, name, born_ms=2)
+    context.run(_until(lambda: _is_usable(context, name), READ_S * 1000))
+
+
+@then('"{name}" takes nothing more for {ms:d} ms')
+def step_never_usable(context, name, ms):
+    async def watch():
+        until_s = context.loop.time() + ms / 1000
+        while context.loop.time() < until_s:
+            assert not _is_usable(context, name), "it takes requests again"
+            await asyncio.sleep(0.01)
+
+    context.run(watch())
+
+
+@then('"{name}" takes requests')
+def step_usable(context, name):
+    assert _is_usable(context, name)
+
+
 @when("the store forgets its history and says version {version:d}")
 def step_forgets(context, version):
     context.store.put("op", "config", configuration(version))
