Check an endpoint again immediately before the write

Sender.send asks the directory in the same step as the write. The request then counts as not run and not sent, as with a connection that was closed before the write.

--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -72,6 +72,15 @@
         endpoint = self._endpoints.get(endpoint_id)
         return None if endpoint is None or endpoint.leaving else endpoint
 
+    def is_usable(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint that was looked up before may get new work."""
+        found = self.usable(endpoint.endpoint_id)
+        return found is not None and (
+            found.born_ms,
+            found.version,
+            found.address,
+        ) == (endpoint.born_ms, endpoint.version, endpoint.address)
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call back after each change of the list."""
         self._callbacks.append(callback)
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -378,7 +378,9 @@
             self._directory,
         )
         dispatch = Dispatch(call.organisation, remaining_ms, state.last_event_id)
-        sending = self._sender.send(connection, call, endpoint, dispatch)
+        sending = self._sender.send(
+            connection, call, endpoint, dispatch, self._directory.is_usable
+        )
         try:
             sent = await wait_for_first_byte(
                 sending,
--- a/src/pomelolane/forwarding/sender.py
+++ b/src/pomelolane/forwarding/sender.py
@@ -10,7 +10,7 @@
 from pomelolane.resumption import ORIGIN_HEADER, encode_origin
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from pomelolane.endpoints import AnswerStream, ConnectionPool
     from pomelolane.endpoints.connection import HttpConnection
@@ -62,7 +62,7 @@
     async def connect(self, endpoint: Endpoint) -> HttpConnection:
         """Return a connection to an endpoint.
 
-        The caller must send on it before awaiting anything else.
+        The caller must call :meth:`send` before awaiting anything else.
 
         Raises:
             EndpointRefusedError: No connection could be made.
@@ -75,11 +75,21 @@
         call: ForwardCall,
         endpoint: Endpoint,
         dispatch: Dispatch,
+        is_usable: Callable[[Endpoint], bool],
     ) -> SendResult:
         """Send a request and wait for the head of its answer.
 
+        Args:
+            connection: Connection to the endpoint.
+            call: The request.
+            endpoint: The endpoint, as it was before it was connected to.
+            dispatch: What the endpoint is told beside the caller's own words.
+            is_usable: Returns whether the endpoint may still get new work; called
+                immediately before the write.
+
         Raises:
-            EndpointRefusedError: The connection was closed before the write.
+            EndpointRefusedError: The connection was closed before the write, or the
+                endpoint may get nothing any more.
             EndpointBrokenError: The connection failed after the write, or the head is
                 not a valid answer to this request.
         """
@@ -87,6 +97,9 @@
         parts = [_encode_head(call, headers)]
         if call.body:
             parts.append(call.body)
+        if not is_usable(endpoint):
+            connection.discard()
+            raise EndpointRefusedError("the endpoint has left or started again")
         stream = await connection.exchange(call.method, parts)
         verdict = self._dialect.judge(
             stream.status, stream.headers, call.description.request_id
--- a/tests/forwarding/departures.feature
+++ b/tests/forwarding/departures.feature
@@ -58,6 +58,24 @@
     And "e1" announces to the first VM that it is leaving
     Then the VMs were notified once
 
+  # Guards against requests that reached an endpoint after it had left: it was looked at for
+  # the last time before a connection to it was awaited.
+  Scenario Outline: An endpoint that <what> gets no request that waits for a connection
+    When the first VM connects to "e1" for a request, and "e1" <what> <when>
+    Then "e1" gets no byte of the request
+    And the request has not run and may go elsewhere
+
+    Examples:
+      | what                 | when       |
+      | begins to leave      | before     |
+      | begins to leave      | right then |
+      | leaves without a word | before     |
+      | starts again         | before     |
+
+  Scenario: An endpoint that stays gets the request that waited for a connection
+    When the first VM connects to "e1" for a request, and "e1" stays before
+    Then "e1" gets the request
+
   Scenario Outline: Values of the header
     Then an answer with "Server-Leaving: <value>" is read as <result>
 
--- a/tests/steps/forwarding_departures_steps.py
+++ b/tests/steps/forwarding_departures_steps.py
@@ -1,12 +1,23 @@
 """Steps of tests/forwarding/departures.feature."""
 
+import asyncio
+
 from behave import given, then, when
 
 from pomelolane.clock import ManualClock
+from pomelolane.coordination.stream_reporter import StreamReporter
+from pomelolane.exceptions import EndpointBrokenError
+from pomelolane.forwarding import Forwarder, Route, RouteKind
+from pomelolane.forwarding.call import CallState, ForwardCall
 from pomelolane.forwarding.departures import AnnouncedDepartures
 from pomelolane.forwarding.endpoints import EndpointDirectory, instance_id_of
+from pomelolane.forwarding.failures import RetrySignal
+from pomelolane.forwarding.sender import Sender
 from pomelolane.model import Endpoint
 from pomelolane.platform.dialect import PlatformDialect
+from pomelolane.ports import Grant
+from pomelolane.ports.forwarding import CallDescription
+from pomelolane.quarantine import Quarantine
 
 NOTICES = {
     "leaving": (True, ()),
@@ -106,6 +117,148 @@
     assert not context.marks.own
 
 
+class Bystander:
+    """Stands for a part that is only told of what happens."""
+
+    def __getattr__(self, name):
+        return self._heed
+
+    def _heed(self, *args, **values):
+        return self
+
+
+class Connection:
+    """A connection that breaks as soon as a request is written to it."""
+
+    def __init__(self):
+        self.written = []
+        self.is_discarded = False
+
+    async def exchange(self, method, parts):
+        self.written += parts
+        raise EndpointBrokenError("the connection broke")
+
+    def discard(self):
+        self.is_discarded = True
+
+
+class Pool:
+    """Makes one connection, and lets something happen meanwhile."""
+
+    def __init__(self, happen, when):
+        self.connection = Connection()
+        self._happen = happen
+        self._when = when
+
+    async def acquire(self, address):
+        if self._when == "before":
+            self._happen()
+        else:
+            # Comes before any task that is created from here on.
+            asyncio.get_running_loop().call_soon(self._happen)
+        return self.connection
+
+
+class CrashWatch(Bystander):
+    """Takes no endpoint for crashed."""
+
+    async def broke(self):
+        return None
+
+
+def _call():
+    return ForwardCall(
+        local_id="local",
+        description=CallDescription("r", 0, 0, 0),
+        route=Route("r", "h", "/", RouteKind.IDEMPOTENT, ()),
+        service="pool",
+        organisation="o",
+        rank=0,
+        charge_tokens=10,
+        method="GET",
+        target=b"/",
+        headers=(),
+        body=b"",
+        accepted_ms=0.0,
+        limit_ms=1000,
+        version=1,
+    )
+
+
+_NEXT_STATES = {
+    "begins to leave": {"e1": _endpoint("e1", 1000, leaving=True)},
+    "leaves without a word": {},
+    "starts again": {"e1": _endpoint("e1", 2000)},
+    "stays": {"e1": _endpoint("e1", 1000)},
+}
+
+
+@when(
+    'the first VM connects to "{name}" for a request, and "{same}" {what} before',
+)
+def step_connects_before(context, name, same, what):
+    del same
+    _connect(context, name, what, "before")
+
+
+@when(
+    'the first VM connects to "{name}" for a request, and "{same}" {what} right then',
+)
+def step_connects_then(context, name, same, what):
+    del same
+    _connect(context, name, what, "right then")
+
+
+def _connect(context, name, what, when):
+    directory, _ = context.vms["first"]
+    context.pool = Pool(lambda: directory.replace(_NEXT_STATES[what], 2), when)
+    clock = ManualClock()
+    dialect = PlatformDialect()
+    forwarder = Forwarder(
+        intake=None,
+        client=None,
+        sender=Sender(context.pool, None, dialect),
+        directory=directory,
+        notice_handler=None,
+        make_budget=None,
+        quarantine=Quarantine(clock),
+        crashes=CrashWatch(),
+        clock=clock,
+        data_centre="hall",
+        reach=Bystander(),
+        peer_relay=None,
+        continuation=None,
+    )
+    context.state = CallState(_call())
+    grant = Grant("g", name, 10.0)
+    watch = StreamReporter(Bystander(), grant, clock)
+    try:
+        context.run(forwarder._attempt(context.state, None, grant, watch))
+    except RetrySignal as retry:
+        context.retry = retry
+
+
+@then('"{name}" gets no byte of the request')
+def step_no_byte(context, name):
+    del name
+    assert not context.pool.connection.written
+    assert context.pool.connection.is_discarded
+
+
+@then("the request has not run and may go elsewhere")
+def step_not_run(context):
+    assert not context.state.may_have_run
+    assert context.state.sends == 0
+    assert not context.retry.is_charged
+
+
+@then('"{name}" gets the request')
+def step_gets(context, name):
+    del name
+    assert context.pool.connection.written
+    assert context.state.may_have_run
+
+
 @then('an answer with "Server-Leaving: {value}" is read as {result}')
 def step_read_as(context, value, result):
     del context
