Keep the store's clock when an answer comes late

Each answer of the store set the clock by which records are dated, as if it had been made when it came. One that was held up, or whose VM was stopped meanwhile, set the clock back by as long, until the next answer. What organisations had used was then recorded as older than it was, and the next scheduler let more pass than the limit allows; reports of crashes and estimates were dated so too.

An answer is made between the beginning of its call and its arrival. The clock is corrected only as far as that requires; one that goes back is still believed at once.

watching.feature: "An answer that comes late does not set the store's clock back" red before (701 ms behind the store), green now; "A store whose clock has gone back is believed" green before and now; the scenarios on records of use green.

--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -140,7 +140,7 @@
         self._ahead_ms = 0.0
 
     def now_ms(self) -> float:
-        """Return the store's steady clock, as far as the last answer told it."""
+        """Return the store's steady clock, as far as its answers have told it."""
         return self._clock.now_ms() + self._ahead_ms
 
     async def read(self, table: str) -> Snapshot:
@@ -267,14 +267,24 @@
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> tuple[int, _Rows]:
+        begun_ms = self._clock.now_ms()
         answer = await self._call("GET", path, query, timeout_s)
         try:
             rows = msgspec.json.decode(answer.data, type=_Rows)
         except msgspec.DecodeError as error:
             raise StoreUnavailableError(f"{path}: {error}") from error
-        self._ahead_ms = rows.now_ms - self._clock.now_ms()
+        self._note_clock(rows.now_ms, begun_ms)
         return answer.era, rows
 
+    def _note_clock(self, store_ms: float, begun_ms: float) -> None:
+        """Correct the store's clock by as little as an answer requires.
+
+        The answer was made between the beginning of the call and now.
+        """
+        least_ms = store_ms - self._clock.now_ms()
+        most_ms = store_ms - begun_ms
+        self._ahead_ms = min(max(self._ahead_ms, least_ms), most_ms)
+
     async def _call(
         self,
         method: str,
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -85,6 +85,17 @@
     When "p1" begins to leave between two pages of the list
     Then the changes after that list say so
 
+  # Guards against records of use that seemed older than they were: an answer that came late
+  # set the store's clock back here, for as long as it had been on its way.
+  Scenario: An answer that comes late does not set the store's clock back
+    When an answer of the store is 700 ms on its way
+    Then the client tells the store's clock to within 200 ms
+
+  # The clock may go back where the store has been replaced.
+  Scenario: A store whose clock has gone back is believed
+    When the store's clock goes back by an hour
+    Then the client tells the store's clock to within 200 ms
+
   Scenario: Keys are the same for all VMs
     Then two VMs that ask for the shared keys at once get the same ones
 
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -219,6 +219,41 @@
     assert b"draining" in {r.key: r.value for r in changes.rows}.get("p1", b"")
 
 
+@when("an answer of the store is {ms:d} ms on its way")
+def step_answer_on_its_way(context, ms):
+    client = context.client
+    exchange = client._exchange
+
+    async def late(method, request):
+        answer = await exchange(method, request)
+        await asyncio.sleep(ms / 1000)
+        return answer
+
+    context.run(_end(context.tasks))
+    context.run(client.read("servers"))
+    client._exchange = late
+    context.run(client.read("servers"))
+
+
+@when("the store's clock goes back by an hour")
+def step_clock_back(context):
+    moment = context.store._moment
+    context.run(_end(context.tasks))
+    context.run(context.client.read("servers"))
+    hour_ms = 3_600_000
+    context.store._moment = lambda: moment() | {"nowMs": moment()["nowMs"] - hour_ms}
+    context.run(context.client.read("servers"))
+
+
+@then("the client tells the store's clock to within {ms:d} ms")
+def step_clock(context, ms):
+    store_ms = context.store._moment()["nowMs"]
+    assert abs(context.client.now_ms() - store_ms) <= ms, (
+        context.client.now_ms(),
+        store_ms,
+    )
+
+
 def _until(condition, within_ms):
     return wait_until(condition, within_ms / 1000, "it did not come into force")
 
