Go on reading endpoints where one that follows the list fails

An error in a callback of the directory ended the task that reads the endpoints. The VM then went on by the list of that moment for as long as its process ran, or until another VM read for it, and sent requests to endpoints that had long left.

The error is logged as task_failed, as with the other notifications, and the other callbacks and the reads go on.

watching.feature: "An error of one that follows the list does not end the reads" red before (the endpoint that starts again is not known within 2 s), green now.

--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -185,7 +185,10 @@
                     software=endpoint.version,
                 )
         for callback in self._callbacks:
-            callback()
+            try:
+                callback()
+            except Exception as error:
+                log_event(events.TASK_FAILED, task="endpoint list", error=repr(error))
 
 
 def _renewed(
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -96,6 +96,15 @@
     When the store's clock goes back by an hour
     Then the client tells the store's clock to within 200 ms
 
+  # Guards against a VM that knew nothing new of any endpoint any more: an error of one part
+  # that follows the list ended the reads.
+  Scenario: An error of one that follows the list does not end the reads
+    Given one that follows the list and fails
+    When the endpoint "p1" leaves without a word
+    Then the endpoint "p1" is gone after 2000 ms
+    When "p1" starts again
+    Then "p1" takes requests
+
   Scenario: Keys are the same for all VMs
     Then two VMs that ask for the shared keys at once get the same ones
 
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -254,6 +254,14 @@
     )
 
 
+@given("one that follows the list and fails")
+def step_fails(context):
+    def fail():
+        raise RuntimeError("for the test")
+
+    context.directory.on_change(fail)
+
+
 def _until(condition, within_ms):
     return wait_until(condition, within_ms / 1000, "it did not come into force")
 
