--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -216,6 +216,20 @@
     context.network.loses = True
 
 
+@when('the next read of "{name}" fails')
+def step_read_fails(context, name):
+    client = context.vms[name].client
+    changes = client.changes
+
+    async def fail(table, after, wait_ms):
+        if table == "servers":
+            client.changes = changes
+            raise StoreUnavailableError("busy")
+        return await changes(table, after, wait_ms)
+
+    client.changes = fail
+
+
 @when('"{name}" is draining')
 def step_vm_draining(context, name):
     peers = context.network.peers
