--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -65,6 +65,14 @@
     And "b" has the list confirmed while the answer arrives
     Then "b" knows that "p1" is leaving
 
+  # Guards against endpoints that got requests after they had left: a VM whose own call had
+  # failed once passed over all that the others told it, for as long as its calls failed.
+  Scenario: A VM that the store turns away hears from the others that an endpoint leaves
+    When "b" cannot reach the store
+    And "b" tries in vain to have the list confirmed
+    And endpoint "p1" is said to be draining
+    Then every VM knows within 1500 ms that "p1" is leaving
+
   Scenario: Changes behind a gap are not taken
     When "b" hears of changes that begin behind what it has read
     Then "b" has taken none of them
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -185,6 +185,11 @@
     assert endpoint in context.vms[name].leaving()
 
 
+@when('"{name}" tries in vain to have the list confirmed')
+def step_tries_in_vain(context, name):
+    assert not context.run(context.vms[name].directory.refresh(200))
+
+
 @when('"{name}" hears of a state that is not its own')
 def step_other_state(context, name):
     vm = context.vms[name]
