--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -73,6 +73,13 @@
     And endpoint "p1" is said to be draining
     Then every VM knows within 1500 ms that "p1" is leaving
 
+  # Guards against endpoints that got requests after they had left: the time for which
+  # missing entries are kept began with the VM's own next call, not with the store's return.
+  Scenario: An endpoint that left before an outage is dropped in time after it
+    When endpoint "p1" is deleted as the store begins to turn all away
+    And the store returns after 5000 ms and a call of "b" that has just failed
+    Then "b" knows within 3000 ms that "p1" takes nothing more
+
   Scenario: Changes behind a gap are not taken
     When "b" hears of changes that begin behind what it has read
     Then "b" has taken none of them
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -190,6 +190,35 @@
     assert not context.run(context.vms[name].directory.refresh(200))
 
 
+@when('endpoint "{name}" is deleted as the store begins to turn all away')
+def step_deleted_before_outage(context, name):
+    context.store.delete("servers", name)
+    context.store.trouble = Trouble.BUSY
+
+
+@when('the store returns after {ms:d} ms and a call of "{name}" that has just failed')
+def step_returns_after_call(context, ms, name):
+    client = context.vms[name].client
+    changes = client.changes
+    has_failed = asyncio.Event()
+
+    async def note_failure(table, after, wait_ms):
+        try:
+            return await changes(table, after, wait_ms)
+        except StoreUnavailableError:
+            if table == "servers":
+                has_failed.set()
+            raise
+
+    async def play():
+        await asyncio.sleep(ms / 1000)
+        client.changes = note_failure
+        await asyncio.wait_for(has_failed.wait(), 3)
+        context.store.trouble = Trouble.NONE
+
+    context.run(play())
+
+
 @when('"{name}" hears of a state that is not its own')
 def step_other_state(context, name):
     vm = context.vms[name]
