Reproduce a single refused call that counts as an outage

A VM that hears nothing of its reader asks itself after 1.3 s, which is more than the 1.2 s that count as an outage: a single refused call keeps missing entries for 2.5 s.

--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -80,6 +80,14 @@
     And the store returns after 5000 ms and a call of "b" that has just failed
     Then "b" knows within 3000 ms that "p1" takes nothing more
 
+  # Guards against endpoints that got requests after they had left: of a VM that reads for
+  # nobody, and so asks late, a single call that was refused counted as an outage.
+  Scenario: A call that is refused is no outage for a VM that hears nothing
+    When messages between the VMs are lost
+    And each second call of "b" is refused
+    And endpoint "p1" is deleted
+    Then "b" knows within 2000 ms that "p1" takes nothing more
+
   Scenario: Changes behind a gap are not taken
     When "b" hears of changes that begin behind what it has read
     Then "b" has taken none of them
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -219,6 +219,28 @@
     context.run(play())
 
 
+@when('each second call of "{name}" is refused')
+def step_each_second_refused(context, name):
+    client = context.vms[name].client
+    changes = client.changes
+    calls = 0
+    is_answered = asyncio.Event()
+
+    async def refuse(table, after, wait_ms):
+        nonlocal calls
+        if table == "servers":
+            calls += 1
+            if calls % 2:
+                raise StoreUnavailableError("status 429", 429)
+        snapshot = await changes(table, after, wait_ms)
+        if table == "servers":
+            is_answered.set()
+        return snapshot
+
+    client.changes = refuse
+    context.run(asyncio.wait_for(is_answered.wait(), 3))
+
+
 @when('"{name}" hears of a state that is not its own')
 def step_other_state(context, name):
     vm = context.vms[name]
