--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -88,6 +88,14 @@
     And endpoint "p1" is deleted
     Then "b" knows within 2000 ms that "p1" takes nothing more
 
+  # Guards against endpoints that were kept for as long as an outage lasted: a list that is
+  # to be read whole was not published when the time of its missing entries was over.
+  Scenario: A missing entry is dropped in time although the list is to be read whole
+    When the store turns all away for 1500 ms and "p1" is deleted meanwhile
+    And the store refuses all calls
+    And "b" hears of a state that is not its own
+    Then "b" knows within 3000 ms that "p1" takes nothing more
+
   Scenario: Changes behind a gap are not taken
     When "b" hears of changes that begin behind what it has read
     Then "b" has taken none of them
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -241,6 +241,19 @@
     context.run(asyncio.wait_for(is_answered.wait(), 3))
 
 
+@when('the store turns all away for {ms:d} ms and "{name}" is deleted meanwhile')
+def step_deleted_in_outage(context, ms, name):
+    context.store.trouble = Trouble.BUSY
+    context.run(asyncio.sleep(ms / 1000))
+    context.store.delete("servers", name)
+    context.store.trouble = Trouble.NONE
+
+    def are_regained():
+        return all(name in vm.watch._dropped_at_ms for vm in context.vms.values())
+
+    context.run(wait_until(are_regained, 3, "the deletion is not known"))
+
+
 @when('"{name}" hears of a state that is not its own')
 def step_other_state(context, name):
     vm = context.vms[name]
