Reproduce roll-out orders that some VMs never hear of

A whole read of the operator's table is passed on without rows if the configuration is large, with the hash of the configuration alone. A VM that has this configuration goes on after the read's version, and an order in between is never read.

--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -114,6 +114,14 @@
     When the operator says version 5 with 400 more routes
     Then every VM has version 5 within 1000 ms
 
+  # Guards against orders that some VMs never heard of: a whole read of a table with a large
+  # configuration was announced without rows, and the others went on after it.
+  Scenario: An order beside a large configuration is not missed when the history is lost
+    When the operator says version 5 with 400 more routes
+    Then every VM has version 5 within 1000 ms
+    When the operator orders a roll-out and the store forgets its history
+    Then every VM knows of the order within 2000 ms
+
   Scenario: A VM without an own way to the store hears of the configuration
     When "b" cannot reach the store
     And the operator says version 5
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -394,6 +394,22 @@
         peers[name] = replace(peer, ready=False)
 
 
+@when("the operator orders a roll-out and the store forgets its history")
+def step_order(context):
+    context.orders = {}
+    for name, vm in context.vms.items():
+        orders = context.orders[name] = []
+        vm.configurations.on_orders = orders.extend
+    order = {"service": "portal", "to": "v2", "durationS": 5}
+    context.store.put("op", "rollout/portal", json.dumps(order).encode())
+    context.store.forget_history()
+
+
+@then("every VM knows of the order within {ms:d} ms")
+def step_all_know_order(context, ms):
+    context.run(wait_until(lambda: all(context.orders.values()), ms / 1000, "not all"))
+
+
 @then("every VM has version {version:d} within {ms:d} ms")
 def step_all_have_version(context, version, ms):
     def have():
