Reproduce one unanswered call that counts as an outage

A call on a channel that has gone silent takes 1 s, so that the VM that reads has had no answer for 2.1 s: more than the 1.2 s that count as an outage, and missing entries are kept for 2.5 s.

--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -70,6 +70,13 @@
     And the endpoint "p1" leaves without a word
     Then the endpoint "p1" is gone after 5500 ms
 
+  # Guards against endpoints that got requests after they had left: a call on a channel that
+  # had gone silent took its whole time limit and counted as an outage.
+  Scenario: One call that is never answered is no outage
+    When one read of the endpoints is never answered
+    And the endpoint "p1" leaves without a word
+    Then the endpoint "p1" is gone after 3000 ms
+
   # Guards against changes that were never read, as the version of a list was that of its
   # last page.
   Scenario: A change on a page that was read before the last one is not missed
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -10,8 +10,9 @@
 from pomelolane.platform.configurationwatch import ConfigurationWatch
 from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.endpointwatch import EndpointWatch
+from pomelolane.platform.errors import StoreUnavailableError
 from pomelolane.platform.roster import VmRoster
-from pomelolane.platform.storeclient import StoreClient
+from pomelolane.platform.storeclient import CALL_TIMEOUT_S, StoreClient
 from pomelolane.platform.userecord import StoreUseRecord
 from pomelolane.scheduler.rate_limiting import TokenUse
 from standins.routed import MetadataStore, RoutedEndpoint
@@ -147,6 +148,23 @@
     context.run(asyncio.sleep(READ_S))
 
 
+@when("one read of the endpoints is never answered")
+def step_never_answered(context):
+    changes = context.client.changes
+    is_asked = asyncio.Event()
+
+    async def ask(table, after, wait_ms):
+        if table != "servers":
+            return await changes(table, after, wait_ms)
+        context.client.changes = changes
+        is_asked.set()
+        await asyncio.sleep(CALL_TIMEOUT_S)
+        raise StoreUnavailableError("no answer")
+
+    context.client.changes = ask
+    context.run(asyncio.wait_for(is_asked.wait(), 3))
+
+
 @when('the endpoint "{name}" leaves without a word')
 def step_deleted(context, name):
     context.store.delete("servers", name)
