--- a/tests/platform/changes.feature
+++ b/tests/platform/changes.feature
@@ -23,3 +23,10 @@
       | POST /plain/a | its service is replaced     |
       | POST /plain/a | its key is taken away       |
       | POST /plain/a | its route is declared again |
+
+  # Guards against requests that were told 404 while they waited for a slot, although each
+  # configuration leads them somewhere; their callers don't come back after that.
+  Scenario: Nobody who waits for a slot is denied because its service is removed
+    Given the endpoint "p1" takes 1500 ms for an answer
+    When 12 callers send "GET /plain/a", and its route is moved and its service removed
+    Then none of them is denied
--- a/tests/steps/platform_changes_steps.py
+++ b/tests/steps/platform_changes_steps.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import json
+from collections import Counter
 
-from behave import when
+from behave import given, then, when
 
 from standins.routed.vm import Answer
 from tests.routed_world import ORGANISATION, caller_headers, configuration
 
 BODY = b"a" * 64
 
+WAITING_S = 0.1
+"""Time in which requests come to wait at their scheduler."""
+
 
 def _changes(what):
     """Return the changes of an operator's configuration."""
@@ -25,6 +29,9 @@
             return {"tenants": [{"name": ORGANISATION, "apiKeys": []}]}
         case "its route is declared again":
             return {"routes": [plain | {"timeoutMs": 2900}, *routes[1:]]}
+        case "its route is moved and its service removed":
+            moved = [one | {"service": "pool"} for one in routes]
+            return {"routes": moved, "services": document["services"][1:]}
     raise AssertionError(what)
 
 
@@ -57,3 +64,38 @@
 
     sending = _send_slowly(context.vm, line, body_ms, change)
     context.answer = context.run(asyncio.wait_for(sending, 10))
+
+
+async def _send(vm, line, request_id):
+    reader, writer = await asyncio.open_connection(vm.ip, vm.front.port)
+    head = [f"{line} HTTP/1.1", *caller_headers(request_id), "connection: close"]
+    writer.write("\r\n".join([*head, "", ""]).encode())
+    try:
+        return Answer(await reader.read())
+    finally:
+        writer.close()
+
+
+@given('the endpoint "{name}" takes {ms:d} ms for an answer')
+def step_takes(context, name, ms):
+    context.world.endpoints[name].options.work_ms = ms
+
+
+@when('{count:d} callers send "{line}", and {what}')
+def step_callers_send(context, count, line, what):
+    async def play():
+        sending = [
+            asyncio.create_task(_send(context.vm, line, f"r{number}"))
+            for number in range(count)
+        ]
+        await asyncio.sleep(WAITING_S)
+        context.world.configure(**_changes(what))
+        return await asyncio.wait_for(asyncio.gather(*sending), 10)
+
+    context.answers = context.run(play())
+
+
+@then("none of them is denied")
+def step_none_denied(context):
+    statuses = Counter(answer.status for answer in context.answers)
+    assert not {400, 401, 403, 404} & statuses.keys(), statuses
