Reproduce endpoints that are given up for their silence where there is no other one

A repeatable request is cut off after 3 predictions without a first byte, before anybody knows of another endpoint for it; where there is none, the caller gets 502 while the endpoint is at work. 2 of 4 requests on, with and without a change of the configuration, in 2 of 2 runs each.

--- a/tests/platform/changes.feature
+++ b/tests/platform/changes.feature
@@ -30,3 +30,15 @@
     Given the endpoint "p1" takes 1500 ms for an answer
     When 12 callers send "GET /plain/a", and its route is moved and its service removed
     Then none of them is denied
+
+  # Guards against requests that got 502 although their endpoint was at work on them: it was
+  # given up for being silent where there was no other one.
+  Scenario Outline: An endpoint that is silent for long is not given up without another
+    Given the endpoint "p1" takes 1500 ms for an answer
+    When 4 callers send "GET /plain/a", and <what>
+    Then all of them get the endpoint's own answer
+
+    Examples:
+      | what                                         |
+      | its route is declared again                  |
+      | its route is moved and its service removed   |
--- a/tests/steps/platform_changes_steps.py
+++ b/tests/steps/platform_changes_steps.py
@@ -99,3 +99,9 @@
 def step_none_denied(context):
     statuses = Counter(answer.status for answer in context.answers)
     assert not {400, 401, 403, 404} & statuses.keys(), statuses
+
+
+@then("all of them get the endpoint's own answer")
+def step_all_served(context):
+    statuses = Counter(answer.status for answer in context.answers)
+    assert statuses.keys() == {200}, statuses
