--- a/tests/platform/changes.feature
+++ b/tests/platform/changes.feature
@@ -27,14 +27,14 @@
   # Guards against requests that were told 404 while they waited for a slot, although each
   # configuration leads them somewhere; their callers don't come back after that.
   Scenario: Nobody who waits for a slot is denied because its service is removed
-    Given the endpoint "p1" takes 1500 ms for an answer
+    Given the endpoint "p1" takes 1500 ms
     When 12 callers send "GET /plain/a", and its route is moved and its service removed
     Then none of them is denied
 
   # Guards against requests that got 502 although their endpoint was at work on them: it was
   # given up for being silent where there was no other one.
   Scenario Outline: An endpoint that is silent for long is not given up without another
-    Given the endpoint "p1" takes 1500 ms for an answer
+    Given the endpoint "p1" takes 1500 ms
     When 4 callers send "GET /plain/a", and <what>
     Then all of them get the endpoint's own answer
 
--- a/tests/steps/platform_changes_steps.py
+++ b/tests/steps/platform_changes_steps.py
@@ -4,7 +4,7 @@
 import json
 from collections import Counter
 
-from behave import given, then, when
+from behave import then, when
 
 from standins.routed.vm import Answer
 from tests.routed_world import ORGANISATION, caller_headers, configuration
@@ -76,11 +76,6 @@
         writer.close()
 
 
-@given('the endpoint "{name}" takes {ms:d} ms for an answer')
-def step_takes(context, name, ms):
-    context.world.endpoints[name].options.work_ms = ms
-
-
 @when('{count:d} callers send "{line}", and {what}')
 def step_callers_send(context, count, line, what):
     async def play():
