Reproduce proper requests that get 431 after a long body

Where a body of more than a head's 32 KiB comes in several pieces, its bytes stay in the count of the head's, and the next head on that connection is refused with 431 if it comes in two pieces; callers don't repeat after that.

--- a/tests/platform/serving.feature
+++ b/tests/platform/serving.feature
@@ -61,6 +61,12 @@
       | both lengths          | 400    |
       | a deadline of letters | 400    |
 
+  # Guards against proper requests that got 431: bytes of the body before counted as part of
+  # the next head on the same connection where that came in two pieces.
+  Scenario: A head in two pieces is taken after a long body
+    When a caller sends 80000 bytes to "POST /plain/a" in 4 pieces, and then a head in two
+    Then both answers are 200
+
   Scenario: A stream passes event by event and whole
     When a caller sends "POST /chat/a" with the body "abc"
     Then the answer is 200 and holds the events 1 to 5 once each
--- a/tests/steps/platform_serving_steps.py
+++ b/tests/steps/platform_serving_steps.py
@@ -1,6 +1,7 @@
 """Steps of a VM on the users' platform, against the stand-ins."""
 
 import asyncio
+import re
 
 from behave import given, then, when
 
@@ -13,6 +14,9 @@
 MOST_TRIES = 30
 KNOWN_WITHIN_S = 10.0
 
+PIECE_S = 0.05
+"""Pause after each piece of a request, so that each comes by itself."""
+
 
 def _names(lines):
     return [line["endpoint"] for line in lines]
@@ -341,3 +345,36 @@
 async def _page(context, path):
     vm = context.vm
     return await exchange(vm.ip, vm.probe.port, f"GET {path} HTTP/1.1")
+
+
+@when(
+    'a caller sends {size:d} bytes to "{line}" in {count:d} pieces, '
+    "and then a head in two"
+)
+def step_long_body_and_split_head(context, size, line, count):
+    async def send():
+        reader, writer = await asyncio.open_connection(
+            context.vm.ip, context.vm.front.port
+        )
+        fields = [*caller_headers("r1"), f"content-length: {size}"]
+        first = "\r\n".join([f"{line} HTTP/1.1", *fields, "", ""]).encode()
+        fields = [*caller_headers("r2"), "connection: close"]
+        second = "\r\n".join(["GET /plain/b HTTP/1.1", *fields, "", ""]).encode()
+        half = len(second) // 2
+        pieces = [first, *[b"a" * (size // count)] * count]
+        for piece in [*pieces, second[:half], second[half:]]:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(PIECE_S)
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+    context.data = context.run(asyncio.wait_for(send(), 10))
+
+
+@then("both answers are {status:d}")
+def step_both_answers(context, status):
+    statuses = re.findall(rb"HTTP/1\.1 (\d+) ", context.data)
+    assert statuses == [b"%d" % status] * 2, statuses
