--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -65,6 +65,46 @@
     And endpoint "p1" is deleted
     Then "b" knows within 2000 ms that "p1" takes nothing more
 
+  # Guards against versions that other VMs have used and this one took for unknown: the
+  # answer to a read from before the question was taken for its confirmation.
+  Scenario: An answer from before the question does not confirm the list
+    When messages between the VMs are lost
+    And "b" reads the list and the answer is on its way
+    And endpoint "p1" is said to be draining
+    And "b" has the list confirmed while the answer arrives
+    Then "b" knows that "p1" is leaving
+
+  # Guards against endpoints that got requests after they had left: a VM whose own call had
+  # failed once passed over all that the others told it, for as long as its calls failed.
+  Scenario: A VM that the store turns away hears from the others that an endpoint leaves
+    When "b" cannot reach the store
+    And "b" tries in vain to have the list confirmed
+    And endpoint "p1" is said to be draining
+    Then every VM knows within 1500 ms that "p1" is leaving
+
+  # Guards against endpoints that got requests after they had left: the time for which
+  # missing entries are kept began with the VM's own next call, not with the store's return.
+  Scenario: An endpoint that left before an outage is dropped in time after it
+    When endpoint "p1" is deleted as the store begins to turn all away
+    And the store returns after 5000 ms and a call of "b" that has just failed
+    Then "b" knows within 3000 ms that "p1" takes nothing more
+
+  # Guards against endpoints that got requests after they had left: of a VM that reads for
+  # nobody, and so asks late, a single call that was refused counted as an outage.
+  Scenario: A call that is refused is no outage for a VM that hears nothing
+    When messages between the VMs are lost
+    And each second call of "b" is refused
+    And endpoint "p1" is deleted
+    Then "b" knows within 2000 ms that "p1" takes nothing more
+
+  # Guards against endpoints that were kept for as long as an outage lasted: a list that is
+  # to be read whole was not published when the time of its missing entries was over.
+  Scenario: A missing entry is dropped in time although the list is to be read whole
+    When the store turns all away for 1500 ms and "p1" is deleted meanwhile
+    And the store refuses all calls
+    And "b" hears of a state that is not its own
+    Then "b" knows within 3000 ms that "p1" takes nothing more
+
   Scenario: Changes behind a gap are not taken
     When "b" hears of changes that begin behind what it has read
     Then "b" has taken none of them
@@ -83,6 +123,14 @@
     When the operator says version 5 with 400 more routes
     Then every VM has version 5 within 1000 ms
 
+  # Guards against orders that some VMs never heard of: a whole read of a table with a large
+  # configuration was announced without rows, and the others went on after it.
+  Scenario: An order beside a large configuration is not missed when the history is lost
+    When the operator says version 5 with 400 more routes
+    Then every VM has version 5 within 1000 ms
+    When the operator orders a roll-out and the store forgets its history
+    Then every VM knows of the order within 2000 ms
+
   Scenario: A VM without an own way to the store hears of the configuration
     When "b" cannot reach the store
     And the operator says version 5
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -167,6 +167,93 @@
     context.run(watch())
 
 
+@when('"{name}" has the list confirmed while the answer arrives')
+def step_confirmed_by_late_answer(context, name):
+    directory = context.vms[name].directory
+
+    async def confirm():
+        confirming = asyncio.create_task(directory.refresh(2000))
+        await asyncio.sleep(0)
+        context.arrival.set_result(None)
+        return await confirming
+
+    assert context.run(confirm())
+
+
+@then('"{name}" knows that "{endpoint}" is leaving')
+def step_knows_leaving(context, name, endpoint):
+    assert endpoint in context.vms[name].leaving()
+
+
+@when('"{name}" tries in vain to have the list confirmed')
+def step_tries_in_vain(context, name):
+    assert not context.run(context.vms[name].directory.refresh(200))
+
+
+@when('endpoint "{name}" is deleted as the store begins to turn all away')
+def step_deleted_before_outage(context, name):
+    context.store.delete("servers", name)
+    context.store.trouble = Trouble.BUSY
+
+
+@when('the store returns after {ms:d} ms and a call of "{name}" that has just failed')
+def step_returns_after_call(context, ms, name):
+    client = context.vms[name].client
+    changes = client.changes
+    has_failed = asyncio.Event()
+
+    async def note_failure(table, after, wait_ms):
+        try:
+            return await changes(table, after, wait_ms)
+        except StoreUnavailableError:
+            if table == "servers":
+                has_failed.set()
+            raise
+
+    async def play():
+        await asyncio.sleep(ms / 1000)
+        client.changes = note_failure
+        await asyncio.wait_for(has_failed.wait(), 3)
+        context.store.trouble = Trouble.NONE
+
+    context.run(play())
+
+
+@when('each second call of "{name}" is refused')
+def step_each_second_refused(context, name):
+    client = context.vms[name].client
+    changes = client.changes
+    calls = 0
+    is_answered = asyncio.Event()
+
+    async def refuse(table, after, wait_ms):
+        nonlocal calls
+        if table == "servers":
+            calls += 1
+            if calls % 2:
+                raise StoreUnavailableError("status 429", 429)
+        snapshot = await changes(table, after, wait_ms)
+        if table == "servers":
+            is_answered.set()
+        return snapshot
+
+    client.changes = refuse
+    context.run(asyncio.wait_for(is_answered.wait(), 3))
+
+
+@when('the store turns all away for {ms:d} ms and "{name}" is deleted meanwhile')
+def step_deleted_in_outage(context, ms, name):
+    context.store.trouble = Trouble.BUSY
+    context.run(asyncio.sleep(ms / 1000))
+    context.store.delete("servers", name)
+    context.store.trouble = Trouble.NONE
+
+    def are_regained():
+        return all(name in vm.watch._dropped_at_ms for vm in context.vms.values())
+
+    context.run(wait_until(are_regained, 3, "the deletion is not known"))
+
+
 @when('"{name}" hears of a state that is not its own')
 def step_other_state(context, name):
     vm = context.vms[name]
@@ -321,6 +408,22 @@
         peers[name] = replace(peer, ready=False)
 
 
+@when("the operator orders a roll-out and the store forgets its history")
+def step_order(context):
+    context.orders = {}
+    for name, vm in context.vms.items():
+        orders = context.orders[name] = []
+        vm.configurations.on_orders = orders.extend
+    order = {"service": "portal", "to": "v2", "durationS": 5}
+    context.store.put("op", "rollout/portal", json.dumps(order).encode())
+    context.store.forget_history()
+
+
+@then("every VM knows of the order within {ms:d} ms")
+def step_all_know_order(context, ms):
+    context.run(wait_until(lambda: all(context.orders.values()), ms / 1000, "not all"))
+
+
 @then("every VM has version {version:d} within {ms:d} ms")
 def step_all_have_version(context, version, ms):
     def have():
