Take two failed calls in a row for an outage, not a silence

Endpoints got requests up to 3.9 s after their entries had been deleted: one refused call of a VM that reads for nobody, or one call that was never answered, lasted longer than the silence that counted as an outage, and began the time for which missing entries are kept.

A single call may fail at any time; calls in a row fail in an outage.

--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -57,9 +57,9 @@
 """How long a row may be missing after an outage: the registry's entries are
 back within about two seconds of the store's return."""
 
-SHORTEST_OUTAGE_S = 1.2
-"""Time without an answer that counts as an outage; one failed call and its retry
-explain less. A row lapses only after several missed heartbeats."""
+FAILED_CALLS_OF_OUTAGE = 2
+"""Calls in a row that fail in an outage; a single one may fail at any time, and a row
+lapses only after several missed heartbeats."""
 
 
 class EndpointWatch:
@@ -90,7 +90,6 @@
         self._shared: SharedReads | None = None
         self._dropped_at_ms: dict[str, float] = {}
         self._grace_until_ms = 0.0
-        self._silent_since_ms = 0.0
         self._after = -1
         self._version = 0
         self._on_regained: list[Callable[[], None]] = []
@@ -127,8 +126,6 @@
             self._refresh_wanted.clear()
             pause_s = ENDPOINT_PERIOD_S * random.uniform(*_PERIOD_SPREAD)
             least_s = REFRESH_INTERVAL_S
-            if not self._trouble.is_lost:
-                self._silent_since_ms = self._last_good_ms()
             try:
                 await self._step()
             except HistoryLostError:
@@ -163,23 +160,15 @@
             self._drop_missing(self._clock.now_ms())
             self._publish(confirms=False)
 
-    def _last_good_ms(self) -> float:
-        """Return when the store answered last, as far as a silence of it is known.
-
-        A VM for which another one reads hears nothing for longer where that one fails.
-        """
-        longest_ms = 1000 * ENDPOINT_PERIOD_S * max(_PERIOD_SPREAD)
-        return self._clock.now_ms() - min(self._directory.age_ms, longest_ms)
-
-    def _begin_grace(self, asked_ms: float) -> None:
+    def _begin_grace(self, failed_calls: int) -> None:
         """Keep rows that are missing after an outage, as they may come back.
 
         Rows that were missing before are not kept any longer for it.
 
         Args:
-            asked_ms: When the store was asked that has answered again.
+            failed_calls: How many calls in a row have failed before.
         """
-        if asked_ms - self._silent_since_ms >= 1000 * SHORTEST_OUTAGE_S:
+        if failed_calls >= FAILED_CALLS_OF_OUTAGE:
             self._grace_until_ms = self._clock.now_ms() + 1000 * RETURN_GRACE_S
 
     def _fresh_s(self) -> float:
@@ -219,13 +208,13 @@
     async def _step(self) -> None:
         after = self._after
         whole = after < 0
-        asked_ms = self._clock.now_ms()
         if whole:
             snapshot = await self._store.read(_ENDPOINT_TABLE)
         else:
             snapshot = await self._store.changes(_ENDPOINT_TABLE, after, 0)
+        failed_calls = self._trouble.failed_calls
         if self._trouble.succeeded(snapshot.version):
-            self._begin_grace(asked_ms)
+            self._begin_grace(failed_calls)
             for callback in self._on_regained:
                 callback()
         if not after <= self._after <= snapshot.version:
--- a/src/pomelolane/platform/trouble.py
+++ b/src/pomelolane/platform/trouble.py
@@ -26,6 +26,9 @@
     Args:
         what: What is read, for the log.
         clock: Time.
+
+    Attributes:
+        failed_calls: How many calls in a row have failed.
     """
 
     def __init__(self, what: str, clock: Clock) -> None:
@@ -33,6 +36,7 @@
         self._clock = clock
         self._good_ms = clock.now_ms()
         self._pause_s = 0.0
+        self.failed_calls = 0
 
     @property
     def is_lost(self) -> bool:
@@ -53,6 +57,7 @@
                 error=str(error),
                 age_ms=self._clock.now_ms() - self._good_ms,
             )
+        self.failed_calls += 1
         doubled = max(_FIRST_PAUSE_S, 2 * self._pause_s)
         longest_s = _LONGEST_PAUSE_S if is_reader else _LONGEST_PATIENT_PAUSE_S
         self._pause_s = min(longest_s, doubled)
@@ -71,4 +76,5 @@
             )
         self._good_ms = now_ms
         self._pause_s = 0.0
+        self.failed_calls = 0
         return was_lost
