Publish the endpoints also while the list is to be read whole

Entries that had been deleted stayed usable for as long as an outage of the store lasted, in a VM that had just learnt that it must read the list whole: nothing was published until it had, neither the end of the time for which missing entries are kept, nor what a new configuration made of the known ones.

tests/platform/sharing.feature: 'A missing entry is dropped in time although ...' red before (still usable at 12.0 s), green now.

--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -92,6 +92,7 @@
         self._grace_until_ms = 0.0
         self._forgotten: list[str] = []
         self._after = -1
+        self._has_read = False
         self._version = 0
         self._on_regained: list[Callable[[], None]] = []
         self._refresh_wanted = asyncio.Event()
@@ -103,11 +104,6 @@
         """Call back when the store answers again after an outage."""
         self._on_regained.append(callback)
 
-    @property
-    def is_read(self) -> bool:
-        """Whether the table was read at least once."""
-        return self._after >= 0
-
     def share(
         self, vm_id: str, data_centre: str, membership: Membership, transport: Transport
     ) -> None:
@@ -184,7 +180,7 @@
     def _fresh_s(self) -> float:
         """Return for how long what another VM has read is young enough."""
         shared = self._shared
-        if shared is None or not self.is_read or self._trouble.is_lost:
+        if shared is None or self._after < 0 or self._trouble.is_lost:
             return 0.0
         if shared.is_reader:
             return 0.0
@@ -192,7 +188,7 @@
 
     def _take_shared(self, news: WatchedChanges) -> None:
         """Take what another VM has read, unless something is missing before it."""
-        if not (self.is_read and news.after <= self._after <= news.version):
+        if self._after < 0 or not news.after <= self._after <= news.version:
             return
         if self._trouble.is_lost:
             self._answered_elsewhere.set()
@@ -232,6 +228,7 @@
             # has shown that the list is to be read whole.
             return
         self._after = self._version = snapshot.version
+        self._has_read = True
         changed = self._take(
             snapshot.rows, whole=whole, kept_until_ms=self._grace_until_ms
         )
@@ -322,6 +319,6 @@
         self._publish(confirms=False)
 
     def _publish(self, *, confirms: bool = True) -> None:
-        if self.is_read and self._current.value is not None:
+        if self._has_read and self._current.value is not None:
             endpoints = dict(self._endpoints)
             self._directory.replace(endpoints, self._version, confirms=confirms)
