Announce a large configuration without the other rows of its table missing

Some VMs never heard of roll-out orders: where the table was read whole and its rows were too large to be passed on, none was, and since only the configuration's hash is compared, the others went on after a version whose orders they had not seen.

Only the configuration is left out now. tests/platform/sharing.feature: 'An order beside a large configuration ...' red before, green now.

--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -165,8 +165,9 @@
             await asyncio.sleep(_UNREAD_PAUSE_S)
 
     def _pass_on(self, after: int, rows: Sequence[StoredRow]) -> None:
+        # Rows that are left out must show: only the configuration's hash is compared.
         if sum(len(row.value) for row in rows) > _MOST_PASSED_BYTES:
-            rows = ()
+            rows = [row for row in rows if row.key != _KEY]
         self._shared.pass_on(after, self._after, rows, self._document_hash)
 
     def _take_shared(self, news: WatchedChanges) -> None:
