Confirm a list of endpoints only by a read that began after the question

Who must be certain has the list confirmed, such as before a stream goes on at the only version that is known. The answer to a read that was under way already counted: a version that had served since was not in it.

--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -36,6 +37,7 @@
         self._clock = clock
         self._endpoints: dict[str, Endpoint] = {}
         self._confirmed_ms = clock.now_ms()
+        self._read_from_ms = -math.inf
         self._leaving_marked_ms: dict[str, float] = {}
         self._leaving_listed_ms: dict[str, float] = {}
         self._version = 0
@@ -91,19 +93,26 @@
 
     async def refresh(self, timeout_ms: float) -> bool:
         """Have the source confirm the list, and return whether it did so in time."""
-        confirmation = self._next_confirmation
+        asked_ms = self._clock.now_ms()
         for callback in self._refreshers:
             callback()
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                await confirmation.wait()
+                while self._read_from_ms < asked_ms:
+                    await self._next_confirmation.wait()
         except TimeoutError:
             return False
         return True
 
-    def confirm(self) -> None:
-        """Record that the source still reports the same list."""
-        self._confirmed_ms = self._clock.now_ms()
+    def confirm(self, read_from_ms: float | None = None) -> None:
+        """Record that the source still reports the same list.
+
+        Args:
+            read_from_ms: When the read of the source began, None for now.
+        """
+        self._confirmed_ms = now_ms = self._clock.now_ms()
+        from_ms = now_ms if read_from_ms is None else read_from_ms
+        self._read_from_ms = max(self._read_from_ms, from_ms)
         confirmation, self._next_confirmation = (
             self._next_confirmation,
             asyncio.Event(),
@@ -149,7 +158,12 @@
         return endpoints | leaving
 
     def replace(
-        self, endpoints: dict[str, Endpoint], version: int, *, confirms: bool = True
+        self,
+        endpoints: dict[str, Endpoint],
+        version: int,
+        *,
+        confirms: bool = True,
+        read_from_ms: float | None = None,
     ) -> None:
         """Adopt a list, and call the callbacks if it differs from the current one.
 
@@ -157,12 +171,13 @@
             endpoints: Endpoints by id.
             version: Version of the list, for the log.
             confirms: Whether the source has just confirmed the list.
+            read_from_ms: When the read of the source began, None for now.
         """
         self._known.set()
         self._version = version
         self._adopt(endpoints)
         if confirms:
-            self.confirm()
+            self.confirm(read_from_ms)
 
     def _adopt(self, endpoints: dict[str, Endpoint]) -> None:
         endpoints = self._keep_leaving(endpoints)
--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -214,6 +214,7 @@
     async def _step(self) -> None:
         after = self._after
         whole = after < 0
+        asked_ms = self._clock.now_ms()
         if whole:
             snapshot = await self._store.read(_ENDPOINT_TABLE)
         else:
@@ -232,7 +233,7 @@
         changed = self._take(
             snapshot.rows, whole=whole, kept_until_ms=self._grace_until_ms
         )
-        self._publish()
+        self._publish(read_from_ms=asked_ms)
         if self._shared is not None and not whole and self._shared.is_reader:
             self._pass_on(after, changed)
         self._forgotten.clear()
@@ -318,7 +319,17 @@
             self._decode(key)
         self._publish(confirms=False)
 
-    def _publish(self, *, confirms: bool = True) -> None:
+    def _publish(
+        self, *, confirms: bool = True, read_from_ms: float = -math.inf
+    ) -> None:
+        """Hand the endpoints to the directory.
+
+        Args:
+            confirms: Whether the store has just confirmed them.
+            read_from_ms: When the VM's own read began, if that confirms them.
+        """
         if self._has_read and self._current.value is not None:
             endpoints = dict(self._endpoints)
-            self._directory.replace(endpoints, self._version, confirms=confirms)
+            self._directory.replace(
+                endpoints, self._version, confirms=confirms, read_from_ms=read_from_ms
+            )
