End a request in a refusal also after an unhandled error

Callers got the server's plain 500, or a closed connection, wherever an error that nothing handles ended a request: neither an endpoint's answer nor a refusal, and not told whether the request may have run. It was logged and raised on to uvicorn. An error while the request was logged as accepted left it open for ever, so that a planned stop waited for it.

Such a request now gets 503 internal_error with the outcome not_run while nothing can have run, and 502 afterwards; an answer that has begun is broken off, one that is complete stays so. A VM that stands for another one's caller answers 421 as long as it has sent nothing, so that the other one asks elsewhere.

--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -37,6 +37,7 @@
 from pomelolane.forwarding.handles import handle_from_state
 from pomelolane.forwarding.peer_relay import MISDIRECTED_STATUS
 from pomelolane.forwarding.refusals import (
+    INTERNAL_ERROR,
     answer_refusal,
     refusal_after_sends,
     refusal_from_error,
@@ -201,11 +202,14 @@
         try:
             call = await self._intake.accept(exchange)
         except BadRequestError as error:
-            await self._reject(exchange, error)
+            refusal = refusal_from_error(error)
+            log_event(events.BAD_INPUT, reason=refusal.reason, status=error.status)
+            await self._reject(exchange, refusal)
             return
         except Exception as error:
             request_log.error("", error)
-            raise
+            await self._reject(exchange, INTERNAL_ERROR)
+            return
         state = CallState(call, last_event_id=call.description.resume_after)
         await self._serve_watched(state, exchange)
 
@@ -213,18 +217,23 @@
         """Serve an exchange in which another VM stands for the caller.
 
         The answer is 421 if that VM should ask another one: this one does not accept
-        the request, perhaps by an older configuration, or is cut off itself.
+        the request, perhaps by an older configuration, is cut off itself, or fails
+        before it has sent the request.
         """
-        sends = exchange.header(SENDS_HEADER)
-        origin = origin_from_header(exchange.header(ORIGIN_HEADER))
-        exchange.headers = [
-            one for one in exchange.headers if one[0] not in _HEADERS_BETWEEN_VMS
-        ]
         try:
+            sends = exchange.header(SENDS_HEADER)
+            origin = origin_from_header(exchange.header(ORIGIN_HEADER))
+            exchange.headers = [
+                one for one in exchange.headers if one[0] not in _HEADERS_BETWEEN_VMS
+            ]
             call = await self._intake.accept(exchange)
         except BadRequestError:
             await exchange.respond(MISDIRECTED_STATUS, [], b"")
             return
+        except Exception as error:
+            request_log.error("", error)
+            await exchange.respond(MISDIRECTED_STATUS, [], b"")
+            return
         if self._reach.is_cut_off or not self.can_accept(call.limit_ms):
             await exchange.respond(MISDIRECTED_STATUS, [], b"")
             return
@@ -243,8 +252,8 @@
         task = asyncio.current_task()
         exchange.watch_disconnect(task.cancel)
         self.open_calls[call.local_id] = state
-        request_log.accepted(call)
         try:
+            request_log.accepted(call)
             await self._serve(state, exchange)
         except asyncio.CancelledError:
             if not exchange.gone:
@@ -253,14 +262,23 @@
             request_log.abandoned(state, self._clock.now_ms())
         except Exception as error:
             request_log.error(call.log_id, error)
-            raise
+            await self._end_in_error(state, exchange)
         finally:
             del self.open_calls[call.local_id]
             self._request_ended.set()
 
-    async def _reject(self, exchange: Exchange, error: BadRequestError) -> None:
-        refusal = refusal_from_error(error)
-        log_event(events.BAD_INPUT, reason=refusal.reason, status=error.status)
+    async def _end_in_error(self, state: CallState, exchange: Exchange) -> None:
+        """End a request after an unhandled error, unless its answer is complete."""
+        if exchange.completed:
+            return
+        has_begun = state.answer_begun or exchange.answered
+        if state.is_relayed and not state.may_have_run and not has_begun:
+            await exchange.respond(MISDIRECTED_STATUS, [], b"")
+            return
+        refusal = refusal_after_sends(state, INTERNAL_ERROR)
+        await self._refuse(state, exchange, refusal)
+
+    async def _reject(self, exchange: Exchange, refusal: Refusal) -> None:
         metrics.count_end("", "", 0, refusal.outcome.value, refusal.reason.value)
         await exchange.skip_body(MAX_SKIPPED_BODY_BYTES, SKIP_BODY_TIMEOUT_MS)
         await answer_refusal(exchange, refusal, "", closes=self.draining)
@@ -536,7 +554,7 @@
     ) -> None:
         held_ms = self._clock.now_ms() - state.call.accepted_ms
         status = 0
-        if state.answer_begun:
+        if state.answer_begun or exchange.answered:
             # The status is already sent, so closing the connection is the only way to
             # signal the failure.
             exchange.abort()
--- a/src/pomelolane/forwarding/refusals.py
+++ b/src/pomelolane/forwarding/refusals.py
@@ -30,12 +30,18 @@
     Reason.CRASHES_ENDPOINTS,
     Reason.NO_MATCHING_VERSION,
     Reason.ORIGIN_UNKNOWN,
+    Reason.INTERNAL_ERROR,
 )
 """Reasons that hold whether or not an endpoint has begun the request."""
 
 NOT_READY_RETRY_MS = 500
 """Retry delay for callers of a VM that has no configuration yet."""
 
+INTERNAL_ERROR = Refusal(
+    Outcome.NOT_RUN, Reason.INTERNAL_ERROR, detail="an unexpected error occurred"
+)
+"""Refusal of a request that an unhandled error has ended before it was sent."""
+
 
 def refusal_after_sends(state: CallState, refusal: Refusal) -> Refusal:
     """Return the refusal with its outcome adjusted to the sends made so far.
--- a/src/pomelolane/outcomes.py
+++ b/src/pomelolane/outcomes.py
@@ -57,6 +57,7 @@
     CANCELLED = "cancelled"
     VERSION_CONFLICT = "version_conflict"
     INVALID_TREE = "invalid_tree"
+    INTERNAL_ERROR = "internal_error"
 
 
 @dataclass(frozen=True, slots=True)
