Leave a silent endpoint only once another one has granted a slot

Callers' streams were broken off, and calls refused with 504, though their endpoint was in order and only silent for about a second. A resumable stream was cut after 2.5 times its allowed pause (a call after 0.4 of its objective, or three times its expected time), and only then was a slot asked for elsewhere. Where the other endpoints were full, or the scheduler moved, none came.

The request now keeps its endpoint while it asks, and goes on reading. The retry is charged, and the endpoint cut off, when the grant is there and its endpoint still usable. If the first one goes on or ends meanwhile, the wait is withdrawn, or the grant given back, which frees its slot without counting as a refusal by the endpoint. Each ask has an id of its own, so that a late grant of a withdrawn ask fits no other. A VM that is cut off from all endpoints still moves to another VM without a grant.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -82,6 +82,12 @@
             self._abandon(ticket)
             raise
 
+    def release(self, grant: Grant) -> None:
+        """Give back a grant that is not used, which frees its slot."""
+        ticket = self._tickets.get(grant.request_id)
+        if ticket is not None:
+            self._abandon(ticket)
+
     def observe(self, event: StreamEvent) -> None:
         """Report progress of a dispatched request; a final event frees its slot."""
         ticket = self._tickets.get(event.request_id)
--- a/src/pomelolane/forwarding/call.py
+++ b/src/pomelolane/forwarding/call.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from pomelolane.forwarding.configuration import Route
     from pomelolane.model import Endpoint
+    from pomelolane.ports import Grant
     from pomelolane.ports.forwarding import CallDescription
     from pomelolane.quarantine import Run
     from pomelolane.resumption import StreamOrigin
@@ -92,7 +93,8 @@
     Attributes:
         call: The request.
         sends: Number of times it was sent to an endpoint.
-        grants: Number of grants obtained.
+        grants: Number of grants used.
+        asks: Number of times that it asked for a slot.
         may_have_run: Whether an endpoint may have begun to run it.
         answer_begun: Whether the head of an answer was sent to the caller.
         excluded: Endpoints that it must not be sent to again.
@@ -104,11 +106,13 @@
         tried_peers: VMs that it must not be relayed to again.
         has_paid_retry: Whether the next send is charged to the retry budget already.
         run: Quarantine's record of the last send, until its result is known.
+        next_grant: Grant of the endpoint that it goes to next, if it has one already.
     """
 
     call: ForwardCall
     sends: int = 0
     grants: int = 0
+    asks: int = 0
     may_have_run: bool = False
     answer_begun: bool = False
     excluded: tuple[str, ...] = ()
@@ -120,6 +124,7 @@
     tried_peers: tuple[str, ...] = ()
     has_paid_retry: bool = False
     run: Run | None = None
+    next_grant: Grant | None = None
 
     def count_send(self) -> None:
         """Count a send, which uses a retry that was paid for."""
--- a/src/pomelolane/forwarding/first_byte.py
+++ b/src/pomelolane/forwarding/first_byte.py
@@ -22,7 +22,7 @@
 
 
 class FirstByteTimeoutError(EndpointBrokenError):
-    """An endpoint did not begin to answer in time, and another one is tried."""
+    """An endpoint did not begin to answer in time, and another one has a slot."""
 
 
 def first_byte_timeout_ms(expected_ms: float, objective_ms: float) -> float:
@@ -38,30 +38,37 @@
 async def wait_for_first_byte(
     sending: Coroutine[Any, Any, SendResult],
     timeout_ms: float | None,
-    reserve_retry: Callable[[], bool],
+    seek: Callable[[], Coroutine[Any, Any, None]],
 ) -> SendResult:
     """Send a request and wait for the first byte of the answer.
 
     Args:
         sending: Sends the request and returns with the head of the answer.
-        timeout_ms: Time after which ``reserve_retry`` is called, None for no timeout.
-        reserve_retry: Charges the retry budget and returns True if another endpoint
-            may be tried.
+        timeout_ms: Time after which a slot elsewhere is sought, None for never.
+        seek: Returns once the request can go on elsewhere. It is cancelled if the
+            answer begins before.
 
     Raises:
-        FirstByteTimeoutError: No byte came in time, and a retry was reserved.
+        FirstByteTimeoutError: No byte came before the request could go on elsewhere.
         EndpointBrokenError: The connection broke.
     """
     waiting = asyncio.ensure_future(_receive_first_byte(sending))
+    seeking: asyncio.Future[None] | None = None
     try:
-        if timeout_ms is not None:
-            await asyncio.wait({waiting}, timeout=timeout_ms / 1000)
-            if not waiting.done() and reserve_retry():
-                raise FirstByteTimeoutError(f"nothing within {timeout_ms:.0f} ms")
+        if timeout_ms is None:
+            return await waiting
+        await asyncio.wait({waiting}, timeout=timeout_ms / 1000)
+        if not waiting.done():
+            seeking = asyncio.ensure_future(seek())
+            await asyncio.wait({waiting, seeking}, return_when=asyncio.FIRST_COMPLETED)
+        if not waiting.done():
+            await seeking
+            raise FirstByteTimeoutError(f"nothing within {timeout_ms:.0f} ms")
         return await waiting
     finally:
-        if not waiting.done():
-            waiting.cancel()
+        waiting.cancel()
+        if seeking is not None:
+            seeking.cancel()
 
 
 async def _receive_first_byte(sending: Coroutine[Any, Any, SendResult]) -> SendResult:
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -11,6 +11,8 @@
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from pomelolane import events
 from pomelolane.coordination.stream_reporter import StreamReporter
 from pomelolane.exceptions import (
@@ -83,6 +85,10 @@
 Slow engines pause up to 1.7 times as long beside long prompts, and callers disconnect
 after eight times."""
 
+SEEK_INTERVAL_MS = 250.0
+"""Interval for asking again for a slot elsewhere while an endpoint is silent; a used-up
+retry budget refills within seconds."""
+
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024
 """Most bytes of a rejected request's body that are read, so that the caller reads the
 answer."""
@@ -299,6 +305,7 @@
         except TimeoutError:
             refusal = timed_out(state)
         finally:
+            self._release_next_grant(state)
             self._continuation.end(state)
         if refusal is None:
             metrics.count_end(call.route.name, call.service, call.rank, _DELIVERED)
@@ -313,7 +320,9 @@
             try:
                 if await self._peer_relay.serve(state, relay):
                     return None
-                if self._continuation.has_endpoint_left(state):
+                if state.next_grant is not None:
+                    grant, state.next_grant = state.next_grant, None
+                elif self._continuation.has_endpoint_left(state):
                     grant = await self._acquire_grant(state)
                 else:
                     grant = no_matching_version(state)
@@ -323,7 +332,7 @@
                     return refusal_after_sends(state, grant)
                 await self._use_grant(state, relay, grant)
             except RetrySignal as retry:
-                if not await self._can_go_on(state):
+                if state.next_grant is None and not await self._can_go_on(state):
                     return no_matching_version(state)
                 if not retry.is_charged and not self._reserve_retry(state):
                     return refusal_after_sends(state, retry.refusal)
@@ -350,9 +359,16 @@
             if state.run is not None:
                 state.run.leave()
 
-    async def _acquire_grant(self, state: CallState) -> Grant | Refusal:
+    async def _acquire_grant(
+        self, state: CallState, silent: tuple[str, ...] = ()
+    ) -> Grant | Refusal:
+        """Wait for a slot at an endpoint that has not failed, and is not silent."""
         asked_ms = self._clock.now_ms()
         handle = handle_from_state(state, self._data_centre, asked_ms)
+        state.asks += 1
+        if silent:
+            excluded = (*handle.excluded, *silent)
+            handle = msgspec.structs.replace(handle, excluded=excluded)
         grant = await self._gate.acquire(state.call.fingerprint, handle)
         metrics.observe_wait(state.call.service, self._clock.now_ms() - asked_ms)
         return grant
@@ -401,7 +417,7 @@
             sent = await wait_for_first_byte(
                 sending,
                 self._first_byte_timeout_ms(state, grant),
-                lambda: self._reserve_move(state),
+                lambda: self._seek_elsewhere(state),
             )
         except EndpointRefusedError as error:
             state.run.settle()
@@ -418,6 +434,7 @@
             retry = broken_by_endpoint(state, watch, str(error))
             await state.run.broke()
             raise retry from error
+        self._release_next_grant(state)
         self._reach.note_heard()
         self._notice_handler.handle(endpoint, sent.notice, watch)
         if sent.verdict is Verdict.NOT_RUN:
@@ -514,13 +531,57 @@
         if not route.is_resumable or not route.gap_ms:
             return None
 
-        def abandon() -> bool:
-            if not self._reserve_move(state):
-                return False
-            stream.cut()
-            return True
+        return StallWatch(
+            STALL_GAP_FACTOR * route.gap_ms,
+            lambda: self._seek_elsewhere(state),
+            stream.cut,
+            self._clock,
+        )
+
+    # --- moves away from silent endpoints -------------------------------------
 
-        return StallWatch(STALL_GAP_FACTOR * route.gap_ms, abandon, self._clock)
+    async def _seek_elsewhere(self, state: CallState) -> None:
+        """Return once a request can go on elsewhere while its endpoint is silent.
+
+        The retry is charged then, and the grant of the other endpoint is kept in the
+        state. There is none if another VM is to serve the request.
+        """
+        task = asyncio.current_task()
+        while not await self._find_elsewhere(state):
+            await asyncio.sleep(SEEK_INTERVAL_MS / 1000)
+            if task.cancelling():
+                raise asyncio.CancelledError
+
+    async def _find_elsewhere(self, state: CallState) -> bool:
+        if not self._can_pay_retry(state):
+            return False
+        if self._reach.is_cut_off and await self._peer_relay.can_serve(state):
+            return self._reserve_retry(state)
+        if not self._continuation.has_endpoint_left(state):
+            return False
+        grant = await self._acquire_grant(state, (state.endpoint_id,))
+        if isinstance(grant, Refusal):
+            return False
+        if not self._may_use(state, grant):
+            self._client.release(grant)
+            return False
+        state.next_grant = grant
+        return True
+
+    def _may_use(self, state: CallState, grant: Grant) -> bool:
+        """Return whether to leave a silent endpoint for a grant; charge the retry."""
+        if asyncio.current_task().cancelling():
+            return False
+        endpoint = self._directory.usable(grant.endpoint_id)
+        if endpoint is None or not state.may_go_to(endpoint):
+            return False
+        return self._reserve_retry(state)
+
+    def _release_next_grant(self, state: CallState) -> None:
+        """Give back the grant of an endpoint that is not needed any more."""
+        if state.next_grant is not None:
+            self._client.release(state.next_grant)
+            state.next_grant = None
 
     # --- retries and refusals -----------------------------------------------
 
@@ -543,11 +604,12 @@
             return state.has_paid_retry
         return True
 
-    def _reserve_move(self, state: CallState) -> bool:
-        """Return whether to give up an endpoint that is slow, and charge the retry."""
-        has_other = self._continuation.has_endpoint_left(state)
-        may_move = has_other or self._reach.is_cut_off
-        return may_move and self._reserve_retry(state)
+    def _can_pay_retry(self, state: CallState) -> bool:
+        """Return whether the request could be sent again now; charge nothing."""
+        if not self._can_retry(state):
+            return False
+        is_free = state.sends == 0 or state.has_paid_retry
+        return is_free or self._budget(state.call.service).balance >= 1.0
 
     async def _refuse(
         self, state: CallState, exchange: Exchange, refusal: Refusal
--- a/src/pomelolane/forwarding/handles.py
+++ b/src/pomelolane/forwarding/handles.py
@@ -41,7 +41,7 @@
         objective_ms = 0
         late_window_ms = max(0, remaining_ms - RESUME_MS)
     return Handle(
-        request_id=f"{call.local_id}.{state.grants}",
+        request_id=f"{call.local_id}.{state.grants + state.asks}",
         service=call.service,
         work=call.route.name,
         tier_rank=call.rank,
--- a/src/pomelolane/forwarding/stall.py
+++ b/src/pomelolane/forwarding/stall.py
@@ -6,23 +6,21 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from pomelolane.ports import Clock
 
-RECHECK_MS = 250.0
-"""Interval for trying again to abandon a stalled stream; a used-up retry budget
-refills within seconds."""
-
 
 class StallWatch:
-    """Abandons a stream when a read takes too long.
+    """Abandons a stream that is silent, once it can go on elsewhere.
 
     It uses one timer per stream instead of a timeout per read, to keep reads cheap.
 
     Args:
-        max_silence_ms: Silence after which the stream is abandoned.
-        abandon: Abandons the stream; returns False if it must not be abandoned.
+        max_silence_ms: Silence after which a slot elsewhere is sought.
+        seek: Returns once the stream can go on elsewhere. It is cancelled if the stream
+            goes on by itself.
+        cut: Ends the stream.
         clock: Source of the current time.
 
     Attributes:
@@ -30,12 +28,18 @@
     """
 
     def __init__(
-        self, max_silence_ms: float, abandon: Callable[[], bool], clock: Clock
+        self,
+        max_silence_ms: float,
+        seek: Callable[[], Coroutine[None, None, None]],
+        cut: Callable[[], None],
+        clock: Clock,
     ) -> None:
         self._max_silence_ms = max_silence_ms
-        self._abandon = abandon
+        self._seek = seek
+        self._cut = cut
         self._clock = clock
         self._reading_since_ms: float | None = None
+        self._seeking: asyncio.Task[None] | None = None
         self.has_abandoned = False
         self._timer = self._schedule_check(max_silence_ms)
 
@@ -46,10 +50,16 @@
     def end_read(self) -> None:
         """Record that the read has returned."""
         self._reading_since_ms = None
+        if self._seeking is not None and not self.has_abandoned:
+            self._seeking.cancel()
+            self._seeking = None
+            self._timer = self._schedule_check(self._max_silence_ms)
 
     def stop(self) -> None:
         """Stop watching."""
         self._timer.cancel()
+        if self._seeking is not None:
+            self._seeking.cancel()
 
     def _schedule_check(self, ms: float) -> asyncio.TimerHandle:
         return asyncio.get_running_loop().call_later(ms / 1000, self._check)
@@ -59,7 +69,10 @@
         silent_ms = 0.0 if since_ms is None else self._clock.now_ms() - since_ms
         if silent_ms < self._max_silence_ms:
             self._timer = self._schedule_check(self._max_silence_ms - silent_ms)
-        elif self._abandon():
-            self.has_abandoned = True
         else:
-            self._timer = self._schedule_check(RECHECK_MS)
+            self._seeking = asyncio.create_task(self._abandon_in_time())
+
+    async def _abandon_in_time(self) -> None:
+        await self._seek()
+        self.has_abandoned = True
+        self._cut()
--- a/src/pomelolane/ports/scheduling.py
+++ b/src/pomelolane/ports/scheduling.py
@@ -165,5 +165,8 @@
         Cancelling the call withdraws the handle.
         """
 
+    def release(self, grant: Grant) -> None:
+        """Give back a grant that is not used."""
+
     def observe(self, event: StreamEvent) -> None:
         """Report on a dispatched request; the last event frees its slot."""
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -93,6 +93,7 @@
         work_ms: Time to the answer, or its first event.
         events: Events of a stream, 0 for a plain service.
         event_ms: Time between two events.
+        pause_ms: Silence before the third event of a stream, after which it goes on.
         framing: How it frames its successful answers; None for chunks of streams
             and the length of all others.
         line_end: What ends a line of its streams.
@@ -113,6 +114,7 @@
     work_ms: float = 5.0
     events: int = 0
     event_ms: float = 2.0
+    pause_ms: float = 0.0
     framing: BodyFraming | None = None
     line_end: str = "\n"
     trailer: bytes = b""
@@ -426,6 +428,8 @@
         for number in numbers:
             if fault is Fault.MUTE and number == _BROKEN_EVENT:
                 await asyncio.sleep(_LONG_S)
+            if number == _BROKEN_EVENT:
+                await asyncio.sleep(self.options.pause_ms / 1000)
             await self._be_silent_if_ended()
             writer.write(_framed(framing, self._event(number)))
             await writer.drain()
--- a/tests/coordination/client.feature
+++ b/tests/coordination/client.feature
@@ -52,6 +52,11 @@
     Then no scheduler holds any request in the end
     And the last coordinated request ran at "nowhere"
 
+  # Guards against slots that stay taken by requests which did not need them any more.
+  Scenario: A grant that is given back unused frees its slot at once
+    When "another" is granted all slots and gives one back
+    Then one coordinated slot is free
+
   Scenario: A grant duplicated by the network is used once
     Given a network that loses 0 %, duplicates 100 % and delays by up to 0 ms
     When "each" asks for 4 slots of tier 0
--- a/tests/steps/coordination_steps.py
+++ b/tests/steps/coordination_steps.py
@@ -1,7 +1,9 @@
 """Steps of the coordination features: requests and expectations."""
 
+import asyncio
 from dataclasses import replace
 
+import msgspec
 from behave import given, then, when
 
 from pomelolane.membership import choose
@@ -187,9 +189,39 @@
     context.request.ended = True
 
 
+@when('"another" is granted all slots and gives one back')
+def step_give_back(context):
+    world = world_of(context)
+    name = next(one for one in world.vms if one != world.scheduler())
+    client = world.vms[name].coordination.client
+    handles = [
+        msgspec.structs.replace(make_handle(world), request_id=f"g{number}")
+        for number in range(sum(context.slots.values()))
+    ]
+
+    async def take_and_give_back():
+        asking = asyncio.gather(*map(client.acquire, handles))
+        await world.settle()
+        grants = await asking
+        assert all(grants), grants
+        assert len(scheduler_queue(world).core.granted) == len(grants)
+        client.release(grants[0])
+        await world.settle()
+        context.granted = grants
+
+    context.run(take_and_give_back())
+
+
 # --- expectations -----------------------------------------------------------
 
 
+@then("one coordinated slot is free")
+def step_one_free(context):
+    granted = scheduler_queue(context.world).core.granted
+    expected = {grant.request_id for grant in context.granted[1:]}
+    assert set(granted) == expected, granted
+
+
 @then("{count:d} coordinated requests have a slot before the clock moves")
 def step_at_once(context, count):
     assert len(context.world.order) == count, context.world.order
