Refuse requests with 503, not 404, if their service is removed while they wait

Beside a change of the configuration that led a route to another service, callers whose requests waited for a slot got 404 unknown_service, though their route was there before and after it: the client of the schedulers refused them as it closed the removed service. They now get 503 not_ready with a time to come back at, and are then checked by the new configuration.

--- a/src/pomelolane/coordination/client.py
+++ b/src/pomelolane/coordination/client.py
@@ -327,8 +327,10 @@
 
     def _close(self, service: str) -> None:
         link = self._links.pop(service)
+        # What the request asked for may be served by another service now.
+        retry_after_ms = self._context.timings.default_retry_after_ms
+        refusal = _not_run(Reason.NOT_READY, retry_after_ms, "the service was removed")
         for ticket in list(link.waiting.values()):
-            refusal = _not_run(Reason.UNKNOWN_SERVICE, 0, "the service was removed")
             self._finish(ticket, refusal)
         for ticket in list(link.running.values()):
             self._tickets.pop(ticket.request_id, None)
--- a/tests/platform/changes.feature
+++ b/tests/platform/changes.feature
@@ -3,16 +3,14 @@
   A request is checked by the configuration that was in force when its head came, whatever
   comes into force while its body is read.
 
-  Background:
+  # Guards against requests that ended in an unhandled exception, without an answer of an
+  # endpoint or a refusal, because their route was removed while their body was read.
+  Scenario Outline: A request is served although <what> while its body is read
     Given a platform with the endpoints
       | endpoint | service |
       | p1       | portal  |
       | e1       | pool    |
     And a platform VM
-
-  # Guards against requests that ended in an unhandled exception, without an answer of an
-  # endpoint or a refusal, because their route was removed while their body was read.
-  Scenario Outline: A request is served although <what> while its body is read
     When a caller sends "<line>" with a body that takes 600 ms, and <what> meanwhile
     Then the answer is 200 and the endpoint's own
     And the answer is whole
@@ -23,3 +21,10 @@
       | POST /plain/a | its service is replaced     |
       | POST /plain/a | its key is taken away       |
       | POST /plain/a | its route is declared again |
+
+  # Guards against 404 for requests of a route that was there all the time, as it led to
+  # another service since they came.
+  Scenario: Requests that wait for a slot as their service is replaced may come back
+    Given a platform whose endpoint "p1" of "portal" has one slot, taken by "GET /plain/a"
+    When 4 callers send "GET /plain/a", and 100 ms later all routes lead to "desk"
+    Then they are answered 503, and told when to come back
--- a/tests/steps/platform_changes_steps.py
+++ b/tests/steps/platform_changes_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from behave import when
+from behave import then, when
 
 from standins.routed.vm import Answer
 from tests.routed_world import ORGANISATION, caller_headers, configuration
@@ -57,3 +57,39 @@
 
     sending = _send_slowly(context.vm, line, body_ms, change)
     context.answer = context.run(asyncio.wait_for(sending, 10))
+
+
+def _replaced(service):
+    """Return changes by which all routes of a portal lead to another service."""
+    document = json.loads(configuration())
+    _, pool = document["services"]
+    plain, file, *others = document["routes"]
+    moved = [route | {"service": service} for route in (plain, file)]
+    services = [{"name": service, "healthPath": "/healthz"}, pool]
+    return {"services": services, "routes": [*moved, *others]}
+
+
+@when(
+    '{count:d} callers send "{line}", and {ms:d} ms later all routes lead to '
+    '"{service}"'
+)
+def step_replace_service(context, count, line, ms, service):
+    async def play():
+        asking = [
+            asyncio.ensure_future(
+                context.vm.ask(f"{line} HTTP/1.1", caller_headers(f"w{number}"))
+            )
+            for number in range(count)
+        ]
+        await asyncio.sleep(ms / 1000)
+        context.world.configure(**_replaced(service))
+        return await asyncio.gather(*asking)
+
+    context.answers = context.run(play())
+
+
+@then("they are answered {status:d}, and told when to come back")
+def step_come_back(context, status):
+    for answer in context.answers:
+        assert answer.status == status, answer.data
+        assert "retry-after" in answer.headers, answer.data
