Count only the bytes of a head against its bound

Callers on kept connections got 431 for proper requests: where the request before had come with a body of over 32 KiB in several pieces, and the next head came in two pieces, the body's bytes were counted as the head's. So were those behind a head whose last four bytes came in two pieces.

The count now begins with each head, ends where the head does, wherever its pieces are cut, and leaves bodies out.

tests/http/listener.feature: the first scenario was red before (200, 431), green now.

--- a/src/pomelolane/http/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -47,6 +47,7 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._head_bytes = 0
+        self._head_tail = b""
         self._in_head = False
         self._head_timer: asyncio.TimerHandle | None = None
 
@@ -64,22 +65,33 @@
         """Count the bytes of heads and refuse one that is too long."""
         if self.parser is None or self.transport.is_closing():
             return
-        if self._in_head or self._head_timer is not None:
-            end = data.find(_HEAD_END)
-            self._head_bytes += len(data) if end < 0 else end
-            if self._head_bytes > MAX_HEAD_BYTES and not self._body_expected():
+        if not self._body_expected():
+            if not self._in_head:
+                self._begin_head()
+            self._count_head(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
                 self._refuse(431, f"the head is longer than {MAX_HEAD_BYTES} bytes")
                 return
+        super().data_received(data)
+
+    def _begin_head(self) -> None:
         self._in_head = True
-        if self._head_timer is None and not self._body_expected():
+        self._head_bytes = 0
+        self._head_tail = b""
+        if self._head_timer is None:
             self._arm()
-        super().data_received(data)
+
+    def _count_head(self, data: bytes) -> None:
+        """Count the bytes before the end of the head, which may lie in two pieces."""
+        seen = self._head_tail + data
+        end = seen.find(_HEAD_END)
+        self._head_bytes += len(data) if end < 0 else end - len(self._head_tail)
+        self._head_tail = seen[1 - len(_HEAD_END) :]
 
     def on_headers_complete(self) -> None:
         """Note that a head has come whole."""
         self._disarm()
         self._in_head = False
-        self._head_bytes = 0
         super().on_headers_complete()
 
     def on_message_complete(self) -> None:
--- /dev/null
+++ b/tests/http/listener.feature
@@ -0,0 +1,16 @@
+Feature: The listener for callers on kept connections
+
+  Background:
+    Given a listener that waits 200 ms for a head, and answers after 400 ms
+
+  # Guards against a proper head that counted as too long, as the bytes of the body before
+  # it were counted with it.
+  Scenario: A head in two pieces follows a long body in many pieces
+    When a caller sends a request with a body of 100000 bytes in 10 pieces
+    And it sends another request whose head comes in 2 pieces
+    Then it gets 2 answers
+
+  Scenario: A head that is late on an idle connection is refused
+    When a caller sends the bytes of "half of a head"
+    Then it gets the status 408
+    And the connection is closed
--- /dev/null
+++ b/tests/steps/http_listener_steps.py
@@ -0,0 +1,109 @@
+"""Steps of tests/http/listener.feature."""
+
+import asyncio
+
+from behave import given, then, when
+
+from pomelolane.forwarding.app import ExchangeApp
+from pomelolane.http.listener import Listener, listening_socket
+
+WAIT_S = 5.0
+PIECE_S = 0.02
+HEAD = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n"
+BODY = b"done"
+BYTES = {
+    "half of a head": b"GET / HTTP/1.1\r\nhost: ",
+    "a malformed head": b"\x01\x02\r\n\r\n",
+    "a head that is too long": b"GET / HTTP/1.1\r\nx: " + b"x" * 40_000,
+}
+
+
+@given("a listener that waits {head_ms:d} ms for a head, and answers after {ms:d} ms")
+def step_listener(context, head_ms, ms):
+    async def serve(exchange):
+        await exchange.read_body(1_000_000, 2000)
+        await asyncio.sleep(ms / 1000)
+        await exchange.respond(200, [], BODY)
+
+    sock = listening_socket("127.0.0.1", 0)
+    context.port = sock.getsockname()[1]
+    listener = Listener(ExchangeApp(serve), head_ms)
+    context.run(listener.start(sock))
+    context.add_cleanup(lambda: context.run(listener.stop()))
+
+    async def connect():
+        return await asyncio.open_connection("127.0.0.1", context.port)
+
+    context.reader, context.writer = context.run(connect())
+    context.add_cleanup(context.writer.close)
+    context.answers = []
+
+
+async def _send(context, pieces):
+    for piece in pieces:
+        context.writer.write(piece)
+        await asyncio.sleep(PIECE_S)
+
+
+async def _read_answer(context):
+    async with asyncio.timeout(WAIT_S):
+        head = await context.reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length: ")[2].split()[0])
+        await context.reader.readexactly(length)
+        context.answers.append(int(head.split()[1]))
+
+
+@when("a caller sends a request with a body of {size:d} bytes in {count:d} pieces")
+def step_long_body(context, size, count):
+    async def play():
+        piece = b"x" * (size // count)
+        await _send(context, [HEAD % size, *[piece] * count])
+        await _read_answer(context)
+
+    context.run(play())
+
+
+@when("it sends another request whose head comes in {count:d} pieces")
+def step_head_in_pieces(context, count):
+    async def play():
+        head = HEAD % 0
+        size = -(-len(head) // count)
+        await _send(context, [head[at : at + size] for at in range(0, len(head), size)])
+        await _read_answer(context)
+
+    context.run(play())
+
+
+@when('a caller sends a request and then the bytes of "{what}"')
+def step_bytes_behind(context, what):
+    async def play():
+        await _send(context, [HEAD % 0, BYTES[what]])
+        await _read_answer(context)
+
+    context.run(play())
+
+
+@when('a caller sends the bytes of "{what}"')
+def step_bytes(context, what):
+    async def play():
+        await _send(context, [BYTES[what]])
+        await _read_answer(context)
+
+    context.run(play())
+
+
+@then("it gets {count:d} answer")
+@then("it gets {count:d} answers")
+def step_answers(context, count):
+    assert context.answers == [200] * count, context.answers
+
+
+@then("it gets the status {status:d}")
+def step_status(context, status):
+    assert context.answers == [status], context.answers
+
+
+@then("the connection is closed")
+def step_closed(context):
+    rest = context.run(asyncio.wait_for(context.reader.read(), WAIT_S))
+    assert rest == b"", rest
