Let an answer end before a connection is closed for what follows its request

Callers whose request had been read whole, and sent on, got no answer if bytes behind it on the same connection were half of a head for too long, malformed or too long: the listener closed the connection at once, as it can't answer these before the request that it is still serving. It now reads no more from that connection, and closes it behind the answer.

--- a/src/pomelolane/http/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -49,6 +49,7 @@
         self._head_bytes = 0
         self._head_tail = b""
         self._in_head = False
+        self._is_refused = False
         self._head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -63,7 +64,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Count the bytes of heads and refuse one that is too long."""
-        if self.parser is None or self.transport.is_closing():
+        if self.parser is None or self.transport.is_closing() or self._is_refused:
             return
         if not self._body_expected():
             if not self._in_head:
@@ -126,8 +127,13 @@
         self._disarm()
         if self.transport.is_closing():
             return
-        busy = self.cycle is not None and not self.cycle.response_complete
-        if not busy:
+        is_answering = self.cycle is not None and not self.cycle.response_complete
+        if is_answering and not self._body_expected():
+            # The request before came whole, and still gets its answer.
+            self._is_refused = True
+            self.cycle.keep_alive = False
+            return
+        if not is_answering:
             self.transport.write(_raw_problem(status, detail))
         self.transport.close()
 
--- a/tests/http/listener.feature
+++ b/tests/http/listener.feature
@@ -10,6 +10,18 @@
     And it sends another request whose head comes in 2 pieces
     Then it gets 2 answers
 
+  # Guards against answers that are cut off by what comes behind their request.
+  Scenario Outline: <what> behind a request does not cut its answer off
+    When a caller sends a request and then the bytes of "<what>"
+    Then it gets 1 answer
+    And the connection is closed
+
+    Examples:
+      | what                    |
+      | half of a head          |
+      | a malformed head        |
+      | a head that is too long |
+
   Scenario: A head that is late on an idle connection is refused
     When a caller sends the bytes of "half of a head"
     Then it gets the status 408
