Outlive news of the settings file while a VM starts

A VM that got SIGHUP while it loaded its libraries ended by the signal, with the connections that waited at its socket: the handler was installed only once everything was loaded, tenths of a second after the socket had begun to listen. The signal is now ignored until then; the file is read afterwards anyway. Between the start of the interpreter and the first lines of the launcher the signal still ends the process.

tests/platform/early.feature: the new scenario was red before, 6 of 6 green now.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -9,7 +9,9 @@
 
 sys.path[0] = str(Path(__file__).resolve().parent.parent / "src")
 
-from pomelolane.platform.early import listen_early  # noqa: E402
+from pomelolane.platform.early import ignore_reloads, listen_early  # noqa: E402
+
+ignore_reloads()
 
 # What follows takes tenths of a second to load; callers wait meanwhile.
 listen_early()
--- a/src/pomelolane/platform/early.py
+++ b/src/pomelolane/platform/early.py
@@ -8,6 +8,7 @@
 
 import json
 import os
+import signal
 import socket
 from pathlib import Path
 
@@ -21,6 +22,14 @@
 _listening: list[socket.socket] = []
 
 
+def ignore_reloads() -> None:
+    """Ignore news of the settings file, by which a process ends that handles none.
+
+    The file is read when everything is loaded.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def listen_early() -> None:
     """Listen for callers now; nothing where the settings name no address.
 
--- a/src/pomelolane/platform/process.py
+++ b/src/pomelolane/platform/process.py
@@ -5,7 +5,7 @@
 import gc
 
 from pomelolane.logs import write_json_lines
-from pomelolane.platform.early import early_socket
+from pomelolane.platform.early import early_socket, ignore_reloads
 
 _STDOUT = 1
 _GC_THRESHOLDS = (10_000, 50, 100)
@@ -17,6 +17,7 @@
     Raises:
         DocumentError: The settings file cannot be read.
     """
+    ignore_reloads()
     # Callers wait for this socket; everything else takes tenths of a second to load.
     sock = early_socket()
     import uvloop
--- a/tests/platform/early.feature
+++ b/tests/platform/early.feature
@@ -24,3 +24,11 @@
     Given a settings file that names no address
     When this process listens early by that file
     Then the program is handed no socket
+
+  # Guards against VMs that end, with the callers that wait for them, because their
+  # settings file changes while they start.
+  @processes
+  Scenario: A starting VM outlives the news of another settings file
+    Given a platform VM that is started by the launcher
+    When it hears of a new settings file as soon as it listens for callers
+    Then it is ready within 10 s
--- a/tests/steps/platform_early_steps.py
+++ b/tests/steps/platform_early_steps.py
@@ -1,7 +1,9 @@
 """Steps of tests/platform/early.feature."""
 
+import asyncio
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -13,6 +15,8 @@
 
 from bench.ports import PortBlock
 from pomelolane.platform import early
+from standins.routed.vm import PlatformVm
+from tests.routed_world import RoutedWorld
 
 HOST = "127.0.0.1"
 CHILD = """
@@ -34,6 +38,9 @@
     print(*sorted(sys.modules))
 """
 ROOT = Path(__file__).resolve().parents[2]
+LAUNCHER = (sys.executable, "deploy/start.py")
+STEP_S = 0.005
+MOST_TRIES = 1000
 
 
 def write_file(context, listen):
@@ -128,3 +135,46 @@
 def step_ends_with(context, line):
     assert context.launched.returncode == 1
     assert context.launched.stderr.strip() == line, context.launched.stderr
+
+
+@given("a platform VM that is started by the launcher")
+def step_launched_vm(context):
+    context.world = world = context.run(RoutedWorld().start())
+    context.add_cleanup(lambda: context.run(world.aclose()))
+
+    async def start():
+        await world.add_endpoint("p1", "portal")
+        vm = PlatformVm(1, world.store_address, program=LAUNCHER)
+        world.vms.append(vm)
+        return await vm.start()
+
+    context.vm = context.run(start())
+
+
+@when("it hears of a new settings file as soon as it listens for callers")
+def step_hangup(context):
+    vm = context.vm
+
+    async def signal_soon():
+        for _ in range(MOST_TRIES):
+            if await _can_connect(vm.ip, vm.front.port):
+                vm.signal(signal.SIGHUP)
+                return
+            await asyncio.sleep(STEP_S)
+        raise AssertionError("the VM does not listen")
+
+    context.run(signal_soon())
+
+
+async def _can_connect(host, port):
+    try:
+        _, writer = await asyncio.open_connection(host, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+@then("it is ready within {s:d} s")
+def step_ready(context, s):
+    context.run(asyncio.wait_for(context.vm.ready(), s))
