Ask a VM again that did not accept one relayed request

Beside a change of the configuration, callers of a VM that reaches no endpoint got 503 no_endpoint. The other VM that it relayed to had answered 421 to one request, whose route it no longer knew, and was then passed over for a second for all requests, as if it were cut off itself.

A VM now says in a header of its 421 that it can serve no request at all: it starts, stops, or is cut off. Only then, or if it can't be reached, it is passed over.

--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -37,7 +37,7 @@
     wait_for_first_byte,
 )
 from pomelolane.forwarding.handles import handle_from_state
-from pomelolane.forwarding.peer_relay import MISDIRECTED_STATUS
+from pomelolane.forwarding.peer_relay import MISDIRECTED_STATUS, UNABLE_HEADER
 from pomelolane.forwarding.refusals import (
     INTERNAL_ERROR,
     answer_refusal,
@@ -233,15 +233,16 @@
                 one for one in exchange.headers if one[0] not in _HEADERS_BETWEEN_VMS
             ]
             call = await self._intake.accept(exchange)
-        except BadRequestError:
-            await exchange.respond(MISDIRECTED_STATUS, [], b"")
+        except BadRequestError as error:
+            is_unable = error.reason is Reason.NOT_READY
+            await _answer_misdirected(exchange, is_unable=is_unable)
             return
         except Exception as error:
             request_log.error("", error)
-            await exchange.respond(MISDIRECTED_STATUS, [], b"")
+            await _answer_misdirected(exchange)
             return
         if self._reach.is_cut_off or not self.can_accept(call.limit_ms):
-            await exchange.respond(MISDIRECTED_STATUS, [], b"")
+            await _answer_misdirected(exchange, is_unable=True)
             return
         state = CallState(
             call,
@@ -279,7 +280,7 @@
             return
         has_begun = state.answer_begun or exchange.answered
         if state.is_relayed and not state.may_have_run and not has_begun:
-            await exchange.respond(MISDIRECTED_STATUS, [], b"")
+            await _answer_misdirected(exchange)
             return
         refusal = refusal_after_sends(state, INTERNAL_ERROR)
         await self._refuse(state, exchange, refusal)
@@ -642,3 +643,14 @@
         first_ms = self._clock.now_ms() - call.accepted_ms
         objective_ms = call.route.objective_ms
         metrics.observe_first_byte(call.service, call.rank, first_ms, objective_ms)
+
+
+async def _answer_misdirected(exchange: Exchange, *, is_unable: bool = False) -> None:
+    """Have the VM that stands for the caller ask another one.
+
+    Args:
+        exchange: The exchange.
+        is_unable: Whether this VM can't serve any request now.
+    """
+    headers = [(UNABLE_HEADER, b"1")] if is_unable else []
+    await exchange.respond(MISDIRECTED_STATUS, headers, b"")
--- a/src/pomelolane/forwarding/peer_relay.py
+++ b/src/pomelolane/forwarding/peer_relay.py
@@ -28,6 +28,10 @@
 MISDIRECTED_STATUS = 421
 """Status by which a VM says that it can't serve a request, and has not run it."""
 
+UNABLE_HEADER = b"pomelolane-unable"
+"""Header of such an answer by a VM that can serve no request at all now. Others only
+refuse this request, perhaps by another configuration."""
+
 RELAY_RESERVE_MS = 20
 """Time kept for the way back of an answer from another VM."""
 
@@ -105,16 +109,18 @@
             )
         except EndpointRefusedError as error:
             state.may_have_run = may_have_run_before
-            self._skip_peer(state, peer, 0, str(error))
+            self._skip_peer(state, peer, str(error))
             return False
         except EndpointBrokenError as error:
             state.count_send()
-            self._skip_peer(state, peer, 0, str(error))
+            self._skip_peer(state, peer, str(error))
             raise broken_by_peer(state, str(error)) from error
         if stream.status == MISDIRECTED_STATUS:
             state.may_have_run = may_have_run_before
             await stream.aclose()
-            self._skip_peer(state, peer, stream.status, "the VM can't serve it")
+            if stream.header(UNABLE_HEADER):
+                self._peers.mark_unable(peer.vm_id)
+            self._log_end(state, peer, stream.status, detail="the VM can't serve it")
             return False
         state.count_send()
         if stream.status in _NOT_RUN_STATUSES:
@@ -122,11 +128,9 @@
         await self._pass_answer(state, relay, stream, peer)
         return True
 
-    def _skip_peer(
-        self, state: CallState, peer: Peer, status: int, detail: str
-    ) -> None:
+    def _skip_peer(self, state: CallState, peer: Peer, detail: str) -> None:
         self._peers.mark_unable(peer.vm_id)
-        self._log_end(state, peer, status, detail=detail)
+        self._log_end(state, peer, 0, detail=detail)
 
     async def _pass_answer(
         self, state: CallState, relay: Relay, stream: AnswerStream, peer: Peer
