--- a/tests/steps/platform_changes_steps.py
+++ b/tests/steps/platform_changes_steps.py
@@ -66,21 +66,13 @@
     context.answer = context.run(asyncio.wait_for(sending, 10))
 
 
-async def _send(vm, line, request_id):
-    reader, writer = await asyncio.open_connection(vm.ip, vm.front.port)
-    head = [f"{line} HTTP/1.1", *caller_headers(request_id), "connection: close"]
-    writer.write("\r\n".join([*head, "", ""]).encode())
-    try:
-        return Answer(await reader.read())
-    finally:
-        writer.close()
-
-
-@when('{count:d} callers send "{line}", and {what}')
+@when('{count:d} callers send "{line}" beside a change: {what}')
 def step_callers_send(context, count, line, what):
     async def play():
         sending = [
-            asyncio.create_task(_send(context.vm, line, f"r{number}"))
+            asyncio.create_task(
+                context.vm.ask(f"{line} HTTP/1.1", caller_headers(f"r{number}"))
+            )
             for number in range(count)
         ]
         await asyncio.sleep(WAITING_S)
@@ -90,13 +82,43 @@
     context.answers = context.run(play())
 
 
-@then("none of them is denied")
-def step_none_denied(context):
-    statuses = Counter(answer.status for answer in context.answers)
-    assert not {400, 401, 403, 404} & statuses.keys(), statuses
-
-
 @then("all of them get the endpoint's own answer")
 def step_all_served(context):
     statuses = Counter(answer.status for answer in context.answers)
     assert statuses.keys() == {200}, statuses
+
+
+def _replaced(service):
+    """Return changes by which all routes of a portal lead to another service."""
+    document = json.loads(configuration())
+    _, pool = document["services"]
+    plain, file, *others = document["routes"]
+    moved = [route | {"service": service} for route in (plain, file)]
+    services = [{"name": service, "healthPath": "/healthz"}, pool]
+    return {"services": services, "routes": [*moved, *others]}
+
+
+@when(
+    '{count:d} callers send "{line}", and {ms:d} ms later all routes lead to '
+    '"{service}"'
+)
+def step_replace_service(context, count, line, ms, service):
+    async def play():
+        asking = [
+            asyncio.ensure_future(
+                context.vm.ask(f"{line} HTTP/1.1", caller_headers(f"w{number}"))
+            )
+            for number in range(count)
+        ]
+        await asyncio.sleep(ms / 1000)
+        context.world.configure(**_replaced(service))
+        return await asyncio.gather(*asking)
+
+    context.answers = context.run(play())
+
+
+@then("they are answered {status:d}, and told when to come back")
+def step_come_back(context, status):
+    for answer in context.answers:
+        assert answer.status == status, answer.data
+        assert "retry-after" in answer.headers, answer.data
