--- a/tests/steps/forwarding_error_steps.py
+++ b/tests/steps/forwarding_error_steps.py
@@ -106,6 +106,9 @@
     def usable(self, endpoint_id):
         return Endpoint(endpoint_id, "s", "hall-a", "127.0.0.1:1")
 
+    def is_usable(self, endpoint):
+        return True
+
     async def connect(self, endpoint):
         return None
 
--- a/tests/steps/forwarding_silence_steps.py
+++ b/tests/steps/forwarding_silence_steps.py
@@ -140,6 +140,9 @@
     def usable(self, endpoint_id):
         return Endpoint(endpoint_id, "s", "hall-a", "127.0.0.1:1")
 
+    def is_usable(self, endpoint):
+        return True
+
 
 class _Sender:
     """Brings one connection after the other."""
