Stop a stand-in's link when the other side is closed

uvloop raises RuntimeError for a write to a closed transport, so a cut link ended with a traceback on the soak's output instead of in order. The link checks the writer after it has waited.

--- a/standins/routed/links.py
+++ b/standins/routed/links.py
@@ -131,6 +131,8 @@
         try:
             while data := await reader.read(_BLOCK_BYTES):
                 await self._flows.wait()
+                if writer.is_closing():
+                    return
                 writer.write(data)
                 await writer.drain()
         finally:
