Teach the stand-in endpoints silence, fatal parts and ends by the connection

Endpoints can fall silent inside answers and go on, end under a part of a prompt that is not the last one, and end a stream inside an event by the close that frames it. Callers of streams count whole events only, and take a stream without length or chunks as complete if it ends between two events.

--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -97,12 +97,15 @@
             and the length of all others.
         line_end: What ends a line of its streams.
         trailer: Bytes behind the last event of its streams.
-        broken_share: Part of its streams that are reset inside their third event.
+        broken_share: Part of its streams that are reset inside their third event, or
+            end there where the end of the connection frames them.
         brittle_limit: Requests that it may turn away within a second for want of room;
             beyond, it falls over. It says so in all answers. 0 for no such limit.
         down_s: How long it is down once it has fallen over.
         fatal: Part of a body under which the process ends when it begins the request;
             empty for none.
+        fatal_part: Id of a part of prompts under which the process ends when it begins
+            the answer; empty for none.
         ends_silently: Whether its connections then stay open and say nothing more.
         version: Version of its software.
         flaw: What is wrong with that version, if anything.
@@ -120,6 +123,7 @@
     brittle_limit: int = 0
     down_s: float = 3.0
     fatal: bytes = b""
+    fatal_part: str = ""
     ends_silently: bool = False
     version: str = "v1"
     flaw: Flaw | None = None
@@ -139,6 +143,7 @@
         ended_s: When the process ended under it, 0 where it did not.
         bad_s: When it got a bad answer by the version's flaw, 0 where it did not.
         turned_away: Whether it was turned away with a time of rest.
+        broke_off: Whether the endpoint broke off its answer.
         slot_from_s: When it got a slot, 0 where it did not.
         slot_until_s: When it left the slot, 0 where it has not.
     """
@@ -152,6 +157,7 @@
     ended_s: float = 0.0
     bad_s: float = 0.0
     turned_away: bool = False
+    broke_off: bool = False
     slot_from_s: float = 0.0
     slot_until_s: float = 0.0
 
@@ -194,12 +200,20 @@
         self._withheld: list[asyncio.Task[bool]] = []
         self._coming_back: asyncio.Task[None] | None = None
         self.ended = asyncio.Event()
+        self._speaks = asyncio.Event()
+        self._speaks.set()
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Listen and return ``ip:port``."""
         self._server = await asyncio.start_server(self._serve, host, port)
         return f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
+    async def fall_silent(self, for_s: float) -> None:
+        """Send nothing of any answer for a time, then go on."""
+        self._speaks.clear()
+        await asyncio.sleep(for_s)
+        self._speaks.set()
+
     def restart_clock(self) -> None:
         """Count the time until its flaw from now on."""
         self._started_s = time.monotonic()
@@ -302,6 +316,7 @@
                 {leaving, answering}, return_when=asyncio.FIRST_COMPLETED
             )
         except asyncio.CancelledError:
+            request.broke_off = True
             leaving.cancel()
             answering.cancel()
             raise
@@ -326,7 +341,8 @@
             work_s *= max(1.0, flaw.slower_by)
             fault = fault if flaw.slower_by else Fault.ERROR
         await asyncio.sleep(work_s)
-        if self.options.fatal and self.options.fatal in request.body:
+        await self._speaks.wait()
+        if self._is_fatal(request):
             request.ended_s = time.monotonic()
             self.ended.set()
             if not self.options.ends_silently:
@@ -400,6 +416,13 @@
         is_chosen = random.random() < flaw.share
         return is_chosen and is_late and is_busy and path.startswith(flaw.path)
 
+    def _is_fatal(self, request: Seen) -> bool:
+        """Return whether the process ends under a request."""
+        entries = request.headers.get("prompt-prefix", "").split(",")[:-1]
+        parts = {entry.strip().partition(":")[0] for entry in entries}
+        in_body = bool(self.options.fatal) and self.options.fatal in request.body
+        return in_body or self.options.fatal_part in parts - {""}
+
     async def _be_silent_if_ended(self) -> None:
         if self.ended.is_set():
             await asyncio.sleep(_LONG_S)
@@ -413,12 +436,14 @@
         numbers = range(first, self.options.events + 1)
         fault = self.fault
         if fault is Fault.NONE and random.random() < self.options.broken_share:
-            fault = Fault.RESET
+            ends_in_order = framing is BodyFraming.CLOSE
+            fault = Fault.TORN if ends_in_order else Fault.RESET
         if fault in _BREAKS and _BROKEN_EVENT in numbers:
             whole = b"".join(self._event(number) for number in numbers)
             before = range(first, _BROKEN_EVENT)
             sent_bytes = sum(len(self._event(number)) for number in before)
             sent_bytes += _BROKEN_EVENT_BYTES
+            request.broke_off = True
             await self._break_off(fault, headers, writer, framing, whole, sent_bytes)
             return False
         size = sum(len(self._event(number)) for number in numbers)
@@ -427,6 +452,7 @@
             if fault is Fault.MUTE and number == _BROKEN_EVENT:
                 await asyncio.sleep(_LONG_S)
             await self._be_silent_if_ended()
+            await self._speaks.wait()
             writer.write(_framed(framing, self._event(number)))
             await writer.drain()
             await asyncio.sleep(self.options.event_ms / 1000)
--- a/standins/routed/streams.py
+++ b/standins/routed/streams.py
@@ -17,8 +17,10 @@
     from standins.routed.vm import PlatformVm
 
 TIMEOUT_S = 6.0
-_EVENT_ID = b"id: "
-_DATA = b"data: "
+_EVENT_ID = b"id"
+_DATA = b"data"
+_EVENT_END = b"\n"
+_FRAMES = (b"transfer-encoding:", b"content-length:")
 _LAST_CHUNK = b"0\r\n"
 
 
@@ -34,6 +36,8 @@
         status: Status of the answer, 0 for none.
         versions: Version of each event that it brought.
         is_complete: Whether the answer ended as complete.
+        left: Whether the caller left it.
+        timed_out: Whether the caller gave up.
         held_s: Time until the answer ended or the caller left, 0 before.
     """
 
@@ -44,6 +48,8 @@
     status: int = 0
     versions: list[str] = field(default_factory=list)
     is_complete: bool = False
+    left: bool = False
+    timed_out: bool = False
     held_s: float = 0.0
 
     @property
@@ -114,7 +120,9 @@
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 await _ask(vm, line, fields, stream, leaves.get(number, 0))
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        except TimeoutError:
+            attempt.timed_out = True
+        except (OSError, asyncio.IncompleteReadError):
             # The answer was broken off, which the attempt shows.
             pass
         attempt.held_s = time.monotonic() - attempt.sent_s
@@ -140,13 +148,20 @@
         attempt.status = int(head.split(b" ", 2)[1])
         if attempt.status != 200:
             return
+        fields = head.lower().split(b"\r\n")
+        ends_by_close = not any(field.startswith(_FRAMES) for field in fields)
+        event = {}
         while text := await reader.readline():
-            if text.startswith(_EVENT_ID):
-                stream.event_ids.append(int(text[len(_EVENT_ID) :]))
-            elif text.startswith(_DATA):
-                attempt.versions.append(text.split()[-1].decode())
+            name, _, value = text.partition(b": ")
+            event[name] = value
+            if text == _EVENT_END and event.keys() >= {_EVENT_ID, _DATA}:
+                stream.event_ids.append(int(event[_EVENT_ID]))
+                attempt.versions.append(event[_DATA].split()[-1].decode())
+                event = {}
             attempt.is_complete = text == _LAST_CHUNK
-            if attempt.is_complete or len(attempt.versions) == leaves_after > 0:
+            attempt.left = len(attempt.versions) == leaves_after > 0
+            if attempt.is_complete or attempt.left:
                 return
+        attempt.is_complete = ends_by_close and _EVENT_ID not in event
     finally:
         writer.close()
