Soak what is new on the users' pages

A third of the engines and one plain service frame answers by the end of the connection; bodies come slowly and in chunks. New checks: LOST for requests without an answer and streams cut though their endpoint is sound, DRAIN by the entry's state, BUDGET and LOST for fatal parts, RECOVER for crowds, UNASKED for bodies.

In the soak's test of resumed streams the first attempt is now marked as left by its caller, which is what it stood for.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import sys
+from pathlib import Path
 
 import uvloop
 
@@ -21,14 +22,20 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--vms", type=int, default=4)
     parser.add_argument("--engines", type=int, default=6)
+    parser.add_argument("--parts", action="store_true")
+    parser.add_argument("--logs", type=Path, help="folder for the logs of the VMs")
     arguments = parser.parse_args()
     plan = draw_plan(
-        arguments.seed, arguments.seconds, arguments.vms, arguments.engines
+        arguments.seed,
+        arguments.seconds,
+        arguments.vms,
+        arguments.engines,
+        parts=arguments.parts,
     )
     for one in plan.disturbances:
         print(f"{one.at_s:6.1f} s  {one.kind} {one.target} {one.value:g} {one.for_s:g}")
     sys.stdout.flush()
-    evidence = uvloop.run(play(plan))
+    evidence = uvloop.run(play(plan, arguments.logs))
     breaches = check_all(evidence)
     print(f"seed {plan.seed}: {dict(evidence.statuses)}, {len(breaches)} rules broken")
     for breach in breaches:
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from bench.soak.evidence import Call
@@ -18,85 +19,167 @@
     from standins.routed.vm import PlatformVm
 
 CALLERS_PER_VM = 6
+FATAL_PART = "bad0"
+KEY = "soak-key"
+STREAM_LINE = "POST /help/a"
+ENGINE_PATHS = ("POST /chat/a", STREAM_LINE)
+EXTRA_PATH = "/plain/extra/"
+KEYED_PATH = "/keyed/"
+_PATHS = (
+    "GET /plain/a",
+    "POST /plain/file/a",
+    f"POST {EXTRA_PATH}a",
+    f"GET {KEYED_PATH}a",
+    *ENGINE_PATHS,
+)
 _MEAN_PAUSE_S = 0.4
 _TIMEOUT_S = 4.0
 _AGAIN_S = 0.1
 _STREAM_ATTEMPTS = 4
-STREAM_LINE = "POST /help/a"
-_PATHS = ("GET /plain/a", "POST /plain/file/a", "POST /chat/a", "POST /help/a")
+_CROWD_SHARE = 0.9
+_SLOW_SHARE = 0.3
+_PIECE_BYTES = (20, 400)
+_PIECE_PAUSE_S = (0.0, 0.4)
+_EVENT_END = b"\n\n"
+
+
+@dataclass(slots=True)
+class Doors:
+    """The VMs, as new connections meet them.
+
+    Attributes:
+        vms: The VMs.
+        draw: Chooses among them.
+        crowded: Number of the VM that gets most new connections, None for none.
+    """
+
+    vms: Sequence[PlatformVm]
+    draw: random.Random
+    crowded: int | None = None
+
+    def choose(self, home: int) -> int:
+        """Return the number of the VM that a caller's new connection meets."""
+        goes = self.crowded is not None and self.draw.random() < _CROWD_SHARE
+        return self.crowded if goes else home
+
+    def choose_other(self, number: int) -> int:
+        """Return the number of another VM, for a retry."""
+        return (number + self.draw.randrange(1, len(self.vms))) % len(self.vms)
 
 
 class Caller:
-    """One caller of one VM.
+    """One caller of a VM.
 
     Args:
-        vm: The VM.
-        number: Its number.
+        doors: The VMs.
+        home: Number of the VM that its connections meet while none is crowded.
         headers: Headers of all requests.
         evidence: Where calls are noted.
-        draw: Chooses paths and pauses.
         ids: Numbers for requests.
+        part: Part of the prompts of all its requests that crashes endpoints, empty for
+            none.
     """
 
     def __init__(
         self,
-        vm: PlatformVm,
-        number: int,
+        doors: Doors,
+        home: int,
         headers: list[str],
         evidence: Evidence,
-        draw: random.Random,
         ids: count,
+        part: str = "",
     ) -> None:
-        self._vm = vm
-        self._number = number
+        self._doors = doors
+        self._home = home
         self._headers = headers
         self._evidence = evidence
-        self._draw = draw
+        self._draw = doors.draw
         self._ids = ids
+        self._part = part
 
     async def run(self) -> None:
         """Ask until cancelled."""
+        failed = None
         while True:
+            if failed is None:
+                number = self._doors.choose(self._home)
+            else:
+                number = self._doors.choose_other(failed)
+            vm = self._doors.vms[number]
+            is_retry, failed = failed is not None, number
             try:
-                connection = await asyncio.open_connection(
-                    self._vm.ip, self._vm.front.port
-                )
+                reader, writer = await asyncio.open_connection(vm.ip, vm.front.port)
             except OSError:
                 await asyncio.sleep(_AGAIN_S)
                 continue
             try:
-                while await self._ask(*connection):
+                while await self._ask(number, reader, writer):
                     pause_s = self._draw.expovariate(1 / _MEAN_PAUSE_S)
                     await asyncio.sleep(pause_s)
-            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                    if is_retry or self._doors.crowded is not None:
+                        break
+                failed = None
+            except (OSError, asyncio.IncompleteReadError):
                 self._evidence.statuses[0] += 1
             finally:
-                connection[1].close()
+                writer.close()
 
     async def _ask(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         """Send one request; return whether the connection may be used again."""
-        request_id = f"{self._number}-{next(self._ids)}"
-        path = self._draw.choice(_PATHS)
-        call = Call(time.monotonic(), path)
+        request_id = f"{number}-{next(self._ids)}"
+        path = self._draw.choice(ENGINE_PATHS if self._part else _PATHS)
+        call = Call(time.monotonic(), path, part=self._part)
         self._evidence.calls[request_id] = call
         lines = [f"{path} HTTP/1.1", f"request-id: {request_id}", *self._headers]
-        writer.write("\r\n".join([*lines, "content-length: 0", "", ""]).encode())
-        async with asyncio.timeout(_TIMEOUT_S):
-            call.status, closes = await _read_answer(reader)
+        lines.append(f"prompt-prefix: a1:100,{self._part or 'b2'}:50,{request_id}:10")
+        try:
+            async with asyncio.timeout(_TIMEOUT_S):
+                call.body = await self._send(path, lines, writer)
+                call.whole_s = time.monotonic()
+                call.status, call.is_sealed, closes = await _read_answer(reader)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            call.timed_out = isinstance(error, TimeoutError)
+            call.ended_s = time.monotonic()
+            raise
+        call.ended_s = time.monotonic()
         self._evidence.statuses[call.status] += 1
         return not closes
 
+    async def _send(
+        self, path: str, lines: list[str], writer: asyncio.StreamWriter
+    ) -> bytes:
+        """Send a request, some with a body that comes slowly; return the body."""
+        pieces = []
+        if path.startswith("POST") and self._draw.random() < _SLOW_SHARE:
+            sizes = [self._draw.randint(*_PIECE_BYTES) for _ in range(3)]
+            pieces = [self._draw.randbytes(size) for size in sizes]
+        in_chunks = bool(pieces) and self._draw.random() < 0.5
+        framing = f"content-length: {sum(map(len, pieces))}"
+        framing = "transfer-encoding: chunked" if in_chunks else framing
+        writer.write("\r\n".join([*lines, framing, "", ""]).encode())
+        for piece in pieces:
+            await asyncio.sleep(self._draw.uniform(*_PIECE_PAUSE_S))
+            if writer.is_closing():
+                raise ConnectionResetError
+            framed = b"%x\r\n%b\r\n" % (len(piece), piece) if in_chunks else piece
+            writer.write(framed)
+            await writer.drain()
+        if in_chunks:
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return b"".join(pieces)
+
 
 async def take_streams(
-    vms: Sequence[PlatformVm],
+    doors: Doors,
     headers: Sequence[str],
     evidence: Evidence,
-    draw: random.Random,
     ids: count,
 ) -> None:
     """Take streams until cancelled; leave half of them and resume them elsewhere."""
+    vms, draw = doors.vms, doors.draw
 
     def make_id(vm: PlatformVm) -> str:
         request_id = f"{vms.index(vm)}-{next(ids)}"
@@ -112,17 +195,25 @@
         await asyncio.sleep(draw.expovariate(1 / _MEAN_PAUSE_S))
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> tuple[int, bool]:
+async def _read_answer(reader: asyncio.StreamReader) -> tuple[int, bool, bool]:
+    """Return the status, whether an endpoint sealed it and whether it was the last."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
     status = int(head.split(" ", 2)[1])
     fields = dict(line.split(": ", 1) for line in head.strip().split("\r\n")[1:])
+    closes = fields.get("connection") == "close"
     if "content-length" in fields:
         await reader.readexactly(int(fields["content-length"]))
-    else:
+    elif "transfer-encoding" in fields:
         while size := int(await _read_line(reader), 16):
             await reader.readexactly(size + 2)
         await _read_line(reader)
-    return status, fields.get("connection") == "close"
+    else:
+        closes = True
+        body = await reader.read(-1)
+        is_stream = fields.get("content-type") == "text/event-stream"
+        if is_stream and not body.endswith(_EVENT_END):
+            raise asyncio.IncompleteReadError(body, None)
+    return status, "server-seal" in fields, closes
 
 
 async def _read_line(reader: asyncio.StreamReader) -> bytes:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -5,6 +5,8 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
+from bench.soak.callers import ENGINE_PATHS
+from bench.soak.configuration import TIMEOUTS_MS
 from bench.soak.evidence import UNTIL_THE_END_S, vm_of
 
 if TYPE_CHECKING:
@@ -29,6 +31,12 @@
 RESUMED_LEAST = 12
 GONE_ON_LEAST = 0.5
 FEWEST_OF_VERSION = 2
+LOST_SLACK_S = 0.2
+CRASHES = 5
+PART_MOST = 3
+BEGUN_LEAST = 1 / 2
+CROWD_SERVED_LEAST = 3 / 4
+FEWEST_CALLS = 20
 
 
 def check_all(evidence: Evidence) -> list[str]:
@@ -42,6 +50,13 @@
         _cuts,
         _versions,
         _resumed,
+        _drains,
+        _bodies,
+        _unanswered,
+        _broken_off,
+        _parts,
+        _beside_parts,
+        _crowds,
     )
     return [breach for check in checks for breach in check(evidence)]
 
@@ -59,7 +74,13 @@
 
 def _is_excused(evidence: Evidence, vm: int, from_s: float, to_s: float) -> bool:
     spans = evidence.disturbed.get(vm, ())
-    return any(span.from_s <= to_s and span.until_s >= from_s for span in spans)
+    return any(span.touches(from_s, to_s) for span in spans)
+
+
+def _is_in_touch(evidence: Evidence, vm: int, from_s: float, to_s: float) -> bool:
+    """Return whether a VM and the store were in order all the time."""
+    store = any(span.touches(from_s, to_s) for span in evidence.store)
+    return not store and not _is_excused(evidence, vm, from_s, to_s)
 
 
 def _limits(evidence: Evidence) -> Iterator[str]:
@@ -99,6 +120,22 @@
                 yield f"DRAIN {start.name}: {len(late)} late from VM {vm}"
 
 
+def _drains(evidence: Evidence) -> Iterator[str]:
+    """Find requests that come after the entry of a start said that it leaves."""
+    for start in evidence.starts:
+        late = [
+            seen
+            for seen in start.seen
+            if evidence.calls[_request_id(seen)].sent_s > start.drains_s + DRAIN_S
+            and seen.headers.get("expect-instance", start.name) == start.name
+            and _is_in_touch(
+                evidence, vm_of(_request_id(seen)), start.drains_s, seen.at_s
+            )
+        ]
+        if late:
+            yield f"DRAIN {start.name}: {len(late)} late after its entry has changed"
+
+
 def _rests(evidence: Evidence) -> Iterator[str]:
     for start in evidence.starts:
         rest_s = max((word.value for word in start.rests), default=0.0)
@@ -204,3 +241,153 @@
                 f"RECOVER VM {vm}: {sum(own)} of {len(own)}, the others {sum(others)} "
                 f"of {len(others)}"
             )
+
+
+def _bodies(evidence: Evidence) -> Iterator[str]:
+    for start in evidence.starts:
+        for seen in start.seen:
+            call = evidence.calls[_request_id(seen)]
+            if seen.ran and call.whole_s and seen.body != call.body:
+                yield f"UNASKED {_request_id(seen)}: another body"
+
+
+def _seen_by_id(evidence: Evidence) -> dict[str, list[tuple[Start, Seen]]]:
+    found = defaultdict(list)
+    for start in evidence.starts:
+        for seen in start.seen:
+            found[_request_id(seen)].append((start, seen))
+    return found
+
+
+def _unanswered(evidence: Evidence) -> Iterator[str]:
+    """Find whole requests that got neither an answer nor a refusal."""
+    reached = _seen_by_id(evidence)
+    for request_id, call in evidence.calls.items():
+        is_own_error = call.status == 500 and not call.is_sealed
+        if not call.whole_s or call.timed_out or (call.status and not is_own_error):
+            continue
+        is_in_time = call.ended_s - call.whole_s <= LOST_SLACK_S
+        if is_in_time and not is_own_error and not reached[request_id]:
+            continue
+        if _is_lost(evidence, request_id, call.sent_s, call.ended_s, reached):
+            took_s = call.ended_s - call.sent_s
+            at_s = call.sent_s - evidence.begun_s
+            yield (
+                f"LOST {request_id} {call.path} at {at_s:.2f} s: {call.status} after "
+                f"{took_s:.2f} s"
+            )
+
+
+def _broken_off(evidence: Evidence) -> Iterator[str]:
+    """Find streams that were broken off though their endpoints were sound."""
+    reached = _seen_by_id(evidence)
+    for stream in evidence.streams:
+        for attempt in stream.attempts:
+            if attempt.is_complete or attempt.left or attempt.timed_out:
+                continue
+            request_id, until_s = attempt.request_id, attempt.sent_s + attempt.held_s
+            has_begun = attempt.status == 200 or (
+                not attempt.status and reached[request_id]
+            )
+            if has_begun and _is_lost(
+                evidence, request_id, attempt.sent_s, until_s, reached
+            ):
+                events = len(attempt.versions)
+                at_s = attempt.sent_s - evidence.begun_s
+                yield f"LOST {request_id} at {at_s:.2f} s: cut after {events} events"
+
+
+def _is_lost(
+    evidence: Evidence,
+    request_id: str,
+    sent_s: float,
+    until_s: float,
+    reached: dict[str, list[tuple[Start, Seen]]],
+) -> bool:
+    """Return whether neither a time limit, its VM nor an endpoint ended a request."""
+    if not sent_s < until_s < sent_s + min(TIMEOUTS_MS) / 1000:
+        return False
+    spans = evidence.disturbed.get(vm_of(request_id), ())
+    if any(span.touches(sent_s, until_s) and not span.is_planned for span in spans):
+        return False
+    return not any(
+        seen.broke_off or seen.ended_s or start.until_s <= until_s
+        for start, seen in reached[request_id]
+    )
+
+
+def _parts(evidence: Evidence) -> Iterator[str]:
+    """Count requests with a part that crashes endpoints, after the fifth crash."""
+    crashes_s = _crashes_s(evidence)
+    if len(crashes_s) < CRASHES:
+        return
+    from_s = crashes_s[CRASHES - 1] + STABLE_S
+    late = [
+        seen
+        for start in evidence.starts
+        for seen in start.seen
+        if seen.at_s > from_s
+        and evidence.calls[_request_id(seen)].part
+        and _is_in_touch(evidence, vm_of(_request_id(seen)), seen.at_s, seen.at_s)
+    ]
+    if len(late) > PART_MOST:
+        yield f"BUDGET {len(late)} with a fatal part late, {len(crashes_s)} crashes"
+
+
+def _crashes_s(evidence: Evidence) -> list[float]:
+    return sorted(
+        seen.ended_s for start in evidence.starts for seen in start.seen if seen.ended_s
+    )
+
+
+def _beside_parts(evidence: Evidence) -> Iterator[str]:
+    """Compare sound requests beside those with a fatal part with those before."""
+    crashes_s = _crashes_s(evidence)
+    fatal_s = [call.sent_s for call in evidence.calls.values() if call.part]
+    if not crashes_s or not fatal_s:
+        return
+    from_s = crashes_s[:CRASHES][-1] + 2 * STABLE_S
+    reached = _seen_by_id(evidence)
+    begun: dict[bool, list[bool]] = {True: [], False: []}
+    for request_id, call in evidence.calls.items():
+        is_beside = from_s <= call.sent_s <= max(fatal_s)
+        is_sound = call.ended_s and not call.part and call.path in ENGINE_PATHS
+        if not is_sound or not (is_beside or call.sent_s < min(fatal_s)):
+            continue
+        if _is_in_touch(evidence, vm_of(request_id), call.sent_s, call.ended_s):
+            begun[is_beside].append(any(seen.ran for _, seen in reached[request_id]))
+    beside, before = begun[True], begun[False]
+    if min(len(beside), len(before)) < FEWEST_CALLS:
+        return
+    if sum(beside) / len(beside) < BEGUN_LEAST * sum(before) / len(before):
+        yield (
+            f"LOST {sum(beside)} of {len(beside)} begun beside a fatal part, "
+            f"{sum(before)} of {len(before)} before"
+        )
+
+
+def _crowds(evidence: Evidence) -> Iterator[str]:
+    """Compare requests while one VM gets most connections with those before."""
+    reached = _seen_by_id(evidence)
+    for vm, crowd in evidence.crowds:
+        before_s, until_s = crowd.from_s - SPAN_S, crowd.until_s
+        served: dict[bool, list[bool]] = {True: [], False: []}
+        for request_id, call in evidence.calls.items():
+            is_crowded = crowd.from_s + STABLE_S <= call.sent_s < until_s
+            is_before = before_s <= call.sent_s < crowd.from_s
+            if not (is_crowded or is_before) or not call.ended_s or call.part:
+                continue
+            is_read = call.status or call.timed_out or reached[request_id]
+            if not is_read or call.status == 429:
+                continue
+            if _is_in_touch(evidence, vm_of(request_id), before_s, call.ended_s):
+                served[is_crowded].append(call.status == 200)
+        crowded, before = served[True], served[False]
+        if min(len(crowded), len(before)) < FEWEST_CALLS:
+            continue
+        least = CROWD_SERVED_LEAST * sum(before) / len(before)
+        if sum(crowded) / len(crowded) < least:
+            yield (
+                f"RECOVER crowded VM {vm}: {sum(crowded)} of {len(crowded)}, before "
+                f"{sum(before)} of {len(before)}"
+            )
--- a/bench/soak/evidence.py
+++ b/bench/soak/evidence.py
@@ -21,11 +21,17 @@
         from_s: Since when.
         value: Requests a second, or seconds of rest.
         until_s: Until when.
+        is_planned: Whether it is planned work, such as a SIGTERM.
     """
 
     from_s: float
     value: float = 0.0
     until_s: float = UNTIL_THE_END_S
+    is_planned: bool = False
+
+    def touches(self, from_s: float, until_s: float) -> bool:
+        """Return whether it was in force at some moment of a span."""
+        return self.from_s <= until_s and self.until_s >= from_s
 
 
 @dataclass(slots=True)
@@ -38,7 +44,7 @@
         limits: The limits that it named.
         rests: When it turned requests away.
         leaves_s: When it first said in its answers that it leaves.
-        drains_s: When its entry first said so.
+        drains_s: When its entry first said so, or was deleted.
         version: Version of its software.
         born_ms: What it registered as its start.
         from_s: When it was registered.
@@ -69,12 +75,24 @@
     Attributes:
         sent_s: When it was sent.
         path: Its path.
-        status: The answer's status, 0 for none.
+        status: Status of the complete answer, 0 for none.
+        body: Its body, once it was sent.
+        whole_s: When its last byte was sent, 0 before.
+        ended_s: When the answer or its connection ended, 0 before.
+        is_sealed: Whether an endpoint's seal came with the answer.
+        timed_out: Whether the caller gave up.
+        part: Part of its prompt that crashes endpoints, empty for none.
     """
 
     sent_s: float
     path: str
     status: int = 0
+    body: bytes = b""
+    whole_s: float = 0.0
+    ended_s: float = 0.0
+    is_sealed: bool = False
+    timed_out: bool = False
+    part: str = ""
 
 
 @dataclass(slots=True)
@@ -82,17 +100,23 @@
     """Everything.
 
     Attributes:
+        begun_s: When callers began.
         starts: All starts of endpoints.
         calls: Requests by id; the id begins with the number of the VM.
         disturbed: For each VM, from when to when it was not in order.
+        store: From when to when the store was not in order.
+        crowds: VMs that got most new connections, with these times.
         cuts: VMs that were cut off from all endpoints, with these times.
         statuses: Answers by status.
         streams: Streams of callers who resume them.
     """
 
+    begun_s: float = 0.0
     starts: list[Start] = field(default_factory=list)
     calls: dict[str, Call] = field(default_factory=dict)
     disturbed: dict[int, list[Word]] = field(default_factory=dict)
+    store: list[Word] = field(default_factory=list)
+    crowds: list[tuple[int, Word]] = field(default_factory=list)
     cuts: list[tuple[int, Word]] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
     streams: list[CallerStream] = field(default_factory=list)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -25,6 +25,14 @@
     """The last VM is cut off from all endpoints, in one of three ways."""
     STORE_BUSY = "store_busy"
     STORE_SILENT = "store_silent"
+    STORE_FLAKY = "store_flaky"
+    """The store refuses each second or third read of a table for a time."""
+    CROWD = "crowd"
+    """Most new connections go to one VM for a time, while callers open more."""
+    CONFIGURE = "configure"
+    """The configuration changes again and again for a time."""
+    PART = "part"
+    """Requests come with a part in their prompts that crashes endpoints."""
     LIMIT = "limit"
     """The endpoint names a limit for a time."""
     LEAVE = "leave"
@@ -35,13 +43,34 @@
     """It resets a half of its streams inside an event for a time."""
     RELEASE = "release"
     """It leaves, and one of the other version takes its address under another id."""
+    REMOVE = "remove"
+    """As release, but its entry is deleted without having said that it leaves."""
+    SILENCE = "silence"
+    """It falls silent inside answers for about a second, and goes on."""
 
 
 _OF_VMS = (Kind.VM_KILL, Kind.VM_STOP, Kind.VM_FREEZE, Kind.VM_HUP, Kind.VM_CUT)
 _CUTS = 3
-_OF_STORE = (Kind.STORE_BUSY, Kind.STORE_SILENT)
-_OF_ENDPOINTS = (Kind.LIMIT, Kind.LEAVE, Kind.REST, Kind.BREAK, Kind.RELEASE)
-_WEIGHTED = (*_OF_VMS, *_OF_STORE, *_OF_ENDPOINTS * 2)
+_OF_STORE = (Kind.STORE_BUSY, Kind.STORE_SILENT, Kind.STORE_FLAKY)
+_OF_ENDPOINTS = (
+    Kind.LIMIT,
+    Kind.LEAVE,
+    Kind.REST,
+    Kind.BREAK,
+    Kind.RELEASE,
+    Kind.REMOVE,
+    Kind.SILENCE,
+)
+_LEAVING = (Kind.RELEASE, Kind.REMOVE)
+_OF_ALL = (Kind.CROWD, Kind.CONFIGURE)
+_WEIGHTED = (*_OF_VMS, *_OF_STORE, *_OF_ENDPOINTS * 2, *_OF_ALL * 2)
+_REFUSES_EACH = (2, 3)
+_SILENT_S = (0.6, 1.3)
+_DRAINING_S = (2.5, 8.0)
+_CROWD_S = (6.0, 9.0)
+_PART_AT_S = 6.0
+_CLOSING_SHARE = 3
+"""One in so many engines frames its answers by the end of the connection."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,8 +82,8 @@
         kind: What.
         target: Number of the VM or endpoint, 0 for the store.
         for_s: How long.
-        value: Requests a second, seconds of rest, or which way of a cut; 0 for other
-            kinds.
+        value: Requests a second, seconds of rest, of silence or until an endpoint ends,
+            which way of a cut, or which reads the store refuses; 0 for other kinds.
     """
 
     at_s: float
@@ -74,6 +103,7 @@
         vms: Number of VMs.
         engines: Number of engines.
         disturbances: In order of time.
+        closing: Engines that frame answers by the end of the connection.
     """
 
     seed: int
@@ -81,23 +111,38 @@
     vms: int
     engines: int
     disturbances: tuple[Disturbance, ...]
+    closing: frozenset[int] = frozenset()
 
 
-def draw_plan(seed: int, seconds: float, vms: int, engines: int) -> Plan:
-    """Draw a plan; a target that is disturbed is left alone until it is over."""
+def draw_plan(
+    seed: int, seconds: float, vms: int, engines: int, *, parts: bool = False
+) -> Plan:
+    """Draw a plan; a target that is disturbed is left alone until it is over.
+
+    Args:
+        seed: What it is drawn from.
+        seconds: How long callers ask.
+        vms: Number of VMs.
+        engines: Number of engines.
+        parts: Whether requests with a part that crashes endpoints come.
+    """
     draw = random.Random(seed)
+    closing = frozenset(draw.sample(range(engines), engines // _CLOSING_SHARE))
     busy_until_s: dict[tuple[str, int], float] = {}
     found = []
+    if parts:
+        for_s = seconds - _PART_AT_S - _CALM_S
+        found.append(Disturbance(_PART_AT_S, Kind.PART, 0, for_s))
     at_s = _CALM_S
     while at_s < seconds - _CALM_S:
         one = _draw_one(draw, at_s, vms, engines)
         family = one.kind.value[:2] if one.kind not in _OF_ENDPOINTS else "endpoint"
-        target = family, one.target
+        target = family, 0 if one.kind in _OF_ALL else one.target
         if busy_until_s.get(target, 0.0) <= at_s:
             busy_until_s[target] = at_s + one.for_s + 1.0
             found.append(one)
         at_s += draw.expovariate(1 / _MEAN_GAP_S)
-    return Plan(seed, seconds, vms, engines, tuple(found))
+    return Plan(seed, seconds, vms, engines, tuple(found), closing)
 
 
 def _draw_one(draw: random.Random, at_s: float, vms: int, engines: int) -> Disturbance:
@@ -108,10 +153,18 @@
     if kind in _OF_VMS:
         return Disturbance(at_s, kind, draw.randrange(vms), draw.uniform(0.5, 4.0))
     if kind in _OF_STORE:
-        return Disturbance(at_s, kind, 0, draw.uniform(1.0, 8.0))
+        each = draw.choice(_REFUSES_EACH) if kind is Kind.STORE_FLAKY else 0
+        return Disturbance(at_s, kind, 0, draw.uniform(1.0, 8.0), each)
+    if kind is Kind.CROWD:
+        return Disturbance(at_s, kind, draw.randrange(vms), draw.uniform(*_CROWD_S))
+    if kind is Kind.CONFIGURE:
+        return Disturbance(at_s, kind, 0, draw.uniform(2.0, 8.0))
     value = {
         Kind.LIMIT: draw.choice(_LIMITS_PER_S),
         Kind.REST: _REST_S,
+        Kind.SILENCE: draw.uniform(*_SILENT_S),
+        Kind.RELEASE: draw.uniform(*_DRAINING_S),
+        Kind.REMOVE: draw.uniform(*_DRAINING_S),
     }.get(kind, 0.0)
-    target = draw.randrange(engines)
-    return Disturbance(at_s, kind, target, draw.uniform(5.0, 14.0), value)
+    for_s = value if kind in _LEAVING else draw.uniform(5.0, 14.0)
+    return Disturbance(at_s, kind, draw.randrange(engines), for_s, value)
--- a/tests/steps/bench_soak_steps.py
+++ b/tests/steps/bench_soak_steps.py
@@ -1,13 +1,16 @@
 """Steps of tests/bench/soak.feature."""
 
+from types import SimpleNamespace
+
 from behave import given, then, when
 
-from bench.soak.checks import RESUMED_LEAST, check_all
+from bench.soak.checks import FEWEST_CALLS, RESUMED_LEAST, check_all
 from bench.soak.evidence import Call, Evidence, Start, Word
 from bench.soak.plan import Disturbance, Kind, Plan, draw_plan
 from bench.soak.run import play
-from standins.routed.endpoint import Seen
-from standins.routed.streams import Attempt, CallerStream
+from standins.routed import EndpointOptions, RoutedEndpoint
+from standins.routed.endpoint import BodyFraming, Seen
+from standins.routed.streams import Attempt, CallerStream, take_stream
 
 GAP_S = 0.1
 LINE = "POST /plain/file/a HTTP/1.1"
@@ -34,6 +37,10 @@
         start.leaves_s = 0.0
     elif says.startswith("turns"):
         start.rests.append(Word(0.0, 3.0))
+    elif says.startswith("has"):
+        start.drains_s = float(says.split()[-2])
+    elif "another one" in says:
+        start.drains_s = 0.0
 
 
 @given("VM {vm:d} was killed after {at_s:d} s")
@@ -41,6 +48,11 @@
     context.evidence.disturbed[vm] = [Word(at_s, until_s=at_s + 3.0)]
 
 
+@given("the store was busy after {at_s:d} s")
+def step_store_busy(context, at_s):
+    context.evidence.store.append(Word(at_s, until_s=at_s + 3.0))
+
+
 @when("{number:d} requests of VM {vm:d} reach it from {from_s:d} s on")
 def step_gets(context, number, vm, from_s):
     once = context.says.startswith("runs")
@@ -52,13 +64,18 @@
         seen = Seen(line, {"request-id": request_id}, b"", ran=True, at_s=at_s)
         seen.turned_away = context.says.startswith("turns") and one == 0
         seen.ran = not seen.turned_away
+        if "another one" in context.says:
+            seen.headers["expect-instance"] = "e2"
         context.start.seen.append(seen)
-        context.evidence.calls[request_id] = Call(at_s, line, status)
+        call = Call(at_s, line, status, whole_s=at_s, ended_s=at_s)
+        call.body = b"sent" if "bodies" in context.says else b""
+        context.evidence.calls[request_id] = call
 
 
 def _stream(number, goes_on=True):
     """Return a stream of three events, of which the last two were resumed."""
     begun = Attempt(f"0-a{number}", "vm-1", 10.0, False, 200, ["v1"], held_s=0.1)
+    begun.left = True
     resumed = Attempt(f"1-b{number}", "vm-2", 10.2, True, 503, held_s=0.1)
     if goes_on:
         resumed.status, resumed.versions, resumed.is_complete = 200, ["v1"] * 2, True
@@ -84,6 +101,114 @@
     context.evidence.streams = streams
 
 
+def _call(context, request_id, at_s, *, runs=True, part="", status=200):
+    """Note a request that is answered, and runs unless told otherwise."""
+    call = Call(at_s, "POST /chat/a", status, whole_s=at_s, ended_s=at_s + 0.3)
+    call.part, call.is_sealed = part, status == 200
+    context.evidence.calls[request_id] = call
+    if runs:
+        headers = {"request-id": request_id}
+        seen = Seen("POST /chat/a HTTP/1.1", headers, b"", True, at_s=at_s)
+        context.start.seen.append(seen)
+    return call
+
+
+@given("a soaked request of VM 0 that {what}")
+def step_unanswered(context, what):
+    step_endpoint(context, "answers")
+    if "stream" in what:
+        attempt = Attempt("0-0", "vm-1", 10.0, False, 200, ["v1"], held_s=0.3)
+        attempt.is_complete, attempt.left = "complete" in what, "leaves" in what
+        context.evidence.streams.append(CallerStream([attempt], [1]))
+    call = _call(context, "0-0", 10.0, runs="reaches no" not in what)
+    call.whole_s = 0.0 if "stream" in what or "before" in what else 10.0
+    call.status = 0 if "no answer" in what else 500 if "500" in what else 200
+    call.is_sealed = "of the endpoint" in what or call.status == 200
+    call.timed_out = "gives up" in what
+    if "within" in what:
+        call.ended_s = 10.0 + float(what.split()[4])
+    if "limit" in what:
+        call.ended_s = 12.6
+    if "VM 0" in what:
+        span = Word(9.5, until_s=12.5, is_planned="stopped" in what)
+        context.evidence.disturbed[0] = [span]
+    for seen in context.start.seen:
+        seen.broke_off = "breaks off" in what
+        seen.ended_s = 10.2 if "crashes" in what else 0.0
+    if "again" in what:
+        context.start.until_s = 10.2
+
+
+@given("{crashes:d} soaked crashes, the last at {at_s:d} s")
+def step_crashes(context, crashes, at_s):
+    step_endpoint(context, "crashes")
+    for number in range(crashes):
+        _call(context, f"1-{number}", at_s - number, part="bad0")
+        context.start.seen[-1].ended_s = at_s - number
+
+
+@given("{late:d} more such requests of VM 0 from {from_s:g} s on")
+def step_late(context, late, from_s):
+    for number in range(late):
+        _call(context, f"0-{number}", from_s + number * GAP_S, part="bad0")
+
+
+@given("{begun:d} of {sound:d} sound requests beside such ones begin")
+def step_beside(context, begun, sound):
+    for number in range(sound):
+        _call(context, f"0-a{number}", 1.0 + number * GAP_S)
+        _call(context, f"0-b{number}", 16.0 + number * GAP_S, runs=number < begun)
+    _call(context, "1-last", 19.0, runs=False, part="bad0")
+
+
+@given("a soaked VM that gets most connections from {at_s:d} s on")
+def step_crowded(context, at_s):
+    step_endpoint(context, "answers")
+    context.evidence.crowds.append((0, Word(at_s, until_s=at_s + 8.0)))
+    for number in range(FEWEST_CALLS):
+        _call(context, f"1-a{number}", at_s - 3.0 + number * GAP_S)
+
+
+@given("{served:d} of {asked:d} requests {what} are served from {from_s:d} s on")
+def step_crowd(context, served, asked, what, from_s):
+    status = int(what.split()[-1]) if "end" in what else 0
+    vm = 2 if "out of order" in what else 0
+    context.evidence.disturbed[2] = [Word(from_s, until_s=from_s + 3.0)]
+    for number in range(asked):
+        request_id, at_s = f"{vm}-b{number}", from_s + number * GAP_S
+        is_served = number < served
+        call = _call(context, request_id, at_s, runs=is_served)
+        call.status = 200 if is_served else status
+        # What no VM has read ends at once.
+        call.ended_s = at_s if not call.status else call.ended_s
+
+
+@given("an endpoint whose streams end with their connection, {where}")
+def step_closing(context, where):
+    options = EndpointOptions(events=4, framing=BodyFraming.CLOSE)
+    options.broken_share = float("inside" in where)
+    context.endpoint = RoutedEndpoint("e1", options)
+
+
+@when("a caller of the soak takes one")
+def step_take(context):
+    async def take():
+        address = await context.endpoint.start()
+        ip, _, port = address.rpartition(":")
+        door = SimpleNamespace(ip=ip, front=SimpleNamespace(port=port), vm_id="e1")
+        context.stream = await take_stream([door], lambda _: "0-1", "POST /a", [])
+        await context.endpoint.aclose()
+
+    context.run(take())
+
+
+@then("the stream counts as {what}")
+def step_counts(context, what):
+    attempt = context.stream.attempts[0]
+    assert attempt.is_complete == (what == "complete"), attempt
+    assert len(attempt.versions) == (4 if attempt.is_complete else 2), attempt
+
+
 @then("the soak finds {broken}")
 def step_found(context, broken):
     rules = {breach.split()[0] for breach in check_all(context.evidence)}
