Take a reset by the VM as its leaving in the stand-in endpoints

A reset while an endpoint answered raised out of the wait for the caller's close, and the answer's task ended unobserved, with a traceback on the soak's output.

--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -324,7 +324,7 @@
             request.cut = True
             answering.cancel()
         leaving.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
+        with contextlib.suppress(asyncio.CancelledError, OSError):
             await leaving
         with contextlib.suppress(asyncio.CancelledError):
             return await answering
