--- a/bench/chaos/actors.py
+++ b/bench/chaos/actors.py
@@ -31,6 +31,7 @@
 _ENDPOINT_FAULTS = {
     FaultKind.ENDPOINT_DIE: ("die", True, False),
     FaultKind.ENDPOINT_FREEZE: ("frozen", True, False),
+    FaultKind.ENDPOINT_PAUSE: ("frozen", True, False),
     FaultKind.ENDPOINT_REFUSE: ("refuse", True, False),
 }
 _HEALTHY_ENDPOINT = {"die": False, "frozen": False, "refuse": False, "slowdown": 1.0}
--- a/bench/chaos/schedule.py
+++ b/bench/chaos/schedule.py
@@ -19,6 +19,7 @@
 _GAP_S = (0.8, 2.6)
 _DOUBLE_SHARE = 0.35
 _LASTS_S = (0.8, 6.0)
+_PAUSE_S = (0.6, 1.3)
 _TRIES = 50
 _PLATFORM = "platform"
 
@@ -38,6 +39,8 @@
     PLATFORM_LOST_REPLIES = "platform_lost_replies"
     ENDPOINT_DIE = "endpoint_die"
     ENDPOINT_FREEZE = "endpoint_freeze"
+    ENDPOINT_PAUSE = "endpoint_pause"
+    """It stands still for about a second, as sound endpoints may, and goes on."""
     ENDPOINT_SLOW = "endpoint_slow"
     ENDPOINT_REFUSE = "endpoint_refuse"
     LEAVING_SAID = "leaving_said"
@@ -136,7 +139,8 @@
     def _add_one(self, at_s: float) -> None:
         for _ in range(_TRIES):
             kind = self._random.choice(list(FaultKind))
-            lasts_s = min(self._random.uniform(*_LASTS_S), self._seconds - at_s)
+            bounds_s = _PAUSE_S if kind is FaultKind.ENDPOINT_PAUSE else _LASTS_S
+            lasts_s = min(self._random.uniform(*bounds_s), self._seconds - at_s)
             fault = self._draw_fault(kind, at_s, lasts_s)
             if self._is_free(fault):
                 self._take(fault)
