Answer nobody in the stand-in store when the VM that waited is gone

A VM that was killed while it waited for changes left a call without a transport, and the store's answer failed with a traceback on the soak's output.

--- a/standins/routed/store.py
+++ b/standins/routed/store.py
@@ -249,6 +249,9 @@
             told["tombstone"] = True
         else:
             told["value"] = row.value
+        if request.transport is None:
+            # The caller is gone, and reads no answer.
+            return told
         port = request.transport.get_extra_info("sockname")[1]
         if table == "servers" and port in self._addresses_by_port:
             told |= _translated(told, self._addresses_by_port[port])
