--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -192,6 +192,9 @@
         stream = CallerStream()
         evidence.streams.append(stream)
         await take_stream(order, make_id, STREAM_LINE, headers, leaves, stream=stream)
+        for each in stream.attempts:
+            call = evidence.calls[each.request_id]
+            call.status = each.status if each.status != 200 or each.goes_on else 0
         await asyncio.sleep(draw.expovariate(1 / _MEAN_PAUSE_S))
 
 
--- a/tests/bench/soak.feature
+++ b/tests/bench/soak.feature
@@ -123,6 +123,13 @@
       | 14     | 20    | that no VM reads       | nothing |
       | 14     | 20    | of a VM out of order   | nothing |
 
+  # Guards against a cut VM that counts as not serving: streams that callers resume had
+  # no status, and counted as failed at all VMs.
+  Scenario: Streams that callers resume count with their status
+    Given an endpoint whose streams end with their connection, between events
+    When callers of the soak take streams for 0.5 s
+    Then all streams but the last count as answered
+
   Scenario Outline: Streams that end with their connection are told apart
     Given an endpoint whose streams end with their connection, <where>
     When a caller of the soak takes one
--- a/tests/steps/bench_soak_steps.py
+++ b/tests/steps/bench_soak_steps.py
@@ -1,9 +1,14 @@
 """Steps of tests/bench/soak.feature."""
 
+import asyncio
+import contextlib
+import random
+from itertools import count
 from types import SimpleNamespace
 
 from behave import given, then, when
 
+from bench.soak.callers import Doors, take_streams
 from bench.soak.checks import FEWEST_CALLS, RESUMED_LEAST, check_all
 from bench.soak.evidence import Call, Evidence, Start, Word
 from bench.soak.plan import Disturbance, Kind, Plan, draw_plan
@@ -193,15 +198,39 @@
 @when("a caller of the soak takes one")
 def step_take(context):
     async def take():
-        address = await context.endpoint.start()
-        ip, _, port = address.rpartition(":")
-        door = SimpleNamespace(ip=ip, front=SimpleNamespace(port=port), vm_id="e1")
+        door = await _open(context.endpoint)
         context.stream = await take_stream([door], lambda _: "0-1", "POST /a", [])
         await context.endpoint.aclose()
 
     context.run(take())
 
 
+async def _open(endpoint):
+    """Start an endpoint that callers take for a VM."""
+    ip, _, port = (await endpoint.start()).rpartition(":")
+    return SimpleNamespace(ip=ip, front=SimpleNamespace(port=port), vm_id="e1")
+
+
+@when("callers of the soak take streams for {for_s:g} s")
+def step_take_many(context, for_s):
+    context.evidence = Evidence()
+
+    async def take():
+        doors = Doors([await _open(context.endpoint)], random.Random(1))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(for_s):
+                await take_streams(doors, [], context.evidence, count())
+        await context.endpoint.aclose()
+
+    context.run(take())
+
+
+@then("all streams but the last count as answered")
+def step_answered(context):
+    statuses = [call.status for call in context.evidence.calls.values()]
+    assert set(statuses[:-1]) == {200}, statuses
+
+
 @then("the stream counts as {what}")
 def step_counts(context, what):
     attempt = context.stream.attempts[0]
