--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -55,6 +55,7 @@
 
 _FATAL_CALLERS_PER_VM = 2
 _CHANGE_EVERY_S = (0.2, 1.0)
+_HUP_SHARE = 0.2
 _BETWEEN_SILENCES_S = (0.5, 2.0)
 
 
@@ -177,8 +178,21 @@
         while time.monotonic() < until_s:
             document = self._configuration.change(self._draw)
             self._store.put("op", "config", document)
+            if self._draw.random() < _HUP_SHARE:
+                self._hup_one()
             await asyncio.sleep(self._draw.uniform(*_CHANGE_EVERY_S))
 
+    def _hup_one(self) -> None:
+        """Send SIGHUP to a VM that is in order."""
+        disturbed, now_s = self.evidence.disturbed, time.monotonic()
+        calm = [
+            vm
+            for number, vm in enumerate(self.vms)
+            if all(span.until_s < now_s for span in disturbed.get(number, ()))
+        ]
+        if calm:
+            self._draw.choice(calm).signal(signal.SIGHUP)
+
     async def _send_parts(self, for_s: float) -> None:
         callers = [
             self.make_caller(number, FATAL_PART).run()
