Count no request that a starting VM resets unread as lost in the soak

The rule is about requests that a process has read. A reset excuses a request only while its VM is stopped and started, and only if it reached no endpoint.

The stand-in endpoints end a stream whose connection is closed; uvloop raises RuntimeError for such a write.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -141,6 +141,7 @@
                 call.status, call.is_sealed, closes = await _read_answer(reader)
         except (OSError, asyncio.IncompleteReadError) as error:
             call.timed_out = isinstance(error, TimeoutError)
+            call.was_reset = isinstance(error, ConnectionResetError)
             call.ended_s = time.monotonic()
             raise
         call.ended_s = time.monotonic()
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -267,7 +267,12 @@
         if not call.whole_s or call.timed_out or (call.status and not is_own_error):
             continue
         is_in_time = call.ended_s - call.whole_s <= LOST_SLACK_S
-        if is_in_time and not is_own_error and not reached[request_id]:
+        # A VM that starts resets connections that it has not accepted.
+        is_unread = call.was_reset and _is_excused(
+            evidence, vm_of(request_id), call.sent_s, call.ended_s
+        )
+        is_owed = is_own_error or reached[request_id] or not (is_in_time or is_unread)
+        if not is_owed:
             continue
         if _is_lost(evidence, request_id, call.sent_s, call.ended_s, reached):
             took_s = call.ended_s - call.sent_s
--- a/bench/soak/evidence.py
+++ b/bench/soak/evidence.py
@@ -81,6 +81,7 @@
         ended_s: When the answer or its connection ended, 0 before.
         is_sealed: Whether an endpoint's seal came with the answer.
         timed_out: Whether the caller gave up.
+        was_reset: Whether the connection was reset.
         part: Part of its prompt that crashes endpoints, empty for none.
     """
 
@@ -92,6 +93,7 @@
     ended_s: float = 0.0
     is_sealed: bool = False
     timed_out: bool = False
+    was_reset: bool = False
     part: str = ""
 
 
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -453,6 +453,8 @@
                 await asyncio.sleep(_LONG_S)
             await self._be_silent_if_ended()
             await self._speaks.wait()
+            if writer.is_closing():
+                return False
             writer.write(_framed(framing, self._event(number)))
             await writer.drain()
             await asyncio.sleep(self.options.event_ms / 1000)
--- a/tests/bench/soak.feature
+++ b/tests/bench/soak.feature
@@ -73,6 +73,9 @@
       | gets no answer as its endpoint is started again            | nothing |
       | gets no answer while VM 0 is killed                        | nothing |
       | gets no answer while VM 0 is stopped                       | LOST    |
+      | gets no answer but a reset while VM 0 is stopped           | LOST    |
+      | is reset while VM 0 is stopped, and reaches no endpoint    | nothing |
+      | is reset and reaches no endpoint                           | LOST    |
       | gets a 500 of the VM                                       | LOST    |
       | gets a 500 of the endpoint                                 | nothing |
       | is a stream that is complete                               | nothing |
