Log the parts of forwarded prompts

Endpoints ended under requests that are all different but for one part of their prompts, and the logs named no parts. forward_accepted names the parts that a prompt may share, hashed with their service, at most 16 of 64 hexadecimal digits.

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -129,8 +129,9 @@
     211,
     "forward_accepted",
     "info",
-    "request fingerprint grant route service organisation rank kind objective_ms "
-    "limit_ms prompt_tokens hint_tokens charge_tokens version resumes resume_after",
+    "request fingerprint parts grant route service organisation rank kind "
+    "objective_ms limit_ms prompt_tokens hint_tokens charge_tokens version resumes "
+    "resume_after",
     "A routed request passed the checks under this configuration version.",
 )
 FORWARD_SENT = _define(
--- a/src/pomelolane/forwarding/call.py
+++ b/src/pomelolane/forwarding/call.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.forwarding.configuration import RouteKind
+from pomelolane.quarantine import fingerprint_from_part
 from pomelolane.resumption import stream_key
 
 if TYPE_CHECKING:
@@ -58,6 +59,12 @@
     fingerprint: str = ""
     routed_since_ms: float = 0.0
 
+    @property
+    def part_fingerprints(self) -> tuple[str, ...]:
+        """Hashes of the parts that the prompt may share with others."""
+        parts = self.description.prompt_parts
+        return tuple(fingerprint_from_part(self.service, part) for part in parts)
+
     @property
     def resumes_stream(self) -> bool:
         """Whether the caller has the beginning of the stream already."""
--- a/src/pomelolane/platform/dialect.py
+++ b/src/pomelolane/platform/dialect.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from typing import TYPE_CHECKING, TypeVar
 
 from pomelolane.endpoints.headers import strip_hop_headers
@@ -29,6 +30,10 @@
 _RESUME = b"last-event-id"
 # The caller's id of the attempt that brought the first event of its stream.
 _RESUMED_ATTEMPT = b"resumes"
+# Parts of the prompt in order, as "ID:TOKENS,ID:TOKENS"; the last one is not shared.
+_PARTS = b"prompt-prefix"
+_PART = re.compile(rb"([0-9A-Fa-f]{1,64}):[0-9]{1,12}")
+_MOST_PARTS = 16
 _LONGEST_ID = 200
 _KEY = b"authorization"
 _BEARER = b"bearer "
@@ -93,6 +98,7 @@
             key=bearer.strip().decode("latin-1"),
             resume_after=found.get(_RESUME, b""),
             resumes=_resumed_attempt(headers),
+            prompt_parts=_prompt_parts(headers),
         )
 
     def request_headers(
@@ -160,6 +166,16 @@
     return named[0].decode("latin-1")
 
 
+def _prompt_parts(headers: Sequence[Header]) -> tuple[str, ...]:
+    """Return ids of the first parts that can be shared, none if one can't be read."""
+    text = b",".join(value for key, value in headers if key == _PARTS)
+    shared = text.split(b",")[:-1]
+    found = [_PART.fullmatch(one.strip()) for one in shared[:_MOST_PARTS]]
+    if None in found:
+        return ()
+    return tuple(one[1].decode().lower() for one in found)
+
+
 def _is_success(status: int) -> bool:
     return 200 <= status < 300
 
--- a/src/pomelolane/ports/forwarding.py
+++ b/src/pomelolane/ports/forwarding.py
@@ -31,6 +31,7 @@
         key: The caller's bearer key, empty where it gave none.
         resume_after: Id of the last event that the caller has, empty for none.
         resumes: Id of the attempt that brought its first event, empty for none.
+        prompt_parts: Ids of the parts that its prompt may share with others.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     key: str = ""
     resume_after: bytes = b""
     resumes: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def has_prompt(self) -> bool:
--- a/src/pomelolane/quarantine/__init__.py
+++ b/src/pomelolane/quarantine/__init__.py
@@ -9,7 +9,10 @@
 
 from pomelolane.quarantine.book import CrashBook, CrashReport
 from pomelolane.quarantine.crashes import CrashWatch, Run
-from pomelolane.quarantine.fingerprint import fingerprint_from_request
+from pomelolane.quarantine.fingerprint import (
+    fingerprint_from_part,
+    fingerprint_from_request,
+)
 from pomelolane.quarantine.gate import Gate
 from pomelolane.quarantine.judgement import Judgement, judge
 from pomelolane.quarantine.news import CrashNews
@@ -34,6 +37,7 @@
     "RecordNews",
     "RecordedCrash",
     "Run",
+    "fingerprint_from_part",
     "fingerprint_from_request",
     "judge",
 ]
--- a/src/pomelolane/quarantine/fingerprint.py
+++ b/src/pomelolane/quarantine/fingerprint.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 
 _DIGEST_BYTES = 16
@@ -14,6 +15,10 @@
 
 _LENGTH_BYTES = 8
 
+_PART_PREFIX = "part-"
+
+_MOST_PARTS_KEPT = 4_096
+
 
 def fingerprint_from_request(
     organisation: str, method: str, target: bytes, body: bytes
@@ -26,8 +31,28 @@
         target: Path and query.
         body: Whole body.
     """
+    return _hash(organisation.encode(), method.encode(), target, body)
+
+
+@functools.lru_cache(maxsize=_MOST_PARTS_KEPT)
+def fingerprint_from_part(service: str, part_id: str) -> str:
+    """Return the name of a part of prompts, which no request has as its fingerprint.
+
+    Args:
+        service: The service whose endpoints read it.
+        part_id: Names the part's content.
+    """
+    return _PART_PREFIX + _hash(service.encode(), part_id.encode())
+
+
+def is_part(fingerprint: str) -> bool:
+    """Tell the fingerprint of a part from that of a request."""
+    return fingerprint.startswith(_PART_PREFIX)
+
+
+def _hash(*fields: bytes) -> str:
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for part in (organisation.encode(), method.encode(), target, body):
-        digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
-        digest.update(part)
+    for field in fields:
+        digest.update(len(field).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(field)
     return digest.hexdigest()
