--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -103,6 +103,8 @@
         down_s: How long it is down once it has fallen over.
         fatal: Part of a body under which the process ends when it begins the request;
             empty for none.
+        fatal_part: Id of a part of prompts under which the process ends when it begins
+            the answer; empty for none.
         ends_silently: Whether its connections then stay open and say nothing more.
         version: Version of its software.
         flaw: What is wrong with that version, if anything.
@@ -120,6 +122,7 @@
     brittle_limit: int = 0
     down_s: float = 3.0
     fatal: bytes = b""
+    fatal_part: str = ""
     ends_silently: bool = False
     version: str = "v1"
     flaw: Flaw | None = None
@@ -155,6 +158,12 @@
     slot_from_s: float = 0.0
     slot_until_s: float = 0.0
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """Ids of all parts of its prompt but the last one."""
+        parts = self.headers.get("prompt-prefix", "").split(",")
+        return [one.partition(":")[0] for one in parts[:-1]]
+
 
 @dataclass(eq=False)
 class RoutedEndpoint:
@@ -326,7 +335,7 @@
             work_s *= max(1.0, flaw.slower_by)
             fault = fault if flaw.slower_by else Fault.ERROR
         await asyncio.sleep(work_s)
-        if self.options.fatal and self.options.fatal in request.body:
+        if self._is_fatal(request):
             request.ended_s = time.monotonic()
             self.ended.set()
             if not self.options.ends_silently:
@@ -400,6 +409,12 @@
         is_chosen = random.random() < flaw.share
         return is_chosen and is_late and is_busy and path.startswith(flaw.path)
 
+    def _is_fatal(self, request: Seen) -> bool:
+        fatal = self.options.fatal
+        part = self.options.fatal_part
+        in_body = bool(fatal) and fatal in request.body
+        return in_body or (bool(part) and part in request.shared_parts)
+
     async def _be_silent_if_ended(self) -> None:
         if self.ended.is_set():
             await asyncio.sleep(_LONG_S)
