--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -215,7 +215,8 @@
     "request_quarantined",
     "warning",
     "fingerprint crashes",
-    "Endpoints crash under requests that ask for this; they are refused from now on.",
+    "Endpoints crash under requests that ask for this, or have this part in their "
+    "prompts; they are refused from now on.",
 )
 
 # 3xx: the scheduler
--- a/src/pomelolane/forwarding/call.py
+++ b/src/pomelolane/forwarding/call.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.forwarding.configuration import RouteKind
-from pomelolane.quarantine import fingerprint_from_part
+from pomelolane.quarantine import Subjects, fingerprints_from_parts
 from pomelolane.resumption import stream_key
 
 if TYPE_CHECKING:
@@ -60,10 +60,11 @@
     routed_since_ms: float = 0.0
 
     @property
-    def part_fingerprints(self) -> tuple[str, ...]:
-        """Hashes of the parts that the prompt may share with others."""
-        parts = self.description.prompt_parts
-        return tuple(fingerprint_from_part(self.service, part) for part in parts)
+    def subjects(self) -> Subjects:
+        """What may be to blame if endpoints crash under the request."""
+        part_ids = self.description.prompt_parts
+        parts = fingerprints_from_parts(self.service, part_ids)
+        return Subjects(self.fingerprint, parts)
 
     @property
     def resumes_stream(self) -> bool:
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -335,7 +335,7 @@
     async def _acquire_grant(self, state: CallState) -> Grant | Refusal:
         asked_ms = self._clock.now_ms()
         handle = handle_from_state(state, self._data_centre, asked_ms)
-        grant = await self._gate.acquire(state.call.fingerprint, handle)
+        grant = await self._gate.acquire(state.call.subjects, handle)
         metrics.observe_wait(state.call.service, self._clock.now_ms() - asked_ms)
         return grant
 
@@ -364,7 +364,7 @@
         remaining_ms = int(self._remaining_ms(call))
         if remaining_ms <= 0:
             raise TimeoutError
-        state.run = self._crashes.begin(call.fingerprint, endpoint)
+        state.run = self._crashes.begin(call.subjects, endpoint)
         may_have_run_before, state.may_have_run = state.may_have_run, True
         had_paid_retry = state.has_paid_retry
         state.count_send()
@@ -451,14 +451,14 @@
             retry = incomplete_answer(state, watch, result, stall)
             if not retry.is_charged:
                 await self._crashes.look(
-                    state.call.fingerprint, endpoint, endpoint.address
+                    state.call.subjects, endpoint, endpoint.address
                 )
             raise retry
         state.run.settle()
         if failed:
             watch.finish(outcome=Outcome.FAILED)
         elif stream.status < _FIRST_REDIRECTION_STATUS:
-            self._quarantine.answered(state.call.fingerprint)
+            self._quarantine.answered(state.call.subjects)
         request_log.finished(
             state.call,
             endpoint,
--- a/src/pomelolane/forwarding/request_log.py
+++ b/src/pomelolane/forwarding/request_log.py
@@ -26,7 +26,7 @@
         events.FORWARD_ACCEPTED,
         request=call.log_id,
         fingerprint=call.fingerprint,
-        parts=" ".join(call.part_fingerprints),
+        parts=" ".join(call.subjects.parts),
         grant=call.local_id,
         route=call.route.name,
         service=call.service,
--- a/src/pomelolane/gateway/dispatch.py
+++ b/src/pomelolane/gateway/dispatch.py
@@ -151,7 +151,7 @@
             return self._late(state)
         queued_ms = self._clock.now_ms()
         handle = self._handle(state, budget_ms)
-        grant = await self._gate.acquire(state.fingerprint, handle)
+        grant = await self._gate.acquire(state.subjects, handle)
         if isinstance(grant, Refusal):
             return self._after_dispatch(state, grant)
         endpoint = self._tree.value.endpoints.get(grant.endpoint_id)
@@ -183,7 +183,7 @@
             # A pause of this process, or a slow table, has used up the time.
             watch.finish(outcome=Outcome.NOT_RUN)
             return self._late(state)
-        run = state.run = self._crashes.begin(state.fingerprint, endpoint)
+        run = state.run = self._crashes.begin(state.subjects, endpoint)
         dispatched_before = state.dispatched
         state.dispatched = True
         watch.note_dispatch()
@@ -219,7 +219,7 @@
         run.settle()
         watch.finish(cached_tokens=result.cached_tokens)
         if stream.status < _REDIRECTION:
-            self._quarantine.answered(state.fingerprint)
+            self._quarantine.answered(state.subjects)
         return self._delivered(state, stream.status, watch, result)
 
     async def _relay(
--- a/src/pomelolane/gateway/state.py
+++ b/src/pomelolane/gateway/state.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING
 
-from pomelolane.quarantine import fingerprint_from_request
+from pomelolane.quarantine import Subjects, fingerprint_from_request
 
 if TYPE_CHECKING:
     from pomelolane.gateway.intake import Call
@@ -23,7 +23,7 @@
         endpoint_id: Where it runs or ran last.
         stream_id: The engine's stream of the last attempt.
         run: Its last attempt, until it is known what became of it.
-        fingerprint: The same for every request that asks for the same.
+        subjects: What may be to blame if endpoints crash under it.
         finished: Whether it has ended.
         outcome: Empty while open or on success, else the outcome.
         outlives_cancel: Whether the engine's stream is left running when this
@@ -38,12 +38,12 @@
         "dispatched",
         "endpoint_id",
         "excluded",
-        "fingerprint",
         "finished",
         "outcome",
         "outlives_cancel",
         "run",
         "stream_id",
+        "subjects",
     )
 
     def __init__(self, call: Call, accepted_ms: float) -> None:
@@ -51,8 +51,10 @@
         self.accepted_ms = accepted_ms
         self.attempt = 0
         self.excluded: tuple[str, ...] = ()
-        self.fingerprint = fingerprint_from_request(
-            call.organisation.name, call.method, call.path.encode(), call.body
+        self.subjects = Subjects(
+            fingerprint_from_request(
+                call.organisation.name, call.method, call.path.encode(), call.body
+            )
         )
         self.dispatched = False
         self.begun = False
--- a/src/pomelolane/messages/quarantine.py
+++ b/src/pomelolane/messages/quarantine.py
@@ -11,7 +11,8 @@
     """A crash of an endpoint on which a given request may have been running.
 
     Attributes:
-        fingerprint: Hash that identifies the request's content.
+        fingerprint: Hash that identifies the request's content, or a part of its
+            prompt.
         endpoint_start: Identifies the start of the endpoint that crashed.
         age_ms: Time since the crash was detected.
         endpoint_id: The endpoint if it does not state its start, else empty.
@@ -28,7 +29,7 @@
 
     Attributes:
         reports: Detected crashes.
-        cleared: Reports that no longer count: the request was answered elsewhere.
+        cleared: Reports that no longer count: there was an answer elsewhere.
     """
 
     reports: tuple[ReportedCrash, ...] = ()
--- a/src/pomelolane/platform/dialect.py
+++ b/src/pomelolane/platform/dialect.py
@@ -98,7 +98,7 @@
             key=bearer.strip().decode("latin-1"),
             resume_after=found.get(_RESUME, b""),
             resumes=_resumed_attempt(headers),
-            prompt_parts=_prompt_parts(headers),
+            prompt_parts=_prompt_parts(found.get(_PARTS, b"")),
         )
 
     def request_headers(
@@ -166,9 +166,8 @@
     return named[0].decode("latin-1")
 
 
-def _prompt_parts(headers: Sequence[Header]) -> tuple[str, ...]:
+def _prompt_parts(text: bytes) -> tuple[str, ...]:
     """Return ids of the first parts that can be shared, none if one can't be read."""
-    text = b",".join(value for key, value in headers if key == _PARTS)
     shared = text.split(b",")[:-1]
     found = [_PART.fullmatch(one.strip()) for one in shared[:_MOST_PARTS]]
     if None in found:
--- a/src/pomelolane/quarantine/book.py
+++ b/src/pomelolane/quarantine/book.py
@@ -20,13 +20,15 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from pomelolane.quarantine.subjects import Subjects
+
 RETENTION_MS = 3_600_000.0
 """How long a report counts. A caller's jobs repeat for minutes; a request that crashes
 endpoints once an hour does little harm, and an engine that was mended is found out."""
 
 MOST_REPORTS = 20_000
 """Reports kept, about 4 MB; a thousand endpoints that crash at one moment make nine
-thousand. The oldest make way."""
+thousand, besides those on parts of prompts. The oldest make way."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +36,7 @@
     """One endpoint has crashed while one request may have run there.
 
     Attributes:
-        fingerprint: What the request asks for.
+        fingerprint: What the request asks for, or a part of its prompt.
         endpoint_start: Names this start of the endpoint.
         endpoint_id: The endpoint if it does not state its start, else empty. Reports
             of the previous version lack it.
@@ -64,6 +66,10 @@
         """Fingerprints to keep from endpoints, as of the last review."""
         return self._judgement.quarantined
 
+    def holds(self, subjects: Subjects) -> bool:
+        """Tell whether a request is to be refused, as of the last review."""
+        return self._judgement.holds(subjects)
+
     def add(self, report: CrashReport, at_ms: float) -> bool:
         """Take a report; False where it was known or the request is cleared."""
         self._starts.note(report.endpoint_start, report.endpoint_id, at_ms)
--- a/src/pomelolane/quarantine/crashes.py
+++ b/src/pomelolane/quarantine/crashes.py
@@ -20,6 +20,7 @@
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock
     from pomelolane.quarantine.quarantine import Quarantine
+    from pomelolane.quarantine.subjects import Subjects
 
     Start = tuple[str, int]
 
@@ -73,16 +74,16 @@
         self._clock = clock
         self._wall = wall
         self._is_cut_off = is_cut_off or _never_cut_off
-        self._running: dict[Start, Counter[str]] = {}
-        self._doubts: dict[tuple[str, Start], tuple[Endpoint, float]] = {}
+        self._running: dict[Start, Counter[Subjects]] = {}
+        self._doubts: dict[tuple[Subjects, Start], tuple[Endpoint, float]] = {}
         self._listed: dict[Start, Endpoint] = {}
         self._looking: set[asyncio.Task[None]] = set()
 
-    def begin(self, fingerprint: str, endpoint: Endpoint) -> Run:
+    def begin(self, subjects: Subjects, endpoint: Endpoint) -> Run:
         """Take note that a request goes to an endpoint now."""
         running = self._running.setdefault(_start(endpoint), Counter())
-        running[fingerprint] += 1
-        return Run(self, fingerprint, endpoint)
+        running[subjects] += 1
+        return Run(self, subjects, endpoint)
 
     def endpoints_changed(self) -> None:
         """Look for endpoints that have crashed without saying that they leave."""
@@ -96,22 +97,22 @@
 
     # --- what runs tell ---------------------------------------------------
 
-    def settle(self, fingerprint: str, endpoint: Endpoint) -> None:
+    def settle(self, subjects: Subjects, endpoint: Endpoint) -> None:
         """Forget a run that was answered, or never begun."""
         start = _start(endpoint)
         running = self._running.get(start)
         if running is None:
             return
-        running[fingerprint] -= 1
-        if running[fingerprint] <= 0:
-            del running[fingerprint]
+        running[subjects] -= 1
+        if running[subjects] <= 0:
+            del running[subjects]
         if not running:
             del self._running[start]
 
-    def doubt(self, fingerprint: str, endpoint: Endpoint) -> None:
+    def doubt(self, subjects: Subjects, endpoint: Endpoint) -> None:
         """Keep in mind that a run was left before its answer was whole."""
         now_ms = self._clock.now_ms()
-        self._doubts[fingerprint, _start(endpoint)] = (endpoint, now_ms)
+        self._doubts[subjects, _start(endpoint)] = (endpoint, now_ms)
         while self._doubts:
             oldest = next(iter(self._doubts))
             is_young = now_ms - self._doubts[oldest][1] < DOUBT_MS
@@ -119,23 +120,23 @@
                 return
             del self._doubts[oldest]
 
-    async def look(self, fingerprint: str, endpoint: Endpoint, address: str) -> None:
+    async def look(self, subjects: Subjects, endpoint: Endpoint, address: str) -> None:
         """Return when it is known whether an endpoint has crashed, or soon."""
-        task = asyncio.create_task(self._look(fingerprint, endpoint, address))
+        task = asyncio.create_task(self._look(subjects, endpoint, address))
         self._looking.add(task)
         task.add_done_callback(self._looking.discard)
         await asyncio.wait({task}, timeout=LOOK_MS / 1000)
 
     # --- inside -----------------------------------------------------------
 
-    async def _look(self, fingerprint: str, endpoint: Endpoint, address: str) -> None:
+    async def _look(self, subjects: Subjects, endpoint: Endpoint, address: str) -> None:
         if self._endpoints.usable(endpoint.endpoint_id) is None:
             # It was to end: what was still running there has nothing to do with it.
             return
         if await self._pool.is_down(address) and not await self._is_cut_off():
-            self._report(fingerprint, endpoint)
+            self._report(subjects, endpoint)
         else:
-            self.doubt(fingerprint, endpoint)
+            self.doubt(subjects, endpoint)
 
     def _ended(self, endpoint: Endpoint) -> None:
         """Report all requests that ran there lately."""
@@ -146,17 +147,17 @@
             _, at_ms = self._doubts.pop(key)
             if at_ms >= oldest_ms:
                 self._report(key[0], endpoint)
-        for fingerprint in tuple(self._running.get(start, ())):
-            self._report(fingerprint, endpoint)
+        for subjects in tuple(self._running.get(start, ())):
+            self._report(subjects, endpoint)
 
-    def _report(self, fingerprint: str, endpoint: Endpoint) -> None:
+    def _report(self, subjects: Subjects, endpoint: Endpoint) -> None:
         endpoint_id = endpoint.endpoint_id
         if endpoint.born_ms:
             start = start_name(endpoint_id, endpoint.born_ms)
-            self._quarantine.crashed(fingerprint, start, endpoint_id)
+            self._quarantine.crashed(subjects, start, endpoint_id)
         else:
             wall_ms = self._wall.now_ms()
-            self._quarantine.crashed_unstated(fingerprint, endpoint_id, wall_ms)
+            self._quarantine.crashed_unstated(subjects, endpoint_id, wall_ms)
 
 
 class Run:
@@ -164,13 +165,15 @@
 
     Args:
         watch: Looks after the endpoint.
-        fingerprint: What the request asks for.
+        subjects: What may be to blame if the endpoint crashes.
         endpoint: Where it was sent.
     """
 
-    def __init__(self, watch: CrashWatch, fingerprint: str, endpoint: Endpoint) -> None:
+    def __init__(
+        self, watch: CrashWatch, subjects: Subjects, endpoint: Endpoint
+    ) -> None:
         self._watch = watch
-        self._fingerprint = fingerprint
+        self._subjects = subjects
         self._endpoint = endpoint
         self._is_open = True
 
@@ -178,20 +181,20 @@
         """Take note that it was answered, or never begun."""
         if self._is_open:
             self._is_open = False
-            self._watch.settle(self._fingerprint, self._endpoint)
+            self._watch.settle(self._subjects, self._endpoint)
 
     def leave(self) -> None:
         """Take note that it is left, unless it is known what became of it."""
         if self._is_open:
             self.settle()
-            self._watch.doubt(self._fingerprint, self._endpoint)
+            self._watch.doubt(self._subjects, self._endpoint)
 
     async def broke(self) -> None:
         """Find out whether the endpoint that broke off has crashed."""
         if self._is_open:
             self.settle()
             address = self._endpoint.address
-            await self._watch.look(self._fingerprint, self._endpoint, address)
+            await self._watch.look(self._subjects, self._endpoint, address)
 
 
 async def _never_cut_off() -> bool:
--- a/src/pomelolane/quarantine/fingerprint.py
+++ b/src/pomelolane/quarantine/fingerprint.py
@@ -17,7 +17,7 @@
 
 _PART_PREFIX = "part-"
 
-_MOST_PARTS_KEPT = 4_096
+_MOST_PROMPTS_KEPT = 1_024
 
 
 def fingerprint_from_request(
@@ -34,7 +34,13 @@
     return _hash(organisation.encode(), method.encode(), target, body)
 
 
-@functools.lru_cache(maxsize=_MOST_PARTS_KEPT)
+@functools.lru_cache(maxsize=_MOST_PROMPTS_KEPT)
+def fingerprints_from_parts(service: str, part_ids: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the names of the parts of a prompt, each once."""
+    names = [fingerprint_from_part(service, part_id) for part_id in part_ids]
+    return tuple(dict.fromkeys(names))
+
+
 def fingerprint_from_part(service: str, part_id: str) -> str:
     """Return the name of a part of prompts, which no request has as its fingerprint.
 
--- a/src/pomelolane/quarantine/gate.py
+++ b/src/pomelolane/quarantine/gate.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -18,6 +17,7 @@
     from pomelolane.messages import Handle
     from pomelolane.ports import Clock, Grant, SchedulerClient
     from pomelolane.quarantine.quarantine import Quarantine
+    from pomelolane.quarantine.subjects import Subjects
 
 KEPT_OUT = Refusal(
     Outcome.NOT_RUN,
@@ -42,33 +42,32 @@
         self._quarantine = quarantine
         self._client = client
         self._clock = clock
-        self._waiting: defaultdict[str, set[asyncio.Task]] = defaultdict(set)
+        self._waiting: dict[asyncio.Task, Subjects] = {}
         self._recalled: set[asyncio.Task] = set()
         quarantine.on_quarantined(self._recall)
 
-    async def acquire(self, fingerprint: str, handle: Handle) -> Grant | Refusal:
+    async def acquire(self, subjects: Subjects, handle: Handle) -> Grant | Refusal:
         """Wait for a grant or a final refusal; cancelling withdraws the handle.
 
         Args:
-            fingerprint: What the request asks for.
+            subjects: What may be to blame if endpoints crash under the request.
             handle: What the scheduler needs to know of it.
         """
-        if await self._quarantine.settled(fingerprint):
+        if await self._quarantine.settled(subjects):
             return KEPT_OUT
-        if self._quarantine.is_suspect(fingerprint):
+        if self._quarantine.is_suspect(subjects):
             handle = msgspec.structs.replace(handle, suspect=True)
-        grant = await self._wait(fingerprint, handle)
-        if isinstance(grant, Refusal) or not self._quarantine.holds(fingerprint):
+        grant = await self._wait(subjects, handle)
+        if isinstance(grant, Refusal) or not self._quarantine.holds(subjects):
             return grant
         # It was granted while the judgement was made: the slot is another one's.
         watch = StreamReporter(self._client, grant, self._clock)
         watch.finish(refused=True, outcome=Outcome.NOT_RUN)
         return KEPT_OUT
 
-    async def _wait(self, fingerprint: str, handle: Handle) -> Grant | Refusal:
+    async def _wait(self, subjects: Subjects, handle: Handle) -> Grant | Refusal:
         task = asyncio.current_task()
-        waiting = self._waiting[fingerprint]
-        waiting.add(task)
+        self._waiting[task] = subjects
         try:
             return await self._client.acquire(handle)
         except asyncio.CancelledError:
@@ -78,12 +77,11 @@
             return KEPT_OUT
         finally:
             self._recalled.discard(task)
-            waiting.discard(task)
-            if not waiting:
-                self._waiting.pop(fingerprint, None)
+            del self._waiting[task]
 
-    def _recall(self, fingerprint: str) -> None:
+    def _recall(self) -> None:
         """End the waits of requests that are refused from now on."""
-        for task in tuple(self._waiting.get(fingerprint, ())):
-            self._recalled.add(task)
-            task.cancel()
+        for task, subjects in self._waiting.items():
+            if task not in self._recalled and self._quarantine.holds(subjects):
+                self._recalled.add(task)
+                task.cancel()
--- a/src/pomelolane/quarantine/news.py
+++ b/src/pomelolane/quarantine/news.py
@@ -87,13 +87,8 @@
     def _repeat(
         self, reports: Sequence[CrashReport], cleared: Sequence[CrashReport]
     ) -> None:
-        quarantine = self._quarantine
-        serious = [
-            one
-            for one in reports
-            if quarantine.is_suspect(one.fingerprint)
-            or quarantine.holds(one.fingerprint)
-        ]
+        is_serious = self._quarantine.is_serious
+        serious = [one for one in reports if is_serious(one.fingerprint)]
         self._send(serious, cleared)
 
     def _send(
--- a/src/pomelolane/quarantine/quarantine.py
+++ b/src/pomelolane/quarantine/quarantine.py
@@ -1,4 +1,4 @@
-"""One VM's knowledge of requests that crash endpoints, and who wants to hear of it.
+"""One VM's knowledge of what crashes endpoints, and who wants to hear of it.
 
 Reports come from this VM's own requests, from other VMs and from the record; all
 count alike. Nothing here sends: what is new is handed to those who share it.
@@ -12,11 +12,13 @@
 from pomelolane import events
 from pomelolane.logs import log_event
 from pomelolane.quarantine.book import CrashBook, CrashReport
+from pomelolane.quarantine.subjects import TrustedParts
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
     from pomelolane.ports import Clock
+    from pomelolane.quarantine.subjects import Subjects
 
     OnNews = Callable[["Sequence[CrashReport]", "Sequence[CrashReport]"], None]
 
@@ -39,10 +41,11 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._book = CrashBook()
+        self._trusted = TrustedParts()
         self._reviewing: asyncio.Task[None] | None = None
         self._reported_ms = 0.0
         self._on_news: list[OnNews] = []
-        self._on_quarantined: list[Callable[[str], None]] = []
+        self._on_quarantined: list[Callable[[], None]] = []
 
     def __len__(self) -> int:
         """Return the number of reports that count."""
@@ -50,49 +53,69 @@
 
     # --- what requests ask ------------------------------------------------
 
-    def holds(self, fingerprint: str) -> bool:
+    def holds(self, subjects: Subjects) -> bool:
         """Tell whether a request is to be refused."""
-        return fingerprint in self._book.quarantined
+        return self._book.holds(subjects)
 
-    async def settled(self, fingerprint: str) -> bool:
+    async def settled(self, subjects: Subjects) -> bool:
         """Return :meth:`holds`, but not while a judgement on it is pending."""
-        if self._reviewing is not None and self._book.is_open_question(fingerprint):
-            await asyncio.wait({self._reviewing})
-        return self.holds(fingerprint)
+        reviewing = self._reviewing
+        if reviewing is not None and any(map(self._book.is_open_question, subjects)):
+            await asyncio.wait({reviewing})
+        return self.holds(subjects)
 
-    def is_suspect(self, fingerprint: str) -> bool:
+    def is_suspect(self, subjects: Subjects) -> bool:
         """Tell whether a request is to be kept apart from others of its kind."""
-        return self._book.is_suspect(fingerprint)
+        if not self._book:
+            return False
+        now_ms = self._clock.now_ms()
+        return any(
+            self._book.is_suspect(name) and not self._trusted.has(name, now_ms)
+            for name in subjects
+        )
+
+    def is_serious(self, fingerprint: str) -> bool:
+        """Tell whether reports on a request or a part may have it refused."""
+        is_quarantined = fingerprint in self._book.quarantined
+        return is_quarantined or self._book.is_suspect(fingerprint)
 
     # --- what requests tell -----------------------------------------------
 
-    def crashed(self, fingerprint: str, endpoint_start: str, endpoint_id: str) -> None:
+    def crashed(
+        self, subjects: Subjects, endpoint_start: str, endpoint_id: str
+    ) -> None:
         """Take note that an endpoint has crashed while a request may have run there."""
-        self._crashed(CrashReport(fingerprint, endpoint_start), endpoint_id)
+        for name in self._blamed(subjects):
+            self._crashed(CrashReport(name, endpoint_start), endpoint_id)
 
     def crashed_unstated(
-        self, fingerprint: str, endpoint_id: str, wall_ms: float
+        self, subjects: Subjects, endpoint_id: str, wall_ms: float
     ) -> None:
         """Take note of a crash of an endpoint that does not state its start.
 
         Args:
-            fingerprint: What the request asks for.
+            subjects: What may be to blame.
             endpoint_id: The endpoint.
             wall_ms: Time of day.
         """
         now_ms = self._clock.now_ms()
         start = self._book.unstated_start(endpoint_id, wall_ms, now_ms)
-        self._crashed(CrashReport(fingerprint, start, endpoint_id), endpoint_id)
+        for name in self._blamed(subjects):
+            self._crashed(CrashReport(name, start, endpoint_id), endpoint_id)
 
-    def answered(self, fingerprint: str) -> None:
-        """Take note of a whole answer, which clears the request.
+    def answered(self, subjects: Subjects) -> None:
+        """Take note of a whole answer, which clears the request and its parts.
 
         One that crashes endpoints never gets one.
         """
-        cleared = self._book.reports_on(fingerprint)
+        now_ms = self._clock.now_ms()
+        for part in subjects.parts:
+            self._trusted.note(part, now_ms)
+        if not self._book:
+            return
+        cleared = [one for name in subjects for one in self._book.reports_on(name)]
         if not cleared:
             return
-        now_ms = self._clock.now_ms()
         for report in cleared:
             self._book.clear(report, now_ms)
         self._review_soon()
@@ -104,8 +127,8 @@
         """Call ``share(reports, cleared)`` with what this VM has found out."""
         self._on_news.append(share)
 
-    def on_quarantined(self, callback: Callable[[str], None]) -> None:
-        """Call back once for each request that is refused from now on."""
+    def on_quarantined(self, callback: Callable[[], None]) -> None:
+        """Call back when other requests than before may be refused from now on."""
         self._on_quarantined.append(callback)
 
     def take(
@@ -124,9 +147,14 @@
             if self._book.clear(report, now_ms):
                 self._review_soon()
         found = [one for one, age_ms in reports if self._add(one, now_ms - age_ms)]
-        known = [one for one in found if self._book.is_cleared(one)]
+        known = [
+            one
+            for one in found
+            if self._book.is_cleared(one) or self._trusted.has(one.fingerprint, now_ms)
+        ]
         if known:
-            # Others may not know that its start was cleared under another name.
+            # Others may not know that its start was cleared under another name, or
+            # that there are answers on this part.
             for report in known:
                 self._book.clear(report, now_ms)
             self._tell([], known)
@@ -145,11 +173,17 @@
                 fingerprint=fingerprint,
                 crashes=self._book.crashes(fingerprint),
             )
+        if self._book.quarantined:
             for callback in self._on_quarantined:
-                callback(fingerprint)
+                callback()
 
     # --- inside -----------------------------------------------------------
 
+    def _blamed(self, subjects: Subjects) -> list[str]:
+        """Return what is not known to be sound."""
+        now_ms = self._clock.now_ms()
+        return [name for name in subjects if not self._trusted.has(name, now_ms)]
+
     def _crashed(self, report: CrashReport, endpoint_id: str) -> None:
         if not self._add(report, self._clock.now_ms()):
             return
--- a/tests/steps/platform_parts_steps.py
+++ b/tests/steps/platform_parts_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import time
 
 from behave import given, then, when
@@ -82,6 +83,31 @@
     context.run(play())
 
 
+@when(
+    "an engine ends by chance each {every_ms:d} ms for {for_s:d} s, "
+    "beside sound requests"
+)
+def step_chance(context, every_ms, for_s):
+    async def end_some():
+        until_s = time.monotonic() + for_s
+        while time.monotonic() < until_s:
+            await asyncio.sleep(every_ms / 1000)
+            engines = [
+                one
+                for name, one in context.world.endpoints.items()
+                if name.startswith("e") and not one.ended.is_set()
+            ]
+            if engines:
+                engine = random.choice(engines)
+                engine.ended.set()
+                await engine.aclose()
+
+    async def play():
+        await asyncio.gather(_sound(context, for_s), end_some())
+
+    context.run(play())
+
+
 def _sends(context):
     fatal = PARTS["fatal"]
     endpoints = context.world.endpoints.values()
@@ -127,3 +153,14 @@
     after = _served_share([one for one in context.sound if one[0] > from_s])
     print(f"{before:.3f} of the sound ones served before, {after:.3f} after")
     assert after >= before / 2
+
+
+@then("the VMs blame nothing")
+def step_nothing(context):
+    assert not any(vm.events("request_quarantined") for vm in context.world.vms)
+
+
+@then("all sound requests of the last {s:d} s are served")
+def step_last_served(context, s):
+    from_s = context.sound[-1][0] - s
+    assert all(served for at_s, served in context.sound if at_s > from_s)
--- a/tests/steps/quarantine_gate_steps.py
+++ b/tests/steps/quarantine_gate_steps.py
@@ -9,7 +9,7 @@
 from pomelolane.messages import Handle
 from pomelolane.outcomes import Outcome, Refusal
 from pomelolane.ports import Grant
-from pomelolane.quarantine import Gate, Quarantine
+from pomelolane.quarantine import Gate, Quarantine, Subjects
 
 _STARTS = itertools.count(1)
 WAIT_S = 2.0
@@ -51,14 +51,16 @@
 
 def _end(context, request, count):
     for _ in range(count):
-        context.quarantine.crashed(request, f"start-{next(_STARTS)}", "endpoint")
+        context.quarantine.crashed(
+            Subjects(request), f"start-{next(_STARTS)}", "endpoint"
+        )
 
 
 @given('three endpoints ended under "{request}"')
 def step_ended(context, request):
     async def end():
         _end(context, request, 3)
-        await context.quarantine.settled(request)
+        await context.quarantine.settled(Subjects(request))
 
     context.run(end())
 
@@ -67,7 +69,8 @@
 def step_asks(context, request):
     async def ask():
         handle = Handle("r1", "s", "w", 0, "o", "t", 9000, 10, 10)
-        context.asking = asyncio.create_task(context.gate.acquire(request, handle))
+        asking = context.gate.acquire(Subjects(request), handle)
+        context.asking = asyncio.create_task(asking)
         await asyncio.sleep(0.01)
 
     context.run(ask())
--- a/tests/steps/quarantine_parts_steps.py
+++ b/tests/steps/quarantine_parts_steps.py
@@ -1,10 +1,24 @@
 """Steps of tests/quarantine/parts.feature."""
 
-from behave import then
+import itertools
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies
 
 from pomelolane.platform.dialect import PlatformDialect
-from pomelolane.quarantine import fingerprint_from_part, fingerprint_from_request
+from pomelolane.quarantine import (
+    CrashBook,
+    CrashReport,
+    Subjects,
+    fingerprint_from_part,
+    fingerprint_from_request,
+)
 from pomelolane.quarantine.fingerprint import is_part
+from pomelolane.quarantine.subjects import TrustedParts
+
+SERVICE = "pool"
+_NUMBERS = itertools.count(1)
 
 
 def _parts(described):
@@ -46,3 +60,127 @@
 def step_kinds(context):
     assert is_part(fingerprint_from_part("a", "b"))
     assert not is_part(fingerprint_from_request("a", "b", b"", b""))
+
+
+def _subjects(parts, request=""):
+    names = [fingerprint_from_part(SERVICE, part) for part in parts.split(",")]
+    return Subjects(request or f"request-{next(_NUMBERS)}", tuple(names))
+
+
+def _report(context, name, starts):
+    for start in starts.split(","):
+        context.book.add(CrashReport(name, start), 0.0)
+    context.book.review(0.0)
+
+
+@given('reports on the parts "{one}" under "{starts}" and "{other}" under "{others}"')
+def step_reports(context, one, starts, other, others):
+    context.book = CrashBook()
+    _report(context, fingerprint_from_part(SERVICE, one), starts)
+    _report(context, fingerprint_from_part(SERVICE, other), others)
+
+
+@given('reports on the request "{request}" and the part "{part}" under "{starts}"')
+def step_request(context, request, part, starts):
+    context.book = CrashBook()
+    for name in _subjects(part, request):
+        _report(context, name, starts)
+
+
+@when('the part "{part}" is reported under "{starts}"')
+def step_report(context, part, starts):
+    _report(context, fingerprint_from_part(SERVICE, part), starts)
+
+
+def _check(context, requests, is_refused):
+    for parts in () if requests == "nothing" else requests.split("; "):
+        assert context.book.holds(_subjects(parts)) == is_refused, parts
+
+
+@then('requests with the parts "{requests}" are refused')
+def step_refused(context, requests):
+    _check(context, requests, True)
+
+
+@then('requests with the parts "{requests}" are let through')
+def step_let_through(context, requests):
+    _check(context, requests, False)
+
+
+@then('the request "{request}" with the part "{part}" is refused')
+def step_request_refused(context, request, part):
+    assert context.book.holds(_subjects(part, request))
+
+
+@then("no order of the same reports and clears makes another judgement")
+def step_order(context):
+    names = [*_subjects("bad,shared,other", "request")]
+    reports = [CrashReport(name, start) for name in names for start in "abcd"]
+    news = strategies.tuples(strategies.sampled_from(reports), strategies.booleans())
+
+    @for_all(strategies.data(), strategies.lists(news, max_size=20))
+    def check(data, told):
+        found = set()
+        for order in (told, data.draw(strategies.permutations(told))):
+            book = CrashBook()
+            for report, is_clear in order:
+                (book.clear if is_clear else book.add)(report, 0.0)
+            book.review(0.0)
+            found.add(book.quarantined)
+        assert len(found) == 1, found
+
+    check()
+
+
+@when('"{name}" sees an answer to a request with the parts "{parts}"')
+def step_answer(context, name, parts):
+    async def answer():
+        context.network.vms[name].quarantine.answered(_subjects(parts))
+
+    context.run(answer())
+
+
+@when(
+    '"{name}" finds that {count:d} endpoints ended under requests with the parts '
+    '"{parts}"'
+)
+def step_find(context, name, count, parts):
+    async def find():
+        for _ in range(count):
+            start = f"start-of-parts-{next(_NUMBERS)}"
+            quarantine = context.network.vms[name].quarantine
+            quarantine.crashed(_subjects(parts), start, "endpoint")
+
+    context.run(find())
+
+
+@then('"{one}" and "{other}" refuse requests with the parts "{bad}", but not "{sound}"')
+def step_refuse(context, one, other, bad, sound):
+    for name in (one, other):
+        quarantine = context.network.vms[name].quarantine
+        assert quarantine.holds(_subjects(bad)), name
+        assert quarantine.holds(_subjects(f"{bad},{sound}")), name
+        assert not quarantine.holds(_subjects(sound)), name
+        assert not quarantine.is_suspect(_subjects(sound)), name
+
+
+@when("{count:d} parts are answered")
+def step_many(context, count):
+    context.trusted = TrustedParts()
+    context.parts = [f"part-{number}" for number in range(count)]
+    for part in context.parts:
+        context.trusted.note(part, 0.0)
+
+
+@then("{count:d} of them are trusted, the last ones")
+def step_trusted(context, count):
+    assert len(context.trusted) == count
+    trusted = [part for part in context.parts if context.trusted.has(part, 1.0)]
+    assert trusted == context.parts[-count:]
+
+
+@then("none of them is trusted {s:d} s later")
+def step_forgotten(context, s):
+    assert not any(context.trusted.has(part, s * 1000.0) for part in context.parts)
+    context.trusted.note("part-new", s * 1000.0)
+    assert len(context.trusted) == 1
--- a/tests/steps/quarantine_sharing_steps.py
+++ b/tests/steps/quarantine_sharing_steps.py
@@ -17,6 +17,7 @@
     Quarantine,
     RecordedCrash,
     RecordKeeper,
+    Subjects,
 )
 from pomelolane.store import EmbeddedTable
 from pomelolane.store.crashrecord import PREFIX, TableCrashRecord
@@ -149,7 +150,7 @@
 def _find(context, name, request):
     async def find():
         quarantine = context.network.vms[name].quarantine
-        quarantine.crashed(request, f"start-{next(_STARTS)}", "endpoint")
+        quarantine.crashed(Subjects(request), f"start-{next(_STARTS)}", "endpoint")
 
     context.run(find())
 
@@ -192,7 +193,7 @@
 @when('"{name}" sees an answer to "{request}"')
 def step_answer(context, name, request):
     async def answer():
-        context.network.vms[name].quarantine.answered(request)
+        context.network.vms[name].quarantine.answered(Subjects(request))
 
     context.run(answer())
 
@@ -212,20 +213,20 @@
 def step_blame(context, one, other, request, s):
     def is_so():
         vms = [context.network.vms[name] for name in (one, other)]
-        return all(vm.quarantine.holds(request) for vm in vms)
+        return all(vm.quarantine.holds(Subjects(request)) for vm in vms)
 
     context.run(wait_until(is_so, s, f"{request} is not quarantined"))
 
 
 @then('"{name}" holds "{request}" as soon as it has read the record')
 def step_blames_at_once(context, name, request):
-    assert context.network.vms[name].quarantine.holds(request)
+    assert context.network.vms[name].quarantine.holds(Subjects(request))
 
 
 @then('nobody holds "{request}"')
 def step_nobody(context, request):
     vms = context.network.vms.values()
-    assert not any(vm.quarantine.holds(request) for vm in vms)
+    assert not any(vm.quarantine.holds(Subjects(request)) for vm in vms)
 
 
 @then("the record holds {count:d} report")
--- a/tests/steps/quarantine_starts_steps.py
+++ b/tests/steps/quarantine_starts_steps.py
@@ -11,7 +11,13 @@
 from pomelolane.messages import CrashesReported, ReportedCrash
 from pomelolane.model import Endpoint, Tree
 from pomelolane.platform.crashrecord import StoreCrashRecord
-from pomelolane.quarantine import CrashBook, CrashReport, CrashWatch, RecordedCrash
+from pomelolane.quarantine import (
+    CrashBook,
+    CrashReport,
+    CrashWatch,
+    RecordedCrash,
+    Subjects,
+)
 from pomelolane.quarantine.starts import START_MS, UnstatedStarts, interval_name
 from pomelolane.tree import CurrentTree
 
@@ -52,7 +58,7 @@
     )
 
     async def fail():
-        await watch.begin(request, context.endpoint).broke()
+        await watch.begin(Subjects(request), context.endpoint).broke()
 
     context.run(fail())
 
@@ -65,7 +71,9 @@
     for name in names:
         quarantine = context.network.vms[name].quarantine
         assert len(quarantine) > 0, f"{name} has heard of no crash"
-        assert not quarantine.is_suspect(REQUEST), f"{name} counts several crashes"
+        assert not quarantine.is_suspect(Subjects(REQUEST)), (
+            f"{name} counts several crashes"
+        )
 
 
 @then('one crash of it is known to "{one}" and "{other}"')
