Let one in many requests find out whether a blamed part is sound

A part that all requests of a caller hold, and on which there was no answer while three endpoints crashed for other reasons (right after a start of all VMs), would be refused for an hour: nothing with it could be answered, and only an answer clears it.

The gate lets the 200th request through that a part holds back at a VM, then the 1,000th and so on, as a suspect. Few requests hold a guilty part, many a common one.

--- a/src/pomelolane/quarantine/gate.py
+++ b/src/pomelolane/quarantine/gate.py
@@ -53,10 +53,15 @@
             subjects: What may be to blame if endpoints crash under the request.
             handle: What the scheduler needs to know of it.
         """
+        is_probe = False
         if await self._quarantine.settled(subjects):
-            return KEPT_OUT
-        if self._quarantine.is_suspect(subjects):
+            is_probe = self._quarantine.may_probe(subjects)
+            if not is_probe:
+                return KEPT_OUT
+        if is_probe or self._quarantine.is_suspect(subjects):
             handle = msgspec.structs.replace(handle, suspect=True)
+        if is_probe:
+            return await self._client.acquire(handle)
         grant = await self._wait(subjects, handle)
         if isinstance(grant, Refusal) or not self._quarantine.holds(subjects):
             return grant
--- a/src/pomelolane/quarantine/quarantine.py
+++ b/src/pomelolane/quarantine/quarantine.py
@@ -30,6 +30,13 @@
 LONGEST_REVIEW_MS = 250.0
 """Time after which all are judged although reports come: endpoints go on ending."""
 
+REFUSED_BEFORE_PROBE = 200
+"""Requests that a part holds back at one VM before one is let through: a sound part
+that many requests share is cleared soon, and few requests hold a guilty one."""
+
+PROBE_BACKOFF = 5
+"""Factor by which that number grows with each probe."""
+
 
 class Quarantine:
     """Says which requests no endpoint may get.
@@ -42,6 +49,7 @@
         self._clock = clock
         self._book = CrashBook()
         self._trusted = TrustedParts()
+        self._refused: dict[str, tuple[int, int]] = {}
         self._reviewing: asyncio.Task[None] | None = None
         self._reported_ms = 0.0
         self._on_news: list[OnNews] = []
@@ -74,6 +82,24 @@
             for name in subjects
         )
 
+    def may_probe(self, subjects: Subjects) -> bool:
+        """Count a request that is held; tell whether it goes to find out the truth.
+
+        Nothing else clears a sound part that all requests hold.
+        """
+        quarantined = self._book.quarantined
+        if subjects.request in quarantined:
+            return False
+        is_probe = False
+        for part in quarantined.intersection(subjects.parts):
+            refused, probe_at = self._refused.get(part, (0, REFUSED_BEFORE_PROBE))
+            refused += 1
+            if refused >= probe_at:
+                is_probe = True
+                probe_at *= PROBE_BACKOFF
+            self._refused[part] = refused, probe_at
+        return is_probe
+
     def is_serious(self, fingerprint: str) -> bool:
         """Tell whether reports on a request or a part may have it refused."""
         is_quarantined = fingerprint in self._book.quarantined
@@ -173,7 +199,11 @@
                 fingerprint=fingerprint,
                 crashes=self._book.crashes(fingerprint),
             )
-        if self._book.quarantined:
+        quarantined = self._book.quarantined
+        self._refused = {
+            part: known for part, known in self._refused.items() if part in quarantined
+        }
+        if quarantined:
             for callback in self._on_quarantined:
                 callback()
 
--- a/tests/quarantine/parts.feature
+++ b/tests/quarantine/parts.feature
@@ -71,3 +71,12 @@
     When 30000 parts are answered
     Then 20000 of them are trusted, the last ones
     And none of them is trusted 20 s later
+
+  # Guards against a sound part that stays blamed as nothing with it can be answered.
+  Scenario: One in many of the requests that a part holds back is let through
+    Given a gate before a scheduler
+    And three endpoints ended under requests with the parts "shared"
+    When 1200 requests with the parts "shared" ask for slots
+    Then 2 of them are let through, as suspects
+    When an answer on "shared" comes
+    Then all of 10 requests with the parts "shared" are let through
--- a/tests/steps/quarantine_parts_steps.py
+++ b/tests/steps/quarantine_parts_steps.py
@@ -1,11 +1,13 @@
 """Steps of tests/quarantine/parts.feature."""
 
+import asyncio
 import itertools
 
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies
 
+from pomelolane.messages import Handle
 from pomelolane.platform.dialect import PlatformDialect
 from pomelolane.quarantine import (
     CrashBook,
@@ -184,3 +186,52 @@
     assert not any(context.trusted.has(part, s * 1000.0) for part in context.parts)
     context.trusted.note("part-new", s * 1000.0)
     assert len(context.trusted) == 1
+
+
+@given('three endpoints ended under requests with the parts "{parts}"')
+def step_ended(context, parts):
+    async def end():
+        for number in range(3):
+            context.quarantine.crashed(_subjects(parts), f"start-{number}", "endpoint")
+        await context.quarantine.settled(_subjects(parts))
+
+    context.run(end())
+
+
+async def _let_through(context, parts, count):
+    """Return the handles that the scheduler gets, of so many requests."""
+    del context.scheduler.asked[:]
+    for _ in range(count):
+        handle = Handle("r1", "s", "w", 0, "o", "t", 9000, 10, 10)
+        asking = context.gate.acquire(_subjects(parts), handle)
+        task = asyncio.create_task(asking)
+        await asyncio.sleep(0)
+        if not task.done():
+            context.scheduler.grant()
+        await task
+    return context.scheduler.asked
+
+
+@when('{count:d} requests with the parts "{parts}" ask for slots')
+def step_ask(context, count, parts):
+    context.asked = list(context.run(_let_through(context, parts, count)))
+
+
+@then("{count:d} of them are let through, as suspects")
+def step_probes(context, count):
+    assert len(context.asked) == count, len(context.asked)
+    assert all(handle.suspect for handle in context.asked)
+
+
+@when('an answer on "{parts}" comes')
+def step_answer_comes(context, parts):
+    async def answer():
+        context.quarantine.answered(_subjects(parts))
+        context.quarantine.review()
+
+    context.run(answer())
+
+
+@then('all of {count:d} requests with the parts "{parts}" are let through')
+def step_all_through(context, count, parts):
+    assert len(context.run(_let_through(context, parts, count))) == count
