Have one VM tell that a reported part is sound, not each

Each VM that had seen an answer on a reported part told all others and took the report out of the record: with N such VMs, N writes and N messages to each VM at every crash.

They now wait a random time of up to 40 ms, below the 60 ms before a judgement, and keep silent if another one was first. What they know counts at once for themselves.

--- a/src/pomelolane/quarantine/quarantine.py
+++ b/src/pomelolane/quarantine/quarantine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 from pomelolane import events
@@ -30,6 +31,10 @@
 LONGEST_REVIEW_MS = 250.0
 """Time after which all are judged although reports come: endpoints go on ending."""
 
+MOST_TELL_MS = 40.0
+"""Longest time before a VM tells that a reported part is sound. Each VM draws its own
+and keeps silent if another one was first, since many may have seen answers on it."""
+
 REFUSED_BEFORE_PROBE = 200
 """Requests that a part holds back at one VM before one is let through: a sound part
 that many requests share is cleared soon, and few requests hold a guilty one."""
@@ -49,6 +54,7 @@
         self._clock = clock
         self._book = CrashBook()
         self._trusted = TrustedParts()
+        self._untold: dict[CrashReport, None] = {}
         self._refused: dict[str, tuple[int, int]] = {}
         self._reviewing: asyncio.Task[None] | None = None
         self._reported_ms = 0.0
@@ -170,17 +176,18 @@
         """
         now_ms = self._clock.now_ms()
         for report in cleared:
+            self._untold.pop(report, None)
             if self._book.clear(report, now_ms):
                 self._review_soon()
         found = [one for one, age_ms in reports if self._add(one, now_ms - age_ms)]
-        known = [
-            one
-            for one in found
-            if self._book.is_cleared(one) or self._trusted.has(one.fingerprint, now_ms)
-        ]
+        sound = [one for one in found if self._trusted.has(one.fingerprint, now_ms)]
+        for report in sound:
+            self._book.clear(report, now_ms)
+        self._tell_soon(sound)
+        known = [one for one in found if self._book.is_cleared(one)]
+        known = [one for one in known if one not in self._untold]
         if known:
-            # Others may not know that its start was cleared under another name, or
-            # that there are answers on this part.
+            # Others may not know that its start was cleared under another name.
             for report in known:
                 self._book.clear(report, now_ms)
             self._tell([], known)
@@ -237,6 +244,21 @@
         for share in self._on_news:
             share(reports, cleared)
 
+    def _tell_soon(self, sound: Sequence[CrashReport]) -> None:
+        if not sound:
+            return
+        self._untold.update(dict.fromkeys(sound))
+        delay_s = random.uniform(0.0, MOST_TELL_MS) / 1000
+        asyncio.get_running_loop().call_later(delay_s, self._tell_sound, sound)
+
+    def _tell_sound(self, sound: Sequence[CrashReport]) -> None:
+        """Tell which reports are on sound parts, but for those that others told."""
+        untold = [one for one in sound if one in self._untold]
+        for report in untold:
+            del self._untold[report]
+        if untold:
+            self._tell([], untold)
+
     def _review_soon(self) -> None:
         self._reported_ms = self._clock.now_ms()
         if self._reviewing is None:
--- a/tests/quarantine/parts.feature
+++ b/tests/quarantine/parts.feature
@@ -80,3 +80,16 @@
     Then 2 of them are let through, as suspects
     When an answer on "shared" comes
     Then all of 10 requests with the parts "shared" are let through
+
+  # Guards against one message from each VM to each other one at every crash.
+  Scenario Outline: A VM that knows a reported part to be sound tells it if nobody else does
+    Given a gate before a scheduler
+    And an answer on "shared" comes
+    When another VM reports 3 crashes under "shared", and <then>
+    Then the VM has told <told> times that "shared" is sound
+    And requests with the parts "shared" are let through there
+
+    Examples:
+      | then              | told |
+      | nobody clears it  | 1    |
+      | a third clears it | 0    |
--- a/tests/steps/quarantine_parts_steps.py
+++ b/tests/steps/quarantine_parts_steps.py
@@ -17,6 +17,7 @@
     fingerprint_from_request,
 )
 from pomelolane.quarantine.fingerprint import is_part
+from pomelolane.quarantine.quarantine import MOST_TELL_MS
 from pomelolane.quarantine.subjects import TrustedParts
 
 SERVICE = "pool"
@@ -235,3 +236,37 @@
 @then('all of {count:d} requests with the parts "{parts}" are let through')
 def step_all_through(context, count, parts):
     assert len(context.run(_let_through(context, parts, count))) == count
+
+
+@given('an answer on "{parts}" comes')
+def step_answer_before(context, parts):
+    step_answer_comes(context, parts)
+
+
+@when('another VM reports {count:d} crashes under "{part}", and {then}')
+def step_reported(context, count, part, then):
+    name = fingerprint_from_part(SERVICE, part)
+    reports = [CrashReport(name, f"start-{number}") for number in range(count)]
+    context.told = []
+    context.quarantine.on_news(lambda _, cleared: context.told.append(cleared))
+
+    async def take():
+        context.quarantine.take([(report, 0.0) for report in reports])
+        if then == "a third clears it":
+            context.quarantine.take([], reports)
+        await asyncio.sleep(2 * MOST_TELL_MS / 1000)
+
+    context.run(take())
+
+
+@then('the VM has told {count:d} times that "{part}" is sound')
+def step_told(context, count, part):
+    assert len(context.told) == count, context.told
+    names = {report.fingerprint for cleared in context.told for report in cleared}
+    assert names <= {fingerprint_from_part(SERVICE, part)}, names
+
+
+@then('requests with the parts "{parts}" are let through there')
+def step_through_there(context, parts):
+    context.quarantine.review()
+    assert not context.quarantine.holds(_subjects(parts))
