--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -163,6 +163,12 @@
     slot_from_s: float = 0.0
     slot_until_s: float = 0.0
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """Ids of all parts of its prompt but the last one."""
+        parts = self.headers.get("prompt-prefix", "").split(",")
+        return [one.partition(":")[0] for one in parts[:-1]]
+
 
 @dataclass(eq=False)
 class RoutedEndpoint:
@@ -419,11 +425,10 @@
         return is_chosen and is_late and is_busy and path.startswith(flaw.path)
 
     def _is_fatal(self, request: Seen) -> bool:
-        """Return whether the process ends under a request."""
-        entries = request.headers.get("prompt-prefix", "").split(",")[:-1]
-        parts = {entry.strip().partition(":")[0] for entry in entries}
-        in_body = bool(self.options.fatal) and self.options.fatal in request.body
-        return in_body or self.options.fatal_part in parts - {""}
+        fatal = self.options.fatal
+        part = self.options.fatal_part
+        in_body = bool(fatal) and fatal in request.body
+        return in_body or (bool(part) and part in request.shared_parts)
 
     async def _be_silent_if_ended(self) -> None:
         if self.ended.is_set():
