Play requests of all kinds beside a series of changes

Callers on kept connections send whole requests, and ones whose head or body comes slowly or in chunks, while an operator changes routes, keys, services, splits and priorities each 0.3 s: beside nothing else, beside SIGHUP, beside endpoints that are silent for 1.2 s, and at a VM that relays to another one.

--- a/tests/platform/changes.feature
+++ b/tests/platform/changes.feature
@@ -28,3 +28,26 @@
     Given a platform whose endpoint "p1" of "portal" has one slot, taken by "GET /plain/a"
     When 4 callers send "GET /plain/a", and 100 ms later all routes lead to "desk"
     Then they are answered 503, and told when to come back
+
+  # Guards against whole requests that end without an answer or a refusal while one change
+  # of the configuration follows another.
+  Scenario Outline: Requests of all kinds end in an answer beside changes and <what>
+    Given a platform with the endpoints
+      | endpoint | service |
+      | p1       | portal  |
+      | p2       | portal  |
+      | d1       | desk    |
+      | e1       | pool    |
+      | e2       | pool    |
+    And <vm>
+    And endpoints that take 200 ms
+    When callers keep sending for 6 s, beside changes each 300 ms and <what>
+    Then each request has ended in an answer or a refusal
+    And no VM has met an unhandled error
+
+    Examples:
+      | what                   | vm                                            |
+      | nothing else           | a platform VM                                 |
+      | news of its settings   | a platform VM                                 |
+      | silent endpoints       | a platform VM                                 |
+      | a cut to its endpoints | two platform VMs, one with links of its own   |
