--- a/src/pomelolane/forwarding/call.py
+++ b/src/pomelolane/forwarding/call.py
@@ -9,7 +9,6 @@
 from pomelolane.resumption import stream_key
 
 if TYPE_CHECKING:
-    from pomelolane.endpoints.connection import HttpConnection
     from pomelolane.forwarding.configuration import Route
     from pomelolane.model import Endpoint
     from pomelolane.ports import Grant
@@ -108,7 +107,6 @@
         has_paid_retry: Whether the next send is charged to the retry budget already.
         run: Quarantine's record of the last send, until its result is known.
         next_grant: Grant of the endpoint that it goes to next, if it has one already.
-        next_connection: Connection to that endpoint.
     """
 
     call: ForwardCall
@@ -127,7 +125,6 @@
     has_paid_retry: bool = False
     run: Run | None = None
     next_grant: Grant | None = None
-    next_connection: HttpConnection | None = None
 
     def count_send(self) -> None:
         """Count a send, which uses a retry that was paid for."""
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -62,7 +62,6 @@
     from collections.abc import Callable
 
     from pomelolane.endpoints import AnswerStream
-    from pomelolane.endpoints.connection import HttpConnection
     from pomelolane.forwarding.budget import SharedRetryBudget
     from pomelolane.forwarding.call import ForwardCall
     from pomelolane.forwarding.continuation import Continuation
@@ -393,7 +392,7 @@
             detail = f"the endpoint has version {endpoint.version}"
             raise refused_by_endpoint(state, watch, detail)
         try:
-            connection = await self._connect(state, endpoint)
+            connection = await self._sender.connect(endpoint)
         except EndpointRefusedError as error:
             self._reach.note_failure()
             raise refused_by_endpoint(state, watch, str(error)) from error
@@ -446,13 +445,6 @@
             raise refused_by_endpoint(state, watch, "the endpoint did not run it")
         await self._relay_answer(state, relay, sent, watch, endpoint)
 
-    async def _connect(self, state: CallState, endpoint: Endpoint) -> HttpConnection:
-        """Return a connection; the caller must send on it before awaiting anything."""
-        connection, state.next_connection = state.next_connection, None
-        if connection is not None and not connection.is_stale():
-            return connection
-        return await self._sender.connect(endpoint)
-
     def _first_byte_timeout_ms(self, state: CallState, grant: Grant) -> float | None:
         objective_ms = state.call.route.objective_ms
         if not objective_ms or not self._can_retry(state):
@@ -552,9 +544,8 @@
     async def _seek_elsewhere(self, state: CallState) -> None:
         """Return once a request can go on elsewhere while its endpoint is silent.
 
-        The retry is charged then, and the grant of the other endpoint and a connection
-        to it are kept in the state. There are none if another VM is to serve the
-        request.
+        The retry is charged then, and the grant of the other endpoint is kept in the
+        state. There is none if another VM is to serve the request.
         """
         task = asyncio.current_task()
         while not await self._find_elsewhere(state):
@@ -572,48 +563,26 @@
         grant = await self._acquire_grant(state, (state.endpoint_id,))
         if isinstance(grant, Refusal):
             return False
-        connection = None
-        try:
-            connection = await self._connect_elsewhere(state, grant)
-            if connection is None or not self._reserve_retry(state):
-                return False
-            state.next_grant, state.next_connection = grant, connection
-            return True
-        finally:
-            if state.next_grant is None:
-                self._client.release(grant)
-                if connection is not None:
-                    connection.discard()
-
-    async def _connect_elsewhere(
-        self, state: CallState, grant: Grant
-    ) -> HttpConnection | None:
-        """Return a connection to another endpoint, None if the request can't go there.
+        if not self._may_use(state, grant):
+            self._client.release(grant)
+            return False
+        state.next_grant = grant
+        return True
 
-        The request still has its silent endpoint, so a failure costs it nothing.
-        """
+    def _may_use(self, state: CallState, grant: Grant) -> bool:
+        """Return whether to leave a silent endpoint for a grant; charge the retry."""
+        if asyncio.current_task().cancelling():
+            return False
         endpoint = self._directory.usable(grant.endpoint_id)
         if endpoint is None or not state.may_go_to(endpoint):
-            return None
-        try:
-            connection = await self._sender.connect(endpoint)
-        except EndpointRefusedError:
-            self._reach.note_failure()
-            state.excluded += (grant.endpoint_id,)
-            return None
-        if not asyncio.current_task().cancelling():
-            return connection
-        connection.discard()
-        return None
+            return False
+        return self._reserve_retry(state)
 
     def _release_next_grant(self, state: CallState) -> None:
         """Give back the grant of an endpoint that is not needed any more."""
         if state.next_grant is not None:
             self._client.release(state.next_grant)
             state.next_grant = None
-        if state.next_connection is not None:
-            state.next_connection.discard()
-            state.next_connection = None
 
     # --- retries and refusals -----------------------------------------------
 
