--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -46,9 +46,6 @@
 
 _PERIOD_SPREAD = (0.9, 1.08)
 
-_OWN_READ_MS = 100
-"""Time that a read of this VM's own may take, beside its pace."""
-
 SHARED_AGE_MS = 1_300
 """Age from which on a VM reads the endpoints itself: the longest pause of the one
 that reads for it, and 0.2 s; with a read still well within the 2 s above."""
