--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -56,6 +56,7 @@
 def _make_rules(
     configuration: Configuration, before: _Rules | None, now_ms: float
 ) -> _Rules:
+    """Return the rules of a configuration that comes into force after others."""
     known = {} if before is None else before.routed_since_ms
     routed_since_ms = {}
     for route in configuration.routes:
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -106,12 +106,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Rows as of one moment.
+    """Rows of a table.
 
     Attributes:
-        rows: The rows.
-        version: Newest version of the store then.
-        now_ms: The store's steady clock then.
+        rows: The rows, with all changes up to a version; some may be newer.
+        version: That version.
+        now_ms: The store's steady clock at that version.
     """
 
     rows: tuple[StoredRow, ...]
