--- a/src/pomelolane/forwarding/call.py
+++ b/src/pomelolane/forwarding/call.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.forwarding.configuration import RouteKind
+from pomelolane.quarantine import Subjects, fingerprints_from_parts
 from pomelolane.resumption import stream_key
 
 if TYPE_CHECKING:
@@ -59,6 +60,13 @@
     fingerprint: str = ""
     routed_since_ms: float = 0.0
 
+    @property
+    def subjects(self) -> Subjects:
+        """What may be to blame if endpoints crash under the request."""
+        part_ids = self.description.prompt_parts
+        parts = fingerprints_from_parts(self.service, part_ids)
+        return Subjects(self.fingerprint, parts)
+
     @property
     def resumes_stream(self) -> bool:
         """Whether the caller has the beginning of the stream already."""
