--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -18,7 +18,7 @@
 
 LEAVING_MARK_TTL_MS = 600_000.0
 """How long a leaving state outlives the endpoint's registry entry, which may have
-lapsed although the endpoint still runs."""
+expired although the endpoint still runs."""
 
 
 def instance_id_of(endpoint: Endpoint) -> str:
--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -61,7 +61,7 @@
 """Calls in a row that fail in an outage; a single one may fail at any time."""
 
 SHORTEST_OUTAGE_MS = 1_200
-"""Time without an answer that counts as an outage; a row lapses only after several
+"""Time without an answer that counts as an outage; a row expires only after several
 missed heartbeats."""
 
 _OWN_READ_MS = 100
@@ -179,16 +179,16 @@
         """Return since when the store can have been silent for this VM.
 
         A VM for which another one reads knows of a silence only by its own calls: it
-        hears nothing either where that one fails.
+        receives nothing either where that one fails.
         """
         now_ms = self._clock.now_ms()
         own_period_ms = 1000 * ENDPOINT_PERIOD_S * max(_PERIOD_SPREAD)
         age_ms = self._directory.age_ms
         shared = self._shared
-        is_told = shared is not None and (
+        has_other_reader = shared is not None and (
             not shared.is_reader or age_ms > own_period_ms + _OWN_READ_MS
         )
-        return now_ms if is_told else now_ms - age_ms
+        return now_ms if has_other_reader else now_ms - age_ms
 
     def _begin_grace(self, failed_calls: int, asked_ms: float) -> None:
         """Keep rows that are missing after an outage, as they may come back.
@@ -267,7 +267,7 @@
     def _pass_on(self, after: int, changed: Sequence[StoredRow]) -> None:
         """Tell the other VMs what changed, and which rows were forgotten.
 
-        Rows that may yet come back are not told as deleted.
+        Rows that may yet come back are not reported as deleted.
         """
         forgotten = [
             StoredRow(key, self._after, b"", deleted=True)
