--- a/review/1/case.py
+++ b/review/1/case.py
@@ -197,6 +197,7 @@
 
 def main() -> int:
     """Run the case."""
+    harness.end_at_sigterm()
     record = harness.Record(FOLDER / "record.txt")
     with harness.temporary_folder() as folder:
         try:
--- a/review/harness.py
+++ b/review/harness.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import signal
 import socket
 import sys
 import tempfile
@@ -528,6 +529,16 @@
     }
 
 
+def end_at_sigterm() -> None:
+    """Have SIGTERM end the case in order, so that the VMs are ended as well."""
+
+    def end(number: int, frame: object) -> None:
+        del number, frame
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, end)
+
+
 def temporary_folder() -> tempfile.TemporaryDirectory:
     """Return the temporary folder of a run."""
     return tempfile.TemporaryDirectory(prefix="review-")
