--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,7 @@
 import harness  # noqa: E402
 
 SERVICE = "registro-capturas"
-WORKERS = 3
+WORKERS = 5
 SLOTS = 6
 WORK_S = 0.012
 VMS = 3
@@ -36,6 +36,11 @@
 PROMISES = (408, 421, 429, 503)
 
 
+def _is_next(count: int, share: float) -> bool:
+    """Return whether the whole part of a share grows with this one."""
+    return int(count * share) > int((count - 1) * share)
+
+
 class Worker:
     """A plain worker that answers in the order of its channels' requests.
 
@@ -50,7 +55,8 @@
         self.sheds = False
         self.repeats = False
         self._record = record
-        self._random = random.Random(number)
+        self._asked = 0
+        self._answered = 0
         self._slots = asyncio.Semaphore(SLOTS)
 
     async def start(self) -> str:
@@ -72,13 +78,26 @@
                 answer = await self._answer(request)
                 writer.write(answer)
                 await writer.drain()
-                is_repeated = self.repeats and self._random.random() < GARBLE["x"]
-                extra = answer if is_repeated else b""
+                extra = answer if self._repeats_this() else b""
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
 
+    def _sheds_this(self) -> bool:
+        """Return whether to turn a request away, never more than the share."""
+        if not self.sheds:
+            return False
+        self._asked += 1
+        return _is_next(self._asked, GREY["x"])
+
+    def _repeats_this(self) -> bool:
+        """Return whether to repeat an answer, never more than the share."""
+        if not self.repeats:
+            return False
+        self._answered += 1
+        return _is_next(self._answered, GARBLE["x"])
+
     async def _answer(self, request: harness.Request) -> bytes:
         headers = {"Request-Id": request.request_id}
         if request.target == "/healthz":
@@ -86,7 +105,7 @@
         if request.headers.get("expect-instance", self.worker_id) != self.worker_id:
             headers["Instance-Id"] = self.worker_id
             return harness.encode_response(421, headers)
-        if self.sheds and self._random.random() < GREY["x"]:
+        if self._sheds_this():
             self._record("shed", worker=self.worker_id, id=request.request_id)
             return harness.encode_response(503, headers | {"Not-Executed": "1"})
         async with self._slots:
@@ -136,7 +155,7 @@
         record("disruption", kind="garble extra late", **GARBLE)
         for worker in workers:
             worker.sheds = True
-        for worker in workers[: round(GARBLE["share"] * WORKERS)]:
+        for worker in workers[: int(GARBLE["share"] * WORKERS)]:
             worker.repeats = True
         await asyncio.sleep(GREY["for_s"])
         for worker in workers:
