Log and count answers that name another request, or none

Event answer_not_own with the id that the answer names, and the counter pomelolane_forwarded_answers_not_own_total. Nothing else changes.

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -210,6 +210,14 @@
     "An unhandled error ended the request.",
 )
 
+ANSWER_NOT_OWN = _define(
+    223,
+    "answer_not_own",
+    "warning",
+    "request endpoint attribution named",
+    "An answer that came for the request names another one, or none.",
+)
+
 REQUEST_QUARANTINED = _define(
     218,
     "request_quarantined",
--- a/src/pomelolane/forwarding/metrics.py
+++ b/src/pomelolane/forwarding/metrics.py
@@ -27,6 +27,10 @@
 _SENDS = Counter(
     "pomelolane_forwarded_sends_total", "Sends to endpoints, by service and result."
 )
+_ANSWERS_NOT_OWN = Counter(
+    "pomelolane_forwarded_answers_not_own_total",
+    "Answers of endpoints that name another request, or none, by service and which.",
+)
 _RESUMED_STREAMS = Counter(
     "pomelolane_resumed_streams_total",
     "Streams that callers resumed, by service and how their origin was found.",
@@ -60,6 +64,11 @@
     _SENDS.inc({"service": service, "result": result})
 
 
+def count_answer_not_own(service: str, attribution: str) -> None:
+    """Count an answer that names another request than it came for, or none."""
+    _ANSWERS_NOT_OWN.inc({"service": service, "attribution": attribution})
+
+
 def count_resumed(service: str, source: str) -> None:
     """Count a stream that a caller resumes; the source is ``unknown`` for a refusal."""
     _RESUMED_STREAMS.inc({"service": service, "source": source})
--- a/src/pomelolane/forwarding/request_log.py
+++ b/src/pomelolane/forwarding/request_log.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from pomelolane.endpoints import AnswerStream
+    from pomelolane.forwarding.attribution import Attribution
     from pomelolane.forwarding.call import CallState, ForwardCall
     from pomelolane.forwarding.endpoints import EndpointDirectory
     from pomelolane.forwarding.relay import RelayResult
@@ -109,6 +110,20 @@
     )
 
 
+def answer_not_own(
+    call: ForwardCall, endpoint: Endpoint, attribution: Attribution, answered_id: str
+) -> None:
+    """Log and count an answer that names another request than it came for, or none."""
+    metrics.count_answer_not_own(call.service, attribution.value)
+    log_event(
+        events.ANSWER_NOT_OWN,
+        request=call.log_id,
+        endpoint=endpoint.endpoint_id,
+        attribution=attribution,
+        named=answered_id,
+    )
+
+
 def error(request_id: str, raised: Exception) -> None:
     """Log an unhandled error that ended a request."""
     log_event(events.FORWARD_ERROR, request=request_id, error=repr(raised))
--- a/src/pomelolane/forwarding/sender.py
+++ b/src/pomelolane/forwarding/sender.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.exceptions import EndpointBrokenError, EndpointRefusedError
+from pomelolane.forwarding import request_log
+from pomelolane.forwarding.attribution import Attribution, attribute
 from pomelolane.ports.forwarding import Verdict
 from pomelolane.resumption import ORIGIN_HEADER, encode_origin
 
@@ -101,6 +103,7 @@
             connection.discard()
             raise EndpointRefusedError("the endpoint has left or started again")
         stream = await connection.exchange(call.method, parts)
+        self._attribute(stream.headers, call, endpoint)
         verdict = self._dialect.judge(
             stream.status, stream.headers, call.description.request_id
         )
@@ -111,6 +114,16 @@
         notice = self._dialect.read_notice(stream.status, stream.headers)
         return SendResult(stream, verdict, notice)
 
+    def _attribute(
+        self, headers: Sequence[Header], call: ForwardCall, endpoint: Endpoint
+    ) -> Attribution:
+        """Return which request an answer belongs to; log it if it is not this one."""
+        answered_id = self._dialect.answered_request(headers)
+        attribution = attribute(answered_id, call.description.request_id)
+        if attribution is not Attribution.OWN:
+            request_log.answer_not_own(call, endpoint, attribution, answered_id)
+        return attribution
+
     async def send_to_peer(
         self,
         address: str,
--- a/src/pomelolane/platform/dialect.py
+++ b/src/pomelolane/platform/dialect.py
@@ -124,6 +124,14 @@
             passed.append((_RESUME, dispatch.resume_after))
         return passed
 
+    def answered_request(self, headers: Sequence[Header]) -> str:
+        """Return the id of the request that an answer names, empty if it names none.
+
+        Several ids are returned as one, which no request has.
+        """
+        named = {value for key, value in headers if key == _REQUEST_ID and value}
+        return b", ".join(sorted(named)).decode("latin-1")
+
     def judge(self, status: int, headers: Sequence[Header], request_id: str) -> Verdict:
         """Tell what an endpoint's head is worth."""
         found = dict(headers)
--- a/src/pomelolane/ports/forwarding.py
+++ b/src/pomelolane/ports/forwarding.py
@@ -122,6 +122,9 @@
     ) -> list[Header]:
         """Return the headers that another VM gets in the caller's place."""
 
+    def answered_request(self, headers: Sequence[Header]) -> str:
+        """Return the id of the request that an answer names, empty if it names none."""
+
     def judge(self, status: int, headers: Sequence[Header], request_id: str) -> Verdict:
         """Tell what an endpoint's head is worth."""
 
