--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -257,18 +257,20 @@
     ) -> bool:
         request = await _read(reader)
         self.seen.append(request)
+        named = {"request-id": request.headers.get("request-id", "")}
         expected = request.headers.get("expect-instance", self.endpoint_id)
         if expected != self.endpoint_id:
-            writer.write(_head(421, {"instance-id": self.endpoint_id}, 0))
+            writer.write(_head(421, named | {"instance-id": self.endpoint_id}, 0))
             return True
         if self.rest and len(self.seen) % self.turns_away_each == 0:
             request.turned_away = True
             headers = {"not-executed": "1", "retry-after": self.rest, **self.says}
-            writer.write(_head(503, headers, 0))
+            writer.write(_head(503, named | headers, 0))
             return True
         full = self._waiting >= self.options.queue and self._running.locked()
         if full:
-            writer.write(_head(503, {"not-executed": "1", **self.says}, 0))
+            headers = {"not-executed": "1", **self.says}
+            writer.write(_head(503, named | headers, 0))
             return not self._falls_over()
         self._waiting += 1
         try:
