Believe "not run" only of the request that the answer names

Cause: PlatformDialect.judge took any head with Not-Executed, or status 421, for "not run" before it compared the request id that the head echoes. A faulty endpoint that sends an earlier refusal again, where the next answer is due, so had the request under way declared not run.

The sender now asks whom an answer belongs to first, and judges only an answer that doesn't name another request. One that does says nothing: the send is broken, as for other kinds of foreign answers before.

--- a/src/pomelolane/forwarding/sender.py
+++ b/src/pomelolane/forwarding/sender.py
@@ -103,14 +103,17 @@
             connection.discard()
             raise EndpointRefusedError("the endpoint has left or started again")
         stream = await connection.exchange(call.method, parts)
-        self._attribute(stream.headers, call, endpoint)
-        verdict = self._dialect.judge(
-            stream.status, stream.headers, call.description.request_id
-        )
-        if verdict in (Verdict.FOREIGN, Verdict.INVALID):
+        attribution = self._attribute(stream.headers, call, endpoint)
+        verdict = self._dialect.judge(stream.status, stream.headers)
+        failure = ""
+        if attribution is Attribution.FOREIGN:
+            failure = "the answer belongs to another request"
+        elif verdict is Verdict.INVALID:
+            failure = "the answer's head is invalid"
+        if failure:
             await stream.aclose()
             connection.discard()
-            raise EndpointBrokenError(f"the answer's head is {verdict.value}")
+            raise EndpointBrokenError(failure)
         notice = self._dialect.read_notice(stream.status, stream.headers)
         return SendResult(stream, verdict, notice)
 
--- a/src/pomelolane/platform/dialect.py
+++ b/src/pomelolane/platform/dialect.py
@@ -132,15 +132,12 @@
         named = {value for key, value in headers if key == _REQUEST_ID and value}
         return b", ".join(sorted(named)).decode("latin-1")
 
-    def judge(self, status: int, headers: Sequence[Header], request_id: str) -> Verdict:
-        """Tell what an endpoint's head is worth."""
+    def judge(self, status: int, headers: Sequence[Header]) -> Verdict:
+        """Tell what an endpoint's head is worth, if it belongs to the request."""
         found = dict(headers)
         if _NOT_RUN in found or status == _MISDIRECTED:
             return Verdict.NOT_RUN
-        echoed = found.get(_REQUEST_ID)
-        if echoed is not None and echoed.decode("latin-1") != request_id:
-            return Verdict.FOREIGN
-        if _is_success(status) and (echoed is None or _SEAL not in found):
+        if _is_success(status) and not found.keys() >= {_REQUEST_ID, _SEAL}:
             return Verdict.INVALID
         if _ENCODING in found or status < 200 or 300 <= status < 400:
             return Verdict.INVALID
--- a/src/pomelolane/ports/forwarding.py
+++ b/src/pomelolane/ports/forwarding.py
@@ -57,14 +57,12 @@
 
 
 class Verdict(StrEnum):
-    """What an endpoint's head says of the request it is meant to answer."""
+    """What an endpoint's head says of the request that it belongs to."""
 
     ANSWER = "answer"
     """The endpoint's own answer, whatever its status."""
     NOT_RUN = "not_run"
     """The endpoint states that it has not run the request."""
-    FOREIGN = "foreign"
-    """The head belongs to another request."""
     INVALID = "invalid"
     """The head can't be the endpoint's own answer."""
 
@@ -125,8 +123,8 @@
     def answered_request(self, headers: Sequence[Header]) -> str:
         """Return the id of the request that an answer names, empty if it names none."""
 
-    def judge(self, status: int, headers: Sequence[Header], request_id: str) -> Verdict:
-        """Tell what an endpoint's head is worth."""
+    def judge(self, status: int, headers: Sequence[Header]) -> Verdict:
+        """Tell what an endpoint's head is worth, if it belongs to the request."""
 
     def read_notice(self, status: int, headers: Sequence[Header]) -> EndpointNotice:
         """Return what an endpoint says of itself in an answer that is its own."""
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -17,6 +17,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from standins.routed.recording import RecordingWriter, Repeats
+
 _LONG_S = 60.0
 """Longer than any caller waits."""
 
@@ -25,6 +27,7 @@
 """Bytes of that event which a broken stream still sends."""
 
 _BEFORE_RESET_S = 0.05
+_ENDLESS_CHUNK = b"10000\r\n" + bytes(65536) + b"\r\n"
 
 
 class Fault(StrEnum):
@@ -185,6 +188,7 @@
         rest: What it asks for in ``Retry-After`` as it turns requests away, empty
             where it turns none away.
         turns_away_each: Which requests it turns away: 4 for each fourth.
+        repeats: Which answers it sends again, before the next one on the connection.
     """
 
     endpoint_id: str
@@ -194,6 +198,7 @@
     says: dict[str, str] = field(default_factory=dict)
     rest: str = ""
     turns_away_each: int = 1
+    repeats: Repeats = Repeats.NOTHING
 
     def __post_init__(self) -> None:
         self._running = asyncio.Semaphore(self.options.slots)
@@ -243,8 +248,9 @@
     ) -> None:
         task = asyncio.current_task()
         self._tasks.add(task)
+        recorder = RecordingWriter(writer)
         try:
-            while await self._exchange(reader, writer):
+            while await self._exchange(reader, recorder):
                 pass
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.transport.abort()
@@ -253,9 +259,10 @@
             writer.close()
 
     async def _exchange(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, writer: RecordingWriter
     ) -> bool:
         request = await _read(reader)
+        await self._repeat(writer)
         self.seen.append(request)
         named = {"request-id": request.headers.get("request-id", "")}
         expected = request.headers.get("expect-instance", self.endpoint_id)
@@ -286,6 +293,15 @@
             self._at_work -= 1
             self._running.release()
 
+    async def _repeat(self, writer: RecordingWriter) -> None:
+        """Send the connection's last answer again, if it is one that is repeated."""
+        extra = writer.take_answer(self.repeats)
+        if extra:
+            writer.send_extra(extra)
+        while extra and self.repeats is Repeats.ENDLESS:
+            writer.send_extra(_ENDLESS_CHUNK)
+            await writer.drain()
+
     def halve_room(self) -> None:
         """Let half as many requests run and none wait from now on."""
         self.options.queue = 0
--- /dev/null
+++ b/tests/platform/attribution.feature
@@ -0,0 +1,29 @@
+@processes
+Feature: An endpoint's answer counts only for the request that it names
+  A faulty endpoint sends an answer a second time, where the answer to the next request on
+  the connection is due.
+
+  Background:
+    Given a platform with the endpoints
+      | endpoint | service |
+      | p1       | portal  |
+    And a platform VM
+
+  # Guards against 503 for a request that runs: the endpoint has turned another one away.
+  Scenario: A late "not run" of an earlier request is not believed of the next
+    Given "p1" turns each 2nd request away
+    And "p1" sends "refusals" again
+    When callers send "POST /plain/file/a" 12 times in turn
+    Then no request that ran was answered as not run
+
+  # Guards against a second run of a request that may run once: the first endpoint has
+  # turned another one away.
+  Scenario: A request is not sent elsewhere for a late "not run" of an earlier one
+    Given another endpoint "p2" of "portal"
+    And the endpoint "p2" takes 100 ms
+    And the route "file" allows 2 attempts
+    And "p1" turns each 2nd request away
+    And "p1" sends "refusals" again
+    When callers send "POST /plain/file/a" 20 times in turn
+    Then no request has run twice
+    And no request that ran was answered as not run
--- /dev/null
+++ b/tests/steps/platform_attribution_steps.py
@@ -0,0 +1,79 @@
+"""Steps of tests/platform/attribution.feature."""
+
+import asyncio
+import json
+from collections import Counter
+
+from behave import given, then, when
+
+from bench.processes import wait_until
+from standins.routed.recording import Repeats
+from tests.routed_world import caller_headers, configuration
+
+IN_FORCE_WITHIN_S = 10.0
+_NOT_RUN = frozenset({408, 421, 429, 503})
+
+
+@given('"{name}" turns each {each:d}nd request away')
+def step_turns_away(context, name, each):
+    endpoint = context.world.endpoints[name]
+    endpoint.turns_away_each, endpoint.rest = each, "0"
+
+
+@given('"{name}" sends "{repeats}" again')
+def step_repeats(context, name, repeats):
+    context.world.endpoints[name].repeats = Repeats(repeats)
+
+
+@given('the route "{name}" allows {attempts:d} attempts')
+def step_attempts(context, name, attempts):
+    routes = json.loads(configuration())["routes"]
+    for route in routes:
+        if route["name"] == name:
+            route["attempts"] = attempts
+    context.world.configure(routes=routes)
+    version = context.world.version
+
+    def is_in_force():
+        adopted = context.vm.events("configuration_applied")
+        return any(line["version"] == version for line in adopted)
+
+    context.run(wait_until(is_in_force, IN_FORCE_WITHIN_S, "not in force"))
+
+
+@when('callers send "{line}" {count:d} times in turn')
+def step_in_turn(context, line, count):
+    async def send(request_id):
+        headers = caller_headers(request_id)
+        return await context.vm.ask(f"{line} HTTP/1.1", headers, b"abc")
+
+    async def send_all():
+        ids = [f"a{number}" for number in range(count)]
+        context.answer_by_id = {one: await send(one) for one in ids}
+
+    context.run(asyncio.wait_for(send_all(), 60))
+
+
+def _runs_by_id(context):
+    endpoints = context.world.endpoints.values()
+    seen = [one for endpoint in endpoints for one in endpoint.seen if one.ran]
+    return Counter(one.headers["request-id"] for one in seen)
+
+
+def _statuses_of_runs(context):
+    answers = context.answer_by_id
+    return {one: answers[one].status for one in _runs_by_id(context)}
+
+
+@then("no request that ran was answered as not run")
+def step_true(context):
+    statuses = _statuses_of_runs(context)
+    assert statuses
+    untrue = {one for one, status in statuses.items() if status in _NOT_RUN}
+    assert not untrue, statuses
+
+
+@then("no request has run twice")
+def step_once(context):
+    runs = _runs_by_id(context)
+    assert max(runs.values()) == 1, runs
