Wait for a request's own answer behind another request's

Callers got 502 for requests that ran and whose own answer came next: as an answer to another request came first, the VM closed the connection, which ends the run of most endpoints, and blamed the endpoint for a broken connection (failed send, freed slot, look for a crash, retry elsewhere).

Cause: a connection took the first answer after a request for its answer, and whose it is was asked only once the exchange had ended with it.

--- a/src/pomelolane/forwarding/sender.py
+++ b/src/pomelolane/forwarding/sender.py
@@ -102,30 +102,28 @@
         if not is_usable(endpoint):
             connection.discard()
             raise EndpointRefusedError("the endpoint has left or started again")
-        stream = await connection.exchange(call.method, parts)
-        attribution = self._attribute(stream.headers, call, endpoint)
+
+        def is_own(headers: Sequence[Header], is_first: bool) -> bool:
+            return self._is_own(headers, call, endpoint)
+
+        stream = await connection.exchange(call.method, parts, is_own)
         verdict = self._dialect.judge(stream.status, stream.headers)
-        failure = ""
-        if attribution is Attribution.FOREIGN:
-            failure = "the answer belongs to another request"
-        elif verdict is Verdict.INVALID:
-            failure = "the answer's head is invalid"
-        if failure:
+        if verdict is Verdict.INVALID:
             await stream.aclose()
             connection.discard()
-            raise EndpointBrokenError(failure)
+            raise EndpointBrokenError("the answer's head is invalid")
         notice = self._dialect.read_notice(stream.status, stream.headers)
         return SendResult(stream, verdict, notice)
 
-    def _attribute(
+    def _is_own(
         self, headers: Sequence[Header], call: ForwardCall, endpoint: Endpoint
-    ) -> Attribution:
-        """Return which request an answer belongs to; log it if it is not this one."""
+    ) -> bool:
+        """Return whether an answer belongs to the request, and log it if it doesn't."""
         answered_id = self._dialect.answered_request(headers)
         attribution = attribute(answered_id, call.description.request_id)
         if attribution is not Attribution.OWN:
             request_log.answer_not_own(call, endpoint, attribution, answered_id)
-        return attribution
+        return attribution is not Attribution.FOREIGN
 
     async def send_to_peer(
         self,
--- a/tests/platform/attribution.feature
+++ b/tests/platform/attribution.feature
@@ -16,6 +16,34 @@
     When callers send "POST /plain/file/a" 12 times in turn
     Then no request that ran was answered as not run
 
+  # Guards against the loss of an answer that comes behind another request's.
+  Scenario Outline: A request gets its own answer behind a late one: <repeated>
+    Given "p1" turns each 2nd request away
+    And "p1" sends "<repeated>" again
+    When callers send "POST /plain/file/a" 12 times in turn
+    Then each request that ran was answered 200
+
+    Examples:
+      | repeated |
+      | refusals |
+      | answers  |
+
+  # Guards against a stream that begins with the events of another one.
+  Scenario: A stream gets its own events behind those of an earlier one
+    Given another endpoint "e1" of "pool"
+    And "e1" sends "answers" again
+    When callers send "POST /help/a" 6 times in turn
+    Then each request that ran was answered 200
+    And each answer holds the events 1 to 5 once each
+
+  # Guards against a VM that reads a late answer for as long as the endpoint sends.
+  Scenario: A late answer without end breaks its request, and no other one
+    Given another endpoint "p2" of "portal"
+    And "p1" sends "endless bodies" again
+    When callers send "GET /plain/a" 12 times in turn
+    Then each request that ran was answered 200
+    And no VM has grown by more than 20 MB
+
   # Guards against a second run of a request that may run once: the first endpoint has
   # turned another one away.
   Scenario: A request is not sent elsewhere for a late "not run" of an earlier one
--- a/tests/steps/platform_attribution_steps.py
+++ b/tests/steps/platform_attribution_steps.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import re
 from collections import Counter
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -51,9 +53,15 @@
         ids = [f"a{number}" for number in range(count)]
         context.answer_by_id = {one: await send(one) for one in ids}
 
+    context.resident_mb = _resident_mb(context.vm)
     context.run(asyncio.wait_for(send_all(), 60))
 
 
+def _resident_mb(vm):
+    status = Path(f"/proc/{vm.process.pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+) kB", status)[1]) / 1024
+
+
 def _runs_by_id(context):
     endpoints = context.world.endpoints.values()
     seen = [one for endpoint in endpoints for one in endpoint.seen if one.ran]
@@ -77,3 +85,22 @@
 def step_once(context):
     runs = _runs_by_id(context)
     assert max(runs.values()) == 1, runs
+
+
+@then("each request that ran was answered {status:d}")
+def step_all_answered(context, status):
+    statuses = _statuses_of_runs(context)
+    assert set(statuses.values()) == {status}, statuses
+
+
+@then("each answer holds the events {first:d} to {last:d} once each")
+def step_events(context, first, last):
+    for answer in context.answer_by_id.values():
+        assert answer.events == list(range(first, last + 1)), answer.data
+        assert answer.is_whole, answer.data
+
+
+@then("no VM has grown by more than {most:d} MB")
+def step_memory(context, most):
+    grown = _resident_mb(context.vm) - context.resident_mb
+    assert grown <= most, grown
