Believe nothing of a late answer that names no request

Such an answer can only be the request's own on a connection that has carried no other request, and is believed there. Otherwise nothing of it is: not its status, not its notices. As the endpoint doesn't name its answers, its own one couldn't be told either; the send is broken at once, and the request may have run.

--- a/src/pomelolane/forwarding/sender.py
+++ b/src/pomelolane/forwarding/sender.py
@@ -104,7 +104,7 @@
             raise EndpointRefusedError("the endpoint has left or started again")
 
         def is_own(headers: Sequence[Header], is_first: bool) -> bool:
-            return self._is_own(headers, call, endpoint)
+            return self._is_own(headers, call, endpoint, is_first=is_first)
 
         stream = await connection.exchange(call.method, parts, is_own)
         verdict = self._dialect.judge(stream.status, stream.headers)
@@ -116,14 +116,35 @@
         return SendResult(stream, verdict, notice)
 
     def _is_own(
-        self, headers: Sequence[Header], call: ForwardCall, endpoint: Endpoint
+        self,
+        headers: Sequence[Header],
+        call: ForwardCall,
+        endpoint: Endpoint,
+        *,
+        is_first: bool,
     ) -> bool:
-        """Return whether an answer belongs to the request, and log it if it doesn't."""
+        """Return whether an answer belongs to the request, and log it if it doesn't.
+
+        Args:
+            headers: Its headers.
+            call: The request.
+            endpoint: Endpoint that sent the answer.
+            is_first: Whether no other request was sent on the connection, so that the
+                answer can't belong to one.
+
+        Raises:
+            EndpointBrokenError: It can't be told.
+        """
         answered_id = self._dialect.answered_request(headers)
         attribution = attribute(answered_id, call.description.request_id)
-        if attribution is not Attribution.OWN:
-            request_log.answer_not_own(call, endpoint, attribution, answered_id)
-        return attribution is not Attribution.FOREIGN
+        if attribution is Attribution.OWN:
+            return True
+        if attribution is Attribution.UNNAMED and is_first:
+            return True
+        request_log.answer_not_own(call, endpoint, attribution, answered_id)
+        if attribution is Attribution.UNNAMED:
+            raise EndpointBrokenError("an answer without an id may be a late one")
+        return False
 
     async def send_to_peer(
         self,
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -188,6 +188,7 @@
         rest: What it asks for in ``Retry-After`` as it turns requests away, empty
             where it turns none away.
         turns_away_each: Which requests it turns away: 4 for each fourth.
+        names_refused: Whether it names the request as it turns one away.
         repeats: Which answers it sends again, before the next one on the connection.
     """
 
@@ -198,6 +199,7 @@
     says: dict[str, str] = field(default_factory=dict)
     rest: str = ""
     turns_away_each: int = 1
+    names_refused: bool = True
     repeats: Repeats = Repeats.NOTHING
 
     def __post_init__(self) -> None:
@@ -272,6 +274,7 @@
         if self.rest and len(self.seen) % self.turns_away_each == 0:
             request.turned_away = True
             headers = {"not-executed": "1", "retry-after": self.rest, **self.says}
+            named = named if self.names_refused else {}
             writer.write(_head(503, named | headers, 0))
             return True
         full = self._waiting >= self.options.queue and self._running.locked()
--- a/tests/platform/attribution.feature
+++ b/tests/platform/attribution.feature
@@ -28,6 +28,21 @@
       | refusals |
       | answers  |
 
+  # Guards against 503 for a request that runs, by an answer that names no request.
+  Scenario: "Not run" is not believed if it names no request and may be a late one
+    Given "p1" turns each 2nd request away
+    And "p1" sends "unnamed refusals" again
+    When callers send "POST /plain/file/a" 12 times in turn
+    Then no request that ran was answered as not run
+    And no request has run twice
+
+  # Guards against a refusal that is believed of no request at all.
+  Scenario: "Not run" is believed without a name if it can't be another request's
+    Given "p1" names no request as it turns requests away
+    And "p1" turns each 1st request away
+    When callers send "POST /plain/file/a" 1 times in turn
+    Then each answer is 503
+
   # Guards against a stream that begins with the events of another one.
   Scenario: A stream gets its own events behind those of an earlier one
     Given another endpoint "e1" of "pool"
--- a/tests/steps/platform_attribution_steps.py
+++ b/tests/steps/platform_attribution_steps.py
@@ -16,12 +16,18 @@
 _NOT_RUN = frozenset({408, 421, 429, 503})
 
 
+@given('"{name}" turns each {each:d}st request away')
 @given('"{name}" turns each {each:d}nd request away')
 def step_turns_away(context, name, each):
     endpoint = context.world.endpoints[name]
     endpoint.turns_away_each, endpoint.rest = each, "0"
 
 
+@given('"{name}" names no request as it turns requests away')
+def step_names_none(context, name):
+    context.world.endpoints[name].names_refused = False
+
+
 @given('"{name}" sends "{repeats}" again')
 def step_repeats(context, name, repeats):
     context.world.endpoints[name].repeats = Repeats(repeats)
@@ -93,6 +99,12 @@
     assert set(statuses.values()) == {status}, statuses
 
 
+@then("each answer is {status:d}")
+def step_each_status(context, status):
+    found = {answer.status for answer in context.answer_by_id.values()}
+    assert found == {status}, found
+
+
 @then("each answer holds the events {first:d} to {last:d} once each")
 def step_events(context, first, last):
     for answer in context.answer_by_id.values():
