Take no relayed request's answer for another one's

No caller is known to have seen harm by it: VMs send one answer to a request. Relayed requests now bear an id of the relaying VM, their answers repeat it, and an answer that names another one is skipped. VMs of the version before leave it out; their answers are taken as before.

Measured: tests/forwarding/peer_relay.feature failed without the check of the id (503 taken in place of 200) and passes; tests/platform/reach, tests/http and tests/forwarding pass.

--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -45,7 +45,7 @@
     refusal_from_error,
 )
 from pomelolane.forwarding.relay import Relay
-from pomelolane.forwarding.sender import SENDS_HEADER
+from pomelolane.forwarding.sender import RELAY_ID_HEADER, SENDS_HEADER
 from pomelolane.forwarding.stall import StallWatch
 from pomelolane.logs import log_event
 from pomelolane.outcomes import Outcome, Reason, Refusal
@@ -102,7 +102,7 @@
 """Retry delay for callers of a stopping VM: other VMs can serve them at once."""
 
 _DELIVERED = "delivered"
-_HEADERS_BETWEEN_VMS = frozenset({SENDS_HEADER, ORIGIN_HEADER})
+_HEADERS_BETWEEN_VMS = frozenset({SENDS_HEADER, ORIGIN_HEADER, RELAY_ID_HEADER})
 
 
 STOPPING_REFUSAL = Refusal(
@@ -226,6 +226,8 @@
         the request, perhaps by an older configuration, is cut off itself, or fails
         before it has sent the request.
         """
+        if relay_id := exchange.header(RELAY_ID_HEADER):
+            exchange.extra_headers.append((RELAY_ID_HEADER, relay_id))
         try:
             sends = exchange.header(SENDS_HEADER)
             origin = origin_from_header(exchange.header(ORIGIN_HEADER))
--- a/src/pomelolane/forwarding/relay.py
+++ b/src/pomelolane/forwarding/relay.py
@@ -8,6 +8,7 @@
 from pomelolane.endpoints.boundary import LINE_END, EventBoundary
 from pomelolane.endpoints.stream import Framing
 from pomelolane.forwarding.configuration import RouteKind
+from pomelolane.forwarding.sender import RELAY_ID_HEADER
 from pomelolane.resumption import ORIGIN_HEADER, encode_origin
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
 _EVENT_STREAM = b"text/event-stream"
 _CLOSE = (b"connection", b"close")
 _FIRST_REDIRECTION_STATUS = 300
+_HEADERS_BETWEEN_VMS = frozenset({ORIGIN_HEADER, RELAY_ID_HEADER})
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,7 +212,7 @@
         if self._state.answer_begun:
             return
         self._state.answer_begun = True
-        headers = [one for one in stream.headers if one[0] != ORIGIN_HEADER]
+        headers = [one for one in stream.headers if one[0] not in _HEADERS_BETWEEN_VMS]
         if events is not None:
             # A length would be complete even if the stream ends inside an event.
             headers = [header for header in headers if header[0] != b"content-length"]
--- a/src/pomelolane/forwarding/sender.py
+++ b/src/pomelolane/forwarding/sender.py
@@ -26,6 +26,10 @@
 SENDS_HEADER = b"pomelolane-sends"
 """Header of relayed requests: how often they were sent to endpoints before."""
 
+RELAY_ID_HEADER = b"pomelolane-relay-id"
+"""Header of relayed requests and their answers: the request's id on the VM that relays
+it. VMs of older versions leave it out of their answers."""
+
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 _FORBIDDEN_HEADER_BYTES = frozenset(b"\r\n\0")
 
@@ -170,12 +174,19 @@
         connection = await self._peer_pool.acquire(address)
         headers = self._dialect.relayed_headers(call.headers, dispatch)
         headers.append((SENDS_HEADER, b"%d" % sends))
+        relay_id = call.local_id.encode()
+        headers.append((RELAY_ID_HEADER, relay_id))
         if origin is not None:
             headers.append((ORIGIN_HEADER, encode_origin(origin)))
         parts = [_encode_head(call, headers)]
         if call.body:
             parts.append(call.body)
-        return await connection.exchange(call.method, parts)
+
+        def is_own(headers: Sequence[Header], is_first: bool) -> bool:
+            del is_first
+            return dict(headers).get(RELAY_ID_HEADER, relay_id) == relay_id
+
+        return await connection.exchange(call.method, parts, is_own)
 
 
 def _encode_head(call: ForwardCall, headers: Sequence[Header]) -> bytes:
--- a/src/pomelolane/http/exchange.py
+++ b/src/pomelolane/http/exchange.py
@@ -37,6 +37,7 @@
         path: Raw path.
         query: Raw query string.
         headers: All headers, names in lower case.
+        extra_headers: Headers that are added to the answer.
         body_read: Whether the whole request body has been read.
         gone: Whether the caller left before the answer ended.
     """
@@ -48,6 +49,7 @@
         self.path: bytes = scope["raw_path"]
         self.query: bytes = scope["query_string"]
         self.headers: list[tuple[bytes, bytes]] = scope["headers"]
+        self.extra_headers: list[tuple[bytes, bytes]] = []
         self._takes_chunks = scope.get("http_version") != "1.0"
         self.gone = False
         self._answered = False
@@ -195,6 +197,9 @@
     async def send(self, message: AsgiMessage) -> None:
         """Send an ASGI message of an answer given here."""
         self._answered = True
+        if message["type"] == "http.response.start" and self.extra_headers:
+            headers = [*message["headers"], *self.extra_headers]
+            message = {**message, "headers": headers}
         if message["type"] == "http.response.body":
             is_last = not message.get("more_body", False)
             self._completed = self._completed or is_last
--- a/tests/forwarding/peer_relay.feature
+++ b/tests/forwarding/peer_relay.feature
@@ -25,3 +25,19 @@
       | the VM is starting       | can serve no request        |
       | the VM is stopping       | can serve no request        |
       | the VM is cut off itself | can serve no request        |
+
+  # Guards against a refusal of another relayed request that is taken for this one's.
+  Scenario: An answer to another relayed request is not taken for this one's
+    Given another VM that answers an earlier relayed request again with 503, then 200
+    When a request is sent to that VM
+    Then its answer is 200
+
+  Scenario Outline: Each answer to a relayed request names it: <why>
+    Given a VM to which others relay, and <why>
+    When another VM's request comes with the relay id "c7"
+    Then its answer names the relay id "c7"
+
+    Examples:
+      | why                    |
+      | its route is not known |
+      | the VM is stopping     |
--- a/tests/steps/forwarding_peer_relay_steps.py
+++ b/tests/steps/forwarding_peer_relay_steps.py
@@ -3,18 +3,21 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from endpoints_server import RawServer, head
 
 from pomelolane.clock import ManualClock
-from pomelolane.endpoints import AnswerStream
+from pomelolane.endpoints import AnswerStream, ConnectionPool
 from pomelolane.exceptions import BadRequestError, EndpointRefusedError
 from pomelolane.forwarding import Forwarder, Route, RouteKind, RouteTarget
 from pomelolane.forwarding.call import CallState, ForwardCall
 from pomelolane.forwarding.peer_relay import UNABLE_HEADER, PeerRelay
 from pomelolane.forwarding.peers import RelayPeers
+from pomelolane.forwarding.sender import RELAY_ID_HEADER, Sender
 from pomelolane.http.exchange import Exchange
 from pomelolane.outcomes import Reason
+from pomelolane.platform.dialect import PlatformDialect
 from pomelolane.ports import Peer
-from pomelolane.ports.forwarding import CallDescription
+from pomelolane.ports.forwarding import CallDescription, Dispatch
 from pomelolane.quarantine import Quarantine
 
 _CALL = ForwardCall(
@@ -110,12 +113,21 @@
 
 @when("another VM's request comes")
 def step_comes(context):
+    _relay_to(context, [])
+
+
+@when('another VM\'s request comes with the relay id "{relay_id}"')
+def step_comes_named(context, relay_id):
+    _relay_to(context, [(RELAY_ID_HEADER, relay_id.encode())])
+
+
+def _relay_to(context, headers):
     context.sent = []
 
     async def send(message):
         context.sent.append(message)
 
-    scope = {"method": "GET", "raw_path": b"/", "query_string": b"", "headers": []}
+    scope = {"method": "GET", "raw_path": b"/", "query_string": b"", "headers": headers}
     context.run(context.forwarder.serve_relayed(Exchange(scope, None, send)))
 
 
@@ -125,3 +137,32 @@
     assert head["status"] == status
     says_unable = any(name == UNABLE_HEADER for name, _ in head["headers"])
     assert says_unable == bool(_HEADERS[answer]), head
+
+
+@then('its answer names the relay id "{relay_id}"')
+def step_named(context, relay_id):
+    assert (RELAY_ID_HEADER, relay_id.encode()) in context.sent[0]["headers"]
+
+
+@given("another VM that answers an earlier relayed request again with 503, then 200")
+def step_late_answer(context):
+    async def handle(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(head(503, pomelolane_relay_id="earlier", content_length=0))
+        writer.write(head(200, pomelolane_relay_id="local", content_length=0))
+
+    context.server = context.run(RawServer(handle).start())
+
+
+@when("a request is sent to that VM")
+def step_send(context):
+    sender = Sender(None, ConnectionPool(), PlatformDialect())
+    dispatch = Dispatch("o", 1000)
+    address = context.server.address
+    sending = sender.send_to_peer(address, _CALL, dispatch, 0, None)
+    context.stream = context.run(sending)
+
+
+@then("its answer is {status:d}")
+def step_answer_status(context, status):
+    assert context.stream.status == status
