Give test VMs ports that the kernel hands to nobody

PlatformVm reserved ports that the kernel had picked and gave them back before the VM bound them; meanwhile the VM's own metrics port, which is any free one, or a connection could get one of them.

The ports now come from below the range from which the kernel picks, and are taken only if no socket is bound to them.

--- a/standins/listening.py
+++ b/standins/listening.py
@@ -10,6 +10,10 @@
 
 BACKLOG = 1024
 
+_FIRST_LASTING_PORT = 10_000
+_LASTING_PORTS = 10_000
+"""Ports below those that the kernel hands out by itself."""
+
 
 class ReservedPort:
     """A port that stays this process's own while nothing listens on it.
@@ -47,6 +51,21 @@
     return ReservedPort(host, port)
 
 
+def reserve_lasting_port(host: str) -> ReservedPort:
+    """Reserve a port that the kernel hands to nobody once it is given back.
+
+    Raises:
+        OSError: All such ports are taken.
+    """
+    for port in range(_FIRST_LASTING_PORT, _FIRST_LASTING_PORT + _LASTING_PORTS):
+        try:
+            _refuse_bound(host, port)
+            return ReservedPort(host, port)
+        except OSError:
+            continue
+    raise OSError(f"no lasting port is free on {host}")
+
+
 def _refuse_shared(host: str, port: int) -> None:
     """Fail where another process has the port, which SO_REUSEPORT would hide."""
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
@@ -54,6 +73,12 @@
         probe.bind((host, port))
 
 
+def _refuse_bound(host: str, port: int) -> None:
+    """Fail where any socket is bound to the port, also one that does not listen."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.bind((host, port))
+
+
 def _bound_socket(host: str, port: int) -> socket.socket:
     bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -62,4 +87,4 @@
     return bound
 
 
-__all__ = ["ReservedPort", "reserve_port"]
+__all__ = ["ReservedPort", "reserve_lasting_port", "reserve_port"]
--- a/standins/routed/vm.py
+++ b/standins/routed/vm.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from standins.listening import reserve_port
+from standins.listening import reserve_lasting_port
 from standins.routed.endpoint import BodyFraming
 
 if TYPE_CHECKING:
@@ -26,7 +26,8 @@
 
 _NETWORK = f"127.{20 + os.getpid() % 200}.9"
 """Addresses of the VMs, apart from those of other test runs on the machine: a VM binds
-its ports after they were given back, and another run's VM could take them."""
+its ports after they were given back, and another run's VM could take them. The ports
+last, so that no connection or listener of this run takes them meanwhile either."""
 
 _STEP_S = 0.02
 _BLOCK_BYTES = 65536
@@ -55,9 +56,9 @@
         self.vm_id = f"vm-{number}"
         self.ip = f"{_NETWORK}.{number}"
         self.folder = tempfile.TemporaryDirectory()
-        self.front = reserve_port(self.ip)
-        self.probe = reserve_port(self.ip)
-        self.peer = reserve_port(self.ip)
+        self.front = reserve_lasting_port(self.ip)
+        self.probe = reserve_lasting_port(self.ip)
+        self.peer = reserve_lasting_port(self.ip)
         settings = {
             "node": self.vm_id,
             "role": "scheduler",
