Bound the bytes of an answer by what is received, not by what is parsed

Beside one endpoint that sends a header without end, callers of another service got 504, and the VM read on for as long as the endpoint sent.

Cause: httptools keeps a header until it is whole, copying it for each piece, and the bound on an answer's headers counts whole headers; a chunk's size and extension, trailers, a status line and interim heads had no bound at all.

The connection counts the bytes that it receives since the last end of a head or byte of a body, and breaks at 128 KB.

--- a/src/pomelolane/endpoints/connection.py
+++ b/src/pomelolane/endpoints/connection.py
@@ -26,6 +26,10 @@
 MAX_HEAD_BYTES = 64 * 1024
 """Bound on the headers that come for one request."""
 
+MAX_FRAMING_BYTES = 128 * 1024
+"""Most bytes received without the end of a head or a byte of a body. The parser keeps a
+header until it is whole, so a bound on whole headers does not suffice."""
+
 MAX_SKIPPED_ANSWERS = 8
 """Most answers to other requests that are skipped before a request's own one."""
 
@@ -94,6 +98,8 @@
         self._is_busy = False
         self._message_done = False
         self._reusable = False
+        self._has_progress = False
+        self._framing_bytes = 0
         self._is_own: AnswerCheck | None = None
         self._is_skipping = False
         self._skipped_answers = 0
@@ -209,10 +215,17 @@
             self.discard()
             return
         failure = None
+        self._has_progress = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             failure = _broken_error(error)
+        if self._parts or self._has_progress:
+            self._framing_bytes = 0
+        else:
+            self._framing_bytes += len(data)
+            if self._framing_bytes > MAX_FRAMING_BYTES and failure is None:
+                failure = EndpointBrokenError("the answer's framing does not end")
         parts = self._parts
         if parts:
             body = parts[0] if len(parts) == 1 else b"".join(parts)
@@ -278,6 +291,7 @@
         if self._is_own is not None and not self._is_own(headers, is_first):
             self._begin_skip(framing)
             return
+        self._has_progress = True
         self._chunk_closed = framing is Framing.CHUNKS
         self._stream = AnswerStream(self, status, headers, framing)
         self._deliver = self._stream.feed
@@ -308,6 +322,7 @@
     def _end_skip(self) -> None:
         """Make way for the request's own answer."""
         self._is_skipping = False
+        self._has_progress = True
         self._headers = []
         # The last piece is not delivered yet, and the own answer may follow it at once.
         self._skipped_bytes += sum(map(len, self._parts))
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -54,6 +54,10 @@
     """A second answer follows."""
     ENCODED = "encoded"
     """The body claims an encoding."""
+    ENDLESS_HEADER = "endless header"
+    """The answer's head holds a header that does not end."""
+    ENDLESS_BODY = "endless body"
+    """The body does not end."""
 
 
 class BodyFraming(StrEnum):
@@ -301,9 +305,8 @@
         extra = writer.take_answer(self.repeats)
         if extra:
             writer.send_extra(extra)
-        while extra and self.repeats is Repeats.ENDLESS:
-            writer.send_extra(_ENDLESS_CHUNK)
-            await writer.drain()
+        if extra and self.repeats is Repeats.ENDLESS:
+            await _send_without_end(writer, b"", _ENDLESS_CHUNK)
 
     def halve_room(self) -> None:
         """Let half as many requests run and none wait from now on."""
@@ -393,6 +396,11 @@
         if fault is Fault.ERROR:
             writer.write(_head(500, headers, 6) + b"broken")
             return True
+        if fault is Fault.ENDLESS_HEADER:
+            await _send_without_end(writer, b"HTTP/1.1 200 Status\r\nx: ", b"x" * 65536)
+        if fault is Fault.ENDLESS_BODY:
+            head = _head(200, headers, 0, BodyFraming.CHUNKS)
+            await _send_without_end(writer, head, _ENDLESS_CHUNK)
         if self.options.events:
             return await self._stream(request, headers, writer)
         return await self._answer_plainly(headers, writer)
@@ -550,6 +558,20 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
+async def _send_without_end(
+    writer: asyncio.StreamWriter, begin: bytes, block: bytes
+) -> None:
+    """Send until the connection is closed.
+
+    Raises:
+        OSError: It is closed.
+    """
+    writer.write(begin)
+    while True:
+        writer.write(block)
+        await writer.drain()
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection by a reset; by itself ``abort`` closes it in order."""
     sock = writer.get_extra_info("socket")
--- a/standins/routed/recording.py
+++ b/standins/routed/recording.py
@@ -9,6 +9,7 @@
     import asyncio
 
 _NAMING_HEADER = b"request-id: "
+_MAX_RECORDED_PARTS = 100
 
 
 class Repeats(StrEnum):
@@ -41,7 +42,8 @@
 
     def write(self, data: bytes) -> None:
         """Write a part of an answer, and keep it."""
-        self._answer.append(data)
+        if len(self._answer) < _MAX_RECORDED_PARTS:
+            self._answer.append(data)
         self._writer.write(data)
 
     def send_extra(self, data: bytes) -> None:
--- a/tests/steps/endpoints_skipping_steps.py
+++ b/tests/steps/endpoints_skipping_steps.py
@@ -1,4 +1,4 @@
-"""Steps of tests/endpoints/skipping.feature."""
+"""Steps of tests/endpoints/skipping.feature and endless.feature."""
 
 import asyncio
 
@@ -27,7 +27,21 @@
     "another's answer up to its close": [head(x_answers="other") + b"late"],
     "what is not HTTP": [b"SSH-2.0\r\n"],
 }
+_OWN_CHUNKED = head(x_answers="own", transfer_encoding="chunked")
 _ENDLESS = {
+    "a status line without end": (b"HTTP/1.1 200 ", b"x" * _BLOCK_BYTES),
+    "a header without end": (b"HTTP/1.1 200 X\r\nx: ", b"x" * _BLOCK_BYTES),
+    "a header's name without end": (b"HTTP/1.1 200 X\r\n", b"x" * _BLOCK_BYTES),
+    "interim answers without end": (b"", head(102) * 4096),
+    "its own chunk's size without end": (_OWN_CHUNKED, b"0" * _BLOCK_BYTES),
+    "its own chunk's extension without end": (
+        _OWN_CHUNKED + b"5;x=",
+        b"x" * _BLOCK_BYTES,
+    ),
+    "its own trailers without end": (
+        _OWN_CHUNKED + chunk(b"own") + b"0\r\nx: ",
+        b"x" * _BLOCK_BYTES,
+    ),
     "another's body without end": (
         head(x_answers="other", content_length=10**12),
         bytes(_BLOCK_BYTES),
@@ -74,7 +88,7 @@
         async with asyncio.timeout(_WITHIN_S):
             connection = await context.pool.acquire(address)
             stream = await connection.exchange(method, [_REQUEST], _is_own)
-            context.body = await stream.read()
+            context.body = b"".join([piece async for piece in stream.chunks()])
             context.is_complete = stream.complete
     except EndpointBrokenError as error:
         context.error = error
--- a/tests/steps/platform_attribution_steps.py
+++ b/tests/steps/platform_attribution_steps.py
@@ -1,6 +1,7 @@
-"""Steps of tests/platform/attribution.feature."""
+"""Steps of tests/platform/attribution.feature and endless.feature."""
 
 import asyncio
+import contextlib
 import json
 import re
 from collections import Counter
@@ -13,6 +14,8 @@
 from tests.routed_world import caller_headers, configuration
 
 IN_FORCE_WITHIN_S = 10.0
+_MOST_TRIES = 30
+_PATIENCE_S = 3.0
 _NOT_RUN = frozenset({408, 421, 429, 503})
 
 
@@ -63,6 +66,40 @@
     context.run(asyncio.wait_for(send_all(), 60))
 
 
+@when('callers send "{line}" until "{name}" has run one, beside "{other}"')
+def step_beside(context, line, name, other):
+    endpoint = context.world.endpoints[name]
+
+    async def send(line, request_id):
+        return await context.vm.ask(f"{line} HTTP/1.1", caller_headers(request_id))
+
+    async def send_faulty():
+        for number in range(_MOST_TRIES):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_PATIENCE_S):
+                    await send(line, f"f{number}")
+            if any(seen.ran for seen in endpoint.seen):
+                return
+        raise AssertionError(f"{name} was never chosen")
+
+    async def play():
+        context.answer_by_id = {}
+        faulty = asyncio.create_task(send_faulty())
+        while not faulty.done() or not context.answer_by_id:
+            request_id = f"o{len(context.answer_by_id)}"
+            context.answer_by_id[request_id] = await send(other, request_id)
+        await faulty
+
+    context.resident_mb = _resident_mb(context.vm)
+    context.run(play())
+
+
+@then('each answer of "{line}" is whole, with the events {first:d} to {last:d}')
+def step_beside_whole(context, line, first, last):
+    del line
+    step_events(context, first, last)
+
+
 def _resident_mb(vm):
     status = Path(f"/proc/{vm.process.pid}/status").read_text()
     return int(re.search(r"VmRSS:\s+(\d+) kB", status)[1]) / 1024
