Log which configuration rejected a request, and how well it was known

A request that a VM answered 401 or 404 left one line, bad_input, without its id, its path or the version it was checked by, and nothing told of a configuration that was not adopted, of the age of a VM's knowledge or of the lag of its event loop.

forward_rejected names the request, its host and path, the version that the request was checked by, for how long, the time since the VM last learned that there is no newer one, and the largest lag of the event loop of the last 5 to 10 s. At most 50 lines a second are written; the next one counts the others. configuration_outdated is written once for each document whose version is not higher. The four figures are gauges, and the ages are in the status report. What decides is unchanged: the time of the last confirmation has moved from the watch to CurrentConfiguration.

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -218,6 +218,15 @@
     "An answer that came for the request names another one, or none.",
 )
 
+FORWARD_REJECTED = _define(
+    224,
+    "forward_rejected",
+    "info",
+    "request host path status reason version in_force_ms confirmed_ms lag_ms unlogged",
+    "A request has no route or no known key in the configuration that it was checked "
+    "by; for how long that is in force, since when it is known to be the newest, the "
+    "largest lag of the event loop in the last seconds, and such requests not logged.",
+)
 REQUEST_QUARANTINED = _define(
     218,
     "request_quarantined",
@@ -518,6 +527,14 @@
     "error version",
     "A configuration could not be read; the one before stays in force.",
 )
+CONFIGURATION_OUTDATED = _define(
+    709,
+    "configuration_outdated",
+    "warning",
+    "version in_force",
+    "The store holds a configuration whose version is not higher than that of the one "
+    "in force, which stays.",
+)
 ORGANISATION_LIMIT = _define(
     708,
     "organisation_limit",
--- a/src/pomelolane/forwarding/configuration.py
+++ b/src/pomelolane/forwarding/configuration.py
@@ -7,10 +7,13 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from pomelolane.clock import MonotonicClock
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from pomelolane.model import Organisation, Service
+    from pomelolane.ports import Clock
 
 
 MAX_RANKS = 16
@@ -152,10 +155,16 @@
 
 
 class CurrentConfiguration:
-    """Holds the configuration in force, whose version never decreases."""
+    """Holds the configuration in force, whose version never decreases.
+
+    Args:
+        clock: Source of the current time.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
+        self._clock = clock or MonotonicClock()
         self._value: Configuration | None = None
+        self._adopted_ms = self._confirmed_ms = self._clock.now_ms()
         self._known = asyncio.Event()
         self._callbacks: list[Callable[[Configuration], None]] = []
 
@@ -169,6 +178,20 @@
         """Version of the configuration in force, 0 before the first one."""
         return self._value.version if self._value is not None else 0
 
+    @property
+    def age_ms(self) -> float:
+        """Time that it has been in force, or since the start before the first one."""
+        return self._clock.now_ms() - self._adopted_ms
+
+    @property
+    def confirmed_age_ms(self) -> float:
+        """Time since this VM last learned that there is no newer one."""
+        return self._clock.now_ms() - self._confirmed_ms
+
+    def confirm(self) -> None:
+        """Note that there is none that is newer than what was adopted until now."""
+        self._confirmed_ms = self._clock.now_ms()
+
     async def wait_until_known(self) -> None:
         """Wait until a configuration is in force."""
         await self._known.wait()
@@ -182,6 +205,7 @@
         if configuration.version <= self.version:
             return False
         self._value = configuration
+        self._adopted_ms = self._clock.now_ms()
         self._known.set()
         for callback in self._callbacks:
             callback(configuration)
--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -9,17 +9,21 @@
 from typing import TYPE_CHECKING
 
 from pomelolane.exceptions import BadRequestError
+from pomelolane.forwarding import request_log
 from pomelolane.forwarding.call import ForwardCall
 from pomelolane.forwarding.routes import RouteTable, service_from_route
+from pomelolane.logallowance import LogAllowance
 from pomelolane.outcomes import Reason
 from pomelolane.quarantine import fingerprint_from_request
 
 if TYPE_CHECKING:
     from pomelolane.forwarding.configuration import (
         Configuration,
+        CurrentConfiguration,
         Route,
         RouteTarget,
     )
+    from pomelolane.forwarding.looplag import EventLoopLag
     from pomelolane.http.exchange import Exchange
     from pomelolane.ports import Clock
     from pomelolane.ports.forwarding import CallDescription, Dialect
@@ -36,6 +40,8 @@
 BODY_TIMEOUT_MS = 10_000
 """Longest time to read a body; callers on slow links send megabytes in less."""
 
+_REJECTIONS_LOGGED_PER_S = 50
+
 
 @dataclass(frozen=True, slots=True)
 class _Rules:
@@ -43,12 +49,14 @@
 
     Attributes:
         configuration: The configuration.
+        since_ms: Since when requests are checked by it.
         routes: Its routes.
         routed_since_ms: Targets of each route, and since when it has led to them, by
             host and prefix.
     """
 
     configuration: Configuration
+    since_ms: float
     routes: RouteTable
     routed_since_ms: dict[tuple[str, str], tuple[Targets, float]]
 
@@ -65,7 +73,8 @@
         if targets != route.targets:
             since_ms = now_ms
         routed_since_ms[key] = route.targets, since_ms
-    return _Rules(configuration, RouteTable(configuration.routes), routed_since_ms)
+    routes = RouteTable(configuration.routes)
+    return _Rules(configuration, now_ms, routes, routed_since_ms)
 
 
 class Intake:
@@ -74,11 +83,22 @@
     Args:
         dialect: Reads the callers' headers.
         clock: Source of the current time.
+        current: The configuration in force.
+        lag: Lag of the event loop.
     """
 
-    def __init__(self, dialect: Dialect, clock: Clock) -> None:
+    def __init__(
+        self,
+        dialect: Dialect,
+        clock: Clock,
+        current: CurrentConfiguration,
+        lag: EventLoopLag,
+    ) -> None:
         self._dialect = dialect
         self._clock = clock
+        self._current = current
+        self._lag = lag
+        self._rejections = LogAllowance(_REJECTIONS_LOGGED_PER_S, clock)
         self._rules: _Rules | None = None
         self._opened = asyncio.Event()
 
@@ -111,8 +131,12 @@
             raise BadRequestError(503, Reason.NOT_READY, "the VM is starting")
         configuration = rules.configuration
         description = self._dialect.describe(exchange.headers)
-        route = _find_route(rules.routes, exchange)
-        organisation = _authenticate(configuration, route, description)
+        try:
+            route = _find_route(rules.routes, exchange)
+            organisation = _authenticate(configuration, route, description)
+        except BadRequestError as error:
+            self._log_rejection(exchange, description, rules, error)
+            raise
         limits = configuration.limits
         body = await exchange.read_body(limits.max_body_bytes, BODY_TIMEOUT_MS)
         limit_ms = description.deadline_ms or DEFAULT_DEADLINE_MS
@@ -141,6 +165,27 @@
             routed_since_ms=rules.routed_since_ms[route.host, route.prefix][1],
         )
 
+    def _log_rejection(
+        self,
+        exchange: Exchange,
+        description: CallDescription,
+        rules: _Rules,
+        error: BadRequestError,
+    ) -> None:
+        unlogged = self._rejections.take()
+        if unlogged is None:
+            return
+        request_log.rejected(
+            exchange,
+            description.request_id,
+            error,
+            version=rules.configuration.version,
+            in_force_ms=self._clock.now_ms() - rules.since_ms,
+            confirmed_ms=self._current.confirmed_age_ms,
+            lag_ms=self._lag.largest_ms,
+            unlogged=unlogged,
+        )
+
 
 def _find_route(routes: RouteTable, exchange: Exchange) -> Route:
     host = exchange.header(b"host").decode("latin-1")
--- a/src/pomelolane/forwarding/metrics.py
+++ b/src/pomelolane/forwarding/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from aioprometheus import Counter, Histogram
+from aioprometheus import Counter, Gauge, Histogram
 
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 2.0, 5.0, 15.0)
 
@@ -42,6 +42,21 @@
 _STORE_BYTES = Counter(
     "pomelolane_store_bytes_total", "Body bytes to and from the metadata store."
 )
+_CONFIGURATION_VERSION = Gauge(
+    "pomelolane_configuration_version", "Version of the configuration in force."
+)
+_CONFIGURATION_AGE_SECONDS = Gauge(
+    "pomelolane_configuration_age_seconds",
+    "Time that the configuration has been in force.",
+)
+_CONFIGURATION_CONFIRMED_SECONDS = Gauge(
+    "pomelolane_configuration_confirmed_seconds",
+    "Time since this VM last learned that there is no newer configuration.",
+)
+_LOOP_LAG_SECONDS = Gauge(
+    "pomelolane_event_loop_lag_seconds",
+    "Largest lag of the event loop in the last seconds.",
+)
 
 
 def count_end(
@@ -96,6 +111,18 @@
     _BEGUN_ANSWERS.inc(labels)
 
 
+def set_configuration(version: int, age_ms: float, confirmed_age_ms: float) -> None:
+    """Set the version and the ages of the configuration in force."""
+    _CONFIGURATION_VERSION.set({}, version)
+    _CONFIGURATION_AGE_SECONDS.set({}, age_ms / 1000)
+    _CONFIGURATION_CONFIRMED_SECONDS.set({}, confirmed_age_ms / 1000)
+
+
+def set_loop_lag(lag_ms: float) -> None:
+    """Set the largest lag of the event loop."""
+    _LOOP_LAG_SECONDS.set({}, lag_ms / 1000)
+
+
 def count_store_call(call: str, status: int, sent: int, received: int) -> None:
     """Count a call to the metadata store and its body bytes."""
     _STORE_CALLS.inc({"call": call, "status": str(status)})
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from pomelolane.coordination import make_coordination
 from pomelolane.coordination.timings import Timings
 from pomelolane.endpoints import ConnectionPool
+from pomelolane.forwarding import metrics
 from pomelolane.forwarding.app import ExchangeApp, ProbeApp
 from pomelolane.forwarding.budget import RetryAllowance, SharedRetryBudget
 from pomelolane.forwarding.continuation import Continuation
@@ -20,6 +22,7 @@
 from pomelolane.forwarding.forwarder import Forwarder
 from pomelolane.forwarding.intake import Intake
 from pomelolane.forwarding.ledger import Ledger
+from pomelolane.forwarding.looplag import EventLoopLag
 from pomelolane.forwarding.notices import NoticeHandler
 from pomelolane.forwarding.peer_relay import PeerRelay
 from pomelolane.forwarding.peers import RelayPeers, relay_address
@@ -31,6 +34,7 @@
 from pomelolane.http.listener import Listener, listening_socket
 from pomelolane.logs import log_event
 from pomelolane.membership import is_store_reader, make_member
+from pomelolane.membership.member import TICK_S
 from pomelolane.quarantine import CrashNews, CrashWatch, Quarantine, RecordKeeper
 from pomelolane.resumption import make_resumption
 from pomelolane.rollouts import RolloutBounds, Rollouts
@@ -74,6 +78,8 @@
 FINAL_SAVE_TIMEOUT_MS = 300
 """Longest time for saving the last usage records; the store answers in milliseconds."""
 
+_METRICS_PERIOD_MS = 1_000.0
+
 TIMINGS = Timings(
     reply_ms=150.0,
     waiting_sync_ms=300.0,
@@ -225,7 +231,8 @@
             lambda: directory.all,
         )
         self.rollouts.on_change = self._configure
-        self._intake = Intake(dialect, clock)
+        self._lag = EventLoopLag(TICK_S * 1000, clock)
+        self._intake = Intake(dialect, clock, current, self._lag)
         sender = Sender(self._pool, self._peer_pool, dialect)
         resumption = make_resumption(
             options.vm_id, directory, self.member, self.member.transport, clock
@@ -255,6 +262,8 @@
         )
         self.member.on_tick(self.forwarder.timeouts.look)
         self.member.on_tick(self.reach.tick)
+        self.member.on_tick(self._publish_metrics)
+        self._published_ms = -math.inf
         self._has_joined_scheduling = False
         self._is_started = False
         self._handover_task: asyncio.Task[None] | None = None
@@ -301,6 +310,9 @@
             "data_centre": self._options.data_centre,
             "ready": self.is_ready,
             "configuration_version": self._current.version,
+            "configuration_age_ms": self._current.age_ms,
+            "configuration_confirmed_age_ms": self._current.confirmed_age_ms,
+            "event_loop_lag_ms": self._lag.largest_ms,
             "endpoints": self._directory.all,
             "endpoints_age_ms": self._directory.age_ms,
             "open_requests": len(self.forwarder.open_calls),
@@ -370,6 +382,18 @@
         tree = tree_from_configuration(configuration, usable)
         self.coordination.configure(tree)
 
+    def _publish_metrics(self) -> None:
+        self._lag.record()
+        now_ms = self._clock.now_ms()
+        if now_ms - self._published_ms < _METRICS_PERIOD_MS:
+            return
+        self._published_ms = now_ms
+        current = self._current
+        metrics.set_configuration(
+            current.version, current.age_ms, current.confirmed_age_ms
+        )
+        metrics.set_loop_lag(self._lag.largest_ms)
+
     def _make_budget(self) -> SharedRetryBudget:
         return SharedRetryBudget(
             self._options.retries,
--- a/src/pomelolane/forwarding/request_log.py
+++ b/src/pomelolane/forwarding/request_log.py
@@ -11,10 +11,12 @@
 
 if TYPE_CHECKING:
     from pomelolane.endpoints import AnswerStream
+    from pomelolane.exceptions import BadRequestError
     from pomelolane.forwarding.attribution import Attribution
     from pomelolane.forwarding.call import CallState, ForwardCall
     from pomelolane.forwarding.endpoints import EndpointDirectory
     from pomelolane.forwarding.relay import RelayResult
+    from pomelolane.http.exchange import Exchange
     from pomelolane.model import Endpoint
     from pomelolane.outcomes import Refusal
     from pomelolane.ports import Grant
@@ -45,6 +47,44 @@
     )
 
 
+def rejected(
+    exchange: Exchange,
+    request_id: str,
+    error: BadRequestError,
+    *,
+    version: int,
+    in_force_ms: float,
+    confirmed_ms: float,
+    lag_ms: float,
+    unlogged: int,
+) -> None:
+    """Log a request without a route or a known key.
+
+    Args:
+        exchange: The caller's exchange.
+        request_id: The caller's id of the request.
+        error: Why it was not accepted.
+        version: Version of the configuration that it was checked by.
+        in_force_ms: For how long requests have been checked by it.
+        confirmed_ms: Time since this VM last learned that there is no newer one.
+        lag_ms: Largest lag of the event loop in the last seconds.
+        unlogged: Such requests since the last line that were not logged.
+    """
+    log_event(
+        events.FORWARD_REJECTED,
+        request=request_id,
+        host=exchange.header(b"host").decode("latin-1"),
+        path=exchange.path.decode("latin-1"),
+        status=error.status,
+        reason=error.reason,
+        version=version,
+        in_force_ms=in_force_ms,
+        confirmed_ms=confirmed_ms,
+        lag_ms=lag_ms,
+        unlogged=unlogged,
+    )
+
+
 def sent(
     state: CallState,
     grant: Grant,
--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -85,7 +85,6 @@
         self._store = store
         self._limit_window = limit_window
         self._current = current
-        self._clock = clock
         self._wait_ms = int(apply_ms * _WAIT_SHARE)
         spread = random.uniform(1.0, _PATIENCE_SPREAD)
         self._patience_ms = apply_ms * _PATIENCE_SHARE * spread
@@ -93,8 +92,9 @@
         self._shared: SharedReads | None = None
         self._after = -1
         self._is_reading = False
-        self._confirmed_ms = 0.0
         self._document_hash = 0
+        self._outdated = (0, 0)
+        self._adopted_hash = 0
         self._poll: asyncio.Task[None] | None = None
         self.on_orders: Callable[[list[RolloutOrder]], None] = _ignore_orders
 
@@ -141,8 +141,7 @@
         shared = self._shared
         if shared is None or self._after < 0 or shared.is_reader:
             return 0.0
-        age_ms = self._clock.now_ms() - self._confirmed_ms
-        return (self._patience_ms - age_ms) / 1000
+        return (self._patience_ms - self._current.confirmed_age_ms) / 1000
 
     async def _step(self) -> None:
         after = self._after
@@ -185,7 +184,7 @@
 
     def _take(self, rows: Sequence[StoredRow], version: int) -> None:
         self._after = version
-        self._confirmed_ms = self._clock.now_ms()
+        self._current.confirm()
         orders = orders_from_rows(rows)
         if orders:
             self.on_orders(orders)
@@ -203,7 +202,21 @@
             return
         before = self._current.value
         if self._current.adopt(configuration):
+            self._adopted_hash = self._document_hash
             _log_applied(before, configuration)
+        elif self._document_hash != self._adopted_hash:
+            self._log_outdated(configuration)
+
+    def _log_outdated(self, configuration: Configuration) -> None:
+        outdated = configuration.version, self._document_hash
+        if outdated == self._outdated:
+            return
+        self._outdated = outdated
+        log_event(
+            events.CONFIGURATION_OUTDATED,
+            version=configuration.version,
+            in_force=self._current.version,
+        )
 
 
 def _ignore_orders(orders: list[RolloutOrder]) -> None:
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -77,7 +77,7 @@
         self._file = self._read_file()
         self._clock = MonotonicClock()
         self._store = StoreClient(self._file.store_address)
-        self._current = CurrentConfiguration()
+        self._current = CurrentConfiguration(self._clock)
         self._directory = EndpointDirectory(self._clock)
         self._background = BackgroundTasks()
         self._stopping = asyncio.Event()
--- a/tests/platform/serving.feature
+++ b/tests/platform/serving.feature
@@ -22,6 +22,9 @@
     And the metrics count 1 answer of "portal" that began in time
     And the balancer's listener knows no page "/elsewhere"
 
+  Scenario: The metrics and the status tell how well a VM knows its configuration
+    Then after 1500 ms the metrics hold version 1, and the status both its ages
+
   Scenario: What only the system may set does not pass
     When a caller sends "GET /plain/a" with the headers
       | header          | value |
@@ -41,6 +44,7 @@
     When a stranger sends "<line>" to host "<host>" with the key "<key>"
     Then the answer is <status>
     And no endpoint has seen a request
+    And the log names its path, <status> and the configuration it was checked by
 
     Examples:
       | line            | host          | key        | status |
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -12,6 +12,11 @@
     When the store says version 5 and then version 3
     Then the configuration in force is version 5
 
+  Scenario: A configuration that is not adopted is logged once
+    When the store says version 5 and then version 3
+    And the store forgets its history and says version 3
+    Then one line says that version 3 is older than version 5
+
   Scenario: A lost history is read anew
     When the store forgets its history and says version 7
     Then the configuration in force is version 7
--- a/tests/steps/platform_serving_steps.py
+++ b/tests/steps/platform_serving_steps.py
@@ -1,6 +1,7 @@
 """Steps of a VM on the users' platform, against the stand-ins."""
 
 import asyncio
+import json
 import re
 
 from behave import given, then, when
@@ -325,6 +326,28 @@
         assert context.request_id in found, (name, found)
 
 
+@then("the log names its path, {status:d} and the configuration it was checked by")
+def step_rejection_logged(context, status):
+    (line,) = context.vm.events("forward_rejected")
+    assert (line["request"], line["status"], line["version"]) == ("r1", status, 1), line
+    assert line["path"] in ("/plain/a", "/nowhere/"), line
+    assert 0 <= line["confirmed_ms"] < line["in_force_ms"] < 10_000, line
+    assert 0 <= line["lag_ms"] < 10_000, line
+
+
+@then(
+    "after {ms:d} ms the metrics hold version {version:d}, and the status both its ages"
+)
+def step_configuration_told(context, ms, version):
+    context.run(asyncio.sleep(ms / 1000))
+    page = context.run(_page(context, "/metrics")).body.decode()
+    assert f"pomelolane_configuration_version {version}" in page, page
+    status = json.loads(context.run(_page(context, "/status")).body)
+    age_ms = status["configuration_age_ms"]
+    assert 0 <= status["configuration_confirmed_age_ms"] < age_ms < 10_000, status
+    assert status["event_loop_lag_ms"] < 10_000, status
+
+
 @then('the metrics count {count:d} answer of "{service}" that began in time')
 def step_begun(context, count, service):
     answer = context.run(_page(context, "/metrics"))
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -7,6 +7,7 @@
 from bench.processes import wait_until
 from pomelolane.clock import MonotonicClock
 from pomelolane.forwarding import CurrentConfiguration, EndpointDirectory
+from pomelolane.platform import configurationwatch
 from pomelolane.platform.configurationwatch import ConfigurationWatch
 from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.endpointwatch import EndpointWatch
@@ -39,6 +40,12 @@
     clock = MonotonicClock()
     context.current = CurrentConfiguration()
     context.directory = EndpointDirectory(clock)
+    context.lines = []
+    before = configurationwatch.log_event
+    context.add_cleanup(setattr, configurationwatch, "log_event", before)
+    configurationwatch.log_event = lambda event, **values: context.lines.append(
+        (event.name.removeprefix("configuration_"), values)
+    )
     endpoints = EndpointWatch(context.client, context.directory, context.current, clock)
     watch = ConfigurationWatch(
         context.client, context.current, clock, LimitWindow(), APPLY_MS
@@ -77,6 +84,13 @@
     context.run(play())
 
 
+@then("one line says that version {version:d} is older than version {in_force:d}")
+def step_outdated(context, version, in_force):
+    context.run(asyncio.sleep(0.3))
+    lines = [values for event, values in context.lines if event == "outdated"]
+    assert lines == [{"version": version, "in_force": in_force}], context.lines
+
+
 @when("the store says something that is no configuration")
 def step_says_nothing(context):
     context.store.put("op", "config", b"{no")
