Keep the watch of the configuration alive whatever the store holds

ConfigurationWatch.run caught two kinds of errors. Any other one ended the task, with one task_failed, and nothing started it again: a RecursionError of the decoder, a version of 10^30, which came into force and was then refused by the encoder of the log, an error of whoever takes the orders. What had been read was also counted as taken before it was.

Any error is now logged, at most once in 10 s, and the watch goes on after 0.3 s with a read of the whole table, as the version counts as known only once all of it has been taken. That holds for what other VMs pass on as well. A document of too many levels, or with a version below 1 or beyond 64 bits, is a DocumentError. Orders that were not taken are passed on again with the next word of the store. A document that is refused is logged once, not at each read.

--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from pomelolane import events
+from pomelolane.logallowance import LogAllowance
 from pomelolane.logs import log_event
 from pomelolane.platform.documents import configuration_from_json
 from pomelolane.platform.errors import (
@@ -56,6 +57,9 @@
 
 _UNREAD_PAUSE_S = 0.1
 
+_ERROR_PAUSE_S = 0.3
+_ERRORS_LOGGED_PER_S = 0.1
+
 _LOOK_S = 0.1
 """How often a VM looks whether it is now the one that asks for the others."""
 
@@ -93,8 +97,10 @@
         self._after = -1
         self._is_reading = False
         self._document_hash = 0
-        self._outdated = (0, 0)
         self._adopted_hash = 0
+        self._refused_hash: int | None = None
+        self._errors = LogAllowance(_ERRORS_LOGGED_PER_S, clock)
+        self._orders: list[RolloutOrder] = []
         self._poll: asyncio.Task[None] | None = None
         self.on_orders: Callable[[list[RolloutOrder]], None] = _ignore_orders
 
@@ -115,26 +121,39 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            fresh_s = self._fresh_s()
-            if fresh_s > 0:
-                self._is_reading = False
-                await asyncio.sleep(min(fresh_s, _LOOK_S))
-                continue
-            self._poll = asyncio.create_task(self._step())
-            try:
-                await asyncio.wait({self._poll})
-            finally:
-                self._poll.cancel()
-            if self._poll.cancelled():
-                continue
             try:
-                self._poll.result()
-            except HistoryLostError:
+                await self._read_or_wait()
+            except Exception as error:
+                self._log_error(error)
+                # What was missed is found by reading the table whole.
                 self._after = -1
-            except StoreUnavailableError as error:
-                is_reader = self._shared is None or self._shared.is_reader
-                pause_s = self._trouble.failed(error, is_reader=is_reader)
-                await asyncio.sleep(pause_s)
+                await asyncio.sleep(_ERROR_PAUSE_S)
+
+    async def _read_or_wait(self) -> None:
+        fresh_s = self._fresh_s()
+        if fresh_s > 0:
+            self._is_reading = False
+            await asyncio.sleep(min(fresh_s, _LOOK_S))
+            return
+        self._poll = asyncio.create_task(self._step())
+        try:
+            await asyncio.wait({self._poll})
+        finally:
+            self._poll.cancel()
+        if self._poll.cancelled():
+            return
+        try:
+            self._poll.result()
+        except HistoryLostError:
+            self._after = -1
+        except StoreUnavailableError as error:
+            is_reader = self._shared is None or self._shared.is_reader
+            pause_s = self._trouble.failed(error, is_reader=is_reader)
+            await asyncio.sleep(pause_s)
+
+    def _log_error(self, error: Exception) -> None:
+        if self._errors.take() is not None:
+            log_event(events.TASK_FAILED, task="configuration", error=repr(error))
 
     def _fresh_s(self) -> float:
         """Return for how long what another VM has told is young enough."""
@@ -183,40 +202,56 @@
             self._after = -1
 
     def _take(self, rows: Sequence[StoredRow], version: int) -> None:
-        self._after = version
-        self._current.confirm()
-        orders = orders_from_rows(rows)
-        if orders:
-            self.on_orders(orders)
+        # The table is read whole if an error keeps anything of this from being taken.
+        self._after = -1
         for row in rows:
             if row.key != _KEY or row.deleted:
                 continue
             self._document_hash = xxhash.xxh32_intdigest(row.value)
             self._adopt(row)
+        self._current.confirm()
+        self._order(orders_from_rows(rows))
+        self._after = version
+
+    def _order(self, orders: list[RolloutOrder]) -> None:
+        """Pass orders on, with those that could not be passed on before."""
+        self._orders += orders
+        if not self._orders:
+            return
+        try:
+            self.on_orders(self._orders)
+        except Exception as error:
+            self._log_error(error)
+            # Of each service, only the last order counts.
+            latest = {order.service: order for order in self._orders}
+            self._orders = list(latest.values())
+        else:
+            self._orders = []
 
     def _adopt(self, row: StoredRow) -> None:
         try:
             configuration = configuration_from_json(row.value, self._limit_window)
         except DocumentError as error:
-            log_event(events.CONFIGURATION_REJECTED, error=error, version=row.version)
+            if self._is_newly_refused():
+                log_event(
+                    events.CONFIGURATION_REJECTED, error=error, version=row.version
+                )
             return
         before = self._current.value
         if self._current.adopt(configuration):
             self._adopted_hash = self._document_hash
             _log_applied(before, configuration)
-        elif self._document_hash != self._adopted_hash:
-            self._log_outdated(configuration)
-
-    def _log_outdated(self, configuration: Configuration) -> None:
-        outdated = configuration.version, self._document_hash
-        if outdated == self._outdated:
-            return
-        self._outdated = outdated
-        log_event(
-            events.CONFIGURATION_OUTDATED,
-            version=configuration.version,
-            in_force=self._current.version,
-        )
+        elif self._document_hash != self._adopted_hash and self._is_newly_refused():
+            log_event(
+                events.CONFIGURATION_OUTDATED,
+                version=configuration.version,
+                in_force=self._current.version,
+            )
+
+    def _is_newly_refused(self) -> bool:
+        """Return whether the document is another one than was refused last."""
+        before, self._refused_hash = self._refused_hash, self._document_hash
+        return before != self._document_hash
 
 
 def _ignore_orders(orders: list[RolloutOrder]) -> None:
--- a/src/pomelolane/platform/documents.py
+++ b/src/pomelolane/platform/documents.py
@@ -34,6 +34,7 @@
 
 _TOKENS = "token_count"
 _LAST_PORT = 65_535
+_LARGEST_VERSION = 2**63 - 1
 
 
 _SPARE_SHARE = 0.8
@@ -117,7 +118,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=1, le=_LARGEST_VERSION)]
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -165,7 +166,7 @@
     try:
         document = _configurations.decode(data)
         routes = tuple(_route(route) for route in document.routes)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise DocumentError(f"configuration: {error}") from error
     tenants = document.tenants
     limits = document.limits
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -42,6 +42,20 @@
     And the store says version 8
     Then the configuration in force is version 8
 
+  # Guards against a VM that served its old routes till its end: whatever could not be
+  # decoded, or not be logged, ended the watch.
+  Scenario Outline: No content of the store ends the watch of the configuration
+    When the store says <what>
+    And the store says version 8
+    Then the configuration in force is version 8 within 2000 ms
+
+    Examples:
+      | what                               |
+      | a configuration of 200000 levels   |
+      | a configuration of version 10^30   |
+      | an order that nobody can take      |
+      | something that its client fails at |
+
   Scenario Outline: After an outage the news is in force within 3 s
     When the store is "<trouble>" for 1200 ms and says version 9 meanwhile
     Then the configuration in force is version 9 within 3000 ms
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -1,6 +1,7 @@
 """Steps of the watches of the metadata store, without a VM."""
 
 import asyncio
+import json
 
 from behave import given, then, when
 
@@ -50,6 +51,7 @@
     watch = ConfigurationWatch(
         context.client, context.current, clock, LimitWindow(), APPLY_MS
     )
+    watch.on_orders = lambda orders: _raise(orders[0].service)
     endpoints.on_regained(watch.refresh)
     context.regained_s = []
     endpoints.on_regained(lambda: context.regained_s.append(context.loop.time()))
@@ -91,6 +93,44 @@
     assert lines == [{"version": version, "in_force": in_force}], context.lines
 
 
+def _raise(text):
+    raise RuntimeError(text)
+
+
+@when("the store says a configuration of 200000 levels")
+def step_says_nested(context):
+    nested = b"[" * 200_000 + b"]" * 200_000
+    context.store.put("op", "config", b'{"version":7,"more":' + nested + b"}")
+    context.run(asyncio.sleep(0.3))
+
+
+@when("the store says a configuration of version 10^30")
+def step_says_huge(context):
+    context.store.put("op", "config", configuration(10**30))
+    context.run(asyncio.sleep(0.3))
+
+
+@when("the store says an order that nobody can take")
+def step_says_order(context):
+    order = {"service": "portal", "to": "v2", "durationS": 60}
+    context.store.put("op", "rollout/portal", json.dumps(order).encode())
+    context.run(asyncio.sleep(0.3))
+
+
+@when("the store says something that its client fails at")
+def step_client_fails(context):
+    changes = context.client.changes
+
+    async def fail(table, after, wait_ms):
+        if table == "op":
+            context.client.changes = changes
+            _raise(table)
+        return await changes(table, after, wait_ms)
+
+    context.client.changes = fail
+    context.run(_until(lambda: context.client.changes == changes, SOON_MS))
+
+
 @when("the store says something that is no configuration")
 def step_says_nothing(context):
     context.store.put("op", "config", b"{no")
