Give a new configuration to all parts, whichever of them fails

Each callback is now guarded and its error logged. One that has raised is called again at each confirmation by the store or another VM, until it succeeds: an error that has passed leaves no part on the old configuration.

"An error of one part keeps no other from a new configuration" failed before at "the second of them has version 5 within 1000 ms" and passes now.

--- a/src/pomelolane/forwarding/configuration.py
+++ b/src/pomelolane/forwarding/configuration.py
@@ -7,10 +7,12 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from pomelolane import events
 from pomelolane.clock import MonotonicClock
+from pomelolane.logs import log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from pomelolane.model import Organisation, Service
     from pomelolane.ports import Clock
@@ -167,6 +169,7 @@
         self._adopted_ms = self._confirmed_ms = self._clock.now_ms()
         self._known = asyncio.Event()
         self._callbacks: list[Callable[[Configuration], None]] = []
+        self._failed: list[Callable[[Configuration], None]] = []
 
     @property
     def value(self) -> Configuration | None:
@@ -189,15 +192,23 @@
         return self._clock.now_ms() - self._confirmed_ms
 
     def confirm(self) -> None:
-        """Note that there is none that is newer than what was adopted until now."""
+        """Note that there is none that is newer than what was adopted until now.
+
+        Callbacks that raised at the last change are called again.
+        """
         self._confirmed_ms = self._clock.now_ms()
+        if self._failed and self._value is not None:
+            self._failed = [one for one, _ in self._call(self._failed, self._value)]
 
     async def wait_until_known(self) -> None:
         """Wait until a configuration is in force."""
         await self._known.wait()
 
     def on_change(self, callback: Callable[[Configuration], None]) -> None:
-        """Call ``callback(configuration)`` after each change."""
+        """Call ``callback(configuration)`` after each change.
+
+        A callback that raises is called again at each confirmation until it succeeds.
+        """
         self._callbacks.append(callback)
 
     def adopt(self, configuration: Configuration) -> bool:
@@ -207,6 +218,24 @@
         self._value = configuration
         self._adopted_ms = self._clock.now_ms()
         self._known.set()
-        for callback in self._callbacks:
-            callback(configuration)
+        failures = self._call(self._callbacks, configuration)
+        for _, error in failures:
+            log_event(
+                events.TASK_FAILED, task="configuration change", error=repr(error)
+            )
+        self._failed = [callback for callback, _ in failures]
         return True
+
+    @staticmethod
+    def _call(
+        callbacks: Iterable[Callable[[Configuration], None]],
+        configuration: Configuration,
+    ) -> list[tuple[Callable[[Configuration], None], Exception]]:
+        """Call all callbacks; return those that raised, with their errors."""
+        failures = []
+        for callback in callbacks:
+            try:
+                callback(configuration)
+            except Exception as error:
+                failures.append((callback, error))
+        return failures
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -56,6 +56,17 @@
       | an order that nobody can take      |
       | something that its client fails at |
 
+  # Guards against a VM that knew a configuration and went on by the one before: an error of
+  # one part ended the watch, and the parts after it did not get the configuration.
+  Scenario: An error of one part keeps no other from a new configuration
+    Given two that follow the configuration, the first of which fails
+    When the store says version 5
+    Then the second of them has version 5 within 1000 ms
+    When the store says version 6
+    Then the second of them has version 6 within 1000 ms
+    When the first of them fails no more
+    Then the first of them has version 6 within 1000 ms
+
   Scenario Outline: After an outage the news is in force within 3 s
     When the store is "<trouble>" for 1200 ms and says version 9 meanwhile
     Then the configuration in force is version 9 within 3000 ms
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -1,6 +1,7 @@
 """Steps of the watches of the metadata store, without a VM."""
 
 import asyncio
+import functools
 import json
 
 from behave import given, then, when
@@ -131,6 +132,30 @@
     context.run(_until(lambda: context.client.changes == changes, SOON_MS))
 
 
+@given("two that follow the configuration, the first of which fails")
+def step_followers(context):
+    context.fails = True
+    context.followed = {"first": 0, "second": 0}
+
+    def follow(name, configuration):
+        if context.fails and name == "first":
+            _raise(name)
+        context.followed[name] = configuration.version
+
+    for name in context.followed:
+        context.current.on_change(functools.partial(follow, name))
+
+
+@when("the first of them fails no more")
+def step_fails_no_more(context):
+    context.fails = False
+
+
+@then("the {name:w} of them has version {version:d} within {ms:d} ms")
+def step_follower_has(context, name, version, ms):
+    context.run(_until(lambda: context.followed[name] == version, ms))
+
+
 @when("the store says something that is no configuration")
 def step_says_nothing(context):
     context.store.put("op", "config", b"{no")
