Start tasks again that are to last as long as the VM

What a VM does beside its requests ran in tasks that an unexpected error ended for good, with one task_failed: the watches of endpoints and configuration, the records of crashes, use and estimates, rollouts, and the probes of reach. A loop that waited for something that another task cancelled ended without any line.

--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -138,23 +138,23 @@
         )
         member = node.member
         watch.share(file.vm_id, file.data_centre, member, member.transport)
-        self._background.start("endpoints", watch.run())
+        self._background.keep_running("endpoints", watch.run)
         configuration = ConfigurationWatch(
             self._store, self._current, self._clock, file.limit_window, file.apply_ms
         )
         configuration.share(file.vm_id, file.data_centre, member, member.transport)
         configuration.on_orders = node.rollouts.adopt
         watch.on_regained(configuration.refresh)
-        self._background.start("configuration", configuration.run())
+        self._background.keep_running("configuration", configuration.run)
         await node.start()
-        self._background.start("read crashes", node.crash_record.read())
-        self._background.start("write crashes", node.crash_record.write())
-        self._background.start("ledger", node.ledger.run())
-        self._background.start("use_news", node.usage_publisher.run())
-        self._background.start("estimates", node.estimate_keeper.run())
-        self._background.start("rollouts", node.rollouts.run())
+        self._background.keep_running("read crashes", node.crash_record.read)
+        self._background.keep_running("write crashes", node.crash_record.write)
+        self._background.keep_running("ledger", node.ledger.run)
+        self._background.keep_running("use_news", node.usage_publisher.run)
+        self._background.keep_running("estimates", node.estimate_keeper.run)
+        self._background.keep_running("rollouts", node.rollouts.run)
         sock, self._early = self._early, None
-        self._background.start("reach", node.reach.run())
+        self._background.keep_running("reach", node.reach.run)
         self._fronts.append(await listen_for_callers(node, file.front, sock))
         if file.has_relay_port:
             self._fronts.append(await listen_for_peers(node, file.ip, file.peer_port))
