Refuse configurations that contradict themselves

Such a document is now refused as a whole, with a DocumentError that names the fault (configuration_rejected), and the one before stays in force.

--- a/src/pomelolane/platform/documents.py
+++ b/src/pomelolane/platform/documents.py
@@ -34,7 +34,7 @@
 
 _TOKENS = "token_count"
 _LAST_PORT = 65_535
-_LARGEST_VERSION = 2**63 - 1
+_LARGEST_NUMBER = 2**63 - 1
 
 
 _SPARE_SHARE = 0.8
@@ -62,9 +62,13 @@
 objectives or eight allowed pauses, whichever is longest."""
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_LARGEST_NUMBER)]
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _Split(msgspec.Struct):
     service: str
-    weight: float = 1.0
+    weight: _Amount = 1.0
 
 
 class _Route(msgspec.Struct, rename="camel"):
@@ -72,21 +76,21 @@
     host: str
     prefix: str
     kind: str = "idempotent"
-    timeout_ms: int = 0
+    timeout_ms: _Count = 0
     # Time to the first event on streams, to the whole answer elsewhere.
-    target_latency_ms: int = 0
-    priority: int = 0
+    target_latency_ms: _Count = 0
+    priority: _Count = 0
     service: str = ""
     split: tuple[_Split, ...] = ()
-    attempts: int = 1
+    attempts: _Count = 1
     public: bool = False
     resumable: bool = False
-    target_gap_ms: int = 0
+    target_gap_ms: _Count = 0
 
 
 class _Engine(msgspec.Struct, rename="camel"):
-    slots: int = 1
-    kv_capacity_tokens: int = 0
+    slots: _Count = 1
+    kv_capacity_tokens: _Count = 0
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -96,10 +100,10 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
+    max_header_bytes: _Count = 16 * 1024
+    max_body_bytes: _Count = 4 * 1024 * 1024
+    header_timeout_ms: _Count = 3_000
+    idle_timeout_ms: _Count = 15_000
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
@@ -108,17 +112,17 @@
     name: str
     api_keys: tuple[str, ...] = ()
     # Goes before the routes' priorities.
-    priority: int = 0
+    priority: _Count = 0
     # What the rate below counts: requests, or tokens.
     unit: str = ""
-    plain_tokens: int = 0
+    plain_tokens: _Count = 0
     # In tokens where the unit says so, in spite of its plain name.
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    rate_per_s: _Amount = 0.0
+    burst: _Amount = 0.0
 
 
 class _Configuration(msgspec.Struct):
-    version: Annotated[int, msgspec.Meta(ge=1, le=_LARGEST_VERSION)]
+    version: Annotated[int, msgspec.Meta(ge=1, le=_LARGEST_NUMBER)]
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -161,11 +165,12 @@
         window: How an organisation's use is counted.
 
     Raises:
-        DocumentError: It cannot be read.
+        DocumentError: It cannot be read, or it contradicts itself.
     """
     try:
         document = _configurations.decode(data)
         routes = tuple(_route(route) for route in document.routes)
+        _check(document, routes)
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise DocumentError(f"configuration: {error}") from error
     tenants = document.tenants
@@ -234,6 +239,33 @@
     return port.isascii() and port.isdecimal() and 0 < int(port) <= _LAST_PORT
 
 
+def _check(document: _Configuration, routes: tuple[Route, ...]) -> None:
+    """Check what the parts of a configuration say of each other.
+
+    Raises:
+        ValueError: They contradict each other.
+    """
+    services = {service.name for service in document.services}
+    seen = set()
+    for route in routes:
+        if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+            raise ValueError(f"route {route.name}: a prefix begins and ends with /")
+        if (route.host, route.prefix) in seen:
+            raise ValueError(f"route {route.name}: another one has its prefix")
+        seen.add((route.host, route.prefix))
+        for target in route.targets:
+            if target.service not in services:
+                raise ValueError(f"route {route.name}: no service {target.service!r}")
+    owners: dict[str, str] = {}
+    for tenant in document.tenants:
+        for key in tenant.api_keys:
+            if owners.setdefault(key, tenant.name) != tenant.name:
+                # The key itself is a secret.
+                raise ValueError(
+                    f"{tenant.name} and {owners[key]} have a key in common"
+                )
+
+
 def _route(route: _Route) -> Route:
     targets = tuple(RouteTarget(one.service, one.weight) for one in route.split)
     if not targets:
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -42,6 +42,36 @@
     And the store says version 8
     Then the configuration in force is version 8
 
+  # Guards against routes that led nowhere, limits below nothing and callers of another
+  # organisation, by a document that no operator can mean.
+  Scenario Outline: A configuration that contradicts itself does not come into force
+    When the store says version 6, in which <fault>
+    Then the configuration in force is version 1, and another was rejected
+
+    Examples:
+      | fault                                      |
+      | two routes have one prefix                 |
+      | two routes have one prefix in another case |
+      | a route leads to an unknown service        |
+      | a route leads nowhere                      |
+      | a weight is negative                       |
+      | a rate is negative                         |
+      | a prefix has no slash at its end           |
+      | a time is beyond 64 bits                   |
+      | two organisations have one key             |
+
+  Scenario Outline: A configuration that is unusual but right comes into force
+    When the store says version 6, in which <oddity>
+    Then the configuration in force is version 6
+
+    Examples:
+      | oddity                            |
+      | all weights are 0                 |
+      | a service has no endpoint         |
+      | a key is listed twice             |
+      | two hosts have one prefix         |
+      | a route has a field of its own    |
+
   # Guards against a VM that served its old routes till its end: whatever could not be
   # decoded, or not be logged, ended the watch.
   Scenario Outline: No content of the store ends the watch of the configuration
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -156,6 +156,52 @@
     context.run(_until(lambda: context.followed[name] == version, ms))
 
 
+@when("the store says version {version:d}, in which {what}")
+def step_says_odd(context, version, what):
+    document = json.loads(configuration(version))
+    routes, tenants = document["routes"], document["tenants"]
+    route, tenant = routes[0], tenants[0]
+    match what:
+        case "two routes have one prefix":
+            routes.append(route | {"name": "other"})
+        case "two routes have one prefix in another case":
+            routes.append(route | {"name": "other", "host": route["host"].upper()})
+        case "two hosts have one prefix":
+            routes.append(route | {"name": "other", "host": "other.example"})
+        case "a route leads to an unknown service":
+            route["service"] = "nobody"
+        case "a route leads nowhere":
+            del route["service"]
+        case "a weight is negative":
+            route["split"] = [{"service": "portal", "weight": -1}]
+        case "all weights are 0":
+            route["split"] = [{"service": "portal", "weight": 0}]
+        case "a rate is negative":
+            tenant["ratePerS"] = -0.5
+        case "a prefix has no slash at its end":
+            route["prefix"] = "/plain"
+        case "a time is beyond 64 bits":
+            route["targetLatencyMs"] = 2**63
+        case "two organisations have one key":
+            tenants.append(tenant | {"name": "other"})
+        case "a service has no endpoint":
+            document["services"].append({"name": "later"})
+            route["service"] = "later"
+        case "a key is listed twice":
+            tenant["apiKeys"] *= 2
+        case "a route has a field of its own":
+            route["region"] = {"names": []}
+    context.store.put("op", "config", json.dumps(document).encode())
+    context.run(asyncio.sleep(0.3))
+
+
+@then("the configuration in force is version {version:d}, and another was rejected")
+def step_rejected(context, version):
+    assert context.current.version == version, context.current.version
+    (values,) = [values for event, values in context.lines if event == "rejected"]
+    assert "configuration: " in str(values["error"]), values
+
+
 @when("the store says something that is no configuration")
 def step_says_nothing(context):
     context.store.put("op", "config", b"{no")
