Pause between whole reads while the configuration's history stays lost

While whole reads of the table were older than the history that the store had left, each call for the changes after one was answered 410 and the next whole read followed at once: 1,122 of them in 1.5 s by one VM in the test, which expects 10 at most, with the load on the store and on the VM's own event loop that they bring. The first loss is still followed by a read without a pause; a further one, before any call for changes has succeeded, waits 0.15 to 0.3 s.

"A history that stays lost is not asked for without a pause" failed before (1122 whole reads) and passes now.

--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -57,6 +57,7 @@
 
 _UNREAD_PAUSE_S = 0.1
 
+_LOST_PAUSE_S = 0.3
 _ERROR_PAUSE_S = 0.3
 _ERRORS_LOGGED_PER_S = 0.1
 
@@ -96,6 +97,7 @@
         self._shared: SharedReads | None = None
         self._after = -1
         self._is_reading = False
+        self._has_lost_history = False
         self._document_hash = 0
         self._adopted_hash = 0
         self._refused_hash: int | None = None
@@ -146,6 +148,10 @@
             self._poll.result()
         except HistoryLostError:
             self._after = -1
+            # A table may be read as of before the history that is left.
+            if self._has_lost_history:
+                await asyncio.sleep(_LOST_PAUSE_S * random.uniform(0.5, 1.0))
+            self._has_lost_history = True
         except StoreUnavailableError as error:
             is_reader = self._shared is None or self._shared.is_reader
             pause_s = self._trouble.failed(error, is_reader=is_reader)
@@ -170,6 +176,7 @@
             # The first answer is for those who have heard nothing for a while.
             wait_ms = self._wait_ms if self._is_reading else 0
             snapshot = await self._store.changes(_TABLE, after, wait_ms)
+            self._has_lost_history = False
         self._is_reading = True
         self._trouble.succeeded(snapshot.version)
         if not after <= self._after <= snapshot.version:
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -21,6 +21,13 @@
     When the store forgets its history and says version 7
     Then the configuration in force is version 7
 
+  # Guards against whole reads as fast as the store answers: each read of the table was
+  # older than the history that is left, so each call for changes after it was refused.
+  Scenario: A history that stays lost is not asked for without a pause
+    When the store has no history for the configuration for 1500 ms
+    Then the table has been read whole 2 to 10 times meanwhile
+    And the configuration in force becomes version 7 with the history
+
   # The store gave out the versions after the copy again: a watch that went on from one of
   # them was told only what came after it, and missed the rest.
   Scenario: A store that comes back from an older copy is read anew
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -13,7 +13,7 @@
 from pomelolane.platform.configurationwatch import ConfigurationWatch
 from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.endpointwatch import EndpointWatch
-from pomelolane.platform.errors import StoreUnavailableError
+from pomelolane.platform.errors import HistoryLostError, StoreUnavailableError
 from pomelolane.platform.roster import VmRoster
 from pomelolane.platform.storeclient import CALL_TIMEOUT_S, StoreClient
 from pomelolane.platform.userecord import StoreUseRecord
@@ -265,6 +265,39 @@
     assert _is_usable(context, name)
 
 
+@when("the store has no history for the configuration for {ms:d} ms")
+def step_no_history(context, ms):
+    client = context.client
+    changes, read = client.changes, client.read
+    context.reads = 0
+
+    async def lose(table, after, wait_ms):
+        if table == "op":
+            raise HistoryLostError(table)
+        return await changes(table, after, wait_ms)
+
+    async def count(table):
+        context.reads += table == "op"
+        return await read(table)
+
+    client.changes, client.read = lose, count
+    # Ends the call that is under way.
+    context.store.put("op", "config", configuration(2))
+    context.run(asyncio.sleep(ms / 1000))
+    client.changes, client.read = changes, read
+
+
+@then("the table has been read whole {least:d} to {most:d} times meanwhile")
+def step_reads(context, least, most):
+    assert least <= context.reads <= most, context.reads
+
+
+@then("the configuration in force becomes version {version:d} with the history")
+def step_with_history(context, version):
+    context.store.put("op", "config", configuration(version))
+    context.run(_until(lambda: context.current.version == version, 1000))
+
+
 @when("the store forgets its history and says version {version:d}")
 def step_forgets(context, version):
     context.store.put("op", "config", configuration(version))
