Take orders before the configuration that is read with them

A configuration that comes into force before the orders read with it may have requests granted to endpoints that an order blocks. Found by reading the diff; no caller saw it.

--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -211,13 +211,13 @@
     def _take(self, rows: Sequence[StoredRow], version: int) -> None:
         # The table is read whole if an error keeps anything of this from being taken.
         self._after = -1
+        self._order(orders_from_rows(rows))
         for row in rows:
             if row.key != _KEY or row.deleted:
                 continue
             self._document_hash = xxhash.xxh32_intdigest(row.value)
             self._adopt(row)
         self._current.confirm()
-        self._order(orders_from_rows(rows))
         self._after = version
 
     def _order(self, orders: list[RolloutOrder]) -> None:
