--- a/src/pomelolane/forwarding/configuration.py
+++ b/src/pomelolane/forwarding/configuration.py
@@ -7,10 +7,15 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from pomelolane import events
+from pomelolane.clock import MonotonicClock
+from pomelolane.logs import log_event
+
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from pomelolane.model import Organisation, Service
+    from pomelolane.ports import Clock
 
 
 MAX_RANKS = 16
@@ -152,12 +157,19 @@
 
 
 class CurrentConfiguration:
-    """Holds the configuration in force, whose version never decreases."""
+    """Holds the configuration in force, whose version never decreases.
+
+    Args:
+        clock: Source of the current time.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
+        self._clock = clock or MonotonicClock()
         self._value: Configuration | None = None
+        self._adopted_ms = self._confirmed_ms = self._clock.now_ms()
         self._known = asyncio.Event()
         self._callbacks: list[Callable[[Configuration], None]] = []
+        self._failed: list[Callable[[Configuration], None]] = []
 
     @property
     def value(self) -> Configuration | None:
@@ -169,12 +181,34 @@
         """Version of the configuration in force, 0 before the first one."""
         return self._value.version if self._value is not None else 0
 
+    @property
+    def age_ms(self) -> float:
+        """Time that it has been in force, or since the start before the first one."""
+        return self._clock.now_ms() - self._adopted_ms
+
+    @property
+    def confirmed_age_ms(self) -> float:
+        """Time since this VM last learned that there is no newer one."""
+        return self._clock.now_ms() - self._confirmed_ms
+
+    def confirm(self) -> None:
+        """Note that there is none that is newer than what was adopted until now.
+
+        Callbacks that raised at the last change are called again.
+        """
+        self._confirmed_ms = self._clock.now_ms()
+        if self._failed and self._value is not None:
+            self._failed = [one for one, _ in self._call(self._failed, self._value)]
+
     async def wait_until_known(self) -> None:
         """Wait until a configuration is in force."""
         await self._known.wait()
 
     def on_change(self, callback: Callable[[Configuration], None]) -> None:
-        """Call ``callback(configuration)`` after each change."""
+        """Call ``callback(configuration)`` after each change.
+
+        A callback that raises is called again at each confirmation until it succeeds.
+        """
         self._callbacks.append(callback)
 
     def adopt(self, configuration: Configuration) -> bool:
@@ -182,7 +216,26 @@
         if configuration.version <= self.version:
             return False
         self._value = configuration
+        self._adopted_ms = self._clock.now_ms()
         self._known.set()
-        for callback in self._callbacks:
-            callback(configuration)
+        failures = self._call(self._callbacks, configuration)
+        for _, error in failures:
+            log_event(
+                events.TASK_FAILED, task="configuration change", error=repr(error)
+            )
+        self._failed = [callback for callback, _ in failures]
         return True
+
+    @staticmethod
+    def _call(
+        callbacks: Iterable[Callable[[Configuration], None]],
+        configuration: Configuration,
+    ) -> list[tuple[Callable[[Configuration], None], Exception]]:
+        """Call all callbacks; return those that raised, with their errors."""
+        failures = []
+        for callback in callbacks:
+            try:
+                callback(configuration)
+            except Exception as error:
+                failures.append((callback, error))
+        return failures
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -12,10 +12,22 @@
     When the store says version 5 and then version 3
     Then the configuration in force is version 5
 
+  Scenario: A configuration that is not adopted is logged once
+    When the store says version 5 and then version 3
+    And the store forgets its history and says version 3
+    Then one line says that version 3 is older than version 5
+
   Scenario: A lost history is read anew
     When the store forgets its history and says version 7
     Then the configuration in force is version 7
 
+  # Guards against whole reads as fast as the store answers: each read of the table was
+  # older than the history that is left, so each call for changes after it was refused.
+  Scenario: A history that stays lost is not asked for without a pause
+    When the store has no history for the configuration for 1500 ms
+    Then the table has been read whole 2 to 10 times meanwhile
+    And the configuration in force becomes version 7 with the history
+
   # The store gave out the versions after the copy again: a watch that went on from one of
   # them was told only what came after it, and missed the rest.
   Scenario: A store that comes back from an older copy is read anew
@@ -37,6 +49,56 @@
     And the store says version 8
     Then the configuration in force is version 8
 
+  # Guards against routes that led nowhere, limits below nothing and callers of another
+  # organisation, by a document that no operator can mean.
+  Scenario Outline: A configuration that contradicts itself does not come into force
+    When the store says version 6 with the <part> <change>
+    Then the configuration in force is version <version>, and <count> was rejected
+
+    Examples:
+      | part       | change                                           | version | count |
+      | new route  | {"name": "other"}                                | 1       | 1     |
+      | new route  | {"name": "other", "host": "SHOP.example"}        | 1       | 1     |
+      | route      | {"service": "nobody"}                            | 1       | 1     |
+      | route      | {"service": ""}                                  | 1       | 1     |
+      | route      | {"split": [{"service": "portal", "weight": -1}]} | 1       | 1     |
+      | route      | {"prefix": "/plain"}                             | 1       | 1     |
+      | route      | {"targetLatencyMs": 9223372036854775808}         | 1       | 1     |
+      | tenant     | {"ratePerS": -0.5}                               | 1       | 1     |
+      | new tenant | {"name": "other"}                                | 1       | 1     |
+
+    Examples: Unusual, but right
+      | part       | change                                           | version | count |
+      | route      | {"split": [{"service": "portal", "weight": 0}]}  | 6       | 0     |
+      | route      | {"service": "pool", "region": {"names": []}}     | 6       | 0     |
+      | tenant     | {"apiKeys": ["k", "k"]}                          | 6       | 0     |
+      | new route  | {"name": "other", "host": "other.example"}       | 6       | 0     |
+
+  # Guards against a VM that served its old routes till its end: whatever could not be
+  # decoded, or not be logged, ended the watch.
+  Scenario Outline: No content of the store ends the watch of the configuration
+    When the store says <what>
+    And the store says version 8
+    Then the configuration in force is version 8 within 2000 ms
+
+    Examples:
+      | what                                    |
+      | 200000 levels that nobody can take      |
+      | a version of 10^30 that nobody can take |
+      | an order that nobody can take           |
+      | something that its client fails at      |
+
+  # Guards against a VM that knew a configuration and went on by the one before: an error of
+  # one part ended the watch, and the parts after it did not get the configuration.
+  Scenario: An error of one part keeps no other from a new configuration
+    Given two that follow the configuration, the first of which fails
+    When the store says version 5
+    Then the second of them has version 5 within 1000 ms
+    When the store says version 6
+    Then the second of them has version 6 within 1000 ms
+    When the first of them fails no more
+    Then the first of them has version 6 within 1000 ms
+
   Scenario Outline: After an outage the news is in force within 3 s
     When the store is "<trouble>" for 1200 ms and says version 9 meanwhile
     Then the configuration in force is version 9 within 3000 ms
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -1,16 +1,19 @@
 """Steps of the watches of the metadata store, without a VM."""
 
 import asyncio
+import functools
+import json
 
 from behave import given, then, when
 
 from bench.processes import wait_until
 from pomelolane.clock import MonotonicClock
 from pomelolane.forwarding import CurrentConfiguration, EndpointDirectory
+from pomelolane.platform import configurationwatch
 from pomelolane.platform.configurationwatch import ConfigurationWatch
 from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.endpointwatch import EndpointWatch
-from pomelolane.platform.errors import StoreUnavailableError
+from pomelolane.platform.errors import HistoryLostError, StoreUnavailableError
 from pomelolane.platform.roster import VmRoster
 from pomelolane.platform.storeclient import CALL_TIMEOUT_S, StoreClient
 from pomelolane.platform.userecord import StoreUseRecord
@@ -23,6 +26,7 @@
 SOON_MS = 3000
 APPLY_MS = 2000
 READ_S = 1.5
+_NESTED = b"[" * 200_000 + b"]" * 200_000
 
 
 @given("a metadata store and its watches")
@@ -39,10 +43,17 @@
     clock = MonotonicClock()
     context.current = CurrentConfiguration()
     context.directory = EndpointDirectory(clock)
+    context.lines = []
+    before = configurationwatch.log_event
+    context.add_cleanup(setattr, configurationwatch, "log_event", before)
+    configurationwatch.log_event = lambda event, **values: context.lines.append(
+        (event.name.removeprefix("configuration_"), values)
+    )
     endpoints = EndpointWatch(context.client, context.directory, context.current, clock)
     watch = ConfigurationWatch(
         context.client, context.current, clock, LimitWindow(), APPLY_MS
     )
+    watch.on_orders = lambda orders: _raise(orders[0].service)
     endpoints.on_regained(watch.refresh)
     context.regained_s = []
     endpoints.on_regained(lambda: context.regained_s.append(context.loop.time()))
@@ -77,6 +88,85 @@
     context.run(play())
 
 
+@then("one line says that version {version:d} is older than version {in_force:d}")
+def step_outdated(context, version, in_force):
+    context.run(asyncio.sleep(0.3))
+    lines = [values for event, values in context.lines if event == "outdated"]
+    assert lines == [{"version": version, "in_force": in_force}], context.lines
+
+
+def _raise(text):
+    raise RuntimeError(text)
+
+
+@when("the store says {what} that nobody can take")
+def step_says_hostile(context, what):
+    key, value = {
+        "200000 levels": ("config", b'{"version":7,"x":' + _NESTED + b"}"),
+        "a version of 10^30": ("config", configuration(10**30)),
+        "an order": (
+            "rollout/portal",
+            b'{"service": "portal", "to": "v2", "durationS": 60}',
+        ),
+    }[what]
+    context.store.put("op", key, value)
+    context.run(asyncio.sleep(0.3))
+
+
+@when("the store says something that its client fails at")
+def step_client_fails(context):
+    changes = context.client.changes
+
+    async def fail(table, after, wait_ms):
+        if table == "op":
+            context.client.changes = changes
+            _raise(table)
+        return await changes(table, after, wait_ms)
+
+    context.client.changes = fail
+    context.run(_until(lambda: context.client.changes == changes, SOON_MS))
+
+
+@given("two that follow the configuration, the first of which fails")
+def step_followers(context):
+    context.fails = True
+    context.followed = {"first": 0, "second": 0}
+
+    def follow(name, configuration):
+        if context.fails and name == "first":
+            _raise(name)
+        context.followed[name] = configuration.version
+
+    for name in context.followed:
+        context.current.on_change(functools.partial(follow, name))
+
+
+@when("the first of them fails no more")
+def step_fails_no_more(context):
+    context.fails = False
+
+
+@then("the {name:w} of them has version {version:d} within {ms:d} ms")
+def step_follower_has(context, name, version, ms):
+    context.run(_until(lambda: context.followed[name] == version, ms))
+
+
+@when("the store says version {version:d} with the {part} {{{change}}}")
+def step_says_odd(context, version, part, change):
+    document = json.loads(configuration(version))
+    parts = document[part.removeprefix("new ") + "s"]
+    changed = parts[0] | json.loads(f"{{{change}}}")
+    parts[:] = [parts[0], changed] if part.startswith("new ") else [changed]
+    context.store.put("op", "config", json.dumps(document).encode())
+    context.run(asyncio.sleep(0.3))
+
+
+@then("the configuration in force is version {version:d}, and {count:d} was rejected")
+def step_rejected(context, version, count):
+    assert context.current.version == version, context.current.version
+    assert [event for event, _ in context.lines].count("rejected") == count
+
+
 @when("the store says something that is no configuration")
 def step_says_nothing(context):
     context.store.put("op", "config", b"{no")
@@ -140,6 +230,39 @@
     assert _is_usable(context, name)
 
 
+@when("the store has no history for the configuration for {ms:d} ms")
+def step_no_history(context, ms):
+    client = context.client
+    changes, read = client.changes, client.read
+    context.reads = 0
+
+    async def lose(table, after, wait_ms):
+        if table == "op":
+            raise HistoryLostError(table)
+        return await changes(table, after, wait_ms)
+
+    async def count(table):
+        context.reads += table == "op"
+        return await read(table)
+
+    client.changes, client.read = lose, count
+    # Ends the call that is under way.
+    context.store.put("op", "config", configuration(2))
+    context.run(asyncio.sleep(ms / 1000))
+    client.changes, client.read = changes, read
+
+
+@then("the table has been read whole {least:d} to {most:d} times meanwhile")
+def step_reads(context, least, most):
+    assert least <= context.reads <= most, context.reads
+
+
+@then("the configuration in force becomes version {version:d} with the history")
+def step_with_history(context, version):
+    context.store.put("op", "config", configuration(version))
+    context.run(_until(lambda: context.current.version == version, 1000))
+
+
 @when("the store forgets its history and says version {version:d}")
 def step_forgets(context, version):
     context.store.put("op", "config", configuration(version))
