Date shared news by the store's clock, not by its receipt

Cause: a VM that hears from the reader of its data centre took the list as confirmed when it handled the message, and a reader when it handled the store's answer, however old they were by then. While messages or a process are seconds behind, the VM neither reads by itself nor knows that it is late. The record does not show that this was the cause there; heartbeats move the store's version on, so that late news is mostly passed over once a VM has read by itself.

Evidence: with messages that take 3 s, tests/platform/sharing.feature failed with "not all know within 2 s" for a leaving endpoint and, with that part fixed alone, with "not all have it" for a configuration. With an answer that is handled 2.5 s late, it failed with "still usable" 500 ms after that.

News now carries the store's clock at the version that it covers, which all answers tell. A VM dates it by what it knows of that clock, never later than the receipt, so news that is late counts as old and the VM reads by itself. The reader's next read is due a period after the state that its last answer shows. News of VMs that do not tell the clock counts from the receipt, as before.

--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -104,13 +104,18 @@
             return False
         return True
 
-    def confirm(self, read_from_ms: float | None = None) -> None:
+    def confirm(
+        self, read_from_ms: float | None = None, as_of_ms: float | None = None
+    ) -> None:
         """Record that the source still reports the same list.
 
         Args:
             read_from_ms: When the read of the source began, None for now.
+            as_of_ms: When the source held that list, None for now.
         """
-        self._confirmed_ms = now_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        shown_ms = now_ms if as_of_ms is None else min(as_of_ms, now_ms)
+        self._confirmed_ms = max(self._confirmed_ms, shown_ms)
         from_ms = now_ms if read_from_ms is None else read_from_ms
         self._read_from_ms = max(self._read_from_ms, from_ms)
         confirmation, self._next_confirmation = (
@@ -164,6 +169,7 @@
         *,
         confirms: bool = True,
         read_from_ms: float | None = None,
+        as_of_ms: float | None = None,
     ) -> None:
         """Adopt a list, and call the callbacks if it differs from the current one.
 
@@ -172,12 +178,13 @@
             version: Version of the list, for the log.
             confirms: Whether the source has just confirmed the list.
             read_from_ms: When the read of the source began, None for now.
+            as_of_ms: When the source held that list, None for now.
         """
         self._known.set()
         self._version = version
         self._adopt(endpoints)
         if confirms:
-            self.confirm(read_from_ms)
+            self.confirm(read_from_ms, as_of_ms)
 
     def _adopt(self, endpoints: dict[str, Endpoint]) -> None:
         endpoints = self._keep_leaving(endpoints)
--- a/src/pomelolane/messages/declarations.py
+++ b/src/pomelolane/messages/declarations.py
@@ -77,6 +77,8 @@
         changes: Records whose content has changed.
         state_hash: Hash of the table's records as known to the sender at ``version``;
             a receiver that computes another hash has missed a change.
+        as_of_ms: The store's steady clock when the table was at ``version``, 0 if
+            unknown.
     """
 
     source: str
@@ -84,3 +86,4 @@
     version: int
     changes: tuple[RecordChange, ...] = ()
     state_hash: int = 0
+    as_of_ms: float = 0.0
--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -21,7 +21,7 @@
     StoreUnavailableError,
 )
 from pomelolane.platform.rolloutrecord import orders_from_rows
-from pomelolane.platform.sharing import SharedReads
+from pomelolane.platform.sharing import SharedReads, local_time_ms
 from pomelolane.platform.storeclient import StoredRow
 from pomelolane.platform.trouble import StoreTrouble
 
@@ -158,17 +158,18 @@
             # Another VM has passed on a newer state while the answer was on its way, or
             # has shown that the table is to be read whole.
             return
-        self._take(snapshot.rows, snapshot.version)
+        self._take(snapshot.rows, snapshot.version, snapshot.now_ms)
         if self._shared is not None and self._shared.is_reader:
-            self._pass_on(after, snapshot.rows)
+            self._pass_on(after, snapshot.rows, snapshot.now_ms)
         if self._current.value is None and after < 0:
             await asyncio.sleep(_UNREAD_PAUSE_S)
 
-    def _pass_on(self, after: int, rows: Sequence[StoredRow]) -> None:
+    def _pass_on(self, after: int, rows: Sequence[StoredRow], as_of_ms: float) -> None:
         # Rows that are left out must show: only the configuration's hash is compared.
         if sum(len(row.value) for row in rows) > _MOST_PASSED_BYTES:
             rows = [row for row in rows if row.key != _KEY]
-        self._shared.pass_on(after, self._after, rows, self._document_hash)
+        document_hash = self._document_hash
+        self._shared.pass_on(after, self._after, rows, document_hash, as_of_ms)
 
     def _take_shared(self, news: WatchedChanges) -> None:
         """Take what another VM was told, unless something is missing before it."""
@@ -178,14 +179,15 @@
             StoredRow(one.key, one.version or news.version, one.value, one.deleted)
             for one in news.changes
         )
-        self._take(rows, news.version)
+        self._take(rows, news.version, news.as_of_ms)
         if self._document_hash != news.state_hash:
             # It was too large to be passed on, or was read in another order.
             self._after = -1
 
-    def _take(self, rows: Sequence[StoredRow], version: int) -> None:
+    def _take(self, rows: Sequence[StoredRow], version: int, as_of_ms: float) -> None:
         self._after = version
-        self._confirmed_ms = self._clock.now_ms()
+        shown_ms = local_time_ms(as_of_ms, self._store, self._clock)
+        self._confirmed_ms = max(self._confirmed_ms, shown_ms)
         orders = orders_from_rows(rows)
         if orders:
             self.on_orders(orders)
--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -22,7 +22,7 @@
     HistoryLostError,
     StoreUnavailableError,
 )
-from pomelolane.platform.sharing import SharedReads
+from pomelolane.platform.sharing import SharedReads, local_time_ms
 from pomelolane.platform.storeclient import StoredRow
 from pomelolane.platform.trouble import StoreTrouble
 
@@ -97,6 +97,8 @@
         self._dropped_at_ms: dict[str, float] = {}
         self._grace_until_ms = 0.0
         self._silent_since_ms = 0.0
+        self._heard_ms = clock.now_ms()
+        self._shown_ms = -math.inf
         self._forgotten: list[str] = []
         self._after = -1
         self._has_read = False
@@ -142,6 +144,8 @@
                 pause_s = self._trouble.failed(error, is_reader=is_reader)
                 await self._pause_after_failure(pause_s)
             else:
+                age_s = (self._clock.now_ms() - self._shown_ms) / 1000
+                pause_s = max(REFRESH_INTERVAL_S, pause_s - age_s)
                 await self._pause(pause_s, REFRESH_INTERVAL_S)
 
     async def _pause_after_failure(self, pause_s: float) -> None:
@@ -173,7 +177,7 @@
     def _end_grace(self) -> None:
         if not self._grace_left_s():
             self._drop_missing(self._clock.now_ms())
-            self._publish(confirms=False)
+            self._publish_unconfirmed()
 
     def _last_good_ms(self) -> float:
         """Return since when the store can have been silent for this VM.
@@ -183,7 +187,7 @@
         """
         now_ms = self._clock.now_ms()
         own_period_ms = 1000 * ENDPOINT_PERIOD_S * max(_PERIOD_SPREAD)
-        age_ms = self._directory.age_ms
+        age_ms = now_ms - self._heard_ms
         shared = self._shared
         has_other_reader = shared is not None and (
             not shared.is_reader or age_ms > own_period_ms + _OWN_READ_MS
@@ -229,7 +233,7 @@
             self._after = -1
             self._refresh_wanted.set()
             return
-        self._publish()
+        self._publish(news.as_of_ms)
 
     def _state_hash(self) -> int:
         states = sorted(
@@ -259,12 +263,14 @@
         changed = self._take(
             snapshot.rows, whole=whole, kept_until_ms=self._grace_until_ms
         )
-        self._publish(read_from_ms=asked_ms)
+        self._publish(snapshot.now_ms, asked_ms)
         if self._shared is not None and not whole and self._shared.is_reader:
-            self._pass_on(after, changed)
+            self._pass_on(after, changed, snapshot.now_ms)
         self._forgotten.clear()
 
-    def _pass_on(self, after: int, changed: Sequence[StoredRow]) -> None:
+    def _pass_on(
+        self, after: int, changed: Sequence[StoredRow], as_of_ms: float
+    ) -> None:
         """Tell the other VMs what changed, and which rows were forgotten.
 
         Rows that may yet come back are not reported as deleted.
@@ -275,7 +281,8 @@
             if key not in self._values
         ]
         rows = [*changed, *forgotten]
-        self._shared.pass_on(after, self._after, rows, self._state_hash())
+        state_hash = self._state_hash()
+        self._shared.pass_on(after, self._after, rows, state_hash, as_of_ms)
 
     def _take(
         self, rows: Sequence[StoredRow], *, whole: bool, kept_until_ms: float
@@ -343,19 +350,27 @@
         """Read all rows anew: the configuration names the services."""
         for key in self._values:
             self._decode(key)
-        self._publish(confirms=False)
+        self._publish_unconfirmed()
 
-    def _publish(
-        self, *, confirms: bool = True, read_from_ms: float = -math.inf
-    ) -> None:
-        """Hand the endpoints to the directory.
+    def _publish(self, as_of_ms: float, read_from_ms: float = -math.inf) -> None:
+        """Hand the directory the endpoints that the store has confirmed.
 
         Args:
-            confirms: Whether the store has just confirmed them.
+            as_of_ms: The store's clock when it held them, 0 if unknown.
             read_from_ms: When the VM's own read began, if that confirms them.
         """
+        self._heard_ms = self._clock.now_ms()
+        shown_ms = local_time_ms(as_of_ms, self._store, self._clock)
+        self._shown_ms = max(self._shown_ms, shown_ms)
         if self._has_read and self._current.value is not None:
-            endpoints = dict(self._endpoints)
             self._directory.replace(
-                endpoints, self._version, confirms=confirms, read_from_ms=read_from_ms
+                dict(self._endpoints),
+                self._version,
+                read_from_ms=read_from_ms,
+                as_of_ms=self._shown_ms,
             )
+
+    def _publish_unconfirmed(self) -> None:
+        if self._has_read and self._current.value is not None:
+            endpoints = dict(self._endpoints)
+            self._directory.replace(endpoints, self._version, confirms=False)
--- a/src/pomelolane/platform/sharing.py
+++ b/src/pomelolane/platform/sharing.py
@@ -13,8 +13,20 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from pomelolane.platform.storeclient import StoredRow
-    from pomelolane.ports import Membership, Peer, Transport
+    from pomelolane.platform.storeclient import StoreClient, StoredRow
+    from pomelolane.ports import Clock, Membership, Peer, Transport
+
+
+def local_time_ms(as_of_ms: float, store: StoreClient, clock: Clock) -> float:
+    """Return a VM's own time at a moment of the store's clock, never later than now.
+
+    Args:
+        as_of_ms: The moment, 0 if unknown, which counts as now.
+        store: Tells the store's clock.
+        clock: The VM's own clock.
+    """
+    age_ms = max(0.0, store.now_ms() - as_of_ms) if as_of_ms else 0.0
+    return clock.now_ms() - age_ms
 
 
 class SharedReads:
@@ -53,13 +65,28 @@
         return is_store_reader(self._vm_id, self._data_centre, view)
 
     def pass_on(
-        self, after: int, version: int, rows: Iterable[StoredRow], state_hash: int
+        self,
+        after: int,
+        version: int,
+        rows: Iterable[StoredRow],
+        state_hash: int,
+        as_of_ms: float,
     ) -> None:
-        """Tell the others of the data centre what was read."""
+        """Tell the others of the data centre what was read.
+
+        Args:
+            after: Version after which the changes begin.
+            version: Last version that they cover.
+            rows: The changes.
+            state_hash: Hash of what the table holds with them.
+            as_of_ms: The store's clock at that version, 0 if unknown.
+        """
         changes = tuple(
             RecordChange(r.key, r.value, r.deleted, r.version) for r in rows
         )
-        message = WatchedChanges(self._table, after, version, changes, state_hash)
+        message = WatchedChanges(
+            self._table, after, version, changes, state_hash, as_of_ms
+        )
         for peer in self._peers():
             if peer.vm_id != self._vm_id:
                 self._transport.send(peer.vm_id, message)
--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -15,6 +15,22 @@
     And endpoint "p1" is said to be draining
     Then every VM knows within 2000 ms that "p1" is leaving
 
+  # Guards against endpoints that got requests, and configurations that were in force, after
+  # their time: news counted as fresh when it was handled, however long it had been on its way.
+  Scenario: A VM to which messages come late reads the tables itself
+    When messages between the VMs have been taking 3000 ms for a while
+    And endpoint "p1" is said to be draining
+    And the operator says version 5
+    Then every VM knows within 2000 ms that "p1" is leaving
+    And every VM has version 5 within 100 ms
+
+  # The same of an answer: its VM waited for as long as after a new one.
+  Scenario: A VM that handles an answer late asks again soon
+    When "a" reads the list and the answer is on its way
+    And endpoint "p1" is deleted
+    And the answer arrives at "a" after 2500 ms
+    Then "a" knows within 500 ms that "p1" takes nothing more
+
   # Guards against a version that other VMs have used and this one does not know yet.
   Scenario Outline: A VM that must be certain has the list confirmed at once
     When endpoint "p1" is said to be draining
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -31,6 +31,7 @@
 
     def __init__(self, names):
         self.loses = False
+        self.delay_s = 0.0
         self.handlers = {name: [] for name in names}
         self.peers = {n: Peer(n, 1, DATA_CENTRE, "", ready=True) for n in names}
 
@@ -51,7 +52,8 @@
         if self.network.loses:
             return False
         for handler in self.network.handlers[vm_id]:
-            asyncio.get_running_loop().call_soon(handler, self.name, message)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.network.delay_s, handler, self.name, message)
         return True
 
 
@@ -137,6 +139,12 @@
     context.run(asyncio.wait_for(is_answered.wait(), 1))
 
 
+@when('the answer arrives at "{name}" after {ms:d} ms')
+def step_arrives_late(context, name, ms):
+    context.run(asyncio.sleep(ms / 1000))
+    step_arrives(context, name)
+
+
 @when('the answer arrives at "{name}"')
 def step_arrives(context, name):
     del name
@@ -303,6 +311,12 @@
     context.network.loses = True
 
 
+@when("messages between the VMs have been taking {ms:d} ms for a while")
+def step_late_messages(context, ms):
+    context.network.delay_s = ms / 1000
+    context.run(asyncio.sleep(ms / 1000 + APPLY_MS / 1000))
+
+
 @when('the next {count:d} reads of "{name}" fail')
 def step_reads_fail(context, name, count):
     client = context.vms[name].client
@@ -339,7 +353,7 @@
     watch._take(
         (StoredRow(endpoint, 1, b"", deleted=True),), whole=False, kept_until_ms=0.0
     )
-    watch._publish()
+    watch._publish(0.0)
     assert endpoint not in context.vms[name].directory.all
 
 
