Keep the watch of endpoints running after any error

Cause: EndpointWatch.run caught two kinds of errors; any other one ended its task, and nothing starts it again. Three inputs that raise others: an address whose port has 4,301 digits or more (ValueError), a start of more than 64 bits (OverflowError as the list is hashed for the other VMs), and a connection to the store for which the process has no file left (OSError of socket.socket() in ConnectionPool). An error while a new configuration's endpoints were published also ended the watch of the configuration, which calls back into this one.

The loop now logs task_failed and reads the list whole after 0.5 s; callbacks into the watch do the same and raise nothing. An entry that cannot be decoded, for whatever reason, is rejected alone, and numbers that no message can hold are rejected.

--- a/src/pomelolane/platform/documents.py
+++ b/src/pomelolane/platform/documents.py
@@ -131,6 +131,8 @@
 
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
 _Whole = Annotated[int, msgspec.Meta(ge=0)]
+_LARGEST = 2**63 - 1
+"""Messages between VMs hold no larger number."""
 
 
 class _Server(msgspec.Struct, rename="camel"):
@@ -140,12 +142,12 @@
     address: str
     zone: _Name
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_LARGEST)]
     state: _State
     cold_remaining_ms: float
     sequence: _Whole
     # Older endpoints do not tell it.
-    born: _Whole = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_LARGEST)] = 0
 
 
 _configurations = msgspec.json.Decoder(_Configuration)
@@ -228,9 +230,10 @@
     host, _, port = text.rpartition(":")
     try:
         IPv4Address(host)
+        # So many digits cannot be converted that this may fail, too.
+        return port.isascii() and port.isdecimal() and 0 < int(port) <= _LAST_PORT
     except ValueError:
         return False
-    return port.isascii() and port.isdecimal() and 0 < int(port) <= _LAST_PORT
 
 
 def _route(route: _Route) -> Route:
--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -64,6 +64,10 @@
 """Time without an answer that counts as an outage; a row expires only after several
 missed heartbeats."""
 
+_ERROR_PAUSE_S = 0.5
+"""Pause after an unexpected error, such as a lack of files: the next read is still
+within the time in which a leaving endpoint must get nothing more."""
+
 _OWN_READ_MS = 100
 """Time that a read of this VM's own may take, beside its pace."""
 
@@ -107,7 +111,7 @@
         self._refresh_wanted = asyncio.Event()
         self._answered_elsewhere = asyncio.Event()
         directory.on_refresh(self._refresh_wanted.set)
-        current.on_change(lambda _: self._decode_all())
+        current.on_change(lambda _: self._guarded(self._decode_all))
 
     def on_regained(self, callback: Callable[[], None]) -> None:
         """Call back when the store answers again after an outage."""
@@ -117,7 +121,10 @@
         self, vm_id: str, data_centre: str, membership: Membership, transport: Transport
     ) -> None:
         """Read for the other VMs of the data centre, or let one of them do so."""
-        take = self._take_shared
+
+        def take(news: WatchedChanges) -> None:
+            self._guarded(self._take_shared, news)
+
         self._shared = SharedReads(
             _ENDPOINT_TABLE, vm_id, data_centre, membership, transport, take
         )
@@ -125,28 +132,49 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            self._end_grace()
-            fresh_s = self._fresh_s()
-            if fresh_s > 0 and not self._refresh_wanted.is_set():
-                await self._pause(fresh_s)
-                continue
-            self._refresh_wanted.clear()
-            pause_s = ENDPOINT_PERIOD_S * random.uniform(*_PERIOD_SPREAD)
-            if not self._trouble.is_lost:
-                self._silent_since_ms = self._last_good_ms()
             try:
-                await self._step()
-            except HistoryLostError:
-                self._after = -1
-                continue
-            except StoreUnavailableError as error:
-                is_reader = self._shared is None or self._shared.is_reader
-                pause_s = self._trouble.failed(error, is_reader=is_reader)
-                await self._pause_after_failure(pause_s)
-            else:
-                age_s = (self._clock.now_ms() - self._shown_ms) / 1000
-                pause_s = max(REFRESH_INTERVAL_S, pause_s - age_s)
-                await self._pause(pause_s, REFRESH_INTERVAL_S)
+                await self._watch()
+            except Exception as error:
+                self._fail(error)
+                self._refresh_wanted.clear()
+                await asyncio.sleep(_ERROR_PAUSE_S)
+
+    async def _watch(self) -> None:
+        """Read, if it is time, and pause."""
+        self._end_grace()
+        fresh_s = self._fresh_s()
+        if fresh_s > 0 and not self._refresh_wanted.is_set():
+            await self._pause(fresh_s)
+            return
+        self._refresh_wanted.clear()
+        pause_s = ENDPOINT_PERIOD_S * random.uniform(*_PERIOD_SPREAD)
+        if not self._trouble.is_lost:
+            self._silent_since_ms = self._last_good_ms()
+        try:
+            await self._step()
+        except HistoryLostError:
+            self._after = -1
+        except StoreUnavailableError as error:
+            is_reader = self._shared is None or self._shared.is_reader
+            pause_s = self._trouble.failed(error, is_reader=is_reader)
+            await self._pause_after_failure(pause_s)
+        else:
+            age_s = (self._clock.now_ms() - self._shown_ms) / 1000
+            pause_s = max(REFRESH_INTERVAL_S, pause_s - age_s)
+            await self._pause(pause_s, REFRESH_INTERVAL_S)
+
+    def _guarded(self, act: Callable[..., None], *args: object) -> None:
+        """Call a method; whoever has called back must not fail with it."""
+        try:
+            act(*args)
+        except Exception as error:
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        """Have the list read whole: what was done of a change is not known."""
+        log_event(events.TASK_FAILED, task="endpoint watch", error=repr(error))
+        self._after = -1
+        self._refresh_wanted.set()
 
     async def _pause_after_failure(self, pause_s: float) -> None:
         """Pause until missing rows are forgotten or the store answers another VM."""
@@ -330,9 +358,11 @@
             return
         try:
             endpoint = endpoint_from_row(key, self._values[key], configuration.services)
-        except DocumentError as error:
+        except Exception as error:
+            # No entry may keep the others from being read, whatever it holds.
             self._endpoints.pop(key, None)
-            self._reject(key, str(error))
+            is_expected = isinstance(error, DocumentError)
+            self._reject(key, str(error) if is_expected else repr(error))
         else:
             self._endpoints[key] = endpoint
             self._rejected.pop(key, None)
--- a/tests/platform/entries.feature
+++ b/tests/platform/entries.feature
@@ -33,6 +33,20 @@
       | born            | "yesterday"      |
       | born            | 1.5              |
 
+  # Guards against a VM that knew nothing new of any endpoint any more: a number that could
+  # not be converted, or not be sent to other VMs, ended its reads.
+  Scenario Outline: A number beyond all bounds rejects its own entry only
+    When an endpoint "odd" registers with <digits> digits in its <field>
+    And an endpoint duly registers as "p2"
+    Then the known endpoints become "p1, p2"
+    And one entry was rejected in the log
+
+    Examples:
+      | field   | digits |
+      | address | 4301   |
+      | born    | 30     |
+      | slots   | 30     |
+
   Scenario Outline: Bytes that cannot be read hide no other row
     When somebody writes <value> as the row "odd" of "<table>"
     And an endpoint duly registers as "p2"
--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -126,6 +126,13 @@
     And "a" hears of a state that is not its own
     Then "a" knows within 3000 ms that "p1" takes nothing more
 
+  # Guards against endpoints that got requests for good after they had left: what a VM could
+  # not tell the others ended its own reads.
+  Scenario: An endpoint whose start is no moment does not hide that others leave
+    When endpoint "odd" registers with a start of 10 to the 30th
+    And endpoint "p1" is said to be draining
+    Then every VM knows within 2000 ms that "p1" is leaving
+
   Scenario: Changes behind a gap are not taken
     When "b" hears of changes that begin behind what it has read
     Then "b" has taken none of them
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -112,6 +112,25 @@
     When "p1" starts again
     Then "p1" takes requests
 
+  # Guards against VMs that went on for good with the endpoints and the configuration that
+  # they knew: any error but the expected ones ended a watch.
+  Scenario Outline: No error ends the watch of the endpoints
+    When a read of the endpoints fails by <error>
+    And the endpoint "p1" leaves without a word
+    Then the endpoint "p1" is gone after 2000 ms
+
+    Examples:
+      | error          |
+      | OSError        |
+      | RecursionError |
+
+  Scenario: A list that cannot be published ends no watch
+    When no list can be published while the store says version 5
+    And the store says version 6
+    And the endpoint "p1" leaves without a word
+    Then the endpoint "p1" is gone after 2000 ms
+    And the configuration in force is version 6
+
   Scenario: Keys are the same for all VMs
     Then two VMs that ask for the shared keys at once get the same ones
 
--- a/tests/steps/platform_entries_steps.py
+++ b/tests/steps/platform_entries_steps.py
@@ -71,6 +71,13 @@
     _put(context, name, _entry(name, **{field: present}))
 
 
+@when('an endpoint "{name}" registers with {digits:d} digits in its {field}')
+def step_registers_digits(context, name, digits, field):
+    number = "1" * digits
+    value = f"127.0.0.1:{number}" if field == "address" else int(number)
+    _put(context, name, _entry(name, **{field: value}))
+
+
 @when('somebody writes {value} as the row "{key}" of "{table}"')
 def step_writes(context, value, key, table):
     context.store.put_as_it_is(table, key, json.loads(value))
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -113,6 +113,15 @@
     put(context, name, "draining")
 
 
+@when('endpoint "{name}" registers with a start of 10 to the 30th')
+def step_odd_start(context, name):
+    endpoint = RoutedEndpoint(name)
+    row = registered(endpoint, "portal", "127.0.0.1:1", DATA_CENTRE, born_ms=10**30)
+    context.store.put("servers", name, row)
+    # All VMs have read it then.
+    context.run(asyncio.sleep(APPLY_MS / 1000))
+
+
 @when('endpoint "{name}" is deleted')
 def step_deleted(context, name):
     context.store.delete("servers", name)
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -1,6 +1,7 @@
 """Steps of the watches of the metadata store, without a VM."""
 
 import asyncio
+import builtins
 
 from behave import given, then, when
 
@@ -207,6 +208,38 @@
     context.run(asyncio.wait_for(is_asked.wait(), 3))
 
 
+@when("a read of the endpoints fails by {error}")
+def step_read_raises(context, error):
+    changes = context.client.changes
+    has_failed = asyncio.Event()
+
+    async def fail(table, after, wait_ms):
+        if table != "servers":
+            return await changes(table, after, wait_ms)
+        context.client.changes = changes
+        has_failed.set()
+        raise getattr(builtins, error)
+
+    context.client.changes = fail
+    context.run(asyncio.wait_for(has_failed.wait(), 3))
+
+
+@when("no list can be published while the store says version {version:d}")
+def step_not_published(context, version):
+    replace = context.directory.replace
+
+    def fail(*args, **kwargs):
+        raise RuntimeError("for the test")
+
+    async def play():
+        context.directory.replace = fail
+        context.store.put("op", "config", configuration(version))
+        await asyncio.sleep(0.3)
+        context.directory.replace = replace
+
+    context.run(play())
+
+
 @when('the endpoint "{name}" leaves without a word')
 def step_deleted(context, name):
     context.store.delete("servers", name)
