--- a/tests/platform/departures.feature
+++ b/tests/platform/departures.feature
@@ -24,6 +24,15 @@
     Then no VM in order has sent to an endpoint later than 2 s after its entry said so
     And 10 endpoints or more have left, 6 of them after requests
 
+  # VMs that nobody counts as failed: their processes get no processor for a moment.
+  Scenario: Endpoints leave one after the other while VMs stand still for a moment
+    Given 4 VMs that callers ask 120 times a second for 10 s
+    When an endpoint leaves each 900 ms, with or without a word, and another one comes
+    And each third read of the store fails
+    And each VM in turn stands still for 1500 ms, the next one 1000 ms after it
+    Then no VM in order has sent to an endpoint later than 2 s after its entry said so
+    And 9 endpoints or more have left, 6 of them after requests
+
   # Guards against endpoints that were taken for ready again with a store that came back from
   # a copy of before.
   Scenario: Endpoints that leave are not used again as the store comes back from a copy
--- a/tests/steps/platform_departures_steps.py
+++ b/tests/steps/platform_departures_steps.py
@@ -233,6 +233,36 @@
     context.run(begin())
 
 
+@when(
+    "each VM in turn stands still for {still_ms:d} ms, "
+    "the next one {every_ms:d} ms after it"
+)
+def step_stand_still(context, still_ms, every_ms):
+    departures = context.departures
+
+    async def pause(vm):
+        vm.signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(still_ms / 1000)
+        finally:
+            with suppress(ProcessLookupError):
+                vm.signal(signal.SIGCONT)
+
+    async def act():
+        pauses = []
+        for vm in itertools.cycle(context.world.vms):
+            pauses.append(asyncio.ensure_future(pause(vm)))
+            await asyncio.sleep(every_ms / 1000)
+            if time.monotonic() > departures.begun_s + departures.for_s - 2:
+                break
+        await asyncio.gather(*pauses)
+
+    async def begin():
+        departures.later(1, act)
+
+    context.run(begin())
+
+
 @when(
     '"{one}" and "{other}" begin to leave after {after_s:d} s, '
     "and the store comes back from a copy"
