--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -22,7 +22,7 @@
     StoreUnavailableError,
 )
 from pomelolane.platform.rolloutrecord import orders_from_rows
-from pomelolane.platform.sharing import SharedReads
+from pomelolane.platform.sharing import SharedReads, local_time_ms
 from pomelolane.platform.storeclient import StoredRow
 from pomelolane.platform.trouble import StoreTrouble
 
@@ -90,6 +90,7 @@
         self._store = store
         self._limit_window = limit_window
         self._current = current
+        self._clock = clock
         self._wait_ms = int(apply_ms * _WAIT_SHARE)
         spread = random.uniform(1.0, _PATIENCE_SPREAD)
         self._patience_ms = apply_ms * _PATIENCE_SHARE * spread
@@ -183,17 +184,18 @@
             # Another VM has passed on a newer state while the answer was on its way, or
             # has shown that the table is to be read whole.
             return
-        self._take(snapshot.rows, snapshot.version)
+        self._take(snapshot.rows, snapshot.version, snapshot.now_ms)
         if self._shared is not None and self._shared.is_reader:
-            self._pass_on(after, snapshot.rows)
+            self._pass_on(after, snapshot.rows, snapshot.now_ms)
         if self._current.value is None and after < 0:
             await asyncio.sleep(_UNREAD_PAUSE_S)
 
-    def _pass_on(self, after: int, rows: Sequence[StoredRow]) -> None:
+    def _pass_on(self, after: int, rows: Sequence[StoredRow], as_of_ms: float) -> None:
         # Rows that are left out must show: only the configuration's hash is compared.
         if sum(len(row.value) for row in rows) > _MOST_PASSED_BYTES:
             rows = [row for row in rows if row.key != _KEY]
-        self._shared.pass_on(after, self._after, rows, self._document_hash)
+        document_hash = self._document_hash
+        self._shared.pass_on(after, self._after, rows, document_hash, as_of_ms)
 
     def _take_shared(self, news: WatchedChanges) -> None:
         """Take what another VM was told, unless something is missing before it."""
@@ -203,12 +205,12 @@
             StoredRow(one.key, one.version or news.version, one.value, one.deleted)
             for one in news.changes
         )
-        self._take(rows, news.version)
+        self._take(rows, news.version, news.as_of_ms)
         if self._document_hash != news.state_hash:
             # It was too large to be passed on, or was read in another order.
             self._after = -1
 
-    def _take(self, rows: Sequence[StoredRow], version: int) -> None:
+    def _take(self, rows: Sequence[StoredRow], version: int, as_of_ms: float) -> None:
         # The table is read whole if an error keeps anything of this from being taken.
         self._after = -1
         self._order(orders_from_rows(rows))
@@ -217,7 +219,8 @@
                 continue
             self._document_hash = xxhash.xxh32_intdigest(row.value)
             self._adopt(row)
-        self._current.confirm()
+        shown_ms = local_time_ms(as_of_ms, self._store, self._clock)
+        self._current.confirm(shown_ms)
         self._after = version
 
     def _order(self, orders: list[RolloutOrder]) -> None:
--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -22,7 +22,7 @@
     HistoryLostError,
     StoreUnavailableError,
 )
-from pomelolane.platform.sharing import SharedReads
+from pomelolane.platform.sharing import SharedReads, local_time_ms
 from pomelolane.platform.storeclient import StoredRow
 from pomelolane.platform.trouble import StoreTrouble
 
@@ -64,6 +64,10 @@
 """Time without an answer that counts as an outage; a row expires only after several
 missed heartbeats."""
 
+_ERROR_PAUSE_S = 0.5
+"""Pause after an unexpected error, such as a lack of files: the next read is still
+within the time in which a leaving endpoint must get nothing more."""
+
 _OWN_READ_MS = 100
 """Time that a read of this VM's own may take, beside its pace."""
 
@@ -97,6 +101,8 @@
         self._dropped_at_ms: dict[str, float] = {}
         self._grace_until_ms = 0.0
         self._silent_since_ms = 0.0
+        self._heard_ms = clock.now_ms()
+        self._shown_ms = -math.inf
         self._forgotten: list[str] = []
         self._after = -1
         self._has_read = False
@@ -105,7 +111,7 @@
         self._refresh_wanted = asyncio.Event()
         self._answered_elsewhere = asyncio.Event()
         directory.on_refresh(self._refresh_wanted.set)
-        current.on_change(lambda _: self._decode_all())
+        current.on_change(lambda _: self._guarded(self._decode_all))
 
     def on_regained(self, callback: Callable[[], None]) -> None:
         """Call back when the store answers again after an outage."""
@@ -115,7 +121,10 @@
         self, vm_id: str, data_centre: str, membership: Membership, transport: Transport
     ) -> None:
         """Read for the other VMs of the data centre, or let one of them do so."""
-        take = self._take_shared
+
+        def take(news: WatchedChanges) -> None:
+            self._guarded(self._take_shared, news)
+
         self._shared = SharedReads(
             _ENDPOINT_TABLE, vm_id, data_centre, membership, transport, take
         )
@@ -123,26 +132,49 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            self._end_grace()
-            fresh_s = self._fresh_s()
-            if fresh_s > 0 and not self._refresh_wanted.is_set():
-                await self._pause(fresh_s)
-                continue
-            self._refresh_wanted.clear()
-            pause_s = ENDPOINT_PERIOD_S * random.uniform(*_PERIOD_SPREAD)
-            if not self._trouble.is_lost:
-                self._silent_since_ms = self._last_good_ms()
             try:
-                await self._step()
-            except HistoryLostError:
-                self._after = -1
-                continue
-            except StoreUnavailableError as error:
-                is_reader = self._shared is None or self._shared.is_reader
-                pause_s = self._trouble.failed(error, is_reader=is_reader)
-                await self._pause_after_failure(pause_s)
-            else:
-                await self._pause(pause_s, REFRESH_INTERVAL_S)
+                await self._watch()
+            except Exception as error:
+                self._fail(error)
+                self._refresh_wanted.clear()
+                await asyncio.sleep(_ERROR_PAUSE_S)
+
+    async def _watch(self) -> None:
+        """Read, if it is time, and pause."""
+        self._end_grace()
+        fresh_s = self._fresh_s()
+        if fresh_s > 0 and not self._refresh_wanted.is_set():
+            await self._pause(fresh_s)
+            return
+        self._refresh_wanted.clear()
+        pause_s = ENDPOINT_PERIOD_S * random.uniform(*_PERIOD_SPREAD)
+        if not self._trouble.is_lost:
+            self._silent_since_ms = self._last_good_ms()
+        try:
+            await self._step()
+        except HistoryLostError:
+            self._after = -1
+        except StoreUnavailableError as error:
+            is_reader = self._shared is None or self._shared.is_reader
+            pause_s = self._trouble.failed(error, is_reader=is_reader)
+            await self._pause_after_failure(pause_s)
+        else:
+            age_s = (self._clock.now_ms() - self._shown_ms) / 1000
+            pause_s = max(REFRESH_INTERVAL_S, pause_s - age_s)
+            await self._pause(pause_s, REFRESH_INTERVAL_S)
+
+    def _guarded(self, act: Callable[..., None], *args: object) -> None:
+        """Call a method; whoever has called back must not fail with it."""
+        try:
+            act(*args)
+        except Exception as error:
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        """Have the list read whole: what was done of a change is not known."""
+        log_event(events.TASK_FAILED, task="endpoint watch", error=repr(error))
+        self._after = -1
+        self._refresh_wanted.set()
 
     async def _pause_after_failure(self, pause_s: float) -> None:
         """Pause until missing rows are forgotten or the store answers another VM."""
@@ -173,7 +205,7 @@
     def _end_grace(self) -> None:
         if not self._grace_left_s():
             self._drop_missing(self._clock.now_ms())
-            self._publish(confirms=False)
+            self._publish_unconfirmed()
 
     def _last_good_ms(self) -> float:
         """Return since when the store can have been silent for this VM.
@@ -183,7 +215,7 @@
         """
         now_ms = self._clock.now_ms()
         own_period_ms = 1000 * ENDPOINT_PERIOD_S * max(_PERIOD_SPREAD)
-        age_ms = self._directory.age_ms
+        age_ms = now_ms - self._heard_ms
         shared = self._shared
         has_other_reader = shared is not None and (
             not shared.is_reader or age_ms > own_period_ms + _OWN_READ_MS
@@ -229,7 +261,7 @@
             self._after = -1
             self._refresh_wanted.set()
             return
-        self._publish()
+        self._publish(news.as_of_ms)
 
     def _state_hash(self) -> int:
         states = sorted(
@@ -259,12 +291,14 @@
         changed = self._take(
             snapshot.rows, whole=whole, kept_until_ms=self._grace_until_ms
         )
-        self._publish(read_from_ms=asked_ms)
+        self._publish(snapshot.now_ms, asked_ms)
         if self._shared is not None and not whole and self._shared.is_reader:
-            self._pass_on(after, changed)
+            self._pass_on(after, changed, snapshot.now_ms)
         self._forgotten.clear()
 
-    def _pass_on(self, after: int, changed: Sequence[StoredRow]) -> None:
+    def _pass_on(
+        self, after: int, changed: Sequence[StoredRow], as_of_ms: float
+    ) -> None:
         """Tell the other VMs what changed, and which rows were forgotten.
 
         Rows that may yet come back are not reported as deleted.
@@ -275,7 +309,8 @@
             if key not in self._values
         ]
         rows = [*changed, *forgotten]
-        self._shared.pass_on(after, self._after, rows, self._state_hash())
+        state_hash = self._state_hash()
+        self._shared.pass_on(after, self._after, rows, state_hash, as_of_ms)
 
     def _take(
         self, rows: Sequence[StoredRow], *, whole: bool, kept_until_ms: float
@@ -323,9 +358,11 @@
             return
         try:
             endpoint = endpoint_from_row(key, self._values[key], configuration.services)
-        except DocumentError as error:
+        except Exception as error:
+            # No entry may keep the others from being read, whatever it holds.
             self._endpoints.pop(key, None)
-            self._reject(key, str(error))
+            is_expected = isinstance(error, DocumentError)
+            self._reject(key, str(error) if is_expected else repr(error))
         else:
             self._endpoints[key] = endpoint
             self._rejected.pop(key, None)
@@ -343,19 +380,27 @@
         """Read all rows anew: the configuration names the services."""
         for key in self._values:
             self._decode(key)
-        self._publish(confirms=False)
+        self._publish_unconfirmed()
 
-    def _publish(
-        self, *, confirms: bool = True, read_from_ms: float = -math.inf
-    ) -> None:
-        """Hand the endpoints to the directory.
+    def _publish(self, as_of_ms: float, read_from_ms: float = -math.inf) -> None:
+        """Hand the directory the endpoints that the store has confirmed.
 
         Args:
-            confirms: Whether the store has just confirmed them.
+            as_of_ms: The store's clock when it held them, 0 if unknown.
             read_from_ms: When the VM's own read began, if that confirms them.
         """
+        self._heard_ms = self._clock.now_ms()
+        shown_ms = local_time_ms(as_of_ms, self._store, self._clock)
+        self._shown_ms = max(self._shown_ms, shown_ms)
         if self._has_read and self._current.value is not None:
-            endpoints = dict(self._endpoints)
             self._directory.replace(
-                endpoints, self._version, confirms=confirms, read_from_ms=read_from_ms
+                dict(self._endpoints),
+                self._version,
+                read_from_ms=read_from_ms,
+                as_of_ms=self._shown_ms,
             )
+
+    def _publish_unconfirmed(self) -> None:
+        if self._has_read and self._current.value is not None:
+            endpoints = dict(self._endpoints)
+            self._directory.replace(endpoints, self._version, confirms=False)
