--- a/src/pomelolane/forwarding/configuration.py
+++ b/src/pomelolane/forwarding/configuration.py
@@ -188,9 +188,9 @@
         """Time since this VM last learned that there is no newer one."""
         return self._clock.now_ms() - self._confirmed_ms
 
-    def confirm(self) -> None:
-        """Note that there is none that is newer than what was adopted until now."""
-        self._confirmed_ms = self._clock.now_ms()
+    def confirm(self, at_ms: float) -> None:
+        """Note that there was none at a time that is newer than what was adopted."""
+        self._confirmed_ms = max(self._confirmed_ms, at_ms)
 
     async def wait_until_known(self) -> None:
         """Wait until a configuration is in force."""
