Confirm what is known before relying on it after a stall

Cause: a process that stood still is handed the requests that came meanwhile before the news, which comes by a call or a message that takes a few steps of the event loop more, or by a call whose time limit has passed and that is made again 0.1 s later. The VM that reads for its data centre is hit most: the others find its messages in their sockets.

Class: what a VM knows has an age, and nothing that relied on it looked at it.

Intake and Forwarder wait up to 150 ms for a confirmation if the last one is older than four fifths of the bound, and have the watch ask at once. If none comes, later requests do not wait until the next one. The fakes of a directory in two step files get the new attribute.

--- a/src/pomelolane/forwarding/configuration.py
+++ b/src/pomelolane/forwarding/configuration.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from pomelolane.clock import MonotonicClock
+from pomelolane.forwarding.confirmation import Confirmation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -159,12 +161,19 @@
 
     Args:
         clock: Source of the current time.
+        max_age_ms: Time since the last confirmation after which requests wait for one.
+
+    Attributes:
+        confirmation: When it was last confirmed that there is none that is newer.
     """
 
-    def __init__(self, clock: Clock | None = None) -> None:
+    def __init__(
+        self, clock: Clock | None = None, max_age_ms: float = math.inf
+    ) -> None:
         self._clock = clock or MonotonicClock()
+        self.confirmation = Confirmation(self._clock, max_age_ms)
         self._value: Configuration | None = None
-        self._adopted_ms = self._confirmed_ms = self._clock.now_ms()
+        self._adopted_ms = self._clock.now_ms()
         self._known = asyncio.Event()
         self._callbacks: list[Callable[[Configuration], None]] = []
 
@@ -183,15 +192,6 @@
         """Time that it has been in force, or since the start before the first one."""
         return self._clock.now_ms() - self._adopted_ms
 
-    @property
-    def confirmed_age_ms(self) -> float:
-        """Time since this VM last learned that there is no newer one."""
-        return self._clock.now_ms() - self._confirmed_ms
-
-    def confirm(self, at_ms: float) -> None:
-        """Note that there was none at a time that is newer than what was adopted."""
-        self._confirmed_ms = max(self._confirmed_ms, at_ms)
-
     async def wait_until_known(self) -> None:
         """Wait until a configuration is in force."""
         await self._known.wait()
--- a/src/pomelolane/forwarding/endpoints.py
+++ b/src/pomelolane/forwarding/endpoints.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from pomelolane import events
+from pomelolane.forwarding.confirmation import Confirmation
 from pomelolane.logs import log_event
 
 if TYPE_CHECKING:
@@ -20,6 +21,10 @@
 """How long a leaving state outlives the endpoint's registry entry, which may have
 expired although the endpoint still runs."""
 
+MAX_LIST_AGE_MS = 1_600.0
+"""Age of the list from which on requests wait for a confirmation: an endpoint that
+leaves must get nothing more within 2 s at the tightest."""
+
 
 def instance_id_of(endpoint: Endpoint) -> str:
     """Return an id that identifies an endpoint until its next restart."""
@@ -36,13 +41,12 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._endpoints: dict[str, Endpoint] = {}
-        self._confirmed_ms = clock.now_ms()
+        self.confirmation = Confirmation(clock, MAX_LIST_AGE_MS)
         self._read_from_ms = -math.inf
         self._leaving_marked_ms: dict[str, float] = {}
         self._leaving_listed_ms: dict[str, float] = {}
         self._version = 0
         self._callbacks: list[Callable[[], None]] = []
-        self._refreshers: list[Callable[[], None]] = []
         self._known = asyncio.Event()
         self._next_confirmation = asyncio.Event()
 
@@ -62,7 +66,7 @@
     @property
     def age_ms(self) -> float:
         """Time since the source last confirmed the list."""
-        return self._clock.now_ms() - self._confirmed_ms
+        return self.confirmation.age_ms
 
     @property
     def version(self) -> int:
@@ -89,13 +93,12 @@
 
     def on_refresh(self, callback: Callable[[], None]) -> None:
         """Call back when the source is to be read at once."""
-        self._refreshers.append(callback)
+        self.confirmation.on_wanted(callback)
 
     async def refresh(self, timeout_ms: float) -> bool:
         """Have the source confirm the list, and return whether it did so in time."""
         asked_ms = self._clock.now_ms()
-        for callback in self._refreshers:
-            callback()
+        self.confirmation.want()
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 while self._read_from_ms < asked_ms:
@@ -115,7 +118,7 @@
         """
         now_ms = self._clock.now_ms()
         shown_ms = now_ms if as_of_ms is None else min(as_of_ms, now_ms)
-        self._confirmed_ms = max(self._confirmed_ms, shown_ms)
+        self.confirmation.confirm(shown_ms)
         from_ms = now_ms if read_from_ms is None else read_from_ms
         self._read_from_ms = max(self._read_from_ms, from_ms)
         confirmation, self._next_confirmation = (
--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -386,6 +386,7 @@
             TimeoutError: The request's time limit has passed.
         """
         call = state.call
+        await self._directory.confirmation.ensure()
         endpoint = self._directory.usable(grant.endpoint_id)
         state.endpoint_id = grant.endpoint_id
         if endpoint is None:
--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -125,6 +125,7 @@
         if not self._opened.is_set():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._opened.wait(), START_TIMEOUT_MS / 1000)
+        await self._current.confirmation.ensure()
         # Another configuration may come into force while the body is read.
         rules = self._rules
         if rules is None or not self._opened.is_set():
@@ -181,7 +182,7 @@
             error,
             version=rules.configuration.version,
             in_force_ms=self._clock.now_ms() - rules.since_ms,
-            confirmed_ms=self._current.confirmed_age_ms,
+            confirmed_ms=self._current.confirmation.age_ms,
             lag_ms=self._lag.largest_ms,
             unlogged=unlogged,
         )
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -311,7 +311,7 @@
             "ready": self.is_ready,
             "configuration_version": self._current.version,
             "configuration_age_ms": self._current.age_ms,
-            "configuration_confirmed_age_ms": self._current.confirmed_age_ms,
+            "configuration_confirmed_age_ms": self._current.confirmation.age_ms,
             "event_loop_lag_ms": self._lag.largest_ms,
             "endpoints": self._directory.all,
             "endpoints_age_ms": self._directory.age_ms,
@@ -390,7 +390,7 @@
         self._published_ms = now_ms
         current = self._current
         metrics.set_configuration(
-            current.version, current.age_ms, current.confirmed_age_ms
+            current.version, current.age_ms, current.confirmation.age_ms
         )
         metrics.set_loop_lag(self._lag.largest_ms)
 
--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from typing import TYPE_CHECKING
 
@@ -85,6 +86,7 @@
         self._store = store
         self._limit_window = limit_window
         self._current = current
+        self._clock = clock
         self._wait_ms = int(apply_ms * _WAIT_SHARE)
         spread = random.uniform(1.0, _PATIENCE_SPREAD)
         self._patience_ms = apply_ms * _PATIENCE_SHARE * spread
@@ -96,6 +98,7 @@
         self._outdated = (0, 0)
         self._adopted_hash = 0
         self._poll: asyncio.Task[None] | None = None
+        self._is_wanted = asyncio.Event()
         self.on_orders: Callable[[list[RolloutOrder]], None] = _ignore_orders
 
     def share(
@@ -112,13 +115,21 @@
         if self._poll is not None:
             self._poll.cancel()
 
+    def ask_now(self) -> None:
+        """Ask what there is, without waiting for a change."""
+        self._is_reading = False
+        self._is_wanted.set()
+        if self._poll is not None:
+            self._poll.cancel()
+
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
+            self._is_wanted.clear()
             fresh_s = self._fresh_s()
             if fresh_s > 0:
                 self._is_reading = False
-                await asyncio.sleep(min(fresh_s, _LOOK_S))
+                await self._pause(min(fresh_s, _LOOK_S))
                 continue
             self._poll = asyncio.create_task(self._step())
             try:
@@ -134,14 +145,20 @@
             except StoreUnavailableError as error:
                 is_reader = self._shared is None or self._shared.is_reader
                 pause_s = self._trouble.failed(error, is_reader=is_reader)
-                await asyncio.sleep(pause_s)
+                await self._pause(pause_s)
+
+    async def _pause(self, pause_s: float) -> None:
+        """Pause, unless somebody wants to know at once."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._is_wanted.wait()
 
     def _fresh_s(self) -> float:
         """Return for how long what another VM has told is young enough."""
         shared = self._shared
         if shared is None or self._after < 0 or shared.is_reader:
             return 0.0
-        return (self._patience_ms - self._current.confirmed_age_ms) / 1000
+        return (self._patience_ms - self._current.confirmation.age_ms) / 1000
 
     async def _step(self) -> None:
         after = self._after
@@ -186,7 +203,7 @@
     def _take(self, rows: Sequence[StoredRow], version: int, as_of_ms: float) -> None:
         self._after = version
         shown_ms = local_time_ms(as_of_ms, self._store, self._clock)
-        self._current.confirm(shown_ms)
+        self._current.confirmation.confirm(shown_ms)
         orders = orders_from_rows(rows)
         if orders:
             self.on_orders(orders)
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -56,6 +56,10 @@
 """How long it waits at most: callers leave a VM that has not read them after a
 second, and 0.1 s goes by before."""
 
+_CONFIRMED_SHARE = 0.8
+"""Part of the time in which a configuration must be in force after which requests wait
+until it is confirmed; VMs hear of it within half of that time."""
+
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 1.0
 
@@ -77,7 +81,9 @@
         self._file = self._read_file()
         self._clock = MonotonicClock()
         self._store = StoreClient(self._file.store_address)
-        self._current = CurrentConfiguration(self._clock)
+        self._current = CurrentConfiguration(
+            self._clock, _CONFIRMED_SHARE * self._file.apply_ms
+        )
         self._directory = EndpointDirectory(self._clock)
         self._background = BackgroundTasks()
         self._stopping = asyncio.Event()
@@ -145,6 +151,7 @@
         configuration.share(file.vm_id, file.data_centre, member, member.transport)
         configuration.on_orders = node.rollouts.adopt
         watch.on_regained(configuration.refresh)
+        self._current.confirmation.on_wanted(configuration.ask_now)
         self._background.start("configuration", configuration.run())
         await node.start()
         self._background.start("read crashes", node.crash_record.read())
--- a/standins/routed/store.py
+++ b/standins/routed/store.py
@@ -62,6 +62,7 @@
         era: Number of its numbering of versions, in all answers.
         refuses_each: Which reads of a table it refuses: 2 for each second one, 0 for
             none.
+        delay_s: How much later it answers.
         on_page: Called once after a page that others follow, None for nothing.
     """
 
@@ -70,6 +71,7 @@
         self.oldest = 0
         self.era = 1
         self.refuses_each = 0
+        self.delay_s = 0.0
         self._reads: Counter[str] = Counter()
         self.on_page: Callable[[], object] | None = None
         self.calls: Counter[str] = Counter()
@@ -168,6 +170,7 @@
         if self._refuses(request):
             return json_response({}, status=503)
         answer = await handler(request)
+        await asyncio.sleep(self.delay_s)
         answer.headers["Store-Era"] = str(self.era)
         if self.trouble is Trouble.LOST and request.method == "POST":
             return drop_connection(request)
--- a/tests/forwarding/departures.feature
+++ b/tests/forwarding/departures.feature
@@ -72,6 +72,12 @@
       | leaves without a word | before     |
       | starts again         | before     |
 
+  # Guards against requests that reached an endpoint after it had left, from a VM that had
+  # heard nothing of the registry for as long.
+  Scenario: A VM asks the registry first if it has heard nothing of it for 2 s
+    When the first VM has heard nothing for 2000 ms, and sends a request to "e1", which has begun to leave
+    Then the request has not run and may go elsewhere
+
   Scenario: An endpoint that stays gets the request that waited for a connection
     When the first VM connects to "e1" for a request, and "e1" stays before
     Then "e1" gets the request
--- a/tests/platform/stalls.feature
+++ b/tests/platform/stalls.feature
@@ -22,7 +22,13 @@
       | 2  |
 
   # Guards against requests that reach an endpoint 2 s after its entry said that it leaves.
-  Scenario: A VM that stood still sends nothing to an endpoint that left meanwhile
-    Given 3 VMs that callers may ask
-    When each round stops VM 2 for 2600 ms, "p1" leaves at once, and callers ask it 2300 ms later
+  Scenario Outline: A VM that stood still sends nothing to an endpoint that left meanwhile
+    Given a store that answers 20 ms later
+    And <count> VMs that callers may ask
+    When each round stops VM 1 for 2600 ms, "p1" leaves at once, and callers ask it 2300 ms later
     Then in 3 rounds "p1" gets no request
+
+    Examples:
+      | count |
+      | 1     |
+      | 3     |
--- a/tests/steps/forwarding_departures_steps.py
+++ b/tests/steps/forwarding_departures_steps.py
@@ -55,7 +55,7 @@
 @given('two VMs that know the endpoint "{name}", started at {born_ms:d}')
 def step_vms(context, name, born_ms):
     context.marks = SharedMarks()
-    clock = ManualClock()
+    context.clock = clock = ManualClock()
     context.vms = {}
     for vm in ("first", "second"):
         directory = EndpointDirectory(clock)
@@ -209,6 +209,18 @@
     _connect(context, name, what, "right then")
 
 
+@when(
+    "the first VM has heard nothing for {silent_ms:d} ms, "
+    'and sends a request to "{name}", which has begun to leave'
+)
+def step_unconfirmed(context, silent_ms, name):
+    directory, clock = context.vms["first"][0], context.clock
+    clock.advance(silent_ms)
+    news = _NEXT_STATES["begins to leave"]
+    directory.on_refresh(lambda: directory.replace(news, 2))
+    _connect(context, name, "stays", "before")
+
+
 def _connect(context, name, what, when):
     directory, _ = context.vms["first"]
     context.pool = Pool(lambda: directory.replace(_NEXT_STATES[what], 2), when)
--- a/tests/steps/forwarding_error_steps.py
+++ b/tests/steps/forwarding_error_steps.py
@@ -19,6 +19,7 @@
     request_log,
 )
 from pomelolane.forwarding.call import ForwardCall
+from pomelolane.forwarding.confirmation import Confirmation
 from pomelolane.forwarding.sender import SendResult
 from pomelolane.http.exchange import Exchange
 from pomelolane.model import Endpoint
@@ -87,6 +88,7 @@
     def __init__(self, fails_at):
         self.fails_at = fails_at
         self.clock = MonotonicClock()
+        self.confirmation = Confirmation(self.clock)
 
     def _fail(self, moment):
         if self.fails_at == moment:
--- a/tests/steps/forwarding_silence_steps.py
+++ b/tests/steps/forwarding_silence_steps.py
@@ -17,6 +17,7 @@
     SharedRetryBudget,
 )
 from pomelolane.forwarding.call import ForwardCall
+from pomelolane.forwarding.confirmation import Confirmation
 from pomelolane.forwarding.sender import SendResult
 from pomelolane.http.exchange import Exchange
 from pomelolane.model import Endpoint
@@ -136,6 +137,7 @@
 class _Directory:
     age_ms = 0.0
     version = 1
+    confirmation = Confirmation(MonotonicClock())
 
     def usable(self, endpoint_id):
         return Endpoint(endpoint_id, "s", "hall-a", "127.0.0.1:1")
--- a/tests/steps/platform_stalls_steps.py
+++ b/tests/steps/platform_stalls_steps.py
@@ -20,7 +20,7 @@
 
 
 async def _ask_stopped(vm, line, stopped_ms, asked_after_ms, change):
-    """Stop a VM, change something, and return the answers to requests sent meanwhile."""
+    """Stop a VM, change something, and return the answers to its callers."""
     vm.signal(signal.SIGSTOP)
     change()
     await asyncio.sleep(asked_after_ms / 1000)
@@ -33,6 +33,11 @@
     return await asyncio.gather(*asking)
 
 
+@given("a store that answers {delay_ms:d} ms later")
+def step_delay(context, delay_ms):
+    context.world.store.delay_s = delay_ms / 1000
+
+
 @given("{count:d} VMs that callers may ask")
 def step_vms(context, count):
     async def start():
