--- a/src/pomelolane/forwarding/configuration.py
+++ b/src/pomelolane/forwarding/configuration.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from pomelolane import events
 from pomelolane.clock import MonotonicClock
+from pomelolane.forwarding.confirmation import Confirmation
 from pomelolane.logs import log_event
 
 if TYPE_CHECKING:
@@ -161,12 +163,19 @@
 
     Args:
         clock: Source of the current time.
+        max_age_ms: Time since the last confirmation after which requests wait for one.
+
+    Attributes:
+        confirmation: When it was last confirmed that there is none that is newer.
     """
 
-    def __init__(self, clock: Clock | None = None) -> None:
+    def __init__(
+        self, clock: Clock | None = None, max_age_ms: float = math.inf
+    ) -> None:
         self._clock = clock or MonotonicClock()
+        self.confirmation = Confirmation(self._clock, max_age_ms)
         self._value: Configuration | None = None
-        self._adopted_ms = self._confirmed_ms = self._clock.now_ms()
+        self._adopted_ms = self._clock.now_ms()
         self._known = asyncio.Event()
         self._callbacks: list[Callable[[Configuration], None]] = []
         self._failed: list[Callable[[Configuration], None]] = []
@@ -186,17 +195,12 @@
         """Time that it has been in force, or since the start before the first one."""
         return self._clock.now_ms() - self._adopted_ms
 
-    @property
-    def confirmed_age_ms(self) -> float:
-        """Time since this VM last learned that there is no newer one."""
-        return self._clock.now_ms() - self._confirmed_ms
-
-    def confirm(self) -> None:
-        """Note that there is none that is newer than what was adopted until now.
+    def confirm(self, at_ms: float) -> None:
+        """Note that there was none at a time that is newer than what was adopted.
 
         Callbacks that raised at the last change are called again.
         """
-        self._confirmed_ms = self._clock.now_ms()
+        self.confirmation.confirm(at_ms)
         if self._failed and self._value is not None:
             self._failed = [one for one, _ in self._call(self._failed, self._value)]
 
--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from typing import TYPE_CHECKING
 
@@ -105,6 +106,7 @@
         self._errors = LogAllowance(_ERRORS_LOGGED_PER_S, clock)
         self._orders: list[RolloutOrder] = []
         self._poll: asyncio.Task[None] | None = None
+        self._is_wanted = asyncio.Event()
         self.on_orders: Callable[[list[RolloutOrder]], None] = _ignore_orders
 
     def share(
@@ -121,6 +123,13 @@
         if self._poll is not None:
             self._poll.cancel()
 
+    def ask_now(self) -> None:
+        """Ask what there is, without waiting for a change."""
+        self._is_reading = False
+        self._is_wanted.set()
+        if self._poll is not None:
+            self._poll.cancel()
+
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
@@ -130,13 +139,14 @@
                 self._log_error(error)
                 # What was missed is found by reading the table whole.
                 self._after = -1
-                await asyncio.sleep(_ERROR_PAUSE_S)
+                await self._pause(_ERROR_PAUSE_S)
 
     async def _read_or_wait(self) -> None:
+        self._is_wanted.clear()
         fresh_s = self._fresh_s()
         if fresh_s > 0:
             self._is_reading = False
-            await asyncio.sleep(min(fresh_s, _LOOK_S))
+            await self._pause(min(fresh_s, _LOOK_S))
             return
         self._poll = asyncio.create_task(self._step())
         try:
@@ -151,12 +161,18 @@
             self._after = -1
             # A table may be read as of before the history that is left.
             if self._has_lost_history:
-                await asyncio.sleep(_LOST_PAUSE_S * random.uniform(0.5, 1.0))
+                await self._pause(_LOST_PAUSE_S * random.uniform(0.5, 1.0))
             self._has_lost_history = True
         except StoreUnavailableError as error:
             is_reader = self._shared is None or self._shared.is_reader
             pause_s = self._trouble.failed(error, is_reader=is_reader)
-            await asyncio.sleep(pause_s)
+            await self._pause(pause_s)
+
+    async def _pause(self, pause_s: float) -> None:
+        """Pause, unless somebody wants to know at once."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._is_wanted.wait()
 
     def _log_error(self, error: Exception) -> None:
         if self._errors.take() is not None:
@@ -167,7 +183,7 @@
         shared = self._shared
         if shared is None or self._after < 0 or shared.is_reader:
             return 0.0
-        return (self._patience_ms - self._current.confirmed_age_ms) / 1000
+        return (self._patience_ms - self._current.confirmation.age_ms) / 1000
 
     async def _step(self) -> None:
         after = self._after
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -1,12 +1,9 @@
 """Steps of the watches of the metadata store, without a VM."""
 
 import asyncio
-<<<<<<< HEAD
+import builtins
 import functools
 import json
-=======
-import builtins
->>>>>>> inc66-drain
 
 from behave import given, then, when
 
