Discard idle connections to the store after a call without an answer

Callers saw: news of the store in force seconds late after its connections had fallen silent (a firewall or a proxy that forgot them).

Cause: an idle connection that is open and dead looks sound, so the client tried its idle connections one after the other, each for the whole limit of a call.

Change: when a call runs out of time, the connections that have been idle since before its beginning are closed; those that have answered since then are kept.

Evidence: tests/platform/storecalls.feature with 6 idle connections that all fall silent: a read succeeded at the 7th try before, at the 2nd now.

--- a/src/pomelolane/endpoints/pool.py
+++ b/src/pomelolane/endpoints/pool.py
@@ -98,6 +98,16 @@
         """Return the number of idle connections to an address."""
         return len(self._idle[address])
 
+    def discard_idle(self, address: str, before_ms: float) -> None:
+        """Close the connections to an address that have been idle since before a time.
+
+        For after a request that was not answered: they may be as dead as its own.
+        """
+        for connection in tuple(self._idle[address]):
+            if connection.idle_since_ms < before_ms:
+                self._idle[address].remove(connection)
+                connection.discard()
+
     def close(self) -> None:
         """Close all connections, idle and busy ones."""
         for connection in tuple(self._address_by_connection):
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -354,6 +354,7 @@
             task.cancel()
             raise
         self._await_late(task)
+        self._pool.discard_idle(self._address, begun_ms)
         raise TimeoutError
 
     async def _measured_answer(
--- a/standins/routed/store.py
+++ b/standins/routed/store.py
@@ -10,6 +10,7 @@
 import base64
 import json
 import time
+import weakref
 from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
@@ -71,6 +72,8 @@
         self.oldest = 0
         self.era = 1
         self.late_s = 0.0
+        self._connections: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
+        self._silent: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
         self.refuses_each = 0
         self._reads: Counter[str] = Counter()
         self.on_page: Callable[[], object] | None = None
@@ -142,6 +145,10 @@
         """Know no change before now."""
         self.oldest = self._version
 
+    def silence_connections(self) -> None:
+        """Answer nothing more on the connections that are open now."""
+        self._silent.update(self._connections)
+
     def copy(self) -> StoreCopy:
         """Return what it holds now."""
         return StoreCopy(dict(self._rows), self._version)
@@ -160,6 +167,10 @@
     @web.middleware
     async def _troubled(self, request: web.Request, handler: Any) -> web.StreamResponse:
         self.calls[request.path] += 1
+        if request.transport is not None:
+            self._connections.add(request.transport)
+            if request.transport in self._silent:
+                await asyncio.sleep(LONGEST_WAIT_S)
         match self.trouble:
             case Trouble.BUSY:
                 return json_response({}, status=503)
--- a/tests/platform/storecalls.feature
+++ b/tests/platform/storecalls.feature
@@ -23,6 +23,12 @@
     When each answer of the store takes 1200 ms
     Then a write succeeds at the second try
 
+  # Guards against a client that tried its idle connections one after the other when all of
+  # them had fallen silent, each for the whole limit.
+  Scenario: Idle connections that all fell silent cost one call
+    When 6 connections to the store are idle and fall silent
+    Then a read succeeds at the second try
+
   # Guards against calls given up while their answers lay in the sockets: the loop runs its
   # timers before it reads.
   Scenario: A call is not given up for a stall of the event loop
--- a/tests/steps/platform_storecalls_steps.py
+++ b/tests/steps/platform_storecalls_steps.py
@@ -44,6 +44,17 @@
     context.store.late_s = ms / 1000
 
 
+@when("{count:d} connections to the store are idle and fall silent")
+def step_silent(context, count):
+    async def play():
+        for task in context.tasks:
+            task.cancel()
+        await asyncio.gather(*(context.client.read("op") for _ in range(count)))
+        context.store.silence_connections()
+
+    context.run(play())
+
+
 class _Answer(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
