Pause between reports of a lost history

Callers saw: calls of the store refused by its rate limit, and a busy event loop, while the store's reads lagged behind a history that it had dropped.

Cause: the watches answer a lost history by a whole read at once, and go on from the version that it tells. If that one is too old as well, 410 and whole reads alternate as fast as the store answers.

Change: the client tells of a lost history of a table at once for the first time, and of later ones at least 0.5 s apart. It holds for all callers of ``changes``.

--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -36,6 +36,10 @@
 _MOST_LATE_CALLS = 4
 """Calls past their limit whose answers are still awaited."""
 
+_REREAD_MS = 500.0
+"""Shortest time between two lost histories of a table that callers are told of: they
+read it whole at once, and the store's reads may lag behind what it has dropped."""
+
 MAX_IDLE_MS = 60_000
 """Idle connections are kept for as long as the store does; before one is used
 again, a look at its socket tells whether the store has closed it."""
@@ -149,6 +153,7 @@
         self._limits = {"GET": CallLimit(), "POST": CallLimit()}
         self._late_calls: set[asyncio.Task[tuple[int, _Answer]]] = set()
         self._eras: dict[str, int] = {}
+        self._next_reread_ms: dict[str, float] = {}
         self._clock = MonotonicClock()
         self._ahead_ms = 0.0
 
@@ -205,9 +210,13 @@
                 copy and gives versions out again; read the table whole.
         """
         query = {"table": table, "after": str(after), "waitMs": str(wait_ms)}
-        era, page = await self._get("/rows-feed", query, wait_ms / 1000)
-        if self._eras.setdefault(table, era) != era:
-            raise HistoryLostError(table)
+        try:
+            era, page = await self._get("/rows-feed", query, wait_ms / 1000)
+            if self._eras.setdefault(table, era) != era:
+                raise HistoryLostError(table)
+        except HistoryLostError:
+            await self._pause_before_reread(table)
+            raise
         return Snapshot(tuple(_stored(r) for r in page.rows), page.ver, page.now_ms)
 
     async def write(
@@ -278,6 +287,13 @@
             task.cancel()
         self._pool.close()
 
+    async def _pause_before_reread(self, table: str) -> None:
+        """Wait if the table's history was lost a moment ago already."""
+        now_ms = self._clock.now_ms()
+        due_ms = max(now_ms, self._next_reread_ms.get(table, now_ms))
+        self._next_reread_ms[table] = due_ms + _REREAD_MS
+        await asyncio.sleep((due_ms - now_ms) / 1000)
+
     async def _get(
         self, path: str, query: dict[str, str], wait_s: float = 0.0
     ) -> tuple[int, _Rows]:
--- a/tests/platform/storecalls.feature
+++ b/tests/platform/storecalls.feature
@@ -35,3 +35,11 @@
     Given a store in another thread that answers after 350 ms
     When the event loop stands still for 1200 ms of each 1500 ms
     Then a read succeeds at the first try
+
+  # Guards against a reread of whole tables as fast as the store answered, while its reads
+  # lagged behind a history that it had dropped.
+  Scenario: A history that stays lost is not asked for without a pause
+    When the store has lost its history for 2000 ms
+    Then each watch has called the store at most 10 times meanwhile
+    When the store says version 9
+    Then the configuration in force is version 9 within 3000 ms
--- a/tests/steps/platform_storecalls_steps.py
+++ b/tests/steps/platform_storecalls_steps.py
@@ -55,6 +55,21 @@
     context.run(play())
 
 
+@when("the store has lost its history for {ms:d} ms")
+def step_lost_history(context, ms):
+    store = context.store
+    calls = context.client.calls
+    store.oldest = 1_000_000
+    context.run(asyncio.sleep(ms / 1000))
+    store.oldest = 0
+    context.calls = context.client.calls - calls
+
+
+@then("each watch has called the store at most {most:d} times meanwhile")
+def step_few_calls(context, most):
+    assert context.calls <= 2 * most, context.calls
+
+
 class _Answer(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
@@ -90,13 +105,17 @@
     context.add_cleanup(receiving.close)
     context.add_cleanup(lambda: loop.remove_reader(receiving))
 
+    def wake():
+        if sending.fileno() >= 0:
+            sending.send(b"x")
+
     def stall():
         receiving.recv(1)
         time.sleep(ms / 1000)
-        loop.call_later((period_ms - ms) / 1000, sending.send, b"x")
+        loop.call_later((period_ms - ms) / 1000, wake)
 
     loop.add_reader(receiving, stall)
-    sending.send(b"x")
+    wake()
 
 
 @then("a {kind} succeeds at the {place} try")
