--- a/standins/routed/store.py
+++ b/standins/routed/store.py
@@ -10,6 +10,7 @@
 import base64
 import json
 import time
+import weakref
 from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
@@ -60,9 +61,9 @@
         oldest: Version from which on the history is known.
         calls: Calls by path.
         era: Number of its numbering of versions, in all answers.
+        late_s: How long each answer is on its way.
         refuses_each: Which reads of a table it refuses: 2 for each second one, 0 for
             none.
-        delay_s: How much later it answers.
         on_page: Called once after a page that others follow, None for nothing.
     """
 
@@ -70,8 +71,10 @@
         self.trouble = Trouble.NONE
         self.oldest = 0
         self.era = 1
+        self.late_s = 0.0
+        self._connections: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
+        self._silent: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
         self.refuses_each = 0
-        self.delay_s = 0.0
         self._reads: Counter[str] = Counter()
         self.on_page: Callable[[], object] | None = None
         self.calls: Counter[str] = Counter()
@@ -142,6 +145,10 @@
         """Know no change before now."""
         self.oldest = self._version
 
+    def silence_connections(self) -> None:
+        """Answer nothing more on the connections that are open now."""
+        self._silent.update(self._connections)
+
     def copy(self) -> StoreCopy:
         """Return what it holds now."""
         return StoreCopy(dict(self._rows), self._version)
@@ -160,6 +167,10 @@
     @web.middleware
     async def _troubled(self, request: web.Request, handler: Any) -> web.StreamResponse:
         self.calls[request.path] += 1
+        if request.transport is not None:
+            self._connections.add(request.transport)
+            if request.transport in self._silent:
+                await asyncio.sleep(LONGEST_WAIT_S)
         match self.trouble:
             case Trouble.BUSY:
                 return json_response({}, status=503)
@@ -170,7 +181,7 @@
         if self._refuses(request):
             return json_response({}, status=503)
         answer = await handler(request)
-        await asyncio.sleep(self.delay_s)
+        await asyncio.sleep(self.late_s)
         answer.headers["Store-Era"] = str(self.era)
         if self.trouble is Trouble.LOST and request.method == "POST":
             return drop_connection(request)
--- a/tests/steps/platform_stalls_steps.py
+++ b/tests/steps/platform_stalls_steps.py
@@ -35,7 +35,7 @@
 
 @given("a store that answers {delay_ms:d} ms later")
 def step_delay(context, delay_ms):
-    context.world.store.delay_s = delay_ms / 1000
+    context.world.store.late_s = delay_ms / 1000
 
 
 @given("{count:d} VMs that callers may ask")
