Stand-in store: late answers, and open connections that fall silent

Callers of a store that is slow, or whose open connections say nothing more while new ones work, could not be played: both are attributes of the stand-in now.

--- a/standins/routed/store.py
+++ b/standins/routed/store.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any
+from weakref import WeakSet
 
 from aiohttp import web
 
@@ -62,6 +63,7 @@
         era: Number of its numbering of versions, in all answers.
         refuses_each: Which reads of a table it refuses: 2 for each second one, 0 for
             none.
+        delay_s: How much later it answers.
         on_page: Called once after a page that others follow, None for nothing.
     """
 
@@ -70,6 +72,9 @@
         self.oldest = 0
         self.era = 1
         self.refuses_each = 0
+        self.delay_s = 0.0
+        self._transports: WeakSet[asyncio.Transport] = WeakSet()
+        self._silent: WeakSet[asyncio.Transport] = WeakSet()
         self._reads: Counter[str] = Counter()
         self.on_page: Callable[[], object] | None = None
         self.calls: Counter[str] = Counter()
@@ -136,6 +141,10 @@
         row = self._rows.get((table, "", key))
         return b"" if row is None else base64.b64decode(row.value)
 
+    def silence_open(self) -> None:
+        """Say nothing more on the connections that are open."""
+        self._silent = self._transports.copy()
+
     def forget_history(self) -> None:
         """Know no change before now."""
         self.oldest = self._version
@@ -167,7 +176,13 @@
                 return drop_connection(request)
         if self._refuses(request):
             return json_response({}, status=503)
+        transport = request.transport
+        if transport is not None:
+            self._transports.add(transport)
         answer = await handler(request)
+        await asyncio.sleep(self.delay_s)
+        if transport in self._silent:
+            await asyncio.sleep(LONGEST_WAIT_S)
         answer.headers["Store-Era"] = str(self.era)
         if self.trouble is Trouble.LOST and request.method == "POST":
             return drop_connection(request)
