Soak: check which configuration answers, and freeze the VMs that read for others

The soak changed the configuration but checked no answer against it, and counted a request at a leaving endpoint only by when its caller had sent it.

Checks: a request sent over 2.0 s after a route or key was added is not answered 401, 403 or 404, and one on what was dropped so long ago does not run, at VMs and a store that are in order; a request that reaches an endpoint over 2.0 s after its entry said that it leaves is late, whenever it was sent. Each change is asked at all VMs just after the bound. New disturbances: stalls and starvation of VMs, the reading VM frozen as versions and departures go out, late answers of the store, silent connections to it, plain endpoints past all time limits, engines that refuse connections.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -9,7 +9,7 @@
 import uvloop
 
 from bench.soak.checks import check_all
-from bench.soak.plan import draw_plan
+from bench.soak.plan import Kind, draw_plan
 from bench.soak.run import play
 
 _BROKEN = 1
@@ -23,14 +23,17 @@
     parser.add_argument("--vms", type=int, default=4)
     parser.add_argument("--engines", type=int, default=6)
     parser.add_argument("--parts", action="store_true")
+    parser.add_argument("--kinds", nargs="+", type=Kind, help="draw from these only")
     parser.add_argument("--logs", type=Path, help="folder for the logs of the VMs")
     arguments = parser.parse_args()
+    chosen = {"kinds": arguments.kinds} if arguments.kinds else {}
     plan = draw_plan(
         arguments.seed,
         arguments.seconds,
         arguments.vms,
         arguments.engines,
         parts=arguments.parts,
+        **chosen,
     )
     for one in plan.disturbances:
         print(f"{one.at_s:6.1f} s  {one.kind} {one.target} {one.value:g} {one.for_s:g}")
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -12,7 +13,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
     from itertools import count
 
     from bench.soak.evidence import Evidence
@@ -25,11 +26,11 @@
 ENGINE_PATHS = ("POST /chat/a", STREAM_LINE)
 EXTRA_PATH = "/plain/extra/"
 KEYED_PATH = "/keyed/"
-_PATHS = (
+PATHS = (
     "GET /plain/a",
     "POST /plain/file/a",
     f"POST {EXTRA_PATH}a",
-    f"GET {KEYED_PATH}a",
+    f"GET {KEYED_PATH}{KEY}",
     *ENGINE_PATHS,
 )
 _MEAN_PAUSE_S = 0.4
@@ -38,6 +39,7 @@
 _STREAM_ATTEMPTS = 4
 _CROWD_SHARE = 0.9
 _SLOW_SHARE = 0.3
+_CHANGED_SHARE = 0.5
 _PIECE_BYTES = (20, 400)
 _PIECE_PAUSE_S = (0.0, 0.4)
 _EVENT_END = b"\n\n"
@@ -76,6 +78,7 @@
         headers: Headers of all requests.
         evidence: Where calls are noted.
         ids: Numbers for requests.
+        choose_line: Returns lines of requests on what the configuration has changed.
         part: Part of the prompts of all its requests that crashes endpoints, empty for
             none.
     """
@@ -87,6 +90,7 @@
         headers: list[str],
         evidence: Evidence,
         ids: count,
+        choose_line: Callable[[random.Random], str],
         part: str = "",
     ) -> None:
         self._doors = doors
@@ -95,6 +99,7 @@
         self._evidence = evidence
         self._draw = doors.draw
         self._ids = ids
+        self._choose_line = choose_line
         self._part = part
 
     async def run(self) -> None:
@@ -124,15 +129,34 @@
             finally:
                 writer.close()
 
+    async def ask_once(self, line: str) -> None:
+        """Send one request on a connection of its own."""
+        vm = self._doors.vms[self._home]
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection(vm.ip, vm.front.port)
+            try:
+                await self._ask(self._home, reader, writer, line)
+            finally:
+                writer.close()
+
     async def _ask(
-        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        line: str = "",
     ) -> bool:
         """Send one request; return whether the connection may be used again."""
         request_id = f"{number}-{next(self._ids)}"
-        path = self._draw.choice(ENGINE_PATHS if self._part else _PATHS)
+        path = self._draw.choice(ENGINE_PATHS if self._part else PATHS)
+        if not self._part and self._draw.random() < _CHANGED_SHARE:
+            path = self._choose_line(self._draw)
+        path = line or path
+        key = path.rpartition("/")[2] if KEYED_PATH in path else KEY
         call = Call(time.monotonic(), path, part=self._part)
         self._evidence.calls[request_id] = call
         lines = [f"{path} HTTP/1.1", f"request-id: {request_id}", *self._headers]
+        lines.append(f"authorization: Bearer {key}")
         lines.append(f"prompt-prefix: a1:100,{self._part or 'b2'}:50,{request_id}:10")
         try:
             async with asyncio.timeout(_TIMEOUT_S):
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -5,7 +5,7 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
-from bench.soak.callers import ENGINE_PATHS
+from bench.soak.callers import ENGINE_PATHS, PATHS
 from bench.soak.configuration import TIMEOUTS_MS
 from bench.soak.evidence import UNTIL_THE_END_S, vm_of
 
@@ -22,6 +22,8 @@
 LIMIT_FACTOR = 1.5
 LIMIT_BESIDE = 5
 DRAIN_S = 2.0
+APPLY_S = 2.0
+NOT_ALLOWED = (401, 403, 404)
 REST_FROM_S = 0.5
 REST_MOST = 2
 CUT_FAILED_MOST = 10
@@ -51,6 +53,7 @@
         _versions,
         _resumed,
         _drains,
+        _configurations,
         _bodies,
         _unanswered,
         _broken_off,
@@ -123,17 +126,56 @@
 def _drains(evidence: Evidence) -> Iterator[str]:
     """Find requests that come after the entry of a start said that it leaves."""
     for start in evidence.starts:
+        until_s = start.drains_s + DRAIN_S
         late = [
             seen
             for seen in start.seen
-            if evidence.calls[_request_id(seen)].sent_s > start.drains_s + DRAIN_S
+            if seen.at_s > until_s
+            and not _is_slow_beyond(evidence, seen, until_s)
             and seen.headers.get("expect-instance", start.name) == start.name
             and _is_in_touch(
                 evidence, vm_of(_request_id(seen)), start.drains_s, seen.at_s
             )
         ]
         if late:
-            yield f"DRAIN {start.name}: {len(late)} late after its entry has changed"
+            after_s = [round(seen.at_s - start.drains_s, 3) for seen in late]
+            ids = [_request_id(seen) for seen in late]
+            at_s = start.drains_s - evidence.begun_s
+            yield f"DRAIN {start.name}, leaves at {at_s:.2f} s: {after_s} s later {ids}"
+
+
+def _is_slow_beyond(evidence: Evidence, seen: Seen, until_s: float) -> bool:
+    """Return whether a caller was still sending what may have begun to arrive."""
+    call = evidence.calls[_request_id(seen)]
+    return call.sent_s <= until_s < call.whole_s
+
+
+def _configurations(evidence: Evidence) -> Iterator[str]:
+    """Find requests that are handled as only an older configuration allows."""
+    ran = {
+        _request_id(seen) for one in evidence.starts for seen in one.seen if seen.ran
+    }
+    for request_id, call in evidence.calls.items():
+        spans = evidence.grants.get(call.path)
+        ended_s = call.ended_s or call.sent_s
+        if spans is None or not _is_in_touch(
+            evidence, vm_of(request_id), call.sent_s, ended_s
+        ):
+            continue
+        since_s = call.sent_s - APPLY_S
+        known = [span for span in spans if span.from_s < since_s]
+        was_there = any(span.until_s > ended_s for span in known)
+        was_gone = not any(span.touches(since_s, ended_s) for span in spans)
+        is_refused = call.status in NOT_ALLOWED
+        is_run = request_id in ran
+        if (was_there and is_refused) or (was_gone and is_run):
+            last = spans[-1] if not known else known[-1]
+            changed_s = last.from_s if is_refused else last.until_s
+            yield (
+                f"CONFIG {request_id} {call.path} at "
+                f"{call.sent_s - evidence.begun_s:.2f} s: "
+                f"{call.status or 'none'}, {call.sent_s - changed_s:.3f} s after"
+            )
 
 
 def _rests(evidence: Evidence) -> Iterator[str]:
@@ -228,6 +270,8 @@
         ends: dict[bool, list[bool]] = {True: [], False: []}
         for request_id, call in evidence.calls.items():
             at = vm_of(request_id)
+            if call.path not in PATHS:
+                continue
             if call.part or not from_s <= call.sent_s < until_s - SPAN_S / 2:
                 continue
             if at == vm or not _is_excused(evidence, at, from_s, until_s):
@@ -382,6 +426,8 @@
             is_before = before_s <= call.sent_s < crowd.from_s
             if not (is_crowded or is_before) or not call.ended_s or call.part:
                 continue
+            if call.path not in PATHS:
+                continue
             is_read = call.status or call.timed_out or reached[request_id]
             if not is_read or call.status == 429:
                 continue
--- a/bench/soak/evidence.py
+++ b/bench/soak/evidence.py
@@ -107,6 +107,7 @@
         calls: Requests by id; the id begins with the number of the VM.
         disturbed: For each VM, from when to when it was not in order.
         store: From when to when the store was not in order.
+        grants: When lines of requests were allowed.
         crowds: VMs that got most new connections, with these times.
         cuts: VMs that were cut off from all endpoints, with these times.
         statuses: Answers by status.
@@ -118,6 +119,7 @@
     calls: dict[str, Call] = field(default_factory=dict)
     disturbed: dict[int, list[Word]] = field(default_factory=dict)
     store: list[Word] = field(default_factory=list)
+    grants: dict[str, list[Word]] = field(default_factory=dict)
     crowds: list[tuple[int, Word]] = field(default_factory=list)
     cuts: list[tuple[int, Word]] = field(default_factory=list)
     statuses: Counter[int] = field(default_factory=Counter)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import random
-import shutil
 import signal
 import time
 from dataclasses import replace
@@ -20,6 +19,7 @@
     Doors,
     take_streams,
 )
+from bench.soak.checks import APPLY_S
 from bench.soak.configuration import HOST, Configuration
 from bench.soak.evidence import Evidence, Start, Word
 from bench.soak.plan import Disturbance, Kind
@@ -37,18 +37,20 @@
 
 DATA_CENTRE = "hall-a"
 OTHER_DATA_CENTRE = "hall-b"
-_PLAIN_SERVICES = 3
 _VERSIONS = ("v1", "v2")
 _STREAM_CALLERS_PER_VM = 2
 _SETTLED_S = 3.0
 """Time after a disturbance of a VM for which it is excused, as on the users' pages."""
 
 _TROUBLES = {Kind.STORE_BUSY: Trouble.BUSY, Kind.STORE_SILENT: Trouble.SILENT}
+_PLAIN = {"portal": 3, "annex": 2}
+"""Number of endpoints of the plain services."""
+
+_AUTHORIZATION = f"authorization: Bearer {KEY}"
 _HEADERS = [
     f"host: {HOST}",
     "deadline-ms: 3000",
     "token-usage: 160,10",
-    f"authorization: Bearer {KEY}",
 ]
 _DOWN_S = 2.0
 """Time from the crash of an endpoint to its next start."""
@@ -57,6 +59,18 @@
 _CHANGE_EVERY_S = (0.2, 1.0)
 _HUP_SHARE = 0.2
 _BETWEEN_SILENCES_S = (0.5, 2.0)
+_FROZEN_S = (0.3, 4.0)
+_READER_FROZEN_S = (0.6, 1.1)
+_READER_THAWED_S = (0.002, 0.01)
+_THAWED_S = (0.002, 0.6)
+_MOST_FREEZES = 4
+_BETWEEN_VERSIONS_S = 0.02
+_JUST_AFTER_S = 0.01
+_STARVED_S = (0.03, 0.07)
+"""Times for which a starved VM runs and does not run, in turn."""
+
+_WORK_MS = 20.0
+_LATE_MS = 10_000.0
 
 
 class _World:
@@ -73,16 +87,18 @@
         self._engines: dict[int, str] = {}
         self._ended: set[asyncio.subprocess.Process] = set()
         self._draw = random.Random(plan.seed)
-        self._configuration = Configuration()
+        self._configuration = Configuration(
+            lambda document: self._store.put("op", "config", document)
+        )
         self.watches: list[asyncio.Task[None]] = []
         self.vms: list[PlatformVm] = []
         self.doors = Doors(self.vms, self._draw)
         self._ids = count(1)
-        self.evidence = Evidence()
+        self.evidence = Evidence(grants=self._configuration.grants)
 
     async def start(self) -> None:
         address = await self._store.start()
-        self._store.put("op", "config", self._configuration.encode())
+        self._configuration.put()
         for number in range(self._plan.engines):
             options = EndpointOptions(
                 events=8,
@@ -92,10 +108,11 @@
                 fatal_part=FATAL_PART,
             )
             await self._add(f"e{number}", "pool", options)
-        for number in range(_PLAIN_SERVICES):
-            framing = None if number else BodyFraming.CLOSE
-            options = EndpointOptions(work_ms=20, framing=framing)
-            await self._add(f"p{number}", "portal", options)
+        for service, number in _PLAIN.items():
+            for one in range(number):
+                framing = None if one else BodyFraming.CLOSE
+                options = EndpointOptions(work_ms=_WORK_MS, framing=framing)
+                await self._add(f"{service[0]}{one}", service, options)
         for number in range(self._plan.vms - 1):
             vm = PlatformVm(number + 1, address, DATA_CENTRE)
             self.vms.append(await vm.start())
@@ -133,20 +150,21 @@
 
     def make_caller(self, home: int, part: str = "") -> Caller:
         """Return a caller of a VM; its requests have a part of prompts."""
-        return Caller(self.doors, home, _HEADERS, self.evidence, self._ids, part)
+        evidence, ids, configuration = self.evidence, self._ids, self._configuration
+        choose = configuration.choose_line
+        return Caller(self.doors, home, _HEADERS, evidence, ids, choose, part)
 
     def make_streams(self) -> list[Coroutine[None, None, None]]:
         """Return callers who resume their streams."""
         number = _STREAM_CALLERS_PER_VM * len(self.vms)
         evidence, ids = self.evidence, self._ids
-        return [
-            take_streams(self.doors, _HEADERS, evidence, ids) for _ in range(number)
-        ]
+        headers = [*_HEADERS, _AUTHORIZATION]
+        return [take_streams(self.doors, headers, evidence, ids) for _ in range(number)]
 
     async def act(self, one: Disturbance) -> None:
         """Carry a disturbance out, to its end."""
         match one.kind:
-            case Kind.STORE_BUSY | Kind.STORE_SILENT | Kind.STORE_FLAKY:
+            case _ if one.kind.value.startswith("store_"):
                 await self._disturb_store(one)
             case Kind.CROWD:
                 span = Word(time.monotonic())
@@ -156,7 +174,11 @@
                 self.doors.crowded = None
                 span.until_s = time.monotonic()
             case Kind.CONFIGURE:
-                await self._configure(one.for_s)
+                await self._configure(one.for_s, one.value)
+            case Kind.READER:
+                await self._freeze_reader(one.for_s)
+            case Kind.LATE:
+                await self._delay_answers(one.for_s)
             case Kind.PART:
                 await self._send_parts(one.for_s)
             case _ if one.kind.value.startswith("vm_"):
@@ -167,31 +189,86 @@
     async def _disturb_store(self, one: Disturbance) -> None:
         span = Word(time.monotonic())
         self.evidence.store.append(span)
-        self._store.trouble = _TROUBLES.get(one.kind, Trouble.NONE)
-        self._store.refuses_each = int(one.value)
-        await asyncio.sleep(one.for_s)
-        self._store.trouble, self._store.refuses_each = Trouble.NONE, 0
+        store = self._store
+        if one.kind is Kind.STORE_HUSH:
+            store.silence_open()
+        else:
+            store.trouble = _TROUBLES.get(one.kind, Trouble.NONE)
+            store.delay_s = one.value if one.kind is Kind.STORE_SLOW else 0.0
+            store.refuses_each = int(one.value) if one.kind is Kind.STORE_FLAKY else 0
+            await asyncio.sleep(one.for_s)
+            store.trouble, store.refuses_each, store.delay_s = Trouble.NONE, 0, 0.0
         span.until_s = time.monotonic() + _SETTLED_S
 
-    async def _configure(self, for_s: float) -> None:
+    async def _configure(self, for_s: float, pace: float) -> None:
         until_s = time.monotonic() + for_s
         while time.monotonic() < until_s:
-            document = self._configuration.change(self._draw)
-            self._store.put("op", "config", document)
-            if self._draw.random() < _HUP_SHARE:
+            self._change()
+            if self._draw.random() < _HUP_SHARE * pace:
                 self._hup_one()
-            await asyncio.sleep(self._draw.uniform(*_CHANGE_EVERY_S))
+            await asyncio.sleep(pace * self._draw.uniform(*_CHANGE_EVERY_S))
+
+    def _change(self) -> None:
+        for line in self._configuration.change(self._draw):
+            self.watches.append(asyncio.create_task(self._ask_all(line)))
+
+    async def _ask_all(self, line: str) -> None:
+        """Ask all VMs as soon as a change must be in force."""
+        await asyncio.sleep(APPLY_S + _JUST_AFTER_S)
+        callers = [self.make_caller(number) for number in range(len(self.vms))]
+        await asyncio.gather(*(caller.ask_once(line) for caller in callers))
+
+    async def _freeze_reader(self, for_s: float) -> None:
+        """Freeze the first VM of a data centre as versions and departures go out."""
+        until_s = time.monotonic() + for_s
+        while time.monotonic() < until_s:
+            number = next(iter(self._calm_vms()), 0)
+            vm, draw = self.vms[number], self._draw
+            span = Word(time.monotonic())
+            self.evidence.disturbed.setdefault(number, []).append(span)
+            for _ in range(draw.randint(1, _MOST_FREEZES)):
+                self._change()
+                await asyncio.sleep(draw.uniform(0.0, _BETWEEN_VERSIONS_S))
+                _send(vm, signal.SIGSTOP)
+                self._change()
+                await asyncio.sleep(draw.uniform(0.0, _BETWEEN_VERSIONS_S))
+                self._change()
+                target, draining_s = draw.randrange(self._plan.engines), 2.5
+                leaving = Disturbance(0.0, Kind.RELEASE, target, 0.0, draining_s)
+                task = asyncio.create_task(self._disturb_endpoint(leaving))
+                self.watches.append(task)
+                await asyncio.sleep(draw.uniform(*_READER_FROZEN_S))
+                _send(vm, signal.SIGCONT)
+                await asyncio.sleep(draw.uniform(*_READER_THAWED_S))
+            span.until_s = time.monotonic() + _SETTLED_S
+            await asyncio.sleep(draw.uniform(*_CHANGE_EVERY_S))
+
+    async def _delay_answers(self, for_s: float) -> None:
+        """Let no plain endpoint answer in time."""
+        all_options = [
+            endpoint.options
+            for name, (endpoint, _) in self._running.items()
+            if name.startswith("p")
+        ]
+        for options in all_options:
+            options.work_ms = _LATE_MS
+        await asyncio.sleep(for_s)
+        for options in all_options:
+            options.work_ms = _WORK_MS
 
     def _hup_one(self) -> None:
         """Send SIGHUP to a VM that is in order."""
+        calm = self._calm_vms()
+        if calm:
+            self.vms[self._draw.choice(calm)].signal(signal.SIGHUP)
+
+    def _calm_vms(self) -> list[int]:
         disturbed, now_s = self.evidence.disturbed, time.monotonic()
-        calm = [
-            vm
-            for number, vm in enumerate(self.vms)
+        return [
+            number
+            for number in range(len(self.vms))
             if all(span.until_s < now_s for span in disturbed.get(number, ()))
         ]
-        if calm:
-            self._draw.choice(calm).signal(signal.SIGHUP)
 
     async def _send_parts(self, for_s: float) -> None:
         callers = [
@@ -218,16 +295,38 @@
                 vm.signal(signal.SIGSTOP)
                 await asyncio.sleep(one.for_s)
                 vm.signal(signal.SIGCONT)
+            case Kind.VM_STALL:
+                await self._freeze_often(vm, one.for_s, _FROZEN_S, _THAWED_S)
+            case Kind.VM_STARVE:
+                runs_s, waits_s = _STARVED_S
+                await self._freeze_often(vm, one.for_s, (waits_s,) * 2, (runs_s,) * 2)
             case _:
+                self._change()
                 hard = one.kind is Kind.VM_KILL
                 self._ended.add(vm.process)
                 vm.signal(signal.SIGKILL if hard else signal.SIGTERM)
                 await vm.process.wait()
+                self._change()
                 await self._start_vm(vm)
         span.until_s = time.monotonic() + _SETTLED_S
 
+    async def _freeze_often(
+        self,
+        vm: PlatformVm,
+        for_s: float,
+        frozen_s: tuple[float, float],
+        thawed_s: tuple[float, float],
+    ) -> None:
+        until_s = time.monotonic() + for_s
+        while time.monotonic() < until_s:
+            _send(vm, signal.SIGSTOP)
+            await asyncio.sleep(self._draw.uniform(*frozen_s))
+            _send(vm, signal.SIGCONT)
+            await asyncio.sleep(self._draw.uniform(*thawed_s))
+
     async def _start_vm(self, vm: PlatformVm) -> None:
         """Start a VM that has ended; it may be ended again before it is ready."""
+        self._save_log(vm)
         process = (await vm.start()).process
         try:
             await vm.ready()
@@ -269,6 +368,8 @@
                 while time.monotonic() < until_s:
                     await endpoint.fall_silent(one.value)
                     await asyncio.sleep(self._draw.uniform(*_BETWEEN_SILENCES_S))
+            case Kind.REFUSE:
+                await self._start_again(name, one.for_s)
             case Kind.RELEASE | Kind.REMOVE:
                 await self._release(one)
             case Kind.LEAVE:
@@ -277,12 +378,15 @@
                 await asyncio.sleep(one.for_s)
                 await self._start_again(name)
 
-    async def _start_again(self, name: str) -> None:
+    async def _start_again(self, name: str, down_s: float = 0.0) -> None:
         if name not in self._running:
             return
         endpoint, start = self._running[name]
         start.until_s = time.monotonic()
         await endpoint.aclose()
+        await asyncio.sleep(down_s)
+        if self._running.get(name, (None,))[0] is not endpoint:
+            return
         service, address = self._addresses[name]
         port = int(address.rpartition(":")[2])
         await self._add(name, service, endpoint.options, port)
@@ -329,10 +433,15 @@
         port = int(address.rpartition(":")[2])
         await self._add(successor, service, options, port)
 
+    def _save_log(self, vm: PlatformVm) -> None:
+        """Add the log of a VM's last start to its file in the folder for logs."""
+        if self._logs is not None:
+            with (self._logs / f"{vm.vm_id}.log").open("ab") as file:
+                file.write(vm.log.read_bytes())
+
     async def aclose(self) -> None:
         for vm in self.vms:
-            if self._logs is not None:
-                shutil.copy(vm.log, self._logs / f"{vm.vm_id}.log")
+            self._save_log(vm)
             await vm.kill()
         for link in self._links:
             await link.aclose()
@@ -341,6 +450,12 @@
         await self._store.aclose()
 
 
+def _send(vm: PlatformVm, number: signal.Signals) -> None:
+    """Send a signal to a process that may have ended."""
+    with contextlib.suppress(ProcessLookupError):
+        vm.signal(number)
+
+
 async def play(plan: Plan, logs: Path | None = None) -> Evidence:
     """Play a plan to its end; the logs of VMs go to a folder, if any."""
     world = _World(plan, logs)
--- a/tests/bench/soak.feature
+++ b/tests/bench/soak.feature
@@ -53,8 +53,26 @@
       | has an entry that leaves at 1 s   | VM 0 was killed after 4 s       | nothing |
       | has an entry that leaves at 1 s   | the store was busy after 2 s    | nothing |
       | gets the requests of another one  | VM 1 was killed after 4 s       | nothing |
+      | holds requests and leaves at 1 s  | VM 1 was killed after 4 s       | DRAIN   |
       | gets other bodies                 | VM 1 was killed after 4 s       | UNASKED |
 
+  Scenario Outline: Requests are checked against the configuration in force
+    Given a soaked route that was <changed> at 1 s
+    And <trouble>
+    When a request on it that VM 0 <answers> is sent at <at_s> s
+    Then the soak finds <broken>
+
+    Examples:
+      | changed | answers   | at_s | trouble                      | broken  |
+      | added   | serves    | 3.1  | VM 1 was killed after 3 s    | nothing |
+      | added   | refuses   | 3.1  | VM 1 was killed after 3 s    | CONFIG  |
+      | added   | refuses   | 2.9  | VM 1 was killed after 3 s    | nothing |
+      | added   | refuses   | 3.1  | VM 0 was killed after 1 s    | nothing |
+      | added   | refuses   | 3.1  | the store was busy after 1 s | nothing |
+      | dropped | serves    | 3.1  | VM 1 was killed after 3 s    | CONFIG  |
+      | dropped | serves    | 2.9  | VM 1 was killed after 3 s    | nothing |
+      | dropped | refuses   | 3.1  | VM 1 was killed after 3 s    | nothing |
+
   Scenario Outline: Requests without an answer are found
     Given a soaked request of VM 0 that <what>
     Then the soak finds <broken>
--- a/tests/steps/bench_soak_steps.py
+++ b/tests/steps/bench_soak_steps.py
@@ -42,7 +42,7 @@
         start.leaves_s = 0.0
     elif says.startswith("turns"):
         start.rests.append(Word(0.0, 3.0))
-    elif says.startswith("has"):
+    elif says.startswith(("has", "holds")):
         start.drains_s = float(says.split()[-2])
     elif "another one" in says:
         start.drains_s = 0.0
@@ -72,11 +72,27 @@
         if "another one" in context.says:
             seen.headers["expect-instance"] = "e2"
         context.start.seen.append(seen)
-        call = Call(at_s, line, status, whole_s=at_s, ended_s=at_s)
+        sent_s = 1.0 if context.says.startswith("holds") else at_s
+        call = Call(sent_s, line, status, whole_s=sent_s, ended_s=at_s)
         call.body = b"sent" if "bodies" in context.says else b""
         context.evidence.calls[request_id] = call
 
 
+@given("a soaked route that was {changed} at 1 s")
+def step_route(context, changed):
+    step_endpoint(context, "answers")
+    span = Word(1.0) if changed == "added" else Word(0.0, until_s=1.0)
+    context.evidence.grants["GET /route1/a"] = [span]
+
+
+@when("a request on it that VM 0 {answers} is sent at {at_s:g} s")
+def step_on_route(context, answers, at_s):
+    is_served = answers == "serves"
+    status = 200 if is_served else 404
+    call = _call(context, "0-0", at_s, runs=is_served, status=status)
+    call.path = "GET /route1/a"
+
+
 def _stream(number, goes_on=True):
     """Return a stream of three events, of which the last two were resumed."""
     begun = Attempt(f"0-a{number}", "vm-1", 10.0, False, 200, ["v1"], held_s=0.1)
