Keep the origins of open streams where they outlive all VMs

Cause: what began a stream was known only in the memory of VMs. The records are copied to two VMs, and end with all of them.

Each VM now saves its open streams together in one row of the store, once a second at most and only if one of them has not been saved yet; over 50 VMs more rarely. A VM that starts reads the rows before it takes callers. A record tells what began a stream, and nothing is concluded from it: where it is missing (not saved before the end, the store away, an older copy, a VM of the release before) the stream is refused as before, and records of one stream that differ are not used.

The scenario with 16 streams, in which all VMs are killed and come back in turn, failed on the code before in its three examples: (0, 16), (0, 10), (0, 16) went on.

--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -47,6 +47,7 @@
     from pomelolane.ports import Clock, VmList
     from pomelolane.ports.forwarding import Dialect
     from pomelolane.quarantine import CrashRecord
+    from pomelolane.resumption import OriginStorage
     from pomelolane.rollouts import RolloutRecord
 
 POLICY = "objective"
@@ -129,6 +130,7 @@
         crash_record: Storage of reports of requests that crashed endpoints.
         rollout_record: Storage of the states of roll-outs.
         estimate_record: Storage of schedulers' estimates of endpoints.
+        origin_storage: Storage of where open streams began.
         clock: Source of the current time.
     """
 
@@ -145,6 +147,7 @@
         crash_record: CrashRecord,
         rollout_record: RolloutRecord,
         estimate_record: EstimateRecord,
+        origin_storage: OriginStorage,
         clock: Clock,
     ) -> None:
         self._options = options
@@ -228,8 +231,14 @@
         self._intake = Intake(dialect, clock)
         sender = Sender(self._pool, self._peer_pool, dialect)
         resumption = make_resumption(
-            options.vm_id, directory, self.member, self.member.transport, clock
+            options.vm_id,
+            directory,
+            self.member,
+            self.member.transport,
+            origin_storage,
+            clock,
         )
+        self.origin_keeper = resumption.keeper
         continuation = Continuation(resumption, directory, clock)
         relay_peers = RelayPeers(
             options.vm_id, options.data_centre, self.member.view, clock
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -30,6 +30,7 @@
 from pomelolane.platform.errors import DocumentError, StoreUnavailableError
 from pomelolane.platform.estimaterecord import StoreEstimateRecord
 from pomelolane.platform.nodefile import node_file_from_path
+from pomelolane.platform.originrecord import StoreOriginRecord
 from pomelolane.platform.rolloutrecord import StoreRolloutRecord
 from pomelolane.platform.roster import VmRoster
 from pomelolane.platform.storeclient import StoreClient
@@ -134,6 +135,7 @@
             StoreCrashRecord(self._store),
             StoreRolloutRecord(self._store),
             StoreEstimateRecord(self._store),
+            StoreOriginRecord(self._store, file.vm_id),
             self._clock,
         )
         member = node.member
@@ -153,6 +155,7 @@
         self._background.start("use_news", node.usage_publisher.run())
         self._background.start("estimates", node.estimate_keeper.run())
         self._background.start("rollouts", node.rollouts.run())
+        self._background.start("origins", node.origin_keeper.run())
         sock, self._early = self._early, None
         self._background.start("reach", node.reach.run())
         self._fronts.append(await listen_for_callers(node, file.front, sock))
@@ -174,6 +177,7 @@
         node.join_scheduling()
         await node.ledger.wait_until_loaded()
         await node.crash_record.loaded()
+        await node.origin_keeper.wait_until_loaded()
         node.accept_callers()
 
     async def _first_contact(self, roster: VmRoster) -> FirstContact:
--- a/src/pomelolane/resumption/__init__.py
+++ b/src/pomelolane/resumption/__init__.py
@@ -5,6 +5,7 @@
 service and version that began it.
 """
 
+from pomelolane.resumption.keeper import OriginStorage, SavedOrigin, SavedOrigins
 from pomelolane.resumption.origin import (
     ORIGIN_HEADER,
     StreamOrigin,
@@ -24,7 +25,10 @@
     "ORIGIN_HEADER",
     "FoundOrigin",
     "OriginSource",
+    "OriginStorage",
     "Resumption",
+    "SavedOrigin",
+    "SavedOrigins",
     "StreamOrigin",
     "encode_origin",
     "make_resumption",
--- a/src/pomelolane/resumption/exchange.py
+++ b/src/pomelolane/resumption/exchange.py
@@ -14,6 +14,7 @@
 from pomelolane.messages import OriginTold, OriginWanted, StreamBegun
 from pomelolane.resumption.holders import choose_holders
 from pomelolane.resumption.origin import StreamOrigin
+from pomelolane.resumption.records import OriginRecord
 
 if TYPE_CHECKING:
     from pomelolane.ports import Clock, Membership, Peer, Transport, View
@@ -101,6 +102,13 @@
         """Record that this VM sends nothing more of a stream."""
         self._open.pop(key, None)
 
+    def open_records(self) -> dict[int, OriginRecord]:
+        """Return the records of the streams that this VM is sending."""
+        return {
+            key: OriginRecord(stream.origin, stream.expires_ms)
+            for key, stream in self._open.items()
+        }
+
     async def find(self, key: int) -> StreamOrigin | None:
         """Return what began a stream, None if no VM that was asked knows it."""
         record = self._records.find(key)
--- a/src/pomelolane/resumption/resumption.py
+++ b/src/pomelolane/resumption/resumption.py
@@ -8,6 +8,7 @@
 
 from pomelolane.resumption.exchange import OriginExchange
 from pomelolane.resumption.history import STREAM_LIFE_MS, VersionHistory
+from pomelolane.resumption.keeper import OriginKeeper
 from pomelolane.resumption.origin import StreamOrigin
 from pomelolane.resumption.records import OriginRecords
 
@@ -16,6 +17,7 @@
 
     from pomelolane.model import Endpoint
     from pomelolane.ports import Clock, Membership, Transport
+    from pomelolane.resumption.keeper import OriginStorage
 
 REFRESH_TIMEOUT_MS = 400.0
 """Longest time to wait for a confirmed list of endpoints; the store answers within
@@ -63,6 +65,7 @@
     Args:
         exchange: Records of this VM and of others.
         history: Versions listed lately.
+        keeper: Keeps records where they outlive all VMs.
         endpoints: The known endpoints.
         clock: Source of the current time.
     """
@@ -71,6 +74,7 @@
         self,
         exchange: OriginExchange,
         history: VersionHistory,
+        keeper: OriginKeeper,
         endpoints: EndpointList,
         clock: Clock,
     ) -> None:
@@ -78,6 +82,7 @@
         self._exchange = exchange
         self._history = history
         self._endpoints = endpoints
+        self.keeper = keeper
         endpoints.on_change(history.update)
 
     def begin(self, key: int, origin: StreamOrigin, left_ms: float) -> None:
@@ -118,6 +123,7 @@
     endpoints: EndpointList,
     membership: Membership,
     transport: Transport,
+    storage: OriginStorage,
     clock: Clock,
 ) -> Resumption:
     """Create the resumption of one VM.
@@ -127,9 +133,11 @@
         endpoints: The known endpoints.
         membership: Who is alive.
         transport: Sends messages to the other VMs.
+        storage: Where records outlive all VMs.
         clock: Source of the current time.
     """
     records = OriginRecords(clock)
     exchange = OriginExchange(vm_id, membership, transport, records, clock)
     history = VersionHistory(vm_id, endpoints.listed, membership, transport, clock)
-    return Resumption(exchange, history, endpoints, clock)
+    keeper = OriginKeeper(exchange, records, storage, membership, clock)
+    return Resumption(exchange, history, keeper, endpoints, clock)
--- a/tests/platform/versions.feature
+++ b/tests/platform/versions.feature
@@ -50,6 +50,21 @@
       | a version comes and the other one shrinks            |
       | the versions of engines restart one after the other  |
 
+  # Guards against take-ups that are all refused, or joined, after the VMs that knew where
+  # their streams began have all been killed.
+  Scenario Outline: Streams go on at their version after all VMs were killed at once
+    Given a stream lasts longer than a start of the VMs
+    And <served>
+    When 16 streams are resumed after all VMs were killed and came back in turn, while <what>
+    Then no stream holds events of two versions
+    And <result>
+
+    Examples:
+      | served                             | what                     | result                       |
+      | both versions serve                | nothing else happens     | at least 8 of the take-ups go on |
+      | the endpoints of "v2" are gone     | nothing else happens     | at least 8 of the take-ups go on |
+      | both versions serve                | "v1" has just left       | some of the take-ups go on   |
+
   # Guards against the version of an entry that a new start of the endpoint has not
   # replaced yet. What such a start begins until then, nobody can tell.
   Scenario: Resumed streams keep their version while engines restart under their ids
--- a/tests/steps/platform_versions_steps.py
+++ b/tests/steps/platform_versions_steps.py
@@ -33,6 +33,10 @@
 FEWEST_RESUMED = 12
 REGISTRY_S = 2.5
 OTHER_KEY = "key-of-another"
+LONG_EVENT_MS = 500.0
+LONG_MS = 20_000
+SAVED_S = 1.8
+LEFT_S = 1.2
 
 
 @given('{count} engines with "{version}" and {others} with "{other}" in one service')
@@ -128,6 +132,84 @@
         endpoint.options.broken_share = float(endpoint.options.version == version)
 
 
+@given("both versions serve")
+def step_both(context):
+    assert {one.options.version for one in context.world.endpoints.values()} == {
+        "v1",
+        "v2",
+    }
+
+
+@given("a stream lasts longer than a start of the VMs")
+def step_long(context):
+    for endpoint in context.world.endpoints.values():
+        endpoint.options.event_ms = LONG_EVENT_MS
+
+
+@given('the endpoints of "{version}" are gone')
+def step_all_gone(context, version):
+    _remove(context, version)
+    context.run(asyncio.sleep(REGISTRY_S))
+
+
+def _remove(context, version):
+    for name in [one for one in context.world.endpoints if one.startswith(version)]:
+        context.world.store.delete("servers", name)
+
+
+@when(
+    "{count:d} streams are resumed after all VMs were killed and came back in turn,"
+    " while {what}"
+)
+def step_resumed_after_kill(context, count, what):
+    vms = context.world.vms
+    headers = [
+        one for one in caller_headers(deadline_ms=LONG_MS) if "request-id" not in one
+    ]
+
+    async def take(stream, vm):
+        await take_stream([vm], _make_id, LINE, headers, stream=stream)
+
+    async def play():
+        context.streams = [CallerStream() for _ in range(count)]
+        begun = [take(one, vms[n % 3]) for n, one in enumerate(context.streams)]
+        taking = asyncio.gather(*begun)
+        await asyncio.sleep(SAVED_S)
+        if "just left" in what:
+            # Endpoints that go without a word count as crashed.
+            for name in [n for n in context.world.endpoints if n.startswith("v1")]:
+                context.world.register(name, "draining")
+            await asyncio.sleep(LEFT_S)
+            _remove(context, "v1")
+            await asyncio.sleep(LEFT_S)
+        for vm in vms:
+            vm.process.kill()
+        await taking
+        for vm in vms:
+            await vm.process.wait()
+            await vm.start()
+            await vm.ready()
+        cut = [one for one in context.streams if one.event_ids]
+        await asyncio.gather(*(take(one, vms[-1]) for one in cut))
+
+    context.run(play())
+
+
+def _taken_up(context):
+    resumed, _ = _shares(context.streams)
+    return sum(resumed), len(resumed)
+
+
+@then("at least {least:d} of the take-ups go on")
+def step_least(context, least):
+    assert _taken_up(context)[0] >= least, _taken_up(context)
+
+
+@then("some of the take-ups go on")
+def step_some(context):
+    assert _taken_up(context)[0], _taken_up(context)
+
+
 @given('the endpoints of "{version}" but the first are gone')
 def step_gone(context, version):
     for name in [one for one in context.world.endpoints if one.startswith(version)][1:]:
--- a/tests/steps/resumption_steps.py
+++ b/tests/steps/resumption_steps.py
@@ -9,7 +9,13 @@
 from pomelolane.messages import StreamBegun
 from pomelolane.model import Endpoint
 from pomelolane.ports import Peer
-from pomelolane.resumption import StreamOrigin, make_resumption, stream_key
+from pomelolane.resumption import (
+    SavedOrigin,
+    SavedOrigins,
+    StreamOrigin,
+    make_resumption,
+    stream_key,
+)
 from pomelolane.resumption.records import OriginRecords
 from tests.coordination.fakes import FakeMembership
 
@@ -85,10 +91,31 @@
         return self.answers
 
 
+class Storage:
+    """Where the VMs of a scenario save their streams."""
+
+    def __init__(self, saved, name):
+        self.saved, self.name = saved, name
+        self.saves = 0
+
+    async def save(self, saved):
+        self.saved[self.name] = list(saved)
+        self.saves += 1
+
+    async def load(self):
+        others = [
+            one
+            for name, saved in self.saved.items()
+            for one in saved
+            if name != self.name
+        ]
+        return SavedOrigins(self.saved.get(self.name, []), others)
+
+
 class Vm:
     """One VM with its resumption, connected to the others by a dictionary."""
 
-    def __init__(self, vms, clock, name, data_centre, incarnation=1):
+    def __init__(self, vms, clock, name, data_centre, saved, incarnation=1):
         self.vms, self.name = vms, name
         self.data_centre, self.incarnation = data_centre, incarnation
         self.membership = FakeMembership()
@@ -96,8 +123,9 @@
         self.is_silent = False
         self.sent = []
         self.endpoints = EndpointList()
+        self.storage = Storage(saved, name)
         self.resumption = make_resumption(
-            name, self.endpoints, self.membership, self, clock
+            name, self.endpoints, self.membership, self, self.storage, clock
         )
 
     def subscribe(self, kind, handler):
@@ -118,9 +146,10 @@
     def __init__(self):
         self.clock = ManualClock(1_000_000.0)
         self.vms = {}
+        self.saved = {}
 
     def start(self, name, data_centre, incarnation=1):
-        vm = Vm(self.vms, self.clock, name, data_centre, incarnation)
+        vm = Vm(self.vms, self.clock, name, data_centre, self.saved, incarnation)
         self.vms[name] = vm
         return vm
 
@@ -346,3 +375,38 @@
 @then("there it is not known where a stream without a record began")
 def step_unknown_there(context):
     assert _found(context, context.second) is None
+
+
+@when("VM {number:d} saves its streams")
+def step_save(context, number):
+    context.run(context.cluster.vms[f"vm{number}"].resumption.keeper.save())
+
+
+@when("all VMs end and VM {number:d} starts")
+def step_start_loaded(context, number):
+    context.cluster.vms.clear()
+    vm = context.cluster.start(f"vm{number}", "hall-1", 2)
+    context.run(vm.resumption.keeper.load())
+
+
+@when("VM 2 has saved another origin for them")
+def step_save_other(context):
+    other = StreamOrigin(SERVICE, "v2")
+    context.cluster.saved["vm2"] = [
+        SavedOrigin(key, other, LIFE_MS) for key in context.keys
+    ]
+
+
+@when("VM 1 begins another stream")
+def step_begin_another(context):
+    resumption = context.cluster.vms["vm1"].resumption
+
+    async def begin():
+        resumption.begin(_key("another"), ORIGIN, LIFE_MS)
+
+    context.run(begin())
+
+
+@then("VM 1 has saved {count:d} time")
+def step_saves(context, count):
+    assert context.beginner.storage.saves == count
