Save open streams after 0.4 s at most, so that fewer are lost with all VMs

Cause: a stream is known after the end of all VMs only from the next save on, a second later at most.

--- a/src/pomelolane/resumption/keeper.py
+++ b/src/pomelolane/resumption/keeper.py
@@ -23,7 +23,7 @@
     from pomelolane.resumption.origin import StreamOrigin
     from pomelolane.resumption.records import OriginRecords
 
-SAVE_PERIOD_S = 1.0
+SAVE_PERIOD_S = 0.4
 """Shortest time between two saves of a VM, as store calls are paid for."""
 
 SAVES_PER_S = 50
