Take saved streams with more than 30 s left, for 30 s

A caller whose deadline is over 30 s ahead would have got 503 origin_unknown after all VMs were killed, as rows with such times were passed over for the case of a store's clock that was set back. What a row says of a stream is true at any time, so that its time is cut instead. Found by reading; the new scenario (an unreadable row, an expired one, one far ahead) failed with the cut taken out: 89,995 ms left instead of 30,000.

--- a/src/pomelolane/platform/originrecord.py
+++ b/src/pomelolane/platform/originrecord.py
@@ -90,11 +90,15 @@
         decoded = msgspec.msgpack.decode(row.value, type=_Row)
         origins = [StreamOrigin(*origin) for origin in decoded.origins]
         saved = [
-            SavedOrigin(one.key, origins[one.origin], one.expires_ms - now_ms)
+            SavedOrigin(one.key, origins[one.origin], _left_ms(one, now_ms))
             for one in decoded.streams
         ]
     except (msgspec.DecodeError, IndexError) as error:
         log_event(events.ROW_REJECTED, table=_TABLE, row=row.key, error=error)
         return []
-    # The store's clock may have been set back with its rows.
-    return [one for one in saved if 0 < one.left_ms <= STREAM_LIFE_MS]
+    return [one for one in saved if one.left_ms > 0]
+
+
+def _left_ms(stream: _Stream, now_ms: float) -> float:
+    # The store's clock may have been set back.
+    return min(stream.expires_ms - now_ms, STREAM_LIFE_MS)
--- a/tests/resumption/keeper.feature
+++ b/tests/resumption/keeper.feature
@@ -35,3 +35,9 @@
     And VM 2 has saved another origin for them
     And all VMs end and VM 2 starts
     Then VM 2 finds nothing within 300 ms
+
+  # Guards against one row that hides all others, and against records that never expire.
+  Scenario: Rows that cannot be read, have expired or lie far ahead
+    When VM 1 saves a stream in the store for 15000, 1 and 90000 ms
+    And another row cannot be read and 5 ms pass
+    Then those for 14995 and 30000 ms are loaded
--- a/tests/steps/resumption_steps.py
+++ b/tests/steps/resumption_steps.py
@@ -8,6 +8,8 @@
 from pomelolane.clock import ManualClock
 from pomelolane.messages import StreamBegun
 from pomelolane.model import Endpoint
+from pomelolane.platform.originrecord import StoreOriginRecord
+from pomelolane.platform.storeclient import Snapshot, StoredRow
 from pomelolane.ports import Peer
 from pomelolane.resumption import (
     SavedOrigin,
@@ -410,3 +412,38 @@
 @then("VM 1 has saved {count:d} time")
 def step_saves(context, count):
     assert context.beginner.storage.saves == count
+
+
+class Table:
+    """A table of the metadata store."""
+
+    def __init__(self, clock):
+        self.rows = {}
+        self.now_ms = clock.now_ms
+
+    async def write(self, table, values):
+        self.rows |= values
+
+    async def read(self, table):
+        rows = [StoredRow(key, 1, value) for key, value in self.rows.items()]
+        return Snapshot(tuple(rows), 1, self.now_ms())
+
+
+@when("VM 1 saves a stream in the store for {first:d}, {second:d} and {third:d} ms")
+def step_save_in_store(context, first, second, third):
+    context.origin_table = Table(context.cluster.clock)
+    saved = [SavedOrigin(ms, ORIGIN, ms) for ms in (first, second, third)]
+    context.run(StoreOriginRecord(context.origin_table, "vm1").save(saved))
+
+
+@when("another row cannot be read and {ms:d} ms pass")
+def step_unreadable(context, ms):
+    context.origin_table.rows = {"vm0": b"?", **context.origin_table.rows}
+    context.cluster.clock.advance(ms)
+
+
+@then("those for {first:d} and {second:d} ms are loaded")
+def step_loaded(context, first, second):
+    loaded = context.run(StoreOriginRecord(context.origin_table, "vm2").load())
+    assert [one.left_ms for one in loaded.others] == [first, second], loaded
+    assert not loaded.own
