Take a call without a free file descriptor for one that failed

A process at its limit of files raised a plain OSError from calls to the store, and from sends to endpoints, as the socket was made outside of the handled part of ConnectionPool._connect. Before the watches were kept running, that ended them for good: a VM that reached the limit for a moment went on with the configuration and the endpoints of then.

Evidence: the new scenario of storecalls.feature ended with OSError(24) without the change, and passes with it.

--- a/src/pomelolane/endpoints/pool.py
+++ b/src/pomelolane/endpoints/pool.py
@@ -125,7 +125,11 @@
         loop = asyncio.get_running_loop()
         host, port = _split_address(address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(family, socket.SOCK_STREAM)
+        except OSError as error:
+            # The process has no file descriptor left.
+            raise EndpointRefusedError(f"{address}: {error!r}") from error
         sock.setblocking(False)
         if self._dead_after_ms:
             _close_if_dead(sock, self._dead_after_ms)
--- a/tests/platform/storecalls.feature
+++ b/tests/platform/storecalls.feature
@@ -43,3 +43,9 @@
     Then each watch has called the store at most 10 times meanwhile
     When the store says version 9
     Then the configuration in force is version 9 within 3000 ms
+
+  # Guards against watches that ended for good with an error that nobody expected, as a
+  # process had no file descriptor left for a moment.
+  Scenario: A call without a free file descriptor is one that failed
+    When the process has no file descriptor left
+    Then a read ends as one that the store did not answer
--- a/tests/steps/platform_storecalls_steps.py
+++ b/tests/steps/platform_storecalls_steps.py
@@ -1,14 +1,17 @@
 """Steps of tests/platform/storecalls.feature; the others are those of the watches."""
 
 import asyncio
+import errno
 import socket
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from unittest.mock import patch
 
 import uvloop
 from behave import given, then, when
 
+from pomelolane.endpoints import pool
 from pomelolane.platform.errors import StoreUnavailableError
 from pomelolane.platform.storeclient import StoreClient
 
@@ -126,3 +129,25 @@
     }
     tries = context.run(_tries(calls[kind]))
     assert tries == {"first": 1, "second": 2}[place], tries
+
+
+@when("the process has no file descriptor left")
+def step_no_descriptor(context):
+    def fail(*args):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    async def read():
+        context.client.close()
+        with patch.object(pool.socket, "socket", fail):
+            await context.client.read("op")
+
+    context.read = read
+
+
+@then("a read ends as one that the store did not answer")
+def step_read_unavailable(context):
+    try:
+        context.run(context.read())
+    except StoreUnavailableError:
+        return
+    raise AssertionError("it was answered")
