--- a/src/pomelolane/membership/list_reader.py
+++ b/src/pomelolane/membership/list_reader.py
@@ -9,7 +9,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from pomelolane import events
 from pomelolane.exceptions import PlatformError
+from pomelolane.logs import log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -55,10 +57,13 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            if self._exchange.is_delegate:
-                await self._poll()
-            else:
-                self._sync_marks(frozenset())
+            try:
+                if self._exchange.is_delegate:
+                    await self._poll()
+                else:
+                    self._sync_marks(frozenset())
+            except Exception as error:
+                log_event(events.TASK_FAILED, task="list of VMs", error=repr(error))
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _poll(self) -> None:
