Don't take a stall for the store's silence while requests wait

What callers saw: a VM that stood still twice in a row, for less than 0.2 s the second time, answered by what it knew before the first stall, as before.

Cause: the limit of 150 ms of Confirmation.ensure passes while the event loop stands still. Its timer runs before the store's answer, which takes several rounds of the loop, so the source counts as failed and no request waits until the next confirmation.

Why it works: a limit that is noticed late says nothing of the store. The request then waits anew, three times at most.

--- a/src/pomelolane/forwarding/confirmation.py
+++ b/src/pomelolane/forwarding/confirmation.py
@@ -15,6 +15,12 @@
 """Longest time that requests wait for a confirmation; the store answers within
 milliseconds unless it is in trouble."""
 
+_STALL_MS = 50
+"""Delay of the limit above that counts as a stall of the event loop."""
+
+_MOST_WAITS = 3
+"""Times that a request waits anew because the event loop stood still meanwhile."""
+
 
 class Confirmation:
     """Age of what is known, and a way to have it confirmed.
@@ -66,11 +72,24 @@
         if not self._waiting:
             self.want()
         self._waiting += 1
+        try:
+            for _ in range(_MOST_WAITS):
+                due_ms = self._clock.now_ms() + CONFIRM_TIMEOUT_MS
+                if await self._wait():
+                    return
+                # After a stall, the answer may lie unread in the socket.
+                if self._clock.now_ms() - due_ms <= _STALL_MS:
+                    break
+            self._has_failed = True
+        finally:
+            self._waiting -= 1
+
+    async def _wait(self) -> bool:
+        """Return whether what is known was confirmed within the time limit."""
         try:
             async with asyncio.timeout(CONFIRM_TIMEOUT_MS / 1000):
                 while self.age_ms > self._max_age_ms:
                     await self._next.wait()
         except TimeoutError:
-            self._has_failed = True
-        finally:
-            self._waiting -= 1
+            return False
+        return True
