Keep an error in one rollout from ending all trials

What callers would see: after an unexpected error in a tick, the service stays at its old version for good; the VM's trials never go on.

Cause: the task ended and, on its way out, ended the trial of each rollout but left it in the phase 'trying'. Since the task starts again, but no trial starts from that phase: each tick tried to record it as a verdict and failed with a KeyError.

Evidence: the new scenario failed before, with 'KeyError: <Phase.TRYING>' at each tick and no trial 400 ms after the error; it passes now.

Why it works: an error stays with the rollout and the tick that it came from.

--- a/src/pomelolane/rollouts/rollouts.py
+++ b/src/pomelolane/rollouts/rollouts.py
@@ -177,7 +177,10 @@
     def tick(self) -> None:
         """Start, continue or abandon trials."""
         for rollout in self._rollouts.values():
-            self._tick(rollout)
+            try:
+                self._tick(rollout)
+            except Exception as error:  # must not end the other trials
+                log_event(events.TASK_FAILED, task="rollouts", error=repr(error))
 
     def _tick(self, rollout: _Rollout) -> None:
         service_queue = self._coordination.role.service_queue(rollout.order.service)
