Confirm the list of endpoints again after connecting

What callers would see: a request reaches an endpoint that left more than 2 s before.

Cause: the list was confirmed before the connection was made, and the check before the write went by it, however long the VM stood still in between.

Evidence: the new scenario failed before (sent by a list of 2001.8 ms, limit 1000); it passes now.

Why it works: making a connection is the only wait between the confirmation and the write. While the list is young, the second confirmation waits for nothing.

--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -399,6 +399,12 @@
         except EndpointRefusedError as error:
             self._reach.note_failure()
             raise refused_by_endpoint(state, watch, str(error)) from error
+        try:
+            # The VM may have stood still while it connected.
+            await self._directory.confirmation.ensure()
+        except BaseException:
+            connection.discard()
+            raise
         remaining_ms = int(self._remaining_ms(call))
         if remaining_ms <= 0:
             raise TimeoutError
--- a/tests/forwarding/confirmation.feature
+++ b/tests/forwarding/confirmation.feature
@@ -10,3 +10,10 @@
   Scenario: A silent source holds up the first requests only
     Given knowledge that is too old
     Then a request waits for at most 250 ms, and the next one not at all
+
+  # Guards against requests sent to endpoints that left while the VM stood still and the
+  # connection was being made.
+  Scenario: What is known is confirmed after a stall during connecting
+    Given a forwarder that stands still while it connects
+    When a caller's request is served
+    Then it was sent by confirmed knowledge
--- a/tests/steps/forwarding_error_steps.py
+++ b/tests/steps/forwarding_error_steps.py
@@ -1,5 +1,6 @@
 """Steps of tests/forwarding/errors.feature."""
 
+import asyncio
 import json
 from contextlib import ExitStack
 from dataclasses import replace
@@ -241,3 +242,30 @@
 @then("no request is open")
 def step_none_open(context):
     assert not context.forwarder.open_calls
+
+
+@given("a forwarder that stands still while it connects")
+def step_stalling_forwarder(context):
+    context.moment = "never"
+    parts = _Parts("never")
+    parts.confirmation = Confirmation(parts.clock, 1_000)
+    parts.confirmation._confirmed_ms -= 900
+    send, context.sent_at_ages = parts.send, []
+
+    async def connect(endpoint):
+        parts.confirmation._confirmed_ms -= 1_100
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.02, lambda: parts.confirmation.confirm(parts.clock.now_ms()))
+
+    async def observed_send(*args):
+        context.sent_at_ages.append(parts.confirmation.age_ms)
+        return await send(*args)
+
+    parts.connect, parts.send = connect, observed_send
+    context.forwarder = _make_forwarder(parts)
+
+
+@then("it was sent by confirmed knowledge")
+def step_sent_confirmed(context):
+    (age_ms,) = context.sent_at_ages
+    assert age_ms < 1_000, age_ms
