--- a/src/pomelolane/forwarding/confirmation.py
+++ b/src/pomelolane/forwarding/confirmation.py
@@ -58,7 +58,8 @@
     def confirm(self, at_ms: float) -> None:
         """Record that what is known was the newest at a time."""
         self._confirmed_ms = max(self._confirmed_ms, at_ms)
-        self._has_failed = False
+        if self.age_ms <= self._max_age_ms:
+            self._has_failed = False
         confirmed, self._next = self._next, asyncio.Event()
         confirmed.set()
 
--- a/src/pomelolane/forwarding/sender.py
+++ b/src/pomelolane/forwarding/sender.py
@@ -68,7 +68,7 @@
     async def connect(self, endpoint: Endpoint) -> HttpConnection:
         """Return a connection to an endpoint.
 
-        The caller must call :meth:`send` before awaiting anything else.
+        The caller must call :meth:`send` soon, as endpoints close idle connections.
 
         Raises:
             EndpointRefusedError: No connection could be made.
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -290,7 +290,9 @@
     async def _pause_before_reread(self, table: str) -> None:
         """Wait if the table's history was lost a moment ago already."""
         now_ms = self._clock.now_ms()
-        due_ms = max(now_ms, self._next_reread_ms.get(table, now_ms))
+        # A wait that was cancelled must not delay the next one further.
+        latest_ms = now_ms + _REREAD_MS
+        due_ms = min(max(now_ms, self._next_reread_ms.get(table, now_ms)), latest_ms)
         self._next_reread_ms[table] = due_ms + _REREAD_MS
         await asyncio.sleep((due_ms - now_ms) / 1000)
 
