--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -29,11 +29,14 @@
 class Network:
     """Carries messages between VMs, and says who is alive."""
 
-    def __init__(self, names):
+    def __init__(self, data_centres):
         self.loses = False
         self.delay_s = 0.0
-        self.handlers = {name: [] for name in names}
-        self.peers = {n: Peer(n, 1, DATA_CENTRE, "", ready=True) for n in names}
+        self.handlers = {name: [] for name in data_centres}
+        self.peers = {
+            name: Peer(name, 1, data_centre, "", ready=True)
+            for name, data_centre in data_centres.items()
+        }
 
     def view(self):
         return View(1, dict(self.peers))
@@ -46,14 +49,15 @@
         self.network, self.name = network, name
 
     def subscribe(self, kind, handler):
-        self.network.handlers[self.name].append(handler)
+        self.network.handlers[self.name].append((kind, handler))
 
     def send(self, vm_id, message):
         if self.network.loses:
             return False
-        for handler in self.network.handlers[vm_id]:
-            loop = asyncio.get_running_loop()
-            loop.call_later(self.network.delay_s, handler, self.name, message)
+        for kind, handler in self.network.handlers[vm_id]:
+            if isinstance(message, kind):
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.network.delay_s, handler, self.name, message)
         return True
 
 
@@ -66,11 +70,12 @@
         self.current = CurrentConfiguration()
         self.directory = EndpointDirectory(clock)
         self.watch = EndpointWatch(self.client, self.directory, self.current, clock)
-        self.watch.share(name, DATA_CENTRE, network, Port(network, name))
+        data_centre = network.peers[name].data_centre
+        self.watch.share(name, data_centre, network, Port(network, name))
         self.configurations = ConfigurationWatch(
             self.client, self.current, clock, LimitWindow(), APPLY_MS
         )
-        self.configurations.share(name, DATA_CENTRE, network, Port(network, name))
+        self.configurations.share(name, data_centre, network, Port(network, name))
 
     def leaving(self):
         return {n for n, one in self.directory.all.items() if one.leaving}
@@ -84,13 +89,22 @@
 
 @given('a metadata store and the VMs "a" and "b" of one data centre that watch it')
 def step_vms(context):
+    _start_vms(context, {"a": DATA_CENTRE, "b": DATA_CENTRE})
+
+
+@given("a metadata store and these VMs that watch it")
+def step_more_vms(context):
+    _start_vms(context, {row["VM"]: row["data centre"] for row in context.table})
+
+
+def _start_vms(context, data_centres):
     context.store = MetadataStore()
     address = context.run(context.store.start())
     context.add_cleanup(lambda: context.run(context.store.aclose()))
     put(context, "p1", "ready")
     context.store.put("op", "config", configuration(1))
-    context.network = Network("ab")
-    context.vms = {name: Vm(name, address, context.network) for name in "ab"}
+    context.network = Network(data_centres)
+    context.vms = {name: Vm(name, address, context.network) for name in data_centres}
     watches = [
         watch for vm in context.vms.values() for watch in (vm.watch, vm.configurations)
     ]
@@ -409,12 +423,22 @@
     context.store.put("op", "config", json.dumps(document).encode())
 
 
+@when("{names} can no longer reach the store")
+def step_cut_together(context, names):
+    _cut(context, json.loads(f"[{names.replace(' and ', ', ')}]"))
+
+
 @when('"{name}" cannot reach the store')
 def step_cut(context, name):
+    _cut(context, [name])
+
+
+def _cut(context, names):
     async def refuse(*args):
         raise StoreUnavailableError("cut off")
 
-    context.vms[name].client._call = refuse
+    for name in names:
+        context.vms[name].client._call = refuse
     # What it has asked before is still answered for a while.
     context.run(asyncio.sleep(APPLY_MS / 1000))
 
