--- a/src/pomelolane/forwarding/configuration.py
+++ b/src/pomelolane/forwarding/configuration.py
@@ -164,16 +164,21 @@
     Args:
         clock: Source of the current time.
         max_age_ms: Time since the last confirmation after which requests wait for one.
+        expiry_ms: Time since the last confirmation after which a newer one may have to
+            be in force.
 
     Attributes:
         confirmation: When it was last confirmed that there is none that is newer.
     """
 
     def __init__(
-        self, clock: Clock | None = None, max_age_ms: float = math.inf
+        self,
+        clock: Clock | None = None,
+        max_age_ms: float = math.inf,
+        expiry_ms: float = math.inf,
     ) -> None:
         self._clock = clock or MonotonicClock()
-        self.confirmation = Confirmation(self._clock, max_age_ms)
+        self.confirmation = Confirmation(self._clock, max_age_ms, expiry_ms)
         self._value: Configuration | None = None
         self._adopted_ms = self._clock.now_ms()
         self._known = asyncio.Event()
--- a/src/pomelolane/forwarding/confirmation.py
+++ b/src/pomelolane/forwarding/confirmation.py
@@ -30,11 +30,18 @@
     Args:
         clock: Source of the current time.
         max_age_ms: Age from which on requests wait for a confirmation.
+        expiry_ms: Age from which on something newer may have to be in force.
     """
 
-    def __init__(self, clock: Clock, max_age_ms: float = math.inf) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        max_age_ms: float = math.inf,
+        expiry_ms: float = math.inf,
+    ) -> None:
         self._clock = clock
         self._max_age_ms = max_age_ms
+        self._expiry_ms = expiry_ms
         self._confirmed_ms = clock.now_ms()
         self._next = asyncio.Event()
         self._waiting = 0
@@ -46,6 +53,11 @@
         """Time since the source last confirmed what is known."""
         return self._clock.now_ms() - self._confirmed_ms
 
+    @property
+    def has_expired(self) -> bool:
+        """Whether something newer may have to be in force already."""
+        return self.age_ms > self._expiry_ms
+
     def on_wanted(self, callback: Callable[[], None]) -> None:
         """Call back when the source is to be asked at once."""
         self._callbacks.append(callback)
--- a/src/pomelolane/forwarding/intake.py
+++ b/src/pomelolane/forwarding/intake.py
@@ -136,8 +136,15 @@
             route = _find_route(rules.routes, exchange)
             organisation = _authenticate(configuration, route, description)
         except BadRequestError as error:
+            if self._current.confirmation.has_expired:
+                # The route or key may be in a configuration that this VM has missed.
+                error = BadRequestError(
+                    503,
+                    Reason.CONFIGURATION_UNCONFIRMED,
+                    f"{error.detail} in the configuration that this VM knows",
+                )
             self._log_rejection(exchange, description, rules, error)
-            raise
+            raise error from None
         limits = configuration.limits
         body = await exchange.read_body(limits.max_body_bytes, BODY_TIMEOUT_MS)
         limit_ms = description.deadline_ms or DEFAULT_DEADLINE_MS
--- a/src/pomelolane/forwarding/refusals.py
+++ b/src/pomelolane/forwarding/refusals.py
@@ -35,7 +35,9 @@
 """Reasons that hold whether or not an endpoint has begun the request."""
 
 NOT_READY_RETRY_MS = 500
-"""Retry delay for callers of a VM that has no configuration yet."""
+"""Retry delay for callers of a VM without a configuration, or with an outdated one."""
+
+_NOT_READY_REASONS = (Reason.NOT_READY, Reason.CONFIGURATION_UNCONFIRMED)
 
 INTERNAL_ERROR = Refusal(
     Outcome.NOT_RUN, Reason.INTERNAL_ERROR, detail="an unexpected error occurred"
@@ -60,7 +62,7 @@
 def refusal_from_error(error: BadRequestError) -> Refusal:
     """Return the refusal of a request that was not accepted."""
     reason = error.reason if isinstance(error.reason, Reason) else Reason.BAD_REQUEST
-    retry_ms = NOT_READY_RETRY_MS if reason is Reason.NOT_READY else 0
+    retry_ms = NOT_READY_RETRY_MS if reason in _NOT_READY_REASONS else 0
     return Refusal(Outcome.NOT_RUN, reason, retry_ms, error.detail)
 
 
--- a/src/pomelolane/outcomes.py
+++ b/src/pomelolane/outcomes.py
@@ -45,6 +45,7 @@
     NO_MATCHING_VERSION = "no_matching_version"
     ORIGIN_UNKNOWN = "origin_unknown"
     NOT_READY = "not_ready"
+    CONFIGURATION_UNCONFIRMED = "configuration_unconfirmed"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     CLAIM_HELD = "claim_held"
     HOLDER_GONE = "holder_gone"
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -83,7 +83,9 @@
         self._clock = MonotonicClock()
         self._store = StoreClient(self._file.store_address)
         self._current = CurrentConfiguration(
-            self._clock, _CONFIRMED_SHARE * self._file.apply_ms
+            self._clock,
+            max_age_ms=_CONFIRMED_SHARE * self._file.apply_ms,
+            expiry_ms=self._file.apply_ms,
         )
         self._directory = EndpointDirectory(self._clock)
         self._background = BackgroundTasks()
--- a/tests/steps/platform_serving_steps.py
+++ b/tests/steps/platform_serving_steps.py
@@ -185,6 +185,20 @@
     context.vm.signal()
 
 
+@when("the store falls silent for {ms:d} ms")
+def step_silent_for(context, ms):
+    context.world.store.trouble = Trouble.SILENT
+    context.run(asyncio.sleep(ms / 1000))
+
+
+@then('the answer is {status:d}, "{reason}", with a time to come back')
+def step_status_reason(context, status, reason):
+    answer = context.answer
+    assert answer.status == status, answer.data[:300]
+    assert json.loads(answer.body)["reason"] == reason, answer.body
+    assert float(answer.headers["retry-after"]) > 0, answer.data[:300]
+
+
 @then("the answer is {status:d}")
 def step_status(context, status):
     assert context.answer.status == status, context.answer.data[:300]
