--- a/src/pomelolane/messages/__init__.py
+++ b/src/pomelolane/messages/__init__.py
@@ -18,6 +18,7 @@
 from pomelolane.messages.declarations import (
     BranchContent,
     BranchWanted,
+    ChangesWanted,
     EndpointLeaving,
     RecordChange,
     WatchedChanges,
@@ -74,6 +75,7 @@
     "AnyMessage",
     "BranchContent",
     "BranchWanted",
+    "ChangesWanted",
     "ClaimBatch",
     "ClaimResults",
     "CrashesReported",
--- a/src/pomelolane/messages/declarations.py
+++ b/src/pomelolane/messages/declarations.py
@@ -47,7 +47,10 @@
 __all__ = [
     "BranchContent",
     "BranchWanted",
+    "ChangesWanted",
     "EndpointLeaving",
+    "RecordChange",
+    "WatchedChanges",
 ]
 
 
@@ -87,3 +90,20 @@
     changes: tuple[RecordChange, ...] = ()
     state_hash: int = 0
     as_of_ms: float = 0.0
+
+
+class ChangesWanted(Message, frozen=True):
+    """Asks another VM for what it knows of a watched table.
+
+    Answered by :class:`WatchedChanges` if the receiver knows something later.
+
+    Attributes:
+        source: Name of the table.
+        after: Version up to which the sender knows the table, -1 if it needs all of it.
+        as_of_ms: The store's steady clock when the sender's knowledge was the newest,
+            0 if unknown.
+    """
+
+    source: str
+    after: int
+    as_of_ms: float = 0.0
--- a/src/pomelolane/messages/wire.py
+++ b/src/pomelolane/messages/wire.py
@@ -19,6 +19,7 @@
 from pomelolane.messages.declarations import (
     BranchContent,
     BranchWanted,
+    ChangesWanted,
     EndpointLeaving,
     WatchedChanges,
 )
@@ -59,6 +60,7 @@
 
 AnyMessage = (
     WatchedChanges
+    | ChangesWanted
     | UsesTold
     | Submit
     | SubmitAck
@@ -94,6 +96,7 @@
 )
 
 SENT_ALONE = (
+    ChangesWanted,
     EstimatesShared,
     ReservationsHeld,
     StreamBegun,
--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -23,7 +23,13 @@
     StoreUnavailableError,
 )
 from pomelolane.platform.rolloutrecord import orders_from_rows
-from pomelolane.platform.sharing import SharedReads, local_time_ms
+from pomelolane.platform.sharing import (
+    Knowledge,
+    SharedReads,
+    local_time_ms,
+    make_news,
+    size_of_news,
+)
 from pomelolane.platform.storeclient import StoredRow
 from pomelolane.platform.trouble import StoreTrouble
 
@@ -53,8 +59,15 @@
 the next VM that asks for all, need not ask."""
 
 _MOST_PASSED_BYTES = 24_000
-"""Larger documents are only announced, and each VM reads them itself: passed to 50 VMs,
-this takes a second of a link of 10 Mbit/s."""
+"""Larger documents are only announced, and each VM reads them
+itself: passed to 50 VMs, this takes a second of a link of 10 Mbit/s."""
+
+_BEHIND_SHARE = 0.6
+"""Part of that time after which a VM that has heard nothing asks other VMs: its own
+call has begun before, and is answered at once unless the store is in trouble."""
+
+_LOST_BEHIND_SHARE = 0.3
+"""The same while the store does not serve this VM."""
 
 _UNREAD_PAUSE_S = 0.1
 
@@ -95,9 +108,12 @@
         self._wait_ms = int(apply_ms * _WAIT_SHARE)
         spread = random.uniform(1.0, _PATIENCE_SPREAD)
         self._patience_ms = apply_ms * _PATIENCE_SHARE * spread
+        self._apply_ms = apply_ms
         self._trouble = StoreTrouble("configuration", clock)
         self._shared: SharedReads | None = None
         self._after = -1
+        self._as_of_ms = 0.0
+        self._rows: dict[str, StoredRow] = {}
         self._is_reading = False
         self._has_lost_history = False
         self._document_hash = 0
@@ -114,9 +130,30 @@
     ) -> None:
         """Ask for the other VMs of the data centre, or let one of them do so."""
         self._shared = SharedReads(
-            _TABLE, vm_id, data_centre, membership, transport, self._take_shared
+            _TABLE, vm_id, data_centre, membership, transport, self
         )
 
+    @property
+    def knowledge(self) -> Knowledge:
+        """What is known of the table."""
+        return Knowledge(self._after, self._as_of_ms)
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether other VMs should be asked."""
+        share = _LOST_BEHIND_SHARE if self._trouble.is_lost else _BEHIND_SHARE
+        return self._current.confirmation.age_ms > share * self._apply_ms
+
+    def changes_since(self, version: int) -> WatchedChanges:
+        """Return the rows that changed after a version, -1 for all rows."""
+        rows = [row for row in self._rows.values() if row.version > version]
+        return make_news(_TABLE, version, self.knowledge, rows, self._document_hash)
+
+    async def ask_others(self) -> None:
+        """Ask other VMs whenever too little is known, until cancelled."""
+        if self._shared is not None:
+            await self._shared.run()
+
     def refresh(self) -> None:
         """Ask anew: a call from before an outage may never be answered."""
         self._after = -1
@@ -125,6 +162,8 @@
 
     def ask_now(self) -> None:
         """Ask what there is, without waiting for a change."""
+        if self._shared is not None:
+            self._shared.ask()
         self._is_reading = False
         self._is_wanted.set()
         if self._poll is not None:
@@ -200,6 +239,8 @@
             # Another VM has passed on a newer state while the answer was on its way, or
             # has shown that the table is to be read whole.
             return
+        if after < 0:
+            self._rows.clear()
         self._adopt_rows(snapshot.rows)
         self._confirm(snapshot.version, snapshot.now_ms)
         if self._shared is not None and self._shared.is_reader:
@@ -208,13 +249,15 @@
             await asyncio.sleep(_UNREAD_PAUSE_S)
 
     def _pass_on(self, after: int, rows: Sequence[StoredRow], as_of_ms: float) -> None:
-        # Rows that are left out must show: only the configuration's hash is compared.
-        if sum(len(row.value) for row in rows) > _MOST_PASSED_BYTES:
+        known = Knowledge(self._after, as_of_ms)
+        news = make_news(_TABLE, after, known, rows, self._document_hash)
+        if size_of_news(news) > _MOST_PASSED_BYTES:
+            # What is left out must show: only the configuration's hash is compared.
             rows = [row for row in rows if row.key != _KEY]
-        document_hash = self._document_hash
-        self._shared.pass_on(after, self._after, rows, document_hash, as_of_ms)
+            news = make_news(_TABLE, after, known, rows, self._document_hash)
+        self._shared.pass_on(news)
 
-    def _take_shared(self, news: WatchedChanges) -> None:
+    def take_shared(self, news: WatchedChanges) -> None:
         """Take what another VM was told, unless something is missing before it."""
         if not news.after <= self._after <= news.version:
             return
@@ -233,6 +276,7 @@
         self._after = -1
         self._order(orders_from_rows(rows))
         for row in rows:
+            self._rows[row.key] = row
             if row.key != _KEY or row.deleted:
                 continue
             self._document_hash = xxhash.xxh32_intdigest(row.value)
@@ -243,6 +287,7 @@
         shown_ms = local_time_ms(as_of_ms, self._store, self._clock)
         self._current.confirm(shown_ms)
         self._after = version
+        self._as_of_ms = max(self._as_of_ms, as_of_ms)
 
     def _order(self, orders: list[RolloutOrder]) -> None:
         """Pass orders on, with those that could not be passed on before."""
--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -22,7 +22,12 @@
     HistoryLostError,
     StoreUnavailableError,
 )
-from pomelolane.platform.sharing import SharedReads, local_time_ms
+from pomelolane.platform.sharing import (
+    Knowledge,
+    SharedReads,
+    local_time_ms,
+    make_news,
+)
 from pomelolane.platform.storeclient import StoredRow
 from pomelolane.platform.trouble import StoreTrouble
 
@@ -50,6 +55,15 @@
 """Age from which on a VM reads the endpoints itself: the longest pause of the one
 that reads for it, and 0.2 s; with a read still well within the 2 s above."""
 
+_BEHIND_AGE_MS = 1_450
+"""Age from which on a VM asks other VMs: its own read has begun before."""
+
+_LOST_BEHIND_AGE_MS = 1_000
+"""The same while the store does not serve this VM."""
+
+_MOST_GONE = 1_000
+"""Endpoints that are remembered as gone, for VMs that ask what has changed."""
+
 REFRESH_INTERVAL_S = 0.1
 """Shortest time between two reads that are asked for beside that pace."""
 
@@ -104,6 +118,9 @@
         self._heard_ms = clock.now_ms()
         self._shown_ms = -math.inf
         self._forgotten: list[str] = []
+        self._changed_at: dict[str, int] = {}
+        self._complete_since = math.inf
+        self._as_of_ms = 0.0
         self._after = -1
         self._has_read = False
         self._version = 0
@@ -121,14 +138,52 @@
         self, vm_id: str, data_centre: str, membership: Membership, transport: Transport
     ) -> None:
         """Read for the other VMs of the data centre, or let one of them do so."""
+        self._shared = SharedReads(
+            _ENDPOINT_TABLE, vm_id, data_centre, membership, transport, self
+        )
 
-        def take(news: WatchedChanges) -> None:
-            self._guarded(self._take_shared, news)
+    @property
+    def knowledge(self) -> Knowledge:
+        """What is known of the table."""
+        return Knowledge(self._after, self._as_of_ms)
 
-        self._shared = SharedReads(
-            _ENDPOINT_TABLE, vm_id, data_centre, membership, transport, take
+    @property
+    def is_behind(self) -> bool:
+        """Whether other VMs should be asked."""
+        most_ms = _LOST_BEHIND_AGE_MS if self._trouble.is_lost else _BEHIND_AGE_MS
+        return self._directory.age_ms > most_ms
+
+    def changes_since(self, version: int) -> WatchedChanges | None:
+        """Return the endpoints that changed beyond their heartbeat after a version.
+
+        Args:
+            version: The version, -1 for all endpoints.
+        """
+        if version < 0:
+            keys = self._values.keys()
+        elif version < self._complete_since:
+            return None
+        else:
+            # What changed at the version itself may be newer, too: it is noticed late.
+            keys = {key for key, at in self._changed_at.items() if at >= version}
+        rows = [self._row(key) for key in keys]
+        return make_news(
+            _ENDPOINT_TABLE, version, self.knowledge, rows, self._state_hash()
         )
 
+    def _row(self, key: str) -> StoredRow:
+        value = self._values.get(key)
+        return StoredRow(key, self._after, value or b"", deleted=value is None)
+
+    def take_shared(self, news: WatchedChanges) -> None:
+        """Take what another VM has read."""
+        self._guarded(self._take_shared, news)
+
+    async def ask_others(self) -> None:
+        """Ask other VMs whenever too little is known, until cancelled."""
+        if self._shared is not None:
+            await self._shared.run()
+
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
@@ -246,8 +301,9 @@
 
     def _take_shared(self, news: WatchedChanges) -> None:
         """Take what another VM has read, unless something is missing before it."""
-        if self._after < 0 or not news.after <= self._after <= news.version:
+        if not news.after <= self._after <= news.version:
             return
+        whole = news.after < 0
         if self._trouble.is_lost:
             self._answered_elsewhere.set()
         rows = tuple(
@@ -255,12 +311,14 @@
             for one in news.changes
         )
         self._after = self._version = news.version
-        self._take(rows, whole=False, kept_until_ms=0.0)
+        self._has_read = self._has_read or whole
+        self._take(rows, whole=whole, kept_until_ms=0.0)
         if self._state_hash() != news.state_hash:
             # Something was missed, such as a row that went and came back unchanged.
             self._after = -1
             self._refresh_wanted.set()
             return
+        self._as_of_ms = max(self._as_of_ms, news.as_of_ms)
         self._publish(news.as_of_ms)
 
     def _state_hash(self) -> int:
@@ -291,6 +349,7 @@
         changed = self._take(
             snapshot.rows, whole=whole, kept_until_ms=self._grace_until_ms
         )
+        self._as_of_ms = max(self._as_of_ms, snapshot.now_ms)
         self._publish(snapshot.now_ms, asked_ms)
         if self._shared is not None and not whole and self._shared.is_reader:
             self._pass_on(after, changed, snapshot.now_ms)
@@ -308,9 +367,11 @@
             for key in self._forgotten
             if key not in self._values
         ]
+        known = Knowledge(self._after, as_of_ms)
         rows = [*changed, *forgotten]
-        state_hash = self._state_hash()
-        self._shared.pass_on(after, self._after, rows, state_hash, as_of_ms)
+        self._shared.pass_on(
+            make_news(_ENDPOINT_TABLE, after, known, rows, self._state_hash())
+        )
 
     def _take(
         self, rows: Sequence[StoredRow], *, whole: bool, kept_until_ms: float
@@ -327,6 +388,7 @@
         present = [row for row in rows if not row.deleted]
         if whole:
             gone |= self._values.keys() - {row.key for row in present}
+            self._complete_since = min(self._complete_since, self._version)
         changed = []
         for row in present:
             was_missing = self._dropped_at_ms.pop(row.key, None) is not None
@@ -335,6 +397,7 @@
             self._decode(row.key)
             if self._endpoints.get(row.key) != before:
                 changed.append(row)
+                self._changed_at[row.key] = self._version
         for key in gone & self._values.keys():
             at_ms = max(now_ms, kept_until_ms)
             self._dropped_at_ms[key] = min(at_ms, self._dropped_at_ms.get(key, at_ms))
@@ -350,6 +413,12 @@
             self._values.pop(key, None)
             self._endpoints.pop(key, None)
             self._rejected.pop(key, None)
+            self._changed_at[key] = self._version
+        gone = self._changed_at.keys() - self._values.keys()
+        if len(gone) > _MOST_GONE:
+            for key in gone:
+                del self._changed_at[key]
+            self._complete_since = self._version
 
     def _decode(self, key: str) -> None:
         configuration = self._current.value
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -158,6 +158,8 @@
         self._current.confirmation.on_wanted(configuration.ask_now)
         self._background.keep_running("configuration", configuration.run)
         await node.start()
+        self._background.keep_running("ask for configuration", configuration.ask_others)
+        self._background.keep_running("ask for endpoints", watch.ask_others)
         self._background.keep_running("read crashes", node.crash_record.read)
         self._background.keep_running("write crashes", node.crash_record.write)
         self._background.keep_running("ledger", node.ledger.run)
--- a/src/pomelolane/platform/sharing.py
+++ b/src/pomelolane/platform/sharing.py
@@ -1,21 +1,31 @@
 """One VM of each data centre reads a table for the others and passes changes on.
 
-Nobody depends on it: who hears nothing for a while reads the table itself.
+Nobody depends on it: who hears nothing for a while reads the table itself, and asks
+other VMs what they know. The store may serve them and not this one.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
 
-from pomelolane.membership import is_store_reader
-from pomelolane.messages import RecordChange, WatchedChanges
+from pomelolane.membership import is_store_reader, weight
+from pomelolane.messages import ChangesWanted, RecordChange, WatchedChanges
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from pomelolane.platform.storeclient import StoreClient, StoredRow
     from pomelolane.ports import Clock, Membership, Peer, Transport
 
+_ASK_PERIOD_S = 0.3
+"""How often a VM that knows nothing recent asks others; they answer in milliseconds."""
+
+_CANDIDATES = 4
+"""VMs of the own data centre, and of others, of which one each is asked at a time."""
+
 
 def local_time_ms(as_of_ms: float, store: StoreClient, clock: Clock) -> float:
     """Return a VM's own time at a moment of the store's clock, never later than now.
@@ -29,6 +39,41 @@
     return clock.now_ms() - age_ms
 
 
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """What a VM knows of a table.
+
+    Attributes:
+        version: Version up to which it knows the table, -1 if not all of it.
+        as_of_ms: The store's clock when that was the newest, 0 if unknown.
+    """
+
+    version: int
+    as_of_ms: float
+
+
+class TableWatch(Protocol):
+    """A watch of one table that shares what it knows."""
+
+    @property
+    def knowledge(self) -> Knowledge:
+        """What is known of the table."""
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether other VMs should be asked."""
+
+    def take_shared(self, news: WatchedChanges) -> None:
+        """Take what another VM knows."""
+
+    def changes_since(self, version: int) -> WatchedChanges | None:
+        """Return what changed after a version, None if that is not known.
+
+        Args:
+            version: The version, -1 for all that there is.
+        """
+
+
 class SharedReads:
     """This VM's part in the reads of one table.
 
@@ -38,7 +83,7 @@
         data_centre: Where it stands.
         membership: Who is alive.
         transport: Way to the others.
-        take: Called with what another VM has read.
+        watch: The watch of the table.
     """
 
     def __init__(
@@ -48,15 +93,16 @@
         data_centre: str,
         membership: Membership,
         transport: Transport,
-        take: Callable[[WatchedChanges], None],
+        watch: TableWatch,
     ) -> None:
         self._table = table
         self._vm_id = vm_id
         self._data_centre = data_centre
         self._membership = membership
         self._transport = transport
-        self._take = take
+        self._watch = watch
         transport.subscribe(WatchedChanges, self._heard)
+        transport.subscribe(ChangesWanted, self._handle_wanted)
 
     @property
     def is_reader(self) -> bool:
@@ -64,38 +110,80 @@
         view = self._membership.view()
         return is_store_reader(self._vm_id, self._data_centre, view)
 
-    def pass_on(
-        self,
-        after: int,
-        version: int,
-        rows: Iterable[StoredRow],
-        state_hash: int,
-        as_of_ms: float,
-    ) -> None:
-        """Tell the others of the data centre what was read.
-
-        Args:
-            after: Version after which the changes begin.
-            version: Last version that they cover.
-            rows: The changes.
-            state_hash: Hash of what the table holds with them.
-            as_of_ms: The store's clock at that version, 0 if unknown.
-        """
-        changes = tuple(
-            RecordChange(r.key, r.value, r.deleted, r.version) for r in rows
-        )
-        message = WatchedChanges(
-            self._table, after, version, changes, state_hash, as_of_ms
-        )
-        for peer in self._peers():
-            if peer.vm_id != self._vm_id:
-                self._transport.send(peer.vm_id, message)
-
-    def _peers(self) -> list[Peer]:
+    async def run(self) -> None:
+        """Ask other VMs whenever the watch is behind, until cancelled."""
+        while True:
+            if self._watch.is_behind:
+                self.ask()
+            await asyncio.sleep(_ASK_PERIOD_S * random.uniform(0.9, 1.1))
+
+    def ask(self) -> None:
+        """Ask other VMs what they know."""
+        known = self._watch.knowledge
+        question = ChangesWanted(self._table, known.version, known.as_of_ms)
+        for peer in self._choose_asked():
+            self._transport.send(peer.vm_id, question)
+
+    def pass_on(self, news: WatchedChanges) -> None:
+        """Tell the other VMs of the data centre what was read."""
+        for peer in self._membership.view().peers.values():
+            if peer.data_centre == self._data_centre and peer.vm_id != self._vm_id:
+                self._transport.send(peer.vm_id, news)
+
+    def _choose_asked(self) -> list[Peer]:
+        """Choose one VM of the own data centre and one of another one."""
         peers = self._membership.view().peers.values()
-        return [peer for peer in peers if peer.data_centre == self._data_centre]
+        others = [
+            peer
+            for peer in peers
+            if peer.vm_id != self._vm_id and peer.ready and not peer.draining
+        ]
+        # Few links are opened if the same VMs are asked again.
+        others.sort(key=lambda one: weight(self._vm_id, one.vm_id))
+        near = [one for one in others if one.data_centre == self._data_centre]
+        far = [one for one in others if one.data_centre != self._data_centre]
+        groups = [group[:_CANDIDATES] for group in (near, far) if group]
+        return [random.choice(group) for group in groups]
+
+    def _handle_wanted(self, sender: str, message: ChangesWanted) -> None:
+        if message.source != self._table:
+            return
+        known = self._watch.knowledge
+        is_later = known.as_of_ms > message.as_of_ms and known.version >= message.after
+        if known.version < 0 or not is_later:
+            return
+        news = self._watch.changes_since(message.after)
+        if news is not None:
+            self._transport.send(sender, news)
 
     def _heard(self, sender: str, message: WatchedChanges) -> None:
         del sender
         if message.source == self._table:
-            self._take(message)
+            self._watch.take_shared(message)
+
+
+def make_news(
+    table: str,
+    after: int,
+    known: Knowledge,
+    rows: Iterable[StoredRow],
+    state_hash: int,
+) -> WatchedChanges:
+    """Return the message with changes of a table.
+
+    Args:
+        table: The table.
+        after: Version after which the changes begin, -1 if the rows are all there are.
+        known: What the sender knows of the table.
+        rows: The changes.
+        state_hash: Hash of what the table holds with them.
+    """
+    changes = tuple(RecordChange(r.key, r.value, r.deleted, r.version) for r in rows)
+    return WatchedChanges(
+        table, after, known.version, changes, state_hash, known.as_of_ms
+    )
+
+
+def size_of_news(news: WatchedChanges) -> int:
+    """Return the bytes of the values in a message."""
+    return sum(len(change.value) for change in news.changes)
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -105,10 +105,12 @@
     context.store.put("op", "config", configuration(1))
     context.network = Network(data_centres)
     context.vms = {name: Vm(name, address, context.network) for name in data_centres}
-    watches = [
-        watch for vm in context.vms.values() for watch in (vm.watch, vm.configurations)
+    tasks = [
+        context.loop.create_task(run())
+        for vm in context.vms.values()
+        for watch in (vm.watch, vm.configurations)
+        for run in (watch.run, watch.ask_others)
     ]
-    tasks = [context.loop.create_task(watch.run()) for watch in watches]
     context.add_cleanup(lambda: context.run(end(context.vms.values(), tasks)))
     for vm in context.vms.values():
         context.run(asyncio.wait_for(vm.directory.wait_until_known(), 5))
@@ -447,7 +449,7 @@
 def step_told_again(context, name, version):
     change = RecordChange("config", configuration(version), deleted=False)
     watch = context.vms[name].configurations
-    watch._take_shared(WatchedChanges("op", 0, watch._after, (change,)))
+    watch.take_shared(WatchedChanges("op", 0, watch._after, (change,)))
 
 
 @when("neither VM takes callers yet")
@@ -493,7 +495,7 @@
     context.age_ms = vm.current.confirmation.age_ms
     after = vm.configurations._after
     news = WatchedChanges("op", after, after + 1, (), 1, vm.client.now_ms())
-    vm.configurations._take_shared(news)
+    vm.configurations.take_shared(news)
 
 
 @then('what "{name}" knows has not become younger')
