--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -33,6 +33,9 @@
 """Time after a stall for what it held up: the answer lies unread in the socket, or the
 request has not even been written."""
 
+_LONGEST_TRANSFER_S = 10.0
+"""Bound on receiving an answer that has begun: a megabyte on a slow link."""
+
 _MOST_LATE_CALLS = 4
 """Calls past their limit whose answers are still awaited."""
 
@@ -84,6 +87,17 @@
     data: bytes
 
 
+@dataclass(slots=True)
+class _OpenCall:
+    """A call that is not answered yet.
+
+    Attributes:
+        silent_since_ms: Since when the store owes the answer, or its next bytes.
+    """
+
+    silent_since_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class StoredRow:
     """A row, or the mark that it was deleted.
@@ -343,7 +357,7 @@
     async def _answer_in_time(
         self, method: str, request: list[bytes], wait_s: float
     ) -> tuple[int, _Answer]:
-        """Return the answer to a call that may last for its limit.
+        """Return the answer to a call for which the store may be silent for the limit.
 
         Args:
             method: HTTP method.
@@ -355,7 +369,8 @@
         """
         limit = self._limits[method]
         begun_ms = self._clock.now_ms()
-        task = asyncio.create_task(self._measured_answer(method, request, wait_s))
+        call = _OpenCall(begun_ms + 1000 * wait_s)
+        task = asyncio.create_task(self._measured_answer(method, request, call))
         try:
             left_s = wait_s + limit.limit_s
             while left_s > 0:
@@ -365,7 +380,7 @@
                     return task.result()
                 age_s = self._age_s(begun_ms)
                 # An earlier call's late answer may have lengthened the limit meanwhile.
-                left_s = wait_s + limit.limit_s - age_s
+                left_s = limit.limit_s - self._age_s(call.silent_since_ms)
                 if age_s - due_s > _STALL_S and age_s < wait_s + LONGEST_S:
                     left_s = max(left_s, _AFTER_STALL_S)
         except asyncio.CancelledError:
@@ -376,13 +391,29 @@
         raise TimeoutError
 
     async def _measured_answer(
-        self, method: str, request: list[bytes], wait_s: float
+        self, method: str, request: list[bytes], call: _OpenCall
     ) -> tuple[int, _Answer]:
-        begun_ms = self._clock.now_ms()
-        async with asyncio.timeout(wait_s + LONGEST_S):
-            answer = await self._exchange(method, request)
-        self._limits[method].note_answer(self._age_s(begun_ms) - wait_s)
-        return answer
+        limit = self._limits[method]
+        loop = asyncio.get_running_loop()
+        due_ms = call.silent_since_ms
+        longest_s = LONGEST_S - self._age_s(due_ms)
+        async with (
+            asyncio.timeout(longest_s + _LONGEST_TRANSFER_S),
+            asyncio.timeout(longest_s) as silence,
+        ):
+            connection = await self._pool.acquire(self._address)
+            stream = await connection.exchange(method, request)
+            limit.note_answer(self._age_s(due_ms))
+            pieces = []
+            try:
+                async for piece in stream.chunks():
+                    pieces.append(piece)
+                    call.silent_since_ms = self._clock.now_ms()
+                    silence.reschedule(loop.time() + LONGEST_S)
+            finally:
+                # A call that ran out of time must not leave its answer to the next.
+                await stream.aclose()
+        return stream.status, _Answer(_era(stream.headers), b"".join(pieces))
 
     def _await_late(self, task: asyncio.Task[tuple[int, _Answer]]) -> None:
         """Let a call go on only to learn how late its answer is.
@@ -404,16 +435,6 @@
     def _age_s(self, begun_ms: float) -> float:
         return (self._clock.now_ms() - begun_ms) / 1000
 
-    async def _exchange(self, method: str, request: list[bytes]) -> tuple[int, _Answer]:
-        connection = await self._pool.acquire(self._address)
-        stream = await connection.exchange(method, request)
-        try:
-            answer = b"".join([piece async for piece in stream.chunks()])
-        finally:
-            # A call that ran out of time must not leave its answer to the next.
-            await stream.aclose()
-        return stream.status, _Answer(_era(stream.headers), answer)
-
     def _head(self, method: str, path: str, query: dict[str, str], size: int) -> bytes:
         target = f"{path}?{urlencode(query)}" if query else path
         lines = [f"{method} {target} HTTP/1.1", f"Host: {self._address}"]
--- a/tests/platform/storecalls.feature
+++ b/tests/platform/storecalls.feature
@@ -19,6 +19,13 @@
       | 1200 |
       | 2200 |
 
+  # Guards against VMs that never got a large configuration over a slow link: each call was
+  # given up in the middle of its answer.
+  Scenario: An answer that takes long to arrive is not given up
+    When the store sends 100000 bytes a second
+    And the store says version 9 with 200 kB of routes
+    Then the configuration in force is version 9 within 4000 ms
+
   Scenario: A write to a store that answers late succeeds when it is repeated
     When each answer of the store takes 1200 ms
     Then a write succeeds at the second try
--- a/tests/steps/platform_storecalls_steps.py
+++ b/tests/steps/platform_storecalls_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import json
 import socket
 import threading
 import time
@@ -14,6 +15,7 @@
 from pomelolane.endpoints import pool
 from pomelolane.platform.errors import StoreUnavailableError
 from pomelolane.platform.storeclient import StoreClient
+from tests.routed_world import configuration
 
 
 async def _tries(call):
@@ -47,6 +49,20 @@
     context.store.late_s = ms / 1000
 
 
+@when("the store sends {rate:d} bytes a second")
+def step_slow_link(context, rate):
+    context.store.bytes_per_s = rate
+
+
+@when("the store says version {version:d} with {size_kb:d} kB of routes")
+def step_says_large(context, version, size_kb):
+    document = json.loads(configuration(version))
+    route = document["routes"][0]
+    count = 1000 * size_kb // len(json.dumps(route))
+    document["routes"] += [route | {"prefix": f"/{i}/"} for i in range(count)]
+    context.store.put("op", "config", json.dumps(document).encode())
+
+
 @when("{count:d} connections to the store are idle and fall silent")
 def step_silent(context, count):
     async def play():
