--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -517,8 +517,9 @@
     705,
     "configuration_applied",
     "info",
-    "version routes services organisations",
-    "A configuration of routed services is in force.",
+    "version routes services organisations source",
+    "A configuration of routed services is in force; where it came from: the store or "
+    "another VM.",
 )
 CONFIGURATION_REJECTED = _define(
     706,
--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -45,6 +45,8 @@
 
 _TABLE = "op"
 _KEY = "config"
+_STORE = "store"
+"""Source of what this VM has read itself, in the log."""
 
 _WAIT_SHARE = 0.3
 """Part of the time in which a configuration must be in force that a call waits for a
@@ -115,6 +117,7 @@
         self._as_of_ms = 0.0
         self._rows: dict[str, StoredRow] = {}
         self._is_reading = False
+        self._is_waiting = False
         self._has_lost_history = False
         self._document_hash = 0
         self._adopted_hash = 0
@@ -166,7 +169,7 @@
             self._shared.ask()
         self._is_reading = False
         self._is_wanted.set()
-        if self._poll is not None:
+        if self._poll is not None and self._is_waiting:
             self._poll.cancel()
 
     async def run(self) -> None:
@@ -226,11 +229,13 @@
 
     async def _step(self) -> None:
         after = self._after
+        self._is_waiting = False
         if after < 0:
             snapshot = await self._store.read(_TABLE)
         else:
             # The first answer is for those who have heard nothing for a while.
             wait_ms = self._wait_ms if self._is_reading else 0
+            self._is_waiting = wait_ms > 0
             snapshot = await self._store.changes(_TABLE, after, wait_ms)
             self._has_lost_history = False
         self._is_reading = True
@@ -241,7 +246,7 @@
             return
         if after < 0:
             self._rows.clear()
-        self._adopt_rows(snapshot.rows)
+        self._adopt_rows(snapshot.rows, source=_STORE)
         self._confirm(snapshot.version, snapshot.now_ms)
         if self._shared is not None and self._shared.is_reader:
             self._pass_on(after, snapshot.rows, snapshot.now_ms)
@@ -257,7 +262,7 @@
             news = make_news(_TABLE, after, known, rows, self._document_hash)
         self._shared.pass_on(news)
 
-    def take_shared(self, news: WatchedChanges) -> None:
+    def take_shared(self, news: WatchedChanges, sender: str = "") -> None:
         """Take what another VM was told, unless something is missing before it."""
         if not news.after <= self._after <= news.version:
             return
@@ -265,12 +270,12 @@
             StoredRow(one.key, one.version or news.version, one.value, one.deleted)
             for one in news.changes
         )
-        self._adopt_rows(rows)
+        self._adopt_rows(rows, source=sender)
         # Else it was too large to be passed on, or was read in another order.
         if self._document_hash == news.state_hash:
             self._confirm(news.version, news.as_of_ms)
 
-    def _adopt_rows(self, rows: Sequence[StoredRow]) -> None:
+    def _adopt_rows(self, rows: Sequence[StoredRow], source: str) -> None:
         """Adopt what rows hold; what is known is to be confirmed after it."""
         # The table is read whole if an error keeps anything of this from being taken.
         self._after = -1
@@ -280,7 +285,7 @@
             if row.key != _KEY or row.deleted:
                 continue
             self._document_hash = xxhash.xxh32_intdigest(row.value)
-            self._adopt(row)
+            self._adopt(row, source)
 
     def _confirm(self, version: int, as_of_ms: float) -> None:
         """Note that all of the table's changes up to a version are adopted."""
@@ -304,7 +309,7 @@
         else:
             self._orders = []
 
-    def _adopt(self, row: StoredRow) -> None:
+    def _adopt(self, row: StoredRow, source: str) -> None:
         try:
             configuration = configuration_from_json(row.value, self._limit_window)
         except DocumentError as error:
@@ -316,7 +321,7 @@
         before = self._current.value
         if self._current.adopt(configuration):
             self._adopted_hash = self._document_hash
-            _log_applied(before, configuration)
+            _log_applied(before, configuration, source)
         elif self._document_hash != self._adopted_hash and self._is_newly_refused():
             log_event(
                 events.CONFIGURATION_OUTDATED,
@@ -334,13 +339,14 @@
     """Stand in until somebody wants to know."""
 
 
-def _log_applied(before: Configuration | None, now: Configuration) -> None:
+def _log_applied(before: Configuration | None, now: Configuration, source: str) -> None:
     log_event(
         events.CONFIGURATION_APPLIED,
         version=now.version,
         routes=len(now.routes),
         services=len(now.services),
         organisations=len(now.organisations),
+        source=source,
     )
     known = before.organisations if before is not None else {}
     for name, organisation in now.organisations.items():
--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -175,8 +175,9 @@
         value = self._values.get(key)
         return StoredRow(key, self._after, value or b"", deleted=value is None)
 
-    def take_shared(self, news: WatchedChanges) -> None:
+    def take_shared(self, news: WatchedChanges, sender: str = "") -> None:
         """Take what another VM has read."""
+        del sender
         self._guarded(self._take_shared, news)
 
     async def ask_others(self) -> None:
--- a/src/pomelolane/platform/sharing.py
+++ b/src/pomelolane/platform/sharing.py
@@ -64,7 +64,7 @@
     def is_behind(self) -> bool:
         """Whether other VMs should be asked."""
 
-    def take_shared(self, news: WatchedChanges) -> None:
+    def take_shared(self, news: WatchedChanges, sender: str = "") -> None:
         """Take what another VM knows."""
 
     def changes_since(self, version: int) -> WatchedChanges | None:
@@ -158,9 +158,8 @@
             self._transport.send(sender, news)
 
     def _heard(self, sender: str, message: WatchedChanges) -> None:
-        del sender
         if message.source == self._table:
-            self._watch.take_shared(expand_changes(message))
+            self._watch.take_shared(expand_changes(message), sender)
 
 
 def make_news(
