--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -109,6 +109,7 @@
         self._clock = clock
         self._trouble = StoreTrouble("endpoints", clock)
         self._values: dict[str, bytes] = {}
+        self._row_versions: dict[str, int] = {}
         self._endpoints: dict[str, Endpoint] = {}
         self._rejected: dict[str, str] = {}
         self._shared: SharedReads | None = None
@@ -173,7 +174,8 @@
 
     def _row(self, key: str) -> StoredRow:
         value = self._values.get(key)
-        return StoredRow(key, self._after, value or b"", deleted=value is None)
+        version = self._row_versions.get(key, self._after)
+        return StoredRow(key, version, value or b"", deleted=value is None)
 
     def take_shared(self, news: WatchedChanges, sender: str = "") -> None:
         """Take what another VM has read."""
@@ -278,6 +280,23 @@
         )
         return now_ms if has_other_reader else now_ms - age_ms
 
+    def _is_outage(self, failed_calls: int, at_ms: float) -> bool:
+        """Return whether calls that failed until a moment count as an outage."""
+        is_long = at_ms - self._silent_since_ms >= SHORTEST_OUTAGE_MS
+        return is_long and failed_calls >= FAILED_CALLS_OF_OUTAGE
+
+    def _kept_until_ms(self) -> float:
+        """Return until when rows are kept that are gone by what another VM knows.
+
+        The VM that reads for others keeps them, as after its own read: another one that
+        was the first to read after an outage may have made fewer calls in it.
+        """
+        now_ms = self._clock.now_ms()
+        is_reader = self._shared is not None and self._shared.is_reader
+        if is_reader and self._is_outage(self._trouble.failed_calls, now_ms):
+            return now_ms + 1000 * RETURN_GRACE_S
+        return 0.0
+
     def _begin_grace(self, failed_calls: int, asked_ms: float) -> None:
         """Keep rows that are missing after an outage, as they may come back.
 
@@ -287,8 +306,7 @@
             failed_calls: How many calls in a row have failed before.
             asked_ms: When the store was asked that has answered again.
         """
-        is_long = asked_ms - self._silent_since_ms >= SHORTEST_OUTAGE_MS
-        if is_long and failed_calls >= FAILED_CALLS_OF_OUTAGE:
+        if self._is_outage(failed_calls, asked_ms):
             self._grace_until_ms = self._clock.now_ms() + 1000 * RETURN_GRACE_S
 
     def _fresh_s(self) -> float:
@@ -307,21 +325,43 @@
         whole = news.after < 0
         if self._trouble.is_lost:
             self._answered_elsewhere.set()
-        rows = tuple(
-            StoredRow(one.key, news.version, one.value, one.deleted)
+        rows: Sequence[StoredRow] = tuple(
+            StoredRow(one.key, one.version or news.version, one.value, one.deleted)
             for one in news.changes
         )
+        if whole:
+            rows = self._differing(rows, news.version)
         self._after = self._version = news.version
         self._has_read = self._has_read or whole
-        self._take(rows, whole=whole, kept_until_ms=0.0)
+        self._take(rows, whole=False, kept_until_ms=self._kept_until_ms())
         if self._state_hash() != news.state_hash:
             # Something was missed, such as a row that went and came back unchanged.
             self._after = -1
             self._refresh_wanted.set()
+            self._publish_unconfirmed()
             return
         self._as_of_ms = max(self._as_of_ms, news.as_of_ms)
         self._publish(news.as_of_ms)
 
+    def _differing(self, rows: Sequence[StoredRow], version: int) -> list[StoredRow]:
+        """Return what another VM's whole list changes here.
+
+        That VM may not have noticed yet that a row is missing: it does not bring back
+        one that is missing here, and does not shorten the time for which it is kept.
+        """
+        missing = self._dropped_at_ms.keys()
+        present = [
+            row
+            for row in rows
+            if row.key not in missing
+            and (
+                row.key in self._values
+                or row.version > self._changed_at.get(row.key, -1)
+            )
+        ]
+        gone = self._values.keys() - {row.key for row in rows} - missing
+        return present + [StoredRow(key, version, b"", deleted=True) for key in gone]
+
     def _state_hash(self) -> int:
         states = sorted(
             (key, one.leaving, one.born_ms) for key, one in self._endpoints.items()
@@ -395,6 +435,7 @@
             was_missing = self._dropped_at_ms.pop(row.key, None) is not None
             before = None if was_missing else self._endpoints.get(row.key)
             self._values[row.key] = row.value
+            self._row_versions[row.key] = row.version
             self._decode(row.key)
             if self._endpoints.get(row.key) != before:
                 changed.append(row)
@@ -412,6 +453,7 @@
         for key in due:
             del self._dropped_at_ms[key]
             self._values.pop(key, None)
+            self._row_versions.pop(key, None)
             self._endpoints.pop(key, None)
             self._rejected.pop(key, None)
             self._changed_at[key] = self._version
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -370,7 +370,7 @@
         limit = self._limits[method]
         begun_ms = self._clock.now_ms()
         call = _OpenCall(begun_ms + 1000 * wait_s)
-        task = asyncio.create_task(self._measured_answer(method, request, call))
+        task = asyncio.create_task(self._exchange(method, request, call))
         try:
             left_s = wait_s + limit.limit_s
             while left_s > 0:
@@ -390,7 +390,7 @@
         self._pool.discard_idle(self._address, begun_ms)
         raise TimeoutError
 
-    async def _measured_answer(
+    async def _exchange(
         self, method: str, request: list[bytes], call: _OpenCall
     ) -> tuple[int, _Answer]:
         limit = self._limits[method]
--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -205,3 +205,11 @@
     And endpoint "p1" is said to be draining
     Then every VM has version 5 within 2500 ms
     And every VM knows within 2500 ms that "p1" is leaving
+
+  # Guards against endpoints that got requests after they had left: a VM that asked others
+  # took back what was missing from one that had not noticed yet.
+  Scenario: Another VM's list does not bring back an endpoint that is missing
+    When endpoint "p1" is deleted
+    Then "a" knows within 2000 ms that "p1" takes nothing more
+    When "a" needs the whole list, and gets an older one that has "p1"
+    Then "a" knows for 500 ms that "p1" takes nothing more
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -303,6 +303,17 @@
     vm.watch._take_shared(WatchedChanges("servers", after, after, (), 1))
 
 
+@when('"{name}" needs the whole list, and gets an older one that has "{endpoint}"')
+def step_older_list(context, name, endpoint):
+    watch = context.vms[name].watch
+    row = registered(RoutedEndpoint(endpoint), "portal", "127.0.0.1:1", DATA_CENTRE)
+    change = RecordChange(endpoint, row, version=1)
+    step_cut(context, name)
+    watch._after = -1
+    later = watch._version + 1
+    watch.take_shared(WatchedChanges("servers", -1, later, (change,)))
+
+
 @then('"{name}" reads the whole list within {ms:d} ms')
 def step_reads_whole(context, name, ms):
     vm = context.vms[name]
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -398,8 +398,8 @@
     client = context.client
     exchange = client._exchange
 
-    async def late(method, request):
-        answer = await exchange(method, request)
+    async def late(*call):
+        answer = await exchange(*call)
         await asyncio.sleep(ms / 1000)
         return answer
 
