--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -64,12 +64,12 @@
 """Documents that are larger when compressed are only announced, and each VM reads them
 itself: passed to 50 VMs, this takes a second of a link of 10 Mbit/s."""
 
-_BEHIND_SHARE = 0.6
+_BEHIND_SHARE = 0.5
 """Part of that time after which a VM that has heard nothing asks other VMs: its own
-call has begun before, and is answered at once unless the store is in trouble."""
+call begins at about the same time, and may find the store in trouble."""
 
 _LOST_BEHIND_SHARE = 0.3
-"""The same while the store does not serve this VM."""
+"""The same of a VM that reads for others while the store does not serve it."""
 
 _UNREAD_PAUSE_S = 0.1
 
@@ -144,7 +144,8 @@
     @property
     def is_behind(self) -> bool:
         """Whether other VMs should be asked."""
-        share = _LOST_BEHIND_SHARE if self._trouble.is_lost else _BEHIND_SHARE
+        is_lost = self._trouble.is_lost and self._shared.is_reader
+        share = _LOST_BEHIND_SHARE if is_lost else _BEHIND_SHARE
         return self._current.confirmation.age_ms > share * self._apply_ms
 
     def changes_since(self, version: int) -> WatchedChanges:
@@ -292,7 +293,7 @@
         shown_ms = local_time_ms(as_of_ms, self._store, self._clock)
         self._current.confirm(shown_ms)
         self._after = version
-        self._as_of_ms = max(self._as_of_ms, as_of_ms)
+        self._as_of_ms = as_of_ms
 
     def _order(self, orders: list[RolloutOrder]) -> None:
         """Pass orders on, with those that could not be passed on before."""
--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -340,7 +340,7 @@
             self._refresh_wanted.set()
             self._publish_unconfirmed()
             return
-        self._as_of_ms = max(self._as_of_ms, news.as_of_ms)
+        self._as_of_ms = news.as_of_ms
         self._publish(news.as_of_ms)
 
     def _differing(self, rows: Sequence[StoredRow], version: int) -> list[StoredRow]:
@@ -390,7 +390,7 @@
         changed = self._take(
             snapshot.rows, whole=whole, kept_until_ms=self._grace_until_ms
         )
-        self._as_of_ms = max(self._as_of_ms, snapshot.now_ms)
+        self._as_of_ms = snapshot.now_ms
         self._publish(snapshot.now_ms, asked_ms)
         if self._shared is not None and not whole and self._shared.is_reader:
             self._pass_on(after, changed, snapshot.now_ms)
--- a/src/pomelolane/platform/sharing.py
+++ b/src/pomelolane/platform/sharing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
@@ -24,6 +25,9 @@
 _ASK_PERIOD_S = 0.3
 """How often a VM that knows nothing recent asks others; they answer in milliseconds."""
 
+_WHOLE_PERIOD_S = 1.0
+"""Shortest time between two questions for a whole table, which has many rows."""
+
 _CANDIDATES = 4
 """VMs of the own data centre, and of others, of which one each is asked at a time."""
 
@@ -102,6 +106,7 @@
         self._membership = membership
         self._transport = transport
         self._watch = watch
+        self._next_whole_s = -math.inf
         transport.subscribe(WatchedChanges, self._heard)
         transport.subscribe(ChangesWanted, self._handle_wanted)
 
@@ -121,8 +126,15 @@
     def ask(self) -> None:
         """Ask other VMs what they know."""
         known = self._watch.knowledge
+        asked = self._choose_asked()
+        if known.version < 0 and asked:
+            now_s = asyncio.get_running_loop().time()
+            if now_s < self._next_whole_s:
+                return
+            self._next_whole_s = now_s + _WHOLE_PERIOD_S
+            asked = [random.choice(asked)]
         question = ChangesWanted(self._table, known.version, known.as_of_ms)
-        for peer in self._choose_asked():
+        for peer in asked:
             self._transport.send(peer.vm_id, question)
 
     def pass_on(self, news: WatchedChanges) -> None:
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -406,6 +406,7 @@
             limit.note_answer(self._age_s(due_ms))
             pieces = []
             try:
+                call.silent_since_ms = self._clock.now_ms()
                 async for piece in stream.chunks():
                     pieces.append(piece)
                     call.silent_since_ms = self._clock.now_ms()
