--- a/tests/platform/serving.feature
+++ b/tests/platform/serving.feature
@@ -41,6 +41,7 @@
     And that request carried none of "hold, pin-ms, kv-backup, kv-from, kv-fetch, expect-version"
 
   Scenario Outline: What is not allowed gets its answer and reaches no endpoint
+    Given the VM's configuration was confirmed after it came into force
     When a stranger sends "<line>" to host "<host>" with the key "<key>"
     Then the answer is <status>
     And no endpoint has seen a request
--- a/tests/steps/platform_serving_steps.py
+++ b/tests/steps/platform_serving_steps.py
@@ -14,6 +14,7 @@
 
 MOST_TRIES = 30
 KNOWN_WITHIN_S = 10.0
+LOOK_S = 0.1
 
 PIECE_S = 0.05
 """Pause after each piece of a request, so that each comes by itself."""
@@ -37,6 +38,16 @@
     context.asked = 0
 
 
+@given("the VM's configuration was confirmed after it came into force")
+def step_confirmed(context):
+    for _ in range(MOST_TRIES):
+        status = json.loads(context.run(_page(context, "/status")).body)
+        if status["configuration_confirmed_age_ms"] < status["configuration_age_ms"]:
+            return
+        context.run(asyncio.sleep(LOOK_S))
+    raise AssertionError(status)
+
+
 @given('the endpoint "{name}" does "{fault}"')
 def step_fault(context, name, fault):
     context.world.endpoints[name].fault = Fault(fault)
