--- a/src/pomelolane/platform/configurationwatch.py
+++ b/src/pomelolane/platform/configurationwatch.py
@@ -39,6 +39,7 @@
     from pomelolane.forwarding import Configuration, CurrentConfiguration
     from pomelolane.messages import WatchedChanges
     from pomelolane.platform.documents import LimitWindow
+    from pomelolane.platform.seriespace import SeriesPace
     from pomelolane.platform.storeclient import StoreClient
     from pomelolane.ports import Clock, Membership, Transport
     from pomelolane.rollouts import RolloutOrder
@@ -62,7 +63,7 @@
 
 _MOST_PASSED_BYTES = 24_000
 """Documents that are larger when compressed are only announced, and each VM reads them
-itself: passed to 50 VMs, this takes a second of a link of 10 Mbit/s."""
+itself."""
 
 _BEHIND_SHARE = 0.5
 """Part of that time after which a VM that has heard nothing asks other VMs: its own
@@ -89,7 +90,7 @@
         current: Where configurations are put in force.
         clock: Time.
         limit_window: How organisations' use is counted.
-        apply_ms: Time in which a change must be in force.
+        pace: How fast versions in series are taken.
 
     Attributes:
         on_orders: Called with orders to roll a version out, as they are read.
@@ -101,16 +102,18 @@
         current: CurrentConfiguration,
         clock: Clock,
         limit_window: LimitWindow,
-        apply_ms: int,
+        pace: SeriesPace,
     ) -> None:
         self._store = store
         self._limit_window = limit_window
         self._current = current
         self._clock = clock
-        self._wait_ms = int(apply_ms * _WAIT_SHARE)
+        apply_ms = pace.apply_ms
+        self._wait_ms = self._next_wait_ms = int(apply_ms * _WAIT_SHARE)
         spread = random.uniform(1.0, _PATIENCE_SPREAD)
         self._patience_ms = apply_ms * _PATIENCE_SHARE * spread
         self._apply_ms = apply_ms
+        self._pace = pace
         self._trouble = StoreTrouble("configuration", clock)
         self._shared: SharedReads | None = None
         self._after = -1
@@ -198,8 +201,9 @@
             self._poll.cancel()
         if self._poll.cancelled():
             return
+        self._next_wait_ms = self._wait_ms
         try:
-            self._poll.result()
+            pause_s = self._poll.result()
         except HistoryLostError:
             self._after = -1
             # A table may be read as of before the history that is left.
@@ -210,6 +214,10 @@
             is_reader = self._shared is None or self._shared.is_reader
             pause_s = self._trouble.failed(error, is_reader=is_reader)
             await self._pause(pause_s)
+        else:
+            # The others hear again as soon as without the pause.
+            self._next_wait_ms = max(0, self._wait_ms - int(1000 * pause_s))
+            await self._pause(pause_s)
 
     async def _pause(self, pause_s: float) -> None:
         """Pause, unless somebody wants to know at once."""
@@ -228,14 +236,15 @@
             return 0.0
         return (self._patience_ms - self._current.confirmation.age_ms) / 1000
 
-    async def _step(self) -> None:
+    async def _step(self) -> float:
+        """Read the table or wait for a change; return the pause until the next time."""
         after = self._after
         self._is_waiting = False
         if after < 0:
             snapshot = await self._store.read(_TABLE)
         else:
             # The first answer is for those who have heard nothing for a while.
-            wait_ms = self._wait_ms if self._is_reading else 0
+            wait_ms = self._next_wait_ms if self._is_reading else 0
             self._is_waiting = wait_ms > 0
             snapshot = await self._store.changes(_TABLE, after, wait_ms)
             self._has_lost_history = False
@@ -244,24 +253,34 @@
         if not after <= self._after <= snapshot.version:
             # Another VM has passed on a newer state while the answer was on its way, or
             # has shown that the table is to be read whole.
-            return
+            return 0.0
         if after < 0:
             self._rows.clear()
         self._adopt_rows(snapshot.rows, source=_STORE)
         self._confirm(snapshot.version, snapshot.now_ms)
+        sent_bytes = 0
         if self._shared is not None and self._shared.is_reader:
-            self._pass_on(after, snapshot.rows, snapshot.now_ms)
+            sent_bytes = self._pass_on(after, snapshot.rows, snapshot.now_ms)
         if self._current.value is None and after < 0:
-            await asyncio.sleep(_UNREAD_PAUSE_S)
+            return _UNREAD_PAUSE_S
+        if not snapshot.rows:
+            return 0.0
+        read_bytes = sum(len(row.value) for row in snapshot.rows)
+        return self._pace.pause_s(read_bytes, sent_bytes)
 
-    def _pass_on(self, after: int, rows: Sequence[StoredRow], as_of_ms: float) -> None:
+    def _pass_on(self, after: int, rows: Sequence[StoredRow], as_of_ms: float) -> int:
+        """Tell the other VMs what was read; return the bytes sent to all of them."""
         known = Knowledge(self._after, as_of_ms)
         news = make_news(_TABLE, after, known, rows, self._document_hash)
-        if size_of_news(news) > _MOST_PASSED_BYTES:
+        size_bytes = size_of_news(news)
+        sent_bytes = size_bytes * self._shared.count_listeners()
+        if size_bytes > _MOST_PASSED_BYTES or not self._pace.may_send(sent_bytes):
             # What is left out must show: only the configuration's hash is compared.
             rows = [row for row in rows if row.key != _KEY]
             news = make_news(_TABLE, after, known, rows, self._document_hash)
+            sent_bytes = 0
         self._shared.pass_on(news)
+        return sent_bytes
 
     def take_shared(self, news: WatchedChanges, sender: str = "") -> None:
         """Take what another VM was told, unless something is missing before it."""
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -33,6 +33,7 @@
 from pomelolane.platform.originrecord import StoreOriginRecord
 from pomelolane.platform.rolloutrecord import StoreRolloutRecord
 from pomelolane.platform.roster import VmRoster
+from pomelolane.platform.seriespace import SeriesPace
 from pomelolane.platform.storeclient import StoreClient
 from pomelolane.platform.userecord import StoreUseRecord
 
@@ -150,7 +151,11 @@
         watch.share(file.vm_id, file.data_centre, member, member.transport)
         self._background.keep_running("endpoints", watch.run)
         configuration = ConfigurationWatch(
-            self._store, self._current, self._clock, file.limit_window, file.apply_ms
+            self._store,
+            self._current,
+            self._clock,
+            file.limit_window,
+            SeriesPace(file.apply_ms, file.link_mbps),
         )
         configuration.share(file.vm_id, file.data_centre, member, member.transport)
         configuration.on_orders = node.rollouts.adopt
--- a/src/pomelolane/platform/sharing.py
+++ b/src/pomelolane/platform/sharing.py
@@ -139,9 +139,19 @@
 
     def pass_on(self, news: WatchedChanges) -> None:
         """Tell the other VMs of the data centre what was read."""
-        for peer in self._membership.view().peers.values():
-            if peer.data_centre == self._data_centre and peer.vm_id != self._vm_id:
-                self._transport.send(peer.vm_id, news)
+        for vm_id in self._listeners():
+            self._transport.send(vm_id, news)
+
+    def count_listeners(self) -> int:
+        """Return how many VMs are told what this one has read."""
+        return len(self._listeners())
+
+    def _listeners(self) -> list[str]:
+        return [
+            peer.vm_id
+            for peer in self._membership.view().peers.values()
+            if peer.data_centre == self._data_centre and peer.vm_id != self._vm_id
+        ]
 
     def _choose_asked(self) -> list[Peer]:
         """Choose one VM of the own data centre and one of another one."""
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -16,6 +16,8 @@
 from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.endpointwatch import EndpointWatch
 from pomelolane.platform.errors import StoreUnavailableError
+from pomelolane.platform.seriespace import SeriesPace
+from pomelolane.platform.sharing import size_of_news
 from pomelolane.platform.storeclient import StoreClient, StoredRow
 from pomelolane.ports import Peer, View
 from standins.routed import MetadataStore, RoutedEndpoint
@@ -33,6 +35,7 @@
     def __init__(self, data_centres):
         self.loses = False
         self.delay_s = 0.0
+        self.passed_bytes = 0
         self.handlers = {name: [] for name in data_centres}
         self.peers = {
             name: Peer(name, 1, data_centre, "", ready=True)
@@ -55,6 +58,8 @@
     def send(self, vm_id, message):
         if self.network.loses:
             return False
+        if isinstance(message, WatchedChanges):
+            self.network.passed_bytes += size_of_news(message)
         for kind, handler in self.network.handlers[vm_id]:
             if isinstance(message, kind):
                 loop = asyncio.get_running_loop()
@@ -65,7 +70,7 @@
 class Vm:
     """A VM's watch of the endpoints."""
 
-    def __init__(self, name, address, network):
+    def __init__(self, name, address, network, link_mbps):
         clock = MonotonicClock()
         self.client = StoreClient(address)
         self.current = CurrentConfiguration()
@@ -74,7 +79,11 @@
         data_centre = network.peers[name].data_centre
         self.watch.share(name, data_centre, network, Port(network, name))
         self.configurations = ConfigurationWatch(
-            self.client, self.current, clock, LimitWindow(), APPLY_MS
+            self.client,
+            self.current,
+            clock,
+            LimitWindow(),
+            SeriesPace(APPLY_MS, link_mbps),
         )
         self.configurations.share(name, data_centre, network, Port(network, name))
 
@@ -98,14 +107,23 @@
     _start_vms(context, {row["VM"]: row["data centre"] for row in context.table})
 
 
-def _start_vms(context, data_centres):
+@given(
+    "a metadata store and {n:d} VMs of one data centre, with links of {mbps:d} Mbit/s"
+)
+def step_slow_links(context, n, mbps):
+    _start_vms(context, {f"vm-{i}": DATA_CENTRE for i in range(n)}, mbps)
+
+
+def _start_vms(context, data_centres, link_mbps=1000.0):
     context.store = MetadataStore()
     address = context.run(context.store.start())
     context.add_cleanup(lambda: context.run(context.store.aclose()))
     put(context, "p1", "ready")
     context.store.put("op", "config", configuration(1))
     context.network = Network(data_centres)
-    context.vms = {name: Vm(name, address, context.network) for name in data_centres}
+    context.vms = {
+        name: Vm(name, address, context.network, link_mbps) for name in data_centres
+    }
     tasks = [
         context.loop.create_task(run())
         for vm in context.vms.values()
@@ -429,16 +447,38 @@
     context.store.put("op", "config", configuration(version))
 
 
+@when(
+    "the operator says {count:d} versions with {n:d} more routes, one per {gap_ms:d} ms"
+)
+def step_operator_says_series(context, count, n, gap_ms):
+    context.series_s = context.loop.time()
+    context.network.passed_bytes = 0
+    for version in range(5, 5 + count):
+        _say_much(context, version, n)
+        context.run(asyncio.sleep(gap_ms / 1000))
+    context.series_s = context.loop.time() - context.series_s
+
+
+@then("at most {share:d} percent of a link of {mbps:d} Mbit/s went to them meanwhile")
+def step_link_is_free(context, share, mbps):
+    bytes_per_s = context.network.passed_bytes / context.series_s
+    assert bytes_per_s <= share / 100 * mbps * 125_000, bytes_per_s
+
+
 @when("the operator says version {version:d} with {n:d} more routes")
 def step_operator_says_much(context, version, n):
+    context.whole_reads = dict.fromkeys(context.vms, 0)
+    for name, vm in context.vms.items():
+        vm.client.read = _counted(vm.client.read, name, context.whole_reads)
+    _say_much(context, version, n)
+
+
+def _say_much(context, version, n):
     document = json.loads(configuration(version))
     route = document["routes"][0]
     names = random.Random(n)
     prefixes = [f"/{names.getrandbits(64):x}/" for _ in range(n)]
     document["routes"] += [route | {"prefix": prefix} for prefix in prefixes]
-    context.whole_reads = dict.fromkeys(context.vms, 0)
-    for name, vm in context.vms.items():
-        vm.client.read = _counted(vm.client.read, name, context.whole_reads)
     context.store.put("op", "config", json.dumps(document).encode())
 
 
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -16,6 +16,7 @@
 from pomelolane.platform.endpointwatch import EndpointWatch
 from pomelolane.platform.errors import HistoryLostError, StoreUnavailableError
 from pomelolane.platform.roster import VmRoster
+from pomelolane.platform.seriespace import SeriesPace
 from pomelolane.platform.storeclient import CALL_TIMEOUT_S, StoreClient
 from pomelolane.platform.userecord import StoreUseRecord
 from pomelolane.scheduler.rate_limiting import TokenUse
@@ -52,7 +53,7 @@
     )
     endpoints = EndpointWatch(context.client, context.directory, context.current, clock)
     watch = ConfigurationWatch(
-        context.client, context.current, clock, LimitWindow(), APPLY_MS
+        context.client, context.current, clock, LimitWindow(), SeriesPace(APPLY_MS)
     )
     watch.on_orders = lambda orders: _raise(orders[0].service)
     endpoints.on_regained(watch.refresh)
