--- a/src/pomelolane/platform/sharing.py
+++ b/src/pomelolane/platform/sharing.py
@@ -107,7 +107,7 @@
         self._transport = transport
         self._watch = watch
         self._next_whole_s = -math.inf
-        transport.subscribe(WatchedChanges, self._heard)
+        transport.subscribe(WatchedChanges, self._handle_changes)
         transport.subscribe(ChangesWanted, self._handle_wanted)
 
     @property
@@ -179,7 +179,7 @@
         if news is not None:
             self._transport.send(sender, news)
 
-    def _heard(self, sender: str, message: WatchedChanges) -> None:
+    def _handle_changes(self, sender: str, message: WatchedChanges) -> None:
         if message.source == self._table:
             self._watch.take_shared(expand_changes(message), sender)
 
--- a/tests/platform/sharing.feature
+++ b/tests/platform/sharing.feature
@@ -206,6 +206,14 @@
     Then every VM has version 5 within 2500 ms
     And every VM knows within 2500 ms that "p1" is leaving
 
+  # Guards against links full of whole lists: a VM that knew its list to be wrong asked two
+  # others for all of it each 0.3 s.
+  Scenario: A whole list is asked for once a second
+    When "b" cannot reach the store
+    And messages between the VMs are lost
+    And "b" hears of a state that is not its own
+    Then in the next 3000 ms "b" asks at most 4 times for the whole list
+
   # Guards against endpoints that got requests after they had left: a VM that asked others
   # took back what was missing from one that had not noticed yet.
   Scenario: Another VM's list does not bring back an endpoint that is missing
--- a/tests/platform/storecalls.feature
+++ b/tests/platform/storecalls.feature
@@ -26,6 +26,13 @@
     And the store says version 9 with 200 kB of routes
     Then the configuration in force is version 9 within 4000 ms
 
+  # Guards against the same where requests wait: each made its VM begin a large read anew.
+  Scenario: Requests that wait do not interrupt an answer that takes long to arrive
+    When the store sends 100000 bytes a second
+    And the store says version 9 with 100 kB of routes
+    And requests want the configuration confirmed each 200 ms
+    Then the configuration in force is version 9 within 4000 ms
+
   Scenario: A write to a store that answers late succeeds when it is repeated
     When each answer of the store takes 1200 ms
     Then a write succeeds at the second try
--- a/tests/steps/platform_sharing_steps.py
+++ b/tests/steps/platform_sharing_steps.py
@@ -11,7 +11,7 @@
 from bench.processes import wait_until
 from pomelolane.clock import MonotonicClock
 from pomelolane.forwarding import CurrentConfiguration, EndpointDirectory
-from pomelolane.messages import RecordChange, WatchedChanges
+from pomelolane.messages import ChangesWanted, RecordChange, WatchedChanges
 from pomelolane.platform.configurationwatch import ConfigurationWatch
 from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.endpointwatch import EndpointWatch
@@ -51,11 +51,14 @@
 
     def __init__(self, network, name):
         self.network, self.name = network, name
+        self.asked = []
 
     def subscribe(self, kind, handler):
         self.network.handlers[self.name].append((kind, handler))
 
     def send(self, vm_id, message):
+        if isinstance(message, ChangesWanted):
+            self.asked.append(message)
         if self.network.loses:
             return False
         if isinstance(message, WatchedChanges):
@@ -77,7 +80,8 @@
         self.directory = EndpointDirectory(clock)
         self.watch = EndpointWatch(self.client, self.directory, self.current, clock)
         data_centre = network.peers[name].data_centre
-        self.watch.share(name, data_centre, network, Port(network, name))
+        self.port = Port(network, name)
+        self.watch.share(name, data_centre, network, self.port)
         self.configurations = ConfigurationWatch(
             self.client,
             self.current,
@@ -332,6 +336,15 @@
     watch.take_shared(WatchedChanges("servers", -1, later, (change,)))
 
 
+@then('in the next {ms:d} ms "{name}" asks at most {count:d} times for the whole list')
+def step_asks_seldom(context, ms, name, count):
+    port = context.vms[name].port
+    port.asked.clear()
+    context.run(asyncio.sleep(ms / 1000))
+    whole = [one for one in port.asked if one.source == "servers" and one.after < 0]
+    assert 1 <= len(whole) <= count, whole
+
+
 @then('"{name}" reads the whole list within {ms:d} ms')
 def step_reads_whole(context, name, ms):
     vm = context.vms[name]
--- a/tests/steps/platform_storecalls_steps.py
+++ b/tests/steps/platform_storecalls_steps.py
@@ -63,6 +63,17 @@
     context.store.put("op", "config", json.dumps(document).encode())
 
 
+@when("requests want the configuration confirmed each {ms:d} ms")
+def step_wanted(context, ms):
+    async def want():
+        while True:
+            context.configurations.ask_now()
+            await asyncio.sleep(ms / 1000)
+
+    task = context.loop.create_task(want())
+    context.add_cleanup(task.cancel)
+
+
 @when("{count:d} connections to the store are idle and fall silent")
 def step_silent(context, count):
     async def play():
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -55,6 +55,7 @@
     watch = ConfigurationWatch(
         context.client, context.current, clock, LimitWindow(), SeriesPace(APPLY_MS)
     )
+    context.configurations = watch
     watch.on_orders = lambda orders: _raise(orders[0].service)
     endpoints.on_regained(watch.refresh)
     context.regained_s = []
