Review 4 to 8: scripts that run side by side keep apart, and end what they started

Of five runs of case 4 beside three other scripts one ended with 2: two scripts had the same loopback addresses, which came from their process ids (Address already in use). A script that gets SIGTERM now ends its VMs as well; seen with review/4/run.sh, no process was left.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -10,8 +10,10 @@
 import asyncio
 import base64
 import contextlib
+import functools
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -477,6 +479,11 @@
 # --- VMs ------------------------------------------------------------------------
 
 
+_GUARD_PORT = 7599
+_guards: list[socket.socket] = []
+"""Sockets that hold the addresses of this run until its process ends."""
+
+
 class Vm:
     """One process of the deploy file's role, on a loopback address of its own."""
 
@@ -485,7 +492,7 @@
     ) -> None:
         self.vm_id = f"edge-{zone}-{number}"
         self.zone = zone
-        self.ip = f"127.{20 + os.getpid() % 200}.7.{number}"
+        self.ip = f"{_network()}.{number}"
         front, ready, self._peers = _free_ports(self.ip)
         self.front = front
         self._ready = ready
@@ -601,6 +608,21 @@
         await self.process.wait()
 
 
+@functools.cache
+def _network() -> str:
+    """Return the addresses of this run's VMs, which no other run of a script has."""
+    while True:
+        network = f"127.{random.randint(20, 219)}.{random.randint(1, 254)}"
+        guard = socket.socket()
+        try:
+            guard.bind((f"{network}.254", _GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        _guards.append(guard)
+        return network
+
+
 def _free_ports(ip: str) -> tuple[int, int, int]:
     """Return ports for clients and the platform, and the first of sixteen others."""
     socks = []
@@ -748,7 +770,7 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         verdict = asyncio.run(_run(play, record, has_trouble, BOUNDS | (bounds or {})))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.say(f"the case could not run: {error!r}")
         verdict = CANNOT_RUN
     record.say(f"exit {verdict}")
@@ -762,6 +784,9 @@
     has_trouble: bool,
     bounds: dict[str, Any],
 ) -> int:
+    # Ends what was started also where the script itself is ended.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory() as folder:
         world = World(Path(folder), record, has_trouble, bounds)
         try:
