Bound what comes on a connection without being a head or a body

Callers saw: one of them kept a VM reading for as long as it sent, and a crowd ended it. Cause: the guard counted a head's bytes by looking for the empty line behind it, so empty lines before a request counted as nothing, as did a head in the same packet behind them, and nothing was counted while a body was expected, so that the extension of a chunk had no bound.

Change: bytes count until the parser reports the end of a head or a part of a body, 32 KiB in a row at most; headers count as the parser hands them over, and it stops at once beyond the bound. Data is parsed in pieces of 4 KiB, so that less than a piece escapes the count. A refused connection is reset after 2 s if its caller reads nothing.

--- a/src/pomelolane/http/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -1,7 +1,7 @@
-"""The HTTP server under the gateway: uvicorn with guards on a request's head.
+"""The HTTP server under the gateway: uvicorn with bounds on what callers send.
 
-A head that is too long, too slow or malformed gets a problem-details answer,
-and its connection is closed; other connections do not feel it.
+A request that is too long, too slow or malformed
+gets a problem-details answer, and its connection is closed.
 """
 
 from __future__ import annotations
@@ -24,9 +24,17 @@
     from collections.abc import Callable
 
 MAX_HEAD_BYTES = 32 * 1024
+"""Most bytes of a request's head, and of all that comes in a row without being one or
+a part of a body: empty lines, the framing of chunks."""
+
 KEEP_ALIVE_S = 75
-_HEAD_END = b"\r\n\r\n"
 BACKLOG = 2048
+CLOSE_TIMEOUT_S = 2.0
+"""Time for a refused caller to read its answer."""
+
+_PIECE_BYTES = 4 * 1024
+"""Bytes that are parsed between two checks of the bounds."""
+
 _STATUS_LINES = {
     400: b"HTTP/1.1 400 Bad Request\r\n",
     408: b"HTTP/1.1 408 Request Timeout\r\n",
@@ -34,8 +42,22 @@
 }
 
 
+class _RequestRefusedError(Exception):
+    """Ends the parser's work on a request that is refused.
+
+    Attributes:
+        status: HTTP status of the answer.
+        refusal: The refusal.
+    """
+
+    def __init__(self, status: int, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.status = status
+        self.refusal = refusal
+
+
 class GuardedProtocol(RelayHttpProtocol):
-    """uvicorn's protocol with guards on the head of each request.
+    """uvicorn's protocol with bounds on what is held before a request is complete.
 
     Attributes:
         header_timeout_ms: Bound on a head's time; the server makes protocols
@@ -47,10 +69,15 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._head_bytes = 0
-        self._head_tail = b""
-        self._in_head = False
+        self._framing_bytes = 0
+        self._has_progress = False
+        self._body_expected = False
         self._is_refused = False
+        self._refusal: _RequestRefusedError | None = None
         self._head_timer: asyncio.TimerHandle | None = None
+        self._close_timer: asyncio.TimerHandle | None = None
+
+    # --- asyncio.Protocol ---
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Wait for the first head, for a bounded time."""
@@ -60,52 +87,114 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Wait for no head any more."""
         self._disarm()
+        if self._close_timer is not None:
+            self._close_timer.cancel()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Count the bytes of heads and refuse one that is too long."""
-        if self.parser is None or self.transport.is_closing() or self._is_refused:
-            return
-        if not self._body_expected():
-            if not self._in_head:
-                self._begin_head()
-            self._count_head(data)
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self._refuse(431, f"the head is longer than {MAX_HEAD_BYTES} bytes")
+        """Parse the data in pieces, and check the bounds after each."""
+        for at in range(0, len(data), _PIECE_BYTES):
+            if not self._can_parse():
                 return
-        super().data_received(data)
+            self._parse(data[at : at + _PIECE_BYTES])
 
-    def _begin_head(self) -> None:
-        self._in_head = True
-        self._head_bytes = 0
-        self._head_tail = b""
-        if self._head_timer is None:
+    def _can_parse(self) -> bool:
+        return not (self._is_refused or self.transport.is_closing())
+
+    def _parse(self, piece: bytes) -> None:
+        if not self._body_expected and self._head_timer is None:
             self._arm()
+        self._has_progress = False
+        super().data_received(piece)
+        if self._is_refused:
+            return
+        if self._has_progress:
+            self._framing_bytes = 0
+        else:
+            self._framing_bytes += len(piece)
+        if self._framing_bytes > MAX_HEAD_BYTES:
+            self._refuse(*_head_too_long())
+
+    # --- the parser's events ---
+
+    def on_message_begin(self) -> None:
+        """Begin to count the bytes of a head."""
+        super().on_message_begin()
+        self._head_bytes = 0
+
+    def on_url(self, url: bytes) -> None:
+        """Count a part of the request's target."""
+        self._count_head(len(url))
+        super().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Count a header."""
+        size = len(name) + len(value) + len(b": \r\n")
+        self._count_head(size)
+        super().on_header(name, value)
 
-    def _count_head(self, data: bytes) -> None:
-        """Count the bytes before the end of the head, which may lie in two pieces."""
-        seen = self._head_tail + data
-        end = seen.find(_HEAD_END)
-        self._head_bytes += len(data) if end < 0 else end - len(self._head_tail)
-        self._head_tail = seen[1 - len(_HEAD_END) :]
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._stop_parsing(*_head_too_long())
 
     def on_headers_complete(self) -> None:
         """Note that a head has come whole."""
         self._disarm()
-        self._in_head = False
+        self._has_progress = True
+        self._head_bytes = 0
         super().on_headers_complete()
+        self._body_expected = True
+
+    def on_body(self, body: bytes) -> None:
+        """Count a part of a body."""
+        self._has_progress = True
+        super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Note that the next bytes begin another head."""
+        self._has_progress = True
+        self._body_expected = False
         super().on_message_complete()
-        self._in_head = False
+
+    def on_response_complete(self) -> None:
+        """Release the memory of a request, and go on with the next one."""
+        if self._is_refused and len(self.pipeline) == 1 and self._body_expected:
+            self.pipeline.clear()
+            self._close()
+            return
+        super().on_response_complete()
+
+    def _stop_parsing(self, status: int, refusal: Refusal) -> None:
+        """Have the parser stop at once: uvicorn then calls `send_400_response`."""
+        self._refusal = _RequestRefusedError(status, refusal)
+        raise self._refusal
 
     def send_400_response(self, msg: str) -> None:
         """Refuse what the parser cannot read, as problem details."""
-        self._refuse(400, msg)
+        if self._refusal is None:
+            self._refuse(400, _bad_request(msg))
+        else:
+            self._refuse(self._refusal.status, self._refusal.refusal)
+
+    def _drop_incomplete(self) -> None:
+        if not self._body_expected:
+            self.scope, self.headers = {}, []
+        else:
+            self.cycle.body = bytearray()
+        self._head_bytes = self._framing_bytes = 0
+
+    # --- states and refusals ---
+
+    def _is_receiving(self) -> bool:
+        return self._body_expected or self._head_bytes + self._framing_bytes > 0
+
+    def _is_in_turn(self) -> bool:
+        """Whether the request being received is the one to be answered next."""
+        return self._body_expected and not self.pipeline
 
-    def _body_expected(self) -> bool:
-        return self.cycle is not None and self.cycle.more_body
+    def _is_answering(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
 
     def _arm(self) -> None:
         delay_s = self.header_timeout_ms / 1000
@@ -118,34 +207,58 @@
 
     def _head_is_late(self) -> None:
         self._head_timer = None
-        if self._head_bytes == 0:
-            self.transport.close()
+        if not self._is_receiving():
+            self._close()
             return
-        self._refuse(408, f"the head took over {self.header_timeout_ms} ms")
+        detail = f"the head took over {self.header_timeout_ms} ms"
+        self._refuse(408, _bad_request(detail))
 
-    def _refuse(self, status: int, detail: str) -> None:
+    def _refuse(self, status: int, refusal: Refusal) -> None:
+        """Refuse the request being received; earlier ones still get their answers."""
         self._disarm()
-        if self.transport.is_closing():
+        if self.transport.is_closing() or self._is_refused:
             return
-        is_answering = self.cycle is not None and not self.cycle.response_complete
-        if is_answering and not self._body_expected():
-            # The request before came whole, and still gets its answer.
-            self._is_refused = True
+        self._is_refused = True
+        if self._is_in_turn():
+            if not self.cycle.response_started:
+                self.transport.write(_raw_problem(status, refusal))
+            # The application reads no more of the body, and sends no second answer.
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+            self._close()
+        elif not self._is_answering():
+            self.transport.write(_raw_problem(status, refusal))
+            self._close()
+        elif not self._body_expected:
             self.cycle.keep_alive = False
-            return
-        if not is_answering:
-            self.transport.write(_raw_problem(status, detail))
-        self.transport.close()
+        self._drop_incomplete()
+        # It may hold a part of a head.
+        self.parser = None
+
+    def _close(self) -> None:
+        """Close the connection; a caller that reads nothing can't keep it open."""
+        if not self.transport.is_closing():
+            self.transport.close()
+            self._close_timer = self.loop.call_later(
+                CLOSE_TIMEOUT_S, self.transport.abort
+            )
 
 
 def make_protocol(header_timeout_ms: int) -> type[GuardedProtocol]:
     """Return a protocol class with the given bound on a head's time."""
-    bound = {"header_timeout_ms": header_timeout_ms}
-    return type("BoundProtocol", (GuardedProtocol,), bound)
+    bounds = {"header_timeout_ms": header_timeout_ms}
+    return type("BoundProtocol", (GuardedProtocol,), bounds)
+
+
+def _bad_request(detail: str) -> Refusal:
+    return Refusal(Outcome.NOT_RUN, Reason.BAD_REQUEST, detail=detail)
+
+
+def _head_too_long() -> tuple[int, Refusal]:
+    return 431, _bad_request(f"the head is longer than {MAX_HEAD_BYTES} bytes")
 
 
-def _raw_problem(status: int, detail: str) -> bytes:
-    refusal = Refusal(Outcome.NOT_RUN, Reason.BAD_REQUEST, detail=detail)
+def _raw_problem(status: int, refusal: Refusal) -> bytes:
     problem = problem_from_refusal(refusal)
     body = encode_problem(problem)
     head = [_STATUS_LINES[status]]
--- a/standins/routed/vm.py
+++ b/standins/routed/vm.py
@@ -42,6 +42,7 @@
         data_centre: Where it stands.
         bounds: Bounds that it is told of, beside the time for a planned stop.
         program: How it is started; may change between two starts.
+        limits: Limits of its machine that it is given.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         data_centre: str = "hall-a",
         bounds: Mapping[str, float] | None = None,
         program: Sequence[str] = PROGRAM,
+        limits: Mapping[str, float] | None = None,
     ) -> None:
         self.program = tuple(program)
         self.vm_id = f"vm-{number}"
@@ -72,6 +74,7 @@
             "portRange": [self.peer.port, self.peer.port + 1],
             "platform": {"address": store_address},
             "bounds": {"graceS": 8, **(bounds or {})},
+            "limits": dict(limits or {}),
         }
         self.path = Path(self.folder.name) / "local.json"
         self.path.write_text(json.dumps(settings))
--- a/tests/routed_world.py
+++ b/tests/routed_world.py
@@ -81,6 +81,7 @@
         self.vms = []
         self.version = 0
         self.bounds = {}
+        self.limits = {}
         self.addresses = {}
         self.links = []
         self._successions = []
@@ -170,7 +171,13 @@
     async def add_vm(self, data_centre=DATA_CENTRE):
         """Start a VM as a real process and wait until it is ready."""
         number = len(self.vms) + 1
-        vm = PlatformVm(number, self.store_address, data_centre, bounds=self.bounds)
+        vm = PlatformVm(
+            number,
+            self.store_address,
+            data_centre,
+            bounds=self.bounds,
+            limits=self.limits,
+        )
         await vm.start()
         self.vms.append(vm)
         await vm.ready()
