Bound a request's trailers, and drop them

Callers saw: ten of them that sent trailers behind a chunked body ended a VM. What stood in a trailer was also passed on to the endpoint as a header.

Cause: the parser hands trailers over like headers, and uvicorn appends them to the list of headers of the request that is being read, without a bound.

Change: a trailer is counted, up to 32 KiB in all, and not kept.

--- a/src/pomelolane/http/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -25,7 +25,7 @@
 
 MAX_HEAD_BYTES = 32 * 1024
 """Most bytes of a request's head, and of all that comes in a row without being one or
-a part of a body: empty lines, the framing of chunks."""
+a part of a body: empty lines, the framing of chunks, trailers."""
 
 KEEP_ALIVE_S = 75
 BACKLOG = 2048
@@ -69,6 +69,7 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._head_bytes = 0
+        self._trailer_bytes = 0
         self._framing_bytes = 0
         self._has_progress = False
         self._body_expected = False
@@ -121,6 +122,7 @@
         """Begin to count the bytes of a head."""
         super().on_message_begin()
         self._head_bytes = 0
+        self._trailer_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Count a part of the request's target."""
@@ -128,8 +130,13 @@
         super().on_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Count a header."""
+        """Count a header; one that comes behind the body is dropped."""
         size = len(name) + len(value) + len(b": \r\n")
+        if self._body_expected:
+            self._trailer_bytes += size
+            if self._trailer_bytes > MAX_HEAD_BYTES:
+                self._stop_parsing(*_head_too_long())
+            return
         self._count_head(size)
         super().on_header(name, value)
 
--- a/tests/http/listener.feature
+++ b/tests/http/listener.feature
@@ -26,3 +26,9 @@
     When a caller sends the bytes of "half of a head"
     Then it gets the status 408
     And the connection is closed
+
+  # Guards against trailers that pass for headers, for example a key.
+  Scenario: A trailer is not a header
+    When a caller sends a chunked body with the trailer "x-trailer: 1"
+    Then it gets 1 answer
+    And the request's headers do not hold "x-trailer"
--- a/tests/platform/hostile_callers.feature
+++ b/tests/platform/hostile_callers.feature
@@ -19,6 +19,7 @@
       | count | what                       |
       | 100   | a head over the limit      |
       | 100   | a header that does not end |
+      | 10    | trailers                   |
 
   # Guards against bytes that are parsed for as long as they come.
   Scenario Outline: The VM stops to read <what>
--- a/tests/steps/http_listener_steps.py
+++ b/tests/steps/http_listener_steps.py
@@ -22,6 +22,7 @@
 def step_listener(context, head_ms, ms):
     async def serve(exchange):
         await exchange.read_body(1_000_000, 2000)
+        context.header_names = [name.decode() for name, _ in exchange.headers]
         await asyncio.sleep(ms / 1000)
         await exchange.respond(200, [], BODY)
 
@@ -74,6 +75,23 @@
     context.run(play())
 
 
+@when('a caller sends a chunked body with the trailer "{trailer}"')
+def step_trailer(context, trailer):
+    head = b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+
+    async def play():
+        end = f"1\r\nx\r\n0\r\n{trailer}\r\n\r\n".encode()
+        await _send(context, [head, end])
+        await _read_answer(context)
+
+    context.run(play())
+
+
+@then('the request\'s headers do not hold "{name}"')
+def step_no_header(context, name):
+    assert name not in context.header_names, context.header_names
+
+
 @when('a caller sends a request and then the bytes of "{what}"')
 def step_bytes_behind(context, what):
     async def play():
