Bound the requests that wait on one connection

Callers saw: 20 of them that sent thousands of small requests in one packet each ended a VM, or kept it at work for minutes.

Cause: uvicorn queues each pipelined request with all that it needs, and stops to read only behind what it has read already, up to 256 KB at a time: 14,000 requests of a few KB of memory each.

Change: eight may wait behind the one that is being answered. The parser stops at the next one, and the connection is closed after the answers of those that were taken; the others have not run.

--- a/src/pomelolane/http/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -27,6 +27,9 @@
 """Most bytes of a request's head, and of all that comes in a row without being one or
 a part of a body: empty lines, the framing of chunks, trailers."""
 
+MAX_PIPELINED_REQUESTS = 8
+"""Most requests of a connection that wait behind the one being answered."""
+
 KEEP_ALIVE_S = 75
 BACKLOG = 2048
 CLOSE_TIMEOUT_S = 2.0
@@ -39,8 +42,15 @@
     400: b"HTTP/1.1 400 Bad Request\r\n",
     408: b"HTTP/1.1 408 Request Timeout\r\n",
     431: b"HTTP/1.1 431 Request Header Fields Too Large\r\n",
+    503: b"HTTP/1.1 503 Service Unavailable\r\n",
 }
 
+_TOO_MANY_REQUESTS = Refusal(
+    Outcome.NOT_RUN,
+    Reason.BAD_REQUEST,
+    detail="too many requests wait on the connection",
+)
+
 
 class _RequestRefusedError(Exception):
     """Ends the parser's work on a request that is refused.
@@ -146,8 +156,10 @@
             self._stop_parsing(*_head_too_long())
 
     def on_headers_complete(self) -> None:
-        """Note that a head has come whole."""
+        """Begin a request whose head has come whole, if there is room for it."""
         self._disarm()
+        if len(self.pipeline) >= MAX_PIPELINED_REQUESTS:
+            self._stop_parsing(503, _TOO_MANY_REQUESTS)
         self._has_progress = True
         self._head_bytes = 0
         super().on_headers_complete()
--- a/tests/http/listener.feature
+++ b/tests/http/listener.feature
@@ -32,3 +32,8 @@
     When a caller sends a chunked body with the trailer "x-trailer: 1"
     Then it gets 1 answer
     And the request's headers do not hold "x-trailer"
+
+  Scenario: Requests beyond those that may wait on a connection are not taken
+    When a caller sends 12 requests in one packet
+    Then it gets 9 answers
+    And the connection is closed
--- a/tests/platform/hostile_callers.feature
+++ b/tests/platform/hostile_callers.feature
@@ -20,6 +20,7 @@
       | 100   | a head over the limit      |
       | 100   | a header that does not end |
       | 10    | trailers                   |
+      | 20    | requests in one packet     |
 
   # Guards against bytes that are parsed for as long as they come.
   Scenario Outline: The VM stops to read <what>
--- a/tests/steps/http_listener_steps.py
+++ b/tests/steps/http_listener_steps.py
@@ -1,6 +1,7 @@
 """Steps of tests/http/listener.feature."""
 
 import asyncio
+from contextlib import suppress
 
 from behave import given, then, when
 
@@ -87,6 +88,17 @@
     context.run(play())
 
 
+@when("a caller sends {count:d} requests in one packet")
+def step_packet(context, count):
+    async def play():
+        context.writer.write(HEAD % 0 * count)
+        with suppress(asyncio.IncompleteReadError):
+            for _ in range(count):
+                await _read_answer(context)
+
+    context.run(play())
+
+
 @then('the request\'s headers do not hold "{name}"')
 def step_no_header(context, name):
     assert name not in context.header_names, context.header_names
