Bound the memory that all callers' requests take together

Callers saw: a crowd that began requests and left them open ended a VM; 60 with a body of 4 MB each, or 250 with a head of 30 KB, are enough for a small one.

Cause: each connection had its bounds, all of them together had none. A body just short of its end stays for 10 s, a head for 3 s; a head of many short headers takes 20 times its size, and a body that comes in small pieces was kept as a list of them.

Change: a registry counts what the requests of all callers and relaying VMs take until they are answered. At the bound (a quarter of 'memoryMb', '--max-held-bytes' of 'serve') the incomplete request that has made no progress for longest is refused with 503 'memory_full'; it has not run. A complete one is kept; a new one is refused if only such ones are left. A body is read into one buffer. Callers that send their requests make progress, so that those that stop go first.

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -124,6 +124,14 @@
 BAD_INPUT = _define(
     208, "bad_input", "info", "reason status", "A malformed request was turned away."
 )
+CALLER_EVICTED = _define(
+    209,
+    "caller_evicted",
+    "warning",
+    "bound connections held_bytes unlogged",
+    "A caller's request that was not complete was refused, as memory for all callers "
+    "together is used up.",
+)
 
 FORWARD_ACCEPTED = _define(
     211,
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from pomelolane import events
@@ -31,6 +31,7 @@
 from pomelolane.forwarding.tree import tree_from_configuration
 from pomelolane.forwarding.usage_exchange import UsageExchange
 from pomelolane.forwarding.usage_publisher import UsagePublisher
+from pomelolane.http.connections import CallerBounds, CallerConnections
 from pomelolane.http.listener import Listener, listening_socket
 from pomelolane.logs import log_event
 from pomelolane.membership import is_store_reader, make_member
@@ -79,6 +80,9 @@
 FINAL_SAVE_TIMEOUT_MS = 300
 """Longest time for saving the last usage records; the store answers in milliseconds."""
 
+PROBE_BOUNDS = CallerBounds(max_held_bytes=1024 * 1024)
+"""Bounds on the load balancer's and the operators' connections to one listener."""
+
 _METRICS_PERIOD_MS = 1_000.0
 
 TIMINGS = Timings(
@@ -107,6 +111,7 @@
         retries: Retries allowed over all VMs.
         rollouts: Bounds on the requests sent to a version that is being rolled out.
         carries_per_s: Requests per second that the VM can schedule.
+        caller_bounds: Bounds on the connections of callers and relaying VMs together.
     """
 
     vm_id: str
@@ -119,6 +124,7 @@
     retries: RetryAllowance
     rollouts: RolloutBounds
     carries_per_s: int = 0
+    caller_bounds: CallerBounds = field(default_factory=CallerBounds)
 
 
 class ForwardingNode:
@@ -138,6 +144,9 @@
         estimate_record: Storage of schedulers' estimates of endpoints.
         origin_storage: Storage of where open streams began.
         clock: Source of the current time.
+
+    Attributes:
+        caller_connections: Open connections of callers and relaying VMs.
     """
 
     def __init__(
@@ -157,6 +166,7 @@
         clock: Clock,
     ) -> None:
         self._options = options
+        self.caller_connections = CallerConnections(options.caller_bounds, clock)
         self._current = current
         self._directory = directory
         self._clock = clock
@@ -421,7 +431,8 @@
         address: Address to listen on, as ``ip:port``.
         sock: Socket that already listens on it, None to open one.
     """
-    return await _listen(ExchangeApp(node.forwarder.serve), address, sock)
+    app = ExchangeApp(node.forwarder.serve)
+    return await _listen(app, address, node.caller_connections, sock)
 
 
 async def listen_for_peers(node: ForwardingNode, ip: str, peer_port: int) -> Listener:
@@ -433,20 +444,25 @@
         peer_port: Port for messages of other VMs.
     """
     app = ExchangeApp(node.forwarder.serve_relayed)
-    return await _listen(app, relay_address(f"{ip}:{peer_port}"))
+    address = relay_address(f"{ip}:{peer_port}")
+    return await _listen(app, address, node.caller_connections)
 
 
 async def listen_for_probes(
     is_ready: Callable[[], bool], report: Callable[[], object], address: str
 ) -> Listener:
     """Start the listener for the load balancer and operators."""
-    return await _listen(ProbeApp(is_ready, report), address)
+    connections = CallerConnections(PROBE_BOUNDS)
+    return await _listen(ProbeApp(is_ready, report), address, connections)
 
 
 async def _listen(
-    app: object, address: str, sock: socket.socket | None = None
+    app: object,
+    address: str,
+    connections: CallerConnections,
+    sock: socket.socket | None = None,
 ) -> Listener:
     host, _, port = address.rpartition(":")
-    listener = Listener(app, HEAD_TIMEOUT_MS)
+    listener = Listener(app, HEAD_TIMEOUT_MS, connections)
     await listener.start(sock or listening_socket(host, int(port)))
     return listener
--- /dev/null
+++ b/src/pomelolane/http/connections.py
@@ -0,0 +1,133 @@
+"""Bounds on what a VM holds for the connections of all its callers together."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from pomelolane import events
+from pomelolane.clock import MonotonicClock
+from pomelolane.logallowance import LogAllowance
+from pomelolane.logs import log_event
+
+if TYPE_CHECKING:
+    from pomelolane.ports import Clock
+
+_EVICTIONS_LOGGED_PER_S = 5
+
+
+@dataclass(frozen=True, slots=True)
+class CallerBounds:
+    """Bounds on the connections of all callers together.
+
+    Attributes:
+        max_held_bytes: Most bytes of memory for requests that are being received or
+            are not answered yet.
+    """
+
+    max_held_bytes: int = 64 * 1024 * 1024
+
+
+class CallerConnection(Protocol):
+    """A connection that can be told to make room for others."""
+
+    def evict(self) -> None:
+        """Refuse the request that is being received."""
+
+
+class CallerConnections:
+    """The open connections of callers, and the memory that their requests take.
+
+    At the bound, the request that has made no progress for longest goes first. A
+    complete request is answered.
+
+    Args:
+        bounds: The bounds.
+        clock: Source of the current time.
+
+    Attributes:
+        held_bytes: Memory that the requests take.
+    """
+
+    def __init__(
+        self, bounds: CallerBounds | None = None, clock: Clock | None = None
+    ) -> None:
+        self._bounds = bounds or CallerBounds()
+        self._held_by_connection: dict[CallerConnection, int] = {}
+        # In the order of their last progress.
+        self._incomplete: OrderedDict[CallerConnection, None] = OrderedDict()
+        self._log_allowance = LogAllowance(
+            _EVICTIONS_LOGGED_PER_S, clock or MonotonicClock()
+        )
+        self.held_bytes = 0
+
+    def add(self, connection: CallerConnection) -> None:
+        """Register a new connection."""
+        self._held_by_connection[connection] = 0
+
+    def remove(self, connection: CallerConnection) -> None:
+        """Forget a connection; nothing if it is not registered."""
+        self.held_bytes -= self._held_by_connection.pop(connection, 0)
+        self._incomplete.pop(connection, None)
+
+    def update(
+        self,
+        connection: CallerConnection,
+        held_bytes: int,
+        *,
+        is_incomplete: bool,
+    ) -> None:
+        """Record a connection's progress, and keep to the bound on memory.
+
+        Args:
+            connection: The connection; it may have been evicted before.
+            held_bytes: Memory that its requests take.
+            is_incomplete: Whether it is receiving a request.
+        """
+        before_bytes = self._held_by_connection.get(connection)
+        if before_bytes is None:
+            return
+        self._held_by_connection[connection] = held_bytes
+        self.held_bytes += held_bytes - before_bytes
+        _set_newest(self._incomplete, connection, is_incomplete)
+        self._make_room(0)
+
+    def has_room(self, connection: CallerConnection, size: int) -> bool:
+        """Return whether a connection may hold more, after others have made room."""
+        was_incomplete = connection in self._incomplete
+        self._incomplete.pop(connection, None)
+        self._make_room(size)
+        if was_incomplete:
+            self._incomplete[connection] = None
+        return self.held_bytes + size <= self._bounds.max_held_bytes
+
+    def _make_room(self, size: int) -> None:
+        while self._incomplete and (
+            self.held_bytes + size > self._bounds.max_held_bytes
+        ):
+            oldest, _ = self._incomplete.popitem(last=False)
+            self._log_eviction("memory")
+            oldest.evict()
+
+    def _log_eviction(self, bound: str) -> None:
+        unlogged = self._log_allowance.take()
+        if unlogged is None:
+            return
+        log_event(
+            events.CALLER_EVICTED,
+            bound=bound,
+            connections=len(self._held_by_connection),
+            held_bytes=self.held_bytes,
+            unlogged=unlogged,
+        )
+
+
+def _set_newest(
+    connections: OrderedDict[CallerConnection, None],
+    connection: CallerConnection,
+    is_member: bool,
+) -> None:
+    connections.pop(connection, None)
+    if is_member:
+        connections[connection] = None
--- a/src/pomelolane/http/exchange.py
+++ b/src/pomelolane/http/exchange.py
@@ -104,20 +104,19 @@
             ) from None
 
     async def _read_chunks(self, max_bytes: int) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        # One buffer: a list of many small parts takes several times their size.
+        body = bytearray()
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
                 raise BadRequestError(400, Reason.CALLER_GONE, "the body is cut off")
             chunk = message.get("body", b"")
-            size += len(chunk)
-            if size > max_bytes:
+            if len(body) + len(chunk) > max_bytes:
                 raise _too_large(max_bytes)
-            parts.append(chunk)
             if not message.get("more_body", False):
                 self.body_read = True
-                return parts[0] if len(parts) == 1 else b"".join(parts)
+                return bytes(body + chunk) if body else chunk
+            body += chunk
 
     async def skip_body(self, max_bytes: int, timeout_ms: int) -> None:
         """Read what is left of a body that is refused, within bounds.
--- a/src/pomelolane/http/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -1,6 +1,6 @@
 """The HTTP server under the gateway: uvicorn with bounds on what callers send.
 
-A request that is too long, too slow or malformed
+A request that is too long, too slow or malformed, or for which there is no memory,
 gets a problem-details answer, and its connection is closed.
 """
 
@@ -8,11 +8,13 @@
 
 import asyncio
 import socket
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
 
 from pomelolane.endpoints.caller_protocol import RelayHttpProtocol
+from pomelolane.http.connections import CallerConnections
 from pomelolane.http.problem import (
     encode_problem,
     problem_from_refusal,
@@ -35,9 +37,18 @@
 CLOSE_TIMEOUT_S = 2.0
 """Time for a refused caller to read its answer."""
 
+EVICTED_RETRY_MS = 1000
+"""Retry delay for callers whose requests are refused for want of memory."""
+
 _PIECE_BYTES = 4 * 1024
 """Bytes that are parsed between two checks of the bounds."""
 
+_HEADER_OVERHEAD_BYTES = 200
+"""Memory of a parsed header beside its text."""
+
+_REQUEST_OVERHEAD_BYTES = 4096
+"""Memory of a request beside its headers and its body."""
+
 _STATUS_LINES = {
     400: b"HTTP/1.1 400 Bad Request\r\n",
     408: b"HTTP/1.1 408 Request Timeout\r\n",
@@ -45,10 +56,11 @@
     503: b"HTTP/1.1 503 Service Unavailable\r\n",
 }
 
-_TOO_MANY_REQUESTS = Refusal(
+_MEMORY_FULL = Refusal(
     Outcome.NOT_RUN,
-    Reason.BAD_REQUEST,
-    detail="too many requests wait on the connection",
+    Reason.MEMORY_FULL,
+    EVICTED_RETRY_MS,
+    "the VM has no memory left for this request",
 )
 
 
@@ -72,17 +84,22 @@
     Attributes:
         header_timeout_ms: Bound on a head's time; the server makes protocols
             itself, so the bound belongs to the class.
+        registry: All connections of the VM's callers.
     """
 
     header_timeout_ms: int
+    registry: CallerConnections
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._head_bytes = 0
+        self._head_cost_bytes = 0
         self._trailer_bytes = 0
         self._framing_bytes = 0
         self._has_progress = False
         self._body_expected = False
+        # Memory of each request that is not answered yet, oldest first.
+        self._request_costs: deque[int] = deque()
         self._is_refused = False
         self._refusal: _RequestRefusedError | None = None
         self._head_timer: asyncio.TimerHandle | None = None
@@ -93,6 +110,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Wait for the first head, for a bounded time."""
         super().connection_made(transport)
+        self.registry.add(self)
         self._arm()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -100,6 +118,7 @@
         self._disarm()
         if self._close_timer is not None:
             self._close_timer.cancel()
+        self.registry.remove(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -125,6 +144,8 @@
             self._framing_bytes += len(piece)
         if self._framing_bytes > MAX_HEAD_BYTES:
             self._refuse(*_head_too_long())
+        else:
+            self._record_progress()
 
     # --- the parser's events ---
 
@@ -133,6 +154,7 @@
         super().on_message_begin()
         self._head_bytes = 0
         self._trailer_bytes = 0
+        self._head_cost_bytes = _REQUEST_OVERHEAD_BYTES
 
     def on_url(self, url: bytes) -> None:
         """Count a part of the request's target."""
@@ -148,10 +170,12 @@
                 self._stop_parsing(*_head_too_long())
             return
         self._count_head(size)
+        self._head_cost_bytes += _HEADER_OVERHEAD_BYTES
         super().on_header(name, value)
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
+        self._head_cost_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES:
             self._stop_parsing(*_head_too_long())
 
@@ -159,15 +183,20 @@
         """Begin a request whose head has come whole, if there is room for it."""
         self._disarm()
         if len(self.pipeline) >= MAX_PIPELINED_REQUESTS:
-            self._stop_parsing(503, _TOO_MANY_REQUESTS)
+            self._stop_parsing(503, _MEMORY_FULL)
+        if not self.registry.has_room(self, self._head_cost_bytes):
+            self._stop_parsing(503, _MEMORY_FULL)
         self._has_progress = True
-        self._head_bytes = 0
+        self._request_costs.append(self._head_cost_bytes)
+        self._head_bytes = self._head_cost_bytes = 0
         super().on_headers_complete()
         self._body_expected = True
 
     def on_body(self, body: bytes) -> None:
         """Count a part of a body."""
         self._has_progress = True
+        if self._request_costs:
+            self._request_costs[-1] += len(body)
         super().on_body(body)
 
     def on_message_complete(self) -> None:
@@ -178,11 +207,14 @@
 
     def on_response_complete(self) -> None:
         """Release the memory of a request, and go on with the next one."""
+        if self._request_costs:
+            self._request_costs.popleft()
         if self._is_refused and len(self.pipeline) == 1 and self._body_expected:
             self.pipeline.clear()
             self._close()
             return
         super().on_response_complete()
+        self._record_progress()
 
     def _stop_parsing(self, status: int, refusal: Refusal) -> None:
         """Have the parser stop at once: uvicorn then calls `send_400_response`."""
@@ -196,12 +228,29 @@
         else:
             self._refuse(self._refusal.status, self._refusal.refusal)
 
+    # --- memory ---
+
+    def evict(self) -> None:
+        """Refuse the request that is being received."""
+        self._refuse(503, _MEMORY_FULL)
+
+    def _record_progress(self) -> None:
+        held_bytes = sum(self._request_costs)
+        held_bytes += self._head_cost_bytes + self._framing_bytes
+        self.registry.update(
+            self,
+            held_bytes,
+            is_incomplete=self._is_receiving() and not self._is_refused,
+        )
+
     def _drop_incomplete(self) -> None:
         if not self._body_expected:
             self.scope, self.headers = {}, []
-        else:
+        elif self._request_costs:
+            self._request_costs.pop()
             self.cycle.body = bytearray()
-        self._head_bytes = self._framing_bytes = 0
+        self._head_bytes = self._head_cost_bytes = self._framing_bytes = 0
+        self._record_progress()
 
     # --- states and refusals ---
 
@@ -263,9 +312,11 @@
             )
 
 
-def make_protocol(header_timeout_ms: int) -> type[GuardedProtocol]:
-    """Return a protocol class with the given bound on a head's time."""
-    bounds = {"header_timeout_ms": header_timeout_ms}
+def make_protocol(
+    header_timeout_ms: int, registry: CallerConnections
+) -> type[GuardedProtocol]:
+    """Return a protocol class with the given bounds."""
+    bounds = {"header_timeout_ms": header_timeout_ms, "registry": registry}
     return type("BoundProtocol", (GuardedProtocol,), bounds)
 
 
@@ -292,12 +343,19 @@
     Args:
         app: The ASGI application.
         header_timeout_ms: Longest time for a request's head.
+        registry: Connections that share their bounds with this listener's; one of its
+            own if none is given.
     """
 
-    def __init__(self, app: Callable[..., Any], header_timeout_ms: int) -> None:
+    def __init__(
+        self,
+        app: Callable[..., Any],
+        header_timeout_ms: int,
+        registry: CallerConnections | None = None,
+    ) -> None:
         config = uvicorn.Config(
             app,
-            http=make_protocol(header_timeout_ms),
+            http=make_protocol(header_timeout_ms, registry or CallerConnections()),
             ws="none",
             lifespan="off",
             access_log=False,
--- a/src/pomelolane/node.py
+++ b/src/pomelolane/node.py
@@ -12,6 +12,7 @@
 
 from pomelolane import events
 from pomelolane.http import ExchangeMiddleware, Listener, listening_socket
+from pomelolane.http.connections import CallerBounds, CallerConnections
 from pomelolane.logs import log_event
 from pomelolane.meeting import meet_others
 
@@ -38,8 +39,11 @@
         self._options = options
         self._parts = parts
         self._app = Application()
+        bounds = CallerBounds(options.max_held_bytes)
         self._listener = Listener(
-            ExchangeMiddleware(self._app), options.header_timeout_ms
+            ExchangeMiddleware(self._app),
+            options.header_timeout_ms,
+            CallerConnections(bounds),
         )
         self._stopping = asyncio.Event()
         self._became_ready = False
--- a/src/pomelolane/outcomes.py
+++ b/src/pomelolane/outcomes.py
@@ -34,6 +34,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_WORK = "unknown_work"
     QUEUE_FULL = "queue_full"
+    MEMORY_FULL = "memory_full"
     DISPLACED = "displaced"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_PASSED = "deadline_passed"
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -279,4 +279,5 @@
         retries=file.retries,
         rollouts=file.rollouts,
         carries_per_s=scheduling_capacity_per_s(file.core_share, file.link_mbps),
+        caller_bounds=file.caller_bounds,
     )
--- a/src/pomelolane/platform/nodefile.py
+++ b/src/pomelolane/platform/nodefile.py
@@ -8,10 +8,16 @@
 import msgspec
 
 from pomelolane.forwarding import RetryAllowance
+from pomelolane.http.connections import CallerBounds
 from pomelolane.platform.documents import LimitWindow
 from pomelolane.platform.errors import DocumentError
 from pomelolane.rollouts import RolloutBounds
 
+_MIB = 1024 * 1024
+
+_CALLERS_PART_OF_MEMORY = 4
+"""The rest is for the program, answers, and copies of requests while they are sent."""
+
 
 class _Listen(msgspec.Struct):
     front: str
@@ -37,6 +43,7 @@
     # Speed of one core as a part of a whole one.
     cpu_share: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: int = 256
 
 
 class _Store(msgspec.Struct):
@@ -83,6 +90,7 @@
         rollouts: What a version that is not proved may get.
         core_share: Speed of the core that its loop runs on, 1 for a whole one.
         link_mbps: Rate of its network link.
+        caller_bounds: Bounds on the connections of all callers together.
     """
 
     vm_id: str
@@ -103,6 +111,7 @@
     rollouts: RolloutBounds
     core_share: float
     link_mbps: float
+    caller_bounds: CallerBounds
 
 
 def node_file_from_path(path: str) -> NodeFile:
@@ -143,4 +152,7 @@
         rollouts=RolloutBounds(bounds.exposure_share, bounds.exposure_slack),
         core_share=file.limits.cpu_share,
         link_mbps=file.limits.link_mbps,
+        caller_bounds=CallerBounds(
+            max_held_bytes=file.limits.memory_mb * _MIB // _CALLERS_PART_OF_MEMORY,
+        ),
     )
--- a/src/pomelolane/settings/options.py
+++ b/src/pomelolane/settings/options.py
@@ -157,6 +157,13 @@
         default=str(32 * _MIB),
         unit="bytes",
     )
+    max_held_bytes: int = _option(
+        Integer(65536, 1024 * 1024 * _MIB, "bytes"),
+        "Most memory for requests of all callers that are not answered yet; above "
+        "the largest body.",
+        default=str(256 * _MIB),
+        unit="bytes",
+    )
     header_timeout_ms: int = _option(
         Integer(100, 600_000, "milliseconds"),
         "Time allowed for a request's headers.",
@@ -215,6 +222,7 @@
     _refuse_unknown_variables(environ)
     values = {each.name: _value(each, argv_values, environ) for each in OPTIONS}
     _check_keys_together(values)
+    _check_body_fits(values)
     return ServeOptions(**values)
 
 
@@ -286,6 +294,13 @@
         raise SettingError(flag, "", "needed beside the other CURVE keys, or none")
 
 
+def _check_body_fits(values: Mapping[str, Any]) -> None:
+    held_bytes, body_bytes = values["max_held_bytes"], values["max_body_bytes"]
+    if held_bytes <= body_bytes:
+        allowed = f"above --max-body-bytes, {body_bytes}"
+        raise SettingError("--max-held-bytes", str(held_bytes), allowed)
+
+
 def _markdown_row(option: Option) -> str:
     default = "required" if option.default is None else option.default or "empty"
     cells = (
--- a/tests/platform/hostile_callers.feature
+++ b/tests/platform/hostile_callers.feature
@@ -17,9 +17,12 @@
 
     Examples:
       | count | what                       |
+      | 250   | a head that does not end   |
       | 100   | a head over the limit      |
       | 100   | a header that does not end |
       | 10    | trailers                   |
+      | 60    | large chunks               |
+      | 60    | small chunks               |
       | 20    | requests in one packet     |
 
   # Guards against bytes that are parsed for as long as they come.
