Bound the open connections of all callers together

Callers saw: a crowd that opened connections and sent nothing took the VM's descriptors; it had none left for endpoints, the store and other VMs.

Cause: connections were accepted without a bound, and an idle one stays for 75 s.

Change: callers and relaying VMs may have half of 'maxFds' ('--max-connections' of 'serve') open. A connection beyond that closes the one without a complete request that has made no progress for longest; it is closed itself if all others wait for answers. Probes have 64 of their own.

--- a/src/pomelolane/events.py
+++ b/src/pomelolane/events.py
@@ -129,8 +129,8 @@
     "caller_evicted",
     "warning",
     "bound connections held_bytes unlogged",
-    "A caller's request that was not complete was refused, as memory for all callers "
-    "together is used up.",
+    "A caller's connection without a complete request was closed, as connections or "
+    "memory for all callers together are used up.",
 )
 
 FORWARD_ACCEPTED = _define(
--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -80,7 +80,7 @@
 FINAL_SAVE_TIMEOUT_MS = 300
 """Longest time for saving the last usage records; the store answers in milliseconds."""
 
-PROBE_BOUNDS = CallerBounds(max_held_bytes=1024 * 1024)
+PROBE_BOUNDS = CallerBounds(max_connections=64, max_held_bytes=1024 * 1024)
 """Bounds on the load balancer's and the operators' connections to one listener."""
 
 _METRICS_PERIOD_MS = 1_000.0
--- a/src/pomelolane/http/connections.py
+++ b/src/pomelolane/http/connections.py
@@ -22,10 +22,12 @@
     """Bounds on the connections of all callers together.
 
     Attributes:
+        max_connections: Most open connections.
         max_held_bytes: Most bytes of memory for requests that are being received or
             are not answered yet.
     """
 
+    max_connections: int = 2048
     max_held_bytes: int = 64 * 1024 * 1024
 
 
@@ -33,14 +35,15 @@
     """A connection that can be told to make room for others."""
 
     def evict(self) -> None:
-        """Refuse the request that is being received."""
+        """Refuse the request that is being received, or close an idle connection."""
 
 
 class CallerConnections:
     """The open connections of callers, and the memory that their requests take.
 
-    At the bound, the request that has made no progress for longest goes first. A
-    complete request is answered.
+    At a bound, the connection that has made no progress for longest goes first. Only a
+    connection whose request is not complete, or that has none, can go: a complete
+    request is answered.
 
     Args:
         bounds: The bounds.
@@ -55,21 +58,33 @@
     ) -> None:
         self._bounds = bounds or CallerBounds()
         self._held_by_connection: dict[CallerConnection, int] = {}
-        # In the order of their last progress.
+        # Both in the order of their last progress.
         self._incomplete: OrderedDict[CallerConnection, None] = OrderedDict()
+        self._closable: OrderedDict[CallerConnection, None] = OrderedDict()
         self._log_allowance = LogAllowance(
             _EVICTIONS_LOGGED_PER_S, clock or MonotonicClock()
         )
         self.held_bytes = 0
 
-    def add(self, connection: CallerConnection) -> None:
-        """Register a new connection."""
+    def add(self, connection: CallerConnection) -> bool:
+        """Register a new connection; return whether there is room for it."""
+        while len(self._held_by_connection) >= self._bounds.max_connections:
+            if not self._closable:
+                self._log_eviction("connections")
+                return False
+            oldest, _ = self._closable.popitem(last=False)
+            self.remove(oldest)
+            self._log_eviction("connections")
+            oldest.evict()
         self._held_by_connection[connection] = 0
+        self._closable[connection] = None
+        return True
 
     def remove(self, connection: CallerConnection) -> None:
         """Forget a connection; nothing if it is not registered."""
         self.held_bytes -= self._held_by_connection.pop(connection, 0)
         self._incomplete.pop(connection, None)
+        self._closable.pop(connection, None)
 
     def update(
         self,
@@ -77,6 +92,7 @@
         held_bytes: int,
         *,
         is_incomplete: bool,
+        is_closable: bool,
     ) -> None:
         """Record a connection's progress, and keep to the bound on memory.
 
@@ -84,6 +100,7 @@
             connection: The connection; it may have been evicted before.
             held_bytes: Memory that its requests take.
             is_incomplete: Whether it is receiving a request.
+            is_closable: Whether none of its requests is complete and not answered.
         """
         before_bytes = self._held_by_connection.get(connection)
         if before_bytes is None:
@@ -91,6 +108,7 @@
         self._held_by_connection[connection] = held_bytes
         self.held_bytes += held_bytes - before_bytes
         _set_newest(self._incomplete, connection, is_incomplete)
+        _set_newest(self._closable, connection, is_closable)
         self._make_room(0)
 
     def has_room(self, connection: CallerConnection, size: int) -> bool:
--- a/src/pomelolane/http/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -110,7 +110,9 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Wait for the first head, for a bounded time."""
         super().connection_made(transport)
-        self.registry.add(self)
+        if not self.registry.add(self):
+            transport.abort()
+            return
         self._arm()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -231,8 +233,11 @@
     # --- memory ---
 
     def evict(self) -> None:
-        """Refuse the request that is being received."""
-        self._refuse(503, _MEMORY_FULL)
+        """Refuse the request that is being received, or close an idle connection."""
+        if self._is_receiving():
+            self._refuse(503, _MEMORY_FULL)
+        elif not self._is_answering():
+            self._close()
 
     def _record_progress(self) -> None:
         held_bytes = sum(self._request_costs)
@@ -241,6 +246,7 @@
             self,
             held_bytes,
             is_incomplete=self._is_receiving() and not self._is_refused,
+            is_closable=not self._is_answering() or self._is_in_turn(),
         )
 
     def _drop_incomplete(self) -> None:
--- a/src/pomelolane/node.py
+++ b/src/pomelolane/node.py
@@ -39,7 +39,7 @@
         self._options = options
         self._parts = parts
         self._app = Application()
-        bounds = CallerBounds(options.max_held_bytes)
+        bounds = CallerBounds(options.max_connections, options.max_held_bytes)
         self._listener = Listener(
             ExchangeMiddleware(self._app),
             options.header_timeout_ms,
--- a/src/pomelolane/platform/nodefile.py
+++ b/src/pomelolane/platform/nodefile.py
@@ -15,6 +15,9 @@
 
 _MIB = 1024 * 1024
 
+_CALLERS_PART_OF_DESCRIPTORS = 2
+"""The other half is for connections to endpoints, other VMs and the store."""
+
 _CALLERS_PART_OF_MEMORY = 4
 """The rest is for the program, answers, and copies of requests while they are sent."""
 
@@ -44,6 +47,7 @@
     cpu_share: float = 1.0
     link_mbps: float = 1000.0
     memory_mb: int = 256
+    max_fds: int = 4096
 
 
 class _Store(msgspec.Struct):
@@ -153,6 +157,7 @@
         core_share=file.limits.cpu_share,
         link_mbps=file.limits.link_mbps,
         caller_bounds=CallerBounds(
+            max_connections=file.limits.max_fds // _CALLERS_PART_OF_DESCRIPTORS,
             max_held_bytes=file.limits.memory_mb * _MIB // _CALLERS_PART_OF_MEMORY,
         ),
     )
--- a/src/pomelolane/settings/options.py
+++ b/src/pomelolane/settings/options.py
@@ -157,6 +157,13 @@
         default=str(32 * _MIB),
         unit="bytes",
     )
+    max_connections: int = _option(
+        Integer(16, 1_000_000, "connections"),
+        "Most open connections of all callers; keep it below the descriptors that "
+        "the process may open.",
+        default="2048",
+        unit="connections",
+    )
     max_held_bytes: int = _option(
         Integer(65536, 1024 * 1024 * _MIB, "bytes"),
         "Most memory for requests of all callers that are not answered yet; above "
--- a/tests/platform/hostile_callers.feature
+++ b/tests/platform/hostile_callers.feature
@@ -24,6 +24,7 @@
       | 60    | large chunks               |
       | 60    | small chunks               |
       | 20    | requests in one packet     |
+      | 800   | nothing                    |
 
   # Guards against bytes that are parsed for as long as they come.
   Scenario Outline: The VM stops to read <what>
--- a/tests/steps/http_connections_steps.py
+++ b/tests/steps/http_connections_steps.py
@@ -24,20 +24,26 @@
         self._record(is_incomplete=False)
 
     def _record(self, is_incomplete):
-        self._registry.update(self, self.held_bytes, is_incomplete=is_incomplete)
+        self._registry.update(
+            self,
+            self.held_bytes,
+            is_incomplete=is_incomplete,
+            is_closable=is_incomplete,
+        )
 
 
-@given("callers whose requests may take {size:d} bytes together")
-def step_registry(context, size):
-    context.registry = CallerConnections(CallerBounds(max_held_bytes=size))
-    context.callers, context.refused = {}, []
+@given("callers whose {count:d} connections may take {size:d} bytes together")
+def step_registry(context, count, size):
+    context.registry = CallerConnections(CallerBounds(count, size))
+    context.callers, context.refused, context.unconnected = {}, [], []
 
 
 def _caller(context, name):
     if name not in context.callers:
         caller = Caller(context.registry, name, context.refused)
-        context.registry.add(caller)
         context.callers[name] = caller
+        if not context.registry.add(caller):
+            context.unconnected.append(name)
     return context.callers[name]
 
 
@@ -51,6 +57,16 @@
     _caller(context, name).receive(size, is_complete=True)
 
 
+@when('"{name}" connects')
+def step_connects(context, name):
+    _caller(context, name)
+
+
+@then('"{name}" has no connection')
+def step_unconnected(context, name):
+    assert context.unconnected == [name], context.unconnected
+
+
 @when('"{name}" leaves')
 def step_leaves(context, name):
     context.registry.remove(_caller(context, name))
