Divide the parser's work into turns of the event loop

Callers saw: beside 40 others that sent bodies in chunks of two bytes, an ordinary request took 4 to 8 s, and mostly ended in 503 or 504: the VM's own heartbeats and confirmations were late as well.

Cause: whatever was read from a connection was parsed at once, up to 256 KB, and each small chunk costs the parser three calls: some 20 ms a connection, for each of them in each turn of the event loop.

Connections with data left are not read meanwhile and take turns, a piece of 4 KiB each. The kernel keeps 64 KiB of a connection before it is read.

--- a/src/pomelolane/http/connections.py
+++ b/src/pomelolane/http/connections.py
@@ -8,6 +8,7 @@
 
 from pomelolane import events
 from pomelolane.clock import MonotonicClock
+from pomelolane.http.turns import ParserTurns
 from pomelolane.logallowance import LogAllowance
 from pomelolane.logs import log_event
 
@@ -51,6 +52,7 @@
 
     Attributes:
         held_bytes: Memory that the requests take.
+        turns: The parser's turns.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
             _EVICTIONS_LOGGED_PER_S, clock or MonotonicClock()
         )
         self.held_bytes = 0
+        self.turns = ParserTurns()
 
     def add(self, connection: CallerConnection) -> bool:
         """Register a new connection; return whether there is room for it."""
--- a/src/pomelolane/http/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
+from uvicorn.protocols.http.flow_control import FlowControl
 
 from pomelolane.endpoints.caller_protocol import RelayHttpProtocol
 from pomelolane.http.connections import CallerConnections
@@ -37,12 +38,19 @@
 CLOSE_TIMEOUT_S = 2.0
 """Time for a refused caller to read its answer."""
 
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Bytes of a connection that the kernel keeps until they are read, and so what comes
+from one connection before the others get their turn."""
+
 EVICTED_RETRY_MS = 1000
 """Retry delay for callers whose requests are refused for want of memory."""
 
 _PIECE_BYTES = 4 * 1024
 """Bytes that are parsed between two checks of the bounds."""
 
+_EVENTS_PER_REQUEST = 50
+"""What the begin of a request counts for in the parser's turns."""
+
 _HEADER_OVERHEAD_BYTES = 200
 """Memory of a parsed header beside its text."""
 
@@ -64,6 +72,33 @@
 )
 
 
+class _HoldableFlow(FlowControl):
+    """uvicorn's flow control, which also stops to read while data is not parsed yet."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        super().__init__(transport)
+        self._is_held = False
+
+    def hold(self) -> None:
+        """Stop to read until `release`."""
+        self._is_held = True
+        self._transport.pause_reading()
+
+    def release(self) -> None:
+        """Read again, unless uvicorn has stopped it."""
+        if self._is_held:
+            self._is_held = False
+            if not self.read_paused:
+                self._transport.resume_reading()
+
+    def resume_reading(self) -> None:
+        """Read again, unless data is not parsed yet."""
+        if self._is_held:
+            self.read_paused = False
+        else:
+            super().resume_reading()
+
+
 class _RequestRefusedError(Exception):
     """Ends the parser's work on a request that is refused.
 
@@ -98,6 +133,9 @@
         self._framing_bytes = 0
         self._has_progress = False
         self._body_expected = False
+        self._unparsed = b""
+        self._unparsed_at = 0
+        self._events = 0
         # Memory of each request that is not answered yet, oldest first.
         self._request_costs: deque[int] = deque()
         self._is_refused = False
@@ -110,9 +148,12 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Wait for the first head, for a bounded time."""
         super().connection_made(transport)
+        self.flow = _HoldableFlow(transport)
         if not self.registry.add(self):
             transport.abort()
             return
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._arm()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -124,11 +165,30 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parse the data in pieces, and check the bounds after each."""
-        for at in range(0, len(data), _PIECE_BYTES):
-            if not self._can_parse():
+        """Parse the data, some of it in later turns of the event loop."""
+        is_pending = bool(self._unparsed)
+        self._unparsed = self._unparsed[self._unparsed_at :] + data
+        self._unparsed_at = 0
+        if is_pending:
+            return
+        while self.registry.turns.has_capacity:
+            if not self.parse_next():
                 return
-            self._parse(data[at : at + _PIECE_BYTES])
+        self.flow.hold()
+        self.registry.turns.enqueue(self, self.loop)
+
+    def parse_next(self) -> bool:
+        """Parse the next piece; return whether more data is left."""
+        if self._can_parse():
+            piece = self._unparsed[self._unparsed_at : self._unparsed_at + _PIECE_BYTES]
+            self._unparsed_at += len(piece)
+            self._parse(piece)
+        if self._can_parse() and self._unparsed_at < len(self._unparsed):
+            return True
+        self._unparsed, self._unparsed_at = b"", 0
+        if not self.transport.is_closing():
+            self.flow.release()
+        return False
 
     def _can_parse(self) -> bool:
         return not (self._is_refused or self.transport.is_closing())
@@ -137,7 +197,9 @@
         if not self._body_expected and self._head_timer is None:
             self._arm()
         self._has_progress = False
+        self._events = 1
         super().data_received(piece)
+        self.registry.turns.count(self._events, self.loop)
         if self._is_refused:
             return
         if self._has_progress:
@@ -165,6 +227,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Count a header; one that comes behind the body is dropped."""
+        self._events += 1
         size = len(name) + len(value) + len(b": \r\n")
         if self._body_expected:
             self._trailer_bytes += size
@@ -189,6 +252,7 @@
         if not self.registry.has_room(self, self._head_cost_bytes):
             self._stop_parsing(503, _MEMORY_FULL)
         self._has_progress = True
+        self._events += _EVENTS_PER_REQUEST
         self._request_costs.append(self._head_cost_bytes)
         self._head_bytes = self._head_cost_bytes = 0
         super().on_headers_complete()
@@ -197,6 +261,7 @@
     def on_body(self, body: bytes) -> None:
         """Count a part of a body."""
         self._has_progress = True
+        self._events += 1
         if self._request_costs:
             self._request_costs[-1] += len(body)
         super().on_body(body)
@@ -242,6 +307,7 @@
     def _record_progress(self) -> None:
         held_bytes = sum(self._request_costs)
         held_bytes += self._head_cost_bytes + self._framing_bytes
+        held_bytes += len(self._unparsed)
         self.registry.update(
             self,
             held_bytes,
