An answer with a status below 100 is no interim answer

Cause: whatever was below 200 counted as an interim answer, after which the final one is awaited. One with a body ended the exchange only by accident, as the body had no reader (TypeError); one without was waited behind.

Change: below 100 the exchange ends as broken at once, so that a request that may be repeated goes to another endpoint.

Measured: 'answers with the status 000' of tests/endpoints/connection.feature hung until it was ended after 60 s before, and passes now.

--- a/src/pomelolane/endpoints/connection.py
+++ b/src/pomelolane/endpoints/connection.py
@@ -36,6 +36,7 @@
 MAX_SKIPPED_BYTES = 1024 * 1024
 """Most bytes of their bodies."""
 
+_FIRST_INTERIM_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 MAX_RAW_CHUNK_BYTES = 4096
 """Size up to which a chunk that comes alone and whole may pass undecoded."""
@@ -281,9 +282,9 @@
         status = self._parser.get_status_code()
         if status == _SWITCHING_PROTOCOLS:
             raise EndpointBrokenError("the endpoint switched protocols")
-        if status < _FIRST_FINAL_STATUS:
+        if _FIRST_INTERIM_STATUS <= status < _FIRST_FINAL_STATUS:
             return
-        if status > _LAST_STATUS:
+        if not _FIRST_FINAL_STATUS <= status <= _LAST_STATUS:
             raise EndpointBrokenError(f"the endpoint answered status {status}")
         framing = self._framing()
         headers = strip_hop_headers(self._headers)
--- a/tests/endpoints/connection.feature
+++ b/tests/endpoints/connection.feature
@@ -29,6 +29,8 @@
       | answers with an endless head    | broken  |
       | switches protocols              | broken  |
       | answers with an unknown status  | broken  |
+      | answers with the status 000     | broken  |
+      | answers with the status 000 and a body | broken |
       | answers in an unknown coding    | broken  |
 
   Scenario: a request that cannot be written is refused unsent
--- a/tests/steps/endpoints_world.py
+++ b/tests/steps/endpoints_world.py
@@ -64,6 +64,12 @@
     "answers 304 with a length": answering(head(304, content_length=500)),
     "answers in an unknown coding": answering(OTHER_CODING),
     "answers with an unknown status": answering(head(999, content_length=0)),
+    "answers with the status 000": answering(
+        b"HTTP/1.1 000 X\r\ncontent-length: 0\r\n\r\n"
+    ),
+    "answers with the status 000 and a body": answering(
+        b"HTTP/1.1 000 X\r\ncontent-length: 4\r\n\r\nhalf"
+    ),
     **{
         f"answers {status}": answering(head(status, content_length=0))
         for status in (404, 429, 500, 502, 503)
