End connections whose callers read no answers

Callers saw: connections of others that read nothing stayed open for good, also after their answers had been given up: they kept descriptors, and what was written for them.

Cause: a transport that is closed waits until its buffer is written, however long that takes, and what is in the buffer was not counted.

Change: the kernel ends a connection whose caller takes nothing for 20 s. An answer beyond the buffer's limit counts as memory of its request, and at the bound it is dropped by a reset, as are refused connections after 2 s.

'A caller that reads no answer' of tests/http/listener.feature failed before (1 of 1) and passes now.

--- a/src/pomelolane/http/connections.py
+++ b/src/pomelolane/http/connections.py
@@ -36,15 +36,15 @@
     """A connection that can be told to make room for others."""
 
     def evict(self) -> None:
-        """Refuse the request that is being received, or close an idle connection."""
+        """End what waits for its caller: a request, an answer, or the connection."""
 
 
 class CallerConnections:
     """The open connections of callers, and the memory that their requests take.
 
     At a bound, the connection that has made no progress for longest goes first. Only a
-    connection whose request is not complete, or that has none, can go: a complete
-    request is answered.
+    connection that waits for its caller can go: its request is not complete, it has
+    none, or its answer is not read. A complete request is answered.
 
     Args:
         bounds: The bounds.
@@ -61,7 +61,7 @@
         self._bounds = bounds or CallerBounds()
         self._held_by_connection: dict[CallerConnection, int] = {}
         # Both in the order of their last progress.
-        self._incomplete: OrderedDict[CallerConnection, None] = OrderedDict()
+        self._evictable: OrderedDict[CallerConnection, None] = OrderedDict()
         self._closable: OrderedDict[CallerConnection, None] = OrderedDict()
         self._log_allowance = LogAllowance(
             _EVICTIONS_LOGGED_PER_S, clock or MonotonicClock()
@@ -86,7 +86,7 @@
     def remove(self, connection: CallerConnection) -> None:
         """Forget a connection; nothing if it is not registered."""
         self.held_bytes -= self._held_by_connection.pop(connection, 0)
-        self._incomplete.pop(connection, None)
+        self._evictable.pop(connection, None)
         self._closable.pop(connection, None)
 
     def update(
@@ -94,7 +94,7 @@
         connection: CallerConnection,
         held_bytes: int,
         *,
-        is_incomplete: bool,
+        is_evictable: bool,
         is_closable: bool,
     ) -> None:
         """Record a connection's progress, and keep to the bound on memory.
@@ -102,32 +102,34 @@
         Args:
             connection: The connection; it may have been evicted before.
             held_bytes: Memory that its requests take.
-            is_incomplete: Whether it is receiving a request.
-            is_closable: Whether none of its requests is complete and not answered.
+            is_evictable: Whether its memory can be released by ending what waits for
+                its caller: a request that is not complete, an answer that is not read.
+            is_closable: Whether the connection can be closed: it has no complete
+                request that is not answered, or its caller reads no answer.
         """
         before_bytes = self._held_by_connection.get(connection)
         if before_bytes is None:
             return
         self._held_by_connection[connection] = held_bytes
         self.held_bytes += held_bytes - before_bytes
-        _set_newest(self._incomplete, connection, is_incomplete)
+        _set_newest(self._evictable, connection, is_evictable)
         _set_newest(self._closable, connection, is_closable)
         self._make_room(0)
 
     def has_room(self, connection: CallerConnection, size: int) -> bool:
         """Return whether a connection may hold more, after others have made room."""
-        was_incomplete = connection in self._incomplete
-        self._incomplete.pop(connection, None)
+        was_evictable = connection in self._evictable
+        self._evictable.pop(connection, None)
         self._make_room(size)
-        if was_incomplete:
-            self._incomplete[connection] = None
+        if was_evictable:
+            self._evictable[connection] = None
         return self.held_bytes + size <= self._bounds.max_held_bytes
 
     def _make_room(self, size: int) -> None:
-        while self._incomplete and (
+        while self._evictable and (
             self.held_bytes + size > self._bounds.max_held_bytes
         ):
-            oldest, _ = self._incomplete.popitem(last=False)
+            oldest, _ = self._evictable.popitem(last=False)
             self._log_eviction("memory")
             oldest.evict()
 
--- a/src/pomelolane/http/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
+import struct
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
@@ -38,6 +40,9 @@
 CLOSE_TIMEOUT_S = 2.0
 """Time for a refused caller to read its answer."""
 
+UNREAD_TIMEOUT_MS = 20_000
+"""Time after which the kernel ends a connection whose caller takes no more bytes."""
+
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """Bytes of a connection that the kernel keeps until they are read, and so what comes
 from one connection before the others get their turn."""
@@ -57,6 +62,8 @@
 _REQUEST_OVERHEAD_BYTES = 4096
 """Memory of a request beside its headers and its body."""
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 _STATUS_LINES = {
     400: b"HTTP/1.1 400 Bad Request\r\n",
     408: b"HTTP/1.1 408 Request Timeout\r\n",
@@ -152,8 +159,7 @@
         if not self.registry.add(self):
             transport.abort()
             return
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        _bound_socket(transport.get_extra_info("socket"))
         self._arm()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -211,6 +217,16 @@
         else:
             self._record_progress()
 
+    def pause_writing(self) -> None:
+        """Count what the caller doesn't read as memory of its requests."""
+        super().pause_writing()
+        self._record_progress()
+
+    def resume_writing(self) -> None:
+        """Count it no more."""
+        super().resume_writing()
+        self._record_progress()
+
     # --- the parser's events ---
 
     def on_message_begin(self) -> None:
@@ -298,8 +314,10 @@
     # --- memory ---
 
     def evict(self) -> None:
-        """Refuse the request that is being received, or close an idle connection."""
-        if self._is_receiving():
+        """End a connection that waits for its caller."""
+        if self.flow.write_paused:
+            self._reset()
+        elif self._is_receiving():
             self._refuse(503, _MEMORY_FULL)
         elif not self._is_answering():
             self._close()
@@ -308,11 +326,15 @@
         held_bytes = sum(self._request_costs)
         held_bytes += self._head_cost_bytes + self._framing_bytes
         held_bytes += len(self._unparsed)
+        is_unread = self.flow.write_paused
+        if is_unread:
+            held_bytes += self.transport.get_write_buffer_size()
+        is_receiving = self._is_receiving() and not self._is_refused
         self.registry.update(
             self,
             held_bytes,
-            is_incomplete=self._is_receiving() and not self._is_refused,
-            is_closable=not self._is_answering() or self._is_in_turn(),
+            is_evictable=is_unread or is_receiving,
+            is_closable=is_unread or not self._is_answering() or self._is_in_turn(),
         )
 
     def _drop_incomplete(self) -> None:
@@ -379,9 +401,14 @@
         """Close the connection; a caller that reads nothing can't keep it open."""
         if not self.transport.is_closing():
             self.transport.close()
-            self._close_timer = self.loop.call_later(
-                CLOSE_TIMEOUT_S, self.transport.abort
-            )
+            self._close_timer = self.loop.call_later(CLOSE_TIMEOUT_S, self._reset)
+
+    def _reset(self) -> None:
+        """Drop the connection with all that its caller has not read."""
+        sock = self.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.transport.abort()
 
 
 def make_protocol(
@@ -392,6 +419,15 @@
     return type("BoundProtocol", (GuardedProtocol,), bounds)
 
 
+def _bound_socket(sock: socket.socket) -> None:
+    """Bound what the kernel keeps, and for how long a caller may read nothing."""
+    user_timeout = getattr(socket, "TCP_USER_TIMEOUT", None)
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        if user_timeout is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, user_timeout, UNREAD_TIMEOUT_MS)
+
+
 def _bad_request(detail: str) -> Refusal:
     return Refusal(Outcome.NOT_RUN, Reason.BAD_REQUEST, detail=detail)
 
--- a/tests/http/listener.feature
+++ b/tests/http/listener.feature
@@ -37,3 +37,9 @@
     When a caller sends 12 requests in one packet
     Then it gets 9 answers
     And the connection is closed
+
+  # Guards against answers that are kept for as long as nobody reads them.
+  Scenario: A caller that reads no answer makes room for others
+    Given a listener that holds 1000000 bytes, and answers with 20000000
+    When a caller sends a request and reads no answer
+    Then the listener has closed its connection
--- a/tests/steps/http_connections_steps.py
+++ b/tests/steps/http_connections_steps.py
@@ -27,7 +27,7 @@
         self._registry.update(
             self,
             self.held_bytes,
-            is_incomplete=is_incomplete,
+            is_evictable=is_incomplete,
             is_closable=is_incomplete,
         )
 
--- a/tests/steps/http_listener_steps.py
+++ b/tests/steps/http_listener_steps.py
@@ -1,12 +1,16 @@
 """Steps of tests/http/listener.feature."""
 
 import asyncio
+import errno
+import socket
 from contextlib import suppress
 
 from behave import given, then, when
 
 from pomelolane.forwarding.app import ExchangeApp
+from pomelolane.http.connections import CallerBounds, CallerConnections
 from pomelolane.http.listener import Listener, listening_socket
+from tests.faults import until
 
 WAIT_S = 5.0
 PIECE_S = 0.02
@@ -41,6 +45,35 @@
     context.answers = []
 
 
+@given("a listener that holds {held:d} bytes, and answers with {size:d}")
+def step_bounded_listener(context, held, size):
+    async def serve(exchange):
+        await exchange.respond(200, [], bytes(size))
+
+    context.registry = CallerConnections(CallerBounds(max_held_bytes=held))
+    sock = listening_socket("127.0.0.1", 0)
+    context.port = sock.getsockname()[1]
+    listener = Listener(ExchangeApp(serve), 1000, context.registry)
+    context.run(listener.start(sock))
+    context.add_cleanup(lambda: context.run(listener.stop()))
+
+
+@when("a caller sends a request and reads no answer")
+def step_unread(context):
+    context.unread = socket.create_connection(("127.0.0.1", context.port))
+    context.add_cleanup(context.unread.close)
+    context.unread.send(HEAD % 0)
+
+
+@then("the listener has closed its connection")
+def step_listener_closed(context):
+    context.run(until(lambda: _is_reset(context.unread)))
+
+
+def _is_reset(sock):
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == errno.ECONNRESET
+
+
 async def _send(context, pieces):
     for piece in pieces:
         context.writer.write(piece)
