A request that offers an upgrade keeps its body

Callers saw: a POST with 'Upgrade: h2c' ran with an empty body, and what its body quoted ran as a request of its own.

Cause: the parser stops behind the head of a request that offers another protocol, as if the offer were accepted, and hands the rest back in an exception; uvicorn logs it and goes on with the rest as a new head.

Change: the head is parsed again without the offer, followed by the rest, so that the body is read by its own framing. A tunnel (CONNECT) is refused.

--- a/src/pomelolane/http/listener.py
+++ b/src/pomelolane/http/listener.py
@@ -13,6 +13,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
+import httptools
 import uvicorn
 from uvicorn.protocols.http.flow_control import FlowControl
 
@@ -204,7 +205,7 @@
             self._arm()
         self._has_progress = False
         self._events = 1
-        super().data_received(piece)
+        self._feed(piece)
         self.registry.turns.count(self._events, self.loop)
         if self._is_refused:
             return
@@ -217,6 +218,37 @@
         else:
             self._record_progress()
 
+    def _feed(self, piece: bytes) -> None:
+        self._unset_keepalive_if_required()
+        try:
+            self.parser.feed_data(piece)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._go_on_without_upgrade(piece[upgrade.args[0] :])
+        except httptools.HttpParserError:
+            self.send_400_response("the request is not HTTP/1.1")
+
+    def _go_on_without_upgrade(self, rest: bytes) -> None:
+        """Parse a request again without its offer of another protocol.
+
+        The parser takes the offer as accepted, and the body for the other protocol's.
+
+        Args:
+            rest: Bytes behind the request's head.
+        """
+        method = self.parser.get_method()
+        if method == b"CONNECT":
+            self._refuse(400, _bad_request("tunnels are not served"))
+            return
+        version = self.parser.get_http_version().encode()
+        head = [method + b" " + self.url + b" HTTP/" + version]
+        head += [
+            name + b": " + value for name, value in self.headers if name != b"upgrade"
+        ]
+        self.parser = httptools.HttpRequestParser(self)
+        # As uvicorn sets it.
+        self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+        self._feed(b"\r\n".join([*head, b"", rest]))
+
     def pause_writing(self) -> None:
         """Count what the caller doesn't read as memory of its requests."""
         super().pause_writing()
@@ -263,6 +295,8 @@
     def on_headers_complete(self) -> None:
         """Begin a request whose head has come whole, if there is room for it."""
         self._disarm()
+        if self.parser.should_upgrade():
+            return
         if len(self.pipeline) >= MAX_PIPELINED_REQUESTS:
             self._stop_parsing(503, _MEMORY_FULL)
         if not self.registry.has_room(self, self._head_cost_bytes):
@@ -285,6 +319,8 @@
     def on_message_complete(self) -> None:
         """Note that the next bytes begin another head."""
         self._has_progress = True
+        if self.parser.should_upgrade():
+            return
         self._body_expected = False
         super().on_message_complete()
 
--- a/tests/http/listener.feature
+++ b/tests/http/listener.feature
@@ -38,6 +38,23 @@
     Then it gets 9 answers
     And the connection is closed
 
+  # Guards against a parser that stops at the offer, and takes the body for a request.
+  Scenario Outline: A request that offers an upgrade keeps its body, <how>
+    When a caller offers "<offer>" with the body "GET /b HTTP/1.1", <how>
+    Then it gets 1 answer
+    And the bodies received are "GET /b HTTP/1.1"
+
+    Examples:
+      | offer     | how                     |
+      | h2c       | in one packet           |
+      | h2c       | in a packet of its own  |
+      | websocket | in a chunk              |
+
+  Scenario: A tunnel is refused
+    When a caller sends the bytes of "a tunnel"
+    Then it gets the status 400
+    And the connection is closed
+
   # Guards against answers that are kept for as long as nobody reads them.
   Scenario: A caller that reads no answer makes room for others
     Given a listener that holds 1000000 bytes, and answers with 20000000
--- a/tests/steps/http_listener_steps.py
+++ b/tests/steps/http_listener_steps.py
@@ -19,6 +19,7 @@
 BYTES = {
     "half of a head": b"GET / HTTP/1.1\r\nhost: ",
     "a malformed head": b"\x01\x02\r\n\r\n",
+    "a tunnel": b"CONNECT h:80 HTTP/1.1\r\nhost: h\r\n\r\nGET / HTTP/1.1\r\n\r\n",
     "a head that is too long": b"GET / HTTP/1.1\r\nx: " + b"x" * 40_000,
 }
 
@@ -26,11 +27,12 @@
 @given("a listener that waits {head_ms:d} ms for a head, and answers after {ms:d} ms")
 def step_listener(context, head_ms, ms):
     async def serve(exchange):
-        await exchange.read_body(1_000_000, 2000)
+        context.bodies.append(await exchange.read_body(1_000_000, 2000))
         context.header_names = [name.decode() for name, _ in exchange.headers]
         await asyncio.sleep(ms / 1000)
         await exchange.respond(200, [], BODY)
 
+    context.bodies = []
     sock = listening_socket("127.0.0.1", 0)
     context.port = sock.getsockname()[1]
     listener = Listener(ExchangeApp(serve), head_ms)
@@ -80,8 +82,8 @@
         await asyncio.sleep(PIECE_S)
 
 
-async def _read_answer(context):
-    async with asyncio.timeout(WAIT_S):
+async def _read_answer(context, within_s=WAIT_S):
+    async with asyncio.timeout(within_s):
         head = await context.reader.readuntil(b"\r\n\r\n")
         length = int(head.lower().partition(b"content-length: ")[2].split()[0])
         await context.reader.readexactly(length)
@@ -109,6 +111,31 @@
     context.run(play())
 
 
+@when('a caller offers "{offer}" with the body "{body}", {how}')
+def step_offer(context, offer, body, how):
+    upgrade = f"connection: Upgrade\r\nupgrade: {offer}\r\n".encode()
+    head = HEAD % (len(body) + 4)
+    body = f"{body}\r\n\r\n".encode()
+    if how == "in a chunk":
+        head = b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+        body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    head = head[:-2] + upgrade + head[-2:]
+
+    async def play():
+        apart = how == "in a packet of its own"
+        await _send(context, [head, body] if apart else [head + body])
+        with suppress(TimeoutError):
+            for _ in range(2):
+                await _read_answer(context, within_s=1.0)
+
+    context.run(play())
+
+
+@then('the bodies received are "{body}"')
+def step_bodies(context, body):
+    assert context.bodies == [f"{body}\r\n\r\n".encode()], context.bodies
+
+
 @when('a caller sends a chunked body with the trailer "{trailer}"')
 def step_trailer(context, trailer):
     head = b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
