Split the protocol of callers' connections off the listener

The protocol, the refusals that it writes itself, the sockets' options and the parser's turns have modules of their own now.

Beside the move: data that waits for a turn counts as memory, and is refused with the request that it belongs to; an error that ended the parser's work is not kept, as it refers back to its connection.

--- a/src/pomelolane/forwarding/node.py
+++ b/src/pomelolane/forwarding/node.py
@@ -32,7 +32,8 @@
 from pomelolane.forwarding.usage_exchange import UsageExchange
 from pomelolane.forwarding.usage_publisher import UsagePublisher
 from pomelolane.http.connections import CallerBounds, CallerConnections
-from pomelolane.http.listener import Listener, listening_socket
+from pomelolane.http.listener import Listener
+from pomelolane.http.sockets import listening_socket
 from pomelolane.logs import log_event
 from pomelolane.membership import is_store_reader, make_member
 from pomelolane.membership.member import TICK_S
--- a/src/pomelolane/http/turns.py
+++ b/src/pomelolane/http/turns.py
@@ -5,6 +5,8 @@
 from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
+from uvicorn.protocols.http.flow_control import FlowControl
+
 if TYPE_CHECKING:
     import asyncio
 
@@ -64,3 +66,30 @@
         finally:
             if self._pending:
                 self._schedule(loop)
+
+
+class HoldableFlow(FlowControl):
+    """uvicorn's flow control, which also stops to read while data is not parsed yet."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        super().__init__(transport)
+        self._is_held = False
+
+    def hold(self) -> None:
+        """Stop to read until `release`."""
+        self._is_held = True
+        self._transport.pause_reading()
+
+    def release(self) -> None:
+        """Read again, unless uvicorn has stopped it."""
+        if self._is_held:
+            self._is_held = False
+            if not self.read_paused:
+                self._transport.resume_reading()
+
+    def resume_reading(self) -> None:
+        """Read again, unless data is not parsed yet."""
+        if self._is_held:
+            self.read_paused = False
+        else:
+            super().resume_reading()
--- a/tests/platform/hostile_callers.feature
+++ b/tests/platform/hostile_callers.feature
@@ -37,3 +37,8 @@
       | what              |
       | empty lines       |
       | a chunk extension |
+
+  Scenario: A request at the limits is served in calm
+    When a caller sends a head of 16000 bytes and a body of 4194304
+    Then an ordinary request is answered
+    And the large request was answered, and ran with its whole body
--- a/tests/steps/http_listener_steps.py
+++ b/tests/steps/http_listener_steps.py
@@ -9,7 +9,8 @@
 
 from pomelolane.forwarding.app import ExchangeApp
 from pomelolane.http.connections import CallerBounds, CallerConnections
-from pomelolane.http.listener import Listener, listening_socket
+from pomelolane.http.listener import Listener
+from pomelolane.http.sockets import listening_socket
 from tests.faults import until
 
 WAIT_S = 5.0
--- a/tests/steps/platform_hostile_callers_steps.py
+++ b/tests/steps/platform_hostile_callers_steps.py
@@ -83,3 +83,23 @@
     headers = caller_headers("ordinary", deadline_ms=context.wait_ms)
     answer = context.run(context.vm.ask("GET /plain/a HTTP/1.1", headers))
     assert answer.status == 200, answer.data
+
+
+@when("a caller sends a head of {head:d} bytes and a body of {body:d}")
+def step_large(context, head, body):
+    headers = caller_headers("large", deadline_ms=context.wait_ms)
+    headers.append("x-filler: " + "x" * (head - len("".join(headers)) - 200))
+    line = "POST /plain/a HTTP/1.1"
+    context.large = context.run(context.vm.ask(line, headers, b"x" * body))
+    context.large_bytes = body
+
+
+@then("the large request was answered, and ran with its whole body")
+def step_large_answered(context):
+    assert context.large.status == 200, context.large.data
+    [seen] = [
+        one
+        for one in context.world.endpoints["p1"].seen
+        if one.headers.get("request-id") == "large"
+    ]
+    assert len(seen.body) == context.large_bytes, len(seen.body)
