A settings file without limits on memory or descriptors keeps the defaults

Cause: the two limits that the bounds on callers follow were read as whole numbers, and 0 would have left no connection to any caller.

--- a/src/pomelolane/platform/nodefile.py
+++ b/src/pomelolane/platform/nodefile.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import msgspec
@@ -46,8 +46,9 @@
     # Speed of one core as a part of a whole one.
     cpu_share: float = 1.0
     link_mbps: float = 1000.0
-    memory_mb: int = 256
-    max_fds: int = 4096
+    # 0 where the platform sets no limit.
+    memory_mb: float = 0
+    max_fds: float = 0
 
 
 class _Store(msgspec.Struct):
@@ -156,8 +157,16 @@
         rollouts=RolloutBounds(bounds.exposure_share, bounds.exposure_slack),
         core_share=file.limits.cpu_share,
         link_mbps=file.limits.link_mbps,
-        caller_bounds=CallerBounds(
-            max_connections=file.limits.max_fds // _CALLERS_PART_OF_DESCRIPTORS,
-            max_held_bytes=file.limits.memory_mb * _MIB // _CALLERS_PART_OF_MEMORY,
-        ),
+        caller_bounds=_caller_bounds(file.limits),
     )
+
+
+def _caller_bounds(limits: _Limits) -> CallerBounds:
+    bounds = CallerBounds()
+    if limits.max_fds > 0:
+        most = int(limits.max_fds / _CALLERS_PART_OF_DESCRIPTORS)
+        bounds = replace(bounds, max_connections=most)
+    if limits.memory_mb > 0:
+        most = int(limits.memory_mb * _MIB / _CALLERS_PART_OF_MEMORY)
+        bounds = replace(bounds, max_held_bytes=most)
+    return bounds
