Bound the incomplete events that resumable streams hold back

Cause: EventBuffer in forwarding/relay.py had no bound, and the stream's buffer doesn't help, as its bytes are read.

A stream over the bound is broken like any other, so it goes on at another endpoint.

Why it works: the bound is on the bytes held, the only place where an event is kept, so that no form of event or comment escapes it.

--- a/src/pomelolane/forwarding/forwarder.py
+++ b/src/pomelolane/forwarding/forwarder.py
@@ -22,6 +22,7 @@
 )
 from pomelolane.forwarding import metrics, request_log
 from pomelolane.forwarding.call import CallState
+from pomelolane.forwarding.event_buffer import HeldEvents
 from pomelolane.forwarding.failures import (
     RetrySignal,
     broken_by_endpoint,
@@ -165,6 +166,7 @@
         self._reach = reach
         self._peer_relay = peer_relay
         self._continuation = continuation
+        self._held_events = HeldEvents()
         self._budgets: dict[str, SharedRetryBudget] = {}
         self.open_calls: dict[str, CallState] = {}
         self.timeouts = Timeouts(clock)
@@ -294,7 +296,9 @@
 
     async def _serve(self, state: CallState, exchange: Exchange) -> None:
         call = state.call
-        relay = Relay(exchange, state, self._clock, closes=self.draining)
+        relay = Relay(
+            exchange, state, self._clock, self._held_events, closes=self.draining
+        )
         if not self.can_accept(call.limit_ms):
             await self._refuse(state, exchange, STOPPING_REFUSAL)
             return
--- a/src/pomelolane/forwarding/relay.py
+++ b/src/pomelolane/forwarding/relay.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pomelolane.endpoints.boundary import LINE_END, EventBoundary
 from pomelolane.endpoints.stream import Framing
 from pomelolane.forwarding.configuration import RouteKind
+from pomelolane.forwarding.event_buffer import EventBuffer
 from pomelolane.forwarding.sender import RELAY_ID_HEADER
 from pomelolane.resumption import ORIGIN_HEADER, encode_origin
 
@@ -16,13 +16,14 @@
 
     from pomelolane.endpoints import AnswerStream
     from pomelolane.forwarding.call import CallState
+    from pomelolane.forwarding.event_buffer import HeldEvents
     from pomelolane.forwarding.stall import StallWatch
     from pomelolane.http.exchange import Exchange
     from pomelolane.ports import Clock
 
-_EVENT_ID = b"id:"
 _EVENT_STREAM = b"text/event-stream"
 _CLOSE = (b"connection", b"close")
+_TOO_LONG = "an event of the stream is too long"
 _FIRST_REDIRECTION_STATUS = 300
 _HEADERS_BETWEEN_VMS = frozenset({ORIGIN_HEADER, RELAY_ID_HEADER})
 
@@ -61,59 +62,6 @@
     return data
 
 
-class EventBuffer:
-    """Follows a stream of server-sent events on its way to the caller.
-
-    Args:
-        holds_back: Whether to hold back the incomplete last event. If the stream breaks
-            and is resumed at another endpoint, the caller must not get the beginning of
-            an event twice.
-
-    Attributes:
-        last_id: Id of the last complete event, if events are held back.
-    """
-
-    def __init__(self, *, holds_back: bool) -> None:
-        self._holds_back = holds_back
-        self._boundary = EventBoundary()
-        self._held: list[bytes] = []
-        self.last_id = b""
-
-    @property
-    def is_between_events(self) -> bool:
-        """Whether all events so far have ended."""
-        return self._boundary.is_between_events
-
-    @property
-    def held_bytes(self) -> int:
-        """Number of bytes held back."""
-        return sum(map(len, self._held))
-
-    def feed(self, data: bytes) -> bytes:
-        """Add data, and return what may be sent of all data not returned before."""
-        between = self._boundary.feed(data)
-        if not self._holds_back:
-            return data
-        if not between:
-            self._held.append(data)
-            return b""
-        complete = b"".join([*self._held, data[:between]])
-        self._held = [data[between:]] if between < len(data) else []
-        self._update_last_id(complete)
-        return complete
-
-    def take_held(self) -> bytes:
-        """Return what was held back behind the last event: comments, if no event."""
-        held, self._held = b"".join(self._held), []
-        return held
-
-    def _update_last_id(self, complete: bytes) -> None:
-        for line in reversed(LINE_END.split(complete)):
-            if line.startswith(_EVENT_ID):
-                self.last_id = line[len(_EVENT_ID) :].strip()
-                return
-
-
 class Relay:
     """Relays the answers to all sends of one request as a single answer.
 
@@ -125,15 +73,23 @@
         exchange: The caller's exchange.
         state: State of the request.
         clock: Source of the current time.
+        held_events: Bounds the incomplete events that the VM holds back.
         closes: Whether to close the caller's connection after the answer.
     """
 
     def __init__(
-        self, exchange: Exchange, state: CallState, clock: Clock, *, closes: bool
+        self,
+        exchange: Exchange,
+        state: CallState,
+        clock: Clock,
+        held_events: HeldEvents,
+        *,
+        closes: bool,
     ) -> None:
         self._clock = clock
         self._exchange = exchange
         self._state = state
+        self._held_events = held_events
         self._closes = closes
 
     async def relay(
@@ -152,11 +108,28 @@
             on_begin: Called before the first events of the answer are sent.
         """
         events = self._make_event_buffer(stream)
+        try:
+            return await self._relay(stream, events, on_chunk, stall, on_begin)
+        finally:
+            if events is not None:
+                events.discard()
+
+    async def _relay(
+        self,
+        stream: AnswerStream,
+        events: EventBuffer | None,
+        on_chunk: Callable[[int], None],
+        stall: StallWatch | None,
+        on_begin: Callable[[], None] | None,
+    ) -> RelayResult:
         size = chunks = 0
         gap_ms = last_ms = 0.0
         while data := await _read(stream, stall):
             if events is not None:
                 data = events.feed(data)
+                if events.is_too_long:
+                    held_bytes = events.held_bytes
+                    return RelayResult(_TOO_LONG, size, chunks, gap_ms, held_bytes)
                 if not data:
                     continue
                 self._state.last_event_id = events.last_id or self._state.last_event_id
@@ -188,7 +161,7 @@
             return None
         if not media_type and route.kind is not RouteKind.STREAMING:
             return None
-        return EventBuffer(holds_back=route.is_resumable)
+        return EventBuffer(self._held_events if route.is_resumable else None)
 
     def _failure(
         self, stream: AnswerStream, events: EventBuffer | None, size: int
--- a/standins/routed/endpoint.py
+++ b/standins/routed/endpoint.py
@@ -58,6 +58,8 @@
     """The answer's head holds a header that does not end."""
     ENDLESS_BODY = "endless body"
     """The body does not end."""
+    ENDLESS_EVENT = "endless event"
+    """The third event of a stream does not end."""
 
 
 class BodyFraming(StrEnum):
@@ -487,6 +489,9 @@
         for number in numbers:
             if fault is Fault.MUTE and number == _BROKEN_EVENT:
                 await asyncio.sleep(_LONG_S)
+            if fault is Fault.ENDLESS_EVENT and number == _BROKEN_EVENT:
+                begin = _framed(framing, b"data: ")
+                await _send_without_end(writer, begin, _ENDLESS_CHUNK)
             if number == _BROKEN_EVENT:
                 await asyncio.sleep(self.options.pause_ms / 1000)
             await self._be_silent_if_ended()
--- a/tests/platform/endless.feature
+++ b/tests/platform/endless.feature
@@ -20,3 +20,16 @@
       | what           |
       | endless header |
       | endless body   |
+
+  # Guards against a VM that keeps all of an event until its end, to resume the stream.
+  Scenario: A stream whose event does not end goes on elsewhere
+    Given a platform with the endpoints
+      | endpoint | service |
+      | e1       | pool    |
+      | e2       | pool    |
+    And a platform VM
+    And the endpoint "e1" does "endless event"
+    When callers send "POST /help/a" 12 times in turn
+    Then "e1" has run some of them
+    And no VM has ever grown by more than 20 MB
+    And each answer holds the events 1 to 5 once each
--- a/tests/steps/platform_attribution_steps.py
+++ b/tests/steps/platform_attribution_steps.py
@@ -100,9 +100,13 @@
     step_events(context, first, last)
 
 
-def _resident_mb(vm):
+def _memory_mb(vm, field):
     status = Path(f"/proc/{vm.process.pid}/status").read_text()
-    return int(re.search(r"VmRSS:\s+(\d+) kB", status)[1]) / 1024
+    return int(re.search(rf"{field}:\s+(\d+) kB", status)[1]) / 1024
+
+
+def _resident_mb(vm):
+    return _memory_mb(vm, "VmRSS")
 
 
 def _runs_by_id(context):
@@ -153,3 +157,14 @@
 def step_memory(context, most):
     grown = _resident_mb(context.vm) - context.resident_mb
     assert grown <= most, grown
+
+
+@then("no VM has ever grown by more than {most:d} MB")
+def step_peak_memory(context, most):
+    grown = _memory_mb(context.vm, "VmHWM") - context.resident_mb
+    assert grown <= most, grown
+
+
+@then('"{name}" has run some of them')
+def step_has_run(context, name):
+    assert any(seen.ran for seen in context.world.endpoints[name].seen)
