Ignore entries of endpoints that left before the store came back from a copy

Cause: EndpointWatch forgot an endpoint with its entry, so that an entry of the copy was one of a new endpoint. A leaving that was listed or announced is kept for a start of the endpoint (EndpointDirectory); a removal was not.

Change: platform/goneentries.py keeps the start that each removed entry told. Once the numbering of the store's versions has changed, an entry of the same start counts only when its endpoint has written it again. An endpoint whose entry had lapsed, and that lives, does so with its next heartbeat; one that starts again tells another start and counts at once.

--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -22,6 +22,7 @@
     HistoryLostError,
     StoreUnavailableError,
 )
+from pomelolane.platform.goneentries import GoneEntries
 from pomelolane.platform.sharing import (
     Knowledge,
     SharedReads,
@@ -114,6 +115,8 @@
         self._rejected: dict[str, str] = {}
         self._shared: SharedReads | None = None
         self._dropped_at_ms: dict[str, float] = {}
+        self._gone = GoneEntries()
+        self._era = 0
         self._grace_until_ms = 0.0
         self._silent_since_ms = 0.0
         self._heard_ms = clock.now_ms()
@@ -381,6 +384,9 @@
             self._begin_grace(failed_calls, asked_ms)
             for callback in self._on_regained:
                 callback()
+        if self._store.era(_ENDPOINT_TABLE) != self._era:
+            self._era = self._store.era(_ENDPOINT_TABLE)
+            self._gone.store_came_back()
         if not after <= self._after <= snapshot.version:
             # Another VM has passed on a newer state while the answer was on its way, or
             # has shown that the list is to be read whole.
@@ -426,7 +432,7 @@
         """
         now_ms = self._clock.now_ms()
         gone = {row.key for row in rows if row.deleted}
-        present = [row for row in rows if not row.deleted]
+        present = [row for row in rows if not row.deleted and not self._is_copied(row)]
         if whole:
             gone |= self._values.keys() - {row.key for row in present}
             self._complete_since = min(self._complete_since, self._version)
@@ -446,6 +452,20 @@
         self._drop_missing(now_ms)
         return changed
 
+    def _is_copied(self, row: StoredRow) -> bool:
+        """Return whether only an older copy of the store holds an entry."""
+        configuration = self._current.value
+        if row.key not in self._gone or configuration is None:
+            return False
+        try:
+            endpoint = endpoint_from_row(row.key, row.value, configuration.services)
+        except DocumentError:
+            return False
+        is_copied = self._gone.is_copied(row.key, row.value, endpoint.born_ms)
+        if is_copied:
+            self._reject(row.key, "it was removed before the store came back")
+        return is_copied
+
     def _drop_missing(self, now_ms: float) -> None:
         """Forget the missing rows whose time is over."""
         due = [key for key, at_ms in self._dropped_at_ms.items() if at_ms <= now_ms]
@@ -454,7 +474,9 @@
             del self._dropped_at_ms[key]
             self._values.pop(key, None)
             self._row_versions.pop(key, None)
-            self._endpoints.pop(key, None)
+            endpoint = self._endpoints.pop(key, None)
+            if endpoint is not None:
+                self._gone.add(key, endpoint.born_ms)
             self._rejected.pop(key, None)
             self._changed_at[key] = self._version
         gone = self._changed_at.keys() - self._values.keys()
--- a/src/pomelolane/platform/storeclient.py
+++ b/src/pomelolane/platform/storeclient.py
@@ -175,6 +175,10 @@
         """Return the store's steady clock, as far as its answers have told it."""
         return self._clock.now_ms() + self._ahead_ms
 
+    def era(self, table: str) -> int:
+        """Return the numbering of versions at the last read of a table, 0 if none."""
+        return self._eras.get(table, 0)
+
     async def read(self, table: str) -> Snapshot:
         """Read all rows of a table's unnamed part.
 
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -44,6 +44,21 @@
     Then the known endpoints become "p1"
     And "p1" takes requests
 
+  # Guards against endpoints that got requests again after their entry was gone, as the
+  # store came back from a copy that still held it.
+  Scenario: An endpoint that left without a word does not come back with an older copy
+    When "p1" leaves without a word, and the store comes back from a copy of before
+    Then "p1" takes nothing more for 2500 ms
+    When "p1" starts again
+    Then "p1" takes requests
+
+  # Guards against endpoints that get nothing more, as their entry lapsed before a drill.
+  Scenario: An endpoint whose entry was gone and is written again takes requests
+    When "p1" leaves without a word, and the store comes back from a copy of before
+    Then "p1" takes nothing more for 2500 ms
+    When "p1" writes its next heartbeat
+    Then "p1" takes requests
+
   Scenario: A document that cannot be read leaves the one before in force
     When the store says something that is no configuration
     And the store says version 8
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -211,6 +211,29 @@
     context.store.come_back_from(copy)
 
 
+@when('"{name}" leaves without a word, and the store comes back from a copy of before')
+def step_gone_before_copy(context, name):
+    _register(context, name)
+    context.run(_until(lambda: _born_ms(context, name) == 1, READ_S * 1000))
+    copy = context.store.copy()
+    context.store.delete("servers", name)
+    context.run(_until(lambda: not _is_usable(context, name), READ_S * 1000))
+    context.store.come_back_from(copy)
+
+
+def _born_ms(context, name):
+    endpoint = context.directory.usable(name)
+    return None if endpoint is None else endpoint.born_ms
+
+
+@when('"{name}" writes its next heartbeat')
+def step_heartbeat(context, name):
+    row = json.loads(context.store.value("servers", name))
+    row["sequence"] += 1
+    context.store.put("servers", name, json.dumps(row).encode())
+    context.run(_until(lambda: _is_usable(context, name), READ_S * 1000))
+
+
 @when('"{name}" starts again')
 def step_starts_again(context, name):
     _register(context, name, born_ms=2)
