Write the VMs' keys and list again when the store comes back from a copy

Cause: the keys and the VMs' entries were written once, by each VM's first contact; nobody wrote them again after the store had lost them.

Change: a VM that notices another numbering of the store's versions (EndpointWatch) reads the list and writes what is missing of it: the keys that it runs with, and its own entry. The keys are written only where there are none. A call that fails is repeated after 0.5 s.

Open: a VM that starts between the return and the first read of another VM, up to a second later, still makes its own keys, and nobody mends that.

--- a/src/pomelolane/platform/endpointwatch.py
+++ b/src/pomelolane/platform/endpointwatch.py
@@ -129,6 +129,7 @@
         self._has_read = False
         self._version = 0
         self._on_regained: list[Callable[[], None]] = []
+        self._on_came_back: list[Callable[[], None]] = []
         self._refresh_wanted = asyncio.Event()
         self._answered_elsewhere = asyncio.Event()
         directory.on_refresh(self._refresh_wanted.set)
@@ -138,6 +139,10 @@
         """Call back when the store answers again after an outage."""
         self._on_regained.append(callback)
 
+    def on_came_back(self, callback: Callable[[], None]) -> None:
+        """Call back when the store has come back from an older copy."""
+        self._on_came_back.append(callback)
+
     def share(
         self, vm_id: str, data_centre: str, membership: Membership, transport: Transport
     ) -> None:
@@ -384,9 +389,7 @@
             self._begin_grace(failed_calls, asked_ms)
             for callback in self._on_regained:
                 callback()
-        if self._store.era(_ENDPOINT_TABLE) != self._era:
-            self._era = self._store.era(_ENDPOINT_TABLE)
-            self._gone.store_came_back()
+        self._look_at_era()
         if not after <= self._after <= snapshot.version:
             # Another VM has passed on a newer state while the answer was on its way, or
             # has shown that the list is to be read whole.
@@ -402,6 +405,16 @@
             self._pass_on(after, changed, snapshot.now_ms)
         self._forgotten.clear()
 
+    def _look_at_era(self) -> None:
+        """Notice that the store has come back from an older copy."""
+        before, self._era = self._era, self._store.era(_ENDPOINT_TABLE)
+        if self._era == before:
+            return
+        self._gone.store_came_back()
+        if before:
+            for callback in self._on_came_back:
+                callback()
+
     def _pass_on(
         self, after: int, changed: Sequence[StoredRow], as_of_ms: float
     ) -> None:
--- a/src/pomelolane/platform/host.py
+++ b/src/pomelolane/platform/host.py
@@ -150,6 +150,7 @@
         member = node.member
         watch.share(file.vm_id, file.data_centre, member, member.transport)
         self._background.keep_running("endpoints", watch.run)
+        self._background.keep_running("list of VMs", roster.keep)
         configuration = ConfigurationWatch(
             self._store,
             self._current,
@@ -160,6 +161,7 @@
         configuration.share(file.vm_id, file.data_centre, member, member.transport)
         configuration.on_orders = node.rollouts.adopt
         watch.on_regained(configuration.refresh)
+        watch.on_came_back(roster.store_came_back)
         self._current.confirmation.on_wanted(configuration.ask_now)
         self._background.keep_running("configuration", configuration.run)
         await node.start()
--- a/src/pomelolane/platform/roster.py
+++ b/src/pomelolane/platform/roster.py
@@ -46,6 +46,9 @@
 PERIOD_MS = 10_000.0
 """The same for later reads; heartbeats spread news sooner."""
 
+_RESTORE_PAUSE_S = 0.5
+"""Pause after a call that failed as the list was to be restored."""
+
 
 class _Entry(msgspec.Struct, frozen=True):
     data_centre: str
@@ -101,6 +104,7 @@
         self._reads = 0
         self._first_reads = _FIRST_READS
         self._read_ms = 0.0
+        self._came_back = asyncio.Event()
 
     async def first_contact(self) -> FirstContact:
         """Read the list and the keys, made by whichever VM comes first, and enter.
@@ -128,6 +132,35 @@
         keys = ClusterKeys(public_key, private_key, {SHARED_KEY_NAME: public_key})
         return FirstContact(int(now_ms), keys)
 
+    def store_came_back(self) -> None:
+        """Record that the store may have lost what VMs wrote there."""
+        self._came_back.set()
+
+    async def keep(self) -> None:
+        """Write again what a store that came back has lost, until cancelled.
+
+        VMs that start would make other keys, and know of none of those that run.
+        """
+        while True:
+            await self._came_back.wait()
+            self._came_back.clear()
+            try:
+                await self._restore()
+            except StoreUnavailableError:
+                self._came_back.set()
+                await asyncio.sleep(_RESTORE_PAUSE_S)
+
+    async def _restore(self) -> None:
+        keys, self._keys = self._keys, None
+        try:
+            await self._read()
+            if self._keys is None and keys is not None:
+                await self._write_keys(keys)
+        finally:
+            self._keys = keys
+        if self._entries.get(self._vm_id) != self._own:
+            await self._enter()
+
     def vm_ids(self) -> list[str]:
         """Return the VMs on the list as last read, none before that."""
         return list(self._entries)
@@ -171,8 +204,11 @@
 
     async def _offer_keys(self) -> None:
         public, private = zmq.curve_keypair()
-        made = _KeyPair(public.decode(), private.decode())
-        rows = {_KEY_ROW: msgspec.json.encode(made)}
+        await self._write_keys(_KeyPair(public.decode(), private.decode()))
+
+    async def _write_keys(self, keys: _KeyPair) -> None:
+        """Write the common keys, unless there are some."""
+        rows = {_KEY_ROW: msgspec.json.encode(keys)}
         await self._store.write(TABLE, rows, only_new=True)
 
 
--- a/tests/platform/watching.feature
+++ b/tests/platform/watching.feature
@@ -215,6 +215,13 @@
     When "vm-1" has started before and starts again
     Then its second start has called the store 1 time
 
+  # Guards against two groups of VMs that each schedule alone: one that started after the
+  # store had come back from a copy made keys of its own.
+  Scenario: A VM that starts after the store came back meets those that run
+    Given "vm-1" runs, and the store comes back from a copy of before its start
+    When "vm-2" starts 3000 ms later
+    Then it has the keys of "vm-1", and finds it on the list
+
   Scenario: A record of use comes back with its age
     When 5000 tokens of "org" are recorded as used 300 ms ago
     Then the record says 5000 tokens of "org" at least 300 ms ago
--- a/tests/steps/platform_watching_steps.py
+++ b/tests/steps/platform_watching_steps.py
@@ -52,6 +52,7 @@
         (event.name.removeprefix("configuration_"), values)
     )
     endpoints = EndpointWatch(context.client, context.directory, context.current, clock)
+    context.endpoint_watch = endpoints
     watch = ConfigurationWatch(
         context.client, context.current, clock, LimitWindow(), SeriesPace(APPLY_MS)
     )
@@ -530,6 +531,29 @@
     assert context.client.calls - context.calls_before == n
 
 
+@given('"{vm_id}" runs, and the store comes back from a copy of before its start')
+def step_runs_before_copy(context, vm_id):
+    copy = context.store.copy()
+    roster = _roster(context, vm_id)
+    context.keys = context.run(roster.first_contact()).keys
+    context.endpoint_watch.on_came_back(roster.store_came_back)
+    context.tasks.append(context.loop.create_task(roster.keep()))
+    context.store.come_back_from(copy)
+
+
+@when('"{vm_id}" starts {ms:d} ms later')
+def step_starts_later(context, vm_id, ms):
+    context.run(asyncio.sleep(ms / 1000))
+    context.roster = _roster(context, vm_id)
+    context.later_keys = context.run(context.roster.first_contact()).keys
+
+
+@then('it has the keys of "{vm_id}", and finds it on the list')
+def step_has_met(context, vm_id):
+    assert context.later_keys.private_key == context.keys.private_key
+    assert vm_id in context.roster.vm_ids(), context.roster.vm_ids()
+
+
 @when('{tokens:d} tokens of "{organisation}" are recorded as used {ms:d} ms ago')
 def step_record(context, tokens, organisation, ms):
     record = StoreUseRecord(context.client, "vm-1", 1)
