Copy nothing for events that arrive whole

The first form of the event buffer joined each event with an empty buffer. No change of behaviour; tests/forwarding/event_buffer.feature and tests/platform/endless.feature pass.

--- a/src/pomelolane/forwarding/event_buffer.py
+++ b/src/pomelolane/forwarding/event_buffer.py
@@ -87,13 +87,15 @@
         if self._held_events is None:
             return data
         before_bytes = len(self._held)
-        complete = b""
-        if between:
-            complete = bytes(self._held) + data[:between]
-            self._held = bytearray()
+        complete = data[:between]
+        if complete:
+            if self._held:
+                complete = bytes(self._held) + complete
+                self._held = bytearray()
             self._update_last_id(complete)
         self._held += data[between:]
-        self._held_events.resize(before_bytes, len(self._held))
+        if before_bytes or self._held:
+            self._held_events.resize(before_bytes, len(self._held))
         return complete
 
     def take_held(self) -> bytes:
