Reserve the port for relayed requests of test VMs as well

The test VMs reserved the port for messages; the one next to it, at which a VM listens for relayed requests, was taken unseen. Both are reserved now, as a pair.

tests/platform/endless.feature passes with it.

--- a/standins/listening.py
+++ b/standins/listening.py
@@ -66,6 +66,26 @@
     raise OSError(f"no lasting port is free on {host}")
 
 
+def reserve_lasting_pair(host: str) -> tuple[ReservedPort, ReservedPort]:
+    """Reserve two such ports, the second one next to the first.
+
+    Raises:
+        OSError: There are none.
+    """
+    refused = []
+    try:
+        while True:
+            first = reserve_lasting_port(host)
+            try:
+                _refuse_bound(host, first.port + 1)
+                return first, ReservedPort(host, first.port + 1)
+            except OSError:
+                refused.append(first)
+    finally:
+        for port in refused:
+            port.close()
+
+
 def _refuse_shared(host: str, port: int) -> None:
     """Fail where another process has the port, which SO_REUSEPORT would hide."""
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
--- a/standins/routed/vm.py
+++ b/standins/routed/vm.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from standins.listening import reserve_lasting_port
+from standins.listening import reserve_lasting_pair, reserve_lasting_port
 from standins.routed.endpoint import BodyFraming
 
 if TYPE_CHECKING:
@@ -60,7 +60,7 @@
         self.folder = tempfile.TemporaryDirectory()
         self.front = reserve_lasting_port(self.ip)
         self.probe = reserve_lasting_port(self.ip)
-        self.peer = reserve_lasting_port(self.ip)
+        self.peer, self._relay = reserve_lasting_pair(self.ip)
         settings = {
             "node": self.vm_id,
             "role": "scheduler",
@@ -82,7 +82,7 @@
 
     async def start(self) -> PlatformVm:
         """Start the process."""
-        for port in (self.front, self.probe, self.peer):
+        for port in (self.front, self.probe, self.peer, self._relay):
             port.close()
         environment = os.environ | {
             "POMELOLANE_NODE_FILE": str(self.path),
